Decide by the restart timer, with the six rules guarded and an adapter for the wire

The design's ordinary path (censored aged fit, Algorithm 2, cutoff, rotation, slot time) with first guards: endpoints set aside by failures and overdue calls, trickle and budget on return, pacing by the told limit, waits, turns by key.

--- /dev/null
+++ b/crates/adapter/src/main.rs
@@ -0,0 +1,285 @@
+//! Carries basalt-6b6a, one JSON batch a line, to relays of the juniperwing core and their commands back.
+//!
+//! It hosts any number of relays, shares nothing between them and decides nothing.
+
+mod wire;
+
+use std::collections::BTreeMap;
+use std::io::{self, BufRead, Write};
+use std::process::ExitCode;
+use std::sync::Arc;
+
+use juniperwing::Relay;
+use juniperwing::interface::{
+    Account, Allowance, Command, DestinationId, Effect, EndpointId, Entry, Event, Fleet, Group, Kind,
+    LimitReport, News, Notification, NtfId, Readiness, RuleFigures, Status, TopicType,
+};
+use juniperwing::time::{Span, Time};
+use serde::Deserialize;
+use serde_json::{Value, json, value::RawValue};
+
+/// A relay and what has happened to it in the batch at hand.
+struct Hosted {
+    relay: Relay,
+    events: Vec<Event>,
+}
+
+#[derive(Default)]
+struct Host {
+    relays: BTreeMap<String, Hosted>,
+    banks: BTreeMap<usize, Vec<Entry>>,
+    /// How load reports are laid out, by relay: the places of the share left and of the rate.
+    reports: BTreeMap<String, [Option<usize>; 2]>,
+}
+
+fn main() -> ExitCode {
+    let mut host = Host::default();
+    let mut output = io::stdout().lock();
+    let mut input = io::stdin().lock();
+    let mut line = Vec::new();
+    for number in 1u64.. {
+        line.clear();
+        let reply = match input.read_until(b'\n', &mut line) {
+            Ok(0) => return ExitCode::SUCCESS,
+            Ok(_) => std::str::from_utf8(&line).map_err(|e| e.to_string()).and_then(|text| host.batch(text)),
+            Err(e) => Err(e.to_string()),
+        };
+        let reply = match reply {
+            Ok(reply) => reply,
+            Err(why) => {
+                eprintln!("juniperwing-adapter: line {number}: {why}");
+                return ExitCode::FAILURE;
+            }
+        };
+        if let Err(e) = writeln!(output, "{reply}").and_then(|()| output.flush()) {
+            eprintln!("juniperwing-adapter: cannot write the reply to line {number}: {e}");
+            return ExitCode::FAILURE;
+        }
+    }
+    ExitCode::SUCCESS
+}
+
+impl Host {
+    /// Takes one batch and gives the reply to it.
+    fn batch(&mut self, text: &str) -> Result<Value, String> {
+        let batch: wire::Batch = serde_json::from_str(text).map_err(|e| format!("not a batch: {e}"))?;
+        let now = Time::from_nanos(batch.now);
+        let mut turn: Vec<String> = Vec::new();
+        for raw in batch.happened {
+            let head: wire::Head = read("an event", raw)?;
+            self.event(now, &head, raw)?;
+            if !head.relay.is_empty() && !turn.contains(&head.relay) {
+                turn.push(head.relay);
+            }
+        }
+        let mut cmds = Vec::new();
+        for name in turn {
+            if let Some(hosted) = self.relays.get_mut(&name) {
+                let events = std::mem::take(&mut hosted.events);
+                cmds.extend(hosted.relay.handle(now, events).into_iter().map(|c| command(&name, c)));
+            }
+        }
+        Ok(json!({ "cmds": cmds }))
+    }
+
+    fn event(&mut self, now: Time, head: &wire::Head, raw: &RawValue) -> Result<(), String> {
+        let name = &head.relay;
+        let event = match head.m.as_str() {
+            "Spawn" => {
+                let spawn: wire::Spawn = read("Spawn", raw)?;
+                self.reports.insert(name.clone(), report_layout(raw));
+                self.relays.insert(name.clone(), Hosted { relay: start(now, &spawn), events: Vec::new() });
+                return Ok(());
+            }
+            "Kill" => {
+                self.relays.remove(name);
+                return Ok(());
+            }
+            "Inventory" => {
+                let list: wire::Inventory = read("Inventory", raw)?;
+                self.banks.insert(list.bank, list.records.into_iter().map(entry).collect());
+                return Ok(());
+            }
+            "Endpoints" => {
+                let news: wire::Endpoints = read("Endpoints", raw)?;
+                let entries = || {
+                    self.banks
+                        .get(&news.bank)
+                        .cloned()
+                        .ok_or_else(|| format!("no Inventory has number {}", news.bank))
+                };
+                Event::List(match news.kind.as_str() {
+                    "broken" => News::Broken,
+                    "patch" => News::Changes(entries()?),
+                    "whole" | "stale_copy" => News::Whole(entries()?),
+                    _ => return Ok(()),
+                })
+            }
+            "Accept" => {
+                let ntf: wire::Accept = read("Accept", raw)?;
+                Event::Accepted(Notification {
+                    id: NtfId(ntf.ticket),
+                    destination: DestinationId(ntf.bound_for),
+                    topic: ntf.cls,
+                    account: ntf.org.as_str().map(str::to_owned),
+                    key: ntf.object,
+                    valid_until: Time::from_nanos(ntf.valid_until),
+                })
+            }
+            "Answer" => {
+                let answer: wire::Answer = read("Answer", raw)?;
+                Event::Outcome {
+                    ntf: NtfId(answer.ticket),
+                    endpoint: endpoint(&answer.endpoint),
+                    status: status(&answer.status, answer.detail),
+                    spent: Span::from_nanos(answer.spent),
+                    settled: answer.settled,
+                    limit: self.limit(name, &answer.server_stats),
+                }
+            }
+            "HealthResult" => {
+                let probed: wire::HealthResult = read("HealthResult", raw)?;
+                Event::Probed {
+                    endpoint: endpoint(&probed.endpoint),
+                    status: status(&probed.status, 0),
+                    limit: self.limit(name, &probed.server_stats),
+                }
+            }
+            "Withdrawn" => Event::Withdrawn(NtfId(read::<wire::Withdrawn>("Withdrawn", raw)?.ticket)),
+            "Ring" => Event::Woken,
+            // Streams, peers and whatever a later wire adds concern no relay here.
+            _ => return Ok(()),
+        };
+        if let Some(hosted) = self.relays.get_mut(name) {
+            hosted.events.push(event);
+        }
+        Ok(())
+    }
+
+    fn limit(&self, name: &str, stats: &[f64]) -> Option<LimitReport> {
+        let [left, rate] = *self.reports.get(name)?;
+        Some(LimitReport { left: *stats.get(left?)?, rate: *stats.get(rate?)? })
+    }
+}
+
+fn read<'a, T: Deserialize<'a>>(what: &str, raw: &'a RawValue) -> Result<T, String> {
+    serde_json::from_str(raw.get()).map_err(|e| format!("malformed {what}: {e}"))
+}
+
+/// Where the two figures on the limit stand in a load report.
+fn report_layout(raw: &RawValue) -> [Option<usize>; 2] {
+    let spawn: Value = serde_json::from_str(raw.get()).unwrap_or_default();
+    let fields = spawn["boot-info"]["load-report"]["fields"].as_array().cloned().unwrap_or_default();
+    ["x0", "x1"].map(|name| fields.iter().position(|field| field == name))
+}
+
+fn start(now: Time, spawn: &wire::Spawn) -> Relay {
+    let info = &spawn.boot_info;
+    let topics = info.classes.iter().map(|class| TopicType {
+        name: class.name.clone(),
+        effect: match class.semantics.as_str() {
+            "pure" => Effect::Repeatable,
+            "token" => Effect::Collapsible {
+                group: if class.dedup_scope == "zone" { Group::Zone } else { Group::All },
+                window: Span::from_nanos(class.repeat_window),
+            },
+            _ => Effect::OnceOnly,
+        },
+        objective: Span::from_nanos(class.aim),
+        ttl: Span::from_nanos(class.hard_limit),
+        benefit: class.worth,
+        late_share: class.late_value,
+        ordered: class.fifo_by_key,
+    });
+    let family = &info.family_info;
+    let kinds = info.kinds.iter().enumerate().map(|(i, name)| Kind {
+        name: name.clone(),
+        separate_routes: family.separate_routes.get(i).copied().unwrap_or(false),
+        per_call: family.per_call.get(i).copied().unwrap_or(1),
+    });
+    let accounts = info.accounts.iter().map(|a| Account { name: a.name.clone(), quota: a.quota_per_s });
+    let ceilings = &info.ceilings;
+    Relay::new(
+        now,
+        seed(&spawn.prng),
+        Fleet {
+            relays: info.balancers,
+            rates_listed: matches!(info.weight_source.as_str(), "nominal" | "rough"),
+            list_on_request: info.discovery == "subscribe",
+            tick: Span::from_nanos(info.tick),
+        },
+        topics.collect(),
+        kinds.collect(),
+        accounts.collect(),
+        Allowance {
+            slots: family.slots,
+            pushes: ceilings.max_attempts,
+            longest_retry: Span::from_nanos(if ceilings.retry_after { ceilings.max_retry_after } else { 0 }),
+            probes: ceilings.probes,
+        },
+        RuleFigures {
+            ask_every: Span::from_nanos(info.rules.ask_every),
+            cold_from: info.rules.cold_from,
+            cold: Span::from_nanos(info.rules.cold),
+            fall_multiple: info.rules.fall_multiple,
+            tip_after: Span::from_nanos(info.rules.tip_after),
+            settle: Span::from_nanos(info.rules.settle_after_doubt),
+        },
+    )
+}
+
+/// The seed as 64 bits, whichever integer the wire wrote.
+fn seed(prng: &Value) -> u64 {
+    prng.as_u64().or_else(|| prng.as_i64().map(i64::cast_unsigned)).unwrap_or(0)
+}
+
+fn endpoint(name: &str) -> EndpointId {
+    EndpointId(Arc::from(name))
+}
+
+fn entry(record: wire::Record) -> Entry {
+    Entry {
+        endpoint: endpoint(&record.endpoint),
+        destination: DestinationId(record.cell),
+        kind: record.model,
+        zone: record.region_part,
+        readiness: match record.readiness.as_str() {
+            "DRAINING" => Readiness::Draining,
+            "DELETED" => Readiness::Deleted,
+            _ => Readiness::Serving,
+        },
+        rate: record.nominal,
+    }
+}
+
+fn status(word: &str, detail: u64) -> Status {
+    match word {
+        "done" => Status::Delivered,
+        "busy" => Status::Busy((detail > 0).then(|| Span::from_millis(detail))),
+        "etimedout" => Status::TimedOut,
+        "econnrefused" => Status::NoConnection,
+        "econnreset" => Status::Reset,
+        "ecanceled" => Status::Cancelled,
+        "skipped" => Status::Skipped,
+        // "err", and any word not known here: it may have run.
+        _ => Status::Error,
+    }
+}
+
+fn command(relay: &str, command: Command) -> Value {
+    match command {
+        Command::Push { ntf, endpoint, time_out } => json!({
+            "m": "Transmit", "relay": relay, "ticket": ntf.0, "endpoint": &*endpoint.0,
+            "give-up-after": time_out.nanos(),
+        }),
+        Command::Throttle { ntf, retry_in } => {
+            json!({"m": "Bounce", "relay": relay, "ticket": ntf.0, "retry-in": retry_in.nanos()})
+        }
+        Command::Expire(ntf) => json!({"m": "Fail", "relay": relay, "ticket": ntf.0}),
+        Command::Wake(after) => {
+            json!({"m": "NotifyMe", "relay": relay, "wait": after.nanos(), "label": "wake"})
+        }
+        Command::Subscribe => json!({"m": "Listen", "relay": relay, "active": true}),
+        Command::Probe(endpoint) => json!({"m": "SoundOut", "relay": relay, "endpoint": &*endpoint.0}),
+    }
+}
--- /dev/null
+++ b/crates/adapter/src/wire.rs
@@ -0,0 +1,164 @@
+//! The wire's messages, as serde reads them.
+
+use serde::Deserialize;
+use serde_json::{Value, value::RawValue};
+
+#[derive(Deserialize)]
+pub struct Batch<'a> {
+    pub now: u64,
+    #[serde(borrow)]
+    pub happened: Vec<&'a RawValue>,
+}
+
+/// The part of an event that tells what it is and whose.
+#[derive(Deserialize)]
+pub struct Head {
+    pub m: String,
+    #[serde(default)]
+    pub relay: String,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Spawn {
+    #[serde(default)]
+    pub prng: Value,
+    #[serde(default)]
+    pub boot_info: BootInfo,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(rename_all = "kebab-case", default)]
+pub struct BootInfo {
+    pub accounts: Vec<Account>,
+    pub balancers: usize,
+    pub ceilings: Ceilings,
+    pub classes: Vec<Class>,
+    pub discovery: String,
+    pub family_info: FamilyInfo,
+    pub kinds: Vec<String>,
+    pub rules: Rules,
+    pub tick: u64,
+    pub weight_source: String,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(rename_all = "kebab-case", default)]
+pub struct Account {
+    pub name: String,
+    pub quota_per_s: f64,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(rename_all = "kebab-case", default)]
+pub struct Ceilings {
+    pub max_attempts: u32,
+    pub max_retry_after: u64,
+    pub retry_after: bool,
+    pub probes: bool,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(rename_all = "kebab-case", default)]
+pub struct Class {
+    pub name: String,
+    pub aim: u64,
+    pub hard_limit: u64,
+    pub worth: f64,
+    pub late_value: f64,
+    pub semantics: String,
+    pub dedup_scope: String,
+    pub repeat_window: u64,
+    pub fifo_by_key: bool,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(rename_all = "kebab-case", default)]
+pub struct FamilyInfo {
+    pub per_call: Vec<usize>,
+    pub separate_routes: Vec<bool>,
+    pub slots: usize,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(rename_all = "kebab-case", default)]
+pub struct Rules {
+    pub ask_every: u64,
+    pub cold_from: f64,
+    pub cold: u64,
+    pub fall_multiple: f64,
+    pub tip_after: u64,
+    pub settle_after_doubt: u64,
+}
+
+#[derive(Deserialize)]
+pub struct Inventory {
+    pub bank: usize,
+    #[serde(default)]
+    pub records: Vec<Record>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Record {
+    pub endpoint: String,
+    #[serde(default)]
+    pub region_part: String,
+    #[serde(default)]
+    pub model: String,
+    pub cell: u64,
+    #[serde(default)]
+    pub readiness: String,
+    #[serde(default)]
+    pub nominal: f64,
+}
+
+#[derive(Deserialize)]
+pub struct Endpoints {
+    #[serde(default)]
+    pub bank: usize,
+    pub kind: String,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Accept {
+    pub ticket: u64,
+    pub bound_for: u64,
+    #[serde(default)]
+    pub org: Value,
+    pub object: Option<String>,
+    pub valid_until: u64,
+    #[serde(default)]
+    pub cls: String,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Answer {
+    pub ticket: u64,
+    pub endpoint: String,
+    pub status: String,
+    #[serde(default)]
+    pub spent: u64,
+    #[serde(default)]
+    pub settled: bool,
+    #[serde(default)]
+    pub detail: u64,
+    #[serde(default)]
+    pub server_stats: Vec<f64>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct HealthResult {
+    pub endpoint: String,
+    pub status: String,
+    #[serde(default)]
+    pub server_stats: Vec<f64>,
+}
+
+#[derive(Deserialize)]
+pub struct Withdrawn {
+    pub ticket: u64,
+}
--- /dev/null
+++ b/src/interface.rs
@@ -0,0 +1,278 @@
+//! What goes into a relay and what comes out: typed events, commands and the facts it is started with.
+//!
+//! Nothing here decides, and nothing here knows how a front writes these things down.
+
+use std::sync::Arc;
+
+use crate::time::{Span, Time};
+
+/// A notification's id, as its front gave it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct NtfId(pub u64);
+
+/// A destination's id, as its front gave it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct DestinationId(pub u64);
+
+/// An endpoint's id, as its front gave it.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct EndpointId(pub Arc<str>);
+
+/// Which endpoints of a destination recognise a repeat of a collapsible notification.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Group {
+    /// All of them.
+    All,
+    /// Those in the zone of the endpoint that had the first push.
+    Zone,
+}
+
+/// What happens if a notification of a topic type runs twice.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Effect {
+    /// Nothing: it may run again.
+    Repeatable,
+    /// The repeat is dropped by the endpoints of `group`, for `window` from the first push that may have run.
+    Collapsible {
+        /// The endpoints that drop a repeat.
+        group: Group,
+        /// For how long they do.
+        window: Span,
+    },
+    /// It must never run twice.
+    OnceOnly,
+}
+
+/// A topic type and what its clients want of it.
+#[derive(Clone, Debug)]
+pub struct TopicType {
+    /// Its name, as notifications carry it.
+    pub name: String,
+    /// What a second run would do.
+    pub effect: Effect,
+    /// The latency objective: delivered within this, a notification earns its full benefit.
+    pub objective: Span,
+    /// How long a notification may be delivered, from when it was first handed in.
+    pub ttl: Span,
+    /// The benefit of a delivery within the objective.
+    pub benefit: f64,
+    /// The share of the benefit that is left at the TTL.
+    pub late_share: f64,
+    /// Whether notifications with one key go one at a time, in the order taken.
+    pub ordered: bool,
+}
+
+/// A kind of destination.
+#[derive(Clone, Debug)]
+pub struct Kind {
+    /// Its name, as list entries carry it.
+    pub name: String,
+    /// Whether its endpoints are separate routes, each with its own limit, waits and outages.
+    pub separate_routes: bool,
+    /// Most notifications that travel in one call.
+    pub per_call: usize,
+}
+
+/// An account and the part of the service that it may use.
+#[derive(Clone, Debug)]
+pub struct Account {
+    /// Its name, as notifications carry it.
+    pub name: String,
+    /// Notifications a second within its share, over all relays.
+    pub quota: f64,
+}
+
+/// The group of relays that this one belongs to.
+#[derive(Clone, Copy, Debug)]
+pub struct Fleet {
+    /// How many relays there are, this one included.
+    pub relays: usize,
+    /// Whether list entries carry a rate (calls a second over all relays), be it a rough one.
+    pub rates_listed: bool,
+    /// Whether news of the list has to be asked for.
+    pub list_on_request: bool,
+    /// The shortest gap between two rounds.
+    pub tick: Span,
+}
+
+/// What this relay may use.
+#[derive(Clone, Copy, Debug)]
+pub struct Allowance {
+    /// Calls out at once.
+    pub slots: usize,
+    /// Pushes for one notification.
+    pub pushes: u32,
+    /// The longest time to come back that a client heeds; zero if none may be named.
+    pub longest_retry: Span,
+    /// Whether endpoints may be probed.
+    pub probes: bool,
+}
+
+/// The figures of the rules.
+#[derive(Clone, Copy, Debug)]
+pub struct RuleFigures {
+    /// Without a subscription, a relay that has not asked for this long counts as told.
+    pub ask_every: Span,
+    /// The least share of its capacity that a destination has right after an outage.
+    pub cold_from: f64,
+    /// How long after its return a destination has all of its capacity again, at the latest.
+    pub cold: Span,
+    /// A cold destination falls over above this many times its present capacity...
+    pub fall_multiple: f64,
+    /// ...kept up for this long.
+    pub tip_after: Span,
+    /// How long a key rests after a push that might still be running.
+    pub settle: Span,
+}
+
+/// A notification as it was handed in.
+#[derive(Clone, Debug)]
+pub struct Notification {
+    /// Its id.
+    pub id: NtfId,
+    /// The destination it is for.
+    pub destination: DestinationId,
+    /// The name of its topic type.
+    pub topic: String,
+    /// The name of its account, if it has one.
+    pub account: Option<String>,
+    /// What it is about, if its topic type is ordered.
+    pub key: Option<String>,
+    /// It may be delivered until then.
+    pub valid_until: Time,
+}
+
+/// What the list says of an endpoint. It says nothing of health.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Readiness {
+    /// It takes calls.
+    Serving,
+    /// Nothing new may go to it.
+    Draining,
+    /// It is gone.
+    Deleted,
+}
+
+/// An entry of the list.
+#[derive(Clone, Debug)]
+pub struct Entry {
+    /// The endpoint.
+    pub endpoint: EndpointId,
+    /// The destination it belongs to.
+    pub destination: DestinationId,
+    /// The name of its destination's kind.
+    pub kind: String,
+    /// The name of its zone.
+    pub zone: String,
+    /// What the list says of it.
+    pub readiness: Readiness,
+    /// The listed rate in calls a second; see [`Fleet::rates_listed`].
+    pub rate: f64,
+}
+
+/// News of the list.
+#[derive(Clone, Debug)]
+pub enum News {
+    /// Only what changed.
+    Changes(Vec<Entry>),
+    /// All of it: what is missing is gone.
+    Whole(Vec<Entry>),
+    /// A request for it failed or the subscription broke.
+    Broken,
+}
+
+/// How a push or a probe ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Status {
+    /// Delivered.
+    Delivered,
+    /// The destination answered with an error; it may have run.
+    Error,
+    /// Turned away unseen, maybe with a time to wait; it never ran.
+    Busy(Option<Span>),
+    /// No answer in time; it may have run or still do so.
+    TimedOut,
+    /// No connection; it never ran.
+    NoConnection,
+    /// The connection broke; it may have run.
+    Reset,
+    /// Called off; it may have run.
+    Cancelled,
+    /// Not sent at all.
+    Skipped,
+}
+
+/// What a destination tells of its limit.
+#[derive(Clone, Copy, Debug)]
+pub struct LimitReport {
+    /// The share of the limit that is left.
+    pub left: f64,
+    /// The limit in calls a second, over all relays; zero if there is none.
+    pub rate: f64,
+}
+
+/// Something that happened to this relay.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// News of the list came in.
+    List(News),
+    /// A notification was handed in; the relay owes it one final answer.
+    Accepted(Notification),
+    /// A push ended.
+    Outcome {
+        /// The notification pushed.
+        ntf: NtfId,
+        /// Where it was pushed to.
+        endpoint: EndpointId,
+        /// How the push ended.
+        status: Status,
+        /// How long ago it was sent.
+        spent: Span,
+        /// Whether the notification has its final answer, by this or earlier.
+        settled: bool,
+        /// What the destination told of its limit.
+        limit: Option<LimitReport>,
+    },
+    /// The client has taken the notification back; nothing is owed any more.
+    Withdrawn(NtfId),
+    /// A wake-up that was asked for.
+    Woken,
+    /// A probe ended.
+    Probed {
+        /// The endpoint probed.
+        endpoint: EndpointId,
+        /// How the probe ended.
+        status: Status,
+        /// What the destination told of its limit.
+        limit: Option<LimitReport>,
+    },
+}
+
+/// Something the relay wants done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Command {
+    /// Push a notification to an endpoint.
+    Push {
+        /// The notification.
+        ntf: NtfId,
+        /// Where to.
+        endpoint: EndpointId,
+        /// When to abandon the push.
+        time_out: Span,
+    },
+    /// Final answer: handed back, trying again is harmless.
+    Throttle {
+        /// The notification.
+        ntf: NtfId,
+        /// When the client should come back; zero if nothing is advised.
+        retry_in: Span,
+    },
+    /// Final answer: given up, with no promise about its effect.
+    Expire(NtfId),
+    /// Send [`Event::Woken`] after this long.
+    Wake(Span),
+    /// Subscribe to news of the list.
+    Subscribe,
+    /// Probe an endpoint.
+    Probe(EndpointId),
+}
--- /dev/null
+++ b/tests/helper/mod.rs
@@ -0,0 +1,134 @@
+//! Drives one relay by hand and writes down what it decides.
+
+use std::fmt::Write;
+use std::sync::Arc;
+
+use juniperwing::Relay;
+use juniperwing::interface::*;
+use juniperwing::time::{Span, Time};
+
+pub struct Rig {
+    relay: Relay,
+    ms: u64,
+    pub trace: String,
+    out: Vec<(NtfId, EndpointId, u64)>,
+}
+
+/// Topic types: `safe` (repeatable), `mark` (collapsible in its zone for 4 s), `once` (once-only, in order).
+pub fn topics() -> Vec<TopicType> {
+    let topic = |name: &str, effect, ordered| TopicType {
+        name: name.to_owned(),
+        effect,
+        objective: Span::from_millis(2_000),
+        ttl: Span::from_millis(16_000),
+        benefit: 1.0,
+        late_share: 0.5,
+        ordered,
+    };
+    let mark = Effect::Collapsible { group: Group::Zone, window: Span::from_millis(4_000) };
+    vec![
+        topic("safe", Effect::Repeatable, false),
+        topic("mark", mark, false),
+        topic("once", Effect::OnceOnly, true),
+    ]
+}
+
+impl Rig {
+    /// A relay, one of two, with eight pushes for each notification and a list of endpoints (`name zone`) of
+    /// destination 1, whose calls carry up to `per_call` notifications.
+    pub fn new(slots: usize, per_call: usize, endpoints: &[(&str, &str)]) -> Rig {
+        let ms = Span::from_millis;
+        let relay = Relay::new(
+            Time::from_nanos(0),
+            7,
+            Fleet { relays: 2, rates_listed: false, list_on_request: true, tick: ms(5) },
+            topics(),
+            vec![Kind { name: "plain".to_owned(), separate_routes: false, per_call }],
+            Vec::new(),
+            Allowance { slots, pushes: 8, longest_retry: ms(3_000), probes: false },
+            RuleFigures {
+                ask_every: ms(10_000),
+                cold_from: 0.2,
+                cold: ms(10_000),
+                fall_multiple: 2.0,
+                tip_after: ms(1_500),
+                settle: ms(300),
+            },
+        );
+        let mut rig = Rig { relay, ms: 0, trace: String::new(), out: Vec::new() };
+        let entries = endpoints.iter().map(|(name, zone)| entry(name, zone, Readiness::Serving)).collect();
+        rig.give(Event::List(News::Whole(entries)));
+        rig
+    }
+
+    /// Hands in one event and writes down what follows.
+    pub fn give(&mut self, event: Event) {
+        let commands = self.relay.handle(Time::from_nanos(self.ms * 1_000_000), vec![event]);
+        for command in commands {
+            let ms = self.ms;
+            let line = match command {
+                Command::Push { ntf, endpoint, time_out } => {
+                    let line =
+                        format!("push {} to {} for {} ms", ntf.0, endpoint.0, time_out.nanos() / 1_000_000);
+                    self.out.push((ntf, endpoint, ms));
+                    line
+                }
+                Command::Throttle { ntf, .. } => format!("throttle {}", ntf.0),
+                Command::Expire(ntf) => format!("expire {}", ntf.0),
+                Command::Subscribe => "subscribe".to_owned(),
+                Command::Probe(endpoint) => format!("probe {}", endpoint.0),
+                Command::Wake(_) => continue,
+            };
+            writeln!(self.trace, "{ms:>6} {line}").expect("a string takes any text");
+        }
+    }
+
+    pub fn accept(&mut self, id: u64, topic: &str, key: Option<&str>, ttl_ms: u64) {
+        self.give(Event::Accepted(Notification {
+            id: NtfId(id),
+            destination: DestinationId(1),
+            topic: topic.to_owned(),
+            account: None,
+            key: key.map(str::to_owned),
+            valid_until: Time::from_nanos((self.ms + ttl_ms) * 1_000_000),
+        }));
+    }
+
+    /// The push of `id` that is out ends.
+    pub fn end(&mut self, id: u64, status: Status) {
+        let place = self.out.iter().position(|o| o.0 == NtfId(id)).expect("a push of it is out");
+        let (ntf, endpoint, sent) = self.out.remove(place);
+        let (spent, settled) = (Span::from_millis(self.ms - sent), status == Status::Delivered);
+        self.give(Event::Outcome { ntf, endpoint, status, spent, settled, limit: None });
+    }
+
+    /// Lets time pass, waking the relay all along.
+    pub fn pass(&mut self, ms: u64) {
+        let until = self.ms + ms;
+        while self.ms < until {
+            self.ms = (self.ms + 10).min(until);
+            self.give(Event::Woken);
+        }
+    }
+
+    /// Delivers `count` notifications, numbered from `first`, one after the other in `ms` each.
+    pub fn warm(&mut self, first: u64, count: u64, ms: u64) {
+        for id in first..first + count {
+            self.accept(id, "safe", None, 16_000);
+            self.pass(ms);
+            self.end(id, Status::Delivered);
+        }
+        self.trace.clear();
+    }
+}
+
+pub fn entry(name: &str, zone: &str, readiness: Readiness) -> Entry {
+    Entry {
+        endpoint: EndpointId(Arc::from(name)),
+        destination: DestinationId(1),
+        kind: "plain".to_owned(),
+        zone: zone.to_owned(),
+        readiness,
+        rate: 1.0,
+    }
+}
--- /dev/null
+++ b/tests/rules.rs
@@ -0,0 +1,203 @@
+//! Short traces of decisions, compared with kept ones.
+
+mod helper;
+
+use std::fmt::Write;
+
+use expect_test::expect;
+use helper::{Rig, entry};
+use juniperwing::interface::{Event, News, NtfId, Readiness, Status};
+use juniperwing::rules::Fit;
+use juniperwing::time::Span;
+
+/// The paper's own example (Table 1): best at three restarts, whatever more pushes are allowed.
+#[test]
+fn algorithm_2_on_the_papers_example() {
+    let fit = Fit { mu: -2.3, sigma: 0.97 };
+    let mut trace = String::new();
+    for pushes in [1, 2, 3, 4, 5, 8] {
+        let time_out = fit.time_out(Span::from_millis(700), pushes);
+        writeln!(trace, "{pushes} pushes: {} ms", time_out.nanos() / 1_000_000).expect("a string");
+    }
+    expect![[r#"
+        1 pushes: 700 ms
+        2 pushes: 350 ms
+        3 pushes: 233 ms
+        4 pushes: 175 ms
+        5 pushes: 175 ms
+        8 pushes: 175 ms
+    "#]]
+    .assert_eq(&trace);
+}
+
+/// With a TTL of many medians the chance of success is 1 in floating point; the search must not stop there.
+#[test]
+fn algorithm_2_where_success_is_all_but_sure() {
+    let time_out = Fit { mu: -2.3, sigma: 0.6 }.time_out(Span::from_millis(16_000), 8);
+    expect!["2000 ms"].assert_eq(&format!("{} ms", time_out.nanos() / 1_000_000));
+}
+
+#[test]
+fn cutoff_answers_at_once_what_has_less_time_left_than_a_usual_call() {
+    let mut rig = Rig::new(4, 1, &[("a", "z")]);
+    rig.warm(1, 6, 400);
+    rig.accept(10, "safe", None, 300);
+    rig.accept(11, "safe", None, 900);
+    expect![[r#"
+          2400 throttle 10
+          2400 push 11 to a for 900 ms
+    "#]]
+    .assert_eq(&rig.trace);
+}
+
+#[test]
+fn once_only_has_one_push_that_may_have_run() {
+    let mut rig = Rig::new(4, 1, &[("a", "z"), ("b", "z")]);
+    rig.accept(1, "once", None, 16_000);
+    rig.end(1, Status::NoConnection);
+    rig.pass(300);
+    rig.end(1, Status::Error);
+    expect![[r#"
+             0 subscribe
+             0 push 1 to a for 16000 ms
+             0 push 1 to b for 16000 ms
+           300 expire 1
+    "#]]
+    .assert_eq(&rig.trace);
+}
+
+#[test]
+fn collapsible_restarts_only_in_its_group_and_window() {
+    let mut rig = Rig::new(4, 1, &[("a", "z"), ("b", "y"), ("c", "z")]);
+    rig.accept(1, "mark", None, 16_000);
+    rig.end(1, Status::Reset);
+    rig.pass(3_900);
+    rig.end(1, Status::Error);
+    rig.pass(200);
+    rig.end(1, Status::Error);
+    expect![[r#"
+             0 subscribe
+             0 push 1 to a for 16000 ms
+             0 push 1 to c for 16000 ms
+          3900 push 1 to a for 12100 ms
+          4100 expire 1
+    "#]]
+    .assert_eq(&rig.trace);
+}
+
+#[test]
+fn one_key_goes_one_at_a_time_and_rests_after_doubt() {
+    let mut rig = Rig::new(4, 1, &[("a", "z")]);
+    for id in 1..=3 {
+        rig.accept(id, "once", Some("k"), 16_000);
+    }
+    rig.pass(100);
+    rig.end(1, Status::Reset);
+    rig.pass(400);
+    rig.end(2, Status::Delivered);
+    rig.pass(10);
+    expect![[r#"
+             0 subscribe
+             0 push 1 to a for 16000 ms
+           100 expire 1
+           400 push 2 to a for 15600 ms
+           500 push 3 to a for 15500 ms
+    "#]]
+    .assert_eq(&rig.trace);
+}
+
+#[test]
+fn drains_are_kept_and_a_broken_list_is_asked_for_again() {
+    let mut rig = Rig::new(4, 1, &[("a", "z"), ("b", "z")]);
+    rig.give(Event::List(News::Changes(vec![entry("a", "z", Readiness::Draining)])));
+    for id in 1..=3 {
+        rig.accept(id, "safe", None, 16_000);
+    }
+    rig.give(Event::List(News::Whole(vec![entry("c", "z", Readiness::Serving)])));
+    rig.accept(4, "safe", None, 16_000);
+    rig.give(Event::List(News::Broken));
+    rig.pass(1_000);
+    expect![[r#"
+             0 subscribe
+             0 push 1 to b for 16000 ms
+             0 push 2 to b for 16000 ms
+           180 subscribe
+    "#]]
+    .assert_eq(&rig.trace);
+}
+
+#[test]
+fn waits_are_heeded_for_the_whole_destination() {
+    let mut rig = Rig::new(4, 1, &[("a", "z"), ("b", "z")]);
+    rig.accept(1, "safe", None, 16_000);
+    rig.accept(2, "safe", None, 16_000);
+    rig.end(1, Status::Busy(Some(Span::from_millis(800))));
+    rig.end(2, Status::Busy(Some(Span::from_millis(300))));
+    rig.pass(1_000);
+    expect![[r#"
+             0 subscribe
+             0 push 1 to a for 16000 ms
+             0 push 2 to b for 16000 ms
+           800 push 2 to a for 15200 ms
+           800 push 1 to b for 15200 ms
+    "#]]
+    .assert_eq(&rig.trace);
+}
+
+#[test]
+fn what_is_withdrawn_or_settled_is_passed_over() {
+    let mut rig = Rig::new(4, 1, &[("a", "z")]);
+    rig.accept(1, "safe", None, 16_000);
+    rig.give(Event::Withdrawn(NtfId(1)));
+    rig.end(1, Status::TimedOut);
+    rig.give(Event::Withdrawn(NtfId(1)));
+    rig.pass(1_000);
+    expect![[r#"
+             0 subscribe
+             0 push 1 to a for 16000 ms
+    "#]]
+    .assert_eq(&rig.trace);
+}
+
+/// A silent endpoint is set aside before any time-out, then tried by a trickle that doubles when it is back.
+#[test]
+fn a_silent_destination_gets_a_trickle_and_is_not_pushed_over() {
+    let mut rig = Rig::new(8, 1, &[("a", "z")]);
+    rig.warm(1, 20, 100);
+    for id in 100..120 {
+        rig.accept(id, "safe", None, 30_000);
+    }
+    rig.pass(2_900);
+    rig.end(100, Status::Delivered);
+    rig.pass(2_000);
+    expect![[r#"
+          2000 push 100 to a for 3750 ms
+          2000 push 101 to a for 3750 ms
+          2000 push 102 to a for 3750 ms
+          2000 push 103 to a for 3750 ms
+          2000 push 104 to a for 3750 ms
+          2000 push 105 to a for 3750 ms
+          2000 push 106 to a for 3750 ms
+          2000 push 107 to a for 3750 ms
+          5300 push 108 to a for 3337 ms
+    "#]]
+    .assert_eq(&rig.trace);
+}
+
+#[test]
+fn calls_are_filled_before_they_go() {
+    let mut rig = Rig::new(4, 3, &[("a", "z")]);
+    for id in 1..=4 {
+        rig.accept(id, "safe", None, 16_000);
+        rig.pass(10);
+    }
+    rig.pass(400);
+    expect![[r#"
+             0 subscribe
+            20 push 1 to a for 15980 ms
+            20 push 2 to a for 15990 ms
+            20 push 3 to a for 16000 ms
+           280 push 4 to a for 15750 ms
+    "#]]
+    .assert_eq(&rig.trace);
+}
