--- a/crates/adapter/src/main.rs
+++ b/crates/adapter/src/main.rs
@@ -12,7 +12,7 @@
 use juniperwing::Relay;
 use juniperwing::interface::{
     Account, Allowance, Command, DestinationId, Effect, EndpointId, Entry, Event, Fleet, Group, Kind,
-    LimitReport, News, Notification, NtfId, Readiness, RuleFigures, Status, TopicType,
+    LimitReport, News, Notification, NtfId, Outcome, Readiness, RuleFigures, Status, TopicType,
 };
 use juniperwing::time::{Span, Time};
 use serde::Deserialize;
@@ -22,14 +22,17 @@
 struct Hosted {
     relay: Relay,
     events: Vec<Event>,
+    topics: Vec<Arc<TopicType>>,
+    kinds: Vec<Arc<Kind>>,
+    accounts: Vec<Arc<Account>>,
+    /// Where a load report has the share of the limit left, and the limit.
+    report: [Option<usize>; 2],
 }
 
 #[derive(Default)]
 struct Host {
     relays: BTreeMap<String, Hosted>,
-    banks: BTreeMap<usize, Vec<Entry>>,
-    /// How load reports are laid out, by relay: the places of the share left and of the rate.
-    reports: BTreeMap<String, [Option<usize>; 2]>,
+    banks: BTreeMap<usize, Vec<wire::Record>>,
 }
 
 fn main() -> ExitCode {
@@ -83,97 +86,121 @@
     }
 
     fn event(&mut self, now: Time, head: &wire::Head, raw: &RawValue) -> Result<(), String> {
-        let name = &head.relay;
-        let event = match head.m.as_str() {
+        match head.m.as_str() {
             "Spawn" => {
-                let spawn: wire::Spawn = read("Spawn", raw)?;
-                self.reports.insert(name.clone(), report_layout(raw));
-                self.relays.insert(name.clone(), Hosted { relay: start(now, &spawn), events: Vec::new() });
-                return Ok(());
+                self.relays.insert(head.relay.clone(), start(now, &read("Spawn", raw)?));
             }
             "Kill" => {
-                self.relays.remove(name);
-                return Ok(());
+                self.relays.remove(&head.relay);
             }
             "Inventory" => {
                 let list: wire::Inventory = read("Inventory", raw)?;
-                self.banks.insert(list.bank, list.records.into_iter().map(entry).collect());
-                return Ok(());
+                self.banks.insert(list.bank, list.records);
             }
+            _ => {
+                if let Some(hosted) = self.relays.get_mut(&head.relay)
+                    && let Some(event) = hosted.event(&head.m, raw, &self.banks)?
+                {
+                    hosted.events.push(event);
+                }
+            }
+        }
+        Ok(())
+    }
+}
+
+impl Hosted {
+    fn event(
+        &self, m: &str, raw: &RawValue, banks: &BTreeMap<usize, Vec<wire::Record>>,
+    ) -> Result<Option<Event>, String> {
+        Ok(Some(match m {
             "Endpoints" => {
-                let news: wire::Endpoints = read("Endpoints", raw)?;
+                let news: wire::Endpoints = read(m, raw)?;
                 let entries = || {
-                    self.banks
-                        .get(&news.bank)
-                        .cloned()
-                        .ok_or_else(|| format!("no Inventory has number {}", news.bank))
+                    let records = banks.get(&news.bank).ok_or("Endpoints names a bank with no Inventory");
+                    Ok::<_, &str>(records?.iter().map(|record| self.entry(record)).collect())
                 };
                 Event::List(match news.kind.as_str() {
                     "broken" => News::Broken,
                     "patch" => News::Changes(entries()?),
                     "whole" | "stale_copy" => News::Whole(entries()?),
-                    _ => return Ok(()),
+                    _ => return Ok(None),
                 })
             }
             "Accept" => {
-                let ntf: wire::Accept = read("Accept", raw)?;
+                let ntf: wire::Accept = read(m, raw)?;
+                let topic = self.topics.iter().find(|topic| topic.name == ntf.cls);
+                let account = self.accounts.iter().find(|account| ntf.org == account.name.as_str());
                 Event::Accepted(Notification {
                     id: NtfId(ntf.ticket),
                     destination: DestinationId(ntf.bound_for),
-                    topic: ntf.cls,
-                    account: ntf.org.as_str().map(str::to_owned),
+                    topic: topic
+                        .ok_or_else(|| format!("Accept names no known class: {:?}", ntf.cls))?
+                        .clone(),
+                    account: account.cloned(),
                     key: ntf.object,
                     valid_until: Time::from_nanos(ntf.valid_until),
                 })
             }
             "Answer" => {
-                let answer: wire::Answer = read("Answer", raw)?;
-                Event::Outcome {
+                let answer: wire::Answer = read(m, raw)?;
+                Event::Ended(Outcome {
                     ntf: NtfId(answer.ticket),
+                    push: answer.go,
                     endpoint: endpoint(&answer.endpoint),
                     status: status(&answer.status, answer.detail),
                     spent: Span::from_nanos(answer.spent),
                     settled: answer.settled,
-                    limit: self.limit(name, &answer.server_stats),
-                }
+                    limit: self.limit(&answer.server_stats),
+                })
             }
             "HealthResult" => {
-                let probed: wire::HealthResult = read("HealthResult", raw)?;
+                let probed: wire::HealthResult = read(m, raw)?;
                 Event::Probed {
                     endpoint: endpoint(&probed.endpoint),
                     status: status(&probed.status, 0),
-                    limit: self.limit(name, &probed.server_stats),
+                    limit: self.limit(&probed.server_stats),
                 }
             }
-            "Withdrawn" => Event::Withdrawn(NtfId(read::<wire::Withdrawn>("Withdrawn", raw)?.ticket)),
+            "Withdrawn" => Event::Withdrawn(NtfId(read::<wire::Withdrawn>(m, raw)?.ticket)),
             "Ring" => Event::Woken,
             // Streams, peers and whatever a later wire adds concern no relay here.
-            _ => return Ok(()),
-        };
-        if let Some(hosted) = self.relays.get_mut(name) {
-            hosted.events.push(event);
+            _ => return Ok(None),
+        }))
+    }
+
+    fn entry(&self, record: &wire::Record) -> Entry {
+        let kind = self.kinds.iter().find(|kind| kind.name == record.model).cloned();
+        Entry {
+            endpoint: endpoint(&record.endpoint),
+            destination: DestinationId(record.cell),
+            kind: kind.unwrap_or_else(|| Arc::new(plain(&record.model))),
+            zone: Arc::from(&*record.region_part),
+            readiness: match record.readiness.as_str() {
+                "DRAINING" => Readiness::Draining,
+                "DELETED" => Readiness::Deleted,
+                _ => Readiness::Serving,
+            },
+            rate: record.nominal,
         }
-        Ok(())
     }
 
-    fn limit(&self, name: &str, stats: &[f64]) -> Option<LimitReport> {
-        let [left, rate] = *self.reports.get(name)?;
+    fn limit(&self, stats: &[f64]) -> Option<LimitReport> {
+        let [left, rate] = self.report;
         Some(LimitReport { left: *stats.get(left?)?, rate: *stats.get(rate?)? })
     }
 }
 
-fn read<'a, T: Deserialize<'a>>(what: &str, raw: &'a RawValue) -> Result<T, String> {
-    serde_json::from_str(raw.get()).map_err(|e| format!("malformed {what}: {e}"))
+/// A kind of which nothing more is told.
+fn plain(name: &str) -> Kind {
+    Kind { name: name.to_owned(), separate_routes: false, per_call: 1 }
 }
 
-/// Where the two figures on the limit stand in a load report.
-fn report_layout(raw: &RawValue) -> [Option<usize>; 2] {
-    let spawn: Value = serde_json::from_str(raw.get()).unwrap_or_default();
-    let fields = spawn["boot-info"]["load-report"]["fields"].as_array().cloned().unwrap_or_default();
-    ["x0", "x1"].map(|name| fields.iter().position(|field| field == name))
+fn read<'a, T: Deserialize<'a>>(what: &str, raw: &'a RawValue) -> Result<T, String> {
+    serde_json::from_str(raw.get()).map_err(|e| format!("malformed {what}: {e}"))
 }
 
-fn start(now: Time, spawn: &wire::Spawn) -> Relay {
+fn start(now: Time, spawn: &wire::Spawn) -> Hosted {
     let info = &spawn.boot_info;
     let topics = info.classes.iter().map(|class| TopicType {
         name: class.name.clone(),
@@ -193,13 +220,13 @@
     });
     let family = &info.family_info;
     let kinds = info.kinds.iter().enumerate().map(|(i, name)| Kind {
-        name: name.clone(),
         separate_routes: family.separate_routes.get(i).copied().unwrap_or(false),
         per_call: family.per_call.get(i).copied().unwrap_or(1),
+        ..plain(name)
     });
     let accounts = info.accounts.iter().map(|a| Account { name: a.name.clone(), quota: a.quota_per_s });
     let ceilings = &info.ceilings;
-    Relay::new(
+    let relay = Relay::new(
         now,
         seed(&spawn.prng),
         Fleet {
@@ -208,14 +235,13 @@
             list_on_request: info.discovery == "subscribe",
             tick: Span::from_nanos(info.tick),
         },
-        topics.collect(),
-        kinds.collect(),
-        accounts.collect(),
         Allowance {
             slots: family.slots,
             pushes: ceilings.max_attempts,
+            held: ceilings.most_held,
             longest_retry: Span::from_nanos(if ceilings.retry_after { ceilings.max_retry_after } else { 0 }),
             probes: ceilings.probes,
+            cancel: ceilings.cancel,
         },
         RuleFigures {
             ask_every: Span::from_nanos(info.rules.ask_every),
@@ -225,7 +251,16 @@
             tip_after: Span::from_nanos(info.rules.tip_after),
             settle: Span::from_nanos(info.rules.settle_after_doubt),
         },
-    )
+    );
+    let fields = &info.load_report.fields;
+    Hosted {
+        relay,
+        events: Vec::new(),
+        topics: topics.map(Arc::new).collect(),
+        kinds: kinds.map(Arc::new).collect(),
+        accounts: accounts.map(Arc::new).collect(),
+        report: ["x0", "x1"].map(|name| fields.iter().position(|field| field == name)),
+    }
 }
 
 /// The seed as 64 bits, whichever integer the wire wrote.
@@ -237,21 +272,6 @@
     EndpointId(Arc::from(name))
 }
 
-fn entry(record: wire::Record) -> Entry {
-    Entry {
-        endpoint: endpoint(&record.endpoint),
-        destination: DestinationId(record.cell),
-        kind: record.model,
-        zone: record.region_part,
-        readiness: match record.readiness.as_str() {
-            "DRAINING" => Readiness::Draining,
-            "DELETED" => Readiness::Deleted,
-            _ => Readiness::Serving,
-        },
-        rate: record.nominal,
-    }
-}
-
 fn status(word: &str, detail: u64) -> Status {
     match word {
         "done" => Status::Delivered,
@@ -272,6 +292,9 @@
             "m": "Transmit", "relay": relay, "ticket": ntf.0, "endpoint": &*endpoint.0,
             "give-up-after": time_out.nanos(),
         }),
+        Command::Cancel { ntf, push } => {
+            json!({"m": "AbortAttempt", "relay": relay, "ticket": ntf.0, "go": push})
+        }
         Command::Throttle { ntf, retry_in } => {
             json!({"m": "Bounce", "relay": relay, "ticket": ntf.0, "retry-in": retry_in.nanos()})
         }
--- a/crates/adapter/src/wire.rs
+++ b/crates/adapter/src/wire.rs
@@ -37,6 +37,7 @@
     pub discovery: String,
     pub family_info: FamilyInfo,
     pub kinds: Vec<String>,
+    pub load_report: LoadReport,
     pub rules: Rules,
     pub tick: u64,
     pub weight_source: String,
@@ -56,6 +57,8 @@
     pub max_retry_after: u64,
     pub retry_after: bool,
     pub probes: bool,
+    pub cancel: bool,
+    pub most_held: usize,
 }
 
 #[derive(Deserialize, Default)]
@@ -91,6 +94,12 @@
     pub settle_after_doubt: u64,
 }
 
+#[derive(Deserialize, Default)]
+#[serde(default)]
+pub struct LoadReport {
+    pub fields: Vec<String>,
+}
+
 #[derive(Deserialize)]
 pub struct Inventory {
     pub bank: usize,
@@ -137,6 +146,8 @@
 #[serde(rename_all = "kebab-case")]
 pub struct Answer {
     pub ticket: u64,
+    #[serde(default)]
+    pub go: u32,
     pub endpoint: String,
     pub status: String,
     #[serde(default)]
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -46,7 +46,7 @@
 /// A topic type and what its clients want of it.
 #[derive(Clone, Debug)]
 pub struct TopicType {
-    /// Its name, as notifications carry it.
+    /// Its name.
     pub name: String,
     /// What a second run would do.
     pub effect: Effect,
@@ -65,7 +65,7 @@
 /// A kind of destination.
 #[derive(Clone, Debug)]
 pub struct Kind {
-    /// Its name, as list entries carry it.
+    /// Its name.
     pub name: String,
     /// Whether its endpoints are separate routes, each with its own limit, waits and outages.
     pub separate_routes: bool,
@@ -76,7 +76,7 @@
 /// An account and the part of the service that it may use.
 #[derive(Clone, Debug)]
 pub struct Account {
-    /// Its name, as notifications carry it.
+    /// Its name.
     pub name: String,
     /// Notifications a second within its share, over all relays.
     pub quota: f64,
@@ -102,10 +102,14 @@
     pub slots: usize,
     /// Pushes for one notification.
     pub pushes: u32,
+    /// Notifications held, sent or not; what comes beyond is turned away before the relay sees it.
+    pub held: usize,
     /// The longest time to come back that a client heeds; zero if none may be named.
     pub longest_retry: Span,
     /// Whether endpoints may be probed.
     pub probes: bool,
+    /// Whether a push may be called off.
+    pub cancel: bool,
 }
 
 /// The figures of the rules.
@@ -132,10 +136,10 @@
     pub id: NtfId,
     /// The destination it is for.
     pub destination: DestinationId,
-    /// The name of its topic type.
-    pub topic: String,
-    /// The name of its account, if it has one.
-    pub account: Option<String>,
+    /// Its topic type.
+    pub topic: Arc<TopicType>,
+    /// Its account, if it has one.
+    pub account: Option<Arc<Account>>,
     /// What it is about, if its topic type is ordered.
     pub key: Option<String>,
     /// It may be delivered until then.
@@ -160,10 +164,10 @@
     pub endpoint: EndpointId,
     /// The destination it belongs to.
     pub destination: DestinationId,
-    /// The name of its destination's kind.
-    pub kind: String,
+    /// Its destination's kind.
+    pub kind: Arc<Kind>,
     /// The name of its zone.
-    pub zone: String,
+    pub zone: Arc<str>,
     /// What the list says of it.
     pub readiness: Readiness,
     /// The listed rate in calls a second; see [`Fleet::rates_listed`].
@@ -202,6 +206,18 @@
     Skipped,
 }
 
+impl Status {
+    /// Whether a push that ended so may have run.
+    pub const fn may_have_run(self) -> bool {
+        !matches!(self, Status::Busy(_) | Status::NoConnection | Status::Skipped)
+    }
+
+    /// Whether a push that ended so may still be running.
+    pub const fn may_be_running(self) -> bool {
+        matches!(self, Status::TimedOut | Status::Reset | Status::Cancelled)
+    }
+}
+
 /// What a destination tells of its limit.
 #[derive(Clone, Copy, Debug)]
 pub struct LimitReport {
@@ -211,6 +227,25 @@
     pub rate: f64,
 }
 
+/// How a push ended.
+#[derive(Clone, Debug)]
+pub struct Outcome {
+    /// The notification pushed.
+    pub ntf: NtfId,
+    /// Which of its pushes, counted from 0.
+    pub push: u32,
+    /// Where it was pushed to.
+    pub endpoint: EndpointId,
+    /// How the push ended.
+    pub status: Status,
+    /// How long ago it was sent.
+    pub spent: Span,
+    /// Whether the notification has its final answer, by this or earlier.
+    pub settled: bool,
+    /// What the destination told of its limit.
+    pub limit: Option<LimitReport>,
+}
+
 /// Something that happened to this relay.
 #[derive(Clone, Debug)]
 pub enum Event {
@@ -219,20 +254,7 @@
     /// A notification was handed in; the relay owes it one final answer.
     Accepted(Notification),
     /// A push ended.
-    Outcome {
-        /// The notification pushed.
-        ntf: NtfId,
-        /// Where it was pushed to.
-        endpoint: EndpointId,
-        /// How the push ended.
-        status: Status,
-        /// How long ago it was sent.
-        spent: Span,
-        /// Whether the notification has its final answer, by this or earlier.
-        settled: bool,
-        /// What the destination told of its limit.
-        limit: Option<LimitReport>,
-    },
+    Ended(Outcome),
     /// The client has taken the notification back; nothing is owed any more.
     Withdrawn(NtfId),
     /// A wake-up that was asked for.
@@ -260,6 +282,13 @@
         /// When to abandon the push.
         time_out: Span,
     },
+    /// Call a push off.
+    Cancel {
+        /// The notification.
+        ntf: NtfId,
+        /// Which of its pushes, counted from 0.
+        push: u32,
+    },
     /// Final answer: handed back, trying again is harmless.
     Throttle {
         /// The notification.
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -8,10 +8,11 @@
 //! from an outage), which asks its `Lane` (waits, limits), which pushes.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::sync::Arc;
 
 use crate::interface::{
-    Account, Allowance, Command, DestinationId, Effect, EndpointId, Entry, Event, Fleet, Group, Kind,
-    LimitReport, News, Notification, NtfId, Readiness, RuleFigures, Status, TopicType,
+    Allowance, Command, DestinationId, Effect, EndpointId, Entry, Event, Fleet, Group, LimitReport, News,
+    Notification, NtfId, Outcome, Readiness, RuleFigures, Status,
 };
 use crate::time::{Span, Time};
 
@@ -33,6 +34,9 @@
 /// First pause after a throttled push that told no wait; doubles with each in a row up to the last.
 const PAUSE: Span = Span::from_millis(100);
 const LONGEST_PAUSE: Span = Span::from_millis(1_600);
+/// Below this much time left nothing is worth sending, and the shortest gap between two wake-ups.
+const LEAST_LEFT: Span = Span::from_millis(20);
+const LEAST_WAKE: Span = Span::from_millis(10);
 /// Weight of each further notification in a call, for a cold endpoint.
 const FURTHER: f64 = 0.25;
 
@@ -52,21 +56,25 @@
 
 #[derive(Debug)]
 enum Note {
+    /// A round has come: see to whatever time alone brings.
     Sweep,
     News(News),
     Listed(Entry),
     Accepted(Box<Held>),
     Withdrawn(NtfId),
+    /// A key's notification queues for its turn, has it, or leaves (with the time of a push in doubt).
     Join(String, NtfId, DestinationId),
-    Leave(String, NtfId, Option<Time>),
     Turn(NtfId),
+    Leave(String, NtfId, Option<Time>),
+    /// A slot is free: does the destination take it? It passes, or a call goes from part to part until sent.
     Slot,
     Pass(DestinationId),
     Call(Call),
     Declined,
     Sent(Call),
-    /// A push ended; the flag says whether its call had shown no outcome before.
+    /// A push ended; the flag says that its call had shown no outcome before, for a call has one fate.
     Outcome(Outcome, bool),
+    /// A call has all its outcomes.
     Ended(DestinationId),
     Probed(Status),
 }
@@ -80,20 +88,12 @@
     overdue_after: Span,
 }
 
-#[derive(Clone, Debug)]
-struct Outcome {
-    ntf: NtfId,
-    status: Status,
-    spent: Span,
-    settled: bool,
-    limit: Option<LimitReport>,
-}
-
-/// The inboxes, and the commands given so far in this round.
-#[derive(Default)]
+/// The round at hand: its clock, the inboxes, the commands given so far, and the source of chance.
 struct Mail {
+    now: Time,
     inboxes: BTreeMap<Part, VecDeque<Note>>,
     commands: Vec<Command>,
+    chance: Chance,
 }
 
 impl Mail {
@@ -127,6 +127,14 @@
     }
 }
 
+/// Keeps the last few of a kind of sample.
+fn keep<T>(samples: &mut VecDeque<T>, sample: T, most: usize) {
+    samples.push_back(sample);
+    if samples.len() > most {
+        samples.pop_front();
+    }
+}
+
 // ---- The design's latency fit and restart timer ----
 
 /// How long a call took, or was seen to last at least.
@@ -217,31 +225,27 @@
 }
 
 impl Turns {
-    fn take(&mut self, now: Time, note: Note, mail: &mut Mail) {
+    fn take(&mut self, note: Note, mail: &mut Mail) {
         match note {
-            Note::Join(key, ntf, destination) => {
-                self.lines.entry(key).or_default().waiting.push_back((ntf, destination));
-            }
+            Note::Join(key, ntf, to) => self.lines.entry(key).or_default().waiting.push_back((ntf, to)),
             Note::Leave(key, ntf, doubt) => {
                 if let Some(line) = self.lines.get_mut(&key) {
-                    if line.granted && line.waiting.front().is_some_and(|w| w.0 == ntf) {
-                        line.granted = false;
-                    }
+                    line.granted &= line.waiting.front().is_some_and(|w| w.0 != ntf);
                     line.waiting.retain(|w| w.0 != ntf);
-                    if let Some(at) = doubt {
-                        line.rest_until = line.rest_until.max(at + self.settle);
-                    }
+                    line.rest_until =
+                        line.rest_until.max(doubt.map_or(Time::default(), |at| at + self.settle));
                 }
             }
             _ => {}
         }
+        let now = mail.now;
         for line in self.lines.values_mut().filter(|line| !line.granted && line.rest_until <= now) {
             if let Some(&(ntf, destination)) = line.waiting.front() {
                 line.granted = true;
                 mail.put(Part::Destination(destination), Note::Turn(ntf));
             }
         }
-        self.lines.retain(|_, line| !line.waiting.is_empty() || line.rest_until > now);
+        self.lines.retain(|_, line| !line.waiting.is_empty() || line.rest_until > mail.now);
     }
 }
 
@@ -257,11 +261,11 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Health {
     Well,
-    /// Set aside: one call or probe at a time, the next not before `next`.
+    /// Set aside: the next call or probe not before `next`.
     Aside {
         next: Time,
     },
-    /// Proved back at `since`; calls from `from`, doubling with each delivered up to its part.
+    /// Proved back at `since`; calls from `from`, doubling with each delivered up to this relay's part.
     Back {
         since: Time,
         from: Time,
@@ -270,17 +274,15 @@
 }
 
 struct Endpoint {
-    id: EndpointId,
-    destination: DestinationId,
-    lane: LaneId,
-    per_call: usize,
-    readiness: Readiness,
+    entry: Entry,
+    figures: RuleFigures,
+    probes: bool,
     outs: Vec<Out>,
     /// Latest sends (with weight) and deliveries.
     sent: VecDeque<(Time, f64)>,
     good: VecDeque<Time>,
+    /// Failures in a row, and the latest: a call sent before it says no more than was known then.
     streak: usize,
-    /// Sequential evidence: a call sent before this says no more than what was known then.
     last_bad: Time,
     /// Calls a second that this relay got delivered here before the first failure.
     part: f64,
@@ -288,98 +290,102 @@
 }
 
 impl Endpoint {
-    fn take(
-        &mut self, now: Time, note: Note, figures: &RuleFigures, probes: bool, chance: &mut Chance,
-        mail: &mut Mail,
-    ) {
+    fn new(entry: Entry, figures: RuleFigures, probes: bool) -> Self {
+        let (outs, sent, good) = (Vec::new(), VecDeque::new(), VecDeque::new());
+        let (last_bad, health) = (Time::default(), Health::Well);
+        Endpoint { entry, figures, probes, outs, sent, good, streak: 0, last_bad, part: 0.0, health }
+    }
+
+    fn lane(&self) -> Part {
+        let apart = self.entry.kind.separate_routes.then(|| self.entry.endpoint.clone());
+        Part::Lane((self.entry.destination, apart))
+    }
+
+    fn take(&mut self, note: Note, mail: &mut Mail) {
         match note {
-            Note::Listed(entry) => self.readiness = entry.readiness,
-            Note::Call(call) if self.takes(now, call.pushes.len(), figures, probes) => {
-                mail.put(Part::Lane(self.lane.clone()), Note::Call(call));
+            Note::Listed(entry) => self.entry = entry,
+            Note::Call(call) if self.takes(mail.now, call.pushes.len()) => {
+                mail.put(self.lane(), Note::Call(call))
             }
             Note::Call(call) => mail.put(Part::Destination(call.destination), Note::Declined),
             Note::Sent(call) => {
-                self.weigh(now, call.pushes.len(), figures, chance);
+                self.weigh(call.pushes.len(), mail);
+                let (at, overdue_at) = (mail.now, mail.now + call.overdue_after);
                 let ntfs = call.pushes.into_iter().map(|push| push.0).collect();
-                self.outs.push(Out { at: now, overdue_at: now + call.overdue_after, ntfs, answered: false });
+                self.outs.push(Out { at, overdue_at, ntfs, answered: false });
             }
-            Note::Outcome(outcome, _) => self.outcome(now, outcome, figures, chance, mail),
-            Note::Probed(status) => self.judge(now, now, status, None, figures, chance),
+            Note::Outcome(outcome, _) => self.outcome(outcome, mail),
+            Note::Probed(status) => self.judge(mail.now, status, None, mail),
             Note::Sweep => {
-                self.suspect(now, figures, chance);
-                if matches!(self.health, Health::Aside { next } if probes && now >= next) {
-                    self.weigh(now, 1, figures, chance);
-                    mail.commands.push(Command::Probe(self.id.clone()));
+                self.suspect(mail);
+                if matches!(self.health, Health::Aside { next } if self.probes && mail.now >= next) {
+                    self.weigh(1, mail);
+                    mail.commands.push(Command::Probe(self.entry.endpoint.clone()));
                 }
             }
             _ => {}
         }
     }
 
-    /// Rules: nothing to an endpoint that drains or is gone; after an outage, within its part.
-    fn takes(&self, now: Time, pushes: usize, figures: &RuleFigures, probes: bool) -> bool {
+    /// Rules: nothing to an endpoint that drains or is gone; after an outage, no more than its part.
+    fn takes(&self, now: Time, pushes: usize) -> bool {
         // A second call in the same round would be joined to the first.
-        let joins = self.outs.last().is_some_and(|o| o.at == now && o.ntfs.len() < self.per_call);
-        if self.readiness != Readiness::Serving || joins {
+        let joins = self.outs.last().is_some_and(|o| o.at == now && o.ntfs.len() < self.entry.kind.per_call);
+        if self.entry.readiness != Readiness::Serving || joins {
             return false;
         }
         match self.health {
             Health::Well => true,
-            Health::Aside { next } => !probes && now >= next,
+            Health::Aside { next } => !self.probes && now >= next,
             Health::Back { since, from, wins } => {
-                let level = (now.since(since).secs() / figures.cold.secs().max(1e-3)).min(1.0);
-                let level = figures.cold_from + (1.0 - figures.cold_from) * level;
-                let budget = figures.fall_multiple * level * self.part * figures.tip_after.secs();
+                let f = &self.figures;
+                let warmth = (now.since(since).secs() / f.cold.secs().max(1e-3)).min(1.0);
+                let level = f.cold_from + (1.0 - f.cold_from) * warmth;
+                let budget = f.fall_multiple * level * self.part * f.tip_after.secs();
                 let budget = budget.min(2f64.powi(wins.min(20))).max(1.0);
-                let recent = self.sent.iter().rev().take_while(|s| now.since(s.0) < figures.tip_after);
+                let recent = self.sent.iter().rev().take_while(|s| now.since(s.0) < f.tip_after);
                 now >= from && recent.map(|s| s.1).sum::<f64>() + weight(pushes) <= budget + FURTHER * 2.0
             }
         }
     }
 
-    fn weigh(&mut self, now: Time, pushes: usize, figures: &RuleFigures, chance: &mut Chance) {
-        keep(&mut self.sent, (now, weight(pushes)));
+    fn weigh(&mut self, pushes: usize, mail: &mut Mail) {
+        keep(&mut self.sent, (mail.now, weight(pushes)), 2 * SAMPLES);
         if let Health::Aside { next } = &mut self.health {
-            *next = now + figures.tip_after.times(0.75 + chance.next() / 2.0);
+            *next = mail.now + self.figures.tip_after.times(0.75 + mail.chance.next() / 2.0);
         }
     }
 
-    fn outcome(
-        &mut self, now: Time, o: Outcome, figures: &RuleFigures, chance: &mut Chance, mail: &mut Mail,
-    ) {
-        let Some(place) = self.outs.iter().position(|out| out.ntfs.contains(&o.ntf)) else { return };
+    fn outcome(&mut self, outcome: Outcome, mail: &mut Mail) {
+        let Some(place) = self.outs.iter().position(|out| out.ntfs.contains(&outcome.ntf)) else { return };
         let out = &mut self.outs[place];
-        out.ntfs.retain(|ntf| *ntf != o.ntf);
-        let first = !out.answered;
-        out.answered = true;
-        let at = out.at;
-        if out.ntfs.is_empty() {
+        out.ntfs.retain(|ntf| *ntf != outcome.ntf);
+        let first = !std::mem::replace(&mut out.answered, true);
+        let (at, over, to) = (out.at, out.ntfs.is_empty(), self.entry.destination);
+        if over {
             self.outs.remove(place);
-            mail.put(Part::Lane(self.lane.clone()), Note::Ended(self.destination));
-            mail.put(Part::Slots, Note::Ended(self.destination));
+            mail.put(self.lane(), Note::Ended(to));
+            mail.put(Part::Slots, Note::Ended(to));
         }
         if first {
-            self.judge(now, at, o.status, o.limit, figures, chance);
-            mail.put(Part::Lane(self.lane.clone()), Note::Outcome(o.clone(), first));
+            self.judge(at, outcome.status, outcome.limit, mail);
+            mail.put(self.lane(), Note::Outcome(outcome.clone(), first));
         }
-        mail.put(Part::Destination(self.destination), Note::Outcome(o, first));
+        mail.put(Part::Destination(to), Note::Outcome(outcome, first));
     }
 
     /// What an outcome, of a call sent at `at`, says of the endpoint's health.
-    fn judge(
-        &mut self, now: Time, at: Time, status: Status, limit: Option<LimitReport>, figures: &RuleFigures,
-        chance: &mut Chance,
-    ) {
+    fn judge(&mut self, at: Time, status: Status, limit: Option<LimitReport>, mail: &mut Mail) {
         match status {
             Status::Delivered => {
-                keep(&mut self.good, now);
+                keep(&mut self.good, mail.now, 2 * SAMPLES);
                 self.streak = 0;
                 self.health = match self.health {
                     Health::Aside { .. } => {
-                        let from = now + figures.tip_after.times(chance.next() / 3.0);
-                        Health::Back { since: now, from, wins: 0 }
+                        let from = mail.now + self.figures.tip_after.times(mail.chance.next() / 3.0);
+                        Health::Back { since: mail.now, from, wins: 0 }
                     }
-                    Health::Back { since, .. } if now.since(since) >= figures.cold => Health::Well,
+                    Health::Back { since, .. } if mail.now.since(since) >= self.figures.cold => Health::Well,
                     Health::Back { since, from, wins } => Health::Back { since, from, wins: wins + 1 },
                     Health::Well => Health::Well,
                 };
@@ -389,30 +395,30 @@
             Status::Skipped | Status::Cancelled => {}
             _ if self.streak > 0 && at < self.last_bad => {}
             _ => {
-                if self.streak == 0 && matches!(self.health, Health::Well) {
-                    let span = Span::from_millis(10_000);
-                    let recent = self.good.iter().filter(|t| now.since(**t) < span).count();
-                    self.part = recent as f64 / span.secs();
-                }
+                self.measure(mail.now);
                 self.streak += 1;
-                self.last_bad = now;
+                self.last_bad = mail.now;
             }
         }
-        self.suspect(now, figures, chance);
+        self.suspect(mail);
     }
 
     /// Guards against silence as well as failures: a call long overdue is evidence before its time-out.
-    fn suspect(&mut self, now: Time, figures: &RuleFigures, chance: &mut Chance) {
-        let overdue = self.outs.iter().filter(|out| !out.answered && out.overdue_at <= now).count();
-        let overdue =
-            if self.good.back().is_some_and(|t| now.since(*t) < figures.tip_after) { 0 } else { overdue };
-        if !matches!(self.health, Health::Aside { .. }) && self.streak + overdue >= SUSPECT {
-            if self.streak == 0 && matches!(self.health, Health::Well) {
-                let span = Span::from_millis(10_000);
-                let recent = self.good.iter().filter(|t| now.since(**t) < span).count();
-                self.part = recent as f64 / span.secs();
-            }
-            self.health = Health::Aside { next: now + figures.tip_after.times(0.5 + chance.next() / 2.0) };
+    fn suspect(&mut self, mail: &mut Mail) {
+        let lately = self.good.back().is_some_and(|t| mail.now.since(*t) < self.figures.tip_after);
+        let overdue = self.outs.iter().filter(|out| !lately && !out.answered && out.overdue_at <= mail.now);
+        if !matches!(self.health, Health::Aside { .. }) && self.streak + overdue.count() >= SUSPECT {
+            self.measure(mail.now);
+            let pause = self.figures.tip_after.times(0.5 + mail.chance.next() / 2.0);
+            self.health = Health::Aside { next: mail.now + pause };
+        }
+    }
+
+    /// At the first sign of trouble: what this relay got delivered here is a safe measure of its part.
+    fn measure(&mut self, now: Time) {
+        if self.streak == 0 && self.health == Health::Well {
+            let recent = self.good.iter().filter(|t| now.since(**t) < SLOT_MEMORY).count();
+            self.part = recent as f64 / SLOT_MEMORY.secs();
         }
     }
 }
@@ -421,36 +427,43 @@
     1.0 + FURTHER * pushes.saturating_sub(1) as f64
 }
 
-/// Keeps the last few of a kind of sample.
-fn keep<T>(samples: &mut VecDeque<T>, sample: T) {
-    samples.push_back(sample);
-    if samples.len() > 2 * SAMPLES {
-        samples.pop_front();
-    }
-}
-
 // ---- Lane: waits and limits ----
 
 struct Lane {
     wait_until: Time,
-    /// How many calls may be out, by what the lane has shown lately.
-    window: f64,
+    pause_until: Time,
+    /// Calls out, and how many may be, by what the lane has shown lately.
     out: usize,
+    window: f64,
     last_sent: Time,
-    /// The told limit, and the share of it that this relay takes.
+    /// The told limit, the share of it that this relay takes, and the least it ever takes.
     rate: f64,
     share: f64,
-    refused: u32,
-    pause_until: Time,
     least_share: f64,
+    refused: i32,
 }
 
 impl Lane {
-    fn take(&mut self, now: Time, note: Note, chance: &mut Chance, mail: &mut Mail) {
+    fn new(slots: usize, relays: usize) -> Self {
+        let (never, relays) = (Time::default(), relays.max(1) as f64);
+        Lane {
+            wait_until: never,
+            pause_until: never,
+            out: 0,
+            window: (slots as f64 / 2.0).max(1.0),
+            last_sent: never,
+            rate: 0.0,
+            share: (1.5 / relays).min(1.0),
+            least_share: 0.5 / relays,
+            refused: 0,
+        }
+    }
+
+    fn take(&mut self, note: Note, mail: &mut Mail) {
         match note {
-            Note::Call(call) if self.takes(now) => {
+            Note::Call(call) if self.takes(mail.now) => {
                 self.out += 1;
-                self.last_sent = now;
+                self.last_sent = mail.now;
                 for &(ntf, time_out) in &call.pushes {
                     mail.commands.push(Command::Push { ntf, endpoint: call.endpoint.clone(), time_out });
                 }
@@ -460,41 +473,7 @@
             }
             Note::Call(call) => mail.put(Part::Destination(call.destination), Note::Declined),
             Note::Ended(_) => self.out = self.out.saturating_sub(1),
-            Note::Outcome(o, _) => {
-                if let Some(report) = o.limit {
-                    self.rate = report.rate;
-                    let step = if report.left > 0.3 {
-                        1.1
-                    } else if report.left < 0.1 {
-                        0.9
-                    } else {
-                        1.0
-                    };
-                    self.share = (self.share * step).clamp(self.least_share, 1.0);
-                }
-                match o.status {
-                    Status::Delivered => {
-                        self.refused = 0;
-                        self.window += 1.0 / self.window;
-                    }
-                    Status::Busy(told) => {
-                        if let Some(wait) = told {
-                            self.wait_until = self.wait_until.max(now + wait);
-                        }
-                        if now >= self.pause_until {
-                            let pause = PAUSE.times(2f64.powi(self.refused.min(8) as i32)).min(LONGEST_PAUSE);
-                            self.pause_until = now + pause.times(0.5 + chance.next());
-                            self.refused += 1;
-                            self.share = (self.share * 0.7).max(self.least_share);
-                            self.window = (self.window * 0.6).max(1.0);
-                        }
-                    }
-                    Status::TimedOut | Status::NoConnection | Status::Reset => {
-                        self.window = (self.window * 0.8).max(1.0);
-                    }
-                    _ => {}
-                }
-            }
+            Note::Outcome(outcome, _) => self.learn(&outcome, mail),
             _ => {}
         }
     }
@@ -502,10 +481,36 @@
     /// Rule: nothing while a told wait lasts. Besides, no faster than the limit allows.
     fn takes(&self, now: Time) -> bool {
         let gap = Span::from_secs(if self.rate > 0.0 { 1.0 / (self.rate * self.share) } else { 0.0 });
-        now >= self.wait_until
-            && now >= self.pause_until
-            && (self.out as f64) < self.window
-            && now >= self.last_sent + gap
+        let free = (self.out as f64) < self.window && now >= self.last_sent + gap;
+        free && now >= self.wait_until.max(self.pause_until)
+    }
+
+    fn learn(&mut self, outcome: &Outcome, mail: &mut Mail) {
+        if let Some(report) = outcome.limit {
+            self.rate = report.rate;
+            let step = if report.left > 0.3 { 1.1 } else { 1.0 } * if report.left < 0.1 { 0.9 } else { 1.0 };
+            self.share = (self.share * step).clamp(self.least_share, 1.0);
+        }
+        match outcome.status {
+            Status::Delivered => {
+                self.refused = 0;
+                self.window += 1.0 / self.window;
+            }
+            Status::Busy(told) => {
+                self.wait_until = self.wait_until.max(told.map_or(Time::default(), |wait| mail.now + wait));
+                if mail.now >= self.pause_until {
+                    let pause = PAUSE.times(2f64.powi(self.refused.min(8))).min(LONGEST_PAUSE);
+                    self.pause_until = mail.now + pause.times(0.5 + mail.chance.next());
+                    self.refused += 1;
+                    self.share = (self.share * 0.7).max(self.least_share);
+                    self.window = (self.window * 0.6).max(1.0);
+                }
+            }
+            Status::TimedOut | Status::NoConnection | Status::Reset => {
+                self.window = (self.window * 0.8).max(1.0);
+            }
+            _ => {}
+        }
     }
 }
 
@@ -515,17 +520,16 @@
 #[derive(Debug)]
 struct Held {
     ntf: Notification,
-    topic: TopicType,
     taken: Time,
     over_share: bool,
     pushes: u32,
     /// It has its turn, or needs none.
     turn: bool,
-    /// When and to which zone the push now out was sent.
-    out: Option<(Time, String)>,
+    /// When and to which zone the push now out was sent; the endpoint of the latest.
+    out: Option<(Time, Arc<str>)>,
     last: Option<EndpointId>,
     /// When and to which zone the first push that may have run was sent.
-    ran: Option<(Time, String)>,
+    ran: Option<(Time, Arc<str>)>,
     /// When a push last ended that may still be running.
     doubt: Option<Time>,
     /// Withdrawn: kept only until the push out has its outcome.
@@ -533,9 +537,15 @@
 }
 
 impl Held {
+    fn new(ntf: Notification, taken: Time, over_share: bool) -> Self {
+        let turn = !(ntf.topic.ordered && ntf.key.is_some());
+        let (out, last, ran, doubt) = (None, None, None, None);
+        Held { ntf, taken, over_share, pushes: 0, turn, out, last, ran, doubt, over: false }
+    }
+
     /// Rule: no effect twice. Every send passes here.
-    fn may_run(&self, now: Time, zone: Option<&str>, most: u32) -> bool {
-        let effect = match (&self.ran, self.topic.effect) {
+    fn may_run(&self, now: Time, zone: Option<&Arc<str>>, most: u32) -> bool {
+        let effect = match (&self.ran, self.ntf.topic.effect) {
             (None, _) | (Some(_), Effect::Repeatable) => true,
             (Some(_), Effect::OnceOnly) => false,
             (Some((at, first)), Effect::Collapsible { group, window }) => {
@@ -548,9 +558,11 @@
 
 struct Destination {
     id: DestinationId,
+    allowed: Allowance,
+    overdue_floor: Span,
     per_call: usize,
     /// Its endpoints, by id, with their zones, and where the rotation stands.
-    ends: Vec<(EndpointId, String)>,
+    ends: Vec<(EndpointId, Arc<str>)>,
     next: usize,
     /// Endpoints asked so far for the slot at hand.
     asked: usize,
@@ -560,19 +572,20 @@
 }
 
 impl Destination {
-    fn take(&mut self, now: Time, note: Note, allowed: &Allowance, figures: &RuleFigures, mail: &mut Mail) {
+    fn new(id: DestinationId, allowed: Allowance, overdue_floor: Span) -> Self {
+        let (ends, held, samples) = (Vec::new(), Vec::new(), VecDeque::new());
+        let (per_call, next, asked, fit) = (1, 0, 0, None);
+        Destination { id, allowed, overdue_floor, per_call, ends, next, asked, held, samples, fit }
+    }
+
+    fn take(&mut self, note: Note, mail: &mut Mail) {
         match note {
             Note::Listed(entry) => {
-                let known = self.ends.iter().position(|end| end.0 == entry.endpoint);
-                match (known, entry.readiness) {
-                    (None, Readiness::Serving) => {
-                        self.ends.push((entry.endpoint, entry.zone));
-                        self.ends.sort();
-                    }
-                    (Some(place), Readiness::Draining | Readiness::Deleted) => {
-                        self.ends.remove(place);
-                    }
-                    _ => {}
+                self.per_call = entry.kind.per_call.max(1);
+                self.ends.retain(|end| end.0 != entry.endpoint);
+                if entry.readiness == Readiness::Serving {
+                    self.ends.push((entry.endpoint, entry.zone));
+                    self.ends.sort();
                 }
             }
             Note::Accepted(held) => {
@@ -584,33 +597,31 @@
             Note::Turn(ntf) => self.held.iter_mut().filter(|h| h.ntf.id == ntf).for_each(|h| h.turn = true),
             Note::Withdrawn(ntf) => {
                 if let Some(place) = self.held.iter().position(|h| h.ntf.id == ntf) {
-                    if self.held[place].out.is_some() {
-                        self.held[place].over = true;
-                    } else {
+                    self.held[place].over = true;
+                    if self.held[place].out.is_none() {
                         self.release(place, mail);
                     }
                 }
             }
-            Note::Outcome(outcome, first) => self.outcome(now, outcome, first, allowed, mail),
+            Note::Outcome(outcome, first) => self.outcome(outcome, first, mail),
             Note::Sweep => {
-                self.fit = Fit::of(&self.samples, now);
+                self.fit = Fit::of(&self.samples, mail.now);
                 for place in (0..self.held.len()).rev() {
-                    self.give_up_if_vain(now, place, allowed, mail);
+                    self.give_up_if_vain(place, mail);
                 }
             }
-            Note::Slot => self.offer(now, allowed, figures, mail),
+            Note::Slot => self.offer(mail),
             Note::Declined => {
                 self.asked += 1;
-                self.offer(now, allowed, figures, mail);
+                self.offer(mail);
             }
             Note::Sent(call) => {
                 self.asked = 0;
-                let place = self.ends.iter().position(|end| end.0 == call.endpoint);
-                let zone = place.map(|p| self.ends[p].1.clone()).unwrap_or_default();
-                self.next = place.map_or(self.next, |p| p + 1);
+                let Some(place) = self.ends.iter().position(|end| end.0 == call.endpoint) else { return };
+                self.next = place + 1;
                 for held in self.held.iter_mut().filter(|h| call.pushes.iter().any(|p| p.0 == h.ntf.id)) {
                     held.pushes += 1;
-                    held.out = Some((now, zone.clone()));
+                    held.out = Some((mail.now, self.ends[place].1.clone()));
                     held.last = Some(call.endpoint.clone());
                 }
             }
@@ -619,85 +630,91 @@
     }
 
     /// Asks the next endpoint in rotation for the slot at hand; in a first round, resends go elsewhere.
-    fn offer(&mut self, now: Time, allowed: &Allowance, figures: &RuleFigures, mail: &mut Mail) {
+    fn offer(&mut self, mail: &mut Mail) {
         while self.asked < 2 * self.ends.len() && !self.held.is_empty() {
             let (endpoint, zone) = self.ends[(self.next + self.asked) % self.ends.len()].clone();
-            let pushes = self.pick(now, &endpoint, &zone, self.asked < self.ends.len(), allowed);
-            if pushes.is_empty() {
-                self.asked += 1;
-                continue;
+            let pushes = self.pick(mail.now, &endpoint, &zone);
+            if !pushes.is_empty() {
+                let far =
+                    self.fit.map_or(Span::ZERO, |fit| Span::from_secs((fit.mu + 3.0 * fit.sigma).exp()));
+                let (to, overdue_after) = (Part::Endpoint(endpoint.clone()), far.max(self.overdue_floor));
+                let call = Call { destination: self.id, endpoint, pushes, overdue_after };
+                return mail.put(to, Note::Call(call));
             }
-            let floor = figures.tip_after.times(OVERDUE_FLOOR);
-            let far = self.fit.map_or(Span::ZERO, |fit| Span::from_secs((fit.mu + 3.0 * fit.sigma).exp()));
-            let call = Call { destination: self.id, endpoint, pushes, overdue_after: far.max(floor) };
-            let to = Part::Endpoint(call.endpoint.clone());
-            return mail.put(to, Note::Call(call));
+            self.asked += 1;
         }
         self.asked = 0;
         mail.put(Part::Slots, Note::Pass(self.id));
     }
 
     /// What goes to an endpoint next: first what can still meet its objective, within its share.
-    fn pick(
-        &self, now: Time, to: &EndpointId, zone: &str, elsewhere: bool, allowed: &Allowance,
-    ) -> Vec<(NtfId, Span)> {
-        let mut ready: Vec<&Held> = self.held.iter().filter(|h| h.turn).collect();
-        ready.retain(|h| h.may_run(now, Some(zone), allowed.pushes));
-        ready.retain(|h| !elsewhere || h.last.as_ref() != Some(to));
-        let median = self.fit.map_or(Span::ZERO, |fit| fit.median());
-        let late = |h: &Held| now.since(h.taken) + median > h.topic.objective;
+    fn pick(&self, now: Time, to: &EndpointId, zone: &Arc<str>) -> Vec<(NtfId, Span)> {
+        let elsewhere = self.asked < self.ends.len();
+        let fits = |h: &&Held| {
+            h.turn
+                && h.may_run(now, Some(zone), self.allowed.pushes)
+                && !(elsewhere && h.last.as_ref() == Some(to))
+        };
+        let mut ready: Vec<&Held> = self.held.iter().filter(fits).collect();
         // Calls are worth filling: one counts once for the limit and takes one slot.
-        let waits = |h: &&Held| now.since(h.taken) < h.topic.objective.times(FILL);
+        let waits = |h: &&Held| now.since(h.taken) < h.ntf.topic.objective.times(FILL);
         if ready.len() < self.per_call && ready.iter().all(waits) {
             return Vec::new();
         }
+        let late = |h: &Held| now.since(h.taken) + self.median() > h.ntf.topic.objective;
         ready.sort_by_key(|h| (h.over_share, late(h)));
         ready.truncate(self.per_call);
-        ready.iter().map(|h| (h.ntf.id, self.time_out(now, h, allowed))).collect()
+        ready.iter().map(|h| (h.ntf.id, self.time_out(now, h))).collect()
     }
 
-    fn time_out(&self, now: Time, held: &Held, allowed: &Allowance) -> Span {
+    fn median(&self) -> Span {
+        self.fit.map_or(Span::ZERO, |fit| fit.median())
+    }
+
+    fn time_out(&self, now: Time, held: &Held) -> Span {
         let left = held.ntf.valid_until.since(now);
-        let pushes = if held.topic.effect == Effect::OnceOnly { 1 } else { allowed.pushes - held.pushes };
+        let once = held.ntf.topic.effect == Effect::OnceOnly;
+        let pushes = if once { 1 } else { self.allowed.pushes - held.pushes };
         self.fit.map_or(left, |fit| fit.time_out(left, pushes))
     }
 
-    fn outcome(&mut self, now: Time, o: Outcome, first: bool, allowed: &Allowance, mail: &mut Mail) {
+    fn outcome(&mut self, o: Outcome, first: bool, mail: &mut Mail) {
+        // Throttled pushes and refused connections tell nothing of latency.
         if first && matches!(o.status, Status::Delivered | Status::TimedOut | Status::Cancelled) {
-            let censored = o.status != Status::Delivered;
-            keep(&mut self.samples, Sample { at: now, ln_secs: o.spent.secs().max(1e-4).ln(), censored });
-            while self.samples.len() > SAMPLES {
-                self.samples.pop_front();
-            }
+            let (ln_secs, censored) = (o.spent.secs().max(1e-4).ln(), o.status != Status::Delivered);
+            keep(&mut self.samples, Sample { at: mail.now, ln_secs, censored }, SAMPLES);
         }
         let Some(place) = self.held.iter().position(|h| h.ntf.id == o.ntf) else { return };
         let held = &mut self.held[place];
         let sent = held.out.take();
-        if matches!(o.status, Status::Error | Status::TimedOut | Status::Reset | Status::Cancelled) {
+        if o.status.may_have_run() {
             held.ran = held.ran.take().or(sent);
         }
-        if matches!(o.status, Status::TimedOut | Status::Reset | Status::Cancelled) {
-            held.doubt = Some(now);
+        if o.status.may_be_running() {
+            held.doubt = Some(mail.now);
         }
         if o.settled || held.over {
             self.release(place, mail);
         } else {
-            self.give_up_if_vain(now, place, allowed, mail);
+            self.give_up_if_vain(place, mail);
         }
     }
 
     /// The design's cutoff, and rule: one final answer in time. What cannot go out again, or has less time left
     /// than a usual call takes, is answered at once.
-    fn give_up_if_vain(&mut self, now: Time, place: usize, allowed: &Allowance, mail: &mut Mail) {
+    fn give_up_if_vain(&mut self, place: usize, mail: &mut Mail) {
         let held = &self.held[place];
-        let left = held.ntf.valid_until.since(now);
-        let usual = self.fit.map_or(Span::ZERO, |fit| fit.median()).max(Span::from_millis(20));
-        if held.out.is_some() || (left >= usual && held.may_run(now, None, allowed.pushes)) {
-            return;
+        let left = held.ntf.valid_until.since(mail.now);
+        let usual = self.median().max(LEAST_LEFT);
+        if held.out.is_none() && (left < usual || !held.may_run(mail.now, None, self.allowed.pushes)) {
+            self.give_up(place, mail);
         }
-        let ntf = held.ntf.id;
-        mail.commands.push(match held.ran {
-            None => Command::Throttle { ntf, retry_in: allowed.longest_retry.min(usual) },
+    }
+
+    fn give_up(&mut self, place: usize, mail: &mut Mail) {
+        let ntf = self.held[place].ntf.id;
+        mail.commands.push(match self.held[place].ran {
+            None => Command::Throttle { ntf, retry_in: self.allowed.longest_retry.min(self.median()) },
             Some(_) => Command::Expire(ntf),
         });
         self.release(place, mail);
@@ -705,7 +722,7 @@
 
     fn release(&mut self, place: usize, mail: &mut Mail) {
         let held = self.held.remove(place);
-        if let Some(key) = held.ntf.key.filter(|_| held.topic.ordered) {
+        if let Some(key) = held.ntf.key.filter(|_| held.ntf.topic.ordered) {
             mail.put(Part::Turns, Note::Leave(key, held.ntf.id, held.doubt));
         }
     }
@@ -721,29 +738,30 @@
 }
 
 impl Slots {
-    fn take(&mut self, now: Time, note: Note, mail: &mut Mail) {
+    fn take(&mut self, note: Note, mail: &mut Mail) {
         match note {
             Note::Sweep => self.passed.clear(),
+            Note::Listed(entry) => {
+                self.calls.entry(entry.destination).or_default();
+                return;
+            }
             Note::Pass(destination) => {
                 self.passed.insert(destination);
             }
-            Note::Sent(call) => self.calls.entry(call.destination).or_default().push_back((now, None)),
+            Note::Sent(call) => self.calls.entry(call.destination).or_default().push_back((mail.now, None)),
             Note::Ended(destination) => {
-                let open =
-                    self.calls.get_mut(&destination).and_then(|c| c.iter_mut().find(|c| c.1.is_none()));
-                if let Some(call) = open {
-                    call.1 = Some(now);
-                }
+                let calls = self.calls.get_mut(&destination).into_iter().flatten();
+                calls.filter(|c| c.1.is_none()).take(1).for_each(|c| c.1 = Some(mail.now));
                 return;
             }
             _ => {}
         }
         for calls in self.calls.values_mut() {
-            calls.retain(|c| c.1.is_none_or(|end| now.since(end) < SLOT_MEMORY));
+            calls.retain(|c| c.1.is_none_or(|end| mail.now.since(end) < SLOT_MEMORY));
         }
         let open = self.calls.values().flatten().filter(|c| c.1.is_none()).count();
         let waiting = self.calls.iter().filter(|(id, _)| !self.passed.contains(id));
-        if let Some((id, _)) = waiting.min_by_key(|(id, calls)| (slot_time(calls, now), **id))
+        if let Some((id, _)) = waiting.min_by_key(|(id, calls)| (slot_time(calls, mail.now), **id))
             && open < self.total
         {
             mail.put(Part::Destination(*id), Note::Slot);
@@ -761,38 +779,33 @@
 // ---- Book: the list of endpoints ----
 
 struct Book {
-    on_request: bool,
     ask_every: Span,
     entries: BTreeMap<EndpointId, Entry>,
-    asked_at: Option<Time>,
+    /// When to ask next, where news has to be asked for.
     next_ask: Option<Time>,
     failures: i32,
 }
 
 impl Book {
-    fn take(&mut self, now: Time, note: Note, chance: &mut Chance, mail: &mut Mail) {
+    fn take(&mut self, note: Note, mail: &mut Mail) {
         match note {
             Note::News(News::Broken) => {
                 // Guards against a list that is out of reach or overrun: ask again, ever later, never in step.
-                let pause =
-                    self.ask_every.times(0.02 * 2f64.powi(self.failures.min(4)) * (0.5 + chance.next()));
+                let pause = self.ask_every.times(0.02 * 2f64.powi(self.failures.min(4)));
                 self.failures += 1;
-                self.next_ask = Some(now + pause);
+                self.next_ask = Some(mail.now + pause.times(0.5 + mail.chance.next()));
             }
             Note::News(News::Changes(entries)) => self.merge(entries, mail),
             Note::News(News::Whole(entries)) => {
-                let gone: Vec<Entry> = (self.entries.values())
-                    .filter(|old| entries.iter().all(|e| e.endpoint != old.endpoint))
-                    .map(|old| Entry { readiness: Readiness::Deleted, ..old.clone() })
-                    .collect();
+                let gone =
+                    self.entries.values().filter(|old| entries.iter().all(|e| e.endpoint != old.endpoint));
+                let gone = gone.map(|old| Entry { readiness: Readiness::Deleted, ..old.clone() }).collect();
                 self.merge(gone, mail);
                 self.merge(entries, mail);
             }
             _ => {}
         }
-        let due = self.next_ask.is_some_and(|at| now >= at) || self.asked_at.is_none();
-        if self.on_request && due {
-            self.asked_at = Some(now);
+        if self.next_ask.is_some_and(|at| mail.now >= at) {
             self.next_ask = None;
             mail.commands.push(Command::Subscribe);
         }
@@ -803,6 +816,7 @@
         for entry in entries {
             self.entries.insert(entry.endpoint.clone(), entry.clone());
             mail.put(Part::Endpoint(entry.endpoint.clone()), Note::Listed(entry.clone()));
+            mail.put(Part::Slots, Note::Listed(entry.clone()));
             mail.put(Part::Destination(entry.destination), Note::Listed(entry));
         }
     }
@@ -812,13 +826,9 @@
 
 /// A relay's decisions. It knows only its own events, its clock and its seed.
 pub struct Relay {
-    topics: Vec<TopicType>,
-    kinds: Vec<Kind>,
-    accounts: Vec<Account>,
     fleet: Fleet,
     allowed: Allowance,
     figures: RuleFigures,
-    chance: Chance,
     next_wake: Time,
     mail: Mail,
     book: Book,
@@ -827,85 +837,65 @@
     lanes: BTreeMap<LaneId, Lane>,
     destinations: BTreeMap<DestinationId, Destination>,
     slots: Slots,
-    /// Where each notification is held, and what each account has handed in of late.
-    homes: BTreeMap<NtfId, DestinationId>,
+    /// What each account has handed in of late.
     arrivals: BTreeMap<String, VecDeque<Time>>,
 }
 
 impl Relay {
     /// A relay that has just started and knows nothing yet.
-    #[expect(clippy::too_many_arguments, reason = "each part gets its own few settings; no record holds all")]
-    pub fn new(
-        now: Time, seed: u64, fleet: Fleet, topics: Vec<TopicType>, kinds: Vec<Kind>, accounts: Vec<Account>,
-        allowed: Allowance, figures: RuleFigures,
-    ) -> Self {
+    pub fn new(now: Time, seed: u64, fleet: Fleet, allowed: Allowance, figures: RuleFigures) -> Self {
+        let (inboxes, chance) = (BTreeMap::new(), Chance::new(seed));
+        let next_ask = fleet.list_on_request.then_some(now);
         Relay {
-            topics,
-            kinds,
-            accounts,
             fleet,
             allowed,
             figures,
-            chance: Chance::new(seed),
             next_wake: now,
-            mail: Mail::default(),
-            book: Book {
-                on_request: fleet.list_on_request,
-                ask_every: figures.ask_every,
-                entries: BTreeMap::new(),
-                asked_at: None,
-                next_ask: None,
-                failures: 0,
-            },
+            mail: Mail { now, inboxes, commands: Vec::new(), chance },
+            book: Book { ask_every: figures.ask_every, entries: BTreeMap::new(), next_ask, failures: 0 },
             turns: Turns { settle: figures.settle, lines: BTreeMap::new() },
             endpoints: BTreeMap::new(),
             lanes: BTreeMap::new(),
             destinations: BTreeMap::new(),
             slots: Slots { total: allowed.slots, calls: BTreeMap::new(), passed: BTreeSet::new() },
-            homes: BTreeMap::new(),
             arrivals: BTreeMap::new(),
         }
     }
 
     /// Takes all that happened up to `now` and gives the commands that follow from it.
     pub fn handle(&mut self, now: Time, events: Vec<Event>) -> Vec<Command> {
+        self.mail.now = now;
         for event in events {
-            match event {
-                Event::List(news) => self.mail.put(Part::Book, Note::News(news)),
+            let (part, note) = match event {
+                Event::List(news) => (Part::Book, Note::News(news)),
                 Event::Accepted(ntf) => {
-                    let (id, destination) = (ntf.id, ntf.destination);
-                    self.homes.insert(id, destination);
-                    let held = self.hold(now, ntf);
-                    self.mail.put(Part::Destination(destination), Note::Accepted(Box::new(held)));
+                    let (to, over_share) = (Part::Destination(ntf.destination), self.over_share(&ntf));
+                    (to, Note::Accepted(Box::new(Held::new(ntf, now, over_share))))
                 }
-                Event::Outcome { ntf, endpoint, status, spent, settled, limit } => {
-                    let outcome = Outcome { ntf, status, spent, settled, limit };
-                    self.mail.put(Part::Endpoint(endpoint), Note::Outcome(outcome, false));
+                Event::Ended(outcome) => {
+                    (Part::Endpoint(outcome.endpoint.clone()), Note::Outcome(outcome, false))
                 }
                 Event::Withdrawn(ntf) => {
-                    if let Some(destination) = self.homes.get(&ntf) {
-                        self.mail.put(Part::Destination(*destination), Note::Withdrawn(ntf));
+                    for id in self.destinations.keys() {
+                        self.mail.put(Part::Destination(*id), Note::Withdrawn(ntf));
                     }
+                    continue;
                 }
-                Event::Probed { endpoint, status, .. } => {
-                    self.mail.put(Part::Endpoint(endpoint), Note::Probed(status));
-                }
-                Event::Woken => {}
-            }
-            self.settle(now);
-        }
-        self.mail.put(Part::Book, Note::Sweep);
-        self.mail.put(Part::Turns, Note::Sweep);
-        for id in self.endpoints.keys() {
-            self.mail.put(Part::Endpoint(id.clone()), Note::Sweep);
-        }
-        for id in self.destinations.keys() {
-            self.mail.put(Part::Destination(*id), Note::Sweep);
-        }
-        self.mail.put(Part::Slots, Note::Sweep);
-        self.settle(now);
+                Event::Probed { endpoint, status, .. } => (Part::Endpoint(endpoint), Note::Probed(status)),
+                Event::Woken => continue,
+            };
+            self.mail.put(part, note);
+            self.settle();
+        }
+        self.settle();
+        let parts = [Part::Book, Part::Turns, Part::Slots].into_iter();
+        let parts = parts.chain(self.endpoints.keys().cloned().map(Part::Endpoint));
+        for part in parts.chain(self.destinations.keys().copied().map(Part::Destination)) {
+            self.mail.put(part, Note::Sweep);
+        }
+        self.settle();
         if now >= self.next_wake {
-            let gap = Span::from_nanos(2 * self.fleet.tick.nanos()).max(Span::from_millis(10));
+            let gap = self.fleet.tick.times(2.0).max(LEAST_WAKE);
             self.next_wake = now + gap;
             self.mail.commands.push(Command::Wake(gap));
         }
@@ -913,119 +903,42 @@
     }
 
     /// The one loop: empties every inbox.
-    fn settle(&mut self, now: Time) {
+    fn settle(&mut self) {
+        let (allowed, figures, relays) = (self.allowed, self.figures, self.fleet.relays);
         while let Some((part, note)) = self.mail.next() {
+            let mail = &mut self.mail;
             match part {
-                Part::Book => self.book.take(now, note, &mut self.chance, &mut self.mail),
-                Part::Turns => self.turns.take(now, note, &mut self.mail),
-                Part::Slots => self.slots.take(now, note, &mut self.mail),
+                Part::Book => self.book.take(note, mail),
+                Part::Turns => self.turns.take(note, mail),
+                Part::Slots => self.slots.take(note, mail),
                 Part::Lane(id) => {
-                    let (slots, relays) = (self.allowed.slots as f64, self.fleet.relays.max(1) as f64);
-                    let lane = self.lanes.entry(id).or_insert_with(|| Lane {
-                        wait_until: Time::default(),
-                        window: (slots / 2.0).max(1.0),
-                        out: 0,
-                        last_sent: Time::default(),
-                        rate: 0.0,
-                        share: (1.5 / relays).min(1.0),
-                        refused: 0,
-                        pause_until: Time::default(),
-                        least_share: 0.5 / relays,
-                    });
-                    lane.take(now, note, &mut self.chance, &mut self.mail);
+                    let lane = self.lanes.entry(id).or_insert_with(|| Lane::new(allowed.slots, relays));
+                    lane.take(note, mail);
                 }
                 Part::Endpoint(id) => {
-                    if let Note::Listed(entry) = &note
-                        && !self.endpoints.contains_key(&id)
-                    {
-                        let (apart, per_call) = self.kind(&entry.kind);
-                        self.endpoints.insert(id.clone(), endpoint(entry, apart, per_call));
+                    if let Note::Listed(entry) = &note {
+                        let new = || Endpoint::new(entry.clone(), figures, allowed.probes);
+                        self.endpoints.entry(id.clone()).or_insert_with(new);
                     }
                     if let Some(endpoint) = self.endpoints.get_mut(&id) {
-                        let probes = self.allowed.probes;
-                        endpoint.take(now, note, &self.figures, probes, &mut self.chance, &mut self.mail);
+                        endpoint.take(note, mail);
                     }
                 }
                 Part::Destination(id) => {
-                    let per_call = match &note {
-                        Note::Listed(entry) => self.kind(&entry.kind).1,
-                        _ => 1,
-                    };
-                    let destination = self.destinations.entry(id).or_insert_with(|| Destination {
-                        id,
-                        per_call,
-                        ends: Vec::new(),
-                        next: 0,
-                        asked: 0,
-                        held: Vec::new(),
-                        samples: VecDeque::new(),
-                        fit: None,
-                    });
-                    destination.per_call = destination.per_call.max(per_call);
-                    self.slots.calls.entry(id).or_default();
-                    destination.take(now, note, &self.allowed, &self.figures, &mut self.mail);
+                    let new = || Destination::new(id, allowed, figures.tip_after.times(OVERDUE_FLOOR));
+                    self.destinations.entry(id).or_insert_with(new).take(note, mail);
                 }
             }
         }
     }
 
-    /// Whether a kind's routes are separate, and how many notifications a call of it carries.
-    fn kind(&self, name: &str) -> (bool, usize) {
-        let kind = self.kinds.iter().find(|kind| kind.name == name);
-        kind.map_or((false, 1), |kind| (kind.separate_routes, kind.per_call.max(1)))
-    }
-
-    fn hold(&mut self, now: Time, ntf: Notification) -> Held {
-        // A topic type that no one told of is treated with most care.
-        let unknown = || TopicType {
-            name: ntf.topic.clone(),
-            effect: Effect::OnceOnly,
-            objective: ntf.valid_until.since(now),
-            ttl: ntf.valid_until.since(now),
-            benefit: 1.0,
-            late_share: 1.0,
-            ordered: ntf.key.is_some(),
-        };
-        let topic = self.topics.iter().find(|t| t.name == ntf.topic).cloned().unwrap_or_else(unknown);
-        let mut over_share = false;
-        if let Some(account) = ntf.account.as_ref().and_then(|n| self.accounts.iter().find(|a| a.name == *n))
-        {
-            let arrivals = self.arrivals.entry(account.name.clone()).or_default();
-            keep(arrivals, now);
-            let span = arrivals.front().map_or(Span::ZERO, |first| now.since(*first));
-            let rate = arrivals.len() as f64 / span.secs().max(1.0);
-            over_share = arrivals.len() > SAMPLES && rate > account.quota / self.fleet.relays.max(1) as f64;
-        }
-        let turn = !(topic.ordered && ntf.key.is_some());
-        Held {
-            ntf,
-            topic,
-            taken: now,
-            over_share,
-            pushes: 0,
-            turn,
-            out: None,
-            last: None,
-            ran: None,
-            doubt: None,
-            over: false,
-        }
-    }
-}
-
-fn endpoint(entry: &Entry, apart: bool, per_call: usize) -> Endpoint {
-    Endpoint {
-        id: entry.endpoint.clone(),
-        destination: entry.destination,
-        lane: (entry.destination, apart.then(|| entry.endpoint.clone())),
-        per_call,
-        readiness: entry.readiness,
-        outs: Vec::new(),
-        sent: VecDeque::new(),
-        good: VecDeque::new(),
-        streak: 0,
-        last_bad: Time::default(),
-        part: 0.0,
-        health: Health::Well,
+    /// Whether an account has lately handed in more than its quota's part for one relay.
+    fn over_share(&mut self, ntf: &Notification) -> bool {
+        let Some(account) = &ntf.account else { return false };
+        let arrivals = self.arrivals.entry(account.name.clone()).or_default();
+        keep(arrivals, self.mail.now, 2 * SAMPLES);
+        let span = arrivals.front().map_or(Span::ZERO, |first| self.mail.now.since(*first));
+        let rate = arrivals.len() as f64 / span.secs().max(1.0);
+        arrivals.len() > SAMPLES && rate > account.quota / self.fleet.relays.max(1) as f64
     }
 }
--- a/tests/helper/mod.rs
+++ b/tests/helper/mod.rs
@@ -12,18 +12,15 @@
     ms: u64,
     pub trace: String,
     out: Vec<(NtfId, EndpointId, u64)>,
+    kind: Arc<Kind>,
 }
 
 /// Topic types: `safe` (repeatable), `mark` (collapsible in its zone for 4 s), `once` (once-only, in order).
-pub fn topics() -> Vec<TopicType> {
-    let topic = |name: &str, effect, ordered| TopicType {
-        name: name.to_owned(),
-        effect,
-        objective: Span::from_millis(2_000),
-        ttl: Span::from_millis(16_000),
-        benefit: 1.0,
-        late_share: 0.5,
-        ordered,
+fn topics() -> Vec<Arc<TopicType>> {
+    let topic = |name: &str, effect, ordered| {
+        let (objective, ttl) = (Span::from_millis(2_000), Span::from_millis(16_000));
+        let name = name.to_owned();
+        Arc::new(TopicType { name, effect, objective, ttl, benefit: 1.0, late_share: 0.5, ordered })
     };
     let mark = Effect::Collapsible { group: Group::Zone, window: Span::from_millis(4_000) };
     vec![
@@ -42,10 +39,7 @@
             Time::from_nanos(0),
             7,
             Fleet { relays: 2, rates_listed: false, list_on_request: true, tick: ms(5) },
-            topics(),
-            vec![Kind { name: "plain".to_owned(), separate_routes: false, per_call }],
-            Vec::new(),
-            Allowance { slots, pushes: 8, longest_retry: ms(3_000), probes: false },
+            Allowance { slots, pushes: 8, held: 100, longest_retry: ms(3_000), probes: false, cancel: true },
             RuleFigures {
                 ask_every: ms(10_000),
                 cold_from: 0.2,
@@ -55,8 +49,10 @@
                 settle: ms(300),
             },
         );
-        let mut rig = Rig { relay, ms: 0, trace: String::new(), out: Vec::new() };
-        let entries = endpoints.iter().map(|(name, zone)| entry(name, zone, Readiness::Serving)).collect();
+        let kind = Arc::new(Kind { name: "plain".to_owned(), separate_routes: false, per_call });
+        let mut rig = Rig { relay, ms: 0, trace: String::new(), out: Vec::new(), kind };
+        let entries =
+            endpoints.iter().map(|(name, zone)| rig.entry(name, zone, Readiness::Serving)).collect();
         rig.give(Event::List(News::Whole(entries)));
         rig
     }
@@ -76,10 +72,11 @@
                 Command::Throttle { ntf, .. } => format!("throttle {}", ntf.0),
                 Command::Expire(ntf) => format!("expire {}", ntf.0),
                 Command::Subscribe => "subscribe".to_owned(),
+                Command::Cancel { ntf, push } => format!("cancel push {push} of {}", ntf.0),
                 Command::Probe(endpoint) => format!("probe {}", endpoint.0),
                 Command::Wake(_) => continue,
             };
-            writeln!(self.trace, "{ms:>6} {line}").expect("a string takes any text");
+            writeln!(self.trace, "{ms:<6} {line}").expect("a string takes any text");
         }
     }
 
@@ -87,7 +84,7 @@
         self.give(Event::Accepted(Notification {
             id: NtfId(id),
             destination: DestinationId(1),
-            topic: topic.to_owned(),
+            topic: topics().into_iter().find(|t| t.name == topic).expect("a known topic type"),
             account: None,
             key: key.map(str::to_owned),
             valid_until: Time::from_nanos((self.ms + ttl_ms) * 1_000_000),
@@ -99,7 +96,7 @@
         let place = self.out.iter().position(|o| o.0 == NtfId(id)).expect("a push of it is out");
         let (ntf, endpoint, sent) = self.out.remove(place);
         let (spent, settled) = (Span::from_millis(self.ms - sent), status == Status::Delivered);
-        self.give(Event::Outcome { ntf, endpoint, status, spent, settled, limit: None });
+        self.give(Event::Ended(Outcome { ntf, push: 0, endpoint, status, spent, settled, limit: None }));
     }
 
     /// Lets time pass, waking the relay all along.
@@ -120,15 +117,15 @@
         }
         self.trace.clear();
     }
-}
 
-pub fn entry(name: &str, zone: &str, readiness: Readiness) -> Entry {
-    Entry {
-        endpoint: EndpointId(Arc::from(name)),
-        destination: DestinationId(1),
-        kind: "plain".to_owned(),
-        zone: zone.to_owned(),
-        readiness,
-        rate: 1.0,
+    pub fn entry(&self, name: &str, zone: &str, readiness: Readiness) -> Entry {
+        Entry {
+            endpoint: EndpointId(Arc::from(name)),
+            destination: DestinationId(1),
+            kind: self.kind.clone(),
+            zone: Arc::from(zone),
+            readiness,
+            rate: 1.0,
+        }
     }
 }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -5,7 +5,7 @@
 use std::fmt::Write;
 
 use expect_test::expect;
-use helper::{Rig, entry};
+use helper::Rig;
 use juniperwing::interface::{Event, News, NtfId, Readiness, Status};
 use juniperwing::rules::Fit;
 use juniperwing::time::Span;
@@ -44,8 +44,8 @@
     rig.accept(10, "safe", None, 300);
     rig.accept(11, "safe", None, 900);
     expect![[r#"
-          2400 throttle 10
-          2400 push 11 to a for 900 ms
+        2400   throttle 10
+        2400   push 11 to a for 900 ms
     "#]]
     .assert_eq(&rig.trace);
 }
@@ -58,10 +58,10 @@
     rig.pass(300);
     rig.end(1, Status::Error);
     expect![[r#"
-             0 subscribe
-             0 push 1 to a for 16000 ms
-             0 push 1 to b for 16000 ms
-           300 expire 1
+        0      subscribe
+        0      push 1 to a for 16000 ms
+        0      push 1 to b for 16000 ms
+        300    expire 1
     "#]]
     .assert_eq(&rig.trace);
 }
@@ -76,11 +76,11 @@
     rig.pass(200);
     rig.end(1, Status::Error);
     expect![[r#"
-             0 subscribe
-             0 push 1 to a for 16000 ms
-             0 push 1 to c for 16000 ms
-          3900 push 1 to a for 12100 ms
-          4100 expire 1
+        0      subscribe
+        0      push 1 to a for 16000 ms
+        0      push 1 to c for 16000 ms
+        3900   push 1 to a for 12100 ms
+        4100   expire 1
     "#]]
     .assert_eq(&rig.trace);
 }
@@ -97,11 +97,11 @@
     rig.end(2, Status::Delivered);
     rig.pass(10);
     expect![[r#"
-             0 subscribe
-             0 push 1 to a for 16000 ms
-           100 expire 1
-           400 push 2 to a for 15600 ms
-           500 push 3 to a for 15500 ms
+        0      subscribe
+        0      push 1 to a for 16000 ms
+        100    expire 1
+        400    push 2 to a for 15600 ms
+        500    push 3 to a for 15500 ms
     "#]]
     .assert_eq(&rig.trace);
 }
@@ -109,19 +109,21 @@
 #[test]
 fn drains_are_kept_and_a_broken_list_is_asked_for_again() {
     let mut rig = Rig::new(4, 1, &[("a", "z"), ("b", "z")]);
-    rig.give(Event::List(News::Changes(vec![entry("a", "z", Readiness::Draining)])));
+    let entries = vec![rig.entry("a", "z", Readiness::Draining)];
+    rig.give(Event::List(News::Changes(entries)));
     for id in 1..=3 {
         rig.accept(id, "safe", None, 16_000);
     }
-    rig.give(Event::List(News::Whole(vec![entry("c", "z", Readiness::Serving)])));
+    let entries = vec![rig.entry("c", "z", Readiness::Serving)];
+    rig.give(Event::List(News::Whole(entries)));
     rig.accept(4, "safe", None, 16_000);
     rig.give(Event::List(News::Broken));
     rig.pass(1_000);
     expect![[r#"
-             0 subscribe
-             0 push 1 to b for 16000 ms
-             0 push 2 to b for 16000 ms
-           180 subscribe
+        0      subscribe
+        0      push 1 to b for 16000 ms
+        0      push 2 to b for 16000 ms
+        180    subscribe
     "#]]
     .assert_eq(&rig.trace);
 }
@@ -135,11 +137,11 @@
     rig.end(2, Status::Busy(Some(Span::from_millis(300))));
     rig.pass(1_000);
     expect![[r#"
-             0 subscribe
-             0 push 1 to a for 16000 ms
-             0 push 2 to b for 16000 ms
-           800 push 2 to a for 15200 ms
-           800 push 1 to b for 15200 ms
+        0      subscribe
+        0      push 1 to a for 16000 ms
+        0      push 2 to b for 16000 ms
+        800    push 2 to a for 15200 ms
+        800    push 1 to b for 15200 ms
     "#]]
     .assert_eq(&rig.trace);
 }
@@ -153,8 +155,8 @@
     rig.give(Event::Withdrawn(NtfId(1)));
     rig.pass(1_000);
     expect![[r#"
-             0 subscribe
-             0 push 1 to a for 16000 ms
+        0      subscribe
+        0      push 1 to a for 16000 ms
     "#]]
     .assert_eq(&rig.trace);
 }
@@ -171,15 +173,15 @@
     rig.end(100, Status::Delivered);
     rig.pass(2_000);
     expect![[r#"
-          2000 push 100 to a for 3750 ms
-          2000 push 101 to a for 3750 ms
-          2000 push 102 to a for 3750 ms
-          2000 push 103 to a for 3750 ms
-          2000 push 104 to a for 3750 ms
-          2000 push 105 to a for 3750 ms
-          2000 push 106 to a for 3750 ms
-          2000 push 107 to a for 3750 ms
-          5300 push 108 to a for 3337 ms
+        2000   push 100 to a for 3750 ms
+        2000   push 101 to a for 3750 ms
+        2000   push 102 to a for 3750 ms
+        2000   push 103 to a for 3750 ms
+        2000   push 104 to a for 3750 ms
+        2000   push 105 to a for 3750 ms
+        2000   push 106 to a for 3750 ms
+        2000   push 107 to a for 3750 ms
+        5300   push 108 to a for 3337 ms
     "#]]
     .assert_eq(&rig.trace);
 }
@@ -193,11 +195,11 @@
     }
     rig.pass(400);
     expect![[r#"
-             0 subscribe
-            20 push 1 to a for 15980 ms
-            20 push 2 to a for 15990 ms
-            20 push 3 to a for 16000 ms
-           280 push 4 to a for 15750 ms
+        0      subscribe
+        20     push 1 to a for 15980 ms
+        20     push 2 to a for 15990 ms
+        20     push 3 to a for 16000 ms
+        280    push 4 to a for 15750 ms
     "#]]
     .assert_eq(&rig.trace);
 }
