--- a/src/interface.rs
+++ b/src/interface.rs
@@ -304,4 +304,6 @@
     Subscribe,
     /// Probe an endpoint.
     Probe(EndpointId),
+    /// Tell the staff.
+    Log(String),
 }
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -27,7 +27,9 @@
 const SLOT_MEMORY: Span = Span::from_millis(10_000);
 /// Failures in a row, overdue calls included, that set an endpoint aside.
 const SUSPECT: usize = 3;
-/// A call is not overdue before this share of `tip_after`.
+/// A call is overdue after so many times the latency that nine in ten stay under, and not before this share
+/// of `tip_after`.
+const OVERDUE: f64 = 2.5;
 const OVERDUE_FLOOR: f64 = 0.5;
 /// Share of the latency objective for which a call may wait to be filled.
 const FILL: f64 = 0.125;
@@ -37,6 +39,8 @@
 /// Below this much time left nothing is worth sending, and the shortest gap between two wake-ups.
 const LEAST_LEFT: Span = Span::from_millis(20);
 const LEAST_WAKE: Span = Span::from_millis(10);
+/// Share of the hold above which what counts least is handed back.
+const HOLD_FULL: f64 = 0.9;
 /// Weight of each further notification in a call, for a cold endpoint.
 const FURTHER: f64 = 0.25;
 
@@ -74,6 +78,10 @@
     Sent(Call),
     /// A push ended; the flag says that its call had shown no outcome before, for a call has one fate.
     Outcome(Outcome, bool),
+    /// All slots are taken: the call out longest, since then, may be called off if it is overdue.
+    Shed(Time),
+    /// The hold is all but full: give up what counts least.
+    Trim,
     /// A call has all its outcomes.
     Ended(DestinationId),
     Probed(Status),
@@ -382,6 +390,7 @@
                 self.streak = 0;
                 self.health = match self.health {
                     Health::Aside { .. } => {
+                        mail.commands.push(Command::Log(format!("{} is back", self.entry.endpoint.0)));
                         let from = mail.now + self.figures.tip_after.times(mail.chance.next() / 3.0);
                         Health::Back { since: mail.now, from, wins: 0 }
                     }
@@ -409,6 +418,8 @@
         let overdue = self.outs.iter().filter(|out| !lately && !out.answered && out.overdue_at <= mail.now);
         if !matches!(self.health, Health::Aside { .. }) && self.streak + overdue.count() >= SUSPECT {
             self.measure(mail.now);
+            let (id, part) = (&self.entry.endpoint.0, self.part);
+            mail.commands.push(Command::Log(format!("{id} set aside, delivered {part:.1}/s before")));
             let pause = self.figures.tip_after.times(0.5 + mail.chance.next() / 2.0);
             self.health = Health::Aside { next: mail.now + pause };
         }
@@ -611,6 +622,18 @@
                 }
             }
             Note::Slot => self.offer(mail),
+            Note::Shed(sent) if self.allowed.cancel && mail.now >= sent + self.overdue_after() => {
+                for held in self.held.iter().filter(|h| h.out.as_ref().is_some_and(|out| out.0 == sent)) {
+                    mail.commands.push(Command::Cancel { ntf: held.ntf.id, push: held.pushes - 1 });
+                }
+            }
+            Note::Trim => {
+                let waiting =
+                    self.held.iter().enumerate().filter(|(_, h)| h.out.is_none() && h.ran.is_none());
+                if let Some((place, _)) = waiting.max_by_key(|(_, h)| (self.rank(mail.now, h), h.taken)) {
+                    self.give_up(place, mail);
+                }
+            }
             Note::Declined => {
                 self.asked += 1;
                 self.offer(mail);
@@ -661,12 +684,27 @@
         if ready.len() < self.per_call && ready.iter().all(waits) {
             return Vec::new();
         }
-        let late = |h: &Held| now.since(h.taken) + self.median() > h.ntf.topic.objective;
-        ready.sort_by_key(|h| (h.over_share, late(h)));
+        ready.sort_by_key(|h| self.rank(now, h));
         ready.truncate(self.per_call);
         ready.iter().map(|h| (h.ntf.id, self.time_out(now, h))).collect()
     }
 
+    /// What goes first: what is within its account's share, and what can still meet its objective.
+    fn rank(&self, now: Time, held: &Held) -> (bool, bool) {
+        (held.over_share, now.since(held.taken) + self.median() > held.ntf.topic.objective)
+    }
+
+    /// When a call has lasted so long that it speaks of silence: well beyond what is delivered of late, not
+    /// what the fit expects, which calls that never end stretch far. Longer after each that was called off or
+    /// timed out with none delivered since: then it is the destination that is slow.
+    fn overdue_after(&self) -> Span {
+        let mut done: Vec<f64> = self.samples.iter().filter(|s| !s.censored).map(|s| s.ln_secs).collect();
+        done.sort_by(f64::total_cmp);
+        let usual = done.get(done.len() * 9 / 10).map_or(Span::ZERO, |ln| Span::from_secs(ln.exp()));
+        let vain = self.samples.iter().rev().take_while(|s| s.censored).count();
+        usual.times(OVERDUE).max(self.overdue_floor).times(2f64.powi(vain.min(8) as i32 / 2))
+    }
+
     fn median(&self) -> Span {
         self.fit.map_or(Span::ZERO, |fit| fit.median())
     }
@@ -761,10 +799,17 @@
         }
         let open = self.calls.values().flatten().filter(|c| c.1.is_none()).count();
         let waiting = self.calls.iter().filter(|(id, _)| !self.passed.contains(id));
-        if let Some((id, _)) = waiting.min_by_key(|(id, calls)| (slot_time(calls, mail.now), **id))
-            && open < self.total
-        {
-            mail.put(Part::Destination(*id), Note::Slot);
+        if open < self.total {
+            if let Some((id, _)) = waiting.min_by_key(|(id, calls)| (slot_time(calls, mail.now), **id)) {
+                mail.put(Part::Destination(*id), Note::Slot);
+            }
+            return;
+        }
+        // Guards against silent and jammed destinations that take every slot for as long as their time-outs.
+        let sent = |calls: &VecDeque<(Time, Option<Time>)>| calls.iter().find(|c| c.1.is_none()).map(|c| c.0);
+        let oldest = self.calls.iter().filter_map(|(id, calls)| Some((sent(calls)?, *id))).min();
+        if let Some((sent, id)) = oldest {
+            mail.put(Part::Destination(id), Note::Shed(sent));
         }
     }
 }
@@ -894,6 +939,13 @@
             self.mail.put(part, Note::Sweep);
         }
         self.settle();
+        // Guards against a hold full of what cannot go, which turns away what could.
+        let held: usize = self.destinations.values().map(|d| d.held.len()).sum();
+        let most = self.destinations.values().max_by_key(|d| d.held.len()).map(|d| d.id);
+        if let (true, Some(id)) = (held as f64 > HOLD_FULL * self.allowed.held as f64, most) {
+            self.mail.put(Part::Destination(id), Note::Trim);
+            self.settle();
+        }
         if now >= self.next_wake {
             let gap = self.fleet.tick.times(2.0).max(LEAST_WAKE);
             self.next_wake = now + gap;
