--- a/src/rules.rs
+++ b/src/rules.rs
@@ -29,8 +29,8 @@
 const SUSPECT: usize = 3;
 /// A call is overdue after so many times the latency that nine in ten stay under, and not before this share
 /// of `tip_after`.
-const OVERDUE: f64 = 2.5;
-const OVERDUE_FLOOR: f64 = 0.5;
+const OVERDUE: f64 = 1.5;
+const OVERDUE_FLOOR: f64 = 0.3;
 /// Share of the latency objective for which a call may wait to be filled.
 const FILL: f64 = 0.125;
 /// First pause after a throttled push that told no wait; doubles with each in a row up to the last.
@@ -377,8 +377,8 @@
         }
         if first {
             self.judge(at, outcome.status, outcome.limit, mail);
-            mail.put(self.lane(), Note::Outcome(outcome.clone(), first));
         }
+        mail.put(self.lane(), Note::Outcome(outcome.clone(), first));
         mail.put(Part::Destination(to), Note::Outcome(outcome, first));
     }
 
@@ -484,7 +484,15 @@
             }
             Note::Call(call) => mail.put(Part::Destination(call.destination), Note::Declined),
             Note::Ended(_) => self.out = self.out.saturating_sub(1),
-            Note::Outcome(outcome, _) => self.learn(&outcome, mail),
+            Note::Outcome(outcome, first) => {
+                // The outcomes of a call come in rounds of their own, each with a wait: all bind.
+                if let Status::Busy(Some(wait)) = outcome.status {
+                    self.wait_until = self.wait_until.max(mail.now + wait);
+                }
+                if first {
+                    self.learn(&outcome, mail);
+                }
+            }
             _ => {}
         }
     }
@@ -507,8 +515,7 @@
                 self.refused = 0;
                 self.window += 1.0 / self.window;
             }
-            Status::Busy(told) => {
-                self.wait_until = self.wait_until.max(told.map_or(Time::default(), |wait| mail.now + wait));
+            Status::Busy(_) => {
                 if mail.now >= self.pause_until {
                     let pause = PAUSE.times(2f64.powi(self.refused.min(8))).min(LONGEST_PAUSE);
                     self.pause_until = mail.now + pause.times(0.5 + mail.chance.next());
