--- a/src/rules.rs
+++ b/src/rules.rs
@@ -27,10 +27,12 @@
 const SLOT_MEMORY: Span = Span::from_millis(10_000);
 /// Failures in a row, overdue calls included, that set an endpoint aside.
 const SUSPECT: usize = 3;
+/// Trouble with less than so many `tip_after` between two deliveries is no outage.
+const BRIEF: f64 = 2.0;
 /// A call is overdue after so many times the latency that nine in ten stay under, and not before this share
 /// of `tip_after`.
-const OVERDUE: f64 = 1.5;
-const OVERDUE_FLOOR: f64 = 0.3;
+const OVERDUE: f64 = 2.5;
+const OVERDUE_FLOOR: f64 = 0.5;
 /// Share of the latency objective for which a call may wait to be filled.
 const FILL: f64 = 0.125;
 /// First pause after a throttled push that told no wait; doubles with each in a row up to the last.
@@ -386,9 +388,15 @@
     fn judge(&mut self, at: Time, status: Status, limit: Option<LimitReport>, mail: &mut Mail) {
         match status {
             Status::Delivered => {
+                // Too short for an outage, as far as this relay saw: no reason to hold back.
+                let brief = self
+                    .good
+                    .back()
+                    .is_some_and(|t| mail.now.since(*t) < self.figures.tip_after.times(BRIEF));
                 keep(&mut self.good, mail.now, 2 * SAMPLES);
                 self.streak = 0;
                 self.health = match self.health {
+                    Health::Aside { .. } if brief => Health::Well,
                     Health::Aside { .. } => {
                         mail.commands.push(Command::Log(format!("{} is back", self.entry.endpoint.0)));
                         let from = mail.now + self.figures.tip_after.times(mail.chance.next() / 3.0);
@@ -401,10 +409,10 @@
             }
             // Above a told limit: no sign of an outage.
             Status::Busy(_) if limit.is_some_and(|l| l.rate > 0.0 && l.left < 0.2) => {}
-            Status::Skipped | Status::Cancelled => {}
-            _ if self.streak > 0 && at < self.last_bad => {}
+            Status::Skipped => {}
+            Status::Busy(_) | Status::Error if self.streak > 0 && at < self.last_bad => {}
             _ => {
-                self.measure(mail.now);
+                self.measure();
                 self.streak += 1;
                 self.last_bad = mail.now;
             }
@@ -417,7 +425,7 @@
         let lately = self.good.back().is_some_and(|t| mail.now.since(*t) < self.figures.tip_after);
         let overdue = self.outs.iter().filter(|out| !lately && !out.answered && out.overdue_at <= mail.now);
         if !matches!(self.health, Health::Aside { .. }) && self.streak + overdue.count() >= SUSPECT {
-            self.measure(mail.now);
+            self.measure();
             let (id, part) = (&self.entry.endpoint.0, self.part);
             mail.commands.push(Command::Log(format!("{id} set aside, delivered {part:.1}/s before")));
             let pause = self.figures.tip_after.times(0.5 + mail.chance.next() / 2.0);
@@ -426,10 +434,11 @@
     }
 
     /// At the first sign of trouble: what this relay got delivered here is a safe measure of its part.
-    fn measure(&mut self, now: Time) {
+    fn measure(&mut self) {
         if self.streak == 0 && self.health == Health::Well {
-            let recent = self.good.iter().filter(|t| now.since(**t) < SLOT_MEMORY).count();
-            self.part = recent as f64 / SLOT_MEMORY.secs();
+            let span = self.figures.tip_after;
+            let ending = |t: &Time| self.good.iter().filter(|g| **g <= *t && t.since(**g) < span).count();
+            self.part = self.good.iter().map(ending).max().unwrap_or(0) as f64 / span.secs();
         }
     }
 }
@@ -515,14 +524,12 @@
                 self.refused = 0;
                 self.window += 1.0 / self.window;
             }
-            Status::Busy(_) => {
-                if mail.now >= self.pause_until {
-                    let pause = PAUSE.times(2f64.powi(self.refused.min(8))).min(LONGEST_PAUSE);
-                    self.pause_until = mail.now + pause.times(0.5 + mail.chance.next());
-                    self.refused += 1;
-                    self.share = (self.share * 0.7).max(self.least_share);
-                    self.window = (self.window * 0.6).max(1.0);
-                }
+            Status::Busy(_) if mail.now >= self.pause_until => {
+                let pause = PAUSE.times(2f64.powi(self.refused.min(8))).min(LONGEST_PAUSE);
+                self.pause_until = mail.now + pause.times(0.5 + mail.chance.next());
+                self.refused += 1;
+                self.share = (self.share * 0.7).max(self.least_share);
+                self.window = (self.window * 0.6).max(1.0);
             }
             Status::TimedOut | Status::NoConnection | Status::Reset => {
                 self.window = (self.window * 0.8).max(1.0);
@@ -631,6 +638,9 @@
             Note::Slot => self.offer(mail),
             Note::Shed(sent) if self.allowed.cancel && mail.now >= sent + self.overdue_after() => {
                 for held in self.held.iter().filter(|h| h.out.as_ref().is_some_and(|out| out.0 == sent)) {
+                    if held.ntf.topic.effect == Effect::OnceOnly {
+                        continue;
+                    }
                     mail.commands.push(Command::Cancel { ntf: held.ntf.id, push: held.pushes - 1 });
                 }
             }
