--- a/src/rules.rs
+++ b/src/rules.rs
@@ -354,7 +354,9 @@
                 let budget = f.fall_multiple * level * self.part * f.tip_after.secs();
                 let budget = budget.min(2f64.powi(wins.min(20))).max(1.0);
                 let recent = self.sent.iter().rev().take_while(|s| now.since(s.0) < f.tip_after);
-                now >= from && recent.map(|s| s.1).sum::<f64>() + weight(pushes) <= budget + FURTHER * 2.0
+                let recent: f64 = recent.map(|s| s.1).sum();
+                // One call may always go in a window: a full one weighs more than a small budget for good.
+                now >= from && (recent == 0.0 || recent + weight(pushes) <= budget)
             }
         }
     }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -181,246 +181,6 @@
         2000   push 105 to a for 3750 ms
         2000   push 106 to a for 3750 ms
         2000   push 107 to a for 3750 ms
-        2450   cancel push 0 of 100
-        2450   cancel push 0 of 101
-        2450   cancel push 0 of 102
-        2450   cancel push 0 of 103
-        2450   cancel push 0 of 104
-        2450   cancel push 0 of 105
-        2450   cancel push 0 of 106
-        2450   cancel push 0 of 107
-        2460   cancel push 0 of 100
-        2460   cancel push 0 of 101
-        2460   cancel push 0 of 102
-        2460   cancel push 0 of 103
-        2460   cancel push 0 of 104
-        2460   cancel push 0 of 105
-        2460   cancel push 0 of 106
-        2460   cancel push 0 of 107
-        2470   cancel push 0 of 100
-        2470   cancel push 0 of 101
-        2470   cancel push 0 of 102
-        2470   cancel push 0 of 103
-        2470   cancel push 0 of 104
-        2470   cancel push 0 of 105
-        2470   cancel push 0 of 106
-        2470   cancel push 0 of 107
-        2480   cancel push 0 of 100
-        2480   cancel push 0 of 101
-        2480   cancel push 0 of 102
-        2480   cancel push 0 of 103
-        2480   cancel push 0 of 104
-        2480   cancel push 0 of 105
-        2480   cancel push 0 of 106
-        2480   cancel push 0 of 107
-        2490   cancel push 0 of 100
-        2490   cancel push 0 of 101
-        2490   cancel push 0 of 102
-        2490   cancel push 0 of 103
-        2490   cancel push 0 of 104
-        2490   cancel push 0 of 105
-        2490   cancel push 0 of 106
-        2490   cancel push 0 of 107
-        2500   cancel push 0 of 100
-        2500   cancel push 0 of 101
-        2500   cancel push 0 of 102
-        2500   cancel push 0 of 103
-        2500   cancel push 0 of 104
-        2500   cancel push 0 of 105
-        2500   cancel push 0 of 106
-        2500   cancel push 0 of 107
-        2510   cancel push 0 of 100
-        2510   cancel push 0 of 101
-        2510   cancel push 0 of 102
-        2510   cancel push 0 of 103
-        2510   cancel push 0 of 104
-        2510   cancel push 0 of 105
-        2510   cancel push 0 of 106
-        2510   cancel push 0 of 107
-        2520   cancel push 0 of 100
-        2520   cancel push 0 of 101
-        2520   cancel push 0 of 102
-        2520   cancel push 0 of 103
-        2520   cancel push 0 of 104
-        2520   cancel push 0 of 105
-        2520   cancel push 0 of 106
-        2520   cancel push 0 of 107
-        2530   cancel push 0 of 100
-        2530   cancel push 0 of 101
-        2530   cancel push 0 of 102
-        2530   cancel push 0 of 103
-        2530   cancel push 0 of 104
-        2530   cancel push 0 of 105
-        2530   cancel push 0 of 106
-        2530   cancel push 0 of 107
-        2540   cancel push 0 of 100
-        2540   cancel push 0 of 101
-        2540   cancel push 0 of 102
-        2540   cancel push 0 of 103
-        2540   cancel push 0 of 104
-        2540   cancel push 0 of 105
-        2540   cancel push 0 of 106
-        2540   cancel push 0 of 107
-        2550   cancel push 0 of 100
-        2550   cancel push 0 of 101
-        2550   cancel push 0 of 102
-        2550   cancel push 0 of 103
-        2550   cancel push 0 of 104
-        2550   cancel push 0 of 105
-        2550   cancel push 0 of 106
-        2550   cancel push 0 of 107
-        2560   cancel push 0 of 100
-        2560   cancel push 0 of 101
-        2560   cancel push 0 of 102
-        2560   cancel push 0 of 103
-        2560   cancel push 0 of 104
-        2560   cancel push 0 of 105
-        2560   cancel push 0 of 106
-        2560   cancel push 0 of 107
-        2570   cancel push 0 of 100
-        2570   cancel push 0 of 101
-        2570   cancel push 0 of 102
-        2570   cancel push 0 of 103
-        2570   cancel push 0 of 104
-        2570   cancel push 0 of 105
-        2570   cancel push 0 of 106
-        2570   cancel push 0 of 107
-        2580   cancel push 0 of 100
-        2580   cancel push 0 of 101
-        2580   cancel push 0 of 102
-        2580   cancel push 0 of 103
-        2580   cancel push 0 of 104
-        2580   cancel push 0 of 105
-        2580   cancel push 0 of 106
-        2580   cancel push 0 of 107
-        2590   cancel push 0 of 100
-        2590   cancel push 0 of 101
-        2590   cancel push 0 of 102
-        2590   cancel push 0 of 103
-        2590   cancel push 0 of 104
-        2590   cancel push 0 of 105
-        2590   cancel push 0 of 106
-        2590   cancel push 0 of 107
-        2600   cancel push 0 of 100
-        2600   cancel push 0 of 101
-        2600   cancel push 0 of 102
-        2600   cancel push 0 of 103
-        2600   cancel push 0 of 104
-        2600   cancel push 0 of 105
-        2600   cancel push 0 of 106
-        2600   cancel push 0 of 107
-        2610   cancel push 0 of 100
-        2610   cancel push 0 of 101
-        2610   cancel push 0 of 102
-        2610   cancel push 0 of 103
-        2610   cancel push 0 of 104
-        2610   cancel push 0 of 105
-        2610   cancel push 0 of 106
-        2610   cancel push 0 of 107
-        2620   cancel push 0 of 100
-        2620   cancel push 0 of 101
-        2620   cancel push 0 of 102
-        2620   cancel push 0 of 103
-        2620   cancel push 0 of 104
-        2620   cancel push 0 of 105
-        2620   cancel push 0 of 106
-        2620   cancel push 0 of 107
-        2630   cancel push 0 of 100
-        2630   cancel push 0 of 101
-        2630   cancel push 0 of 102
-        2630   cancel push 0 of 103
-        2630   cancel push 0 of 104
-        2630   cancel push 0 of 105
-        2630   cancel push 0 of 106
-        2630   cancel push 0 of 107
-        2640   cancel push 0 of 100
-        2640   cancel push 0 of 101
-        2640   cancel push 0 of 102
-        2640   cancel push 0 of 103
-        2640   cancel push 0 of 104
-        2640   cancel push 0 of 105
-        2640   cancel push 0 of 106
-        2640   cancel push 0 of 107
-        2650   cancel push 0 of 100
-        2650   cancel push 0 of 101
-        2650   cancel push 0 of 102
-        2650   cancel push 0 of 103
-        2650   cancel push 0 of 104
-        2650   cancel push 0 of 105
-        2650   cancel push 0 of 106
-        2650   cancel push 0 of 107
-        2660   cancel push 0 of 100
-        2660   cancel push 0 of 101
-        2660   cancel push 0 of 102
-        2660   cancel push 0 of 103
-        2660   cancel push 0 of 104
-        2660   cancel push 0 of 105
-        2660   cancel push 0 of 106
-        2660   cancel push 0 of 107
-        2670   cancel push 0 of 100
-        2670   cancel push 0 of 101
-        2670   cancel push 0 of 102
-        2670   cancel push 0 of 103
-        2670   cancel push 0 of 104
-        2670   cancel push 0 of 105
-        2670   cancel push 0 of 106
-        2670   cancel push 0 of 107
-        2680   cancel push 0 of 100
-        2680   cancel push 0 of 101
-        2680   cancel push 0 of 102
-        2680   cancel push 0 of 103
-        2680   cancel push 0 of 104
-        2680   cancel push 0 of 105
-        2680   cancel push 0 of 106
-        2680   cancel push 0 of 107
-        2690   cancel push 0 of 100
-        2690   cancel push 0 of 101
-        2690   cancel push 0 of 102
-        2690   cancel push 0 of 103
-        2690   cancel push 0 of 104
-        2690   cancel push 0 of 105
-        2690   cancel push 0 of 106
-        2690   cancel push 0 of 107
-        2700   cancel push 0 of 100
-        2700   cancel push 0 of 101
-        2700   cancel push 0 of 102
-        2700   cancel push 0 of 103
-        2700   cancel push 0 of 104
-        2700   cancel push 0 of 105
-        2700   cancel push 0 of 106
-        2700   cancel push 0 of 107
-        2710   cancel push 0 of 100
-        2710   cancel push 0 of 101
-        2710   cancel push 0 of 102
-        2710   cancel push 0 of 103
-        2710   cancel push 0 of 104
-        2710   cancel push 0 of 105
-        2710   cancel push 0 of 106
-        2710   cancel push 0 of 107
-        2720   cancel push 0 of 100
-        2720   cancel push 0 of 101
-        2720   cancel push 0 of 102
-        2720   cancel push 0 of 103
-        2720   cancel push 0 of 104
-        2720   cancel push 0 of 105
-        2720   cancel push 0 of 106
-        2720   cancel push 0 of 107
-        2730   cancel push 0 of 100
-        2730   cancel push 0 of 101
-        2730   cancel push 0 of 102
-        2730   cancel push 0 of 103
-        2730   cancel push 0 of 104
-        2730   cancel push 0 of 105
-        2730   cancel push 0 of 106
-        2730   cancel push 0 of 107
-        2740   cancel push 0 of 100
-        2740   cancel push 0 of 101
-        2740   cancel push 0 of 102
-        2740   cancel push 0 of 103
-        2740   cancel push 0 of 104
-        2740   cancel push 0 of 105
-        2740   cancel push 0 of 106
-        2740   cancel push 0 of 107
         2750   cancel push 0 of 100
         2750   cancel push 0 of 101
         2750   cancel push 0 of 102
@@ -1021,7 +781,7 @@
         3490   cancel push 0 of 105
         3490   cancel push 0 of 106
         3490   cancel push 0 of 107
-        3500   a set aside, delivered 2.0/s before
+        3500   a set aside, delivered 10.0/s before
         3500   cancel push 0 of 100
         3500   cancel push 0 of 101
         3500   cancel push 0 of 102
@@ -2150,8 +1910,287 @@
         4900   cancel push 0 of 105
         4900   cancel push 0 of 106
         4900   cancel push 0 of 107
-        4900   a is back
-        5300   push 108 to a for 3337 ms
+        4900   push 108 to a for 3387 ms
+        4900   cancel push 0 of 101
+        4900   cancel push 0 of 102
+        4900   cancel push 0 of 103
+        4900   cancel push 0 of 104
+        4900   cancel push 0 of 105
+        4900   cancel push 0 of 106
+        4900   cancel push 0 of 107
+        4910   cancel push 0 of 101
+        4910   cancel push 0 of 102
+        4910   cancel push 0 of 103
+        4910   cancel push 0 of 104
+        4910   cancel push 0 of 105
+        4910   cancel push 0 of 106
+        4910   cancel push 0 of 107
+        4920   cancel push 0 of 101
+        4920   cancel push 0 of 102
+        4920   cancel push 0 of 103
+        4920   cancel push 0 of 104
+        4920   cancel push 0 of 105
+        4920   cancel push 0 of 106
+        4920   cancel push 0 of 107
+        4930   cancel push 0 of 101
+        4930   cancel push 0 of 102
+        4930   cancel push 0 of 103
+        4930   cancel push 0 of 104
+        4930   cancel push 0 of 105
+        4930   cancel push 0 of 106
+        4930   cancel push 0 of 107
+        4940   cancel push 0 of 101
+        4940   cancel push 0 of 102
+        4940   cancel push 0 of 103
+        4940   cancel push 0 of 104
+        4940   cancel push 0 of 105
+        4940   cancel push 0 of 106
+        4940   cancel push 0 of 107
+        4950   cancel push 0 of 101
+        4950   cancel push 0 of 102
+        4950   cancel push 0 of 103
+        4950   cancel push 0 of 104
+        4950   cancel push 0 of 105
+        4950   cancel push 0 of 106
+        4950   cancel push 0 of 107
+        4960   cancel push 0 of 101
+        4960   cancel push 0 of 102
+        4960   cancel push 0 of 103
+        4960   cancel push 0 of 104
+        4960   cancel push 0 of 105
+        4960   cancel push 0 of 106
+        4960   cancel push 0 of 107
+        4970   cancel push 0 of 101
+        4970   cancel push 0 of 102
+        4970   cancel push 0 of 103
+        4970   cancel push 0 of 104
+        4970   cancel push 0 of 105
+        4970   cancel push 0 of 106
+        4970   cancel push 0 of 107
+        4980   cancel push 0 of 101
+        4980   cancel push 0 of 102
+        4980   cancel push 0 of 103
+        4980   cancel push 0 of 104
+        4980   cancel push 0 of 105
+        4980   cancel push 0 of 106
+        4980   cancel push 0 of 107
+        4990   cancel push 0 of 101
+        4990   cancel push 0 of 102
+        4990   cancel push 0 of 103
+        4990   cancel push 0 of 104
+        4990   cancel push 0 of 105
+        4990   cancel push 0 of 106
+        4990   cancel push 0 of 107
+        5000   cancel push 0 of 101
+        5000   cancel push 0 of 102
+        5000   cancel push 0 of 103
+        5000   cancel push 0 of 104
+        5000   cancel push 0 of 105
+        5000   cancel push 0 of 106
+        5000   cancel push 0 of 107
+        5010   cancel push 0 of 101
+        5010   cancel push 0 of 102
+        5010   cancel push 0 of 103
+        5010   cancel push 0 of 104
+        5010   cancel push 0 of 105
+        5010   cancel push 0 of 106
+        5010   cancel push 0 of 107
+        5020   cancel push 0 of 101
+        5020   cancel push 0 of 102
+        5020   cancel push 0 of 103
+        5020   cancel push 0 of 104
+        5020   cancel push 0 of 105
+        5020   cancel push 0 of 106
+        5020   cancel push 0 of 107
+        5030   cancel push 0 of 101
+        5030   cancel push 0 of 102
+        5030   cancel push 0 of 103
+        5030   cancel push 0 of 104
+        5030   cancel push 0 of 105
+        5030   cancel push 0 of 106
+        5030   cancel push 0 of 107
+        5040   cancel push 0 of 101
+        5040   cancel push 0 of 102
+        5040   cancel push 0 of 103
+        5040   cancel push 0 of 104
+        5040   cancel push 0 of 105
+        5040   cancel push 0 of 106
+        5040   cancel push 0 of 107
+        5050   cancel push 0 of 101
+        5050   cancel push 0 of 102
+        5050   cancel push 0 of 103
+        5050   cancel push 0 of 104
+        5050   cancel push 0 of 105
+        5050   cancel push 0 of 106
+        5050   cancel push 0 of 107
+        5060   cancel push 0 of 101
+        5060   cancel push 0 of 102
+        5060   cancel push 0 of 103
+        5060   cancel push 0 of 104
+        5060   cancel push 0 of 105
+        5060   cancel push 0 of 106
+        5060   cancel push 0 of 107
+        5070   cancel push 0 of 101
+        5070   cancel push 0 of 102
+        5070   cancel push 0 of 103
+        5070   cancel push 0 of 104
+        5070   cancel push 0 of 105
+        5070   cancel push 0 of 106
+        5070   cancel push 0 of 107
+        5080   cancel push 0 of 101
+        5080   cancel push 0 of 102
+        5080   cancel push 0 of 103
+        5080   cancel push 0 of 104
+        5080   cancel push 0 of 105
+        5080   cancel push 0 of 106
+        5080   cancel push 0 of 107
+        5090   cancel push 0 of 101
+        5090   cancel push 0 of 102
+        5090   cancel push 0 of 103
+        5090   cancel push 0 of 104
+        5090   cancel push 0 of 105
+        5090   cancel push 0 of 106
+        5090   cancel push 0 of 107
+        5100   cancel push 0 of 101
+        5100   cancel push 0 of 102
+        5100   cancel push 0 of 103
+        5100   cancel push 0 of 104
+        5100   cancel push 0 of 105
+        5100   cancel push 0 of 106
+        5100   cancel push 0 of 107
+        5110   cancel push 0 of 101
+        5110   cancel push 0 of 102
+        5110   cancel push 0 of 103
+        5110   cancel push 0 of 104
+        5110   cancel push 0 of 105
+        5110   cancel push 0 of 106
+        5110   cancel push 0 of 107
+        5120   cancel push 0 of 101
+        5120   cancel push 0 of 102
+        5120   cancel push 0 of 103
+        5120   cancel push 0 of 104
+        5120   cancel push 0 of 105
+        5120   cancel push 0 of 106
+        5120   cancel push 0 of 107
+        5130   cancel push 0 of 101
+        5130   cancel push 0 of 102
+        5130   cancel push 0 of 103
+        5130   cancel push 0 of 104
+        5130   cancel push 0 of 105
+        5130   cancel push 0 of 106
+        5130   cancel push 0 of 107
+        5140   cancel push 0 of 101
+        5140   cancel push 0 of 102
+        5140   cancel push 0 of 103
+        5140   cancel push 0 of 104
+        5140   cancel push 0 of 105
+        5140   cancel push 0 of 106
+        5140   cancel push 0 of 107
+        5150   cancel push 0 of 101
+        5150   cancel push 0 of 102
+        5150   cancel push 0 of 103
+        5150   cancel push 0 of 104
+        5150   cancel push 0 of 105
+        5150   cancel push 0 of 106
+        5150   cancel push 0 of 107
+        5160   cancel push 0 of 101
+        5160   cancel push 0 of 102
+        5160   cancel push 0 of 103
+        5160   cancel push 0 of 104
+        5160   cancel push 0 of 105
+        5160   cancel push 0 of 106
+        5160   cancel push 0 of 107
+        5170   cancel push 0 of 101
+        5170   cancel push 0 of 102
+        5170   cancel push 0 of 103
+        5170   cancel push 0 of 104
+        5170   cancel push 0 of 105
+        5170   cancel push 0 of 106
+        5170   cancel push 0 of 107
+        5180   cancel push 0 of 101
+        5180   cancel push 0 of 102
+        5180   cancel push 0 of 103
+        5180   cancel push 0 of 104
+        5180   cancel push 0 of 105
+        5180   cancel push 0 of 106
+        5180   cancel push 0 of 107
+        5190   cancel push 0 of 101
+        5190   cancel push 0 of 102
+        5190   cancel push 0 of 103
+        5190   cancel push 0 of 104
+        5190   cancel push 0 of 105
+        5190   cancel push 0 of 106
+        5190   cancel push 0 of 107
+        5200   cancel push 0 of 101
+        5200   cancel push 0 of 102
+        5200   cancel push 0 of 103
+        5200   cancel push 0 of 104
+        5200   cancel push 0 of 105
+        5200   cancel push 0 of 106
+        5200   cancel push 0 of 107
+        5210   cancel push 0 of 101
+        5210   cancel push 0 of 102
+        5210   cancel push 0 of 103
+        5210   cancel push 0 of 104
+        5210   cancel push 0 of 105
+        5210   cancel push 0 of 106
+        5210   cancel push 0 of 107
+        5220   cancel push 0 of 101
+        5220   cancel push 0 of 102
+        5220   cancel push 0 of 103
+        5220   cancel push 0 of 104
+        5220   cancel push 0 of 105
+        5220   cancel push 0 of 106
+        5220   cancel push 0 of 107
+        5230   cancel push 0 of 101
+        5230   cancel push 0 of 102
+        5230   cancel push 0 of 103
+        5230   cancel push 0 of 104
+        5230   cancel push 0 of 105
+        5230   cancel push 0 of 106
+        5230   cancel push 0 of 107
+        5240   cancel push 0 of 101
+        5240   cancel push 0 of 102
+        5240   cancel push 0 of 103
+        5240   cancel push 0 of 104
+        5240   cancel push 0 of 105
+        5240   cancel push 0 of 106
+        5240   cancel push 0 of 107
+        5250   cancel push 0 of 101
+        5250   cancel push 0 of 102
+        5250   cancel push 0 of 103
+        5250   cancel push 0 of 104
+        5250   cancel push 0 of 105
+        5250   cancel push 0 of 106
+        5250   cancel push 0 of 107
+        5260   cancel push 0 of 101
+        5260   cancel push 0 of 102
+        5260   cancel push 0 of 103
+        5260   cancel push 0 of 104
+        5260   cancel push 0 of 105
+        5260   cancel push 0 of 106
+        5260   cancel push 0 of 107
+        5270   cancel push 0 of 101
+        5270   cancel push 0 of 102
+        5270   cancel push 0 of 103
+        5270   cancel push 0 of 104
+        5270   cancel push 0 of 105
+        5270   cancel push 0 of 106
+        5270   cancel push 0 of 107
+        5280   cancel push 0 of 101
+        5280   cancel push 0 of 102
+        5280   cancel push 0 of 103
+        5280   cancel push 0 of 104
+        5280   cancel push 0 of 105
+        5280   cancel push 0 of 106
+        5280   cancel push 0 of 107
+        5290   cancel push 0 of 101
+        5290   cancel push 0 of 102
+        5290   cancel push 0 of 103
+        5290   cancel push 0 of 104
+        5290   cancel push 0 of 105
+        5290   cancel push 0 of 106
+        5290   cancel push 0 of 107
         5300   cancel push 0 of 101
         5300   cancel push 0 of 102
         5300   cancel push 0 of 103
@@ -2922,7 +2961,7 @@
         6390   cancel push 0 of 105
         6390   cancel push 0 of 106
         6390   cancel push 0 of 107
-        6400   a set aside, delivered 2.0/s before
+        6400   a set aside, delivered 10.0/s before
         6400   cancel push 0 of 101
         6400   cancel push 0 of 102
         6400   cancel push 0 of 103
@@ -3320,3 +3359,33 @@
     "#]]
     .assert_eq(&rig.trace);
 }
+
+/// A full call outweighs the first budget of a returning endpoint; it must still go, or nothing ever would.
+#[test]
+fn a_returning_endpoint_gets_full_calls_too() {
+    let mut rig = Rig::new(8, 4, &[("a", "z")]);
+    rig.warm(1, 6, 400);
+    for id in 100..112 {
+        rig.accept(id, "safe", None, 30_000);
+    }
+    rig.pass(5_000);
+    rig.end(100, Status::Delivered);
+    rig.pass(2_000);
+    expect![[r#"
+        2400   push 100 to a for 3750 ms
+        2400   push 101 to a for 3750 ms
+        2400   push 102 to a for 3750 ms
+        2400   push 103 to a for 3750 ms
+        2400   push 104 to a for 3750 ms
+        2400   push 105 to a for 3750 ms
+        2400   push 106 to a for 3750 ms
+        2400   push 107 to a for 3750 ms
+        2400   push 108 to a for 3750 ms
+        2400   push 109 to a for 3750 ms
+        2400   push 110 to a for 3750 ms
+        2400   push 111 to a for 3750 ms
+        3900   a set aside, delivered 2.7/s before
+        7400   a is back
+    "#]]
+    .assert_eq(&rig.trace);
+}
