Try: time-outs do not shrink a lane's window

The window bounds what silent destinations take of the slots; the trickle must pass it some other way.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -533,7 +533,7 @@
                 self.share = (self.share * 0.7).max(self.least_share);
                 self.window = (self.window * 0.6).max(1.0);
             }
-            Status::TimedOut | Status::NoConnection | Status::Reset => {
+            Status::NoConnection => {
                 self.window = (self.window * 0.8).max(1.0);
             }
             _ => {}
