--- a/src/rules.rs
+++ b/src/rules.rs
@@ -29,6 +29,8 @@
 const SUSPECT: usize = 3;
 /// Trouble with less than so many `tip_after` between two deliveries is no outage.
 const BRIEF: f64 = 2.0;
+/// With calls still out at an endpoint set aside, the next follows so many `tip_after` later.
+const PATIENCE: f64 = 3.0;
 /// A call is overdue after so many times the latency that nine in ten stay under, and not before this share
 /// of `tip_after`.
 const OVERDUE: f64 = 2.5;
@@ -346,7 +348,11 @@
         }
         match self.health {
             Health::Well => true,
-            Health::Aside { next } => !self.probes && now >= next,
+            // A call still out there tells of the return by itself, and costs no further slot.
+            Health::Aside { next } => {
+                let patience = if self.outs.is_empty() { 0.0 } else { PATIENCE };
+                !self.probes && now >= next + self.figures.tip_after.times(patience)
+            }
             Health::Back { since, from, wins } => {
                 let f = &self.figures;
                 let warmth = (now.since(since).secs() / f.cold.secs().max(1e-3)).min(1.0);
@@ -533,7 +539,7 @@
                 self.share = (self.share * 0.7).max(self.least_share);
                 self.window = (self.window * 0.6).max(1.0);
             }
-            Status::NoConnection => {
+            Status::TimedOut | Status::NoConnection | Status::Reset => {
                 self.window = (self.window * 0.8).max(1.0);
             }
             _ => {}
