--- a/src/interface.rs
+++ b/src/interface.rs
@@ -7,15 +7,15 @@
 use crate::time::{Span, Time};
 
 /// A notification's id, as its front gave it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct NtfId(pub u64);
 
 /// A destination's id, as its front gave it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct DestinationId(pub u64);
 
 /// An endpoint's id, as its front gave it.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct EndpointId(pub Arc<str>);
 
 /// Which endpoints of a destination recognise a repeat of a collapsible notification.
@@ -28,7 +28,7 @@
 }
 
 /// What happens if a notification of a topic type runs twice.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Effect {
     /// Nothing: it may run again.
     Repeatable,
@@ -40,11 +40,12 @@
         window: Span,
     },
     /// It must never run twice.
+    #[default]
     OnceOnly,
 }
 
 /// A topic type and what its clients want of it.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct TopicType {
     /// Its name.
     pub name: String,
@@ -63,7 +64,7 @@
 }
 
 /// A kind of destination.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Kind {
     /// Its name.
     pub name: String,
@@ -74,7 +75,7 @@
 }
 
 /// An account and the part of the service that it may use.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Account {
     /// Its name.
     pub name: String,
@@ -83,7 +84,7 @@
 }
 
 /// The group of relays that this one belongs to.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 pub struct Fleet {
     /// How many relays there are, this one included.
     pub relays: usize,
@@ -96,7 +97,7 @@
 }
 
 /// What this relay may use.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 pub struct Allowance {
     /// Calls out at once.
     pub slots: usize,
@@ -113,7 +114,7 @@
 }
 
 /// The figures of the rules.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 pub struct RuleFigures {
     /// Without a subscription, a relay that has not asked for this long counts as told.
     pub ask_every: Span,
@@ -130,7 +131,7 @@
 }
 
 /// A notification as it was handed in.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Notification {
     /// Its id.
     pub id: NtfId,
@@ -147,9 +148,10 @@
 }
 
 /// What the list says of an endpoint. It says nothing of health.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Readiness {
     /// It takes calls.
+    #[default]
     Serving,
     /// Nothing new may go to it.
     Draining,
@@ -158,7 +160,7 @@
 }
 
 /// An entry of the list.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Entry {
     /// The endpoint.
     pub endpoint: EndpointId,
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -27,6 +27,9 @@
 const SLOT_MEMORY: Span = Span::from_millis(10_000);
 /// Failures in a row, overdue calls included, that set an endpoint aside.
 const SUSPECT: usize = 3;
+/// A report with less of the limit left speaks of the limit, one with more than the second leaves room.
+const LOW: f64 = 0.2;
+const PLENTY: f64 = 0.3;
 /// Trouble with less than so many `tip_after` between two deliveries is no outage.
 const BRIEF: f64 = 2.0;
 /// With calls still out at an endpoint set aside, the next follows so many `tip_after` later.
@@ -43,8 +46,6 @@
 /// Below this much time left nothing is worth sending, and the shortest gap between two wake-ups.
 const LEAST_LEFT: Span = Span::from_millis(20);
 const LEAST_WAKE: Span = Span::from_millis(10);
-/// Share of the hold above which what counts least is handed back.
-const HOLD_FULL: f64 = 0.9;
 /// Weight of each further notification in a call, for a cold endpoint.
 const FURTHER: f64 = 0.25;
 
@@ -84,8 +85,6 @@
     Outcome(Outcome, bool),
     /// All slots are taken: the call out longest, since then, may be called off if it is overdue.
     Shed(Time),
-    /// The hold is all but full: give up what counts least.
-    Trim,
     /// A call has all its outcomes.
     Ended(DestinationId),
     Probed(Status),
@@ -100,12 +99,13 @@
     overdue_after: Span,
 }
 
-/// The round at hand: its clock, the inboxes, the commands given so far, and the source of chance.
+/// The round at hand: its clock, the inboxes, the commands given so far, and the state of chance.
+#[derive(Default)]
 struct Mail {
     now: Time,
     inboxes: BTreeMap<Part, VecDeque<Note>>,
     commands: Vec<Command>,
-    chance: Chance,
+    carry: u64,
 }
 
 impl Mail {
@@ -113,6 +113,12 @@
         self.inboxes.entry(part).or_default().push_back(note);
     }
 
+    /// Chance, from 0 up to 1, by multiply-with-carry.
+    fn chance(&mut self) -> f64 {
+        self.carry = 4_294_957_665 * (self.carry & 0xffff_ffff) + (self.carry >> 32);
+        f64::from(self.carry as u32) / 4_294_967_296.0
+    }
+
     fn next(&mut self) -> Option<(Part, Note)> {
         loop {
             let mut first = self.inboxes.first_entry()?;
@@ -124,21 +130,6 @@
     }
 }
 
-/// A multiply-with-carry generator.
-struct Chance(u64);
-
-impl Chance {
-    fn new(seed: u64) -> Self {
-        Chance((seed ^ 0x9e37_79b9_7f4a_7c15) >> 1 | 1)
-    }
-
-    /// A number from 0 up to 1.
-    fn next(&mut self) -> f64 {
-        self.0 = 4_294_957_665 * (self.0 & 0xffff_ffff) + (self.0 >> 32);
-        f64::from(self.0 as u32) / 4_294_967_296.0
-    }
-}
-
 /// Keeps the last few of a kind of sample.
 fn keep<T>(samples: &mut VecDeque<T>, sample: T, most: usize) {
     samples.push_back(sample);
@@ -231,6 +222,7 @@
 }
 
 /// Rule: of one key, one at a time, in the order taken, over all ordered topic types.
+#[derive(Default)]
 struct Turns {
     settle: Span,
     lines: BTreeMap<String, Line>,
@@ -263,6 +255,7 @@
 
 // ---- Endpoint: drains, and health ----
 
+/// A call that is out, or has not all its outcomes.
 struct Out {
     at: Time,
     overdue_at: Time,
@@ -270,21 +263,7 @@
     answered: bool,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq)]
-enum Health {
-    Well,
-    /// Set aside: the next call or probe not before `next`.
-    Aside {
-        next: Time,
-    },
-    /// Proved back at `since`; calls from `from`, doubling with each delivered up to this relay's part.
-    Back {
-        since: Time,
-        from: Time,
-        wins: i32,
-    },
-}
-
+#[derive(Default)]
 struct Endpoint {
     entry: Entry,
     figures: RuleFigures,
@@ -293,32 +272,24 @@
     /// Latest sends (with weight) and deliveries.
     sent: VecDeque<(Time, f64)>,
     good: VecDeque<Time>,
-    /// Failures in a row, and the latest: a call sent before it says no more than was known then.
+    /// Failures in a row, and the latest: a refusal of a call sent before it says nothing new.
     streak: usize,
     last_bad: Time,
-    /// Calls a second that this relay got delivered here before the first failure.
+    /// Set aside: the next call or probe not before then.
+    aside: Option<Time>,
+    /// Proved back at the first time: calls from the second on, doubling with each of so many delivered.
+    back: Option<(Time, Time, i32)>,
+    /// Notifications a second that this relay got delivered here at best before it was set aside.
     part: f64,
-    health: Health,
 }
 
 impl Endpoint {
-    fn new(entry: Entry, figures: RuleFigures, probes: bool) -> Self {
-        let (outs, sent, good) = (Vec::new(), VecDeque::new(), VecDeque::new());
-        let (last_bad, health) = (Time::default(), Health::Well);
-        Endpoint { entry, figures, probes, outs, sent, good, streak: 0, last_bad, part: 0.0, health }
-    }
-
-    fn lane(&self) -> Part {
-        let apart = self.entry.kind.separate_routes.then(|| self.entry.endpoint.clone());
-        Part::Lane((self.entry.destination, apart))
-    }
-
     fn take(&mut self, note: Note, mail: &mut Mail) {
+        let apart = self.entry.kind.separate_routes.then(|| self.entry.endpoint.clone());
+        let lane = Part::Lane((self.entry.destination, apart));
         match note {
             Note::Listed(entry) => self.entry = entry,
-            Note::Call(call) if self.takes(mail.now, call.pushes.len()) => {
-                mail.put(self.lane(), Note::Call(call))
-            }
+            Note::Call(call) if self.takes(mail.now, call.pushes.len()) => mail.put(lane, Note::Call(call)),
             Note::Call(call) => mail.put(Part::Destination(call.destination), Note::Declined),
             Note::Sent(call) => {
                 self.weigh(call.pushes.len(), mail);
@@ -326,11 +297,11 @@
                 let ntfs = call.pushes.into_iter().map(|push| push.0).collect();
                 self.outs.push(Out { at, overdue_at, ntfs, answered: false });
             }
-            Note::Outcome(outcome, _) => self.outcome(outcome, mail),
+            Note::Outcome(outcome, _) => self.outcome(outcome, lane, mail),
             Note::Probed(status) => self.judge(mail.now, status, None, mail),
             Note::Sweep => {
                 self.suspect(mail);
-                if matches!(self.health, Health::Aside { next } if self.probes && mail.now >= next) {
+                if self.probes && self.aside.is_some_and(|next| mail.now >= next) {
                     self.weigh(1, mail);
                     mail.commands.push(Command::Probe(self.entry.endpoint.clone()));
                 }
@@ -346,107 +317,83 @@
         if self.entry.readiness != Readiness::Serving || joins {
             return false;
         }
-        match self.health {
-            Health::Well => true,
+        let f = &self.figures;
+        if let Some(next) = self.aside {
             // A call still out there tells of the return by itself, and costs no further slot.
-            Health::Aside { next } => {
-                let patience = if self.outs.is_empty() { 0.0 } else { PATIENCE };
-                !self.probes && now >= next + self.figures.tip_after.times(patience)
-            }
-            Health::Back { since, from, wins } => {
-                let f = &self.figures;
-                let warmth = (now.since(since).secs() / f.cold.secs().max(1e-3)).min(1.0);
-                let level = f.cold_from + (1.0 - f.cold_from) * warmth;
-                let budget = f.fall_multiple * level * self.part * f.tip_after.secs();
-                let budget = budget.min(2f64.powi(wins.min(20))).max(1.0);
-                let recent = self.sent.iter().rev().take_while(|s| now.since(s.0) < f.tip_after);
-                let recent: f64 = recent.map(|s| s.1).sum();
-                // One call may always go in a window: a full one weighs more than a small budget for good.
-                now >= from && (recent == 0.0 || recent + weight(pushes) <= budget)
-            }
+            let patience = if self.outs.is_empty() { 0.0 } else { PATIENCE };
+            return !self.probes && now >= next + f.tip_after.times(patience);
         }
+        let Some((since, from, wins)) = self.back.filter(|back| now.since(back.0) < f.cold) else {
+            return true;
+        };
+        let level = f.cold_from + (1.0 - f.cold_from) * now.since(since).secs() / f.cold.secs();
+        let budget = f.fall_multiple * level * self.part * f.tip_after.secs();
+        let recent = self.sent.iter().rev().take_while(|s| now.since(s.0) < f.tip_after);
+        let recent: f64 = recent.map(|s| s.1).sum();
+        // One call may always go in a window: a full one weighs more than a small budget for good.
+        now >= from && (recent == 0.0 || recent + weight(pushes) <= budget.min(2f64.powi(wins)))
     }
 
     fn weigh(&mut self, pushes: usize, mail: &mut Mail) {
         keep(&mut self.sent, (mail.now, weight(pushes)), 2 * SAMPLES);
-        if let Health::Aside { next } = &mut self.health {
-            *next = mail.now + self.figures.tip_after.times(0.75 + mail.chance.next() / 2.0);
-        }
+        let next = mail.now + self.figures.tip_after.times(0.75 + mail.chance() / 2.0);
+        self.aside = self.aside.map(|_| next);
     }
 
-    fn outcome(&mut self, outcome: Outcome, mail: &mut Mail) {
+    fn outcome(&mut self, outcome: Outcome, lane: Part, mail: &mut Mail) {
         let Some(place) = self.outs.iter().position(|out| out.ntfs.contains(&outcome.ntf)) else { return };
-        let out = &mut self.outs[place];
+        let (out, to) = (&mut self.outs[place], self.entry.destination);
         out.ntfs.retain(|ntf| *ntf != outcome.ntf);
-        let first = !std::mem::replace(&mut out.answered, true);
-        let (at, over, to) = (out.at, out.ntfs.is_empty(), self.entry.destination);
-        if over {
+        let (at, first) = (out.at, !std::mem::replace(&mut out.answered, true));
+        if out.ntfs.is_empty() {
             self.outs.remove(place);
-            mail.put(self.lane(), Note::Ended(to));
+            mail.put(lane.clone(), Note::Ended(to));
             mail.put(Part::Slots, Note::Ended(to));
         }
         if first {
             self.judge(at, outcome.status, outcome.limit, mail);
         }
-        mail.put(self.lane(), Note::Outcome(outcome.clone(), first));
+        mail.put(lane, Note::Outcome(outcome.clone(), first));
         mail.put(Part::Destination(to), Note::Outcome(outcome, first));
     }
 
     /// What an outcome, of a call sent at `at`, says of the endpoint's health.
     fn judge(&mut self, at: Time, status: Status, limit: Option<LimitReport>, mail: &mut Mail) {
+        let (now, span) = (mail.now, self.figures.tip_after);
         match status {
             Status::Delivered => {
                 // Too short for an outage, as far as this relay saw: no reason to hold back.
-                let brief = self
-                    .good
-                    .back()
-                    .is_some_and(|t| mail.now.since(*t) < self.figures.tip_after.times(BRIEF));
-                keep(&mut self.good, mail.now, 2 * SAMPLES);
+                let brief = self.good.back().is_some_and(|t| now.since(*t) < span.times(BRIEF));
+                if self.aside.take().is_some() && !brief {
+                    mail.commands.push(Command::Log(format!("{} is back", self.entry.endpoint.0)));
+                    self.back = Some((now, now + span.times(mail.chance() / 3.0), 0));
+                } else if let Some((_, _, wins)) = &mut self.back {
+                    *wins += 1;
+                }
+                keep(&mut self.good, now, 2 * SAMPLES);
                 self.streak = 0;
-                self.health = match self.health {
-                    Health::Aside { .. } if brief => Health::Well,
-                    Health::Aside { .. } => {
-                        mail.commands.push(Command::Log(format!("{} is back", self.entry.endpoint.0)));
-                        let from = mail.now + self.figures.tip_after.times(mail.chance.next() / 3.0);
-                        Health::Back { since: mail.now, from, wins: 0 }
-                    }
-                    Health::Back { since, .. } if mail.now.since(since) >= self.figures.cold => Health::Well,
-                    Health::Back { since, from, wins } => Health::Back { since, from, wins: wins + 1 },
-                    Health::Well => Health::Well,
-                };
             }
             // Above a told limit: no sign of an outage.
-            Status::Busy(_) if limit.is_some_and(|l| l.rate > 0.0 && l.left < 0.2) => {}
+            Status::Busy(_) if limit.is_some_and(|l| l.rate > 0.0 && l.left < LOW) => {}
             Status::Skipped => {}
             Status::Busy(_) | Status::Error if self.streak > 0 && at < self.last_bad => {}
-            _ => {
-                self.measure();
-                self.streak += 1;
-                self.last_bad = mail.now;
-            }
+            _ => (self.streak, self.last_bad) = (self.streak + 1, now),
         }
         self.suspect(mail);
     }
 
     /// Guards against silence as well as failures: a call long overdue is evidence before its time-out.
     fn suspect(&mut self, mail: &mut Mail) {
-        let lately = self.good.back().is_some_and(|t| mail.now.since(*t) < self.figures.tip_after);
-        let overdue = self.outs.iter().filter(|out| !lately && !out.answered && out.overdue_at <= mail.now);
-        if !matches!(self.health, Health::Aside { .. }) && self.streak + overdue.count() >= SUSPECT {
-            self.measure();
-            let (id, part) = (&self.entry.endpoint.0, self.part);
-            mail.commands.push(Command::Log(format!("{id} set aside, delivered {part:.1}/s before")));
-            let pause = self.figures.tip_after.times(0.5 + mail.chance.next() / 2.0);
-            self.health = Health::Aside { next: mail.now + pause };
-        }
-    }
-
-    /// At the first sign of trouble: what this relay got delivered here is a safe measure of its part.
-    fn measure(&mut self) {
-        if self.streak == 0 && self.health == Health::Well {
-            let span = self.figures.tip_after;
+        let (now, span) = (mail.now, self.figures.tip_after);
+        let lately = self.good.back().is_some_and(|t| now.since(*t) < span);
+        let overdue =
+            self.outs.iter().filter(|out| !lately && !out.answered && out.overdue_at <= now).count();
+        if self.aside.is_none() && self.streak + overdue >= SUSPECT {
             let ending = |t: &Time| self.good.iter().filter(|g| **g <= *t && t.since(**g) < span).count();
             self.part = self.good.iter().map(ending).max().unwrap_or(0) as f64 / span.secs();
+            self.aside = Some(now + span.times(0.5 + mail.chance() / 2.0));
+            let (id, part) = (&self.entry.endpoint.0, self.part);
+            mail.commands.push(Command::Log(format!("{id} set aside, delivered {part:.1}/s at best")));
         }
     }
 }
@@ -457,6 +404,7 @@
 
 // ---- Lane: waits and limits ----
 
+#[derive(Default)]
 struct Lane {
     wait_until: Time,
     pause_until: Time,
@@ -473,25 +421,14 @@
 
 impl Lane {
     fn new(slots: usize, relays: usize) -> Self {
-        let (never, relays) = (Time::default(), relays.max(1) as f64);
-        Lane {
-            wait_until: never,
-            pause_until: never,
-            out: 0,
-            window: (slots as f64 / 2.0).max(1.0),
-            last_sent: never,
-            rate: 0.0,
-            share: (1.5 / relays).min(1.0),
-            least_share: 0.5 / relays,
-            refused: 0,
-        }
+        let (window, part) = ((slots as f64 / 2.0).max(1.0), 1.0 / relays.max(1) as f64);
+        Lane { window, share: (1.5 * part).min(1.0), least_share: 0.5 * part, ..Lane::default() }
     }
 
     fn take(&mut self, note: Note, mail: &mut Mail) {
         match note {
             Note::Call(call) if self.takes(mail.now) => {
-                self.out += 1;
-                self.last_sent = mail.now;
+                (self.out, self.last_sent) = (self.out + 1, mail.now);
                 for &(ntf, time_out) in &call.pushes {
                     mail.commands.push(Command::Push { ntf, endpoint: call.endpoint.clone(), time_out });
                 }
@@ -507,7 +444,7 @@
                     self.wait_until = self.wait_until.max(mail.now + wait);
                 }
                 if first {
-                    self.learn(&outcome, mail);
+                    self.learn(outcome.status, outcome.limit, mail);
                 }
             }
             _ => {}
@@ -521,20 +458,16 @@
         free && now >= self.wait_until.max(self.pause_until)
     }
 
-    fn learn(&mut self, outcome: &Outcome, mail: &mut Mail) {
-        if let Some(report) = outcome.limit {
-            self.rate = report.rate;
-            let step = if report.left > 0.3 { 1.1 } else { 1.0 } * if report.left < 0.1 { 0.9 } else { 1.0 };
-            self.share = (self.share * step).clamp(self.least_share, 1.0);
+    fn learn(&mut self, status: Status, limit: Option<LimitReport>, mail: &mut Mail) {
+        if let Some(LimitReport { left, rate }) = limit {
+            let step = if left > PLENTY { 1.1 } else { 1.0 } * if left < LOW / 2.0 { 0.9 } else { 1.0 };
+            (self.rate, self.share) = (rate, (self.share * step).clamp(self.least_share, 1.0));
         }
-        match outcome.status {
-            Status::Delivered => {
-                self.refused = 0;
-                self.window += 1.0 / self.window;
-            }
+        match status {
+            Status::Delivered => (self.refused, self.window) = (0, self.window + 1.0 / self.window),
             Status::Busy(_) if mail.now >= self.pause_until => {
                 let pause = PAUSE.times(2f64.powi(self.refused.min(8))).min(LONGEST_PAUSE);
-                self.pause_until = mail.now + pause.times(0.5 + mail.chance.next());
+                self.pause_until = mail.now + pause.times(0.5 + mail.chance());
                 self.refused += 1;
                 self.share = (self.share * 0.7).max(self.least_share);
                 self.window = (self.window * 0.6).max(1.0);
@@ -550,7 +483,7 @@
 // ---- Destination: what goes next, for how long, and when it is given up ----
 
 /// A notification held.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 struct Held {
     ntf: Notification,
     taken: Time,
@@ -572,8 +505,7 @@
 impl Held {
     fn new(ntf: Notification, taken: Time, over_share: bool) -> Self {
         let turn = !(ntf.topic.ordered && ntf.key.is_some());
-        let (out, last, ran, doubt) = (None, None, None, None);
-        Held { ntf, taken, over_share, pushes: 0, turn, out, last, ran, doubt, over: false }
+        Held { ntf, taken, over_share, turn, ..Held::default() }
     }
 
     /// Rule: no effect twice. Every send passes here.
@@ -589,6 +521,7 @@
     }
 }
 
+#[derive(Default)]
 struct Destination {
     id: DestinationId,
     allowed: Allowance,
@@ -605,12 +538,6 @@
 }
 
 impl Destination {
-    fn new(id: DestinationId, allowed: Allowance, overdue_floor: Span) -> Self {
-        let (ends, held, samples) = (Vec::new(), Vec::new(), VecDeque::new());
-        let (per_call, next, asked, fit) = (1, 0, 0, None);
-        Destination { id, allowed, overdue_floor, per_call, ends, next, asked, held, samples, fit }
-    }
-
     fn take(&mut self, note: Note, mail: &mut Mail) {
         match note {
             Note::Listed(entry) => {
@@ -629,40 +556,28 @@
             }
             Note::Turn(ntf) => self.held.iter_mut().filter(|h| h.ntf.id == ntf).for_each(|h| h.turn = true),
             Note::Withdrawn(ntf) => {
-                if let Some(place) = self.held.iter().position(|h| h.ntf.id == ntf) {
-                    self.held[place].over = true;
-                    if self.held[place].out.is_none() {
-                        self.release(place, mail);
-                    }
+                let Some(place) = self.held.iter().position(|h| h.ntf.id == ntf) else { return };
+                self.held[place].over = true;
+                if self.held[place].out.is_none() {
+                    self.release(place, mail);
                 }
             }
-            Note::Outcome(outcome, first) => self.outcome(outcome, first, mail),
+            Note::Outcome(outcome, first) => self.outcome(&outcome, first, mail),
             Note::Sweep => {
                 self.fit = Fit::of(&self.samples, mail.now);
-                for place in (0..self.held.len()).rev() {
-                    self.give_up_if_vain(place, mail);
-                }
+                (0..self.held.len()).rev().for_each(|place| self.give_up_if_vain(place, mail));
             }
             Note::Slot => self.offer(mail),
-            Note::Shed(sent) if self.allowed.cancel && mail.now >= sent + self.overdue_after() => {
-                for held in self.held.iter().filter(|h| h.out.as_ref().is_some_and(|out| out.0 == sent)) {
-                    if held.ntf.topic.effect == Effect::OnceOnly {
-                        continue;
-                    }
-                    mail.commands.push(Command::Cancel { ntf: held.ntf.id, push: held.pushes - 1 });
-                }
-            }
-            Note::Trim => {
-                let waiting =
-                    self.held.iter().enumerate().filter(|(_, h)| h.out.is_none() && h.ran.is_none());
-                if let Some((place, _)) = waiting.max_by_key(|(_, h)| (self.rank(mail.now, h), h.taken)) {
-                    self.give_up(place, mail);
-                }
-            }
             Note::Declined => {
                 self.asked += 1;
                 self.offer(mail);
             }
+            Note::Shed(sent) if self.allowed.cancel && mail.now >= sent + self.overdue_after() => {
+                let shed = |h: &&Held| h.out.as_ref().is_some_and(|out| out.0 == sent);
+                for held in self.held.iter().filter(shed).filter(|h| h.ntf.topic.effect != Effect::OnceOnly) {
+                    mail.commands.push(Command::Cancel { ntf: held.ntf.id, push: held.pushes - 1 });
+                }
+            }
             Note::Sent(call) => {
                 self.asked = 0;
                 let Some(place) = self.ends.iter().position(|end| end.0 == call.endpoint) else { return };
@@ -683,9 +598,7 @@
             let (endpoint, zone) = self.ends[(self.next + self.asked) % self.ends.len()].clone();
             let pushes = self.pick(mail.now, &endpoint, &zone);
             if !pushes.is_empty() {
-                let far =
-                    self.fit.map_or(Span::ZERO, |fit| Span::from_secs((fit.mu + 3.0 * fit.sigma).exp()));
-                let (to, overdue_after) = (Part::Endpoint(endpoint.clone()), far.max(self.overdue_floor));
+                let (to, overdue_after) = (Part::Endpoint(endpoint.clone()), self.overdue_after());
                 let call = Call { destination: self.id, endpoint, pushes, overdue_after };
                 return mail.put(to, Note::Call(call));
             }
@@ -698,27 +611,20 @@
     /// What goes to an endpoint next: first what can still meet its objective, within its share.
     fn pick(&self, now: Time, to: &EndpointId, zone: &Arc<str>) -> Vec<(NtfId, Span)> {
         let elsewhere = self.asked < self.ends.len();
-        let fits = |h: &&Held| {
-            h.turn
-                && h.may_run(now, Some(zone), self.allowed.pushes)
-                && !(elsewhere && h.last.as_ref() == Some(to))
-        };
-        let mut ready: Vec<&Held> = self.held.iter().filter(fits).collect();
+        let mut ready: Vec<&Held> = self.held.iter().filter(|h| h.turn).collect();
+        ready.retain(|h| h.may_run(now, Some(zone), self.allowed.pushes));
+        ready.retain(|h| !(elsewhere && h.last.as_ref() == Some(to)));
         // Calls are worth filling: one counts once for the limit and takes one slot.
         let waits = |h: &&Held| now.since(h.taken) < h.ntf.topic.objective.times(FILL);
         if ready.len() < self.per_call && ready.iter().all(waits) {
             return Vec::new();
         }
-        ready.sort_by_key(|h| self.rank(now, h));
+        let late = |h: &Held| now.since(h.taken) + self.median() > h.ntf.topic.objective;
+        ready.sort_by_key(|h| (h.over_share, late(h)));
         ready.truncate(self.per_call);
         ready.iter().map(|h| (h.ntf.id, self.time_out(now, h))).collect()
     }
 
-    /// What goes first: what is within its account's share, and what can still meet its objective.
-    fn rank(&self, now: Time, held: &Held) -> (bool, bool) {
-        (held.over_share, now.since(held.taken) + self.median() > held.ntf.topic.objective)
-    }
-
     /// When a call has lasted so long that it speaks of silence: well beyond what is delivered of late, not
     /// what the fit expects, which calls that never end stretch far. Longer after each that was called off or
     /// timed out with none delivered since: then it is the destination that is slow.
@@ -741,7 +647,7 @@
         self.fit.map_or(left, |fit| fit.time_out(left, pushes))
     }
 
-    fn outcome(&mut self, o: Outcome, first: bool, mail: &mut Mail) {
+    fn outcome(&mut self, o: &Outcome, first: bool, mail: &mut Mail) {
         // Throttled pushes and refused connections tell nothing of latency.
         if first && matches!(o.status, Status::Delivered | Status::TimedOut | Status::Cancelled) {
             let (ln_secs, censored) = (o.spent.secs().max(1e-4).ln(), o.status != Status::Delivered);
@@ -766,20 +672,14 @@
     /// The design's cutoff, and rule: one final answer in time. What cannot go out again, or has less time left
     /// than a usual call takes, is answered at once.
     fn give_up_if_vain(&mut self, place: usize, mail: &mut Mail) {
-        let held = &self.held[place];
-        let left = held.ntf.valid_until.since(mail.now);
-        let usual = self.median().max(LEAST_LEFT);
-        if held.out.is_none() && (left < usual || !held.may_run(mail.now, None, self.allowed.pushes)) {
-            self.give_up(place, mail);
+        let (held, usual) = (&self.held[place], self.median().max(LEAST_LEFT));
+        let dead = held.ntf.valid_until.since(mail.now) < usual;
+        if held.out.is_some() || !dead && held.may_run(mail.now, None, self.allowed.pushes) {
+            return;
         }
-    }
-
-    fn give_up(&mut self, place: usize, mail: &mut Mail) {
-        let ntf = self.held[place].ntf.id;
-        mail.commands.push(match self.held[place].ran {
-            None => Command::Throttle { ntf, retry_in: self.allowed.longest_retry.min(self.median()) },
-            Some(_) => Command::Expire(ntf),
-        });
+        let (ntf, retry_in) = (held.ntf.id, self.allowed.longest_retry.min(usual));
+        let throttle = held.ran.is_none();
+        mail.commands.push(if throttle { Command::Throttle { ntf, retry_in } } else { Command::Expire(ntf) });
         self.release(place, mail);
     }
 
@@ -793,61 +693,56 @@
 
 // ---- Slots: which destination calls next ----
 
+/// When a call began, and when it ended.
+type Lasted = (Time, Option<Time>);
+
+#[derive(Default)]
 struct Slots {
     total: usize,
-    /// Each destination's calls of late: when they began and ended.
-    calls: BTreeMap<DestinationId, VecDeque<(Time, Option<Time>)>>,
+    /// Each destination's calls of late.
+    calls: BTreeMap<DestinationId, VecDeque<Lasted>>,
     passed: BTreeSet<DestinationId>,
 }
 
 impl Slots {
     fn take(&mut self, note: Note, mail: &mut Mail) {
+        let now = mail.now;
         match note {
             Note::Sweep => self.passed.clear(),
+            Note::Pass(destination) => drop(self.passed.insert(destination)),
+            Note::Sent(call) => self.calls.entry(call.destination).or_default().push_back((now, None)),
             Note::Listed(entry) => {
                 self.calls.entry(entry.destination).or_default();
                 return;
             }
-            Note::Pass(destination) => {
-                self.passed.insert(destination);
-            }
-            Note::Sent(call) => self.calls.entry(call.destination).or_default().push_back((mail.now, None)),
             Note::Ended(destination) => {
                 let calls = self.calls.get_mut(&destination).into_iter().flatten();
-                calls.filter(|c| c.1.is_none()).take(1).for_each(|c| c.1 = Some(mail.now));
-                return;
+                return calls.filter(|c| c.1.is_none()).take(1).for_each(|c| c.1 = Some(now));
             }
             _ => {}
         }
         for calls in self.calls.values_mut() {
-            calls.retain(|c| c.1.is_none_or(|end| mail.now.since(end) < SLOT_MEMORY));
+            calls.retain(|c| c.1.is_none_or(|end| now.since(end) < SLOT_MEMORY));
         }
         let open = self.calls.values().flatten().filter(|c| c.1.is_none()).count();
-        let waiting = self.calls.iter().filter(|(id, _)| !self.passed.contains(id));
         if open < self.total {
-            if let Some((id, _)) = waiting.min_by_key(|(id, calls)| (slot_time(calls, mail.now), **id)) {
-                mail.put(Part::Destination(*id), Note::Slot);
-            }
-            return;
-        }
-        // Guards against silent and jammed destinations that take every slot for as long as their time-outs.
-        let sent = |calls: &VecDeque<(Time, Option<Time>)>| calls.iter().find(|c| c.1.is_none()).map(|c| c.0);
-        let oldest = self.calls.iter().filter_map(|(id, calls)| Some((sent(calls)?, *id))).min();
-        if let Some((sent, id)) = oldest {
-            mail.put(Part::Destination(id), Note::Shed(sent));
+            // The design's choice: least slot time within memory, calls still out included.
+            let spent = |c: &Lasted| c.1.unwrap_or(now).since(c.0.max(now - SLOT_MEMORY)).nanos();
+            let waiting = self.calls.iter().filter(|(id, _)| !self.passed.contains(id));
+            let next = waiting.min_by_key(|(id, calls)| (calls.iter().map(spent).sum::<u64>(), **id));
+            next.into_iter().for_each(|(id, _)| mail.put(Part::Destination(*id), Note::Slot));
+        } else {
+            // Guards against silent and jammed destinations that take every slot for as long as their time-outs.
+            let sent = |calls: &VecDeque<Lasted>| calls.iter().find(|c| c.1.is_none()).map(|c| c.0);
+            let oldest = self.calls.iter().filter_map(|(id, calls)| Some((sent(calls)?, *id))).min();
+            oldest.into_iter().for_each(|(at, id)| mail.put(Part::Destination(id), Note::Shed(at)));
         }
     }
 }
 
-/// Slot time within memory, calls still out included.
-fn slot_time(calls: &VecDeque<(Time, Option<Time>)>, now: Time) -> Span {
-    let from = now - SLOT_MEMORY;
-    let spent = |c: &(Time, Option<Time>)| c.1.unwrap_or(now).since(c.0.max(from)).nanos();
-    Span::from_nanos(calls.iter().map(spent).sum())
-}
-
 // ---- Book: the list of endpoints ----
 
+#[derive(Default)]
 struct Book {
     ask_every: Span,
     entries: BTreeMap<EndpointId, Entry>,
@@ -863,7 +758,7 @@
                 // Guards against a list that is out of reach or overrun: ask again, ever later, never in step.
                 let pause = self.ask_every.times(0.02 * 2f64.powi(self.failures.min(4)));
                 self.failures += 1;
-                self.next_ask = Some(mail.now + pause.times(0.5 + mail.chance.next()));
+                self.next_ask = Some(mail.now + pause.times(0.5 + mail.chance()));
             }
             Note::News(News::Changes(entries)) => self.merge(entries, mail),
             Note::News(News::Whole(entries)) => {
@@ -895,6 +790,7 @@
 // ---- The relay: the loop ----
 
 /// A relay's decisions. It knows only its own events, its clock and its seed.
+#[derive(Default)]
 pub struct Relay {
     fleet: Fleet,
     allowed: Allowance,
@@ -914,21 +810,17 @@
 impl Relay {
     /// A relay that has just started and knows nothing yet.
     pub fn new(now: Time, seed: u64, fleet: Fleet, allowed: Allowance, figures: RuleFigures) -> Self {
-        let (inboxes, chance) = (BTreeMap::new(), Chance::new(seed));
+        let carry = (seed ^ 0x9e37_79b9_7f4a_7c15) >> 1 | 1;
         let next_ask = fleet.list_on_request.then_some(now);
         Relay {
             fleet,
             allowed,
             figures,
-            next_wake: now,
-            mail: Mail { now, inboxes, commands: Vec::new(), chance },
-            book: Book { ask_every: figures.ask_every, entries: BTreeMap::new(), next_ask, failures: 0 },
-            turns: Turns { settle: figures.settle, lines: BTreeMap::new() },
-            endpoints: BTreeMap::new(),
-            lanes: BTreeMap::new(),
-            destinations: BTreeMap::new(),
-            slots: Slots { total: allowed.slots, calls: BTreeMap::new(), passed: BTreeSet::new() },
-            arrivals: BTreeMap::new(),
+            mail: Mail { carry, ..Mail::default() },
+            book: Book { ask_every: figures.ask_every, next_ask, ..Book::default() },
+            turns: Turns { settle: figures.settle, ..Turns::default() },
+            slots: Slots { total: allowed.slots, ..Slots::default() },
+            ..Relay::default()
         }
     }
 
@@ -964,13 +856,6 @@
             self.mail.put(part, Note::Sweep);
         }
         self.settle();
-        // Guards against a hold full of what cannot go, which turns away what could.
-        let held: usize = self.destinations.values().map(|d| d.held.len()).sum();
-        let most = self.destinations.values().max_by_key(|d| d.held.len()).map(|d| d.id);
-        if let (true, Some(id)) = (held as f64 > HOLD_FULL * self.allowed.held as f64, most) {
-            self.mail.put(Part::Destination(id), Note::Trim);
-            self.settle();
-        }
         if now >= self.next_wake {
             let gap = self.fleet.tick.times(2.0).max(LEAST_WAKE);
             self.next_wake = now + gap;
@@ -993,8 +878,8 @@
                     lane.take(note, mail);
                 }
                 Part::Endpoint(id) => {
-                    if let Note::Listed(entry) = &note {
-                        let new = || Endpoint::new(entry.clone(), figures, allowed.probes);
+                    if matches!(note, Note::Listed(_)) {
+                        let new = || Endpoint { figures, probes: allowed.probes, ..Endpoint::default() };
                         self.endpoints.entry(id.clone()).or_insert_with(new);
                     }
                     if let Some(endpoint) = self.endpoints.get_mut(&id) {
@@ -1002,7 +887,8 @@
                     }
                 }
                 Part::Destination(id) => {
-                    let new = || Destination::new(id, allowed, figures.tip_after.times(OVERDUE_FLOOR));
+                    let overdue_floor = figures.tip_after.times(OVERDUE_FLOOR);
+                    let new = || Destination { id, allowed, overdue_floor, ..Destination::default() };
                     self.destinations.entry(id).or_insert_with(new).take(note, mail);
                 }
             }
