Keep notes and inboxes in a file of their own; rank no longer by account share

Ranking over-share traffic last measured one relay's arrivals against a part of the quota, which relays of unequal traffic cannot know.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,6 +3,7 @@
 //! come out. It does no I/O and knows no wire; a front (such as `crates/adapter`) carries both ways.
 
 pub mod interface;
+mod mail;
 pub mod rules;
 pub mod time;
 
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -14,6 +14,7 @@
     Allowance, Command, DestinationId, Effect, EndpointId, Entry, Event, Fleet, Group, LimitReport, News,
     Notification, NtfId, Outcome, Readiness, RuleFigures, Status,
 };
+use crate::mail::{Call, LaneId, Mail, Note, Part, keep};
 use crate::time::{Span, Time};
 
 /// Latencies kept of each destination, and the age at which one counts half.
@@ -43,101 +44,14 @@
 /// First pause after a throttled push that told no wait; doubles with each in a row up to the last.
 const PAUSE: Span = Span::from_millis(100);
 const LONGEST_PAUSE: Span = Span::from_millis(1_600);
+/// The list is asked for again after this share of `ask_every`, doubling a few times.
+const FIRST_ASK: f64 = 0.02;
 /// Below this much time left nothing is worth sending, and the shortest gap between two wake-ups.
 const LEAST_LEFT: Span = Span::from_millis(20);
 const LEAST_WAKE: Span = Span::from_millis(10);
 /// Weight of each further notification in a call, for a cold endpoint.
 const FURTHER: f64 = 0.25;
 
-/// The lane of a call: its limit and waits hold for the destination or, where routes are apart, the endpoint.
-type LaneId = (DestinationId, Option<EndpointId>);
-
-/// The parts, in the order in which their inboxes are emptied.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Part {
-    Book,
-    Turns,
-    Endpoint(EndpointId),
-    Lane(LaneId),
-    Destination(DestinationId),
-    Slots,
-}
-
-#[derive(Debug)]
-enum Note {
-    /// A round has come: see to whatever time alone brings.
-    Sweep,
-    News(News),
-    Listed(Entry),
-    Accepted(Box<Held>),
-    Withdrawn(NtfId),
-    /// A key's notification queues for its turn, has it, or leaves (with the time of a push in doubt).
-    Join(String, NtfId, DestinationId),
-    Turn(NtfId),
-    Leave(String, NtfId, Option<Time>),
-    /// A slot is free: does the destination take it? It passes, or a call goes from part to part until sent.
-    Slot,
-    Pass(DestinationId),
-    Call(Call),
-    Declined,
-    Sent(Call),
-    /// A push ended; the flag says that its call had shown no outcome before, for a call has one fate.
-    Outcome(Outcome, bool),
-    /// All slots are taken: the call out longest, since then, may be called off if it is overdue.
-    Shed(Time),
-    /// A call has all its outcomes.
-    Ended(DestinationId),
-    Probed(Status),
-}
-
-/// Notifications on their way to an endpoint as one call.
-#[derive(Clone, Debug)]
-struct Call {
-    destination: DestinationId,
-    endpoint: EndpointId,
-    pushes: Vec<(NtfId, Span)>,
-    overdue_after: Span,
-}
-
-/// The round at hand: its clock, the inboxes, the commands given so far, and the state of chance.
-#[derive(Default)]
-struct Mail {
-    now: Time,
-    inboxes: BTreeMap<Part, VecDeque<Note>>,
-    commands: Vec<Command>,
-    carry: u64,
-}
-
-impl Mail {
-    fn put(&mut self, part: Part, note: Note) {
-        self.inboxes.entry(part).or_default().push_back(note);
-    }
-
-    /// Chance, from 0 up to 1, by multiply-with-carry.
-    fn chance(&mut self) -> f64 {
-        self.carry = 4_294_957_665 * (self.carry & 0xffff_ffff) + (self.carry >> 32);
-        f64::from(self.carry as u32) / 4_294_967_296.0
-    }
-
-    fn next(&mut self) -> Option<(Part, Note)> {
-        loop {
-            let mut first = self.inboxes.first_entry()?;
-            if let Some(note) = first.get_mut().pop_front() {
-                return Some((first.key().clone(), note));
-            }
-            first.remove();
-        }
-    }
-}
-
-/// Keeps the last few of a kind of sample.
-fn keep<T>(samples: &mut VecDeque<T>, sample: T, most: usize) {
-    samples.push_back(sample);
-    if samples.len() > most {
-        samples.pop_front();
-    }
-}
-
 // ---- The design's latency fit and restart timer ----
 
 /// How long a call took, or was seen to last at least.
@@ -487,7 +401,6 @@
 struct Held {
     ntf: Notification,
     taken: Time,
-    over_share: bool,
     pushes: u32,
     /// It has its turn, or needs none.
     turn: bool,
@@ -503,9 +416,9 @@
 }
 
 impl Held {
-    fn new(ntf: Notification, taken: Time, over_share: bool) -> Self {
+    fn new(ntf: Notification, taken: Time) -> Self {
         let turn = !(ntf.topic.ordered && ntf.key.is_some());
-        Held { ntf, taken, over_share, turn, ..Held::default() }
+        Held { ntf, taken, turn, ..Held::default() }
     }
 
     /// Rule: no effect twice. Every send passes here.
@@ -548,11 +461,12 @@
                     self.ends.sort();
                 }
             }
-            Note::Accepted(held) => {
+            Note::Accepted(ntf) => {
+                let held = Held::new(ntf, mail.now);
                 if let Some(key) = held.ntf.key.clone().filter(|_| !held.turn) {
                     mail.put(Part::Turns, Note::Join(key, held.ntf.id, self.id));
                 }
-                self.held.push(*held);
+                self.held.push(held);
             }
             Note::Turn(ntf) => self.held.iter_mut().filter(|h| h.ntf.id == ntf).for_each(|h| h.turn = true),
             Note::Withdrawn(ntf) => {
@@ -608,7 +522,7 @@
         mail.put(Part::Slots, Note::Pass(self.id));
     }
 
-    /// What goes to an endpoint next: first what can still meet its objective, within its share.
+    /// What goes to an endpoint next: first what can still meet its objective.
     fn pick(&self, now: Time, to: &EndpointId, zone: &Arc<str>) -> Vec<(NtfId, Span)> {
         let elsewhere = self.asked < self.ends.len();
         let mut ready: Vec<&Held> = self.held.iter().filter(|h| h.turn).collect();
@@ -619,8 +533,7 @@
         if ready.len() < self.per_call && ready.iter().all(waits) {
             return Vec::new();
         }
-        let late = |h: &Held| now.since(h.taken) + self.median() > h.ntf.topic.objective;
-        ready.sort_by_key(|h| (h.over_share, late(h)));
+        ready.sort_by_key(|h| now.since(h.taken) + self.median() > h.ntf.topic.objective);
         ready.truncate(self.per_call);
         ready.iter().map(|h| (h.ntf.id, self.time_out(now, h))).collect()
     }
@@ -711,10 +624,6 @@
             Note::Sweep => self.passed.clear(),
             Note::Pass(destination) => drop(self.passed.insert(destination)),
             Note::Sent(call) => self.calls.entry(call.destination).or_default().push_back((now, None)),
-            Note::Listed(entry) => {
-                self.calls.entry(entry.destination).or_default();
-                return;
-            }
             Note::Ended(destination) => {
                 let calls = self.calls.get_mut(&destination).into_iter().flatten();
                 return calls.filter(|c| c.1.is_none()).take(1).for_each(|c| c.1 = Some(now));
@@ -753,22 +662,17 @@
 
 impl Book {
     fn take(&mut self, note: Note, mail: &mut Mail) {
-        match note {
-            Note::News(News::Broken) => {
-                // Guards against a list that is out of reach or overrun: ask again, ever later, never in step.
-                let pause = self.ask_every.times(0.02 * 2f64.powi(self.failures.min(4)));
-                self.failures += 1;
-                self.next_ask = Some(mail.now + pause.times(0.5 + mail.chance()));
-            }
-            Note::News(News::Changes(entries)) => self.merge(entries, mail),
-            Note::News(News::Whole(entries)) => {
-                let gone =
-                    self.entries.values().filter(|old| entries.iter().all(|e| e.endpoint != old.endpoint));
-                let gone = gone.map(|old| Entry { readiness: Readiness::Deleted, ..old.clone() }).collect();
-                self.merge(gone, mail);
-                self.merge(entries, mail);
-            }
-            _ => {}
+        if let Note::News(News::Broken) = note {
+            // Guards against a list that is out of reach or overrun: ask again, ever later, never in step.
+            let pause = self.ask_every.times(FIRST_ASK * 2f64.powi(self.failures.min(4)));
+            (self.failures, self.next_ask) =
+                (self.failures + 1, Some(mail.now + pause.times(0.5 + mail.chance())));
+        } else if let Note::News(News::Changes(entries)) = note {
+            self.merge(entries, mail);
+        } else if let Note::News(News::Whole(entries)) = note {
+            let gone = self.entries.values().filter(|old| entries.iter().all(|e| e.endpoint != old.endpoint));
+            let gone = gone.map(|old| Entry { readiness: Readiness::Deleted, ..old.clone() });
+            self.merge(gone.chain(entries.iter().cloned()).collect(), mail);
         }
         if self.next_ask.is_some_and(|at| mail.now >= at) {
             self.next_ask = None;
@@ -781,7 +685,6 @@
         for entry in entries {
             self.entries.insert(entry.endpoint.clone(), entry.clone());
             mail.put(Part::Endpoint(entry.endpoint.clone()), Note::Listed(entry.clone()));
-            mail.put(Part::Slots, Note::Listed(entry.clone()));
             mail.put(Part::Destination(entry.destination), Note::Listed(entry));
         }
     }
@@ -803,20 +706,17 @@
     lanes: BTreeMap<LaneId, Lane>,
     destinations: BTreeMap<DestinationId, Destination>,
     slots: Slots,
-    /// What each account has handed in of late.
-    arrivals: BTreeMap<String, VecDeque<Time>>,
 }
 
 impl Relay {
     /// A relay that has just started and knows nothing yet.
     pub fn new(now: Time, seed: u64, fleet: Fleet, allowed: Allowance, figures: RuleFigures) -> Self {
-        let carry = (seed ^ 0x9e37_79b9_7f4a_7c15) >> 1 | 1;
         let next_ask = fleet.list_on_request.then_some(now);
         Relay {
             fleet,
             allowed,
             figures,
-            mail: Mail { carry, ..Mail::default() },
+            mail: Mail::new(seed),
             book: Book { ask_every: figures.ask_every, next_ask, ..Book::default() },
             turns: Turns { settle: figures.settle, ..Turns::default() },
             slots: Slots { total: allowed.slots, ..Slots::default() },
@@ -830,10 +730,7 @@
         for event in events {
             let (part, note) = match event {
                 Event::List(news) => (Part::Book, Note::News(news)),
-                Event::Accepted(ntf) => {
-                    let (to, over_share) = (Part::Destination(ntf.destination), self.over_share(&ntf));
-                    (to, Note::Accepted(Box::new(Held::new(ntf, now, over_share))))
-                }
+                Event::Accepted(ntf) => (Part::Destination(ntf.destination), Note::Accepted(ntf)),
                 Event::Ended(outcome) => {
                     (Part::Endpoint(outcome.endpoint.clone()), Note::Outcome(outcome, false))
                 }
@@ -889,19 +786,10 @@
                 Part::Destination(id) => {
                     let overdue_floor = figures.tip_after.times(OVERDUE_FLOOR);
                     let new = || Destination { id, allowed, overdue_floor, ..Destination::default() };
+                    self.slots.calls.entry(id).or_default();
                     self.destinations.entry(id).or_insert_with(new).take(note, mail);
                 }
             }
         }
     }
-
-    /// Whether an account has lately handed in more than its quota's part for one relay.
-    fn over_share(&mut self, ntf: &Notification) -> bool {
-        let Some(account) = &ntf.account else { return false };
-        let arrivals = self.arrivals.entry(account.name.clone()).or_default();
-        keep(arrivals, self.mail.now, 2 * SAMPLES);
-        let span = arrivals.front().map_or(Span::ZERO, |first| self.mail.now.since(*first));
-        let rate = arrivals.len() as f64 / span.secs().max(1.0);
-        arrivals.len() > SAMPLES && rate > account.quota / self.fleet.relays.max(1) as f64
-    }
 }
