Close connections seen to die while idle before a call goes

It should cover any box that forgets idle connections; it may cost handshakes after a brief silence.

--- a/crates/adapter/src/main.rs
+++ b/crates/adapter/src/main.rs
@@ -303,6 +303,7 @@
             json!({"m": "NotifyMe", "relay": relay, "wait": after.nanos(), "label": "wake"})
         }
         Command::Subscribe => json!({"m": "Listen", "relay": relay, "active": true}),
+        Command::CloseIdle(endpoint) => json!({"m": "DropConns", "relay": relay, "endpoint": &*endpoint.0}),
         Command::Log(line) => json!({"m": "SayLog", "relay": relay, "line": line}),
         Command::Probe(endpoint) => json!({"m": "SoundOut", "relay": relay, "endpoint": &*endpoint.0}),
     }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -306,6 +306,8 @@
     Subscribe,
     /// Probe an endpoint.
     Probe(EndpointId),
+    /// Close this relay's idle connections to an endpoint.
+    CloseIdle(EndpointId),
     /// Tell the staff.
     Log(String),
 }
--- a/src/mail.rs
+++ b/src/mail.rs
@@ -47,6 +47,8 @@
     /// A call has all its outcomes.
     Ended(DestinationId),
     Probed(Status),
+    /// A call on a connection idle for so long was lost, and a later one to the same endpoint was not.
+    Stale(Span),
 }
 
 /// Notifications on their way to an endpoint as one call.
@@ -56,6 +58,8 @@
     pub(crate) endpoint: EndpointId,
     pub(crate) pushes: Vec<(NtfId, Span)>,
     pub(crate) overdue_after: Span,
+    /// It must not go over a connection that has been idle.
+    pub(crate) fresh: bool,
 }
 
 /// The round at hand: its clock, the inboxes, the commands given so far, and the state of chance.
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -35,6 +35,9 @@
 const BRIEF: f64 = 2.0;
 /// With calls still out at an endpoint set aside, the next follows so many `tip_after` later.
 const PATIENCE: f64 = 3.0;
+/// Connections idle for less than this are never taken for stale, and what was seen holds for so long.
+const STALE_LEAST: Span = Span::from_millis(500);
+const STALE_MEMORY: Span = Span::from_millis(30_000);
 /// A call is overdue after so many times the latency that nine in ten stay under, and not before this share
 /// of `tip_after`.
 const OVERDUE: f64 = 2.5;
@@ -172,6 +175,8 @@
 /// A call that is out, or has not all its outcomes.
 struct Out {
     at: Time,
+    /// For how long nothing had been sent there.
+    idle: Span,
     overdue_at: Time,
     ntfs: Vec<NtfId>,
     answered: bool,
@@ -183,12 +188,15 @@
     figures: RuleFigures,
     probes: bool,
     outs: Vec<Out>,
+    used: Time,
     /// Latest sends (with weight) and deliveries.
     sent: VecDeque<(Time, f64)>,
     good: VecDeque<Time>,
     /// Failures in a row, and the latest: a refusal of a call sent before it says nothing new.
     streak: usize,
     last_bad: Time,
+    /// Idle for that long, connections were seen to lose calls, last at the second time.
+    stale: Option<(Span, Time)>,
     /// Set aside: the next call or probe not before then.
     aside: Option<Time>,
     /// Proved back at the first time: calls from the second on, doubling with each of so many delivered.
@@ -203,13 +211,22 @@
         let lane = Part::Lane((self.entry.destination, apart));
         match note {
             Note::Listed(entry) => self.entry = entry,
-            Note::Call(call) if self.takes(mail.now, call.pushes.len()) => mail.put(lane, Note::Call(call)),
+            Note::Call(mut call) if self.takes(mail.now, call.pushes.len()) => {
+                let stale = self.stale.filter(|(_, seen)| mail.now.since(*seen) < STALE_MEMORY);
+                call.fresh = stale.is_some_and(|(span, _)| mail.now.since(self.used) >= span);
+                mail.put(lane, Note::Call(call));
+            }
+            Note::Stale(span) => {
+                let known = self.stale.filter(|(_, seen)| mail.now.since(*seen) < STALE_MEMORY);
+                self.stale = Some((known.map_or(span, |(least, _)| least.min(span)), mail.now));
+            }
             Note::Call(call) => mail.put(Part::Destination(call.destination), Note::Declined),
             Note::Sent(call) => {
+                let idle = mail.now.since(self.used);
                 self.weigh(call.pushes.len(), mail);
                 let (at, overdue_at) = (mail.now, mail.now + call.overdue_after);
                 let ntfs = call.pushes.into_iter().map(|push| push.0).collect();
-                self.outs.push(Out { at, overdue_at, ntfs, answered: false });
+                self.outs.push(Out { at, idle, overdue_at, ntfs, answered: false });
             }
             Note::Outcome(outcome, _) => self.outcome(outcome, lane, mail),
             Note::Probed(status) => self.judge(mail.now, status, None, mail),
@@ -249,6 +266,7 @@
     }
 
     fn weigh(&mut self, pushes: usize, mail: &mut Mail) {
+        self.used = mail.now;
         keep(&mut self.sent, (mail.now, weight(pushes)), 2 * SAMPLES);
         let next = mail.now + self.figures.tip_after.times(0.75 + mail.chance() / 2.0);
         self.aside = self.aside.map(|_| next);
@@ -284,6 +302,15 @@
                 } else if let Some((_, _, wins)) = &mut self.back {
                     *wins += 1;
                 }
+                // Guards against connections that die unseen while idle (a middle box forgets them): a call after
+                // an idle spell is lost while the next is answered. All endpoints then get fresh connections.
+                let lost =
+                    |o: &&Out| !o.answered && o.at < at && o.overdue_at <= now && o.idle >= STALE_LEAST;
+                if let Some(out) =
+                    self.outs.iter().find(lost).filter(|o| now.since(o.at) < span.times(PATIENCE))
+                {
+                    mail.put(Part::Book, Note::Stale(out.idle.times(0.9)));
+                }
                 keep(&mut self.good, now, 2 * SAMPLES);
                 self.streak = 0;
             }
@@ -343,6 +370,9 @@
         match note {
             Note::Call(call) if self.takes(mail.now) => {
                 (self.out, self.last_sent) = (self.out + 1, mail.now);
+                if call.fresh {
+                    mail.commands.push(Command::CloseIdle(call.endpoint.clone()));
+                }
                 for &(ntf, time_out) in &call.pushes {
                     mail.commands.push(Command::Push { ntf, endpoint: call.endpoint.clone(), time_out });
                 }
@@ -513,7 +543,7 @@
             let pushes = self.pick(mail.now, &endpoint, &zone);
             if !pushes.is_empty() {
                 let (to, overdue_after) = (Part::Endpoint(endpoint.clone()), self.overdue_after());
-                let call = Call { destination: self.id, endpoint, pushes, overdue_after };
+                let call = Call { destination: self.id, endpoint, pushes, overdue_after, fresh: false };
                 return mail.put(to, Note::Call(call));
             }
             self.asked += 1;
@@ -673,6 +703,10 @@
             let gone = self.entries.values().filter(|old| entries.iter().all(|e| e.endpoint != old.endpoint));
             let gone = gone.map(|old| Entry { readiness: Readiness::Deleted, ..old.clone() });
             self.merge(gone.chain(entries.iter().cloned()).collect(), mail);
+        } else if let Note::Stale(span) = note {
+            for id in self.entries.keys() {
+                mail.put(Part::Endpoint(id.clone()), Note::Stale(span));
+            }
         }
         if self.next_ask.is_some_and(|at| mail.now >= at) {
             self.next_ask = None;
--- a/tests/helper/mod.rs
+++ b/tests/helper/mod.rs
@@ -74,6 +74,7 @@
                 Command::Subscribe => "subscribe".to_owned(),
                 Command::Cancel { ntf, push } => format!("cancel push {push} of {}", ntf.0),
                 Command::Probe(endpoint) => format!("probe {}", endpoint.0),
+                Command::CloseIdle(endpoint) => format!("close idle connections to {}", endpoint.0),
                 Command::Log(line) => line,
                 Command::Wake(_) => continue,
             };
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -3389,3 +3389,25 @@
     "#]]
     .assert_eq(&rig.trace);
 }
+
+/// Calls after an idle spell are lost while later ones are answered: connections die unseen while idle.
+#[test]
+fn connections_that_die_while_idle_are_closed_before_the_next_call() {
+    let mut rig = Rig::new(8, 1, &[("a", "z")]);
+    rig.warm(1, 6, 100);
+    rig.pass(2_000);
+    rig.accept(10, "safe", None, 16_000);
+    rig.pass(800);
+    rig.accept(11, "safe", None, 16_000);
+    rig.pass(100);
+    rig.end(11, Status::Delivered);
+    rig.pass(2_500);
+    rig.accept(12, "safe", None, 16_000);
+    expect![[r#"
+        2600   push 10 to a for 2000 ms
+        3400   push 11 to a for 2000 ms
+        6000   close idle connections to a
+        6000   push 12 to a for 2000 ms
+    "#]]
+    .assert_eq(&rig.trace);
+}
