--- a/src/rules.rs
+++ b/src/rules.rs
@@ -83,8 +83,8 @@
         }
         let weight = |s: &Sample| 0.5f64.powf(now.since(s.at).secs() / HALF_AGE.secs()).max(1e-9);
         let total: f64 = samples.iter().map(weight).sum();
-        let mut fit =
-            Fit { mu: samples.iter().map(|s| weight(s) * s.ln_secs).sum::<f64>() / total, sigma: 1.0 };
+        let mu = samples.iter().map(|s| weight(s) * s.ln_secs).sum::<f64>() / total;
+        let mut fit = Fit { mu, sigma: 1.0 };
         let rounds = if samples.iter().any(|s| s.censored) { 12 } else { 2 };
         for _ in 0..rounds {
             let (mut first, mut second) = (0.0, 0.0);
@@ -153,8 +153,8 @@
                 if let Some(line) = self.lines.get_mut(&key) {
                     line.granted &= line.waiting.front().is_some_and(|w| w.0 != ntf);
                     line.waiting.retain(|w| w.0 != ntf);
-                    line.rest_until =
-                        line.rest_until.max(doubt.map_or(Time::default(), |at| at + self.settle));
+                    let rest = doubt.map_or(Time::default(), |at| at + self.settle);
+                    line.rest_until = line.rest_until.max(rest);
                 }
             }
             _ => {}
@@ -216,10 +216,7 @@
                 call.fresh = stale.is_some_and(|(span, _)| mail.now.since(self.used) >= span);
                 mail.put(lane, Note::Call(call));
             }
-            Note::Stale(span) => {
-                let known = self.stale.filter(|(_, seen)| mail.now.since(*seen) < STALE_MEMORY);
-                self.stale = Some((known.map_or(span, |(least, _)| least.min(span)), mail.now));
-            }
+            Note::Stale(span) => self.stale = Some((span, mail.now)),
             Note::Call(call) => mail.put(Part::Destination(call.destination), Note::Declined),
             Note::Sent(call) => {
                 let idle = mail.now.since(self.used);
@@ -259,8 +256,7 @@
         };
         let level = f.cold_from + (1.0 - f.cold_from) * now.since(since).secs() / f.cold.secs();
         let budget = f.fall_multiple * level * self.part * f.tip_after.secs();
-        let recent = self.sent.iter().rev().take_while(|s| now.since(s.0) < f.tip_after);
-        let recent: f64 = recent.map(|s| s.1).sum();
+        let recent: f64 = self.sent.iter().filter(|s| now.since(s.0) < f.tip_after).map(|s| s.1).sum();
         // One call may always go in a window: a full one weighs more than a small budget for good.
         now >= from && (recent == 0.0 || recent + weight(pushes) <= budget.min(2f64.powi(wins)))
     }
@@ -446,11 +442,6 @@
 }
 
 impl Held {
-    fn new(ntf: Notification, taken: Time) -> Self {
-        let turn = !(ntf.topic.ordered && ntf.key.is_some());
-        Held { ntf, taken, turn, ..Held::default() }
-    }
-
     /// Rule: no effect twice. Every send passes here.
     fn may_run(&self, now: Time, zone: Option<&Arc<str>>, most: u32) -> bool {
         let effect = match (&self.ran, self.ntf.topic.effect) {
@@ -492,11 +483,10 @@
                 }
             }
             Note::Accepted(ntf) => {
-                let held = Held::new(ntf, mail.now);
-                if let Some(key) = held.ntf.key.clone().filter(|_| !held.turn) {
-                    mail.put(Part::Turns, Note::Join(key, held.ntf.id, self.id));
-                }
-                self.held.push(held);
+                let key = ntf.key.clone().filter(|_| ntf.topic.ordered);
+                let (turn, taken) = (key.is_none(), mail.now);
+                key.into_iter().for_each(|key| mail.put(Part::Turns, Note::Join(key, ntf.id, self.id)));
+                self.held.push(Held { ntf, taken, turn, ..Held::default() });
             }
             Note::Turn(ntf) => self.held.iter_mut().filter(|h| h.ntf.id == ntf).for_each(|h| h.turn = true),
             Note::Withdrawn(ntf) => {
@@ -605,11 +595,8 @@
         if o.status.may_be_running() {
             held.doubt = Some(mail.now);
         }
-        if o.settled || held.over {
-            self.release(place, mail);
-        } else {
-            self.give_up_if_vain(place, mail);
-        }
+        let next = if o.settled || held.over { Self::release } else { Self::give_up_if_vain };
+        next(self, place, mail);
     }
 
     /// The design's cutoff, and rule: one final answer in time. What cannot go out again, or has less time left
@@ -695,8 +682,8 @@
         if let Note::News(News::Broken) = note {
             // Guards against a list that is out of reach or overrun: ask again, ever later, never in step.
             let pause = self.ask_every.times(FIRST_ASK * 2f64.powi(self.failures.min(4)));
-            (self.failures, self.next_ask) =
-                (self.failures + 1, Some(mail.now + pause.times(0.5 + mail.chance())));
+            self.next_ask = Some(mail.now + pause.times(0.5 + mail.chance()));
+            self.failures += 1;
         } else if let Note::News(News::Changes(entries)) = note {
             self.merge(entries, mail);
         } else if let Note::News(News::Whole(entries)) = note {
