--- a/src/mail.rs
+++ b/src/mail.rs
@@ -42,8 +42,8 @@
     Sent(Call),
     /// A push ended; the flag says that its call had shown no outcome before, for a call has one fate.
     Outcome(Outcome, bool),
-    /// All slots are taken: the call out longest, since then, may be called off if it is overdue.
-    Shed(Time),
+    /// All slots are taken: the call out longest may be called off if it is overdue.
+    Shed,
     /// A call has all its outcomes.
     Ended(DestinationId),
     Probed(Status),
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -506,9 +506,12 @@
                 self.asked += 1;
                 self.offer(mail);
             }
-            Note::Shed(sent) if self.allowed.cancel && mail.now >= sent + self.overdue_after() => {
-                let shed = |h: &&Held| h.out.as_ref().is_some_and(|out| out.0 == sent);
-                for held in self.held.iter().filter(shed).filter(|h| h.ntf.topic.effect != Effect::OnceOnly) {
+            Note::Shed if self.allowed.cancel => {
+                let again = self.held.iter().filter(|h| h.ntf.topic.effect != Effect::OnceOnly);
+                let sent = |h: &Held| h.out.as_ref().map(|out| out.0);
+                let oldest = again.clone().filter_map(sent).min();
+                let overdue = oldest.filter(|at| mail.now >= *at + self.overdue_after());
+                for held in again.filter(|h| overdue.is_some() && sent(h) == overdue) {
                     mail.commands.push(Command::Cancel { ntf: held.ntf.id, push: held.pushes - 1 });
                 }
             }
@@ -665,9 +668,7 @@
             next.into_iter().for_each(|(id, _)| mail.put(Part::Destination(*id), Note::Slot));
         } else {
             // Guards against silent and jammed destinations that take every slot for as long as their time-outs.
-            let sent = |calls: &VecDeque<Lasted>| calls.iter().find(|c| c.1.is_none()).map(|c| c.0);
-            let oldest = self.calls.iter().filter_map(|(id, calls)| Some((sent(calls)?, *id))).min();
-            oldest.into_iter().for_each(|(at, id)| mail.put(Part::Destination(id), Note::Shed(at)));
+            self.calls.keys().for_each(|id| mail.put(Part::Destination(*id), Note::Shed));
         }
     }
 }
