--- a/src/rules.rs
+++ b/src/rules.rs
@@ -576,16 +576,10 @@
         self.fit.map_or(Span::ZERO, |fit| fit.median())
     }
 
-    /// The design's time-out, with the pushes that may still be made: of evenly spaced pushes of a collapsible
-    /// notification only those within the window.
     fn time_out(&self, now: Time, held: &Held) -> Span {
-        let (left, most) = (held.ntf.valid_until.since(now), self.allowed.pushes - held.pushes);
-        let within = |window: Span| left.secs() / (left.secs() - window.secs()).max(1e-3);
-        let pushes = match held.ntf.topic.effect {
-            Effect::Repeatable => most,
-            Effect::Collapsible { window, .. } => most.min(within(window) as u32),
-            Effect::OnceOnly => 1,
-        };
+        let left = held.ntf.valid_until.since(now);
+        let once = held.ntf.topic.effect == Effect::OnceOnly;
+        let pushes = if once { 1 } else { self.allowed.pushes - held.pushes };
         self.fit.map_or(left, |fit| fit.time_out(left, pushes))
     }
 
