--- a/src/mail.rs
+++ b/src/mail.rs
@@ -58,6 +58,8 @@
     pub(crate) endpoint: EndpointId,
     pub(crate) pushes: Vec<(NtfId, Span)>,
     pub(crate) overdue_after: Span,
+    /// How long such a call usually lasts.
+    pub(crate) usual: Span,
     /// It must not go over a connection that has been idle.
     pub(crate) fresh: bool,
 }
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -501,11 +501,8 @@
                 self.fit = Fit::of(&self.samples, mail.now);
                 (0..self.held.len()).rev().for_each(|place| self.give_up_if_vain(place, mail));
             }
-            Note::Slot => self.offer(mail),
-            Note::Declined => {
-                self.asked += 1;
-                self.offer(mail);
-            }
+            Note::Slot => self.offer(0, mail),
+            Note::Declined => self.offer(1, mail),
             Note::Shed if self.allowed.cancel => {
                 let again = self.held.iter().filter(|h| h.ntf.topic.effect != Effect::OnceOnly);
                 let sent = |h: &Held| h.out.as_ref().map(|out| out.0);
@@ -530,13 +527,15 @@
     }
 
     /// Asks the next endpoint in rotation for the slot at hand; in a first round, resends go elsewhere.
-    fn offer(&mut self, mail: &mut Mail) {
+    fn offer(&mut self, declined: usize, mail: &mut Mail) {
+        self.asked += declined;
         while self.asked < 2 * self.ends.len() && !self.held.is_empty() {
             let (endpoint, zone) = self.ends[(self.next + self.asked) % self.ends.len()].clone();
             let pushes = self.pick(mail.now, &endpoint, &zone);
             if !pushes.is_empty() {
-                let (to, overdue_after) = (Part::Endpoint(endpoint.clone()), self.overdue_after());
-                let call = Call { destination: self.id, endpoint, pushes, overdue_after, fresh: false };
+                let (to, destination) = (Part::Endpoint(endpoint.clone()), self.id);
+                let (usual, overdue_after, fresh) = (self.median(), self.overdue_after(), false);
+                let call = Call { destination, endpoint, pushes, usual, overdue_after, fresh };
                 return mail.put(to, Note::Call(call));
             }
             self.asked += 1;
@@ -626,8 +625,8 @@
 
 // ---- Slots: which destination calls next ----
 
-/// When a call began, and when it ended.
-type Lasted = (Time, Option<Time>);
+/// When a call began, when it ended, and how long it was likely to last.
+type Lasted = (Time, Option<Time>, Span);
 
 #[derive(Default)]
 struct Slots {
@@ -643,7 +642,9 @@
         match note {
             Note::Sweep => self.passed.clear(),
             Note::Pass(destination) => drop(self.passed.insert(destination)),
-            Note::Sent(call) => self.calls.entry(call.destination).or_default().push_back((now, None)),
+            Note::Sent(call) => {
+                self.calls.entry(call.destination).or_default().push_back((now, None, call.usual))
+            }
             Note::Ended(destination) => {
                 let calls = self.calls.get_mut(&destination).into_iter().flatten();
                 return calls.filter(|c| c.1.is_none()).take(1).for_each(|c| c.1 = Some(now));
@@ -655,8 +656,10 @@
         }
         let open = self.calls.values().flatten().filter(|c| c.1.is_none()).count();
         if open < self.total {
-            // The design's choice: least slot time within memory, calls still out included.
-            let spent = |c: &Lasted| c.1.unwrap_or(now).since(c.0.max(now - SLOT_MEMORY)).nanos();
+            // The design's choice: least slot time within memory, calls still out included. These count with
+            // what they are likely to take, or a slow destination is given all slots before it has spent any.
+            let until = |c: &Lasted| c.1.unwrap_or(now.max(c.0 + c.2));
+            let spent = |c: &Lasted| until(c).since(c.0.max(now - SLOT_MEMORY)).nanos();
             let waiting = self.calls.iter().filter(|(id, _)| !self.passed.contains(id));
             let next = waiting.min_by_key(|(id, calls)| (calls.iter().map(spent).sum::<u64>(), **id));
             next.into_iter().for_each(|(id, _)| mail.put(Part::Destination(*id), Note::Slot));
