--- a/src/rules.rs
+++ b/src/rules.rs
@@ -544,7 +544,7 @@
         mail.put(Part::Slots, Note::Pass(self.id));
     }
 
-    /// What goes to an endpoint next: first what can still meet its objective.
+    /// What goes to an endpoint next: first whatever still loses benefit by waiting, in the order taken.
     fn pick(&self, now: Time, to: &EndpointId, zone: &Arc<str>) -> Vec<(NtfId, Span)> {
         let elsewhere = self.asked < self.ends.len();
         let mut ready: Vec<&Held> = self.held.iter().filter(|h| h.turn).collect();
@@ -555,7 +555,7 @@
         if ready.len() < self.per_call && ready.iter().all(waits) {
             return Vec::new();
         }
-        ready.sort_by_key(|h| now.since(h.taken) + self.median() > h.ntf.topic.objective);
+        ready.sort_by_key(|h| now.since(h.taken) + self.median() > h.ntf.topic.falls_until);
         ready.truncate(self.per_call);
         ready.iter().map(|h| (h.ntf.id, self.time_out(now, h))).collect()
     }
--- a/tests/helper/mod.rs
+++ b/tests/helper/mod.rs
@@ -20,7 +20,16 @@
     let topic = |name: &str, effect, ordered| {
         let (objective, ttl) = (Span::from_millis(2_000), Span::from_millis(16_000));
         let name = name.to_owned();
-        Arc::new(TopicType { name, effect, objective, ttl, benefit: 1.0, late_share: 0.5, ordered })
+        Arc::new(TopicType {
+            name,
+            effect,
+            objective,
+            falls_until: ttl,
+            ttl,
+            benefit: 1.0,
+            late_share: 0.5,
+            ordered,
+        })
     };
     let mark = Effect::Collapsible { group: Group::Zone, window: Span::from_millis(4_000) };
     vec![
