--- a/src/rules.rs
+++ b/src/rules.rs
@@ -555,7 +555,8 @@
         if ready.len() < self.per_call && ready.iter().all(waits) {
             return Vec::new();
         }
-        ready.sort_by_key(|h| now.since(h.taken) + self.median() > h.ntf.topic.falls_until);
+        let ends = |h: &Held| h.taken + h.ntf.topic.falls_until;
+        ready.sort_by_key(|h| (ends(h) < now + self.median(), ends(h)));
         ready.truncate(self.per_call);
         ready.iter().map(|h| (h.ntf.id, self.time_out(now, h))).collect()
     }
