--- a/crates/adapter/src/main.rs
+++ b/crates/adapter/src/main.rs
@@ -213,7 +213,6 @@
             _ => Effect::OnceOnly,
         },
         objective: Span::from_nanos(class.aim),
-        falls_until: falls_until(class, info.family_info.decay == "by_half"),
         ttl: Span::from_nanos(class.hard_limit),
         benefit: class.worth,
         late_share: class.late_value,
@@ -264,12 +263,6 @@
     }
 }
 
-/// When a class's worth has fallen to its late value: by half with each further aim, or evenly to the deadline.
-fn falls_until(class: &wire::Class, by_half: bool) -> Span {
-    let (aim, ttl) = (Span::from_nanos(class.aim), Span::from_nanos(class.hard_limit));
-    if by_half { aim.times(1.0 - class.late_value.log2()).min(ttl) } else { ttl }
-}
-
 /// The seed as 64 bits, whichever integer the wire wrote.
 fn seed(prng: &Value) -> u64 {
     prng.as_u64().or_else(|| prng.as_i64().map(i64::cast_unsigned)).unwrap_or(0)
--- a/crates/adapter/src/wire.rs
+++ b/crates/adapter/src/wire.rs
@@ -78,7 +78,6 @@
 #[derive(Deserialize, Default)]
 #[serde(rename_all = "kebab-case", default)]
 pub struct FamilyInfo {
-    pub decay: String,
     pub per_call: Vec<usize>,
     pub separate_routes: Vec<bool>,
     pub slots: usize,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -55,8 +55,6 @@
     pub objective: Span,
     /// How long a notification may be delivered, from when it was first handed in.
     pub ttl: Span,
-    /// When the benefit of a delivery has fallen as far as it ever does; it starts to fall at the objective.
-    pub falls_until: Span,
     /// The benefit of a delivery within the objective.
     pub benefit: f64,
     /// The share of the benefit that is left at the TTL.
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -1,9 +1,8 @@
 //! All decisions of a relay. Call [`Relay::new`] once at start, then [`Relay::handle`] each round with the
 //! clock and all that has happened, in order, and carry out the commands it gives, in order. The types on
 //! both sides are in `interface.rs`. Why things are as they are stands in `docs/design.md`.
-//!
 //! Each part has an inbox; parts talk only by notes put into these, and the loop in `Relay::settle` empties
-//! them, in the order in which `Part` lists the parts. A send passes them in turn: `Slots` offers a slot to a
+//! them, in the order in which `Part` (in `mail.rs`) lists the parts. A send passes them in turn: `Slots` offers a slot to a
 //! `Destination`, which picks notifications (cutoff, effects, order) and asks an `Endpoint` (drains, returns
 //! from an outage), which asks its `Lane` (waits, limits), which pushes.
 
@@ -26,7 +25,7 @@
 const SIGMA_FLOOR: f64 = 0.25;
 /// Slot time counts for this long.
 const SLOT_MEMORY: Span = Span::from_millis(10_000);
-/// Failures in a row, overdue calls included, that set an endpoint aside.
+/// Signs of trouble (failures in a row, calls overdue) that set an endpoint aside.
 const SUSPECT: usize = 3;
 /// A report with less of the limit left speaks of the limit, one with more than the second leaves room.
 const LOW: f64 = 0.2;
@@ -38,8 +37,7 @@
 /// Connections idle for less than this are never taken for stale, and what was seen holds for so long.
 const STALE_LEAST: Span = Span::from_millis(500);
 const STALE_MEMORY: Span = Span::from_millis(30_000);
-/// A call is overdue after so many times the latency that nine in ten stay under, and not before this share
-/// of `tip_after`.
+/// A call is overdue after so many times what nine in ten stay under, and after this share of `tip_after`.
 const OVERDUE: f64 = 2.5;
 const OVERDUE_FLOOR: f64 = 0.5;
 /// Share of the latency objective for which a call may wait to be filled.
@@ -58,7 +56,6 @@
 // ---- The design's latency fit and restart timer ----
 
 /// How long a call took, or was seen to last at least.
-#[derive(Clone, Copy, Debug)]
 struct Sample {
     at: Time,
     ln_secs: f64,
@@ -298,8 +295,8 @@
                 } else if let Some((_, _, wins)) = &mut self.back {
                     *wins += 1;
                 }
-                // Guards against connections that die unseen while idle (a middle box forgets them): a call after
-                // an idle spell is lost while the next is answered. All endpoints then get fresh connections.
+                // Guards against connections that die unseen while idle: a call after an idle spell is lost
+                // while the next is answered. All endpoints then get fresh connections.
                 let lost =
                     |o: &&Out| !o.answered && o.at < at && o.overdue_at <= now && o.idle >= STALE_LEAST;
                 if let Some(out) =
@@ -435,13 +432,17 @@
     last: Option<EndpointId>,
     /// When and to which zone the first push that may have run was sent.
     ran: Option<(Time, Arc<str>)>,
-    /// When a push last ended that may still be running.
+    /// When a push last ended, or was called off, that may still be running.
     doubt: Option<Time>,
     /// Withdrawn: kept only until the push out has its outcome.
     over: bool,
 }
 
 impl Held {
+    fn again(&self) -> bool {
+        self.ntf.topic.effect != Effect::OnceOnly
+    }
+
     /// Rule: no effect twice. Every send passes here.
     fn may_run(&self, now: Time, zone: Option<&Arc<str>>, most: u32) -> bool {
         let effect = match (&self.ran, self.ntf.topic.effect) {
@@ -504,11 +505,12 @@
             Note::Slot => self.offer(0, mail),
             Note::Declined => self.offer(1, mail),
             Note::Shed if self.allowed.cancel => {
-                let again = self.held.iter().filter(|h| h.ntf.topic.effect != Effect::OnceOnly);
-                let sent = |h: &Held| h.out.as_ref().map(|out| out.0);
-                let oldest = again.clone().filter_map(sent).min();
-                let overdue = oldest.filter(|at| mail.now >= *at + self.overdue_after());
-                for held in again.filter(|h| overdue.is_some() && sent(h) == overdue) {
+                let (now, after) = (mail.now, self.overdue_after());
+                let due = |h: &Held, at: Time| now >= at + after && h.doubt.is_none_or(|called| called < at);
+                let sent = |h: &Held| h.out.as_ref().map(|o| o.0).filter(|at| h.again() && due(h, *at));
+                let oldest = self.held.iter().filter_map(sent).min();
+                for held in self.held.iter_mut().filter(|h| oldest.is_some() && sent(h) == oldest) {
+                    held.doubt = Some(now);
                     mail.commands.push(Command::Cancel { ntf: held.ntf.id, push: held.pushes - 1 });
                 }
             }
@@ -544,7 +546,7 @@
         mail.put(Part::Slots, Note::Pass(self.id));
     }
 
-    /// What goes to an endpoint next: first whatever still loses benefit by waiting, in the order taken.
+    /// What goes to an endpoint next: first what can still meet its objective.
     fn pick(&self, now: Time, to: &EndpointId, zone: &Arc<str>) -> Vec<(NtfId, Span)> {
         let elsewhere = self.asked < self.ends.len();
         let mut ready: Vec<&Held> = self.held.iter().filter(|h| h.turn).collect();
@@ -555,8 +557,7 @@
         if ready.len() < self.per_call && ready.iter().all(waits) {
             return Vec::new();
         }
-        let ends = |h: &Held| h.taken + h.ntf.topic.falls_until;
-        ready.sort_by_key(|h| (ends(h) < now + self.median(), ends(h)));
+        ready.sort_by_key(|h| now.since(h.taken) + self.median() > h.ntf.topic.objective);
         ready.truncate(self.per_call);
         ready.iter().map(|h| (h.ntf.id, self.time_out(now, h))).collect()
     }
@@ -578,8 +579,7 @@
 
     fn time_out(&self, now: Time, held: &Held) -> Span {
         let left = held.ntf.valid_until.since(now);
-        let once = held.ntf.topic.effect == Effect::OnceOnly;
-        let pushes = if once { 1 } else { self.allowed.pushes - held.pushes };
+        let pushes = if held.again() { self.allowed.pushes - held.pushes } else { 1 };
         self.fit.map_or(left, |fit| fit.time_out(left, pushes))
     }
 
@@ -602,12 +602,12 @@
         next(self, place, mail);
     }
 
-    /// The design's cutoff, and rule: one final answer in time. What cannot go out again, or has less time left
-    /// than a usual call takes, is answered at once.
+    /// The design's cutoff, and rule: one final answer in time. What cannot go out again, or has less time
+    /// left than a usual call takes, is answered at once.
     fn give_up_if_vain(&mut self, place: usize, mail: &mut Mail) {
         let (held, usual) = (&self.held[place], self.median().max(LEAST_LEFT));
-        let dead = held.ntf.valid_until.since(mail.now) < usual;
-        if held.out.is_some() || !dead && held.may_run(mail.now, None, self.allowed.pushes) {
+        let lives = held.ntf.valid_until.since(mail.now) >= usual;
+        if held.out.is_some() || lives && held.may_run(mail.now, None, self.allowed.pushes) {
             return;
         }
         let (ntf, retry_in) = (held.ntf.id, self.allowed.longest_retry.min(usual));
@@ -643,18 +643,15 @@
         match note {
             Note::Sweep => self.passed.clear(),
             Note::Pass(destination) => drop(self.passed.insert(destination)),
-            Note::Sent(call) => {
-                self.calls.entry(call.destination).or_default().push_back((now, None, call.usual))
-            }
+            Note::Sent(c) => self.calls.entry(c.destination).or_default().push_back((now, None, c.usual)),
             Note::Ended(destination) => {
                 let calls = self.calls.get_mut(&destination).into_iter().flatten();
                 return calls.filter(|c| c.1.is_none()).take(1).for_each(|c| c.1 = Some(now));
             }
             _ => {}
         }
-        for calls in self.calls.values_mut() {
-            calls.retain(|c| c.1.is_none_or(|end| now.since(end) < SLOT_MEMORY));
-        }
+        let lately = |c: &Lasted| c.1.is_none_or(|end| now.since(end) < SLOT_MEMORY);
+        self.calls.values_mut().for_each(|calls| calls.retain(lately));
         let open = self.calls.values().flatten().filter(|c| c.1.is_none()).count();
         if open < self.total {
             // The design's choice: least slot time within memory, calls still out included. These count with
@@ -665,7 +662,7 @@
             let next = waiting.min_by_key(|(id, calls)| (calls.iter().map(spent).sum::<u64>(), **id));
             next.into_iter().for_each(|(id, _)| mail.put(Part::Destination(*id), Note::Slot));
         } else {
-            // Guards against silent and jammed destinations that take every slot for as long as their time-outs.
+            // Guards against silent and jammed destinations that take every slot for their long time-outs.
             self.calls.keys().for_each(|id| mail.put(Part::Destination(*id), Note::Shed));
         }
     }
@@ -772,7 +769,6 @@
             self.mail.put(part, note);
             self.settle();
         }
-        self.settle();
         let parts = [Part::Book, Part::Turns, Part::Slots].into_iter();
         let parts = parts.chain(self.endpoints.keys().cloned().map(Part::Endpoint));
         for part in parts.chain(self.destinations.keys().copied().map(Part::Destination)) {
--- a/tests/helper/mod.rs
+++ b/tests/helper/mod.rs
@@ -12,6 +12,8 @@
     ms: u64,
     pub trace: String,
     out: Vec<(NtfId, EndpointId, u64)>,
+    /// Pushes called off; each ends with the next round.
+    cancelled: Vec<u64>,
     kind: Arc<Kind>,
 }
 
@@ -20,16 +22,7 @@
     let topic = |name: &str, effect, ordered| {
         let (objective, ttl) = (Span::from_millis(2_000), Span::from_millis(16_000));
         let name = name.to_owned();
-        Arc::new(TopicType {
-            name,
-            effect,
-            objective,
-            falls_until: ttl,
-            ttl,
-            benefit: 1.0,
-            late_share: 0.5,
-            ordered,
-        })
+        Arc::new(TopicType { name, effect, objective, ttl, benefit: 1.0, late_share: 0.5, ordered })
     };
     let mark = Effect::Collapsible { group: Group::Zone, window: Span::from_millis(4_000) };
     vec![
@@ -59,7 +52,8 @@
             },
         );
         let kind = Arc::new(Kind { name: "plain".to_owned(), separate_routes: false, per_call });
-        let mut rig = Rig { relay, ms: 0, trace: String::new(), out: Vec::new(), kind };
+        let mut rig =
+            Rig { relay, ms: 0, trace: String::new(), out: Vec::new(), cancelled: Vec::new(), kind };
         let entries =
             endpoints.iter().map(|(name, zone)| rig.entry(name, zone, Readiness::Serving)).collect();
         rig.give(Event::List(News::Whole(entries)));
@@ -81,7 +75,10 @@
                 Command::Throttle { ntf, .. } => format!("throttle {}", ntf.0),
                 Command::Expire(ntf) => format!("expire {}", ntf.0),
                 Command::Subscribe => "subscribe".to_owned(),
-                Command::Cancel { ntf, push } => format!("cancel push {push} of {}", ntf.0),
+                Command::Cancel { ntf, push } => {
+                    self.cancelled.push(ntf.0);
+                    format!("cancel push {push} of {}", ntf.0)
+                }
                 Command::Probe(endpoint) => format!("probe {}", endpoint.0),
                 Command::CloseIdle(endpoint) => format!("close idle connections to {}", endpoint.0),
                 Command::Log(line) => line,
@@ -110,11 +107,19 @@
         self.give(Event::Ended(Outcome { ntf, push: 0, endpoint, status, spent, settled, limit: None }));
     }
 
+    /// The notification whose push has been out longest.
+    pub fn oldest(&self) -> u64 {
+        self.out.first().expect("a push is out").0.0
+    }
+
     /// Lets time pass, waking the relay all along.
     pub fn pass(&mut self, ms: u64) {
         let until = self.ms + ms;
         while self.ms < until {
             self.ms = (self.ms + 10).min(until);
+            for id in std::mem::take(&mut self.cancelled) {
+                self.end(id, Status::Cancelled);
+            }
             self.give(Event::Woken);
         }
     }
