--- a/src/rules.rs
+++ b/src/rules.rs
@@ -1,10 +1,10 @@
 //! All decisions of a relay. Call [`Relay::new`] once at start, then [`Relay::handle`] each round with the
 //! clock and all that has happened, in order, and carry out the commands it gives, in order. The types on
 //! both sides are in `interface.rs`. Why things are as they are stands in `docs/design.md`.
-//! Each part has an inbox; parts talk only by notes put into these, and the loop in `Relay::settle` empties
-//! them, in the order in which `Part` (in `mail.rs`) lists the parts. A send passes them in turn: `Slots` offers a slot to a
-//! `Destination`, which picks notifications (cutoff, effects, order) and asks an `Endpoint` (drains, returns
-//! from an outage), which asks its `Lane` (waits, limits), which pushes.
+//! Each part has an inbox; parts talk only by notes put into these (`mail.rs`), and the loop in
+//! `Relay::settle` empties them, in the order in which `Part` lists the parts. A send passes them in turn:
+//! `Slots` offers a slot to a `Destination`, which picks notifications (cutoff, effects, order) and asks an
+//! `Endpoint` (drains, returns from an outage), which asks its `Lane` (waits, limits), which pushes.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
@@ -21,6 +21,8 @@
 const HALF_AGE: Span = Span::from_millis(8_000);
 /// Calls seen before the fit is trusted.
 const WARM_UP: usize = 5;
+/// Of so many latest calls, half cut short mean that restarts do not pay.
+const RECENT: usize = 8;
 /// A destination's latencies vary at least this much (standard deviation of the logarithm).
 const SIGMA_FLOOR: f64 = 0.25;
 /// Slot time counts for this long.
@@ -147,12 +149,10 @@
         match note {
             Note::Join(key, ntf, to) => self.lines.entry(key).or_default().waiting.push_back((ntf, to)),
             Note::Leave(key, ntf, doubt) => {
-                if let Some(line) = self.lines.get_mut(&key) {
-                    line.granted &= line.waiting.front().is_some_and(|w| w.0 != ntf);
-                    line.waiting.retain(|w| w.0 != ntf);
-                    let rest = doubt.map_or(Time::default(), |at| at + self.settle);
-                    line.rest_until = line.rest_until.max(rest);
-                }
+                let Some(line) = self.lines.get_mut(&key) else { return };
+                line.granted &= line.waiting.front().is_some_and(|w| w.0 != ntf);
+                line.waiting.retain(|w| w.0 != ntf);
+                line.rest_until = line.rest_until.max(doubt.map_or(Time::default(), |at| at + self.settle));
             }
             _ => {}
         }
@@ -248,9 +248,7 @@
             let patience = if self.outs.is_empty() { 0.0 } else { PATIENCE };
             return !self.probes && now >= next + f.tip_after.times(patience);
         }
-        let Some((since, from, wins)) = self.back.filter(|back| now.since(back.0) < f.cold) else {
-            return true;
-        };
+        let Some((since, from, wins)) = self.back.filter(|b| now.since(b.0) < f.cold) else { return true };
         let level = f.cold_from + (1.0 - f.cold_from) * now.since(since).secs() / f.cold.secs();
         let budget = f.fall_multiple * level * self.part * f.tip_after.secs();
         let recent: f64 = self.sent.iter().filter(|s| now.since(s.0) < f.tip_after).map(|s| s.1).sum();
@@ -409,10 +407,8 @@
                 self.share = (self.share * 0.7).max(self.least_share);
                 self.window = (self.window * 0.6).max(1.0);
             }
-            Status::TimedOut | Status::NoConnection | Status::Reset => {
-                self.window = (self.window * 0.8).max(1.0);
-            }
-            _ => {}
+            Status::Busy(_) | Status::Error | Status::Skipped | Status::Cancelled => {}
+            _ => self.window = (self.window * 0.8).max(1.0),
         }
     }
 }
@@ -579,7 +575,9 @@
 
     fn time_out(&self, now: Time, held: &Held) -> Span {
         let left = held.ntf.valid_until.since(now);
-        let pushes = if held.again() { self.allowed.pushes - held.pushes } else { 1 };
+        // Guards against a fit that lags: where restarts do not pay they only cut calls that are nearly done.
+        let vain = self.samples.iter().rev().take(RECENT).filter(|s| s.censored).count() * 2 >= RECENT;
+        let pushes = if held.again() && !vain { self.allowed.pushes - held.pushes } else { 1 };
         self.fit.map_or(left, |fit| fit.time_out(left, pushes))
     }
 
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -311,3 +311,30 @@
     "#]]
     .assert_eq(&rig.trace);
 }
+
+/// Restarts cut calls that a slow spell has made longer; when they do not pay, a push gets all the time left.
+#[test]
+fn restarts_that_do_not_pay_are_given_up() {
+    let mut rig = Rig::new(8, 1, &[("a", "z"), ("b", "z")]);
+    rig.warm(1, 6, 100);
+    for id in 10..14 {
+        rig.accept(id, "safe", None, 16_000);
+        rig.pass(50);
+        rig.end(id, Status::TimedOut);
+        rig.end(id, Status::Delivered);
+    }
+    rig.accept(20, "safe", None, 16_000);
+    expect![[r#"
+        600    push 10 to a for 2000 ms
+        650    push 10 to b for 2278 ms
+        650    push 11 to a for 2000 ms
+        700    push 11 to b for 2278 ms
+        700    push 12 to a for 2000 ms
+        750    a set aside, delivered 2.0/s at best
+        750    push 12 to b for 2278 ms
+        750    push 13 to b for 2000 ms
+        800    push 13 to b for 15950 ms
+        800    push 20 to b for 16000 ms
+    "#]]
+    .assert_eq(&rig.trace);
+}
