--- a/src/rules.rs
+++ b/src/rules.rs
@@ -27,7 +27,7 @@
 const SIGMA_FLOOR: f64 = 0.25;
 /// Slot time counts for this long.
 const SLOT_MEMORY: Span = Span::from_millis(10_000);
-/// Signs of trouble (failures in a row, calls overdue) that set an endpoint aside.
+/// Signs of trouble (failures less deliveries, calls overdue) that set an endpoint aside.
 const SUSPECT: usize = 3;
 /// A report with less of the limit left speaks of the limit, one with more than the second leaves room.
 const LOW: f64 = 0.2;
@@ -189,7 +189,7 @@
     /// Latest sends (with weight) and deliveries.
     sent: VecDeque<(Time, f64)>,
     good: VecDeque<Time>,
-    /// Failures in a row, and the latest: a refusal of a call sent before it says nothing new.
+    /// Failures less deliveries, and the latest: a refusal of a call sent before it says nothing new.
     streak: usize,
     last_bad: Time,
     /// Idle for that long, connections were seen to lose calls, last at the second time.
@@ -287,7 +287,8 @@
             Status::Delivered => {
                 // Too short for an outage, as far as this relay saw: no reason to hold back.
                 let brief = self.good.back().is_some_and(|t| now.since(*t) < span.times(BRIEF));
-                if self.aside.take().is_some() && !brief {
+                let was_aside = self.aside.take().is_some();
+                if was_aside && !brief {
                     mail.commands.push(Command::Log(format!("{} is back", self.entry.endpoint.0)));
                     self.back = Some((now, now + span.times(mail.chance() / 3.0), 0));
                 } else if let Some((_, _, wins)) = &mut self.back {
@@ -303,7 +304,7 @@
                     mail.put(Part::Book, Note::Stale(out.idle.times(0.9)));
                 }
                 keep(&mut self.good, now, 2 * SAMPLES);
-                self.streak = 0;
+                self.streak = if was_aside { 0 } else { self.streak.saturating_sub(1) };
             }
             // Above a told limit: no sign of an outage.
             Status::Busy(_) if limit.is_some_and(|l| l.rate > 0.0 && l.left < LOW) => {}
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -338,3 +338,31 @@
     "#]]
     .assert_eq(&rig.trace);
 }
+
+/// Most pushes fail at once, but not all: a delivery in between must not clear the endpoint.
+#[test]
+fn failures_with_a_delivery_between_set_an_endpoint_aside() {
+    let mut rig = Rig::new(8, 1, &[("a", "z")]);
+    for (id, status) in [Status::Error, Status::Error, Status::Delivered, Status::Error, Status::Error]
+        .into_iter()
+        .enumerate()
+    {
+        rig.accept(id as u64, "once", None, 16_000);
+        rig.pass(50);
+        rig.end(id as u64, status);
+    }
+    expect![[r#"
+        0      subscribe
+        0      push 0 to a for 16000 ms
+        50     expire 0
+        50     push 1 to a for 16000 ms
+        100    expire 1
+        100    push 2 to a for 16000 ms
+        150    push 3 to a for 16000 ms
+        200    expire 3
+        200    push 4 to a for 16000 ms
+        250    a set aside, delivered 0.7/s at best
+        250    expire 4
+    "#]]
+    .assert_eq(&rig.trace);
+}
