--- a/src/rules.rs
+++ b/src/rules.rs
@@ -226,7 +226,8 @@
             Note::Probed(status) => self.judge(mail.now, status, None, mail),
             Note::Sweep => {
                 self.suspect(mail);
-                if self.probes && self.aside.is_some_and(|next| mail.now >= next) {
+                let listed = self.entry.readiness == Readiness::Serving;
+                if self.probes && listed && self.aside.is_some_and(|next| mail.now >= next) {
                     self.weigh(1, mail);
                     mail.commands.push(Command::Probe(self.entry.endpoint.clone()));
                 }
@@ -296,11 +297,10 @@
                 }
                 // Guards against connections that die unseen while idle: a call after an idle spell is lost
                 // while the next is answered. All endpoints then get fresh connections.
-                let lost =
-                    |o: &&Out| !o.answered && o.at < at && o.overdue_at <= now && o.idle >= STALE_LEAST;
-                if let Some(out) =
-                    self.outs.iter().find(lost).filter(|o| now.since(o.at) < span.times(PATIENCE))
-                {
+                let old =
+                    |o: &Out| o.at < at && o.idle >= STALE_LEAST && now.since(o.at) < span.times(PATIENCE);
+                let lost = |o: &&Out| !o.answered && o.overdue_at <= now && old(o);
+                if let Some(out) = self.outs.iter().find(lost) {
                     mail.put(Part::Book, Note::Stale(out.idle.times(0.9)));
                 }
                 keep(&mut self.good, now, 2 * SAMPLES);
@@ -319,8 +319,7 @@
     fn suspect(&mut self, mail: &mut Mail) {
         let (now, span) = (mail.now, self.figures.tip_after);
         let lately = self.good.back().is_some_and(|t| now.since(*t) < span);
-        let overdue =
-            self.outs.iter().filter(|out| !lately && !out.answered && out.overdue_at <= now).count();
+        let overdue = self.outs.iter().filter(|o| !lately && !o.answered && o.overdue_at <= now).count();
         if self.aside.is_none() && self.streak + overdue >= SUSPECT {
             let ending = |t: &Time| self.good.iter().filter(|g| **g <= *t && t.since(**g) < span).count();
             self.part = self.good.iter().map(ending).max().unwrap_or(0) as f64 / span.secs();
@@ -709,6 +708,7 @@
             mail.put(Part::Endpoint(entry.endpoint.clone()), Note::Listed(entry.clone()));
             mail.put(Part::Destination(entry.destination), Note::Listed(entry));
         }
+        self.entries.retain(|_, entry| entry.readiness != Readiness::Deleted);
     }
 }
 
@@ -768,6 +768,7 @@
             self.mail.put(part, note);
             self.settle();
         }
+        self.endpoints.retain(|_, e| e.entry.readiness != Readiness::Deleted || !e.outs.is_empty());
         let parts = [Part::Book, Part::Turns, Part::Slots].into_iter();
         let parts = parts.chain(self.endpoints.keys().cloned().map(Part::Endpoint));
         for part in parts.chain(self.destinations.keys().copied().map(Part::Destination)) {
