Weigh each sample of the fit once instead of in every round of it

Found on rereading: the age of a sample does not change within a fit, yet its weight was worked out twice in each of up to twelve rounds.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -81,13 +81,14 @@
             return None;
         }
         let weight = |s: &Sample| 0.5f64.powf(now.since(s.at).secs() / HALF_AGE.secs()).max(1e-9);
-        let total: f64 = samples.iter().map(weight).sum();
-        let mu = samples.iter().map(|s| weight(s) * s.ln_secs).sum::<f64>() / total;
+        let aged: Vec<(f64, &Sample)> = samples.iter().map(|s| (weight(s), s)).collect();
+        let total: f64 = aged.iter().map(|a| a.0).sum();
+        let mu = aged.iter().map(|(weight, s)| weight * s.ln_secs).sum::<f64>() / total;
         let mut fit = Fit { mu, sigma: 1.0 };
         let rounds = if samples.iter().any(|s| s.censored) { 12 } else { 2 };
         for _ in 0..rounds {
             let (mut first, mut second) = (0.0, 0.0);
-            for s in samples {
+            for (weight, s) in &aged {
                 let (mean, spread) = if s.censored {
                     let z = (s.ln_secs - fit.mu) / fit.sigma;
                     let beyond = (libm::erfc(z / std::f64::consts::SQRT_2) / 2.0).max(1e-300);
@@ -97,8 +98,8 @@
                 } else {
                     (s.ln_secs, 0.0)
                 };
-                first += weight(s) * mean;
-                second += weight(s) * (mean * mean + spread);
+                first += weight * mean;
+                second += weight * (mean * mean + spread);
             }
             let mu = first / total;
             fit = Fit { mu, sigma: (second / total - mu * mu).max(0.0).sqrt().max(SIGMA_FLOOR) };
@@ -691,9 +692,7 @@
             let gone = gone.map(|old| Entry { readiness: Readiness::Deleted, ..old.clone() });
             self.merge(gone.chain(entries.iter().cloned()).collect(), mail);
         } else if let Note::Stale(span) = note {
-            for id in self.entries.keys() {
-                mail.put(Part::Endpoint(id.clone()), Note::Stale(span));
-            }
+            self.entries.keys().for_each(|id| mail.put(Part::Endpoint(id.clone()), Note::Stale(span)));
         }
         if self.next_ask.is_some_and(|at| mail.now >= at) {
             self.next_ask = None;
