Let each part say when it is next due instead of sweeping all in each round

Cause: a relay looked at each of its endpoints and destinations every 10 ms, fitted all of them again, and told each to shed at every note.

Change: parts set alarms in the mail and are told when they come; who declines says until when; destinations ask for a slot when they have something to send; the fit is worked out when a sample comes (its weights are relative, so it does not change between samples). The adapter reads a list once for all relays and writes replies without building values.

--- a/crates/adapter/src/main.rs
+++ b/crates/adapter/src/main.rs
@@ -4,7 +4,7 @@
 
 mod wire;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io::{self, BufRead, Write};
 use std::process::ExitCode;
 use std::sync::Arc;
@@ -16,7 +16,7 @@
 };
 use juniperwing::time::{Span, Time};
 use serde::Deserialize;
-use serde_json::{Value, json, value::RawValue};
+use serde_json::{Value, value::RawValue};
 
 /// A relay and what has happened to it in the batch at hand.
 struct Hosted {
@@ -29,10 +29,13 @@
     report: [Option<usize>; 2],
 }
 
+/// The entries of a bank with the names of their kinds. What the names mean each relay was told for itself.
+type Bank = Vec<(String, Entry)>;
+
 #[derive(Default)]
 struct Host {
     relays: BTreeMap<String, Hosted>,
-    banks: BTreeMap<usize, Vec<wire::Record>>,
+    banks: BTreeMap<usize, Bank>,
 }
 
 fn main() -> ExitCode {
@@ -64,41 +67,43 @@
 
 impl Host {
     /// Takes one batch and gives the reply to it.
-    fn batch(&mut self, text: &str) -> Result<Value, String> {
+    fn batch(&mut self, text: &str) -> Result<String, String> {
         let batch: wire::Batch = serde_json::from_str(text).map_err(|e| format!("not a batch: {e}"))?;
         let now = Time::from_nanos(batch.now);
-        let mut turn: Vec<String> = Vec::new();
+        let (mut turn, mut seen) = (Vec::new(), BTreeSet::new());
         for raw in batch.happened {
             let head: wire::Head = read("an event", raw)?;
             self.event(now, &head, raw)?;
-            if !head.relay.is_empty() && !turn.contains(&head.relay) {
+            if !head.relay.is_empty() && seen.insert(head.relay.clone()) {
                 turn.push(head.relay);
             }
         }
-        let mut cmds = Vec::new();
-        for name in turn {
-            if let Some(hosted) = self.relays.get_mut(&name) {
+        let mut commands = Vec::new();
+        for name in &turn {
+            if let Some(hosted) = self.relays.get_mut(&**name) {
                 let events = std::mem::take(&mut hosted.events);
-                cmds.extend(hosted.relay.handle(now, events).into_iter().map(|c| command(&name, c)));
+                let given = hosted.relay.handle(now, events);
+                commands.extend(given.into_iter().map(|command| (&**name, command)));
             }
         }
-        Ok(json!({ "cmds": cmds }))
+        let cmds = commands.iter().map(|(relay, command)| carried(relay, command)).collect();
+        serde_json::to_string(&wire::Reply { cmds }).map_err(|e| format!("no reply can be written: {e}"))
     }
 
     fn event(&mut self, now: Time, head: &wire::Head, raw: &RawValue) -> Result<(), String> {
-        match head.m.as_str() {
+        match &*head.m {
             "Spawn" => {
-                self.relays.insert(head.relay.clone(), start(now, &read("Spawn", raw)?));
+                self.relays.insert(head.relay.clone().into_owned(), start(now, &read("Spawn", raw)?));
             }
             "Kill" => {
-                self.relays.remove(&head.relay);
+                self.relays.remove(&*head.relay);
             }
             "Inventory" => {
                 let list: wire::Inventory = read("Inventory", raw)?;
-                self.banks.insert(list.bank, list.records);
+                self.banks.insert(list.bank, list.records.into_iter().map(entry).collect());
             }
             _ => {
-                if let Some(hosted) = self.relays.get_mut(&head.relay)
+                if let Some(hosted) = self.relays.get_mut(&*head.relay)
                     && let Some(event) = hosted.event(&head.m, raw, &self.banks)?
                 {
                     hosted.events.push(event);
@@ -110,15 +115,13 @@
 }
 
 impl Hosted {
-    fn event(
-        &self, m: &str, raw: &RawValue, banks: &BTreeMap<usize, Vec<wire::Record>>,
-    ) -> Result<Option<Event>, String> {
+    fn event(&self, m: &str, raw: &RawValue, banks: &BTreeMap<usize, Bank>) -> Result<Option<Event>, String> {
         Ok(Some(match m {
             "Endpoints" => {
                 let news: wire::Endpoints = read(m, raw)?;
                 let entries = || {
-                    let records = banks.get(&news.bank).ok_or("Endpoints names a bank with no Inventory");
-                    Ok::<_, &str>(records?.iter().map(|record| self.entry(record)).collect())
+                    let bank = banks.get(&news.bank).ok_or("Endpoints names a bank with no Inventory");
+                    Ok::<_, &str>(bank?.iter().map(|(kind, entry)| self.entry(kind, entry)).collect())
                 };
                 Event::List(match news.kind.as_str() {
                     "broken" => News::Broken,
@@ -169,20 +172,9 @@
         }))
     }
 
-    fn entry(&self, record: &wire::Record) -> Entry {
-        let kind = self.kinds.iter().find(|kind| kind.name == record.model).cloned();
-        Entry {
-            endpoint: endpoint(&record.endpoint),
-            destination: DestinationId(record.cell),
-            kind: kind.unwrap_or_else(|| Arc::new(plain(&record.model))),
-            zone: Arc::from(&*record.region_part),
-            readiness: match record.readiness.as_str() {
-                "DRAINING" => Readiness::Draining,
-                "DELETED" => Readiness::Deleted,
-                _ => Readiness::Serving,
-            },
-            rate: record.nominal,
-        }
+    fn entry(&self, kind: &str, entry: &Entry) -> Entry {
+        let known = self.kinds.iter().find(|known| known.name == kind).cloned();
+        Entry { kind: known.unwrap_or_else(|| Arc::new(plain(kind))), ..entry.clone() }
     }
 
     fn limit(&self, stats: &[f64]) -> Option<LimitReport> {
@@ -191,6 +183,23 @@
     }
 }
 
+/// What the list says of an endpoint, its kind left open.
+fn entry(record: wire::Record) -> (String, Entry) {
+    let entry = Entry {
+        endpoint: endpoint(&record.endpoint),
+        destination: DestinationId(record.cell),
+        zone: Arc::from(record.region_part),
+        readiness: match record.readiness.as_str() {
+            "DRAINING" => Readiness::Draining,
+            "DELETED" => Readiness::Deleted,
+            _ => Readiness::Serving,
+        },
+        rate: record.nominal,
+        ..Entry::default()
+    };
+    (record.model, entry)
+}
+
 /// A kind of which nothing more is told.
 fn plain(name: &str) -> Kind {
     Kind { name: name.to_owned(), separate_routes: false, per_call: 1 }
@@ -286,25 +295,24 @@
     }
 }
 
-fn command(relay: &str, command: Command) -> Value {
+/// A command as the wire has it.
+fn carried<'a>(relay: &'a str, command: &'a Command) -> wire::Cmd<'a> {
     match command {
-        Command::Push { ntf, endpoint, time_out } => json!({
-            "m": "Transmit", "relay": relay, "ticket": ntf.0, "endpoint": &*endpoint.0,
-            "give-up-after": time_out.nanos(),
-        }),
-        Command::Cancel { ntf, push } => {
-            json!({"m": "AbortAttempt", "relay": relay, "ticket": ntf.0, "go": push})
-        }
+        Command::Push { ntf, endpoint, time_out } => wire::Cmd::Transmit {
+            relay,
+            ticket: ntf.0,
+            endpoint: &endpoint.0,
+            give_up_after: time_out.nanos(),
+        },
+        Command::Cancel { ntf, push } => wire::Cmd::AbortAttempt { relay, ticket: ntf.0, go: *push },
         Command::Throttle { ntf, retry_in } => {
-            json!({"m": "Bounce", "relay": relay, "ticket": ntf.0, "retry-in": retry_in.nanos()})
-        }
-        Command::Expire(ntf) => json!({"m": "Fail", "relay": relay, "ticket": ntf.0}),
-        Command::Wake(after) => {
-            json!({"m": "NotifyMe", "relay": relay, "wait": after.nanos(), "label": "wake"})
+            wire::Cmd::Bounce { relay, ticket: ntf.0, retry_in: retry_in.nanos() }
         }
-        Command::Subscribe => json!({"m": "Listen", "relay": relay, "active": true}),
-        Command::CloseIdle(endpoint) => json!({"m": "DropConns", "relay": relay, "endpoint": &*endpoint.0}),
-        Command::Log(line) => json!({"m": "SayLog", "relay": relay, "line": line}),
-        Command::Probe(endpoint) => json!({"m": "SoundOut", "relay": relay, "endpoint": &*endpoint.0}),
+        Command::Expire(ntf) => wire::Cmd::Fail { relay, ticket: ntf.0 },
+        Command::Wake(after) => wire::Cmd::NotifyMe { relay, wait: after.nanos(), label: "wake" },
+        Command::Subscribe => wire::Cmd::Listen { relay, active: true },
+        Command::CloseIdle(endpoint) => wire::Cmd::DropConns { relay, endpoint: &endpoint.0 },
+        Command::Log(line) => wire::Cmd::SayLog { relay, line },
+        Command::Probe(endpoint) => wire::Cmd::SoundOut { relay, endpoint: &endpoint.0 },
     }
 }
--- a/crates/adapter/src/wire.rs
+++ b/crates/adapter/src/wire.rs
@@ -1,6 +1,8 @@
 //! The wire's messages, as serde reads them.
 
-use serde::Deserialize;
+use std::borrow::Cow;
+
+use serde::{Deserialize, Serialize};
 use serde_json::{Value, value::RawValue};
 
 #[derive(Deserialize)]
@@ -12,10 +14,11 @@
 
 /// The part of an event that tells what it is and whose.
 #[derive(Deserialize)]
-pub struct Head {
-    pub m: String,
-    #[serde(default)]
-    pub relay: String,
+pub struct Head<'a> {
+    #[serde(borrow)]
+    pub m: Cow<'a, str>,
+    #[serde(borrow, default)]
+    pub relay: Cow<'a, str>,
 }
 
 #[derive(Deserialize)]
@@ -173,3 +176,22 @@
 pub struct Withdrawn {
     pub ticket: u64,
 }
+
+#[derive(Serialize)]
+pub struct Reply<'a> {
+    pub cmds: Vec<Cmd<'a>>,
+}
+
+#[derive(Serialize)]
+#[serde(tag = "m", rename_all_fields = "kebab-case")]
+pub enum Cmd<'a> {
+    Transmit { relay: &'a str, ticket: u64, endpoint: &'a str, give_up_after: u64 },
+    AbortAttempt { relay: &'a str, ticket: u64, go: u32 },
+    Bounce { relay: &'a str, ticket: u64, retry_in: u64 },
+    Fail { relay: &'a str, ticket: u64 },
+    NotifyMe { relay: &'a str, wait: u64, label: &'a str },
+    Listen { relay: &'a str, active: bool },
+    DropConns { relay: &'a str, endpoint: &'a str },
+    SayLog { relay: &'a str, line: &'a str },
+    SoundOut { relay: &'a str, endpoint: &'a str },
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -44,6 +44,16 @@
     OnceOnly,
 }
 
+impl Effect {
+    /// For how long a repeat is dropped, where one is.
+    pub const fn window(self) -> Option<Span> {
+        match self {
+            Effect::Collapsible { window, .. } => Some(window),
+            _ => None,
+        }
+    }
+}
+
 /// A topic type and what its clients want of it.
 #[derive(Clone, Debug, Default)]
 pub struct TopicType {
@@ -64,7 +74,7 @@
 }
 
 /// A kind of destination.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Kind {
     /// Its name.
     pub name: String,
@@ -160,7 +170,7 @@
 }
 
 /// An entry of the list.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Entry {
     /// The endpoint.
     pub endpoint: EndpointId,
--- a/src/mail.rs
+++ b/src/mail.rs
@@ -1,7 +1,7 @@
 //! How the parts of the decision module talk: notes, the inboxes they are put into, and the round they belong
 //! to. Nothing here decides.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use crate::interface::{
     Command, DestinationId, EndpointId, Entry, News, Notification, NtfId, Outcome, Status,
@@ -24,8 +24,8 @@
 
 #[derive(Debug)]
 pub(crate) enum Note {
-    /// A round has come: see to whatever time alone brings.
-    Sweep,
+    /// An alarm of the part's own has come: see to whatever time alone brings.
+    Due,
     News(News),
     Listed(Entry),
     Accepted(Notification),
@@ -34,15 +34,18 @@
     Join(String, NtfId, DestinationId),
     Turn(NtfId),
     Leave(String, NtfId, Option<Time>),
-    /// A slot is free: does the destination take it? It passes, or a call goes from part to part until sent.
+    /// A destination has something to send.
+    Ask(DestinationId),
+    /// A slot is free: does the destination take it? It passes (until then), or a call goes from part to part
+    /// until sent or declined (until then).
     Slot,
-    Pass(DestinationId),
+    Pass(DestinationId, Time),
     Call(Call),
-    Declined,
+    Declined(Time),
     Sent(Call),
     /// A push ended; the flag says that its call had shown no outcome before, for a call has one fate.
     Outcome(Outcome, bool),
-    /// All slots are taken: the call out longest may be called off if it is overdue.
+    /// All slots are taken and others wait: calls that are overdue may be called off.
     Shed,
     /// A call has all its outcomes.
     Ended(DestinationId),
@@ -69,6 +72,7 @@
 pub(crate) struct Mail {
     pub(crate) now: Time,
     inboxes: BTreeMap<Part, VecDeque<Note>>,
+    alarms: BTreeSet<(Time, Part)>,
     pub(crate) commands: Vec<Command>,
     carry: u64,
 }
@@ -78,6 +82,27 @@
         Mail { carry: (seed ^ 0x9e37_79b9_7f4a_7c15) >> 1 | 1, ..Mail::default() }
     }
 
+    /// Begins a round: whoever has an alarm that has come is told so.
+    pub(crate) fn begin(&mut self, now: Time) {
+        self.now = now;
+        while self.alarms.first().is_some_and(|alarm| alarm.0 <= now) {
+            let part = self.alarms.pop_first().map(|alarm| alarm.1);
+            part.into_iter().for_each(|part| self.put(part, Note::Due));
+        }
+    }
+
+    /// Has a part told in the first round at or after a time.
+    pub(crate) fn alarm(&mut self, part: Part, at: Time) {
+        if at < Time::NEVER {
+            self.alarms.insert((at, part));
+        }
+    }
+
+    /// When the next alarm comes.
+    pub(crate) fn next_alarm(&self) -> Time {
+        self.alarms.first().map_or(Time::NEVER, |alarm| alarm.0)
+    }
+
     /// Puts a note into a part's inbox.
     pub(crate) fn put(&mut self, part: Part, note: Note) {
         self.inboxes.entry(part).or_default().push_back(note);
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -49,9 +49,12 @@
 const LONGEST_PAUSE: Span = Span::from_millis(1_600);
 /// The list is asked for again after this share of `ask_every`, doubling a few times.
 const FIRST_ASK: f64 = 0.02;
-/// Below this much time left nothing is worth sending, and the shortest gap between two wake-ups.
+/// Below this much time left nothing is worth sending.
 const LEAST_LEFT: Span = Span::from_millis(20);
-const LEAST_WAKE: Span = Span::from_millis(10);
+/// A relay asks to be woken within this, whatever it waits for.
+const LONGEST_SLEEP: Span = Span::from_millis(600_000);
+/// A returning endpoint that has had its share is asked again after this part of `tip_after`.
+const BACK_ASK: f64 = 0.05;
 /// Weight of each further notification in a call, for a cold endpoint.
 const FURTHER: f64 = 0.25;
 
@@ -76,11 +79,9 @@
 impl Fit {
     /// Aged maximum likelihood by expectation and maximisation: a censored sample counts with the mean and
     /// spread of the part of the curve beyond it.
-    fn of(samples: &VecDeque<Sample>, now: Time) -> Option<Fit> {
-        if samples.len() < WARM_UP {
-            return None;
-        }
-        let weight = |s: &Sample| 0.5f64.powf(now.since(s.at).secs() / HALF_AGE.secs()).max(1e-9);
+    fn of(samples: &VecDeque<Sample>) -> Option<Fit> {
+        let newest = samples.back().filter(|_| samples.len() >= WARM_UP)?.at;
+        let weight = |s: &Sample| 0.5f64.powf(newest.since(s.at).secs() / HALF_AGE.secs()).max(1e-9);
         let aged: Vec<(f64, &Sample)> = samples.iter().map(|s| (weight(s), s)).collect();
         let total: f64 = aged.iter().map(|a| a.0).sum();
         let mu = aged.iter().map(|(weight, s)| weight * s.ln_secs).sum::<f64>() / total;
@@ -157,12 +158,14 @@
             }
             _ => {}
         }
-        let now = mail.now;
-        for line in self.lines.values_mut().filter(|line| !line.granted && line.rest_until <= now) {
-            if let Some(&(ntf, destination)) = line.waiting.front() {
-                line.granted = true;
-                mail.put(Part::Destination(destination), Note::Turn(ntf));
+        for line in self.lines.values_mut().filter(|line| !line.granted) {
+            let Some(&(ntf, destination)) = line.waiting.front() else { continue };
+            if line.rest_until > mail.now {
+                mail.alarm(Part::Turns, line.rest_until);
+                continue;
             }
+            line.granted = true;
+            mail.put(Part::Destination(destination), Note::Turn(ntf));
         }
         self.lines.retain(|_, line| !line.waiting.is_empty() || line.rest_until > mail.now);
     }
@@ -180,6 +183,12 @@
     answered: bool,
 }
 
+impl Out {
+    fn lost(&self, now: Time) -> bool {
+        !self.answered && self.overdue_at <= now
+    }
+}
+
 #[derive(Default)]
 struct Endpoint {
     entry: Entry,
@@ -209,26 +218,33 @@
         let lane = Part::Lane((self.entry.destination, apart));
         match note {
             Note::Listed(entry) => self.entry = entry,
-            Note::Call(mut call) if self.takes(mail.now, call.pushes.len()) => {
+            Note::Call(mut call) => {
+                let until = self.takes_from(mail.now, call.pushes.len());
+                if until > mail.now {
+                    return mail.put(Part::Destination(call.destination), Note::Declined(until));
+                }
                 let stale = self.stale.filter(|(_, seen)| mail.now.since(*seen) < STALE_MEMORY);
                 call.fresh = stale.is_some_and(|(span, _)| mail.now.since(self.used) >= span);
                 mail.put(lane, Note::Call(call));
             }
             Note::Stale(span) => self.stale = Some((span, mail.now)),
-            Note::Call(call) => mail.put(Part::Destination(call.destination), Note::Declined),
             Note::Sent(call) => {
                 let idle = mail.now.since(self.used);
                 self.weigh(call.pushes.len(), mail);
                 let (at, overdue_at) = (mail.now, mail.now + call.overdue_after);
+                mail.alarm(Part::Endpoint(call.endpoint), overdue_at);
                 let ntfs = call.pushes.into_iter().map(|push| push.0).collect();
                 self.outs.push(Out { at, idle, overdue_at, ntfs, answered: false });
             }
             Note::Outcome(outcome, _) => self.outcome(outcome, lane, mail),
-            Note::Probed(status) => self.judge(mail.now, status, None, mail),
-            Note::Sweep => {
+            Note::Probed(status) => {
+                self.judge(mail.now, status, None, mail);
+                mail.put(Part::Destination(self.entry.destination), Note::Due);
+            }
+            Note::Due => {
                 self.suspect(mail);
-                let listed = self.entry.readiness == Readiness::Serving;
-                if self.probes && listed && self.aside.is_some_and(|next| mail.now >= next) {
+                let due = self.aside.is_some_and(|next| mail.now >= next);
+                if due && self.probes && self.entry.readiness == Readiness::Serving {
                     self.weigh(1, mail);
                     mail.commands.push(Command::Probe(self.entry.endpoint.clone()));
                 }
@@ -237,32 +253,41 @@
         }
     }
 
-    /// Rules: nothing to an endpoint that drains or is gone; after an outage, no more than its part.
-    fn takes(&self, now: Time, pushes: usize) -> bool {
-        // A second call in the same round would be joined to the first.
-        let joins = self.outs.last().is_some_and(|o| o.at == now && o.ntfs.len() < self.entry.kind.per_call);
-        if self.entry.readiness != Readiness::Serving || joins {
-            return false;
-        }
+    /// Rules: nothing to an endpoint that drains or is gone; after an outage, no more than its part. From when
+    /// such a call may go.
+    fn takes_from(&self, now: Time, pushes: usize) -> Time {
         let f = &self.figures;
-        if let Some(next) = self.aside {
+        if self.entry.readiness != Readiness::Serving {
+            return Time::NEVER;
+        } else if self.outs.last().is_some_and(|o| o.at == now && o.ntfs.len() < self.entry.kind.per_call) {
+            // A second call in the same round would be joined to the first.
+            return now + Span::from_nanos(1);
+        } else if let Some(next) = self.aside {
             // A call still out there tells of the return by itself, and costs no further slot.
             let patience = if self.outs.is_empty() { 0.0 } else { PATIENCE };
-            return !self.probes && now >= next + f.tip_after.times(patience);
+            return if self.probes { Time::NEVER } else { next + f.tip_after.times(patience) };
         }
-        let Some((since, from, wins)) = self.back.filter(|b| now.since(b.0) < f.cold) else { return true };
+        let Some((since, from, wins)) = self.back.filter(|b| now.since(b.0) < f.cold) else { return now };
         let level = f.cold_from + (1.0 - f.cold_from) * now.since(since).secs() / f.cold.secs();
         let budget = f.fall_multiple * level * self.part * f.tip_after.secs();
         let recent: f64 = self.sent.iter().filter(|s| now.since(s.0) < f.tip_after).map(|s| s.1).sum();
         // One call may always go in a window: a full one weighs more than a small budget for good.
-        now >= from && (recent == 0.0 || recent + weight(pushes) <= budget.min(2f64.powi(wins)))
+        let spent = recent > 0.0 && recent + weight(pushes) > budget.min(2f64.powi(wins));
+        if spent { now + f.tip_after.times(BACK_ASK) } else { from }
     }
 
     fn weigh(&mut self, pushes: usize, mail: &mut Mail) {
         self.used = mail.now;
         keep(&mut self.sent, (mail.now, weight(pushes)), 2 * SAMPLES);
+        if self.aside.is_some() {
+            self.put_aside(mail);
+        }
+    }
+
+    fn put_aside(&mut self, mail: &mut Mail) {
         let next = mail.now + self.figures.tip_after.times(0.75 + mail.chance() / 2.0);
-        self.aside = self.aside.map(|_| next);
+        self.aside = Some(next);
+        mail.alarm(Part::Endpoint(self.entry.endpoint.clone()), next);
     }
 
     fn outcome(&mut self, outcome: Outcome, lane: Part, mail: &mut Mail) {
@@ -299,9 +324,8 @@
                 // Guards against connections that die unseen while idle: a call after an idle spell is lost
                 // while the next is answered. All endpoints then get fresh connections.
                 let old =
-                    |o: &Out| o.at < at && o.idle >= STALE_LEAST && now.since(o.at) < span.times(PATIENCE);
-                let lost = |o: &&Out| !o.answered && o.overdue_at <= now && old(o);
-                if let Some(out) = self.outs.iter().find(lost) {
+                    |o: &&Out| o.at < at && now.since(o.at) < span.times(PATIENCE) && o.idle >= STALE_LEAST;
+                if let Some(out) = self.outs.iter().filter(old).find(|o| o.lost(now)) {
                     mail.put(Part::Book, Note::Stale(out.idle.times(0.9)));
                 }
                 keep(&mut self.good, now, 2 * SAMPLES);
@@ -319,12 +343,15 @@
     /// Guards against silence as well as failures: a call long overdue is evidence before its time-out.
     fn suspect(&mut self, mail: &mut Mail) {
         let (now, span) = (mail.now, self.figures.tip_after);
-        let lately = self.good.back().is_some_and(|t| now.since(*t) < span);
-        let overdue = self.outs.iter().filter(|o| !lately && !o.answered && o.overdue_at <= now).count();
-        if self.aside.is_none() && self.streak + overdue >= SUSPECT {
+        let mut signs = self.outs.iter().filter(|o| o.lost(now)).count();
+        if let Some(good) = self.good.back().filter(|t| signs > 0 && now.since(**t) < span) {
+            mail.alarm(Part::Endpoint(self.entry.endpoint.clone()), *good + span);
+            signs = 0;
+        }
+        if self.aside.is_none() && self.streak + signs >= SUSPECT {
             let ending = |t: &Time| self.good.iter().filter(|g| **g <= *t && t.since(**g) < span).count();
             self.part = self.good.iter().map(ending).max().unwrap_or(0) as f64 / span.secs();
-            self.aside = Some(now + span.times(0.5 + mail.chance() / 2.0));
+            self.put_aside(mail);
             let (id, part) = (&self.entry.endpoint.0, self.part);
             mail.commands.push(Command::Log(format!("{id} set aside, delivered {part:.1}/s at best")));
         }
@@ -360,7 +387,11 @@
 
     fn take(&mut self, note: Note, mail: &mut Mail) {
         match note {
-            Note::Call(call) if self.takes(mail.now) => {
+            Note::Call(call) if self.takes_from() > mail.now => {
+                let until = self.takes_from();
+                mail.put(Part::Destination(call.destination), Note::Declined(until));
+            }
+            Note::Call(call) => {
                 (self.out, self.last_sent) = (self.out + 1, mail.now);
                 if call.fresh {
                     mail.commands.push(Command::CloseIdle(call.endpoint.clone()));
@@ -372,7 +403,6 @@
                 mail.put(Part::Slots, Note::Sent(call.clone()));
                 mail.put(Part::Destination(call.destination), Note::Sent(call));
             }
-            Note::Call(call) => mail.put(Part::Destination(call.destination), Note::Declined),
             Note::Ended(_) => self.out = self.out.saturating_sub(1),
             Note::Outcome(outcome, first) => {
                 // The outcomes of a call come in rounds of their own, each with a wait: all bind.
@@ -388,10 +418,12 @@
     }
 
     /// Rule: nothing while a told wait lasts. Besides, no faster than the limit allows.
-    fn takes(&self, now: Time) -> bool {
+    fn takes_from(&self) -> Time {
+        if self.out as f64 >= self.window {
+            return Time::NEVER;
+        }
         let gap = Span::from_secs(if self.rate > 0.0 { 1.0 / (self.rate * self.share) } else { 0.0 });
-        let free = (self.out as f64) < self.window && now >= self.last_sent + gap;
-        free && now >= self.wait_until.max(self.pause_until)
+        (self.last_sent + gap).max(self.wait_until).max(self.pause_until)
     }
 
     fn learn(&mut self, status: Status, limit: Option<LimitReport>, mail: &mut Mail) {
@@ -462,8 +494,9 @@
     /// Its endpoints, by id, with their zones, and where the rotation stands.
     ends: Vec<(EndpointId, Arc<str>)>,
     next: usize,
-    /// Endpoints asked so far for the slot at hand.
+    /// Endpoints asked so far for the slot at hand, and from when one that declined may take it.
     asked: usize,
+    again: Time,
     held: Vec<Held>,
     samples: VecDeque<Sample>,
     fit: Option<Fit>,
@@ -490,29 +523,9 @@
             Note::Withdrawn(ntf) => {
                 let Some(place) = self.held.iter().position(|h| h.ntf.id == ntf) else { return };
                 self.held[place].over = true;
-                if self.held[place].out.is_none() {
-                    self.release(place, mail);
-                }
-            }
-            Note::Outcome(outcome, first) => self.outcome(&outcome, first, mail),
-            Note::Sweep => {
-                self.fit = Fit::of(&self.samples, mail.now);
-                (0..self.held.len()).rev().for_each(|place| self.give_up_if_vain(place, mail));
-            }
-            Note::Slot => self.offer(0, mail),
-            Note::Declined => self.offer(1, mail),
-            Note::Shed if self.allowed.cancel => {
-                let (now, after) = (mail.now, self.overdue_after());
-                let due = |h: &Held, at: Time| now >= at + after && h.doubt.is_none_or(|called| called < at);
-                let sent = |h: &Held| h.out.as_ref().map(|o| o.0).filter(|at| h.again() && due(h, *at));
-                let oldest = self.held.iter().filter_map(sent).min();
-                for held in self.held.iter_mut().filter(|h| oldest.is_some() && sent(h) == oldest) {
-                    held.doubt = Some(now);
-                    mail.commands.push(Command::Cancel { ntf: held.ntf.id, push: held.pushes - 1 });
-                }
             }
+            Note::Outcome(outcome, first) => self.outcome(&outcome, first, mail.now),
             Note::Sent(call) => {
-                self.asked = 0;
                 let Some(place) = self.ends.iter().position(|end| end.0 == call.endpoint) else { return };
                 self.next = place + 1;
                 for held in self.held.iter_mut().filter(|h| call.pushes.iter().any(|p| p.0 == h.ntf.id)) {
@@ -521,13 +534,50 @@
                     held.last = Some(call.endpoint.clone());
                 }
             }
+            Note::Slot => return self.offer(0, Time::NEVER, mail),
+            Note::Declined(until) => return self.offer(self.asked + 1, self.again.min(until), mail),
+            Note::Shed => return self.shed(mail),
             _ => {}
         }
+        self.tidy(mail);
+    }
+
+    /// Gives up what is vain, asks for a slot for what waits, and sees to be woken when time changes that.
+    fn tidy(&mut self, mail: &mut Mail) {
+        (0..self.held.len()).rev().for_each(|place| self.give_up_if_vain(place, mail));
+        let usual = self.median().max(LEAST_LEFT);
+        let waiting = || self.held.iter().filter(|h| h.out.is_none() && !h.over);
+        let dues = waiting().flat_map(|h| {
+            let end = h.ran.as_ref().zip(h.ntf.topic.effect.window()).map(|((at, _), window)| *at + window);
+            let filled = Some(self.filled(h)).filter(|_| self.per_call > 1);
+            [Some(h.ntf.valid_until - usual + Span::from_nanos(1)), end, filled]
+        });
+        let next = dues.flatten().filter(|at| *at > mail.now).min();
+        next.into_iter().for_each(|at| mail.alarm(Part::Destination(self.id), at));
+        if waiting().any(|h| h.turn) {
+            mail.put(Part::Slots, Note::Ask(self.id));
+        }
+    }
+
+    /// Calls off what is overdue, or has `Slots` ask again when something will be.
+    fn shed(&mut self, mail: &mut Mail) {
+        let after = self.overdue_after();
+        for held in self.held.iter_mut().filter(|h| h.again()) {
+            match &held.out {
+                Some((at, _)) if held.doubt.is_some_and(|doubt| doubt >= *at) => {}
+                Some((at, _)) if mail.now < *at + after => mail.alarm(Part::Slots, *at + after),
+                Some(_) => {
+                    held.doubt = Some(mail.now);
+                    mail.commands.push(Command::Cancel { ntf: held.ntf.id, push: held.pushes - 1 });
+                }
+                None => {}
+            }
+        }
     }
 
     /// Asks the next endpoint in rotation for the slot at hand; in a first round, resends go elsewhere.
-    fn offer(&mut self, declined: usize, mail: &mut Mail) {
-        self.asked += declined;
+    fn offer(&mut self, asked: usize, again: Time, mail: &mut Mail) {
+        (self.asked, self.again) = (asked, again);
         while self.asked < 2 * self.ends.len() && !self.held.is_empty() {
             let (endpoint, zone) = self.ends[(self.next + self.asked) % self.ends.len()].clone();
             let pushes = self.pick(mail.now, &endpoint, &zone);
@@ -539,8 +589,12 @@
             }
             self.asked += 1;
         }
-        self.asked = 0;
-        mail.put(Part::Slots, Note::Pass(self.id));
+        mail.put(Part::Slots, Note::Pass(self.id, self.again));
+    }
+
+    /// Calls are worth filling: one counts once for the limit and takes one slot. Until when one may wait.
+    fn filled(&self, held: &Held) -> Time {
+        held.taken + held.ntf.topic.objective.times(FILL)
     }
 
     /// What goes to an endpoint next: first what can still meet its objective.
@@ -549,9 +603,7 @@
         let mut ready: Vec<&Held> = self.held.iter().filter(|h| h.turn).collect();
         ready.retain(|h| h.may_run(now, Some(zone), self.allowed.pushes));
         ready.retain(|h| !(elsewhere && h.last.as_ref() == Some(to)));
-        // Calls are worth filling: one counts once for the limit and takes one slot.
-        let waits = |h: &&Held| now.since(h.taken) < h.ntf.topic.objective.times(FILL);
-        if ready.len() < self.per_call && ready.iter().all(waits) {
+        if ready.len() < self.per_call && ready.iter().all(|h| now < self.filled(h)) {
             return Vec::new();
         }
         ready.sort_by_key(|h| now.since(h.taken) + self.median() > h.ntf.topic.objective);
@@ -582,11 +634,12 @@
         self.fit.map_or(left, |fit| fit.time_out(left, pushes))
     }
 
-    fn outcome(&mut self, o: &Outcome, first: bool, mail: &mut Mail) {
+    fn outcome(&mut self, o: &Outcome, first: bool, now: Time) {
         // Throttled pushes and refused connections tell nothing of latency.
         if first && matches!(o.status, Status::Delivered | Status::TimedOut | Status::Cancelled) {
             let (ln_secs, censored) = (o.spent.secs().max(1e-4).ln(), o.status != Status::Delivered);
-            keep(&mut self.samples, Sample { at: mail.now, ln_secs, censored }, SAMPLES);
+            keep(&mut self.samples, Sample { at: now, ln_secs, censored }, SAMPLES);
+            self.fit = Fit::of(&self.samples);
         }
         let Some(place) = self.held.iter().position(|h| h.ntf.id == o.ntf) else { return };
         let held = &mut self.held[place];
@@ -595,17 +648,19 @@
             held.ran = held.ran.take().or(sent);
         }
         if o.status.may_be_running() {
-            held.doubt = Some(mail.now);
+            held.doubt = Some(now);
         }
-        let next = if o.settled || held.over { Self::release } else { Self::give_up_if_vain };
-        next(self, place, mail);
+        held.over |= o.settled;
     }
 
     /// The design's cutoff, and rule: one final answer in time. What cannot go out again, or has less time
     /// left than a usual call takes, is answered at once.
     fn give_up_if_vain(&mut self, place: usize, mail: &mut Mail) {
         let (held, usual) = (&self.held[place], self.median().max(LEAST_LEFT));
-        let lives = held.ntf.valid_until.since(mail.now) >= usual;
+        if held.over && held.out.is_none() {
+            return self.release(place, mail);
+        }
+        let lives = mail.now + usual <= held.ntf.valid_until;
         if held.out.is_some() || lives && held.may_run(mail.now, None, self.allowed.pushes) {
             return;
         }
@@ -631,38 +686,56 @@
 #[derive(Default)]
 struct Slots {
     total: usize,
+    open: usize,
+    /// A slot has been offered and neither taken nor passed yet.
+    offered: bool,
     /// Each destination's calls of late.
     calls: BTreeMap<DestinationId, VecDeque<Lasted>>,
-    passed: BTreeSet<DestinationId>,
+    /// Destinations with something to send, and from when it may go.
+    waiting: BTreeMap<DestinationId, Time>,
 }
 
 impl Slots {
     fn take(&mut self, note: Note, mail: &mut Mail) {
         let now = mail.now;
         match note {
-            Note::Sweep => self.passed.clear(),
-            Note::Pass(destination) => drop(self.passed.insert(destination)),
-            Note::Sent(c) => self.calls.entry(c.destination).or_default().push_back((now, None, c.usual)),
+            Note::Ask(destination) => drop(self.waiting.insert(destination, now)),
+            Note::Pass(destination, until) => {
+                self.offered = false;
+                self.waiting.insert(destination, until);
+                mail.alarm(Part::Slots, until);
+            }
+            Note::Sent(c) => {
+                (self.open, self.offered) = (self.open + 1, false);
+                self.waiting.remove(&c.destination);
+                self.calls.entry(c.destination).or_default().push_back((now, None, c.usual));
+            }
             Note::Ended(destination) => {
-                let calls = self.calls.get_mut(&destination).into_iter().flatten();
-                return calls.filter(|c| c.1.is_none()).take(1).for_each(|c| c.1 = Some(now));
+                let mut calls = self.calls.get_mut(&destination).into_iter().flatten();
+                if let Some(call) = calls.find(|c| c.1.is_none()) {
+                    (call.1, self.open) = (Some(now), self.open - 1);
+                }
             }
             _ => {}
         }
-        let lately = |c: &Lasted| c.1.is_none_or(|end| now.since(end) < SLOT_MEMORY);
-        self.calls.values_mut().for_each(|calls| calls.retain(lately));
-        let open = self.calls.values().flatten().filter(|c| c.1.is_none()).count();
-        if open < self.total {
+        let waiting = self.waiting.iter().filter(|(_, from)| **from <= now).map(|w| *w.0);
+        if self.open < self.total && !self.offered {
             // The design's choice: least slot time within memory, calls still out included. These count with
             // what they are likely to take, or a slow destination is given all slots before it has spent any.
             let until = |c: &Lasted| c.1.unwrap_or(now.max(c.0 + c.2));
             let spent = |c: &Lasted| until(c).since(c.0.max(now - SLOT_MEMORY)).nanos();
-            let waiting = self.calls.iter().filter(|(id, _)| !self.passed.contains(id));
-            let next = waiting.min_by_key(|(id, calls)| (calls.iter().map(spent).sum::<u64>(), **id));
-            next.into_iter().for_each(|(id, _)| mail.put(Part::Destination(*id), Note::Slot));
-        } else {
+            let spent = |id: &DestinationId| self.calls.get(id).into_iter().flatten().map(spent).sum::<u64>();
+            let next = waiting.min_by_key(|id| (spent(id), *id));
+            self.offered = next.is_some();
+            next.into_iter().for_each(|id| mail.put(Part::Destination(id), Note::Slot));
+        } else if self.open >= self.total && waiting.count() > 0 {
             // Guards against silent and jammed destinations that take every slot for their long time-outs.
-            self.calls.keys().for_each(|id| mail.put(Part::Destination(*id), Note::Shed));
+            self.calls.retain(|_, calls| {
+                calls.retain(|c| c.1.is_none_or(|end| now.since(end) < SLOT_MEMORY));
+                !calls.is_empty()
+            });
+            let out = self.calls.iter().filter(|(_, calls)| calls.iter().any(|c| c.1.is_none()));
+            out.for_each(|(id, _)| mail.put(Part::Destination(*id), Note::Shed));
         }
     }
 }
@@ -673,36 +746,44 @@
 struct Book {
     ask_every: Span,
     entries: BTreeMap<EndpointId, Entry>,
-    /// When to ask next, where news has to be asked for.
-    next_ask: Option<Time>,
     failures: i32,
+    /// It will ask again.
+    pausing: bool,
 }
 
 impl Book {
     fn take(&mut self, note: Note, mail: &mut Mail) {
-        if let Note::News(News::Broken) = note {
-            // Guards against a list that is out of reach or overrun: ask again, ever later, never in step.
-            let pause = self.ask_every.times(FIRST_ASK * 2f64.powi(self.failures.min(4)));
-            self.next_ask = Some(mail.now + pause.times(0.5 + mail.chance()));
-            self.failures += 1;
-        } else if let Note::News(News::Changes(entries)) = note {
-            self.merge(entries, mail);
-        } else if let Note::News(News::Whole(entries)) = note {
-            let gone = self.entries.values().filter(|old| entries.iter().all(|e| e.endpoint != old.endpoint));
-            let gone = gone.map(|old| Entry { readiness: Readiness::Deleted, ..old.clone() });
-            self.merge(gone.chain(entries.iter().cloned()).collect(), mail);
-        } else if let Note::Stale(span) = note {
-            self.entries.keys().for_each(|id| mail.put(Part::Endpoint(id.clone()), Note::Stale(span)));
-        }
-        if self.next_ask.is_some_and(|at| mail.now >= at) {
-            self.next_ask = None;
-            mail.commands.push(Command::Subscribe);
+        match note {
+            Note::News(News::Broken) if !self.pausing => {
+                // Guards against a list that is out of reach or overrun: ask again, ever later, never in step.
+                let pause = self.ask_every.times(FIRST_ASK * 2f64.powi(self.failures.min(4)));
+                let at = mail.now + pause.times(0.5 + mail.chance());
+                mail.alarm(Part::Book, at);
+                (self.pausing, self.failures) = (true, self.failures + 1);
+            }
+            Note::News(News::Changes(entries)) => self.merge(entries, mail),
+            Note::News(News::Whole(mut entries)) => {
+                let named: BTreeSet<EndpointId> = entries.iter().map(|e| e.endpoint.clone()).collect();
+                let gone = self.entries.values().filter(|old| !named.contains(&old.endpoint));
+                entries.extend(gone.map(|old| Entry { readiness: Readiness::Deleted, ..old.clone() }));
+                self.merge(entries, mail);
+            }
+            Note::Stale(span) => {
+                self.entries.keys().for_each(|id| mail.put(Part::Endpoint(id.clone()), Note::Stale(span)));
+            }
+            Note::Due => {
+                self.pausing = false;
+                mail.commands.push(Command::Subscribe);
+            }
+            _ => {}
         }
     }
 
     fn merge(&mut self, entries: Vec<Entry>, mail: &mut Mail) {
         self.failures = 0;
-        for entry in entries {
+        for entry in
+            entries.into_iter().filter(|e| self.entries.get(&e.endpoint) != Some(e)).collect::<Vec<_>>()
+        {
             self.entries.insert(entry.endpoint.clone(), entry.clone());
             mail.put(Part::Endpoint(entry.endpoint.clone()), Note::Listed(entry.clone()));
             mail.put(Part::Destination(entry.destination), Note::Listed(entry));
@@ -719,7 +800,8 @@
     fleet: Fleet,
     allowed: Allowance,
     figures: RuleFigures,
-    next_wake: Time,
+    /// When the next wake-up asked for is due.
+    wake: Time,
     mail: Mail,
     book: Book,
     turns: Turns,
@@ -732,13 +814,16 @@
 impl Relay {
     /// A relay that has just started and knows nothing yet.
     pub fn new(now: Time, seed: u64, fleet: Fleet, allowed: Allowance, figures: RuleFigures) -> Self {
-        let next_ask = fleet.list_on_request.then_some(now);
+        let mut mail = Mail::new(seed);
+        if fleet.list_on_request {
+            mail.alarm(Part::Book, now);
+        }
         Relay {
             fleet,
             allowed,
             figures,
-            mail: Mail::new(seed),
-            book: Book { ask_every: figures.ask_every, next_ask, ..Book::default() },
+            mail,
+            book: Book { ask_every: figures.ask_every, ..Book::default() },
             turns: Turns { settle: figures.settle, ..Turns::default() },
             slots: Slots { total: allowed.slots, ..Slots::default() },
             ..Relay::default()
@@ -747,7 +832,8 @@
 
     /// Takes all that happened up to `now` and gives the commands that follow from it.
     pub fn handle(&mut self, now: Time, events: Vec<Event>) -> Vec<Command> {
-        self.mail.now = now;
+        self.mail.begin(now);
+        self.settle();
         for event in events {
             let (part, note) = match event {
                 Event::List(news) => (Part::Book, Note::News(news)),
@@ -756,10 +842,9 @@
                     (Part::Endpoint(outcome.endpoint.clone()), Note::Outcome(outcome, false))
                 }
                 Event::Withdrawn(ntf) => {
-                    for id in self.destinations.keys() {
-                        self.mail.put(Part::Destination(*id), Note::Withdrawn(ntf));
-                    }
-                    continue;
+                    let holder = self.destinations.values().find(|d| d.held.iter().any(|h| h.ntf.id == ntf));
+                    let Some(holder) = holder else { continue };
+                    (Part::Destination(holder.id), Note::Withdrawn(ntf))
                 }
                 Event::Probed { endpoint, status, .. } => (Part::Endpoint(endpoint), Note::Probed(status)),
                 Event::Woken => continue,
@@ -767,17 +852,11 @@
             self.mail.put(part, note);
             self.settle();
         }
-        self.endpoints.retain(|_, e| e.entry.readiness != Readiness::Deleted || !e.outs.is_empty());
-        let parts = [Part::Book, Part::Turns, Part::Slots].into_iter();
-        let parts = parts.chain(self.endpoints.keys().cloned().map(Part::Endpoint));
-        for part in parts.chain(self.destinations.keys().copied().map(Part::Destination)) {
-            self.mail.put(part, Note::Sweep);
-        }
-        self.settle();
-        if now >= self.next_wake {
-            let gap = self.fleet.tick.times(2.0).max(LEAST_WAKE);
-            self.next_wake = now + gap;
-            self.mail.commands.push(Command::Wake(gap));
+        // Each part says when time alone next changes something for it; a wake-up not yet due will do.
+        let next = self.mail.next_alarm().min(now + LONGEST_SLEEP);
+        if self.wake <= now || next < self.wake {
+            self.wake = next;
+            self.mail.commands.push(Command::Wake(next.since(now)));
         }
         std::mem::take(&mut self.mail.commands)
     }
@@ -800,14 +879,16 @@
                         let new = || Endpoint { figures, probes: allowed.probes, ..Endpoint::default() };
                         self.endpoints.entry(id.clone()).or_insert_with(new);
                     }
-                    if let Some(endpoint) = self.endpoints.get_mut(&id) {
-                        endpoint.take(note, mail);
+                    let Some(endpoint) = self.endpoints.get_mut(&id) else { continue };
+                    endpoint.take(note, mail);
+                    if endpoint.entry.readiness == Readiness::Deleted && endpoint.outs.is_empty() {
+                        self.lanes.remove(&(endpoint.entry.destination, Some(id.clone())));
+                        self.endpoints.remove(&id);
                     }
                 }
                 Part::Destination(id) => {
                     let overdue_floor = figures.tip_after.times(OVERDUE_FLOOR);
                     let new = || Destination { id, allowed, overdue_floor, ..Destination::default() };
-                    self.slots.calls.entry(id).or_default();
                     self.destinations.entry(id).or_insert_with(new).take(note, mail);
                 }
             }
--- a/src/time.rs
+++ b/src/time.rs
@@ -11,6 +11,9 @@
 pub struct Span(u64);
 
 impl Time {
+    /// A point that never comes.
+    pub const NEVER: Time = Time(u64::MAX);
+
     /// The point that lies `nanos` after the clock's own zero.
     pub const fn from_nanos(nanos: u64) -> Self {
         Time(nanos)
