Meet sparse evidence: crowded connections, refusals and returns at each relay's own pace

Causes: 2000 to 3000 calls in 5 s found no connection, for hundreds of relays each leave one idle at endpoints that take few; a limit divided by the number of relays let a relay call once in a minute; three signs of trouble are not seen together by a relay that calls a destination once in many seconds, so after an outage all of them came back at once.

The loop stands in src/relay.rs and decides nothing.

What else it covers: any destination that many share, slow handshakes, overload. When it might hurt: a single relay waits longer than it needs after refusals; each call pays a handshake where connections are few.

--- a/src/interface.rs
+++ b/src/interface.rs
@@ -282,6 +282,9 @@
     },
 }
 
+/// The longest wake-up that a relay asks for; a front need not keep longer ones.
+pub const LONGEST_WAKE: Span = Span::from_millis(3_600_000);
+
 /// Something the relay wants done.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Command {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,7 +4,8 @@
 
 pub mod interface;
 mod mail;
+mod relay;
 pub mod rules;
 pub mod time;
 
-pub use rules::Relay;
+pub use relay::Relay;
--- a/src/mail.rs
+++ b/src/mail.rs
@@ -3,9 +3,9 @@
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
-use crate::interface::{
-    Command, DestinationId, EndpointId, Entry, News, Notification, NtfId, Outcome, Status,
-};
+use std::sync::Arc;
+
+use crate::interface::{Command, DestinationId, EndpointId, Entry, Kind, News, Notification, NtfId, Outcome};
 use crate::time::{Span, Time};
 
 /// The lane of a call: its limit and waits hold for the destination or, where routes are apart, the endpoint.
@@ -49,9 +49,8 @@
     Shed,
     /// A call has all its outcomes.
     Ended(DestinationId),
-    Probed(Status),
-    /// A call on a connection idle for so long was lost, and a later one to the same endpoint was not.
-    Stale(Span),
+    /// Connections must not be idle for so long, at endpoints of one kind or all.
+    Stale(Span, Option<Arc<Kind>>),
 }
 
 /// Notifications on their way to an endpoint as one call.
@@ -61,6 +60,8 @@
     pub(crate) endpoint: EndpointId,
     pub(crate) pushes: Vec<(NtfId, Span)>,
     pub(crate) overdue_after: Span,
+    /// Notifications a second that this relay was handed of late for each endpoint of the destination.
+    pub(crate) pace: f64,
     /// How long such a call usually lasts.
     pub(crate) usual: Span,
     /// It must not go over a connection that has been idle.
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -1,19 +1,19 @@
-//! All decisions of a relay. Call [`Relay::new`] once at start, then [`Relay::handle`] each round with the
-//! clock and all that has happened, in order, and carry out the commands it gives, in order. The types on
-//! both sides are in `interface.rs`. Why things are as they are stands in `docs/design.md`.
-//! Each part has an inbox; parts talk only by notes put into these (`mail.rs`), and the loop in
-//! `Relay::settle` empties them, in the order in which `Part` lists the parts. A send passes them in turn:
-//! `Slots` offers a slot to a `Destination`, which picks notifications (cutoff, effects, order) and asks an
-//! `Endpoint` (drains, returns from an outage), which asks its `Lane` (waits, limits), which pushes.
+//! All decisions of a relay. Make a [`crate::Relay`] at start, call its `handle` each round with the clock and
+//! all that has happened, in order, and carry out the commands it gives, in order. The types on both sides are
+//! in `interface.rs`. Why things are as they are stands in `docs/design.md`.
+//! Each part has an inbox; parts talk only by notes put into these (`mail.rs`), and one loop (`relay.rs`) hands
+//! the notes out, in the order in which `Part` lists the parts. A send passes them in turn: `Slots` offers a
+//! slot to a `Destination`, which picks notifications (cutoff, effects, order) and asks an `Endpoint` (drains,
+//! returns from an outage), which asks its `Lane` (waits, limits), which pushes.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 
 use crate::interface::{
-    Allowance, Command, DestinationId, Effect, EndpointId, Entry, Event, Fleet, Group, LimitReport, News,
-    Notification, NtfId, Outcome, Readiness, RuleFigures, Status,
+    Allowance, Command, DestinationId, Effect, EndpointId, Entry, Group, LimitReport, News, Notification,
+    NtfId, Outcome, Readiness, RuleFigures, Status,
 };
-use crate::mail::{Call, LaneId, Mail, Note, Part, keep};
+use crate::mail::{Call, Mail, Note, Part, keep};
 use crate::time::{Span, Time};
 
 /// Latencies kept of each destination, and the age at which one counts half.
@@ -29,13 +29,14 @@
 const SLOT_MEMORY: Span = Span::from_millis(10_000);
 /// Signs of trouble (failures less deliveries, calls overdue) that set an endpoint aside.
 const SUSPECT: usize = 3;
-/// A report with less of the limit left speaks of the limit, one with more than the second leaves room.
+/// A report with less of the limit left speaks of the limit.
 const LOW: f64 = 0.2;
-const PLENTY: f64 = 0.3;
 /// Trouble with less than so many `tip_after` between two deliveries is no outage.
 const BRIEF: f64 = 2.0;
 /// With calls still out at an endpoint set aside, the next follows so many `tip_after` later.
 const PATIENCE: f64 = 3.0;
+/// After an outage all relays together may always send so many calls in `tip_after`, each an equal part.
+const LEAST: f64 = 3.0;
 /// Connections idle for less than this are never taken for stale, and what was seen holds for so long.
 const STALE_LEAST: Span = Span::from_millis(500);
 const STALE_MEMORY: Span = Span::from_millis(30_000);
@@ -44,17 +45,16 @@
 const OVERDUE_FLOOR: f64 = 0.5;
 /// Share of the latency objective for which a call may wait to be filled.
 const FILL: f64 = 0.125;
-/// First pause after a throttled push that told no wait; doubles with each in a row up to the last.
+/// First pause after a throttled push that told no wait, at the least, and in calls of the told limit. It
+/// grows up to the cold time; after no connection, up to the last.
 const PAUSE: Span = Span::from_millis(100);
+const REFUSED: f64 = 3.0;
 const LONGEST_PAUSE: Span = Span::from_millis(1_600);
-/// The list is asked for again after this share of `ask_every`, doubling a few times.
+/// The list is asked for again after this share of `ask_every`, and up to so many times that.
 const FIRST_ASK: f64 = 0.02;
+const LAST_ASK: f64 = 16.0;
 /// Below this much time left nothing is worth sending.
 const LEAST_LEFT: Span = Span::from_millis(20);
-/// A relay asks to be woken within this, whatever it waits for.
-const LONGEST_SLEEP: Span = Span::from_millis(600_000);
-/// A returning endpoint that has had its share is asked again after this part of `tip_after`.
-const BACK_ASK: f64 = 0.05;
 /// Weight of each further notification in a call, for a cold endpoint.
 const FURTHER: f64 = 0.25;
 
@@ -141,37 +141,37 @@
 
 /// Rule: of one key, one at a time, in the order taken, over all ordered topic types.
 #[derive(Default)]
-struct Turns {
-    settle: Span,
+pub(crate) struct Turns {
     lines: BTreeMap<String, Line>,
 }
 
 impl Turns {
-    fn take(&mut self, note: Note, mail: &mut Mail) {
+    pub(crate) fn take(&mut self, note: Note, settle: Span, mail: &mut Mail) {
         match note {
             Note::Join(key, ntf, to) => self.lines.entry(key).or_default().waiting.push_back((ntf, to)),
             Note::Leave(key, ntf, doubt) => {
                 let Some(line) = self.lines.get_mut(&key) else { return };
                 line.granted &= line.waiting.front().is_some_and(|w| w.0 != ntf);
                 line.waiting.retain(|w| w.0 != ntf);
-                line.rest_until = line.rest_until.max(doubt.map_or(Time::default(), |at| at + self.settle));
+                line.rest_until = line.rest_until.max(doubt.map_or(Time::default(), |at| at + settle));
             }
             _ => {}
         }
         for line in self.lines.values_mut().filter(|line| !line.granted) {
-            let Some(&(ntf, destination)) = line.waiting.front() else { continue };
-            if line.rest_until > mail.now {
-                mail.alarm(Part::Turns, line.rest_until);
-                continue;
+            match line.waiting.front() {
+                Some(_) if line.rest_until > mail.now => mail.alarm(Part::Turns, line.rest_until),
+                Some(&(ntf, destination)) => {
+                    line.granted = true;
+                    mail.put(Part::Destination(destination), Note::Turn(ntf));
+                }
+                None => {}
             }
-            line.granted = true;
-            mail.put(Part::Destination(destination), Note::Turn(ntf));
         }
         self.lines.retain(|_, line| !line.waiting.is_empty() || line.rest_until > mail.now);
     }
 }
 
-// ---- Endpoint: drains, and health ----
+// ---- Endpoint: drains, connections, and health ----
 
 /// A call that is out, or has not all its outcomes.
 struct Out {
@@ -190,69 +190,80 @@
 }
 
 #[derive(Default)]
-struct Endpoint {
+pub(crate) struct Endpoint {
     entry: Entry,
     figures: RuleFigures,
-    probes: bool,
     outs: Vec<Out>,
+    /// The latest send, and the latest delivery.
     used: Time,
-    /// Latest sends (with weight) and deliveries.
-    sent: VecDeque<(Time, f64)>,
-    good: VecDeque<Time>,
-    /// Failures less deliveries, and the latest: a refusal of a call sent before it says nothing new.
+    good: Option<Time>,
+    /// Failures less deliveries.
     streak: usize,
-    last_bad: Time,
-    /// Idle for that long, connections were seen to lose calls, last at the second time.
+    /// No connection was to be had so many times in a row: nothing until then.
+    crowded: (i32, Time),
+    /// Connections are not to be idle for that long, as last told at the second time.
     stale: Option<(Span, Time)>,
-    /// Set aside: the next call or probe not before then.
+    /// Set aside: the next call not before then.
     aside: Option<Time>,
     /// Proved back at the first time: calls from the second on, doubling with each of so many delivered.
     back: Option<(Time, Time, i32)>,
-    /// Notifications a second that this relay got delivered here at best before it was set aside.
-    part: f64,
+    /// Notifications a second that this relay was handed for it of late; the least it may send after an outage.
+    pace: f64,
+    least: f64,
 }
 
 impl Endpoint {
-    fn take(&mut self, note: Note, mail: &mut Mail) {
-        let apart = self.entry.kind.separate_routes.then(|| self.entry.endpoint.clone());
-        let lane = Part::Lane((self.entry.destination, apart));
+    pub(crate) fn new(figures: RuleFigures, relays: usize) -> Self {
+        let least = LEAST / (figures.tip_after.secs() * relays.max(1) as f64);
+        Endpoint { figures, least, ..Endpoint::default() }
+    }
+
+    pub(crate) fn gone(&self) -> bool {
+        self.entry.readiness == Readiness::Deleted && self.outs.is_empty()
+    }
+
+    pub(crate) fn take(&mut self, note: Note, mail: &mut Mail) {
         match note {
             Note::Listed(entry) => self.entry = entry,
             Note::Call(mut call) => {
+                self.pace = call.pace;
                 let until = self.takes_from(mail.now, call.pushes.len());
                 if until > mail.now {
                     return mail.put(Part::Destination(call.destination), Note::Declined(until));
                 }
-                let stale = self.stale.filter(|(_, seen)| mail.now.since(*seen) < STALE_MEMORY);
-                call.fresh = stale.is_some_and(|(span, _)| mail.now.since(self.used) >= span);
-                mail.put(lane, Note::Call(call));
+                call.fresh = self.stale(mail.now).is_some_and(|span| mail.now.since(self.used) >= span);
+                mail.put(self.lane(), Note::Call(call));
+            }
+            Note::Stale(span, _) => {
+                let known = self.stale(mail.now);
+                self.stale = Some((known.map_or(span, |known| known.min(span)), mail.now));
+                if known.is_none_or(|known| known > span) && self.used > Time::default() {
+                    mail.commands.push(Command::CloseIdle(self.entry.endpoint.clone()));
+                }
             }
-            Note::Stale(span) => self.stale = Some((span, mail.now)),
             Note::Sent(call) => {
-                let idle = mail.now.since(self.used);
-                self.weigh(call.pushes.len(), mail);
-                let (at, overdue_at) = (mail.now, mail.now + call.overdue_after);
+                let (at, idle) = (mail.now, mail.now.since(self.used));
+                self.used = at;
+                self.aside = self.aside.map(|_| self.trial(mail));
+                let overdue_at = at + call.overdue_after;
                 mail.alarm(Part::Endpoint(call.endpoint), overdue_at);
                 let ntfs = call.pushes.into_iter().map(|push| push.0).collect();
                 self.outs.push(Out { at, idle, overdue_at, ntfs, answered: false });
             }
-            Note::Outcome(outcome, _) => self.outcome(outcome, lane, mail),
-            Note::Probed(status) => {
-                self.judge(mail.now, status, None, mail);
-                mail.put(Part::Destination(self.entry.destination), Note::Due);
-            }
-            Note::Due => {
-                self.suspect(mail);
-                let due = self.aside.is_some_and(|next| mail.now >= next);
-                if due && self.probes && self.entry.readiness == Readiness::Serving {
-                    self.weigh(1, mail);
-                    mail.commands.push(Command::Probe(self.entry.endpoint.clone()));
-                }
-            }
-            _ => {}
+            Note::Outcome(outcome, _) => self.outcome(outcome, mail),
+            _ => self.suspect(mail),
         }
     }
 
+    fn lane(&self) -> Part {
+        let apart = self.entry.kind.separate_routes.then(|| self.entry.endpoint.clone());
+        Part::Lane((self.entry.destination, apart))
+    }
+
+    fn stale(&self, now: Time) -> Option<Span> {
+        self.stale.filter(|(_, told)| now.since(*told) < STALE_MEMORY).map(|(span, _)| span)
+    }
+
     /// Rules: nothing to an endpoint that drains or is gone; after an outage, no more than its part. From when
     /// such a call may go.
     fn takes_from(&self, now: Time, pushes: usize) -> Time {
@@ -265,134 +276,142 @@
         } else if let Some(next) = self.aside {
             // A call still out there tells of the return by itself, and costs no further slot.
             let patience = if self.outs.is_empty() { 0.0 } else { PATIENCE };
-            return if self.probes { Time::NEVER } else { next + f.tip_after.times(patience) };
-        }
-        let Some((since, from, wins)) = self.back.filter(|b| now.since(b.0) < f.cold) else { return now };
-        let level = f.cold_from + (1.0 - f.cold_from) * now.since(since).secs() / f.cold.secs();
-        let budget = f.fall_multiple * level * self.part * f.tip_after.secs();
-        let recent: f64 = self.sent.iter().filter(|s| now.since(s.0) < f.tip_after).map(|s| s.1).sum();
-        // One call may always go in a window: a full one weighs more than a small budget for good.
-        let spent = recent > 0.0 && recent + weight(pushes) > budget.min(2f64.powi(wins));
-        if spent { now + f.tip_after.times(BACK_ASK) } else { from }
-    }
-
-    fn weigh(&mut self, pushes: usize, mail: &mut Mail) {
-        self.used = mail.now;
-        keep(&mut self.sent, (mail.now, weight(pushes)), 2 * SAMPLES);
-        if self.aside.is_some() {
-            self.put_aside(mail);
+            return next.max(self.crowded.1) + f.tip_after.times(patience);
         }
+        let back = self.back.filter(|back| now.since(back.0) < f.cold);
+        let Some((since, from, wins)) = back else { return self.crowded.1 };
+        let rate = self.part(f.cold_from + (1.0 - f.cold_from) * now.since(since).secs() / f.cold.secs());
+        let rate = rate.min(2f64.powi(wins) / f.tip_after.secs());
+        let weight = 1.0 + FURTHER * pushes.saturating_sub(1) as f64;
+        from.max(self.crowded.1).max(self.used + Span::from_secs(weight / rate))
+    }
+
+    /// What this relay may send a second at a share of the capacity. If each relay sends in step with what it
+    /// is handed, all of them together do, whoever they are: none needs to know how many wait.
+    fn part(&self, level: f64) -> f64 {
+        level * (self.figures.fall_multiple * self.pace).max(self.least / self.figures.cold_from)
     }
 
-    fn put_aside(&mut self, mail: &mut Mail) {
-        let next = mail.now + self.figures.tip_after.times(0.75 + mail.chance() / 2.0);
-        self.aside = Some(next);
-        mail.alarm(Part::Endpoint(self.entry.endpoint.clone()), next);
+    /// When to try an endpoint set aside next.
+    fn trial(&self, mail: &mut Mail) -> Time {
+        let gap = Span::from_secs(1.0 / self.part(self.figures.cold_from)).max(self.figures.tip_after);
+        mail.now + gap.times(0.75 + mail.chance() / 2.0)
     }
 
-    fn outcome(&mut self, outcome: Outcome, lane: Part, mail: &mut Mail) {
+    fn outcome(&mut self, outcome: Outcome, mail: &mut Mail) {
         let Some(place) = self.outs.iter().position(|out| out.ntfs.contains(&outcome.ntf)) else { return };
         let (out, to) = (&mut self.outs[place], self.entry.destination);
         out.ntfs.retain(|ntf| *ntf != outcome.ntf);
         let (at, first) = (out.at, !std::mem::replace(&mut out.answered, true));
         if out.ntfs.is_empty() {
             self.outs.remove(place);
-            mail.put(lane.clone(), Note::Ended(to));
+            mail.put(self.lane(), Note::Ended(to));
             mail.put(Part::Slots, Note::Ended(to));
+            if self.stale(mail.now) == Some(Span::ZERO) {
+                mail.commands.push(Command::CloseIdle(self.entry.endpoint.clone()));
+            }
         }
         if first {
             self.judge(at, outcome.status, outcome.limit, mail);
         }
-        mail.put(lane, Note::Outcome(outcome.clone(), first));
+        mail.put(self.lane(), Note::Outcome(outcome.clone(), first));
         mail.put(Part::Destination(to), Note::Outcome(outcome, first));
     }
 
     /// What an outcome, of a call sent at `at`, says of the endpoint's health.
     fn judge(&mut self, at: Time, status: Status, limit: Option<LimitReport>, mail: &mut Mail) {
         let (now, span) = (mail.now, self.figures.tip_after);
-        match status {
+        let sign = match status {
             Status::Delivered => {
                 // Too short for an outage, as far as this relay saw: no reason to hold back.
-                let brief = self.good.back().is_some_and(|t| now.since(*t) < span.times(BRIEF));
+                let brief = self.good.is_some_and(|t| now.since(t) < span.times(BRIEF));
                 let was_aside = self.aside.take().is_some();
                 if was_aside && !brief {
                     mail.commands.push(Command::Log(format!("{} is back", self.entry.endpoint.0)));
-                    self.back = Some((now, now + span.times(mail.chance() / 3.0), 0));
+                    let gap = Span::from_secs(1.0 / self.part(self.figures.cold_from));
+                    let wait = gap.min(self.figures.cold).times(mail.chance());
+                    self.back = Some((now, now + wait, 0));
                 } else if let Some((_, _, wins)) = &mut self.back {
                     *wins += 1;
                 }
                 // Guards against connections that die unseen while idle: a call after an idle spell is lost
                 // while the next is answered. All endpoints then get fresh connections.
-                let old =
-                    |o: &&Out| o.at < at && now.since(o.at) < span.times(PATIENCE) && o.idle >= STALE_LEAST;
-                if let Some(out) = self.outs.iter().filter(old).find(|o| o.lost(now)) {
-                    mail.put(Part::Book, Note::Stale(out.idle.times(0.9)));
+                let mut lost = self.outs.iter().filter(|o| o.lost(now) && o.at < at && o.idle >= STALE_LEAST);
+                if let Some(out) = lost.next_back().filter(|o| now.since(o.at) < span.times(PATIENCE)) {
+                    mail.put(Part::Book, Note::Stale(out.idle.times(0.9), None));
                 }
-                keep(&mut self.good, now, 2 * SAMPLES);
+                (self.good, self.crowded) = (Some(now), (0, now));
                 self.streak = if was_aside { 0 } else { self.streak.saturating_sub(1) };
+                false
+            }
+            Status::NoConnection => {
+                // Guards against the few connections that some destinations take, which many relays fill with
+                // idle ones: none is left idle at its kind. A sign of an outage only where calls are lost too.
+                self.crowded = (self.crowded.0 + 1, now + pause(PAUSE, self.crowded.0, LONGEST_PAUSE, mail));
+                if self.stale(now) != Some(Span::ZERO) {
+                    mail.put(Part::Book, Note::Stale(Span::ZERO, Some(self.entry.kind.clone())));
+                }
+                self.outs.iter().any(|o| o.lost(now))
             }
             // Above a told limit: no sign of an outage.
-            Status::Busy(_) if limit.is_some_and(|l| l.rate > 0.0 && l.left < LOW) => {}
-            Status::Skipped => {}
-            Status::Busy(_) | Status::Error if self.streak > 0 && at < self.last_bad => {}
-            _ => (self.streak, self.last_bad) = (self.streak + 1, now),
-        }
+            Status::Busy(_) if limit.is_some_and(|l| l.rate > 0.0 && l.left < LOW) => false,
+            _ => status != Status::Skipped,
+        };
+        self.streak += usize::from(sign);
         self.suspect(mail);
     }
 
     /// Guards against silence as well as failures: a call long overdue is evidence before its time-out.
     fn suspect(&mut self, mail: &mut Mail) {
         let (now, span) = (mail.now, self.figures.tip_after);
-        let mut signs = self.outs.iter().filter(|o| o.lost(now)).count();
-        if let Some(good) = self.good.back().filter(|t| signs > 0 && now.since(**t) < span) {
-            mail.alarm(Part::Endpoint(self.entry.endpoint.clone()), *good + span);
-            signs = 0;
+        let mut lost = self.outs.iter().filter(|o| o.lost(now)).count();
+        if let Some(good) = self.good.filter(|t| lost > 0 && now.since(*t) < span) {
+            mail.alarm(Part::Endpoint(self.entry.endpoint.clone()), good + span);
+            lost = 0;
         }
-        if self.aside.is_none() && self.streak + signs >= SUSPECT {
-            let ending = |t: &Time| self.good.iter().filter(|g| **g <= *t && t.since(**g) < span).count();
-            self.part = self.good.iter().map(ending).max().unwrap_or(0) as f64 / span.secs();
-            self.put_aside(mail);
-            let (id, part) = (&self.entry.endpoint.0, self.part);
-            mail.commands.push(Command::Log(format!("{id} set aside, delivered {part:.1}/s at best")));
+        if self.aside.is_none() && self.streak + lost >= SUSPECT {
+            self.aside = Some(self.trial(mail));
+            let (id, pace) = (&self.entry.endpoint.0, self.pace);
+            mail.commands.push(Command::Log(format!("{id} set aside, handed {pace:.2}/s")));
         }
     }
 }
 
-fn weight(pushes: usize) -> f64 {
-    1.0 + FURTHER * pushes.saturating_sub(1) as f64
+/// A pause that grows eightfold with each in a row; chance keeps many from coming back in step.
+fn pause(first: Span, times: i32, longest: Span, mail: &mut Mail) -> Span {
+    first.times(8f64.powi(times.min(8))).min(longest).times(0.5 + mail.chance())
 }
 
 // ---- Lane: waits and limits ----
 
 #[derive(Default)]
-struct Lane {
+pub(crate) struct Lane {
     wait_until: Time,
     pause_until: Time,
     /// Calls out, and how many may be, by what the lane has shown lately.
     out: usize,
     window: f64,
     last_sent: Time,
-    /// The told limit, the share of it that this relay takes, and the least it ever takes.
+    /// The told limit, in calls a second over all relays, and refusals in a row.
     rate: f64,
-    share: f64,
-    least_share: f64,
     refused: i32,
+    figures: RuleFigures,
+    /// Notifications a second that this relay was handed of late.
+    pace: f64,
 }
 
 impl Lane {
-    fn new(slots: usize, relays: usize) -> Self {
-        let (window, part) = ((slots as f64 / 2.0).max(1.0), 1.0 / relays.max(1) as f64);
-        Lane { window, share: (1.5 * part).min(1.0), least_share: 0.5 * part, ..Lane::default() }
+    pub(crate) fn new(slots: usize, figures: RuleFigures) -> Self {
+        Lane { window: (slots as f64 / 2.0).max(1.0), figures, ..Lane::default() }
     }
 
-    fn take(&mut self, note: Note, mail: &mut Mail) {
+    pub(crate) fn take(&mut self, note: Note, mail: &mut Mail) {
         match note {
             Note::Call(call) if self.takes_from() > mail.now => {
-                let until = self.takes_from();
-                mail.put(Part::Destination(call.destination), Note::Declined(until));
+                mail.put(Part::Destination(call.destination), Note::Declined(self.takes_from()));
             }
             Note::Call(call) => {
-                (self.out, self.last_sent) = (self.out + 1, mail.now);
+                (self.out, self.last_sent, self.pace) = (self.out + 1, mail.now, call.pace);
                 if call.fresh {
                     mail.commands.push(Command::CloseIdle(call.endpoint.clone()));
                 }
@@ -422,26 +441,30 @@
         if self.out as f64 >= self.window {
             return Time::NEVER;
         }
-        let gap = Span::from_secs(if self.rate > 0.0 { 1.0 / (self.rate * self.share) } else { 0.0 });
-        (self.last_sent + gap).max(self.wait_until).max(self.pause_until)
+        (self.last_sent + self.calls(1.0)).max(self.wait_until).max(self.pause_until)
+    }
+
+    /// How long the told limit takes for so many calls; where none is told, no time.
+    fn calls(&self, count: f64) -> Span {
+        if self.rate > 0.0 { Span::from_secs(count / self.rate) } else { Span::ZERO }
     }
 
     fn learn(&mut self, status: Status, limit: Option<LimitReport>, mail: &mut Mail) {
-        if let Some(LimitReport { left, rate }) = limit {
-            let step = if left > PLENTY { 1.1 } else { 1.0 } * if left < LOW / 2.0 { 0.9 } else { 1.0 };
-            (self.rate, self.share) = (rate, (self.share * step).clamp(self.least_share, 1.0));
-        }
+        self.rate = limit.map_or(self.rate, |limit| limit.rate);
         match status {
             Status::Delivered => (self.refused, self.window) = (0, self.window + 1.0 / self.window),
             Status::Busy(_) if mail.now >= self.pause_until => {
-                let pause = PAUSE.times(2f64.powi(self.refused.min(8))).min(LONGEST_PAUSE);
-                self.pause_until = mail.now + pause.times(0.5 + mail.chance());
+                // One of many relays may see a destination once in many seconds and cannot tell a limit from
+                // an outage, while all that come back after an outage count: each does so ever more rarely.
+                let first = PAUSE.max(self.calls(REFUSED));
+                let part = self.figures.fall_multiple * self.figures.cold_from * self.pace;
+                let longest = Span::from_secs(1.0 / part).max(LONGEST_PAUSE).min(self.figures.cold);
+                self.pause_until = mail.now + pause(first, self.refused, longest, mail);
                 self.refused += 1;
-                self.share = (self.share * 0.7).max(self.least_share);
                 self.window = (self.window * 0.6).max(1.0);
             }
-            Status::Busy(_) | Status::Error | Status::Skipped | Status::Cancelled => {}
-            _ => self.window = (self.window * 0.8).max(1.0),
+            Status::TimedOut | Status::Reset => self.window = (self.window * 0.8).max(1.0),
+            _ => {}
         }
     }
 }
@@ -486,10 +509,10 @@
 }
 
 #[derive(Default)]
-struct Destination {
+pub(crate) struct Destination {
     id: DestinationId,
     allowed: Allowance,
-    overdue_floor: Span,
+    figures: RuleFigures,
     per_call: usize,
     /// Its endpoints, by id, with their zones, and where the rotation stands.
     ends: Vec<(EndpointId, Arc<str>)>,
@@ -498,12 +521,22 @@
     asked: usize,
     again: Time,
     held: Vec<Held>,
+    /// When it was handed notifications of late.
+    handed: VecDeque<Time>,
     samples: VecDeque<Sample>,
     fit: Option<Fit>,
 }
 
 impl Destination {
-    fn take(&mut self, note: Note, mail: &mut Mail) {
+    pub(crate) fn new(id: DestinationId, allowed: Allowance, figures: RuleFigures) -> Self {
+        Destination { id, allowed, figures, ..Destination::default() }
+    }
+
+    pub(crate) fn holds(&self, ntf: NtfId) -> bool {
+        self.held.iter().any(|held| held.ntf.id == ntf)
+    }
+
+    pub(crate) fn take(&mut self, note: Note, mail: &mut Mail) {
         match note {
             Note::Listed(entry) => {
                 self.per_call = entry.kind.per_call.max(1);
@@ -518,11 +551,13 @@
                 let (turn, taken) = (key.is_none(), mail.now);
                 key.into_iter().for_each(|key| mail.put(Part::Turns, Note::Join(key, ntf.id, self.id)));
                 self.held.push(Held { ntf, taken, turn, ..Held::default() });
+                self.handed.push_back(taken);
+                let memory = self.memory();
+                self.handed.retain(|at| taken.since(*at) < memory);
             }
             Note::Turn(ntf) => self.held.iter_mut().filter(|h| h.ntf.id == ntf).for_each(|h| h.turn = true),
             Note::Withdrawn(ntf) => {
-                let Some(place) = self.held.iter().position(|h| h.ntf.id == ntf) else { return };
-                self.held[place].over = true;
+                self.held.iter_mut().filter(|h| h.ntf.id == ntf).for_each(|h| h.over = true)
             }
             Note::Outcome(outcome, first) => self.outcome(&outcome, first, mail.now),
             Note::Sent(call) => {
@@ -536,7 +571,7 @@
             }
             Note::Slot => return self.offer(0, Time::NEVER, mail),
             Note::Declined(until) => return self.offer(self.asked + 1, self.again.min(until), mail),
-            Note::Shed => return self.shed(mail),
+            Note::Shed if self.allowed.cancel => return self.shed(mail),
             _ => {}
         }
         self.tidy(mail);
@@ -545,32 +580,31 @@
     /// Gives up what is vain, asks for a slot for what waits, and sees to be woken when time changes that.
     fn tidy(&mut self, mail: &mut Mail) {
         (0..self.held.len()).rev().for_each(|place| self.give_up_if_vain(place, mail));
-        let usual = self.median().max(LEAST_LEFT);
-        let waiting = || self.held.iter().filter(|h| h.out.is_none() && !h.over);
-        let dues = waiting().flat_map(|h| {
-            let end = h.ran.as_ref().zip(h.ntf.topic.effect.window()).map(|((at, _), window)| *at + window);
-            let filled = Some(self.filled(h)).filter(|_| self.per_call > 1);
-            [Some(h.ntf.valid_until - usual + Span::from_nanos(1)), end, filled]
-        });
-        let next = dues.flatten().filter(|at| *at > mail.now).min();
-        next.into_iter().for_each(|at| mail.alarm(Part::Destination(self.id), at));
-        if waiting().any(|h| h.turn) {
+        let late = self.median().max(LEAST_LEFT) - Span::from_nanos(1);
+        let mut dues = Vec::new();
+        for held in self.held.iter().filter(|h| h.out.is_none()) {
+            dues.extend([held.ntf.valid_until - late, self.filled(held)]);
+            dues.extend(
+                held.ran.iter().zip(held.ntf.topic.effect.window()).map(|(ran, window)| ran.0 + window),
+            );
+        }
+        let next = dues.into_iter().filter(|at| *at > mail.now).min();
+        mail.alarm(Part::Destination(self.id), next.unwrap_or(Time::NEVER));
+        if self.held.iter().any(|h| h.turn && h.out.is_none()) {
             mail.put(Part::Slots, Note::Ask(self.id));
         }
     }
 
     /// Calls off what is overdue, or has `Slots` ask again when something will be.
     fn shed(&mut self, mail: &mut Mail) {
-        let after = self.overdue_after();
+        let (now, after) = (mail.now, self.overdue_after());
         for held in self.held.iter_mut().filter(|h| h.again()) {
-            match &held.out {
-                Some((at, _)) if held.doubt.is_some_and(|doubt| doubt >= *at) => {}
-                Some((at, _)) if mail.now < *at + after => mail.alarm(Part::Slots, *at + after),
-                Some(_) => {
-                    held.doubt = Some(mail.now);
-                    mail.commands.push(Command::Cancel { ntf: held.ntf.id, push: held.pushes - 1 });
-                }
-                None => {}
+            let Some(at) = held.out.as_ref().map(|out| out.0) else { continue };
+            if now < at + after {
+                mail.alarm(Part::Slots, at + after);
+            } else if held.doubt.is_none_or(|doubt| doubt < at) {
+                held.doubt = Some(now);
+                mail.commands.push(Command::Cancel { ntf: held.ntf.id, push: held.pushes - 1 });
             }
         }
     }
@@ -584,7 +618,8 @@
             if !pushes.is_empty() {
                 let (to, destination) = (Part::Endpoint(endpoint.clone()), self.id);
                 let (usual, overdue_after, fresh) = (self.median(), self.overdue_after(), false);
-                let call = Call { destination, endpoint, pushes, usual, overdue_after, fresh };
+                let pace = self.handed.len() as f64 / self.memory().secs() / self.ends.len() as f64;
+                let call = Call { destination, endpoint, pushes, usual, overdue_after, pace, fresh };
                 return mail.put(to, Note::Call(call));
             }
             self.asked += 1;
@@ -592,6 +627,10 @@
         mail.put(Part::Slots, Note::Pass(self.id, self.again));
     }
 
+    fn memory(&self) -> Span {
+        self.figures.cold.times(2.0)
+    }
+
     /// Calls are worth filling: one counts once for the limit and takes one slot. Until when one may wait.
     fn filled(&self, held: &Held) -> Time {
         held.taken + held.ntf.topic.objective.times(FILL)
@@ -619,7 +658,8 @@
         done.sort_by(f64::total_cmp);
         let usual = done.get(done.len() * 9 / 10).map_or(Span::ZERO, |ln| Span::from_secs(ln.exp()));
         let vain = self.samples.iter().rev().take_while(|s| s.censored).count();
-        usual.times(OVERDUE).max(self.overdue_floor).times(2f64.powi(vain.min(8) as i32 / 2))
+        let least = self.figures.tip_after.times(OVERDUE_FLOOR);
+        usual.times(OVERDUE).max(least).times(2f64.powi(vain.min(8) as i32 / 2))
     }
 
     fn median(&self) -> Span {
@@ -641,37 +681,31 @@
             keep(&mut self.samples, Sample { at: now, ln_secs, censored }, SAMPLES);
             self.fit = Fit::of(&self.samples);
         }
-        let Some(place) = self.held.iter().position(|h| h.ntf.id == o.ntf) else { return };
-        let held = &mut self.held[place];
+        let Some(held) = self.held.iter_mut().find(|h| h.ntf.id == o.ntf) else { return };
         let sent = held.out.take();
+        held.over |= o.settled;
         if o.status.may_have_run() {
             held.ran = held.ran.take().or(sent);
         }
         if o.status.may_be_running() {
             held.doubt = Some(now);
         }
-        held.over |= o.settled;
     }
 
     /// The design's cutoff, and rule: one final answer in time. What cannot go out again, or has less time
     /// left than a usual call takes, is answered at once.
     fn give_up_if_vain(&mut self, place: usize, mail: &mut Mail) {
         let (held, usual) = (&self.held[place], self.median().max(LEAST_LEFT));
-        if held.over && held.out.is_none() {
-            return self.release(place, mail);
-        }
         let lives = mail.now + usual <= held.ntf.valid_until;
         if held.out.is_some() || lives && held.may_run(mail.now, None, self.allowed.pushes) {
             return;
         }
-        let (ntf, retry_in) = (held.ntf.id, self.allowed.longest_retry.min(usual));
-        let throttle = held.ran.is_none();
-        mail.commands.push(if throttle { Command::Throttle { ntf, retry_in } } else { Command::Expire(ntf) });
-        self.release(place, mail);
-    }
-
-    fn release(&mut self, place: usize, mail: &mut Mail) {
         let held = self.held.remove(place);
+        if !held.over {
+            let (ntf, retry_in) = (held.ntf.id, self.allowed.longest_retry.min(usual));
+            let answer = held.ran.map_or(Command::Throttle { ntf, retry_in }, |_| Command::Expire(ntf));
+            mail.commands.push(answer);
+        }
         if let Some(key) = held.ntf.key.filter(|_| held.ntf.topic.ordered) {
             mail.put(Part::Turns, Note::Leave(key, held.ntf.id, held.doubt));
         }
@@ -684,8 +718,7 @@
 type Lasted = (Time, Option<Time>, Span);
 
 #[derive(Default)]
-struct Slots {
-    total: usize,
+pub(crate) struct Slots {
     open: usize,
     /// A slot has been offered and neither taken nor passed yet.
     offered: bool,
@@ -696,7 +729,7 @@
 }
 
 impl Slots {
-    fn take(&mut self, note: Note, mail: &mut Mail) {
+    pub(crate) fn take(&mut self, note: Note, total: usize, mail: &mut Mail) {
         let now = mail.now;
         match note {
             Note::Ask(destination) => drop(self.waiting.insert(destination, now)),
@@ -708,7 +741,9 @@
             Note::Sent(c) => {
                 (self.open, self.offered) = (self.open + 1, false);
                 self.waiting.remove(&c.destination);
-                self.calls.entry(c.destination).or_default().push_back((now, None, c.usual));
+                let calls = self.calls.entry(c.destination).or_default();
+                calls.retain(|c| c.1.is_none_or(|end| now.since(end) < SLOT_MEMORY));
+                calls.push_back((now, None, c.usual));
             }
             Note::Ended(destination) => {
                 let mut calls = self.calls.get_mut(&destination).into_iter().flatten();
@@ -719,21 +754,18 @@
             _ => {}
         }
         let waiting = self.waiting.iter().filter(|(_, from)| **from <= now).map(|w| *w.0);
-        if self.open < self.total && !self.offered {
+        if self.open < total && !self.offered {
             // The design's choice: least slot time within memory, calls still out included. These count with
             // what they are likely to take, or a slow destination is given all slots before it has spent any.
             let until = |c: &Lasted| c.1.unwrap_or(now.max(c.0 + c.2));
             let spent = |c: &Lasted| until(c).since(c.0.max(now - SLOT_MEMORY)).nanos();
             let spent = |id: &DestinationId| self.calls.get(id).into_iter().flatten().map(spent).sum::<u64>();
-            let next = waiting.min_by_key(|id| (spent(id), *id));
-            self.offered = next.is_some();
-            next.into_iter().for_each(|id| mail.put(Part::Destination(id), Note::Slot));
-        } else if self.open >= self.total && waiting.count() > 0 {
+            if let Some(next) = waiting.min_by_key(|id| (spent(id), *id)) {
+                self.offered = true;
+                mail.put(Part::Destination(next), Note::Slot);
+            }
+        } else if self.open >= total && waiting.count() > 0 {
             // Guards against silent and jammed destinations that take every slot for their long time-outs.
-            self.calls.retain(|_, calls| {
-                calls.retain(|c| c.1.is_none_or(|end| now.since(end) < SLOT_MEMORY));
-                !calls.is_empty()
-            });
             let out = self.calls.iter().filter(|(_, calls)| calls.iter().any(|c| c.1.is_none()));
             out.for_each(|(id, _)| mail.put(Part::Destination(*id), Note::Shed));
         }
@@ -743,21 +775,20 @@
 // ---- Book: the list of endpoints ----
 
 #[derive(Default)]
-struct Book {
-    ask_every: Span,
+pub(crate) struct Book {
     entries: BTreeMap<EndpointId, Entry>,
+    /// Requests failed in a row, and whether it will ask again.
     failures: i32,
-    /// It will ask again.
     pausing: bool,
 }
 
 impl Book {
-    fn take(&mut self, note: Note, mail: &mut Mail) {
+    pub(crate) fn take(&mut self, note: Note, ask_every: Span, mail: &mut Mail) {
         match note {
             Note::News(News::Broken) if !self.pausing => {
                 // Guards against a list that is out of reach or overrun: ask again, ever later, never in step.
-                let pause = self.ask_every.times(FIRST_ASK * 2f64.powi(self.failures.min(4)));
-                let at = mail.now + pause.times(0.5 + mail.chance());
+                let first = ask_every.times(FIRST_ASK);
+                let at = mail.now + pause(first, self.failures, first.times(LAST_ASK), mail);
                 mail.alarm(Part::Book, at);
                 (self.pausing, self.failures) = (true, self.failures + 1);
             }
@@ -768,8 +799,9 @@
                 entries.extend(gone.map(|old| Entry { readiness: Readiness::Deleted, ..old.clone() }));
                 self.merge(entries, mail);
             }
-            Note::Stale(span) => {
-                self.entries.keys().for_each(|id| mail.put(Part::Endpoint(id.clone()), Note::Stale(span)));
+            Note::Stale(span, kind) => {
+                let all = self.entries.values().filter(|e| kind.as_ref().is_none_or(|kind| *kind == e.kind));
+                all.for_each(|e| mail.put(Part::Endpoint(e.endpoint.clone()), Note::Stale(span, None)));
             }
             Note::Due => {
                 self.pausing = false;
@@ -779,11 +811,10 @@
         }
     }
 
-    fn merge(&mut self, entries: Vec<Entry>, mail: &mut Mail) {
+    fn merge(&mut self, mut entries: Vec<Entry>, mail: &mut Mail) {
         self.failures = 0;
-        for entry in
-            entries.into_iter().filter(|e| self.entries.get(&e.endpoint) != Some(e)).collect::<Vec<_>>()
-        {
+        entries.retain(|entry| self.entries.get(&entry.endpoint) != Some(entry));
+        for entry in entries {
             self.entries.insert(entry.endpoint.clone(), entry.clone());
             mail.put(Part::Endpoint(entry.endpoint.clone()), Note::Listed(entry.clone()));
             mail.put(Part::Destination(entry.destination), Note::Listed(entry));
@@ -791,107 +822,3 @@
         self.entries.retain(|_, entry| entry.readiness != Readiness::Deleted);
     }
 }
-
-// ---- The relay: the loop ----
-
-/// A relay's decisions. It knows only its own events, its clock and its seed.
-#[derive(Default)]
-pub struct Relay {
-    fleet: Fleet,
-    allowed: Allowance,
-    figures: RuleFigures,
-    /// When the next wake-up asked for is due.
-    wake: Time,
-    mail: Mail,
-    book: Book,
-    turns: Turns,
-    endpoints: BTreeMap<EndpointId, Endpoint>,
-    lanes: BTreeMap<LaneId, Lane>,
-    destinations: BTreeMap<DestinationId, Destination>,
-    slots: Slots,
-}
-
-impl Relay {
-    /// A relay that has just started and knows nothing yet.
-    pub fn new(now: Time, seed: u64, fleet: Fleet, allowed: Allowance, figures: RuleFigures) -> Self {
-        let mut mail = Mail::new(seed);
-        if fleet.list_on_request {
-            mail.alarm(Part::Book, now);
-        }
-        Relay {
-            fleet,
-            allowed,
-            figures,
-            mail,
-            book: Book { ask_every: figures.ask_every, ..Book::default() },
-            turns: Turns { settle: figures.settle, ..Turns::default() },
-            slots: Slots { total: allowed.slots, ..Slots::default() },
-            ..Relay::default()
-        }
-    }
-
-    /// Takes all that happened up to `now` and gives the commands that follow from it.
-    pub fn handle(&mut self, now: Time, events: Vec<Event>) -> Vec<Command> {
-        self.mail.begin(now);
-        self.settle();
-        for event in events {
-            let (part, note) = match event {
-                Event::List(news) => (Part::Book, Note::News(news)),
-                Event::Accepted(ntf) => (Part::Destination(ntf.destination), Note::Accepted(ntf)),
-                Event::Ended(outcome) => {
-                    (Part::Endpoint(outcome.endpoint.clone()), Note::Outcome(outcome, false))
-                }
-                Event::Withdrawn(ntf) => {
-                    let holder = self.destinations.values().find(|d| d.held.iter().any(|h| h.ntf.id == ntf));
-                    let Some(holder) = holder else { continue };
-                    (Part::Destination(holder.id), Note::Withdrawn(ntf))
-                }
-                Event::Probed { endpoint, status, .. } => (Part::Endpoint(endpoint), Note::Probed(status)),
-                Event::Woken => continue,
-            };
-            self.mail.put(part, note);
-            self.settle();
-        }
-        // Each part says when time alone next changes something for it; a wake-up not yet due will do.
-        let next = self.mail.next_alarm().min(now + LONGEST_SLEEP);
-        if self.wake <= now || next < self.wake {
-            self.wake = next;
-            self.mail.commands.push(Command::Wake(next.since(now)));
-        }
-        std::mem::take(&mut self.mail.commands)
-    }
-
-    /// The one loop: empties every inbox.
-    fn settle(&mut self) {
-        let (allowed, figures, relays) = (self.allowed, self.figures, self.fleet.relays);
-        while let Some((part, note)) = self.mail.next() {
-            let mail = &mut self.mail;
-            match part {
-                Part::Book => self.book.take(note, mail),
-                Part::Turns => self.turns.take(note, mail),
-                Part::Slots => self.slots.take(note, mail),
-                Part::Lane(id) => {
-                    let lane = self.lanes.entry(id).or_insert_with(|| Lane::new(allowed.slots, relays));
-                    lane.take(note, mail);
-                }
-                Part::Endpoint(id) => {
-                    if matches!(note, Note::Listed(_)) {
-                        let new = || Endpoint { figures, probes: allowed.probes, ..Endpoint::default() };
-                        self.endpoints.entry(id.clone()).or_insert_with(new);
-                    }
-                    let Some(endpoint) = self.endpoints.get_mut(&id) else { continue };
-                    endpoint.take(note, mail);
-                    if endpoint.entry.readiness == Readiness::Deleted && endpoint.outs.is_empty() {
-                        self.lanes.remove(&(endpoint.entry.destination, Some(id.clone())));
-                        self.endpoints.remove(&id);
-                    }
-                }
-                Part::Destination(id) => {
-                    let overdue_floor = figures.tip_after.times(OVERDUE_FLOOR);
-                    let new = || Destination { id, allowed, overdue_floor, ..Destination::default() };
-                    self.destinations.entry(id).or_insert_with(new).take(note, mail);
-                }
-            }
-        }
-    }
-}
--- a/src/time.rs
+++ b/src/time.rs
@@ -84,3 +84,12 @@
         Time(self.0.saturating_sub(span.0))
     }
 }
+
+/// A span less another, or no time if the other is longer.
+impl Sub for Span {
+    type Output = Span;
+
+    fn sub(self, span: Span) -> Span {
+        Span(self.0.saturating_sub(span.0))
+    }
+}
