--- a/src/rules.rs
+++ b/src/rules.rs
@@ -199,8 +199,6 @@
     good: Option<Time>,
     /// Failures less deliveries.
     streak: usize,
-    /// No connection was to be had so many times in a row: nothing until then.
-    crowded: (i32, Time),
     /// Connections are not to be idle for that long, as last told at the second time.
     stale: Option<(Span, Time)>,
     /// Set aside: the next call not before then.
@@ -276,14 +274,14 @@
         } else if let Some(next) = self.aside {
             // A call still out there tells of the return by itself, and costs no further slot.
             let patience = if self.outs.is_empty() { 0.0 } else { PATIENCE };
-            return next.max(self.crowded.1) + f.tip_after.times(patience);
+            return next + f.tip_after.times(patience);
         }
         let back = self.back.filter(|back| now.since(back.0) < f.cold);
-        let Some((since, from, wins)) = back else { return self.crowded.1 };
+        let Some((since, from, wins)) = back else { return now };
         let rate = self.part(f.cold_from + (1.0 - f.cold_from) * now.since(since).secs() / f.cold.secs());
         let rate = rate.min(2f64.powi(wins) / f.tip_after.secs());
         let weight = 1.0 + FURTHER * pushes.saturating_sub(1) as f64;
-        from.max(self.crowded.1).max(self.used + Span::from_secs(weight / rate))
+        from.max(self.used + Span::from_secs(weight / rate))
     }
 
     /// What this relay may send a second at a share of the capacity. If each relay sends in step with what it
@@ -340,14 +338,13 @@
                 if let Some(out) = lost.next_back().filter(|o| now.since(o.at) < span.times(PATIENCE)) {
                     mail.put(Part::Book, Note::Stale(out.idle.times(0.9), None));
                 }
-                (self.good, self.crowded) = (Some(now), (0, now));
+                self.good = Some(now);
                 self.streak = if was_aside { 0 } else { self.streak.saturating_sub(1) };
                 false
             }
             Status::NoConnection => {
                 // Guards against the few connections that some destinations take, which many relays fill with
                 // idle ones: none is left idle at its kind. A sign of an outage only where calls are lost too.
-                self.crowded = (self.crowded.0 + 1, now + pause(PAUSE, self.crowded.0, LONGEST_PAUSE, mail));
                 if self.stale(now) != Some(Span::ZERO) {
                     mail.put(Part::Book, Note::Stale(Span::ZERO, Some(self.entry.kind.clone())));
                 }
@@ -453,7 +450,7 @@
         self.rate = limit.map_or(self.rate, |limit| limit.rate);
         match status {
             Status::Delivered => (self.refused, self.window) = (0, self.window + 1.0 / self.window),
-            Status::Busy(_) if mail.now >= self.pause_until => {
+            Status::Busy(_) | Status::NoConnection if mail.now >= self.pause_until => {
                 // One of many relays may see a destination once in many seconds and cannot tell a limit from
                 // an outage, while all that come back after an outage count: each does so ever more rarely.
                 let first = PAUSE.max(self.calls(REFUSED));
