Take a told end of an outage for a return, and pace returns by destination or route

Now each spreads and paces its calls as after any return, the lane counts for the whole destination or the route, and the least part is six calls in tip_after for all relays.

A short wait from a destination that tells a limit stays a plain wait. When it might hurt: a long wait for a limit is met as a return.

--- a/src/mail.rs
+++ b/src/mail.rs
@@ -49,6 +49,8 @@
     Shed,
     /// A call has all its outcomes.
     Ended(DestinationId),
+    /// It is, or will be, back from an outage at that time.
+    Back(Time),
     /// Connections must not be idle for so long, at endpoints of one kind or all.
     Stale(Span, Option<Arc<Kind>>),
 }
@@ -60,8 +62,8 @@
     pub(crate) endpoint: EndpointId,
     pub(crate) pushes: Vec<(NtfId, Span)>,
     pub(crate) overdue_after: Span,
-    /// Notifications a second that this relay was handed of late for each endpoint of the destination.
-    pub(crate) pace: f64,
+    /// Notifications a second that this relay was handed of late for the endpoint, and for the lane.
+    pub(crate) pace: (f64, f64),
     /// How long such a call usually lasts.
     pub(crate) usual: Span,
     /// It must not go over a connection that has been idle.
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -87,7 +87,7 @@
                 Part::Turns => self.turns.take(note, figures.settle, mail),
                 Part::Slots => self.slots.take(note, allowed.slots, mail),
                 Part::Lane(id) => {
-                    let new = || Lane::new(allowed.slots, figures);
+                    let new = || Lane::new(allowed.slots, figures, relays);
                     self.lanes.entry(id).or_insert_with(new).take(note, mail);
                 }
                 Part::Endpoint(id) => {
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -36,7 +36,7 @@
 /// With calls still out at an endpoint set aside, the next follows so many `tip_after` later.
 const PATIENCE: f64 = 3.0;
 /// After an outage all relays together may always send so many calls in `tip_after`, each an equal part.
-const LEAST: f64 = 3.0;
+const LEAST: f64 = 6.0;
 /// Connections idle for less than this are never taken for stale, and what was seen holds for so long.
 const STALE_LEAST: Span = Span::from_millis(500);
 const STALE_MEMORY: Span = Span::from_millis(30_000);
@@ -203,17 +203,13 @@
     stale: Option<(Span, Time)>,
     /// Set aside: the next call not before then.
     aside: Option<Time>,
-    /// Proved back at the first time: calls from the second on, doubling with each of so many delivered.
-    back: Option<(Time, Time, i32)>,
-    /// Notifications a second that this relay was handed for it of late; the least it may send after an outage.
-    pace: f64,
-    least: f64,
+    /// What of an outage's trickle is this relay's.
+    part: Share,
 }
 
 impl Endpoint {
     pub(crate) fn new(figures: RuleFigures, relays: usize) -> Self {
-        let least = LEAST / (figures.tip_after.secs() * relays.max(1) as f64);
-        Endpoint { figures, least, ..Endpoint::default() }
+        Endpoint { figures, part: Share { relays, pace: 0.0 }, ..Endpoint::default() }
     }
 
     pub(crate) fn gone(&self) -> bool {
@@ -224,8 +220,8 @@
         match note {
             Note::Listed(entry) => self.entry = entry,
             Note::Call(mut call) => {
-                self.pace = call.pace;
-                let until = self.takes_from(mail.now, call.pushes.len());
+                self.part.pace = call.pace.0;
+                let until = self.takes_from(mail.now);
                 if until > mail.now {
                     return mail.put(Part::Destination(call.destination), Note::Declined(until));
                 }
@@ -262,10 +258,8 @@
         self.stale.filter(|(_, told)| now.since(*told) < STALE_MEMORY).map(|(span, _)| span)
     }
 
-    /// Rules: nothing to an endpoint that drains or is gone; after an outage, no more than its part. From when
-    /// such a call may go.
-    fn takes_from(&self, now: Time, pushes: usize) -> Time {
-        let f = &self.figures;
+    /// Rule: nothing to an endpoint that drains or is gone. From when a call may go.
+    fn takes_from(&self, now: Time) -> Time {
         if self.entry.readiness != Readiness::Serving {
             return Time::NEVER;
         } else if self.outs.last().is_some_and(|o| o.at == now && o.ntfs.len() < self.entry.kind.per_call) {
@@ -274,25 +268,14 @@
         } else if let Some(next) = self.aside {
             // A call still out there tells of the return by itself, and costs no further slot.
             let patience = if self.outs.is_empty() { 0.0 } else { PATIENCE };
-            return next + f.tip_after.times(patience);
+            return next + self.figures.tip_after.times(patience);
         }
-        let back = self.back.filter(|back| now.since(back.0) < f.cold);
-        let Some((since, from, wins)) = back else { return now };
-        let rate = self.part(f.cold_from + (1.0 - f.cold_from) * now.since(since).secs() / f.cold.secs());
-        let rate = rate.min(2f64.powi(wins) / f.tip_after.secs());
-        let weight = 1.0 + FURTHER * pushes.saturating_sub(1) as f64;
-        from.max(self.used + Span::from_secs(weight / rate))
-    }
-
-    /// What this relay may send a second at a share of the capacity. If each relay sends in step with what it
-    /// is handed, all of them together do, whoever they are: none needs to know how many wait.
-    fn part(&self, level: f64) -> f64 {
-        level * (self.figures.fall_multiple * self.pace).max(self.least / self.figures.cold_from)
+        now
     }
 
     /// When to try an endpoint set aside next.
     fn trial(&self, mail: &mut Mail) -> Time {
-        let gap = Span::from_secs(1.0 / self.part(self.figures.cold_from)).max(self.figures.tip_after);
+        let gap = self.part.gap(&self.figures, self.figures.cold_from).max(self.figures.tip_after);
         mail.now + gap.times(0.75 + mail.chance() / 2.0)
     }
 
@@ -326,11 +309,7 @@
                 let was_aside = self.aside.take().is_some();
                 if was_aside && !brief {
                     mail.commands.push(Command::Log(format!("{} is back", self.entry.endpoint.0)));
-                    let gap = Span::from_secs(1.0 / self.part(self.figures.cold_from));
-                    let wait = gap.min(self.figures.cold).times(mail.chance());
-                    self.back = Some((now, now + wait, 0));
-                } else if let Some((_, _, wins)) = &mut self.back {
-                    *wins += 1;
+                    mail.put(self.lane(), Note::Back(now));
                 }
                 // Guards against connections that die unseen while idle: a call after an idle spell is lost
                 // while the next is answered. All endpoints then get fresh connections.
@@ -351,7 +330,7 @@
                 self.outs.iter().any(|o| o.lost(now))
             }
             // Above a told limit: no sign of an outage.
-            Status::Busy(_) if limit.is_some_and(|l| l.rate > 0.0 && l.left < LOW) => false,
+            Status::Busy(_) if limit.is_some_and(spent) => false,
             _ => status != Status::Skipped,
         };
         self.streak += usize::from(sign);
@@ -368,18 +347,40 @@
         }
         if self.aside.is_none() && self.streak + lost >= SUSPECT {
             self.aside = Some(self.trial(mail));
-            let (id, pace) = (&self.entry.endpoint.0, self.pace);
+            let (id, pace) = (&self.entry.endpoint.0, self.part.pace);
             mail.commands.push(Command::Log(format!("{id} set aside, handed {pace:.2}/s")));
         }
     }
 }
 
+/// Whether a report speaks of a limit that is used up.
+fn spent(limit: LimitReport) -> bool {
+    limit.rate > 0.0 && limit.left < LOW
+}
+
 /// A pause that grows eightfold with each in a row; chance keeps many from coming back in step.
 fn pause(first: Span, times: i32, longest: Span, mail: &mut Mail) -> Span {
     first.times(8f64.powi(times.min(8))).min(longest).times(0.5 + mail.chance())
 }
 
-// ---- Lane: waits and limits ----
+/// What this relay may send to what comes back from an outage.
+#[derive(Default)]
+struct Share {
+    relays: usize,
+    /// Notifications a second that it was handed for it of late.
+    pace: f64,
+}
+
+impl Share {
+    /// The gap between its calls at a share of the capacity. If each relay sends in step with what it is
+    /// handed, all of them together do, whoever they are: none needs to know how many wait.
+    fn gap(&self, f: &RuleFigures, level: f64) -> Span {
+        let least = LEAST / (f.tip_after.secs() * self.relays.max(1) as f64);
+        Span::from_secs(1.0 / (level * (f.fall_multiple * self.pace).max(least / f.cold_from)))
+    }
+}
+
+// ---- Lane: waits, limits, and returns ----
 
 #[derive(Default)]
 pub(crate) struct Lane {
@@ -393,22 +394,26 @@
     rate: f64,
     refused: i32,
     figures: RuleFigures,
-    /// Notifications a second that this relay was handed of late.
-    pace: f64,
+    part: Share,
+    /// Back at the first time: calls from the second on, doubling with each of so many delivered.
+    back: Option<(Time, Time, i32)>,
 }
 
 impl Lane {
-    pub(crate) fn new(slots: usize, figures: RuleFigures) -> Self {
-        Lane { window: (slots as f64 / 2.0).max(1.0), figures, ..Lane::default() }
+    pub(crate) fn new(slots: usize, figures: RuleFigures, relays: usize) -> Self {
+        let (window, part) = ((slots as f64 / 2.0).max(1.0), Share { relays, pace: 0.0 });
+        Lane { window, figures, part, ..Lane::default() }
     }
 
     pub(crate) fn take(&mut self, note: Note, mail: &mut Mail) {
         match note {
-            Note::Call(call) if self.takes_from() > mail.now => {
-                mail.put(Part::Destination(call.destination), Note::Declined(self.takes_from()));
-            }
             Note::Call(call) => {
-                (self.out, self.last_sent, self.pace) = (self.out + 1, mail.now, call.pace);
+                self.part.pace = call.pace.1;
+                let until = self.takes_from(mail.now, call.pushes.len());
+                if until > mail.now {
+                    return mail.put(Part::Destination(call.destination), Note::Declined(until));
+                }
+                (self.out, self.last_sent) = (self.out + 1, mail.now);
                 if call.fresh {
                     mail.commands.push(Command::CloseIdle(call.endpoint.clone()));
                 }
@@ -420,10 +425,19 @@
                 mail.put(Part::Destination(call.destination), Note::Sent(call));
             }
             Note::Ended(_) => self.out = self.out.saturating_sub(1),
+            Note::Back(since) => {
+                let gap = self.part.gap(&self.figures, self.figures.cold_from).min(self.figures.cold);
+                self.back = Some((since, since + gap.times(mail.chance()), 0));
+            }
             Note::Outcome(outcome, first) => {
                 // The outcomes of a call come in rounds of their own, each with a wait: all bind.
                 if let Status::Busy(Some(wait)) = outcome.status {
                     self.wait_until = self.wait_until.max(mail.now + wait);
+                    // Guards against all who were told when it opens: they would come back at the same time.
+                    let limited = outcome.limit.is_some_and(|limit| limit.rate > 0.0);
+                    if first && !(limited && wait < self.figures.tip_after.times(BRIEF)) {
+                        self.take(Note::Back(self.wait_until), mail);
+                    }
                 }
                 if first {
                     self.learn(outcome.status, outcome.limit, mail);
@@ -433,12 +447,19 @@
         }
     }
 
-    /// Rule: nothing while a told wait lasts. Besides, no faster than the limit allows.
-    fn takes_from(&self) -> Time {
+    /// Rules: nothing while a told wait lasts; after an outage, no more than its part. From when a call may go.
+    fn takes_from(&self, now: Time, pushes: usize) -> Time {
         if self.out as f64 >= self.window {
             return Time::NEVER;
         }
-        (self.last_sent + self.calls(1.0)).max(self.wait_until).max(self.pause_until)
+        let f = &self.figures;
+        let next = (self.last_sent + self.calls(1.0)).max(self.wait_until).max(self.pause_until);
+        let back = self.back.filter(|back| now.since(back.0) < f.cold);
+        let Some((since, from, wins)) = back else { return next };
+        let level = f.cold_from + (1.0 - f.cold_from) * now.since(since).secs() / f.cold.secs();
+        let gap = self.part.gap(f, level).max(f.tip_after.times(0.5f64.powi(wins)));
+        let weight = 1.0 + FURTHER * pushes.saturating_sub(1) as f64;
+        next.max(from).max(self.last_sent + gap.times(weight))
     }
 
     /// How long the told limit takes for so many calls; where none is told, no time.
@@ -449,13 +470,16 @@
     fn learn(&mut self, status: Status, limit: Option<LimitReport>, mail: &mut Mail) {
         self.rate = limit.map_or(self.rate, |limit| limit.rate);
         match status {
-            Status::Delivered => (self.refused, self.window) = (0, self.window + 1.0 / self.window),
+            Status::Delivered => {
+                (self.refused, self.window) = (0, self.window + 1.0 / self.window);
+                self.back = self.back.map(|(since, from, wins)| (since, from, wins + 1));
+            }
             Status::Busy(_) | Status::NoConnection if mail.now >= self.pause_until => {
                 // One of many relays may see a destination once in many seconds and cannot tell a limit from
                 // an outage, while all that come back after an outage count: each does so ever more rarely.
                 let first = PAUSE.max(self.calls(REFUSED));
-                let part = self.figures.fall_multiple * self.figures.cold_from * self.pace;
-                let longest = Span::from_secs(1.0 / part).max(LONGEST_PAUSE).min(self.figures.cold);
+                let gap = self.part.gap(&self.figures, self.figures.cold_from);
+                let longest = gap.max(LONGEST_PAUSE).min(self.figures.cold);
                 self.pause_until = mail.now + pause(first, self.refused, longest, mail);
                 self.refused += 1;
                 self.window = (self.window * 0.6).max(1.0);
@@ -511,6 +535,7 @@
     allowed: Allowance,
     figures: RuleFigures,
     per_call: usize,
+    apart: bool,
     /// Its endpoints, by id, with their zones, and where the rotation stands.
     ends: Vec<(EndpointId, Arc<str>)>,
     next: usize,
@@ -536,7 +561,7 @@
     pub(crate) fn take(&mut self, note: Note, mail: &mut Mail) {
         match note {
             Note::Listed(entry) => {
-                self.per_call = entry.kind.per_call.max(1);
+                (self.per_call, self.apart) = (entry.kind.per_call.max(1), entry.kind.separate_routes);
                 self.ends.retain(|end| end.0 != entry.endpoint);
                 if entry.readiness == Readiness::Serving {
                     self.ends.push((entry.endpoint, entry.zone));
@@ -615,7 +640,9 @@
             if !pushes.is_empty() {
                 let (to, destination) = (Part::Endpoint(endpoint.clone()), self.id);
                 let (usual, overdue_after, fresh) = (self.median(), self.overdue_after(), false);
-                let pace = self.handed.len() as f64 / self.memory().secs() / self.ends.len() as f64;
+                let pace = self.handed.len() as f64 / self.memory().secs();
+                let each = pace / self.ends.len() as f64;
+                let pace = (each, if self.apart { each } else { pace });
                 let call = Call { destination, endpoint, pushes, usual, overdue_after, pace, fresh };
                 return mail.put(to, Note::Call(call));
             }
