Call off once-only pushes too where most slots are stuck

Cause: a relay has two to four slots; once-only pushes that hang keep one each for their whole TTL and were never called off.

What else it covers: any silence where slots are few. When it might hurt: a short silence with most slots in it; these pushes would have been answered late.

--- a/src/mail.rs
+++ b/src/mail.rs
@@ -45,8 +45,9 @@
     Sent(Call),
     /// A push ended; the flag says that its call had shown no outcome before, for a call has one fate.
     Outcome(Outcome, bool),
-    /// All slots are taken and others wait: calls that are overdue may be called off.
-    Shed,
+    /// All slots are taken and others wait: calls that are overdue may be called off; once-only ones too if the
+    /// flag says that most slots are stuck.
+    Shed(bool),
     /// A call has all its outcomes.
     Ended(DestinationId),
     /// It is, or will be, back from an outage at that time.
@@ -62,8 +63,8 @@
     pub(crate) endpoint: EndpointId,
     pub(crate) pushes: Vec<(NtfId, Span)>,
     pub(crate) overdue_after: Span,
-    /// Notifications a second that this relay was handed of late for the endpoint, and for the lane.
-    pub(crate) pace: (f64, f64),
+    /// The gaps between this relay's calls to the endpoint, and to the lane, after an outage.
+    pub(crate) gaps: (Span, Span),
     /// How long such a call usually lasts.
     pub(crate) usual: Span,
     /// It must not go over a connection that has been idle.
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -85,14 +85,14 @@
             match part {
                 Part::Book => self.book.take(note, figures.ask_every, mail),
                 Part::Turns => self.turns.take(note, figures.settle, mail),
-                Part::Slots => self.slots.take(note, allowed.slots, mail),
+                Part::Slots => self.slots.take(note, allowed.slots, figures.tip_after, mail),
                 Part::Lane(id) => {
-                    let new = || Lane::new(allowed.slots, figures, relays);
+                    let new = || Lane::new(allowed.slots, figures);
                     self.lanes.entry(id).or_insert_with(new).take(note, mail);
                 }
                 Part::Endpoint(id) => {
                     if let Note::Listed(entry) = &note {
-                        let new = || Endpoint::new(figures, relays);
+                        let new = || Endpoint::new(figures);
                         self.endpoints.entry(entry.endpoint.clone()).or_insert_with(new);
                     }
                     let Some(endpoint) = self.endpoints.get_mut(&id) else { continue };
@@ -103,7 +103,7 @@
                     }
                 }
                 Part::Destination(id) => {
-                    let new = || Destination::new(id, allowed, figures);
+                    let new = || Destination::new(id, relays, allowed, figures);
                     self.destinations.entry(id).or_insert_with(new).take(note, mail);
                 }
             }
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -1,10 +1,9 @@
 //! All decisions of a relay. Make a [`crate::Relay`] at start, call its `handle` each round with the clock and
-//! all that has happened, in order, and carry out the commands it gives, in order. The types on both sides are
-//! in `interface.rs`. Why things are as they are stands in `docs/design.md`.
-//! Each part has an inbox; parts talk only by notes put into these (`mail.rs`), and one loop (`relay.rs`) hands
-//! the notes out, in the order in which `Part` lists the parts. A send passes them in turn: `Slots` offers a
-//! slot to a `Destination`, which picks notifications (cutoff, effects, order) and asks an `Endpoint` (drains,
-//! returns from an outage), which asks its `Lane` (waits, limits), which pushes.
+//! all that has happened, in order, and carry out the commands it gives. The types on both sides are in
+//! `interface.rs`; why things are as they are stands in `docs/design.md`. Each part has an inbox, and parts
+//! talk only by notes put into these (`mail.rs`), which one loop (`relay.rs`) hands out. A send passes them in
+//! turn: `Slots` offers a slot to a `Destination`, which picks notifications (cutoff, effects, order) and asks
+//! an `Endpoint` (drains, health), which asks its `Lane` (waits, limits, returns), which pushes.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
@@ -37,22 +36,22 @@
 const PATIENCE: f64 = 3.0;
 /// After an outage all relays together may always send so many calls in `tip_after`, each an equal part.
 const LEAST: f64 = 6.0;
-/// Connections idle for less than this are never taken for stale, and what was seen holds for so long.
-const STALE_LEAST: Span = Span::from_millis(500);
+/// What was handed in counts for so many times the cold time.
+const MEMORY: f64 = 2.0;
+/// What was seen of idle connections holds for so long.
 const STALE_MEMORY: Span = Span::from_millis(30_000);
 /// A call is overdue after so many times what nine in ten stay under, and after this share of `tip_after`.
 const OVERDUE: f64 = 2.5;
 const OVERDUE_FLOOR: f64 = 0.5;
 /// Share of the latency objective for which a call may wait to be filled.
 const FILL: f64 = 0.125;
-/// First pause after a throttled push that told no wait, at the least, and in calls of the told limit. It
-/// grows up to the cold time; after no connection, up to the last.
+/// First pause after a throttled push that told no wait or after no connection, at the least, and in calls of
+/// the told limit. A pause may grow to so many times the first, or as long as the relay's part asks for.
 const PAUSE: Span = Span::from_millis(100);
 const REFUSED: f64 = 3.0;
-const LONGEST_PAUSE: Span = Span::from_millis(1_600);
-/// The list is asked for again after this share of `ask_every`, and up to so many times that.
+const GROWTH: f64 = 16.0;
+/// The list is asked for again after this share of `ask_every`.
 const FIRST_ASK: f64 = 0.02;
-const LAST_ASK: f64 = 16.0;
 /// Below this much time left nothing is worth sending.
 const LEAST_LEFT: Span = Span::from_millis(20);
 /// Weight of each further notification in a call, for a cold endpoint.
@@ -60,7 +59,6 @@
 
 // ---- The design's latency fit and restart timer ----
 
-/// How long a call took, or was seen to last at least.
 struct Sample {
     at: Time,
     ln_secs: f64,
@@ -194,22 +192,21 @@
     entry: Entry,
     figures: RuleFigures,
     outs: Vec<Out>,
-    /// The latest send, and the latest delivery.
     used: Time,
-    good: Option<Time>,
+    delivered: Option<Time>,
     /// Failures less deliveries.
     streak: usize,
     /// Connections are not to be idle for that long, as last told at the second time.
     stale: Option<(Span, Time)>,
     /// Set aside: the next call not before then.
     aside: Option<Time>,
-    /// What of an outage's trickle is this relay's.
-    part: Share,
+    /// The gap between this relay's calls in an outage, were all of the capacity there.
+    gap: Span,
 }
 
 impl Endpoint {
-    pub(crate) fn new(figures: RuleFigures, relays: usize) -> Self {
-        Endpoint { figures, part: Share { relays, pace: 0.0 }, ..Endpoint::default() }
+    pub(crate) fn new(figures: RuleFigures) -> Self {
+        Endpoint { figures, ..Endpoint::default() }
     }
 
     pub(crate) fn gone(&self) -> bool {
@@ -220,7 +217,7 @@
         match note {
             Note::Listed(entry) => self.entry = entry,
             Note::Call(mut call) => {
-                self.part.pace = call.pace.0;
+                self.gap = call.gaps.0;
                 let until = self.takes_from(mail.now);
                 if until > mail.now {
                     return mail.put(Part::Destination(call.destination), Note::Declined(until));
@@ -229,16 +226,13 @@
                 mail.put(self.lane(), Note::Call(call));
             }
             Note::Stale(span, _) => {
-                let known = self.stale(mail.now);
-                self.stale = Some((known.map_or(span, |known| known.min(span)), mail.now));
-                if known.is_none_or(|known| known > span) && self.used > Time::default() {
-                    mail.commands.push(Command::CloseIdle(self.entry.endpoint.clone()));
-                }
+                self.stale = Some((self.stale(mail.now).map_or(span, |known| known.min(span)), mail.now));
+                mail.commands.push(Command::CloseIdle(self.entry.endpoint.clone()));
             }
             Note::Sent(call) => {
                 let (at, idle) = (mail.now, mail.now.since(self.used));
                 self.used = at;
-                self.aside = self.aside.map(|_| self.trial(mail));
+                self.aside = self.aside.map(|_| self.next_trial(mail));
                 let overdue_at = at + call.overdue_after;
                 mail.alarm(Part::Endpoint(call.endpoint), overdue_at);
                 let ntfs = call.pushes.into_iter().map(|push| push.0).collect();
@@ -273,9 +267,8 @@
         now
     }
 
-    /// When to try an endpoint set aside next.
-    fn trial(&self, mail: &mut Mail) -> Time {
-        let gap = self.part.gap(&self.figures, self.figures.cold_from).max(self.figures.tip_after);
+    fn next_trial(&self, mail: &mut Mail) -> Time {
+        let gap = self.gap.times(1.0 / self.figures.cold_from).max(self.figures.tip_after);
         mail.now + gap.times(0.75 + mail.chance() / 2.0)
     }
 
@@ -305,7 +298,7 @@
         let sign = match status {
             Status::Delivered => {
                 // Too short for an outage, as far as this relay saw: no reason to hold back.
-                let brief = self.good.is_some_and(|t| now.since(t) < span.times(BRIEF));
+                let brief = self.delivered.is_some_and(|t| now.since(t) < span.times(BRIEF));
                 let was_aside = self.aside.take().is_some();
                 if was_aside && !brief {
                     mail.commands.push(Command::Log(format!("{} is back", self.entry.endpoint.0)));
@@ -313,11 +306,12 @@
                 }
                 // Guards against connections that die unseen while idle: a call after an idle spell is lost
                 // while the next is answered. All endpoints then get fresh connections.
-                let mut lost = self.outs.iter().filter(|o| o.lost(now) && o.at < at && o.idle >= STALE_LEAST);
+                let idle = span.times(OVERDUE_FLOOR);
+                let mut lost = self.outs.iter().filter(|o| o.lost(now) && o.at < at && o.idle >= idle);
                 if let Some(out) = lost.next_back().filter(|o| now.since(o.at) < span.times(PATIENCE)) {
                     mail.put(Part::Book, Note::Stale(out.idle.times(0.9), None));
                 }
-                self.good = Some(now);
+                self.delivered = Some(now);
                 self.streak = if was_aside { 0 } else { self.streak.saturating_sub(1) };
                 false
             }
@@ -330,7 +324,7 @@
                 self.outs.iter().any(|o| o.lost(now))
             }
             // Above a told limit: no sign of an outage.
-            Status::Busy(_) if limit.is_some_and(spent) => false,
+            Status::Busy(_) if limit.is_some_and(|l| l.rate > 0.0 && l.left < LOW) => false,
             _ => status != Status::Skipped,
         };
         self.streak += usize::from(sign);
@@ -341,45 +335,23 @@
     fn suspect(&mut self, mail: &mut Mail) {
         let (now, span) = (mail.now, self.figures.tip_after);
         let mut lost = self.outs.iter().filter(|o| o.lost(now)).count();
-        if let Some(good) = self.good.filter(|t| lost > 0 && now.since(*t) < span) {
+        if let Some(good) = self.delivered.filter(|t| lost > 0 && now.since(*t) < span) {
             mail.alarm(Part::Endpoint(self.entry.endpoint.clone()), good + span);
             lost = 0;
         }
         if self.aside.is_none() && self.streak + lost >= SUSPECT {
-            self.aside = Some(self.trial(mail));
-            let (id, pace) = (&self.entry.endpoint.0, self.part.pace);
-            mail.commands.push(Command::Log(format!("{id} set aside, handed {pace:.2}/s")));
+            self.aside = Some(self.next_trial(mail));
+            mail.commands.push(Command::Log(format!("{} set aside", self.entry.endpoint.0)));
         }
     }
 }
 
-/// Whether a report speaks of a limit that is used up.
-fn spent(limit: LimitReport) -> bool {
-    limit.rate > 0.0 && limit.left < LOW
-}
-
 /// A pause that grows eightfold with each in a row; chance keeps many from coming back in step.
 fn pause(first: Span, times: i32, longest: Span, mail: &mut Mail) -> Span {
+    let longest = longest.max(first.times(GROWTH));
     first.times(8f64.powi(times.min(8))).min(longest).times(0.5 + mail.chance())
 }
 
-/// What this relay may send to what comes back from an outage.
-#[derive(Default)]
-struct Share {
-    relays: usize,
-    /// Notifications a second that it was handed for it of late.
-    pace: f64,
-}
-
-impl Share {
-    /// The gap between its calls at a share of the capacity. If each relay sends in step with what it is
-    /// handed, all of them together do, whoever they are: none needs to know how many wait.
-    fn gap(&self, f: &RuleFigures, level: f64) -> Span {
-        let least = LEAST / (f.tip_after.secs() * self.relays.max(1) as f64);
-        Span::from_secs(1.0 / (level * (f.fall_multiple * self.pace).max(least / f.cold_from)))
-    }
-}
-
 // ---- Lane: waits, limits, and returns ----
 
 #[derive(Default)]
@@ -394,21 +366,21 @@
     rate: f64,
     refused: i32,
     figures: RuleFigures,
-    part: Share,
+    /// The gap between this relay's calls after an outage, were all of the capacity there.
+    gap: Span,
     /// Back at the first time: calls from the second on, doubling with each of so many delivered.
     back: Option<(Time, Time, i32)>,
 }
 
 impl Lane {
-    pub(crate) fn new(slots: usize, figures: RuleFigures, relays: usize) -> Self {
-        let (window, part) = ((slots as f64 / 2.0).max(1.0), Share { relays, pace: 0.0 });
-        Lane { window, figures, part, ..Lane::default() }
+    pub(crate) fn new(slots: usize, figures: RuleFigures) -> Self {
+        Lane { window: (slots as f64 / 2.0).max(1.0), figures, ..Lane::default() }
     }
 
     pub(crate) fn take(&mut self, note: Note, mail: &mut Mail) {
         match note {
             Note::Call(call) => {
-                self.part.pace = call.pace.1;
+                self.gap = call.gaps.1;
                 let until = self.takes_from(mail.now, call.pushes.len());
                 if until > mail.now {
                     return mail.put(Part::Destination(call.destination), Note::Declined(until));
@@ -426,8 +398,7 @@
             }
             Note::Ended(_) => self.out = self.out.saturating_sub(1),
             Note::Back(since) => {
-                let gap = self.part.gap(&self.figures, self.figures.cold_from).min(self.figures.cold);
-                self.back = Some((since, since + gap.times(mail.chance()), 0));
+                self.back = Some((since, since + self.cold_gap().times(mail.chance()), 0));
             }
             Note::Outcome(outcome, first) => {
                 // The outcomes of a call come in rounds of their own, each with a wait: all bind.
@@ -457,11 +428,15 @@
         let back = self.back.filter(|back| now.since(back.0) < f.cold);
         let Some((since, from, wins)) = back else { return next };
         let level = f.cold_from + (1.0 - f.cold_from) * now.since(since).secs() / f.cold.secs();
-        let gap = self.part.gap(f, level).max(f.tip_after.times(0.5f64.powi(wins)));
+        let gap = self.gap.times(1.0 / level).max(f.tip_after.times(0.5f64.powi(wins)));
         let weight = 1.0 + FURTHER * pushes.saturating_sub(1) as f64;
         next.max(from).max(self.last_sent + gap.times(weight))
     }
 
+    fn cold_gap(&self) -> Span {
+        self.gap.times(1.0 / self.figures.cold_from).min(self.figures.cold)
+    }
+
     /// How long the told limit takes for so many calls; where none is told, no time.
     fn calls(&self, count: f64) -> Span {
         if self.rate > 0.0 { Span::from_secs(count / self.rate) } else { Span::ZERO }
@@ -478,9 +453,7 @@
                 // One of many relays may see a destination once in many seconds and cannot tell a limit from
                 // an outage, while all that come back after an outage count: each does so ever more rarely.
                 let first = PAUSE.max(self.calls(REFUSED));
-                let gap = self.part.gap(&self.figures, self.figures.cold_from);
-                let longest = gap.max(LONGEST_PAUSE).min(self.figures.cold);
-                self.pause_until = mail.now + pause(first, self.refused, longest, mail);
+                self.pause_until = mail.now + pause(first, self.refused, self.cold_gap(), mail);
                 self.refused += 1;
                 self.window = (self.window * 0.6).max(1.0);
             }
@@ -492,7 +465,6 @@
 
 // ---- Destination: what goes next, for how long, and when it is given up ----
 
-/// A notification held.
 #[derive(Debug, Default)]
 struct Held {
     ntf: Notification,
@@ -534,6 +506,7 @@
     id: DestinationId,
     allowed: Allowance,
     figures: RuleFigures,
+    relays: usize,
     per_call: usize,
     apart: bool,
     /// Its endpoints, by id, with their zones, and where the rotation stands.
@@ -550,8 +523,8 @@
 }
 
 impl Destination {
-    pub(crate) fn new(id: DestinationId, allowed: Allowance, figures: RuleFigures) -> Self {
-        Destination { id, allowed, figures, ..Destination::default() }
+    pub(crate) fn new(id: DestinationId, relays: usize, allowed: Allowance, figures: RuleFigures) -> Self {
+        Destination { id, relays, allowed, figures, ..Destination::default() }
     }
 
     pub(crate) fn holds(&self, ntf: NtfId) -> bool {
@@ -574,12 +547,11 @@
                 key.into_iter().for_each(|key| mail.put(Part::Turns, Note::Join(key, ntf.id, self.id)));
                 self.held.push(Held { ntf, taken, turn, ..Held::default() });
                 self.handed.push_back(taken);
-                let memory = self.memory();
-                self.handed.retain(|at| taken.since(*at) < memory);
+                self.handed.retain(|at| taken.since(*at) < self.figures.cold.times(MEMORY));
             }
             Note::Turn(ntf) => self.held.iter_mut().filter(|h| h.ntf.id == ntf).for_each(|h| h.turn = true),
-            Note::Withdrawn(ntf) => {
-                self.held.iter_mut().filter(|h| h.ntf.id == ntf).for_each(|h| h.over = true)
+            Note::Withdrawn(id) => {
+                self.held.iter_mut().filter(|h| h.ntf.id == id).for_each(|h| h.over = true)
             }
             Note::Outcome(outcome, first) => self.outcome(&outcome, first, mail.now),
             Note::Sent(call) => {
@@ -593,7 +565,7 @@
             }
             Note::Slot => return self.offer(0, Time::NEVER, mail),
             Note::Declined(until) => return self.offer(self.asked + 1, self.again.min(until), mail),
-            Note::Shed if self.allowed.cancel => return self.shed(mail),
+            Note::Shed(dire) if self.allowed.cancel => return self.shed(dire, mail),
             _ => {}
         }
         self.tidy(mail);
@@ -603,28 +575,27 @@
     fn tidy(&mut self, mail: &mut Mail) {
         (0..self.held.len()).rev().for_each(|place| self.give_up_if_vain(place, mail));
         let late = self.median().max(LEAST_LEFT) - Span::from_nanos(1);
-        let mut dues = Vec::new();
         for held in self.held.iter().filter(|h| h.out.is_none()) {
-            dues.extend([held.ntf.valid_until - late, self.filled(held)]);
-            dues.extend(
-                held.ran.iter().zip(held.ntf.topic.effect.window()).map(|(ran, window)| ran.0 + window),
-            );
+            let end =
+                held.ran.as_ref().zip(held.ntf.topic.effect.window()).map(|(ran, window)| ran.0 + window);
+            let dues = [held.ntf.valid_until - late, self.filled(held), end.unwrap_or(Time::NEVER)];
+            let next = dues.into_iter().filter(|at| *at > mail.now).min();
+            mail.alarm(Part::Destination(self.id), next.unwrap_or(Time::NEVER));
         }
-        let next = dues.into_iter().filter(|at| *at > mail.now).min();
-        mail.alarm(Part::Destination(self.id), next.unwrap_or(Time::NEVER));
         if self.held.iter().any(|h| h.turn && h.out.is_none()) {
             mail.put(Part::Slots, Note::Ask(self.id));
         }
     }
 
     /// Calls off what is overdue, or has `Slots` ask again when something will be.
-    fn shed(&mut self, mail: &mut Mail) {
-        let (now, after) = (mail.now, self.overdue_after());
-        for held in self.held.iter_mut().filter(|h| h.again()) {
+    fn shed(&mut self, dire: bool, mail: &mut Mail) {
+        let (now, usual) = (mail.now, self.overdue_after());
+        for held in &mut self.held {
             let Some(at) = held.out.as_ref().map(|out| out.0) else { continue };
+            let after = if held.again() { usual } else { usual.max(self.figures.tip_after) };
             if now < at + after {
                 mail.alarm(Part::Slots, at + after);
-            } else if held.doubt.is_none_or(|doubt| doubt < at) {
+            } else if held.doubt.is_none_or(|doubt| doubt < at) && (held.again() || dire) {
                 held.doubt = Some(now);
                 mail.commands.push(Command::Cancel { ntf: held.ntf.id, push: held.pushes - 1 });
             }
@@ -640,10 +611,9 @@
             if !pushes.is_empty() {
                 let (to, destination) = (Part::Endpoint(endpoint.clone()), self.id);
                 let (usual, overdue_after, fresh) = (self.median(), self.overdue_after(), false);
-                let pace = self.handed.len() as f64 / self.memory().secs();
-                let each = pace / self.ends.len() as f64;
-                let pace = (each, if self.apart { each } else { pace });
-                let call = Call { destination, endpoint, pushes, usual, overdue_after, pace, fresh };
+                let gaps =
+                    (self.gap(self.ends.len()), self.gap(if self.apart { self.ends.len() } else { 1 }));
+                let call = Call { destination, endpoint, pushes, usual, overdue_after, gaps, fresh };
                 return mail.put(to, Note::Call(call));
             }
             self.asked += 1;
@@ -651,8 +621,13 @@
         mail.put(Part::Slots, Note::Pass(self.id, self.again));
     }
 
-    fn memory(&self) -> Span {
-        self.figures.cold.times(2.0)
+    /// The gap between calls after an outage, at an endpoint that is one of so many parts, were all of the
+    /// capacity there. If each relay sends in step with what it is handed, all of them together do, whoever
+    /// they are: none needs to know how many wait.
+    fn gap(&self, parts: usize) -> Span {
+        let pace = self.handed.len() as f64 / (MEMORY * self.figures.cold.secs() * parts as f64);
+        let least = LEAST / (self.figures.tip_after.secs() * self.relays.max(1) as f64);
+        Span::from_secs(1.0 / (self.figures.fall_multiple * pace).max(least / self.figures.cold_from))
     }
 
     /// Calls are worth filling: one counts once for the limit and takes one slot. Until when one may wait.
@@ -682,8 +657,9 @@
         done.sort_by(f64::total_cmp);
         let usual = done.get(done.len() * 9 / 10).map_or(Span::ZERO, |ln| Span::from_secs(ln.exp()));
         let vain = self.samples.iter().rev().take_while(|s| s.censored).count();
-        let least = self.figures.tip_after.times(OVERDUE_FLOOR);
-        usual.times(OVERDUE).max(least).times(2f64.powi(vain.min(8) as i32 / 2))
+        let (least, stretch) =
+            (self.figures.tip_after.times(OVERDUE_FLOOR), 2f64.powi(vain.min(8) as i32 / 2));
+        usual.times(OVERDUE).max(least).times(stretch)
     }
 
     fn median(&self) -> Span {
@@ -744,16 +720,14 @@
 #[derive(Default)]
 pub(crate) struct Slots {
     open: usize,
-    /// A slot has been offered and neither taken nor passed yet.
     offered: bool,
-    /// Each destination's calls of late.
     calls: BTreeMap<DestinationId, VecDeque<Lasted>>,
     /// Destinations with something to send, and from when it may go.
     waiting: BTreeMap<DestinationId, Time>,
 }
 
 impl Slots {
-    pub(crate) fn take(&mut self, note: Note, total: usize, mail: &mut Mail) {
+    pub(crate) fn take(&mut self, note: Note, total: usize, tip_after: Span, mail: &mut Mail) {
         let now = mail.now;
         match note {
             Note::Ask(destination) => drop(self.waiting.insert(destination, now)),
@@ -790,8 +764,11 @@
             }
         } else if self.open >= total && waiting.count() > 0 {
             // Guards against silent and jammed destinations that take every slot for their long time-outs.
+            // Once-only ones are lost then, and go only where most slots are stuck.
+            let stuck = |c: &&Lasted| c.1.is_none() && now.since(c.0) >= tip_after;
+            let dire = self.calls.values().flatten().filter(stuck).count() * 2 > total;
             let out = self.calls.iter().filter(|(_, calls)| calls.iter().any(|c| c.1.is_none()));
-            out.for_each(|(id, _)| mail.put(Part::Destination(*id), Note::Shed));
+            out.for_each(|(id, _)| mail.put(Part::Destination(*id), Note::Shed(dire)));
         }
     }
 }
@@ -811,8 +788,7 @@
         match note {
             Note::News(News::Broken) if !self.pausing => {
                 // Guards against a list that is out of reach or overrun: ask again, ever later, never in step.
-                let first = ask_every.times(FIRST_ASK);
-                let at = mail.now + pause(first, self.failures, first.times(LAST_ASK), mail);
+                let at = mail.now + pause(ask_every.times(FIRST_ASK), self.failures, Span::ZERO, mail);
                 mail.alarm(Part::Book, at);
                 (self.pausing, self.failures) = (true, self.failures + 1);
             }
