Take a call for overdue later where the usual pace is unknown

Cause: with fewer than five latencies of a destination the threshold was half of tip_after, shorter than many sound calls.

What else it covers: destinations that differ in pace, after a start. When it might hurt: a silence met first by a call to a destination not seen before holds its slot for longer.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -43,6 +43,7 @@
 /// A call is overdue after so many times what nine in ten stay under, and after this share of `tip_after`.
 const OVERDUE: f64 = 2.5;
 const OVERDUE_FLOOR: f64 = 0.5;
+const OVERDUE_UNKNOWN: f64 = 1.5;
 /// Share of the latency objective for which a call may wait to be filled.
 const FILL: f64 = 0.125;
 /// First pause after a throttled push that told no wait or after no connection, at the least, and in calls of
@@ -657,9 +658,9 @@
         done.sort_by(f64::total_cmp);
         let usual = done.get(done.len() * 9 / 10).map_or(Span::ZERO, |ln| Span::from_secs(ln.exp()));
         let vain = self.samples.iter().rev().take_while(|s| s.censored).count();
-        let (least, stretch) =
-            (self.figures.tip_after.times(OVERDUE_FLOOR), 2f64.powi(vain.min(8) as i32 / 2));
-        usual.times(OVERDUE).max(least).times(stretch)
+        let floor = if done.len() < WARM_UP { OVERDUE_UNKNOWN } else { OVERDUE_FLOOR };
+        let least = self.figures.tip_after.times(floor);
+        usual.times(OVERDUE).max(least).times(2f64.powi(vain.min(8) as i32 / 2))
     }
 
     fn median(&self) -> Span {
