--- a/src/rules.rs
+++ b/src/rules.rs
@@ -40,10 +40,11 @@
 const MEMORY: f64 = 2.0;
 /// What was seen of idle connections holds for so long.
 const STALE_MEMORY: Span = Span::from_millis(30_000);
-/// A call is overdue after so many times what nine in ten stay under, and after this share of `tip_after`.
+/// A call is overdue after so many times what nine in ten stay under, and after this share of `tip_after`; the
+/// larger share where fewer than a warm-up's calls are known.
 const OVERDUE: f64 = 2.5;
 const OVERDUE_FLOOR: f64 = 0.5;
-const OVERDUE_UNKNOWN: f64 = 1.5;
+const OVERDUE_UNKNOWN: f64 = 2.0;
 /// Share of the latency objective for which a call may wait to be filled.
 const FILL: f64 = 0.125;
 /// First pause after a throttled push that told no wait or after no connection, at the least, and in calls of
@@ -471,7 +472,6 @@
     ntf: Notification,
     taken: Time,
     pushes: u32,
-    /// It has its turn, or needs none.
     turn: bool,
     /// When and to which zone the push now out was sent; the endpoint of the latest.
     out: Option<(Time, Arc<str>)>,
@@ -659,8 +659,8 @@
         let usual = done.get(done.len() * 9 / 10).map_or(Span::ZERO, |ln| Span::from_secs(ln.exp()));
         let vain = self.samples.iter().rev().take_while(|s| s.censored).count();
         let floor = if done.len() < WARM_UP { OVERDUE_UNKNOWN } else { OVERDUE_FLOOR };
-        let least = self.figures.tip_after.times(floor);
-        usual.times(OVERDUE).max(least).times(2f64.powi(vain.min(8) as i32 / 2))
+        let (least, stretch) = (self.figures.tip_after.times(floor), 2f64.powi(vain.min(8) as i32 / 2));
+        usual.times(OVERDUE).max(least).times(stretch)
     }
 
     fn median(&self) -> Span {
@@ -704,8 +704,8 @@
         let held = self.held.remove(place);
         if !held.over {
             let (ntf, retry_in) = (held.ntf.id, self.allowed.longest_retry.min(usual));
-            let answer = held.ran.map_or(Command::Throttle { ntf, retry_in }, |_| Command::Expire(ntf));
-            mail.commands.push(answer);
+            mail.commands
+                .push(held.ran.map_or(Command::Throttle { ntf, retry_in }, |_| Command::Expire(ntf)));
         }
         if let Some(key) = held.ntf.key.filter(|_| held.ntf.topic.ordered) {
             mail.put(Part::Turns, Note::Leave(key, held.ntf.id, held.doubt));
