Meet a second refusal with the relay's own part at once where no limit is told

Where a limit is told, a refusal may be the limit's; where none is, a second one in a row now waits for the relay's part after an outage. When it might hurt: a queue that is full for a moment only.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -24,7 +24,6 @@
 const RECENT: usize = 8;
 /// A destination's latencies vary at least this much (standard deviation of the logarithm).
 const SIGMA_FLOOR: f64 = 0.25;
-/// Slot time counts for this long.
 const SLOT_MEMORY: Span = Span::from_millis(10_000);
 /// Signs of trouble (failures less deliveries, calls overdue) that set an endpoint aside.
 const SUSPECT: usize = 3;
@@ -455,7 +454,8 @@
                 // One of many relays may see a destination once in many seconds and cannot tell a limit from
                 // an outage, while all that come back after an outage count: each does so ever more rarely.
                 let first = PAUSE.max(self.calls(REFUSED));
-                self.pause_until = mail.now + pause(first, self.refused, self.cold_gap(), mail);
+                let grows = if self.rate > 0.0 || status == Status::NoConnection { 1 } else { 2 };
+                self.pause_until = mail.now + pause(first, grows * self.refused, self.cold_gap(), mail);
                 self.refused += 1;
                 self.window = (self.window * 0.6).max(1.0);
             }
@@ -480,7 +480,6 @@
     ran: Option<(Time, Arc<str>)>,
     /// When a push last ended, or was called off, that may still be running.
     doubt: Option<Time>,
-    /// Withdrawn: kept only until the push out has its outcome.
     over: bool,
 }
 
--- a/tests/helper/mod.rs
+++ b/tests/helper/mod.rs
@@ -15,6 +15,8 @@
     /// Pushes called off; each ends with the next round.
     cancelled: Vec<u64>,
     kind: Arc<Kind>,
+    /// What destinations tell of their limit.
+    pub limit: Option<LimitReport>,
 }
 
 /// Topic types: `safe` (repeatable), `mark` (collapsible in its zone for 4 s), `once` (once-only, in order).
@@ -52,8 +54,15 @@
             },
         );
         let kind = Arc::new(Kind { name: "plain".to_owned(), separate_routes: false, per_call });
-        let mut rig =
-            Rig { relay, ms: 0, trace: String::new(), out: Vec::new(), cancelled: Vec::new(), kind };
+        let mut rig = Rig {
+            relay,
+            ms: 0,
+            trace: String::new(),
+            out: Vec::new(),
+            cancelled: Vec::new(),
+            kind,
+            limit: None,
+        };
         let entries =
             endpoints.iter().map(|(name, zone)| rig.entry(name, zone, Readiness::Serving)).collect();
         rig.give(Event::List(News::Whole(entries)));
@@ -104,7 +113,8 @@
         let place = self.out.iter().position(|o| o.0 == NtfId(id)).expect("a push of it is out");
         let (ntf, endpoint, sent) = self.out.remove(place);
         let (spent, settled) = (Span::from_millis(self.ms - sent), status == Status::Delivered);
-        self.give(Event::Ended(Outcome { ntf, push: 0, endpoint, status, spent, settled, limit: None }));
+        let limit = self.limit;
+        self.give(Event::Ended(Outcome { ntf, push: 0, endpoint, status, spent, settled, limit }));
     }
 
     /// The notification whose push has been out longest.
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -6,7 +6,7 @@
 
 use expect_test::expect;
 use helper::Rig;
-use juniperwing::interface::{Event, News, NtfId, Readiness, Status};
+use juniperwing::interface::{Event, LimitReport, News, NtfId, Readiness, Status};
 use juniperwing::rules::Fit;
 use juniperwing::time::Span;
 
@@ -422,8 +422,8 @@
         0      subscribe
         0      push 1 to a for 30000 ms
         90     push 1 to a for 29910 ms
-        10030  push 1 to a for 19970 ms
-        13030  a set aside
+        11050  push 1 to a for 18950 ms
+        14050  a set aside
         19580  push 1 to a for 10420 ms
     "#]]
     .assert_eq(&rig.trace);
@@ -457,3 +457,22 @@
     "#]]
     .assert_eq(&rig.trace);
 }
+
+/// The same where a limit is told: it starts from three calls of the limit and grows more slowly.
+#[test]
+fn refusals_above_a_told_limit_are_met_with_shorter_pauses() {
+    let mut rig = Rig::new(4, 1, &[("a", "z")]);
+    rig.limit = Some(LimitReport { left: 0.1, rate: 10.0 });
+    rig.accept(1, "safe", None, 30_000);
+    for _ in 0..3 {
+        rig.end(1, Status::Busy(None));
+        rig.pass(4_000);
+    }
+    expect![[r#"
+        0      subscribe
+        0      push 1 to a for 30000 ms
+        270    push 1 to a for 29730 ms
+        7080   push 1 to a for 22920 ms
+    "#]]
+    .assert_eq(&rig.trace);
+}
