--- a/src/rules.rs
+++ b/src/rules.rs
@@ -34,7 +34,7 @@
 /// With calls still out at an endpoint set aside, the next follows so many `tip_after` later.
 const PATIENCE: f64 = 3.0;
 /// After an outage all relays together may always send so many calls in `tip_after`, each an equal part.
-const LEAST: f64 = 6.0;
+const LEAST: f64 = 9.0;
 /// What was handed in counts for so many times the cold time.
 const MEMORY: f64 = 2.0;
 /// What was seen of idle connections holds for so long.
