--- a/src/rules.rs
+++ b/src/rules.rs
@@ -459,7 +459,7 @@
                 self.refused += 1;
                 self.window = (self.window * 0.6).max(1.0);
             }
-            Status::TimedOut | Status::Reset => self.window = (self.window * 0.8).max(1.0),
+            Status::TimedOut | Status::Reset => self.window = (self.window * 0.95).max(1.0),
             _ => {}
         }
     }
