SIGHUP reads the configuration anew; watch and notices move to the address in the file

Now each kind of signal has its own stream in the loop; a new address takes effect in that turn for the watch (from the version held) and for notices, those under way included. The file goes before the environment, so that a restart after a SIGHUP finds the same address. A file that cannot be used changes nothing.

--- a/crates/relay/src/book.rs
+++ b/crates/relay/src/book.rs
@@ -103,6 +103,13 @@
         net.due(token, now + SLOW);
     }
 
+    /// The platform is at another address from now on: what was under way is asked there anew, at once.
+    pub fn moves(&mut self, net: &mut Net, to: SocketAddr, now: Time) {
+        self.address = to;
+        self.failed(net, now);
+        (self.pause, self.next) = (Span::ZERO, now);
+    }
+
     fn failed(&mut self, net: &mut Net, now: Time) {
         if let Some(token) = self.connection.take() {
             net.close(token);
--- a/crates/relay/src/config.rs
+++ b/crates/relay/src/config.rs
@@ -61,6 +61,8 @@
 }
 
 pub struct Config {
+    /// The file that this was read from.
+    pub path: PathBuf,
     pub name: String,
     pub listen: SocketAddr,
     pub discovery: SocketAddr,
@@ -92,7 +94,8 @@
 }
 
 impl Config {
-    /// Reads the file that `given` or `ROUTER_CONFIG` names; what the environment says goes before the file.
+    /// Reads the file that `given` or `ROUTER_CONFIG` names. What the file says goes before the environment: the
+    /// file can be replaced while the process runs, and its environment cannot.
     pub fn read(given: Option<PathBuf>) -> Result<Config, Invalid> {
         let env = |name: &str| std::env::var(name).ok().filter(|value| !value.is_empty());
         let Some(path) = given.or_else(|| env("ROUTER_CONFIG").map(PathBuf::from)) else {
@@ -114,6 +117,8 @@
         if file.limits.disk_mb < 0.1 {
             return invalid("limits.disk_mb must be at least 0.1");
         }
+        let or_env =
+            |written: String, name: &str| Some(written).filter(|w| !w.is_empty()).or_else(|| env(name));
         let settings = Settings::from(&file.settings);
         if settings.allowance.slots == 0 || settings.allowance.pushes == 0 {
             return invalid("settings: family-info.slots and ceilings.max-attempts must be above 0");
@@ -122,9 +127,10 @@
             return invalid("settings: classes is empty, so no notification could be taken on");
         }
         Ok(Config {
-            name: env("ROUTER_NAME").unwrap_or(file.name),
-            listen: address("listen", &env("ROUTER_LISTEN").unwrap_or(file.listen))?,
-            discovery: address("discovery", &env("ROUTER_DISCOVERY").unwrap_or(file.discovery))?,
+            path,
+            name: or_env(file.name, "ROUTER_NAME").unwrap_or_default(),
+            listen: address("listen", &or_env(file.listen, "ROUTER_LISTEN").unwrap_or_default())?,
+            discovery: address("discovery", &or_env(file.discovery, "ROUTER_DISCOVERY").unwrap_or_default())?,
             state,
             seed: seed(&file.seed),
             limits: file.limits,
--- a/crates/relay/src/discovery.rs
+++ b/crates/relay/src/discovery.rs
@@ -64,12 +64,14 @@
     address: SocketAddr,
     seq: u64,
     watch: Option<Watch>,
+    /// The core has asked for a watch.
+    wanted: bool,
     places: BTreeMap<EndpointId, Place>,
 }
 
 impl Discovery {
     pub fn new(address: SocketAddr) -> Discovery {
-        Discovery { address, seq: 0, watch: None, places: BTreeMap::new() }
+        Discovery { address, seq: 0, watch: None, wanted: false, places: BTreeMap::new() }
     }
 
     pub fn place(&self, endpoint: &EndpointId) -> Option<&Place> {
@@ -113,6 +115,7 @@
 
     /// Opens a watch, in place of one that is open. Says whether that could be begun.
     pub fn subscribe(&mut self, net: &mut Net, now: Time) -> bool {
+        self.wanted = true;
         if let Some(old) = self.watch.take() {
             net.close(old.token);
         }
@@ -124,6 +127,13 @@
         true
     }
 
+    /// Discovery is at another address from now on. A watch that the core wants goes there at once, from the version
+    /// held. Says whether it could be begun.
+    pub fn moves(&mut self, net: &mut Net, to: SocketAddr, now: Time) -> bool {
+        self.address = to;
+        !self.wanted || self.subscribe(net, now)
+    }
+
     /// Reads what a watch brings: lists in order, or that it broke.
     pub fn happened(
         &mut self, net: &mut Net, token: Token, what: Happening, now: Time,
--- a/crates/relay/src/event_loop.rs
+++ b/crates/relay/src/event_loop.rs
@@ -27,7 +27,8 @@
 const BACKLOG: i32 = 1_024;
 
 const LISTENER: usize = usize::MAX - 1;
-const SIGNALS: usize = usize::MAX - 2;
+const STOP: usize = usize::MAX - 2;
+const RELOAD: usize = usize::MAX - 3;
 /// A token is a place in the table and the count of its uses, so that news of a socket long closed reaches
 /// nobody.
 const PLACE_BITS: u32 = 20;
@@ -88,6 +89,14 @@
     pub happenings: Vec<(Token, Role, Happening)>,
     /// A signal to stop has come.
     pub stop: bool,
+    /// A signal to read the configuration anew has come.
+    pub reload: bool,
+}
+
+/// Signals come as bytes: those to stop, and those to read the configuration anew.
+pub struct Signals {
+    pub stop: UnixStream,
+    pub reload: UnixStream,
 }
 
 struct Conn {
@@ -109,7 +118,7 @@
     events: Events,
     listener: Option<TcpListener>,
     listening: bool,
-    signals: UnixStream,
+    signals: Signals,
     conns: Vec<(usize, Option<Conn>)>,
     free: Vec<usize>,
     dues: BTreeSet<(Time, Token)>,
@@ -122,20 +131,20 @@
 }
 
 impl Net {
-    /// Listens on an address; stops come as bytes on `signals`.
-    pub fn new(
-        clock: Clock, listen: SocketAddr, signals: UnixStream, clients_most: usize,
-    ) -> io::Result<Net> {
+    /// Listens on an address.
+    pub fn new(clock: Clock, listen: SocketAddr, signals: Signals, clients_most: usize) -> io::Result<Net> {
         let socket = Socket::new(Domain::for_address(listen), Type::STREAM, Some(Protocol::TCP))?;
         socket.set_reuse_address(true)?;
         socket.bind(&listen.into())?;
         socket.listen(BACKLOG)?;
         socket.set_nonblocking(true)?;
-        signals.set_nonblocking(true)?;
         let listener = TcpListener::from(socket);
         let poller = Poller::new()?;
         register(&poller, &listener, Event::readable(LISTENER))?;
-        register(&poller, &signals, Event::readable(SIGNALS))?;
+        for (stream, key) in [(&signals.stop, STOP), (&signals.reload, RELOAD)] {
+            stream.set_nonblocking(true)?;
+            register(&poller, stream, Event::readable(key))?;
+        }
         Ok(Net {
             clock,
             poller,
@@ -162,7 +171,7 @@
     pub fn wait(&mut self, until: Time) -> Turn {
         let until = self.dues.first().map_or(until, |due| due.0.min(until)).min(self.accept_at);
         let mut left = Duration::from_nanos(until.since(self.clock.now()).nanos());
-        let mut turn = Turn { happenings: std::mem::take(&mut self.again), stop: false };
+        let mut turn = Turn { happenings: std::mem::take(&mut self.again), ..Turn::default() };
         if !turn.happenings.is_empty() {
             left = Duration::ZERO;
         }
@@ -173,10 +182,8 @@
         for event in events {
             match event.key {
                 LISTENER => self.accept(&mut turn),
-                SIGNALS => {
-                    let mut bytes = [0; 64];
-                    turn.stop |= matches!((&self.signals).read(&mut bytes), Ok(count) if count > 0);
-                }
+                STOP => turn.stop |= signalled(&self.signals.stop),
+                RELOAD => turn.reload |= signalled(&self.signals.reload),
                 key => self.ready(Token(key), &mut turn),
             }
         }
@@ -459,6 +466,10 @@
     if slot.0 == token.0 >> PLACE_BITS { slot.1.as_mut() } else { None }
 }
 
+fn signalled(mut stream: &UnixStream) -> bool {
+    matches!(stream.read(&mut [0; 64]), Ok(count) if count > 0)
+}
+
 /// A connection is under way.
 const EINPROGRESS: i32 = 115;
 
--- a/crates/relay/src/main.rs
+++ b/crates/relay/src/main.rs
@@ -25,6 +25,7 @@
 use slog::{Drain, Level, Logger, error, o};
 
 use crate::config::Config;
+use crate::event_loop::Signals;
 
 const USAGE: &str = "\
 juniperwing takes notifications on over HTTP and pushes them to their destinations.
@@ -32,7 +33,7 @@
 Usage: juniperwing [COMMAND] [OPTIONS]
 
 Commands:
-  serve          Serve until SIGTERM or SIGINT (the default)
+  serve          Serve until SIGTERM or SIGINT (the default); SIGHUP has the configuration read anew
   check-config   Read the configuration, say what is in it or what is wrong with it, and exit
   version        Print the version
   help           Print this
@@ -44,7 +45,7 @@
   -V, --version       Print the version
 
 The environment also gives ROUTER_STATE, the folder that lasts, and may give ROUTER_NAME, ROUTER_LISTEN and
-ROUTER_DISCOVERY in place of what the configuration says.
+ROUTER_DISCOVERY where the configuration does not.
 ";
 
 /// Lines of the log that may wait to be written; more are dropped and counted.
@@ -77,6 +78,8 @@
         Order::Version => println!("juniperwing {}", env!("CARGO_PKG_VERSION")),
         Order::Help => print!("{USAGE}"),
         Order::CheckConfig | Order::Serve => {
+            // First, so that a signal that comes while the configuration is read is heeded once it was.
+            let signals = signals();
             let config = match Config::read(args.config) {
                 Ok(config) => config,
                 Err(e) => {
@@ -85,7 +88,7 @@
                 }
             };
             if matches!(args.order, Order::Serve) {
-                return serve(config, args.level);
+                return serve(config, signals, args.level);
             }
             println!(
                 "{} listens on {}, asks {}, keeps up to {} bytes in {}",
@@ -134,7 +137,7 @@
     name.parse().map_err(|()| format!("unknown log level {name:?}").into())
 }
 
-fn serve(config: Config, level: Level) -> ExitCode {
+fn serve(config: Config, signals: std::io::Result<Signals>, level: Level) -> ExitCode {
     // Lines are written by a thread of their own: a reader of the log that stands still holds nothing up.
     let lines = slog_json::Json::default(std::io::stderr());
     let (lines, guard) = slog_async::Async::new(Mutex::new(lines).map(slog::Fuse))
@@ -142,7 +145,7 @@
         .overflow_strategy(slog_async::OverflowStrategy::DropAndReport)
         .build_with_guard();
     let log = Logger::root(lines.filter_level(level).fuse(), o!());
-    let served = signals().and_then(|signals| serve::serve(config, signals, log.clone()));
+    let served = signals.and_then(|signals| serve::serve(config, signals, log.clone()));
     let code = match served {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
@@ -162,11 +165,13 @@
     code
 }
 
-/// A stream that has a byte for each signal to stop.
-fn signals() -> std::io::Result<UnixStream> {
-    let (signals, handler) = UnixStream::pair()?;
-    for signal in [signal_hook::consts::SIGTERM, signal_hook::consts::SIGINT] {
-        signal_hook::low_level::pipe::register(signal, handler.try_clone()?)?;
+/// A stream for each kind of signal, with a byte for each that has come.
+fn signals() -> std::io::Result<Signals> {
+    use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
+    let (stop, stops) = UnixStream::pair()?;
+    let (reload, reloads) = UnixStream::pair()?;
+    for (signal, to) in [(SIGTERM, &stops), (SIGINT, &stops), (SIGHUP, &reloads)] {
+        signal_hook::low_level::pipe::register(signal, to.try_clone()?)?;
     }
-    Ok(signals)
+    Ok(Signals { stop, reload })
 }
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -4,7 +4,8 @@
 
 use std::collections::BTreeMap;
 use std::io;
-use std::os::unix::net::UnixStream;
+use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::sync::Arc;
 
 use juniperwing::interface::{
@@ -17,7 +18,7 @@
 use crate::book::Book;
 use crate::config::Config;
 use crate::discovery::{Discovery, List};
-use crate::event_loop::{Clock, Happening, Net, Role, Token};
+use crate::event_loop::{Clock, Happening, Net, Role, Signals, Token};
 use crate::route::Route;
 use crate::send::{Ended, Push, Send};
 use crate::store::{End, Store, Taken};
@@ -49,6 +50,9 @@
 }
 
 struct Chain {
+    /// Where the configuration is, and where discovery is by it.
+    config: PathBuf,
+    platform: SocketAddr,
     settings: juniperwing_settings::Settings,
     net: Net,
     discovery: Discovery,
@@ -62,8 +66,8 @@
     log: Logger,
 }
 
-/// Serves until a byte arrives on `signals` and the stop that it asks for is done.
-pub fn serve(config: Config, signals: UnixStream, log: Logger) -> io::Result<()> {
+/// Serves until a signal to stop comes and the stop that it asks for is done.
+pub fn serve(config: Config, signals: Signals, log: Logger) -> io::Result<()> {
     let clock = Clock::new();
     let (clients, endpoints) = config.limits.shares();
     // First the address, so that no two processes share a folder.
@@ -77,6 +81,8 @@
     }
     let settings = config.settings;
     let mut chain = Chain {
+        config: config.path,
+        platform: config.discovery,
         net,
         discovery: Discovery::new(config.discovery),
         take_in: TakeIn::default(),
@@ -106,6 +112,9 @@
             for (token, role, what) in turn.happenings {
                 self.happened(token, role, what, now);
             }
+            if turn.reload {
+                self.reload(now);
+            }
             self.outcomes(now);
             self.decide(now);
             self.store.flush()?;
@@ -137,6 +146,24 @@
         }
     }
 
+    /// Reads the configuration anew: where discovery is takes effect at once, all else with the next start.
+    fn reload(&mut self, now: Time) {
+        let config = match Config::read(Some(self.config.clone())) {
+            Ok(config) => config,
+            // Guards against a file that is half written or wrong: what was read before holds.
+            Err(e) => return warn!(self.log, "the new configuration cannot be used"; "why" => e.to_string()),
+        };
+        info!(self.log, "configuration read anew"; "discovery" => config.discovery.to_string());
+        if config.discovery == self.platform {
+            return;
+        }
+        self.platform = config.discovery;
+        self.book.moves(&mut self.net, config.discovery, now);
+        if !self.discovery.moves(&mut self.net, config.discovery, now) {
+            self.lost_watch("cannot be opened");
+        }
+    }
+
     /// Tells the core what an earlier process took on and still owes, in the order taken.
     fn resume(&mut self, now: Time) {
         let mut owed = Vec::new();
--- a/crates/relay/tests/serve.rs
+++ b/crates/relay/tests/serve.rs
@@ -286,6 +286,30 @@
     assert!(rig.watch().head.contains("index=44 "));
 }
 
+#[test]
+fn on_sighup_the_watch_and_the_notices_go_to_the_address_now_in_the_file() {
+    let mut rig = Rig::start();
+    let watch = rig.watch();
+    assert_eq!(rig.client().hand_in("once", "1", "k", b"x"), 202);
+    rig.endpoint.next().answer("500 Internal Server Error", "", "");
+    let (message, notice) = rig.notice();
+    // What cannot be used changes nothing.
+    rig.reload("{");
+    rig.logged("the new configuration cannot be used");
+    let old = std::mem::replace(&mut rig.platform, Server::start());
+    rig.config["discovery"] = json!(rig.platform.address.to_string());
+    rig.reload(&rig.config.to_string());
+    let (next, second) = (rig.platform.next(), rig.platform.next());
+    let (mut told, asked) = if next.body.is_empty() { (second, next) } else { (next, second) };
+    assert!(asked.head.starts_with("GET /v1/endpoints?stream=1&index=41 "), "{}", asked.head);
+    assert_eq!(serde_json::from_slice::<Value>(&told.body).ok(), Some(notice));
+    told.answer("204 No Content", "", "");
+    assert_eq!([watch, message].map(|mut left| left.is_closed()), [true; 2]);
+    assert_eq!(rig.client().hand_in("once", "2", "k", b"x"), 202);
+    assert_eq!(rig.endpoint.next().id(), "2");
+    drop(old);
+}
+
 #[test]
 fn more_clients_than_descriptors_are_served_in_turn() {
     let rig = Rig::with(|config| config["limits"]["sockets"] = json!(64));
--- a/crates/relay/tests/stand_in/mod.rs
+++ b/crates/relay/tests/stand_in/mod.rs
@@ -183,9 +183,19 @@
         self.folder.join("state")
     }
 
+    fn config_path(&self) -> PathBuf {
+        self.folder.join("config.json")
+    }
+
+    /// Replaces the configuration file and asks the relay to read it.
+    pub fn reload(&self, text: &str) {
+        std::fs::write(self.config_path(), text).expect("a written file");
+        self.signal("-HUP");
+    }
+
     /// Starts the relay over the folder as it is, and waits until it serves.
     pub fn restart(&mut self) {
-        let path = self.folder.join("config.json");
+        let path = self.config_path();
         std::fs::write(&path, self.config.to_string()).expect("a written file");
         let mut relay = program()
             .args(["serve", "--log-level", "debug", "--config"])
@@ -247,8 +257,12 @@
 
     /// Asks the relay to stop.
     pub fn terminate(&self) {
+        self.signal("-TERM");
+    }
+
+    fn signal(&self, name: &str) {
         let id = self.relay.as_ref().expect("a relay that runs").id();
-        let done = Command::new("kill").args(["-TERM", &id.to_string()]).status().expect("kill runs");
+        let done = Command::new("kill").args([name, &id.to_string()]).status().expect("kill runs");
         assert!(done.success());
     }
 
