Take on nothing for unlisted destinations or under used ids; bound slow heads and answers

Ruled out: ids taken on twice while live (none), requests cut short, resets (none), want of CPU. Changed: admit.rs asks discovery and remembers what the last ids were answered; take_in.rs gives a request 2 s, the first from accepting, and has half requests make room too; send.rs ends an answer that stalls after 0.5 s and uses no connection that has something unread; http.rs takes no coding but chunked, and finds a first line behind 1xx answers.

--- a/crates/relay/src/admit.rs
+++ b/crates/relay/src/admit.rs
@@ -1,21 +1,64 @@
 //! The second stage: whether a notification that was handed in can be taken on at all. It owns the bounds on
-//! what is held, and must never weigh one notification against another: that is the core's.
+//! what is held and the ids handed in of late, and must never weigh one notification against another: that is
+//! the core's.
 
+use std::collections::{HashMap, VecDeque};
+use std::hash::{BuildHasher, RandomState};
 use std::sync::Arc;
 
-use juniperwing::interface::TopicType;
+use juniperwing::interface::{DestinationId, TopicType};
 use juniperwing_settings::Settings;
 
+use crate::discovery::Discovery;
 use crate::store::Store;
 use crate::take_in::{Answer, HandedIn};
 
-/// The topic type of a notification that there is room for, or the answer to one that cannot be taken on.
-pub fn admit(handed_in: &HandedIn, settings: &Settings, store: &Store) -> Result<Arc<TopicType>, Answer> {
-    let topic = settings.topic(&handed_in.words.topic).ok_or(Answer::Malformed)?;
-    let most = settings.allowance.held;
-    // Guards against a folder that fills up, and a hold larger than the settings allow.
-    if !store.takes(handed_in.body.len()) || most > 0 && store.len() >= most {
-        return Err(Answer::Unavailable);
+/// So many of the latest ids are known again: more than come in while one may be held.
+const IDS: usize = 8_192;
+
+#[derive(Default)]
+pub struct Admit {
+    /// What the latest ids were answered, by a digest of each, and the digests in the order they came.
+    answers: HashMap<u64, Answer>,
+    order: VecDeque<u64>,
+    digest: RandomState,
+}
+
+impl Admit {
+    /// The topic type of a notification that there is room for, or the answer to one that is not taken on.
+    pub fn admit(
+        &mut self, handed_in: &HandedIn, settings: &Settings, store: &Store, discovery: &Discovery,
+    ) -> Result<Arc<TopicType>, Answer> {
+        let words = &handed_in.words;
+        // Guards against an id used again, be it another client's: under it, something else would be pushed. What
+        // was taken on once is so still, and a connection that broke before the answer costs nothing.
+        if store.holds(&words.id) {
+            return Err(Answer::Accepted);
+        }
+        if let Some(answer) = self.answers.get(&self.digest.hash_one(&words.id)) {
+            return Err(*answer);
+        }
+        let topic = settings.topic(&words.topic).ok_or(Answer::Malformed)?;
+        // Guards against notifications that could never be delivered, and would fill the hold.
+        if !discovery.knows(DestinationId(words.destination)) {
+            return Err(if discovery.is_current() { Answer::Unknown } else { Answer::Unavailable });
+        }
+        let most = settings.allowance.held;
+        // Guards against a folder that fills up, and a hold larger than the settings allow.
+        if !store.takes(handed_in.body.len()) || most > 0 && store.len() >= most {
+            return Err(Answer::Unavailable);
+        }
+        Ok(topic)
+    }
+
+    /// Notes what an id was answered.
+    pub fn answered(&mut self, id: &str, answer: Answer) {
+        let digest = self.digest.hash_one(id);
+        if self.answers.insert(digest, answer).is_none() {
+            self.order.push_back(digest);
+        }
+        if self.order.len() > IDS {
+            self.order.pop_front().map(|oldest| self.answers.remove(&oldest));
+        }
     }
-    Ok(topic)
 }
--- a/crates/relay/src/discovery.rs
+++ b/crates/relay/src/discovery.rs
@@ -51,12 +51,15 @@
     pub zone: Arc<str>,
     pub per_call: usize,
     serving: bool,
+    destination: DestinationId,
 }
 
 struct Watch {
     token: Token,
     /// Whether the head of the answer has come.
     begun: bool,
+    /// Whether a list has come, or word that nothing has changed.
+    told: bool,
     text: Vec<u8>,
 }
 
@@ -67,11 +70,30 @@
     /// The core has asked for a watch.
     wanted: bool,
     places: BTreeMap<EndpointId, Place>,
+    /// Destinations that have endpoints on the list, and when one that has none any more may be forgotten.
+    destinations: BTreeMap<DestinationId, Time>,
 }
 
 impl Discovery {
     pub fn new(address: SocketAddr) -> Discovery {
-        Discovery { address, seq: 0, watch: None, wanted: false, places: BTreeMap::new() }
+        Discovery {
+            address,
+            seq: 0,
+            watch: None,
+            wanted: false,
+            places: BTreeMap::new(),
+            destinations: BTreeMap::new(),
+        }
+    }
+
+    /// Whether a destination has endpoints, or had some so lately that they may be about to be replaced.
+    pub fn knows(&self, destination: DestinationId) -> bool {
+        self.destinations.contains_key(&destination)
+    }
+
+    /// Whether the list is as discovery tells it now.
+    pub fn is_current(&self) -> bool {
+        self.watch.as_ref().is_some_and(|watch| watch.told)
     }
 
     pub fn place(&self, endpoint: &EndpointId) -> Option<&Place> {
@@ -80,7 +102,7 @@
 
     /// Takes in a list. Gives the news of it for the core, and the endpoints whose idle connections are of no
     /// use any more.
-    pub fn learn(&mut self, list: List, settings: &Settings) -> (News, Vec<EndpointId>) {
+    pub fn learn(&mut self, list: List, settings: &Settings, now: Time) -> (News, Vec<EndpointId>) {
         self.seq = list.seq;
         let before = if list.whole { std::mem::take(&mut self.places) } else { self.places.clone() };
         let mut entries = Vec::with_capacity(list.hosts.len());
@@ -101,7 +123,9 @@
             if let Some(dial) = host.dial.parse().ok().filter(|_| entry.readiness != Readiness::Deleted) {
                 let serving = entry.readiness == Readiness::Serving;
                 let (zone, per_call) = (entry.zone.clone(), entry.kind.per_call.max(1));
-                self.places.insert(entry.endpoint.clone(), Place { dial, zone, per_call, serving });
+                let destination = entry.destination;
+                self.places
+                    .insert(entry.endpoint.clone(), Place { dial, zone, per_call, serving, destination });
             }
             entries.push(entry);
         }
@@ -109,6 +133,10 @@
             self.places.get(id).is_none_or(|now| now.dial != old.dial || !now.serving)
         };
         let closing = before.iter().filter(|(id, old)| left(id, old)).map(|(id, _)| id.clone()).collect();
+        let forget = now + settings.longest_ttl();
+        self.destinations.extend(before.values().map(|place| (place.destination, forget)));
+        self.destinations.extend(self.places.values().map(|place| (place.destination, Time::NEVER)));
+        self.destinations.retain(|_, until| *until > now);
         let news = if list.whole { News::Whole(entries) } else { News::Changes(entries) };
         (news, closing)
     }
@@ -123,7 +151,7 @@
         let target = format!("GET /v1/endpoints?stream=1&index={} HTTP/1.1", self.seq);
         net.write(token, &http::message(&target, &[("Host", &self.address.to_string())], b""));
         net.due(token, now + SILENT);
-        self.watch = Some(Watch { token, begun: false, text: Vec::new() });
+        self.watch = Some(Watch { token, begun: false, told: false, text: Vec::new() });
         true
     }
 
@@ -191,6 +219,7 @@
         }
         let mut lists = Vec::new();
         while let Some(end) = self.text.iter().position(|byte| *byte == b'\n') {
+            self.told = true;
             let line: Vec<u8> = self.text.drain(..=end).collect();
             if !line.trim_ascii().is_empty() {
                 lists.push(serde_json::from_slice(&line).map_err(|_| "unreadable")?);
--- a/crates/relay/src/event_loop.rs
+++ b/crates/relay/src/event_loop.rs
@@ -4,6 +4,7 @@
 
 use std::collections::{BTreeSet, VecDeque};
 use std::io::{self, ErrorKind, Read, Write};
+use std::mem::MaybeUninit;
 use std::net::{Shutdown, SocketAddr, TcpListener};
 use std::os::fd::{AsFd, AsRawFd};
 use std::os::unix::net::UnixStream;
@@ -405,6 +406,13 @@
         self.conn(token).map_or(0, |conn| conn.output.len())
     }
 
+    /// Whether there are bytes, or an end, that have not been read, here or at the system.
+    pub fn has_unread(&mut self, token: Token) -> bool {
+        let Some(conn) = self.conn(token) else { return false };
+        let nothing = |e: io::Error| e.kind() == ErrorKind::WouldBlock;
+        !conn.input.is_empty() || !conn.socket.peek(&mut [MaybeUninit::uninit()]).is_err_and(nothing)
+    }
+
     /// Whether the peer has ended its sending.
     pub fn ended(&mut self, token: Token) -> bool {
         self.conn(token).is_none_or(|conn| conn.ended)
--- a/crates/relay/src/http.rs
+++ b/crates/relay/src/http.rs
@@ -89,11 +89,9 @@
         return Err(Unreadable(400));
     }
     if encoded {
-        return if headers.has("transfer-encoding", "chunked") {
-            Ok(Framing::Chunks)
-        } else {
-            Err(Unreadable(501))
-        };
+        let mut all = headers.0.iter().filter(|h| h.0 == "transfer-encoding");
+        let chunked = all.all(|h| h.1.trim_ascii().eq_ignore_ascii_case(b"chunked"));
+        return if chunked { Ok(Framing::Chunks) } else { Err(Unreadable(501)) };
     }
     let Some((_, value)) = lengths.first() else { return Ok(otherwise) };
     let digits = std::str::from_utf8(value).ok().map(str::trim).filter(|v| !v.starts_with('+'));
@@ -214,8 +212,13 @@
     Ok(Some(ResponseHead { status: head.code.unwrap_or(0), start, headers, keep }))
 }
 
-/// The status in a response's first line, whether or not the rest is there.
-pub fn first_line(input: &[u8]) -> Option<u16> {
+/// The status in the final response's first line, whether or not the rest is there.
+pub fn first_line(mut input: &[u8]) -> Option<u16> {
+    while let Ok(Some(head)) = response_head(input)
+        && (100..200).contains(&head.status)
+    {
+        input = &input[head.start..];
+    }
     let line = input.split(|byte| *byte == b'\n').next().filter(|line| line.len() < input.len())?;
     let line = [line, b"\n"].concat();
     let mut headers = [httparse::EMPTY_HEADER; 1];
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -73,7 +73,9 @@
         let mut pairs = fields.split(',').filter_map(|pair| pair.trim().split_once('='));
         pairs.find(|(known, _)| known.trim() == name)?.1.trim().parse().ok()
     };
-    settings.named_limit(value).filter(|limit: &LimitReport| limit.left.is_finite() && limit.rate.is_finite())
+    settings
+        .named_limit(value)
+        .filter(|limit| (0.0..=1.0).contains(&limit.left) && (0.0..1e9).contains(&limit.rate))
 }
 
 #[cfg(test)]
--- a/crates/relay/src/send.rs
+++ b/crates/relay/src/send.rs
@@ -19,6 +19,9 @@
 /// no push crosses the closing.
 const RETIRED_AT: f64 = 0.9;
 
+/// Guards against answers that never end: one is whole so long after its first bytes, or it is spoilt.
+const SLOW: Span = Span::from_millis(500);
+
 /// A notification to be pushed.
 pub struct Push<'a> {
     pub ntf: NtfId,
@@ -46,6 +49,8 @@
     endpoint: EndpointId,
     sent: Time,
     connect_by: Time,
+    /// When an answer that has begun must be whole.
+    whole_by: Time,
     many: bool,
     /// Empty for a probe.
     members: Vec<Member>,
@@ -173,7 +178,8 @@
     ) {
         let connect = Some(self.connections.connect).filter(|span| *span > Span::ZERO);
         let connect_by = connect.map_or(Time::NEVER, |span| now + span);
-        let call = Call { endpoint: endpoint.clone(), sent: now, connect_by, many, members };
+        let whole_by = Time::NEVER;
+        let call = Call { endpoint: endpoint.clone(), sent: now, connect_by, whole_by, many, members };
         let token = place.and_then(|place| self.connection(net, endpoint, place));
         let (Some(token), Some(place)) = (token, place) else {
             return self.fail(call, Status::NoConnection, now);
@@ -187,11 +193,13 @@
     fn connection(&mut self, net: &mut Net, endpoint: &EndpointId, place: &Place) -> Option<Token> {
         while let Some(token) = self.idle.get_mut(endpoint).and_then(Vec::pop) {
             self.resting.remove(&token);
-            if !net.ended(token) {
+            // Guards against what an endpoint sends beyond its answer: it would be taken for the answer to come.
+            if !net.ended(token) && !net.has_unread(token) {
                 return Some(token);
             }
             net.close(token);
         }
+        self.idle.remove(endpoint);
         // Guards against more connections than there are descriptors: an idle one makes room.
         if self.calls.len() + self.resting.len() >= self.most {
             let token = *self.resting.first_key_value()?.0;
@@ -201,8 +209,13 @@
     }
 
     fn retire(&mut self, net: &mut Net, token: Token) {
-        if let Some(tokens) = self.resting.remove(&token).and_then(|endpoint| self.idle.get_mut(&endpoint)) {
+        if let Some(endpoint) = self.resting.remove(&token)
+            && let Some(tokens) = self.idle.get_mut(&endpoint)
+        {
             tokens.retain(|idle| *idle != token);
+            if tokens.is_empty() {
+                self.idle.remove(&endpoint);
+            }
         }
         net.close(token);
     }
@@ -269,7 +282,12 @@
                         let keep = clean && net.unsent(token) == 0;
                         self.answered(net, token, &response, keep, settings, now);
                     }
-                    Ok(None) if !ended => {}
+                    Ok(None) if !ended => {
+                        if let Some(call) = self.calls.get_mut(&token).filter(|_| !input.is_empty()) {
+                            call.whole_by = call.whole_by.min(now + SLOW);
+                            net.due(token, call.due());
+                        }
+                    }
                     broken => {
                         // A single push is delivered with the first line of its answer.
                         let delivered = !call.many && http::first_line(input) == Some(200);
@@ -293,10 +311,11 @@
                     !call.many && net.input(token).is_some_and(|input| http::first_line(input) == Some(200));
                 let status = match (delivered, never) {
                     (true, _) => Status::Delivered,
+                    _ if call.whole_by <= now => Status::Error,
                     (_, true) => Status::NoConnection,
                     _ => Status::TimedOut,
                 };
-                if call.members.is_empty() {
+                if call.members.is_empty() || call.whole_by <= now {
                     return self.broke(net, token, status, now);
                 }
                 if let Some(call) = self.calls.get_mut(&token) {
@@ -358,7 +377,7 @@
     /// When the next of its pushes times out, or its connection should be up.
     fn due(&self) -> Time {
         let deadlines = self.members.iter().filter(|member| member.out).map(|member| member.deadline);
-        deadlines.min().unwrap_or(Time::NEVER).min(self.connect_by)
+        deadlines.min().unwrap_or(Time::NEVER).min(self.connect_by).min(self.whole_by)
     }
 }
 
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -14,7 +14,7 @@
 use juniperwing::time::{Span, Time};
 use slog::{Logger, debug, info, o, warn};
 
-use crate::admit::admit;
+use crate::admit::Admit;
 use crate::book::Book;
 use crate::config::Config;
 use crate::discovery::{Discovery, List};
@@ -57,6 +57,7 @@
     net: Net,
     discovery: Discovery,
     take_in: TakeIn,
+    admit: Admit,
     route: Route,
     send: Send,
     book: Book,
@@ -86,6 +87,7 @@
         net,
         discovery: Discovery::new(config.discovery),
         take_in: TakeIn::default(),
+        admit: Admit::default(),
         route: Route::new(clock.now(), config.seed, &settings),
         send: Send::new(settings.connections, endpoints),
         book: Book::new(config.discovery),
@@ -94,7 +96,7 @@
         settings,
         log: log.new(o!("relay" => config.name)),
     };
-    chain.learn(config.known);
+    chain.learn(config.known, clock.now());
     chain.resume(clock.now());
     let listen = chain.net.local_addr().unwrap_or(config.listen).to_string();
     info!(chain.log, "serving"; "listen" => listen, "owed" => chain.store.len());
@@ -217,7 +219,7 @@
             }
             Role::Endpoint => self.send.happened(&mut self.net, token, what, &self.settings, now),
             Role::Watch => match self.discovery.happened(&mut self.net, token, what, now) {
-                Ok(lists) => lists.into_iter().for_each(|list| self.learn(list)),
+                Ok(lists) => lists.into_iter().for_each(|list| self.learn(list, now)),
                 Err(why) => self.lost_watch(why),
             },
             Role::Notices => {
@@ -231,8 +233,8 @@
         }
     }
 
-    fn learn(&mut self, list: List) {
-        let (news, left) = self.discovery.learn(list, &self.settings);
+    fn learn(&mut self, list: List, now: Time) {
+        let (news, left) = self.discovery.learn(list, &self.settings, now);
         if let News::Changes(entries) | News::Whole(entries) = &news {
             debug!(self.log, "the list has news"; "entries" => entries.len(), "left" => left.len());
         }
@@ -246,18 +248,20 @@
     }
 
     fn hand_in(&mut self, token: Token, handed_in: HandedIn, now: Time) {
-        // Handed in twice under one id, as when a connection broke before the answer: it is taken on already.
-        if self.store.holds(&handed_in.words.id) {
-            return self.take_in.answer(&mut self.net, token, Answer::Accepted);
-        }
-        let topic = match admit(&handed_in, &self.settings, &self.store) {
+        let topic = match self.admit.admit(&handed_in, &self.settings, &self.store, &self.discovery) {
             Ok(topic) => topic,
             Err(answer) => {
-                debug!(self.log, "not taken on"; "id" => handed_in.words.id, "answer" => format!("{answer:?}"));
+                debug!(self.log, "not taken on"; "id" => &handed_in.words.id, "answer" => format!("{answer:?}"));
+                if answer == Answer::Unavailable {
+                    self.admit.answered(&handed_in.words.id, answer);
+                }
                 return self.take_in.answer(&mut self.net, token, answer);
             }
         };
-        let n = self.store.take(handed_in.words, now + handed_in.time_left, handed_in.body);
+        // Guards against times to live without end: nothing is held longer than its topic type may be.
+        let longest = if topic.ttl > Span::ZERO { topic.ttl } else { handed_in.time_left };
+        let time_left = handed_in.time_left.min(longest);
+        let n = self.store.take(handed_in.words, now + time_left, handed_in.body);
         let Some(kept) = self.store.get(n) else { return };
         debug!(self.log, "taken on"; "id" => &kept.taken.words.id, "n" => n);
         let notification = self.notification(n, &kept.taken, topic, Past::default());
@@ -304,7 +308,7 @@
                 Command::Cancel { ntf, push } => self.send.cancel(&mut self.net, *ntf, *push, now),
                 Command::Throttle { ntf, retry_in } => {
                     if let Some(token) = self.fresh.remove(ntf) {
-                        self.take_in.answer(&mut self.net, token, Answer::Throttled(*retry_in));
+                        self.answer(token, *ntf, Answer::Throttled(*retry_in));
                         self.heard(*ntf);
                     } else {
                         self.end(*ntf, End::HandedBack(retry_in.nanos() / 1_000_000));
@@ -312,7 +316,7 @@
                 }
                 Command::Expire(ntf) => {
                     if let Some(token) = self.fresh.remove(ntf) {
-                        self.take_in.answer(&mut self.net, token, Answer::Expired);
+                        self.answer(token, *ntf, Answer::Expired);
                         self.heard(*ntf);
                     } else {
                         self.end(*ntf, End::GivenUp);
@@ -331,12 +335,19 @@
                 Command::Log(line) => info!(self.log, "{}", line),
             }
         }
-        for (_, token) in std::mem::take(&mut self.fresh) {
-            self.take_in.answer(&mut self.net, token, Answer::Accepted);
+        for (ntf, token) in std::mem::take(&mut self.fresh) {
+            self.answer(token, ntf, Answer::Accepted);
         }
         self.book.write(&mut self.net, &self.store, now);
     }
 
+    fn answer(&mut self, token: Token, ntf: NtfId, answer: Answer) {
+        if let Some(kept) = self.store.get(ntf.0) {
+            self.admit.answered(&kept.taken.words.id, answer);
+        }
+        self.take_in.answer(&mut self.net, token, answer);
+    }
+
     fn push(&mut self, endpoint: &EndpointId, pushes: &[(NtfId, Span)], now: Time) {
         let place = self.discovery.place(endpoint);
         let zone = place.map(|place| place.zone.clone()).unwrap_or_default();
--- a/crates/relay/src/take_in.rs
+++ b/crates/relay/src/take_in.rs
@@ -9,10 +9,11 @@
 use crate::http::{self, Request};
 use crate::store::Words;
 
-/// Guards against slow clients: a request is whole so long after its first byte, or its connection goes.
-const SLOW: Span = Span::from_millis(10_000);
+/// Guards against slow and silent clients: a request is whole so long after its first byte, the first on a
+/// connection so long after that was accepted, or the connection goes. No client waits as long for its answer.
+const SLOW: Span = Span::from_millis(2_000);
 /// A connection with no request for so long is closed.
-const IDLE: Span = Span::from_millis(300_000);
+const IDLE: Span = Span::from_millis(60_000);
 /// Guards against clients that ask and never read: so many bytes of answers may wait for one.
 const UNREAD_MOST: usize = 16 * 1024;
 /// The longest id, key or name that is taken.
@@ -39,11 +40,15 @@
     Expired,
     /// Malformed, or naming what the settings do not know.
     Malformed,
+    /// For a destination that is not on the list.
+    Unknown,
 }
 
 struct Client {
     /// Since when it has sent or been told nothing.
     quiet: Time,
+    /// Has handed in a whole request.
+    asked: bool,
     /// When the request at hand began to come in.
     begun: Option<Time>,
     /// A request is being decided on, and whether the connection stays open after it.
@@ -65,9 +70,9 @@
         match what {
             Happening::Accepted => {
                 self.make_room(net);
-                let client = Client { quiet: now, begun: None, asking: None, told: false };
+                let client = Client { quiet: now, asked: false, begun: None, asking: None, told: false };
                 self.clients.insert(token, client);
-                net.due(token, now + IDLE);
+                net.due(token, now + SLOW);
                 None
             }
             Happening::Data => self.read(net, token, now),
@@ -89,15 +94,19 @@
         }
     }
 
-    /// Guards against clients that keep all connections and use none: the one quiet longest makes room.
+    /// Guards against clients that keep all connections and use none: the one quiet longest makes room, or else the
+    /// one that has been longest at sending a request.
     fn make_room(&mut self, net: &mut Net) {
         let (open, most) = net.clients();
         if open < most {
             return;
         }
-        let quiet = self.clients.iter().filter(|(_, c)| c.begun.is_none() && c.asking.is_none());
-        if let Some((token, _)) = quiet.min_by_key(|(_, client)| client.quiet) {
-            let token = *token;
+        let idle = self.clients.iter().filter(|(_, client)| client.asking.is_none());
+        let mut idle: Vec<_> = idle.map(|(token, client)| (client.begun, client.quiet, *token)).collect();
+        idle.sort();
+        // One that has asked, unread as yet, only if there is no other.
+        let unasked = idle.iter().find(|(_, _, token)| !net.has_unread(*token));
+        if let Some((_, _, token)) = unasked.or(idle.first()).copied() {
             self.clients.remove(&token);
             net.close(token);
         }
@@ -121,7 +130,9 @@
                     let go_on = !client.told && http::expects_continue(input);
                     client.told |= go_on;
                     let begun = *client.begun.get_or_insert(now);
-                    net.due(token, begun + SLOW);
+                    if client.asked {
+                        net.due(token, begun + SLOW);
+                    }
                     if go_on {
                         net.write(token, b"HTTP/1.1 100 Continue\r\n\r\n");
                     }
@@ -134,7 +145,7 @@
             };
             input.drain(..length);
             input.shrink_to(0);
-            (client.begun, client.told, client.quiet) = (None, false, now);
+            (client.asked, client.begun, client.told, client.quiet) = (true, None, false, now);
             client.asking = Some(request.keep);
             net.due(token, now + IDLE);
             match (request.method.as_str(), request.path.as_str()) {
@@ -164,6 +175,7 @@
             Answer::Unavailable => self.respond(net, token, 503, &[]),
             Answer::Expired => self.respond(net, token, 504, &[]),
             Answer::Malformed => self.reject(net, token, 400),
+            Answer::Unknown => self.respond(net, token, 404, &[]),
         }
         // A client that sent more than one request at a time has the next read now.
         if net.input(token).is_some_and(|input| !input.is_empty()) {
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -128,6 +128,11 @@
         !self.topics.is_empty()
     }
 
+    /// The longest time to live of all topic types.
+    pub fn longest_ttl(&self) -> Span {
+        self.topics.iter().map(|topic| topic.ttl).max().unwrap_or_default()
+    }
+
     /// The account of that name.
     pub fn account(&self, name: &str) -> Option<Arc<Account>> {
         self.accounts.iter().find(|account| account.name == name).cloned()
