What was in a call of several that its endpoint could not read goes in calls of one

Seen, with the probe of used ids: one notification that its endpoint refuses with 400 spoilt the call for the nine that went with it, four times in 2.4 s, for the core filled the next call with the same ones. At fault: send.rs took 400 and 413 of a call of several as not sent and kept no note of it.

--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -37,13 +37,17 @@
         // All pushes are used up: not sent, its end is still owed.
         504 => Fate::of(Status::Skipped),
         410 => Fate { status: Status::Skipped, over: true },
-        // The endpoint could not read the call, so none of it ran.
-        400 | 413 => Fate::of(Status::Skipped),
+        _ if unreadable(response) => Fate::of(Status::Skipped),
         _ => Fate::of(Status::Error),
     };
     vec![all; ids.len()]
 }
 
+/// Whether the endpoint could not read the call, so that none of it ran.
+pub fn unreadable(response: &Response) -> bool {
+    matches!(response.status, 400 | 413)
+}
+
 fn each(response: &Response, ids: &[&str]) -> Vec<Fate> {
     let lines: Vec<Line> = serde_json::from_slice(&response.body).unwrap_or_default();
     let fate = |id: &&str| {
--- a/crates/relay/src/send.rs
+++ b/crates/relay/src/send.rs
@@ -1,7 +1,7 @@
 //! The fourth stage: owns the calls that are out and the connections to endpoints, idle ones included. It
 //! must never choose an endpoint, send again of its own accord, or hold a push back.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
@@ -88,6 +88,8 @@
     calls: BTreeMap<Token, Call>,
     idle: BTreeMap<EndpointId, Vec<Token>>,
     resting: BTreeMap<Token, EndpointId>,
+    /// Were in a call of several that its endpoint could not read; each goes in a call of its own.
+    apart: BTreeSet<NtfId>,
     ended: Vec<Ended>,
 }
 
@@ -95,7 +97,7 @@
     /// With at most so many connections to endpoints.
     pub fn new(connections: Connections, most: usize) -> Send {
         let (calls, idle, resting) = (BTreeMap::new(), BTreeMap::new(), BTreeMap::new());
-        Send { connections, most, calls, idle, resting, ended: Vec::new() }
+        Send { connections, most, calls, idle, resting, apart: BTreeSet::new(), ended: Vec::new() }
     }
 
     /// All outcomes since this was last asked.
@@ -124,7 +126,12 @@
         let (mut rest, per_call) = (pushes, place.map_or(1, |place| place.per_call));
         while !rest.is_empty() {
             let (mut count, mut size) = (1, encoded(&rest[0]));
-            while count < per_call.min(rest.len()) && size + encoded(&rest[count]) < http::BODY_MOST {
+            let joins = |push: &Push<'_>| !self.apart.contains(&push.ntf);
+            while count < per_call.min(rest.len())
+                && size + encoded(&rest[count]) < http::BODY_MOST
+                && joins(&rest[0])
+                && joins(&rest[count])
+            {
                 size += encoded(&rest[count]);
                 count += 1;
             }
@@ -228,6 +235,11 @@
         }
     }
 
+    /// Nothing more is sent for a notification.
+    pub fn forget(&mut self, ntf: NtfId) {
+        self.apart.remove(&ntf);
+    }
+
     /// Calls a push off.
     pub fn cancel(&mut self, net: &mut Net, ntf: NtfId, push: u32, now: Time) {
         let is = |m: &Member| m.out && m.ntf == ntf && m.push == push;
@@ -341,6 +353,10 @@
         }
         let ids: Vec<&str> = call.members.iter().map(|member| member.id.as_str()).collect();
         let fates = relay::fates(response, &ids, call.many);
+        // Guards against one that spoils the call for all that go with it, again and again.
+        if call.many && relay::unreadable(response) {
+            self.apart.extend(call.members.iter().map(|member| member.ntf));
+        }
         for (member, fate) in call.members.iter().zip(fates).filter(|(member, _)| member.out) {
             let (ntf, endpoint) = (Some(member.ntf), endpoint.clone());
             self.ended.push(Ended { ntf, push: member.push, endpoint, fate, spent, wait, limit });
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -391,6 +391,7 @@
     }
 
     fn forget(&mut self, ntf: NtfId) {
+        self.send.forget(ntf);
         if self.store.get(ntf.0).is_some() {
             self.store.over(ntf.0);
         }
--- a/crates/relay/tests/serve.rs
+++ b/crates/relay/tests/serve.rs
@@ -60,6 +60,20 @@
     assert_eq!(rig.endpoint.next().id(), "2");
 }
 
+#[test]
+fn a_call_of_several_that_cannot_be_read_goes_again_as_calls_of_one() {
+    let rig = Rig::with(|config| config["settings"]["family-info"]["per-call"] = json!([10]));
+    let mut client = rig.client();
+    client.write(&["1", "2", "3"].map(|id| request("once", id, id, 16_000, b"")).concat());
+    assert_eq!([client.answer().0, client.answer().0, client.answer().0], [202; 3]);
+    rig.endpoint.next().answer("400 Bad Request", "", "");
+    let mut each = [rig.endpoint.next(), rig.endpoint.next(), rig.endpoint.next()];
+    each.iter_mut().for_each(|push| push.answer("200 OK", "", ""));
+    let mut ids = each.each_ref().map(|push| push.id().to_owned());
+    ids.sort();
+    assert_eq!(ids, ["1", "2", "3"]);
+}
+
 #[test]
 fn a_refusal_in_the_accepting_turn_is_the_answer_itself() {
     let rig = Rig::start();
