Stuck calls count for slot time no longer than tip_after

Ruled out: its limit (no refusals), the lane's window, set aside (it was not). Now a call counts with what it is likely to take or tip_after, whichever is longer. It helps wherever one of several endpoints hangs; it might hurt where all calls of a destination last beyond both, for it then gets more slots.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -754,9 +754,9 @@
         }
         let waiting = self.waiting.iter().filter(|(_, from)| **from <= now).map(|w| *w.0);
         if self.open < total && !self.offered {
-            // The design's choice: least slot time within memory, calls still out included. These count with
-            // what they are likely to take, or a slow destination is given all slots before it has spent any.
-            let until = |c: &Lasted| c.1.unwrap_or(now.max(c.0 + c.2));
+            // The design's choice: least slot time, calls still out included at what they are likely to take, or
+            // a slow destination gets all slots at first. What is stuck at one endpoint must not starve the rest.
+            let until = |c: &Lasted| c.1.unwrap_or(now.max(c.0 + c.2)).min(c.0 + c.2.max(tip_after));
             let spent = |c: &Lasted| until(c).since(c.0.max(now - SLOT_MEMORY)).nanos();
             let spent = |id: &DestinationId| self.calls.get(id).into_iter().flatten().map(spent).sum::<u64>();
             if let Some(next) = waiting.min_by_key(|id| (spent(id), *id)) {
