An endpoint that refuses all connections is set aside, and is not taken for a shortage

Debug logs: two endpoints refuse every connection from 8.5 to 21 s, 59 and 54 times in one relay, and are never set aside, so each refusal pauses the whole destination 0.1 s and more while its other endpoint is well; and each makes the relay leave no idle connection at that kind for 30 s. At fault: Endpoint::judge took a refused connection as no sign unless calls were overdue, and as a shortage always. Now it is a sign like any failure; short of connections is an endpoint that delivers after it refused one and was not set aside. It holds against any list that is late with what is gone; it might hurt where more than half of the connections are refused by an endpoint that is up, which is then left out in between.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -196,6 +196,8 @@
     delivered: Option<Time>,
     /// Failures less deliveries.
     streak: usize,
+    /// Refused a connection since its last delivery.
+    refused: bool,
     /// Connections are not to be idle for that long, as last told at the second time.
     stale: Option<(Span, Time)>,
     /// Set aside: the next call not before then.
@@ -312,22 +314,20 @@
                 if let Some(out) = lost.next_back().filter(|o| now.since(o.at) < span.times(PATIENCE)) {
                     mail.put(Part::Book, Note::Stale(out.idle.times(0.9), None));
                 }
-                self.delivered = Some(now);
-                self.streak = if was_aside { 0 } else { self.streak.saturating_sub(1) };
-                false
-            }
-            Status::NoConnection => {
                 // Guards against the few connections that some destinations take, which many relays fill with
-                // idle ones: none is left idle at its kind. A sign of an outage only if calls are lost too.
-                if self.stale(now) != Some(Span::ZERO) {
+                // idle ones: refused before it answers, one that is up is short of them. None is left idle.
+                if std::mem::take(&mut self.refused) && !was_aside && self.stale(now) != Some(Span::ZERO) {
                     mail.put(Part::Book, Note::Stale(Span::ZERO, Some(self.entry.kind.clone())));
                 }
-                self.outs.iter().any(|o| o.lost(now))
+                self.delivered = Some(now);
+                self.streak = if was_aside { 0 } else { self.streak.saturating_sub(1) };
+                false
             }
             // Above a told limit: no sign of an outage.
             Status::Busy if limit.is_some_and(|l| l.rate > 0.0 && l.left < LOW) => false,
             _ => status != Status::Skipped,
         };
+        self.refused |= status == Status::NoConnection;
         self.streak += usize::from(sign);
         self.suspect(mail);
     }
