--- a/src/rules.rs
+++ b/src/rules.rs
@@ -194,9 +194,8 @@
     outs: Vec<Out>,
     used: Time,
     delivered: Option<Time>,
-    /// Failures less deliveries.
+    /// Failures less deliveries, and whether a connection was refused since the last of these.
     streak: usize,
-    /// Refused a connection since its last delivery.
     refused: bool,
     /// Connections are not to be idle for that long, as last told at the second time.
     stale: Option<(Span, Time)>,
@@ -323,8 +322,9 @@
                 self.streak = if was_aside { 0 } else { self.streak.saturating_sub(1) };
                 false
             }
-            // Above a told limit: no sign of an outage.
+            // Above a told limit, or up, as a call shows that is out and not lost: no sign of an outage.
             Status::Busy if limit.is_some_and(|l| l.rate > 0.0 && l.left < LOW) => false,
+            Status::NoConnection => self.outs.iter().all(|o| o.lost(now)),
             _ => status != Status::Skipped,
         };
         self.refused |= status == Status::NoConnection;
