--- a/crates/relay/src/http.rs
+++ b/crates/relay/src/http.rs
@@ -212,13 +212,24 @@
     Ok(Some(ResponseHead { status: head.code.unwrap_or(0), start, headers, keep }))
 }
 
-/// The status in the final response's first line, whether or not the rest is there.
-pub fn first_line(mut input: &[u8]) -> Option<u16> {
+/// What has come of the final response, behind any 1xx ones before it.
+fn final_part(mut input: &[u8]) -> &[u8] {
     while let Ok(Some(head)) = response_head(input)
         && (100..200).contains(&head.status)
     {
         input = &input[head.start..];
     }
+    input
+}
+
+/// Whether any of the final response has come.
+pub fn has_begun(input: &[u8]) -> bool {
+    !final_part(input).is_empty()
+}
+
+/// The status in the final response's first line, whether or not the rest is there.
+pub fn first_line(input: &[u8]) -> Option<u16> {
+    let input = final_part(input);
     let line = input.split(|byte| *byte == b'\n').next().filter(|line| line.len() < input.len())?;
     let line = [line, b"\n"].concat();
     let mut headers = [httparse::EMPTY_HEADER; 1];
@@ -311,6 +322,10 @@
         assert_eq!((&*read.body, read.keep), (&b"to the end"[..], false));
         assert_eq!(first_line(b"HTTP/1.1 200 OK\r\nContent-Le"), Some(200));
         assert_eq!(first_line(b"HTTP/1.1 200 OK"), None);
+        // A 1xx answer may be followed by a long wait: the final one has not begun with it.
+        let interim = b"HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 200 OK\r\n";
+        assert!(!has_begun(&interim[..27]) && has_begun(&interim[..28]));
+        assert_eq!(first_line(interim), Some(200));
     }
 
     /// Whatever comes in, reading ends with a message, a wish for more, or a status that says what is wrong.
--- a/crates/relay/src/send.rs
+++ b/crates/relay/src/send.rs
@@ -295,7 +295,7 @@
                         self.answered(net, token, &response, keep, settings, now);
                     }
                     Ok(None) if !ended => {
-                        if let Some(call) = self.calls.get_mut(&token).filter(|_| !input.is_empty()) {
+                        if let Some(call) = self.calls.get_mut(&token).filter(|_| http::has_begun(input)) {
                             call.whole_by = call.whole_by.min(now + SLOW);
                             net.due(token, call.due());
                         }
