--- a/src/rules.rs
+++ b/src/rules.rs
@@ -305,8 +305,7 @@
                     mail.commands.push(Command::Log(format!("{} is back", self.entry.endpoint.0)));
                     mail.put(self.lane(), Note::Back(now));
                 }
-                // Guards against connections that die unseen while idle: a call after an idle spell is lost
-                // while the next is answered. All endpoints then get fresh connections.
+                // Guards against connections that die unseen while idle: then all endpoints get fresh ones.
                 let idle = span.times(OVERDUE_FLOOR);
                 let mut lost = self.outs.iter().filter(|o| o.lost(now) && o.at < at && o.idle >= idle);
                 if let Some(out) = lost.next_back().filter(|o| now.since(o.at) < span.times(PATIENCE)) {
@@ -587,16 +586,17 @@
     }
 
     /// Calls off what is overdue where slots are `full`, or has `Slots` ask again when something will be.
-    /// Always a push in order, once-only, whose answer does not come: more of its key must not wait for the TTL.
+    /// Always a push in order whose answer does not come: more of its key must not wait for the TTL.
     fn shed(&mut self, full: bool, dire: bool, mail: &mut Mail) {
         let (now, usual, part) = (mail.now, self.overdue_after(), Part::Destination(self.id));
         let keys: Vec<_> = self.held.iter().filter(|h| !h.turn).map(|h| h.ntf.key.clone()).collect();
         for held in self.held.iter_mut().filter(|_| self.allowed.cancel) {
+            let Some(at) = held.out.as_ref().map(|out| out.0) else { continue };
             let behind = held.ntf.topic.ordered && keys.iter().filter(|k| **k == held.ntf.key).count() > 1;
-            let Some(at) = held.out.as_ref().filter(|_| full || behind).map(|out| out.0) else { continue };
             let after = if held.again() { usual } else { usual.max(self.figures.tip_after) };
-            if now < at + after {
-                mail.alarm(if behind { part.clone() } else { Part::Slots }, at + after);
+            let due = if full || behind { at + after } else { Time::NEVER };
+            if now < due {
+                mail.alarm(if behind { part.clone() } else { Part::Slots }, due);
             } else if held.past.doubt.is_none_or(|d| d < at) && (behind || held.again() || dire) {
                 held.past.doubt = Some(now);
                 mail.commands.push(Command::Cancel { ntf: held.ntf.id, push: held.past.pushes - 1 });
