Shed looks behind a push without copying keys; discovery's address is kept once

On rereading: shed, called after each event, copied the key of everything that waits, and needed only those of pushes that are out. It compares in place now, for these alone. Chain kept a copy of discovery's address beside the one that Discovery has.

--- a/crates/relay/src/discovery.rs
+++ b/crates/relay/src/discovery.rs
@@ -64,7 +64,7 @@
 }
 
 pub struct Discovery {
-    address: SocketAddr,
+    pub address: SocketAddr,
     seq: u64,
     watch: Option<Watch>,
     /// The core has asked for a watch.
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -4,7 +4,6 @@
 
 use std::collections::BTreeMap;
 use std::io;
-use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::Arc;
 
@@ -50,9 +49,8 @@
 }
 
 struct Chain {
-    /// Where the configuration is, and where discovery is by it.
+    /// Where the configuration is.
     config: PathBuf,
-    platform: SocketAddr,
     settings: juniperwing_settings::Settings,
     net: Net,
     discovery: Discovery,
@@ -83,7 +81,6 @@
     let settings = config.settings;
     let mut chain = Chain {
         config: config.path,
-        platform: config.discovery,
         net,
         discovery: Discovery::new(config.discovery),
         take_in: TakeIn::default(),
@@ -156,10 +153,9 @@
             Err(e) => return warn!(self.log, "the new configuration cannot be used"; "why" => e.to_string()),
         };
         info!(self.log, "configuration read anew"; "discovery" => config.discovery.to_string());
-        if config.discovery == self.platform {
+        if config.discovery == self.discovery.address {
             return;
         }
-        self.platform = config.discovery;
         self.book.moves(&mut self.net, config.discovery, now);
         if !self.discovery.moves(&mut self.net, config.discovery, now) {
             self.lost_watch("cannot be opened");
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -585,21 +585,21 @@
         }
     }
 
-    /// Calls off what is overdue where slots are `full`, or has `Slots` ask again when something will be.
-    /// Always a push in order whose answer does not come: more of its key must not wait for the TTL.
+    /// Calls off what is overdue, or sets an alarm: where slots are `full`, and where more of its key wait.
     fn shed(&mut self, full: bool, dire: bool, mail: &mut Mail) {
-        let (now, usual, part) = (mail.now, self.overdue_after(), Part::Destination(self.id));
-        let keys: Vec<_> = self.held.iter().filter(|h| !h.turn).map(|h| h.ntf.key.clone()).collect();
-        for held in self.held.iter_mut().filter(|_| self.allowed.cancel) {
-            let Some(at) = held.out.as_ref().map(|out| out.0) else { continue };
-            let behind = held.ntf.topic.ordered && keys.iter().filter(|k| **k == held.ntf.key).count() > 1;
+        let (now, usual) = (mail.now, self.overdue_after());
+        for place in 0..self.held.len() {
+            let held = &self.held[place];
+            let Some(at) = held.out.as_ref().filter(|_| self.allowed.cancel).map(|o| o.0) else { continue };
+            let waits = |h: &&Held| !h.turn && h.ntf.key == held.ntf.key;
+            let behind = held.ntf.topic.ordered && self.held.iter().filter(waits).count() > 1;
             let after = if held.again() { usual } else { usual.max(self.figures.tip_after) };
             let due = if full || behind { at + after } else { Time::NEVER };
             if now < due {
-                mail.alarm(if behind { part.clone() } else { Part::Slots }, due);
+                mail.alarm(if behind { Part::Destination(self.id) } else { Part::Slots }, due);
             } else if held.past.doubt.is_none_or(|d| d < at) && (behind || held.again() || dire) {
-                held.past.doubt = Some(now);
                 mail.commands.push(Command::Cancel { ntf: held.ntf.id, push: held.past.pushes - 1 });
+                self.held[place].past.doubt = Some(now);
             }
         }
     }
