A call of several ends with the first TTL in it; answers after its time do not count

Cause: a call of several was waited for, and said so in Request-Timeout-Ms, until the longest time-out of its members. An endpoint that had fallen silent answered it after the first of them had run out of time: 200, all delivered, which was not so. The relay believed it for once-only ones still in the call and sent no notice (lost), and let the next of the key go on the strength of it (order). Ruled out: cut or garbled answers, the store, clients gone.

Change: in the core, no push of a call has a longer time-out than the first TTL in it, and only those go together whom that leaves their own time-out, or till the call would be overdue; what is about to expire goes on its own. Weighed against ending the call with the first time-out of any (restarts would cut off once-only pushes) and against calls of equal TTL only (hardly any would be filled). In the relay, an answer read in the turn in which a push times out does not count for it. check-config no longer needs ROUTER_STATE.

--- a/crates/relay/src/config.rs
+++ b/crates/relay/src/config.rs
@@ -3,7 +3,7 @@
 
 use std::fmt;
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 
 use juniperwing_settings::{Settings, Written};
 use serde::Deserialize;
@@ -66,7 +66,8 @@
     pub name: String,
     pub listen: SocketAddr,
     pub discovery: SocketAddr,
-    pub state: PathBuf,
+    /// The folder that lasts; a check needs none.
+    pub state: Option<PathBuf>,
     pub seed: u64,
     pub limits: Limits,
     pub known: List,
@@ -105,10 +106,8 @@
             .or_else(|e| invalid(format!("cannot read the configuration {}: {e}", path.display())))?;
         let file: File = serde_json::from_slice(&text)
             .or_else(|e| invalid(format!("{} is no valid configuration: {e}", path.display())))?;
-        let Some(state) = env("ROUTER_STATE").map(PathBuf::from) else {
-            return invalid("no folder that lasts: set ROUTER_STATE");
-        };
-        if !state.is_dir() {
+        let state = env("ROUTER_STATE").map(PathBuf::from);
+        if let Some(state) = state.as_ref().filter(|state| !state.is_dir()) {
             return invalid(format!("ROUTER_STATE is no folder: {}", state.display()));
         }
         if file.limits.sockets < 2 * RESERVED {
@@ -138,6 +137,11 @@
             settings,
         })
     }
+
+    /// The folder that lasts, without which nothing can be served.
+    pub fn lasting(&self) -> Result<&Path, Invalid> {
+        self.state.as_deref().ok_or_else(|| Invalid("no folder that lasts: set ROUTER_STATE".to_owned()))
+    }
 }
 
 /// The seed as 64 bits: hexadecimal text, or a number.
--- a/crates/relay/src/main.rs
+++ b/crates/relay/src/main.rs
@@ -88,15 +88,20 @@
                 }
             };
             if matches!(args.order, Order::Serve) {
+                if let Err(e) = config.lasting() {
+                    eprintln!("juniperwing: {e}");
+                    return ExitCode::from(2);
+                }
                 return serve(config, signals, args.level);
             }
+            let state = config.state.as_ref().map(|state| format!(" in {}", state.display()));
             println!(
-                "{} listens on {}, asks {}, keeps up to {} bytes in {}",
+                "{} listens on {}, asks {}, keeps up to {} bytes{}",
                 config.name,
                 config.listen,
                 config.discovery,
                 config.limits.disk_bytes(),
-                config.state.display()
+                state.unwrap_or_default()
             );
         }
     }
--- a/crates/relay/src/send.rs
+++ b/crates/relay/src/send.rs
@@ -51,6 +51,8 @@
     connect_by: Time,
     /// When an answer that has begun must be whole.
     whole_by: Time,
+    /// A single push that read 200 in the first line of its answer before its time was up.
+    delivered: bool,
     many: bool,
     /// Empty for a probe.
     members: Vec<Member>,
@@ -186,7 +188,8 @@
         let connect = Some(self.connections.connect).filter(|span| *span > Span::ZERO);
         let connect_by = connect.map_or(Time::NEVER, |span| now + span);
         let whole_by = Time::NEVER;
-        let call = Call { endpoint: endpoint.clone(), sent: now, connect_by, whole_by, many, members };
+        let (endpoint_id, delivered) = (endpoint.clone(), false);
+        let call = Call { endpoint: endpoint_id, sent: now, connect_by, whole_by, delivered, many, members };
         let token = place.and_then(|place| self.connection(net, endpoint, place));
         let (Some(token), Some(place)) = (token, place) else {
             return self.fail(call, Status::NoConnection, now);
@@ -282,6 +285,15 @@
             // Idle: its time is up, its endpoint closed it, or it sends what nobody asked for.
             return self.retire(net, token);
         };
+        // Guards against an answer read in the turn in which time is up: it may have come after, when it speaks of
+        // what is over.
+        if what != Happening::Due && call.members.iter().any(|member| member.out && member.deadline <= now) {
+            self.happened(net, token, Happening::Due, settings, now);
+            if !self.calls.contains_key(&token) {
+                return;
+            }
+        }
+        let Some(call) = self.calls.get_mut(&token) else { return };
         match what {
             Happening::Accepted => {}
             Happening::Data | Happening::Ended => {
@@ -295,7 +307,8 @@
                         self.answered(net, token, &response, keep, settings, now);
                     }
                     Ok(None) if !ended => {
-                        if let Some(call) = self.calls.get_mut(&token).filter(|_| http::has_begun(input)) {
+                        if http::has_begun(input) {
+                            call.delivered = !call.many && http::first_line(input) == Some(200);
                             call.whole_by = call.whole_by.min(now + SLOW);
                             net.due(token, call.due());
                         }
@@ -319,9 +332,7 @@
                 if never && call.connect_by <= now {
                     return self.broke(net, token, Status::NoConnection, now);
                 }
-                let delivered =
-                    !call.many && net.input(token).is_some_and(|input| http::first_line(input) == Some(200));
-                let status = match (delivered, never) {
+                let status = match (call.delivered, never) {
                     (true, _) => Status::Delivered,
                     _ if call.whole_by <= now => Status::Error,
                     (_, true) => Status::NoConnection,
@@ -330,10 +341,8 @@
                 if call.members.is_empty() || call.whole_by <= now {
                     return self.broke(net, token, status, now);
                 }
-                if let Some(call) = self.calls.get_mut(&token) {
-                    // It is up: only the pushes' own time-outs count from here.
-                    call.connect_by = if never { call.connect_by } else { Time::NEVER };
-                }
+                // Once it is up only the pushes' own time-outs count.
+                call.connect_by = if never { call.connect_by } else { Time::NEVER };
                 self.end_members(net, token, status, now, |member| member.out && member.deadline <= now);
             }
         }
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -72,9 +72,9 @@
     // First the address, so that no two processes share a folder.
     let net = Net::new(clock, config.listen, signals, clients)
         .map_err(|e| io::Error::new(e.kind(), format!("cannot listen on {}: {e}", config.listen)))?;
-    let (store, torn) = Store::open(&config.state, config.limits.disk_bytes()).map_err(|e| {
-        io::Error::new(e.kind(), format!("cannot open the log in {}: {e}", config.state.display()))
-    })?;
+    let state = config.lasting().map_err(io::Error::other)?;
+    let (store, torn) = Store::open(state, config.limits.disk_bytes())
+        .map_err(|e| io::Error::new(e.kind(), format!("cannot open the log in {}: {e}", state.display())))?;
     if torn > 0 {
         warn!(log, "a torn tail of the log was cut off"; "bytes" => torn);
     }
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -636,7 +636,9 @@
         held.taken + held.ntf.topic.objective.times(FILL)
     }
 
-    /// What goes to an endpoint next: first what can still meet its objective.
+    /// What goes to an endpoint next, with its time-outs: first what can still meet its objective. Rule: a call
+    /// ends with the first TTL in it, for an answer that comes after speaks of none of them. So only those go
+    /// together whom this leaves their own time-out, or till a call would be overdue.
     fn pick(&self, now: Time, to: &EndpointId, zone: &Arc<str>) -> Vec<(NtfId, Span)> {
         let elsewhere = self.asked < self.ends.len();
         let mut ready: Vec<&Held> = self.held.iter().filter(|h| h.turn).collect();
@@ -646,8 +648,20 @@
             return Vec::new();
         }
         ready.sort_by_key(|h| now.since(h.taken) + self.median() > h.ntf.topic.objective);
-        ready.truncate(self.per_call);
-        ready.iter().map(|h| (h.ntf.id, self.time_out(now, h))).collect()
+        let (overdue_after, mut call) = (self.overdue_after(), Vec::new());
+        let (mut ends, mut wanted) = (Time::NEVER, Span::ZERO);
+        for held in ready {
+            if call.len() == self.per_call {
+                break;
+            }
+            let (first, time_out) = (ends.min(held.ntf.valid_until), self.time_out(now, held));
+            let most = wanted.max(time_out.min(overdue_after));
+            if call.is_empty() || now + most <= first {
+                call.push((held.ntf.id, time_out));
+                (ends, wanted) = (first, most);
+            }
+        }
+        call.into_iter().map(|(ntf, time_out)| (ntf, time_out.min(ends.since(now)))).collect()
     }
 
     /// When a call speaks of silence: well beyond what is delivered of late (calls that never end stretch the
