--- /dev/null
+++ b/crates/lab/tests/cli.rs
@@ -0,0 +1,227 @@
+//! The lab as a program: what it refuses, what it writes, and that results hang on nothing but scenario and seed.
+
+use std::path::{Path, PathBuf};
+use std::process::{Command, Output};
+use std::sync::atomic::{AtomicUsize, Ordering};
+
+use expect_test::expect;
+
+const SMALL: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/../../lab/scenarios/small.toml");
+
+/// A folder of one test's own, removed with it.
+struct Folder(PathBuf);
+
+impl Folder {
+    fn new() -> Folder {
+        static COUNT: AtomicUsize = AtomicUsize::new(0);
+        let name =
+            format!("juniperwing-lab-{}-{}", std::process::id(), COUNT.fetch_add(1, Ordering::Relaxed));
+        let path = std::env::temp_dir().join(name);
+        std::fs::create_dir_all(&path).expect("room for temporary files");
+        Folder(path)
+    }
+
+    fn write(&self, name: &str, text: &str) -> String {
+        let path = self.0.join(name);
+        std::fs::write(&path, text).expect("room");
+        path.display().to_string()
+    }
+
+    fn path(&self, name: &str) -> String {
+        self.0.join(name).display().to_string()
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        // Left behind, it does no harm.
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+fn lab(args: &[&str]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_juniperwing-lab")).args(args).output().expect("the lab runs")
+}
+
+fn said(output: &Output) -> String {
+    String::from_utf8_lossy(&output.stdout).into_owned() + &String::from_utf8_lossy(&output.stderr)
+}
+
+fn small() -> String {
+    std::fs::read_to_string(SMALL).expect("the scenario kept here")
+}
+
+/// The kept scenario made shorter, so that a test takes no time.
+fn short() -> String {
+    small().replace("span_s = 45", "span_s = 16").replace("start_s = 12", "start_s = 4")
+}
+
+#[test]
+fn a_run_leaves_a_folder_with_scenario_figures_and_a_report() {
+    let folder = Folder::new();
+    let (file, out) = (folder.write("short.toml", &short()), folder.path("out"));
+    let output = lab(&["run", &file, "--seed", "4", "--out", &out, "--quiet"]);
+    assert!(output.status.success(), "{}", said(&output));
+    let of = Path::new(&out).join("small-core-4");
+    let figures: serde_json::Value =
+        serde_json::from_slice(&std::fs::read(of.join("figures.json")).expect("figures")).expect("JSON");
+    assert!(
+        figures["served"].as_f64().is_some_and(|served| (0.3..1.0).contains(&served)),
+        "{}",
+        figures["served"]
+    );
+    assert_eq!((figures["broken"].as_u64(), figures["seed"].as_u64()), (Some(0), Some(4)));
+    let report = std::fs::read_to_string(of.join("report.html")).expect("a report");
+    for part in ["<svg", "All six rules kept.", "silent", "status", "Scenario as resolved"] {
+        assert!(report.contains(part), "no {part}");
+    }
+    assert!(
+        !report.contains("http://") || report.contains("http://www.w3.org"),
+        "it needs nothing from elsewhere"
+    );
+    let rows = std::fs::read_to_string(of.join("seconds.csv")).expect("a table");
+    assert!(rows.lines().count() > 16, "{rows}");
+    // The scenario as resolved is one, and with its seed it plays the same.
+    let again = folder.path("again");
+    let resolved = of.join("scenario.toml").display().to_string();
+    assert!(lab(&["run", &resolved, "--seed", "4", "--out", &again, "--quiet"]).status.success());
+    let same = |name: &str| {
+        let read = |out: &str| std::fs::read(Path::new(out).join("small-core-4").join(name)).expect("a file");
+        assert!(read(&out) == read(&again), "{name} differs");
+    };
+    ["scenario.toml", "figures.json", "seconds.csv", "report.html"].into_iter().for_each(same);
+}
+
+#[test]
+fn one_core_and_four_give_the_same_bytes() {
+    let folder = Folder::new();
+    let file = folder.write("short.toml", &short());
+    let outs = ["1", "4"].map(|jobs| {
+        let out = folder.path(&format!("jobs-{jobs}"));
+        let args = ["run", &file, "--seeds", "4", "--jobs", jobs, "--out", &out, "--quiet"];
+        assert!(lab(&args).status.success());
+        out
+    });
+    for seed in 1..=4 {
+        let read = |out: &String| {
+            let of = Path::new(out).join(format!("small-core-{seed}"));
+            ["figures.json", "report.html"].map(|name| std::fs::read(of.join(name)).expect("a file"))
+        };
+        assert!(read(&outs[0]) == read(&outs[1]), "seed {seed} differs");
+    }
+}
+
+#[test]
+fn a_comparison_pairs_by_seed_and_states_its_interval() {
+    let folder = Folder::new();
+    let (file, out) = (folder.write("short.toml", &short()), folder.path("out"));
+    let sides = [file.clone(), format!("{file}@one-try")];
+    let output = lab(&["compare", &sides[0], &sides[0], "--seeds", "3", "--out", &out, "--quiet"]);
+    assert!(output.status.success(), "{}", said(&output));
+    assert!(said(&output).contains("+0.0000  +0.0000 to +0.0000  not clear"), "{}", said(&output));
+    let output = lab(&["compare", &sides[0], &sides[1], "--seeds", "3", "--out", &out, "--quiet"]);
+    assert!(said(&output).contains("3 pairs"), "{}", said(&output));
+    let page = std::fs::read_to_string(Path::new(&out).join("compare.html")).expect("a page");
+    assert!(page.contains("95 %") && page.contains("<svg"));
+}
+
+#[test]
+fn a_sweep_has_a_point_for_each_value_and_policy() {
+    let folder = Folder::new();
+    let (file, out) = (folder.write("short.toml", &short()), folder.path("out"));
+    let over = "trouble.0.extent=0.1,0.6";
+    let args = [
+        "sweep", &file, "--over", over, "--policy", "core", "--policy", "one-try", "--seeds", "2", "--out",
+        &out, "--quiet",
+    ];
+    let output = lab(&args);
+    let text = said(&output);
+    assert_eq!(text.lines().filter(|line| line.contains("trouble.0.extent = ")).count(), 4, "{text}");
+    let rows = std::fs::read_to_string(Path::new(&out).join("sweep.csv")).expect("a table");
+    assert_eq!(rows.lines().count(), 1 + 8, "{rows}");
+    for over in ["trouble.7.extent=1", "nothing=1", "traffic.load", "traffic.load=much", "topic.0.name=3"] {
+        assert_eq!(lab(&["sweep", &file, "--over", over, "--quiet"]).status.code(), Some(2), "{over}");
+    }
+}
+
+#[test]
+fn a_bad_scenario_is_refused_with_file_line_and_reason() {
+    let folder = Folder::new();
+    let with = |from: &str, to: &str| {
+        let text = small();
+        assert!(text.contains(from), "{from}");
+        text.replacen(from, to, 1)
+    };
+    let cases = [
+        with("zipf = 0.5", "zipfian = 0.5"),
+        with("slots_room = [1.6, 2.0]", "slots_room = [2.0, 1.6]"),
+        with("extent = 0.15", "zone = \"b\""),
+        with("extent = 0.15", "extent = 1.5"),
+        with("extent = 0.15", "kind = \"triple\""),
+        with("what = \"silent\"", "what = \"loud\""),
+        with("what = \"silent\"", "what = \"topic-fails\""),
+        with("kinds = [\"bulk\"]", "kinds = [\"bulk\", \"odd\"]"),
+        with("window_ms = 4000", "window_ms = 0"),
+        with("ttl_ms = 16000", "ttl_ms = 1600"),
+        with("name = \"single\"", "name = \"bulk\""),
+        with("count = 3", "count = 0"),
+        with("count = 16", "count = 1"),
+        with("rate = 94", "rate = \"94\""),
+        with("rate = 94", "rate = nan"),
+        with("span_s = 45", ""),
+        "span_s = [".to_owned(),
+        String::new(),
+    ];
+    let mut trace = String::new();
+    for (n, text) in cases.iter().enumerate() {
+        let path = folder.write(&format!("{n}.toml"), text);
+        let output = lab(&["check", &path]);
+        assert_eq!(output.status.code(), Some(2), "{text}");
+        trace += &said(&output).replace(&folder.path(""), "");
+    }
+    expect![[r#"
+        0.toml:11: unknown field `zipfian`, expected one of `count`, `zipf`, `slots_room`, `least_slots`, `hold_s`, `least_held`, `tick_ms`, `pushes`, `notice_ms`
+        1.toml:12: relays.slots_room: the range is upside down: 2 is above 1.6
+        2.toml:102: trouble.0.zone: there is no zone "b"
+        3.toml:102: trouble.0.extent: must be from 0 to 1
+        4.toml:102: trouble.0.kind: there is no kind "triple"
+        5.toml:99: unknown variant `loud`, expected one of `slow`, `silent`, `errors`, `refuses`, `down`, `pauses`, `topic-fails`, `limit`, `handshakes`, `burst`, `hot`, `account-burst`, `release`, `hot-relays`, `list-down`, `list-stale`, `deploy`, `cut-there`, `cut-back`, `resets`, `hurry`, `kill`, `lose`
+        6.toml:99: trouble.0.what: topic-fails needs the topic type that fails: topic = ".."
+        7.toml:56: topic.1.kinds.1: there is no kind "odd"
+        8.toml:35: topic.0.window_ms: a collapsible topic type needs a window above 0
+        9.toml:39: topic.0.ttl_ms: the TTL is shorter than the latency objective
+        10.toml:59: kind.0.name: "bulk" is named twice
+        10.toml:73: kind.1.name: "bulk" is named twice
+        11.toml:10: relays.count: must be from 1 to 20000
+        12.toml:27: destinations.count: there must be a destination of each kind at least
+        13.toml:18: expected a number, or a range of two numbers such as [2, 5]
+        14.toml:18: traffic.rate: must be from 0 to 1000000
+        15.toml:1: missing field `span_s`
+        16.toml:1: unclosed array, expected `]`
+        17.toml:1: missing field `name`
+    "#]].assert_eq(&trace);
+}
+
+#[test]
+fn what_is_no_scenario_file_is_refused() {
+    let folder = Folder::new();
+    let large = folder.write("large.toml", &"#".repeat(2 << 20));
+    let path = folder.0.join("bytes.toml");
+    std::fs::write(&path, [0xff, 0xfe, b'\n']).expect("room");
+    for (path, part) in [
+        (folder.path("none.toml"), "No such file"),
+        (folder.path(""), "is no file"),
+        (large, "is larger than"),
+        (path.display().to_string(), "is not UTF-8"),
+    ] {
+        let output = lab(&["run", &path, "--quiet"]);
+        assert_eq!(output.status.code(), Some(2), "{path}");
+        assert!(said(&output).contains(part), "{}", said(&output));
+    }
+    let output = lab(&["run", SMALL, "--policy", "magic", "--quiet"]);
+    assert!(
+        said(&output).contains("there is no policy \"magic\"; there are core, one-try"),
+        "{}",
+        said(&output)
+    );
+}
--- /dev/null
+++ b/crates/model/tests/common/mod.rs
@@ -0,0 +1,138 @@
+//! Scenarios for tests, and a policy that only passes on.
+
+#![allow(dead_code, reason = "each test takes what it needs")]
+
+use std::collections::BTreeMap;
+
+use juniperwing::interface::{Command, DestinationId, EndpointId, Event, News, Readiness};
+use juniperwing::time::Time;
+use juniperwing_model::fleet::Fleet;
+use juniperwing_model::policy::{Policies, Policy, Truth};
+use juniperwing_model::{Figures, Scenario};
+
+/// Two kinds of destination, a collapsible and an ordered once-only topic type, and whatever is added.
+pub fn scenario(span_s: u32, troubles: &str) -> Scenario {
+    let text = format!(
+        r#"
+name = "test"
+span_s = {span_s}
+zones = ["a", "b"]
+[relays]
+count = 3
+zipf = 0.3
+slots_room = 2
+least_slots = 2
+hold_s = 10
+least_held = 16
+[traffic]
+rate = 60
+load = 0.75
+clumps = 0.1
+[destinations]
+count = 6
+endpoints = 2
+zipf = 0.6
+[[topic]]
+name = "status"
+share = 6
+effect = "collapsible"
+window_ms = 4000
+work_ms = 150
+objective_ms = 2000
+ttl_ms = 12000
+[[topic]]
+name = "once"
+share = 4
+effect = "once-only"
+ordered = true
+work_ms = 70
+objective_ms = 2500
+ttl_ms = 14000
+benefit = 2
+[[kind]]
+name = "bulk"
+share = 1
+limit = "window"
+headroom = [1.1, 1.6]
+per_call = 5
+tells_wait = 0.5
+[[kind]]
+name = "single"
+share = 1
+limit = "rate"
+headroom = [1.1, 1.6]
+connections = 3
+[[account]]
+name = "west"
+share = 2
+[[account]]
+name = "east"
+share = 1
+{troubles}
+"#
+    );
+    let scenario: Scenario = toml::from_str(&text).expect("a scenario");
+    assert_eq!(scenario.check(), []);
+    scenario
+}
+
+/// Notifications by what became of them are all that were handed in.
+pub fn conserves(figures: &Figures) {
+    for part in figures.topics.iter().chain(&figures.accounts) {
+        let ends = part.delivered + part.throttled + part.expired + part.gone;
+        assert_eq!(part.offered, ends, "{part:?}");
+    }
+    let pushes = &figures.pushes;
+    let ended = pushes.delivered
+        + pushes.error
+        + pushes.busy
+        + pushes.timed_out
+        + pushes.no_connection
+        + pushes.reset
+        + pushes.cancelled
+        + pushes.skipped;
+    assert!(ended <= pushes.sent, "{pushes:?}");
+}
+
+/// Pushes whatever comes at once, to the endpoints of its destination in turn, and ends nothing by itself.
+pub struct PassesOn;
+
+#[derive(Default)]
+struct Passing {
+    ends: BTreeMap<DestinationId, Vec<EndpointId>>,
+    next: usize,
+}
+
+impl Policies for PassesOn {
+    fn name(&self) -> &str {
+        "passes-on"
+    }
+
+    fn start(&self, _: Time, _: usize, _: u64, _: &Fleet) -> Box<dyn Policy> {
+        Box::new(Passing::default())
+    }
+}
+
+impl Policy for Passing {
+    fn handle(&mut self, now: Time, events: Vec<Event>, _: &dyn Truth) -> Vec<Command> {
+        let mut commands = Vec::new();
+        for event in events {
+            match event {
+                Event::List(News::Whole(entries)) => {
+                    for entry in entries.into_iter().filter(|entry| entry.readiness == Readiness::Serving) {
+                        self.ends.entry(entry.destination).or_default().push(entry.endpoint);
+                    }
+                }
+                Event::Accepted(ntf) => {
+                    let ends = &self.ends[&ntf.destination];
+                    self.next += 1;
+                    let endpoint = ends[self.next % ends.len()].clone();
+                    let time_out = ntf.valid_until.since(now);
+                    commands.push(Command::Push { ntf: ntf.id, endpoint, time_out });
+                }
+                _ => {}
+            }
+        }
+        commands
+    }
+}
--- /dev/null
+++ b/crates/model/tests/model.rs
@@ -0,0 +1,191 @@
+//! The model against theory where there is one, and what must hold for every run.
+
+mod common;
+
+use common::{PassesOn, conserves, scenario};
+use juniperwing_model::scenario::{Law, LimitForm, Range, Scenario};
+use juniperwing_model::{Core, Figures, play};
+use proptest::prelude::*;
+
+/// One destination with one endpoint and no network, at which whatever comes is passed on at once.
+fn queue(rate: f64, work_ms: f64, law: Law, cv: f64, servers: f64) -> Figures {
+    let mut plain: Scenario = scenario(3_000, "");
+    plain.zones.truncate(1);
+    plain.account.clear();
+    plain.kind.truncate(1);
+    plain.topic.truncate(1);
+    let (topic, kind) = (&mut plain.topic[0], &mut plain.kind[0]);
+    (topic.work_ms, topic.work_law, topic.work_cv, topic.try_cv) = (work_ms.into(), law, cv.into(), 0.0);
+    (topic.ttl_ms, topic.objective_ms) = (600_000.0, 600_000.0);
+    kind.limit = LimitForm::None;
+    kind.per_call = 1;
+    kind.queue = Range::from(1e6);
+    // As many servers as are asked for: what is busy at full load, and room.
+    kind.spare = Range::from((servers - 0.5) / (rate * work_ms / 1_000.0));
+    (plain.destinations.count, plain.destinations.endpoints) = (1.0.into(), 1.0.into());
+    (plain.traffic.rate, plain.traffic.load, plain.traffic.clumps) = (rate.into(), 1.0.into(), 0.0.into());
+    plain.relays.count = 1.0.into();
+    (plain.relays.least_slots, plain.relays.least_held, plain.relays.tick_ms) = (1e5, 1e6, 0.0);
+    (plain.network.near_ms, plain.network.far_ms) = (0.0.into(), 0.0.into());
+    assert_eq!(plain.check(), []);
+    play(&plain, 11, &PassesOn)
+}
+
+/// Mean time in the system, in seconds, from the mean number in it: Little's law, by samples once a second.
+fn mean_number(figures: &Figures) -> f64 {
+    let steady = &figures.seconds[100..3_000];
+    steady.iter().map(|second| second.out as f64).sum::<f64>() / steady.len() as f64
+}
+
+/// The chance to wait with `servers` servers at offered load `a`.
+fn erlang_c(servers: u32, a: f64) -> f64 {
+    let (mut term, mut sum) = (1.0, 0.0);
+    for n in 0..servers {
+        sum += term;
+        term *= a / f64::from(n + 1);
+    }
+    let last = term * f64::from(servers) / (f64::from(servers) - a);
+    last / (sum + last)
+}
+
+/// M/M/1: the mean number in the system is rho / (1 - rho), and the median time is that of an exponential.
+#[test]
+fn one_server_waits_as_theory_says() {
+    let (rate, work) = (7.0, 0.1);
+    let figures = queue(rate, work * 1_000.0, Law::Exponential, 1.0, 1.0);
+    let (rho, number) = (rate * work, mean_number(&figures));
+    let expected = rho / (1.0 - rho);
+    assert!((number / expected - 1.0).abs() < 0.10, "{number} for {expected}");
+    let median = figures.topics[0].latency_ms[0] / 1_000.0;
+    let expected = std::f64::consts::LN_2 * work / (1.0 - rho);
+    assert!((median / expected - 1.0).abs() < 0.10, "{median} for {expected}");
+}
+
+/// M/M/c, by Erlang's formula.
+#[test]
+fn several_servers_wait_as_theory_says() {
+    let (rate, work, servers) = (32.0, 0.1, 4);
+    let figures = queue(rate, work * 1_000.0, Law::Exponential, 1.0, f64::from(servers));
+    let a = rate * work;
+    let waits = erlang_c(servers, a) * work / (f64::from(servers) - a);
+    let (number, expected) = (mean_number(&figures), rate * (waits + work));
+    assert!((number / expected - 1.0).abs() < 0.10, "{number} for {expected}");
+}
+
+/// M/G/1 with lognormal work, by Pollaczek and Khinchine.
+#[test]
+fn heavy_tailed_work_waits_as_theory_says() {
+    let (rate, work, cv) = (6.0, 0.1, 1.5);
+    let figures = queue(rate, work * 1_000.0, Law::Lognormal, cv, 1.0);
+    let rho = rate * work;
+    let waits = rho / (1.0 - rho) * (1.0 + cv * cv) / 2.0 * work;
+    let (number, expected) = (mean_number(&figures), rate * (waits + work));
+    assert!((number / expected - 1.0).abs() < 0.15, "{number} for {expected}");
+}
+
+/// As many notifications as a Poisson process of that rate brings, give or take.
+#[test]
+fn arrivals_come_at_the_rate_asked_for() {
+    let mut plain = scenario(400, "");
+    (plain.traffic.swing, plain.traffic.clumps) = (0.4.into(), 0.3.into());
+    let offered: u64 = play(&plain, 5, &PassesOn).topics.iter().map(|topic| topic.offered).sum();
+    let expected = 60.0 * 0.75 * 400.0;
+    assert!((offered as f64 / expected - 1.0).abs() < 0.06, "{offered} for {expected}");
+}
+
+#[test]
+fn the_same_scenario_and_seed_give_the_same_figures_and_another_seed_others() {
+    let troubles = "[[trouble]]\nwhat = \"kill\"\nstart_s = 5\nextent = 0.4\nsize = 2\n";
+    let text = |seed| serde_json::to_string(&play(&scenario(15, troubles), seed, &Core)).expect("JSON");
+    assert_eq!(text(3), text(3));
+    assert_ne!(text(3), text(4));
+}
+
+#[test]
+fn a_resolved_scenario_resolves_to_itself_and_plays_the_same() {
+    let mut ranged =
+        scenario(10, "[[trouble]]\nwhat = \"slow\"\nstart_s = [2, 5]\nspan_s = [3, 4]\nsize = [3, 9]\n");
+    ranged.traffic.load = Range { least: 0.5, most: 0.9 };
+    let resolved = ranged.resolve(9);
+    let text = |scenario: &Scenario| toml::to_string(scenario).expect("TOML");
+    assert_eq!(text(&resolved), text(&resolved.resolve(9)));
+    let read: Scenario = toml::from_str(&text(&resolved)).expect("a scenario");
+    let figures = |scenario: &Scenario| serde_json::to_string(&play(scenario, 9, &Core)).expect("JSON");
+    assert_eq!(figures(&ranged), figures(&read));
+}
+
+/// A trouble that is added leaves what is handed in as it was.
+#[test]
+fn a_trouble_shifts_no_other_draw() {
+    let slow = "[[trouble]]\nwhat = \"slow\"\nstart_s = 4\nspan_s = 4\nsize = 5\nextent = 0.5\n";
+    let offered = |troubles| {
+        let figures = play(&scenario(12, troubles), 2, &Core);
+        figures.seconds.iter().map(|second| second.offered).collect::<Vec<_>>()
+    };
+    let (calm, troubled) = (offered(""), offered(slow));
+    assert_eq!(calm[..12], troubled[..12]);
+}
+
+#[test]
+fn a_day_of_no_traffic_ends_and_serves_all() {
+    let mut idle = scenario(86_400, "");
+    idle.traffic.rate = 0.0.into();
+    let figures = play(&idle, 1, &Core);
+    assert_eq!((figures.served, figures.pushes.sent, figures.cut, figures.broken), (1.0, 0, false, 0));
+}
+
+#[test]
+fn relays_that_are_killed_lose_nothing_that_their_folders_keep() {
+    let kill = "[[trouble]]\nwhat = \"kill\"\nstart_s = 5\nextent = 1\nsize = 1.5\n";
+    let figures = play(&scenario(15, kill), 1, &Core);
+    conserves(&figures);
+    assert_eq!(figures.broken, 0, "{:#?}", figures.breaks);
+    let lost = kill.replace("kill", "lose");
+    let figures = play(&scenario(15, &lost), 1, &Core);
+    conserves(&figures);
+    assert_eq!(figures.broken, 0, "{:#?}", figures.breaks);
+}
+
+const WOES: [&str; 17] = [
+    "slow",
+    "silent",
+    "errors",
+    "refuses",
+    "down",
+    "pauses",
+    "limit",
+    "handshakes",
+    "burst",
+    "hot",
+    "release",
+    "hot-relays",
+    "list-down",
+    "list-stale",
+    "deploy",
+    "resets",
+    "cut-there",
+];
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(24))]
+
+    /// Whatever overlaps: every notification has one end or is counted as gone, and the run is not cut off.
+    #[test]
+    fn notifications_are_conserved(
+        woes in prop::collection::vec((0..WOES.len(), 0.0f64..6.0, 0.1f64..6.0, 0.05f64..0.9), 0..4), seed in 0u64..1_000,
+    ) {
+        let mut troubles = String::new();
+        for (woe, start, span, extent) in &woes {
+            let size = if ["resets", "limit", "hot-relays"].contains(&WOES[*woe]) { 0.3 } else { 2.0 };
+            troubles += &format!(
+                "[[trouble]]\nwhat = \"{}\"\nstart_s = {start}\nspan_s = {span}\nextent = {extent}\nsize = {size}\n",
+                WOES[*woe]
+            );
+        }
+        let figures = play(&scenario(8, &troubles), seed, &Core);
+        conserves(&figures);
+        prop_assert!(!figures.cut && figures.faults == 0);
+        let bad: Vec<_> = figures.breaks.iter().filter(|b| b.rule != juniperwing_model::Rule::Return).collect();
+        prop_assert!(bad.is_empty(), "{:#?}", bad);
+    }
+}
