--- /dev/null
+++ b/crates/lab/src/adapter.rs
@@ -0,0 +1,260 @@
+//! Another build's decisions, through its adapter: one process for each run, that hosts all its relays and speaks JSON
+//! lines. It owns that process and its end. It must never see anything of a run but what its relays are told.
+
+use std::cell::RefCell;
+use std::io::{BufRead, BufReader, Write};
+use std::process::{Child, ChildStdin, ChildStdout, Command as Process, Stdio};
+use std::rc::Rc;
+use std::sync::Arc;
+
+use juniperwing::interface::{
+    Command, Effect, EndpointId, Event, Group, News, NtfId, Outcome, Readiness, Status,
+};
+use juniperwing::time::{Span, Time};
+use juniperwing_model::fleet::Fleet;
+use juniperwing_model::policy::{Policies, Policy, Truth};
+use serde::Deserialize;
+use serde_json::{Value, json};
+
+/// The longest reply that is read.
+const LONGEST: u64 = 64 << 20;
+
+/// The process, or why there is none any more.
+struct Wire {
+    child: Child,
+    input: ChildStdin,
+    output: BufReader<ChildStdout>,
+}
+
+impl Drop for Wire {
+    fn drop(&mut self) {
+        // It may have ended by itself.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+type Shared = Rc<RefCell<Result<Wire, String>>>;
+
+/// The policies of an adapter's process.
+pub struct Adapter {
+    name: String,
+    wire: Shared,
+}
+
+impl Adapter {
+    /// Starts the program.
+    pub fn start(path: &str) -> Result<Adapter, String> {
+        let mut child = Process::new(path)
+            .stdin(Stdio::piped())
+            .stdout(Stdio::piped())
+            .spawn()
+            .map_err(|e| format!("{path} cannot be started: {e}"))?;
+        let (Some(input), Some(output)) = (child.stdin.take(), child.stdout.take()) else {
+            return Err(format!("{path}: no pipes"));
+        };
+        let wire = Wire { child, input, output: BufReader::new(output) };
+        let stem = std::path::Path::new(path).file_name().and_then(|name| name.to_str()).unwrap_or("adapter");
+        Ok(Adapter { name: stem.to_owned(), wire: Rc::new(RefCell::new(Ok(wire))) })
+    }
+
+    /// Why it failed, if it did: then the run's figures are worth nothing.
+    pub fn failed(&self) -> Option<String> {
+        self.wire.borrow().as_ref().err().cloned()
+    }
+}
+
+impl Policies for Adapter {
+    fn name(&self) -> &str {
+        &self.name
+    }
+
+    fn start(&self, _: Time, relay: usize, seed: u64, fleet: &Fleet) -> Box<dyn Policy> {
+        let name = format!("r{relay}");
+        let spawn = json!({"m": "Spawn", "relay": name, "prng": seed, "boot-info": settings(fleet, relay)});
+        Box::new(Far { wire: self.wire.clone(), name, first: Some(spawn) })
+    }
+}
+
+struct Far {
+    wire: Shared,
+    name: String,
+    /// It has not been told that it starts.
+    first: Option<Value>,
+}
+
+#[derive(Deserialize)]
+struct Reply {
+    cmds: Vec<Cmd>,
+}
+
+#[derive(Deserialize)]
+#[serde(tag = "m", rename_all_fields = "kebab-case")]
+enum Cmd {
+    Transmit {
+        ticket: u64,
+        endpoint: String,
+        give_up_after: u64,
+    },
+    AbortAttempt {
+        ticket: u64,
+        go: u32,
+    },
+    Bounce {
+        ticket: u64,
+        #[serde(default)]
+        retry_in: u64,
+    },
+    Fail {
+        ticket: u64,
+    },
+    NotifyMe {
+        wait: u64,
+    },
+    Listen {},
+    DropConns {
+        endpoint: String,
+    },
+    #[serde(other)]
+    Else,
+}
+
+impl Far {
+    fn ask(&mut self, now: Time, happened: &[Value]) -> Result<Vec<Command>, String> {
+        let mut shared = self.wire.borrow_mut();
+        let wire = shared.as_mut().map_err(|e| e.clone())?;
+        let now = now.since(Time::default()).nanos();
+        let mut line = json!({"now": now, "happened": happened}).to_string();
+        line.push('\n');
+        wire.input.write_all(line.as_bytes()).and_then(|()| wire.input.flush()).map_err(|e| e.to_string())?;
+        let mut reply = Vec::new();
+        let mut bounded = std::io::Read::take(&mut wire.output, LONGEST);
+        let read = bounded.read_until(b'\n', &mut reply).map_err(|e| e.to_string())?;
+        if read == 0 {
+            return Err("it ended in the middle of a run".to_owned());
+        }
+        let reply: Reply = serde_json::from_slice(&reply).map_err(|e| format!("its reply is none: {e}"))?;
+        let endpoint = |name: String| EndpointId(Arc::from(name));
+        let command = |cmd| {
+            Some(match cmd {
+                Cmd::Transmit { ticket, endpoint: to, give_up_after } => Command::Push {
+                    ntf: NtfId(ticket),
+                    endpoint: endpoint(to),
+                    time_out: Span::from_nanos(give_up_after),
+                },
+                Cmd::AbortAttempt { ticket, go } => Command::Cancel { ntf: NtfId(ticket), push: go },
+                Cmd::Bounce { ticket, retry_in } => {
+                    Command::Throttle { ntf: NtfId(ticket), retry_in: Span::from_nanos(retry_in) }
+                }
+                Cmd::Fail { ticket } => Command::Expire(NtfId(ticket)),
+                Cmd::NotifyMe { wait } => Command::Wake(Span::from_nanos(wait)),
+                Cmd::Listen {} => Command::Subscribe,
+                Cmd::DropConns { endpoint: to } => Command::CloseIdle(endpoint(to)),
+                Cmd::Else => return None,
+            })
+        };
+        Ok(reply.cmds.into_iter().filter_map(command).collect())
+    }
+}
+
+impl Policy for Far {
+    fn handle(&mut self, now: Time, events: Vec<Event>, _: &dyn Truth) -> Vec<Command> {
+        let mut happened: Vec<Value> = self.first.take().into_iter().collect();
+        events.into_iter().for_each(|event| told(&self.name, event, &mut happened));
+        match self.ask(now, &happened) {
+            Ok(commands) => commands,
+            Err(why) => {
+                let mut wire = self.wire.borrow_mut();
+                if wire.is_ok() {
+                    *wire = Err(why);
+                }
+                Vec::new()
+            }
+        }
+    }
+}
+
+/// An event as the wire has it. The end of a notification is heard at once there, so `Heard` is not on it.
+fn told(relay: &str, event: Event, happened: &mut Vec<Value>) {
+    match event {
+        Event::List(news) => {
+            let (kind, entries) = match news {
+                News::Broken => ("broken", Vec::new()),
+                News::Changes(entries) => ("patch", entries),
+                News::Whole(entries) => ("whole", entries),
+            };
+            let record = |entry: juniperwing::interface::Entry| {
+                let readiness = match entry.readiness {
+                    Readiness::Serving => "READY",
+                    Readiness::Draining => "DRAINING",
+                    Readiness::Deleted => "DELETED",
+                };
+                json!({"endpoint": &*entry.endpoint.0, "region-part": &*entry.zone, "model": entry.kind.name,
+                    "cell": entry.destination.0, "readiness": readiness, "nominal": entry.rate})
+            };
+            let records: Vec<Value> = entries.into_iter().map(record).collect();
+            happened.push(json!({"m": "Inventory", "bank": 1, "records": records}));
+            happened.push(json!({"m": "Endpoints", "relay": relay, "kind": kind, "bank": 1}));
+        }
+        Event::Accepted(ntf) => happened.push(json!({"m": "Accept", "relay": relay, "ticket": ntf.id.0,
+            "bound-for": ntf.destination.0, "org": ntf.account.map(|account| account.name.clone()),
+            "object": ntf.key, "valid-until": ntf.valid_until.since(Time::default()).nanos(), "cls": ntf.topic.name})),
+        Event::Ended(outcome) => happened.push(answer(relay, &outcome)),
+        Event::Withdrawn(ntf) => happened.push(json!({"m": "Withdrawn", "relay": relay, "ticket": ntf.0})),
+        Event::Woken => happened.push(json!({"m": "Ring", "relay": relay, "label": "wake"})),
+        Event::Heard(_) | Event::Slots(_) | Event::Probed { .. } => {}
+    }
+}
+
+fn answer(relay: &str, outcome: &Outcome) -> Value {
+    let status = match outcome.status {
+        Status::Delivered => "done",
+        Status::Error => "err",
+        Status::Busy => "busy",
+        Status::TimedOut => "etimedout",
+        Status::NoConnection => "econnrefused",
+        Status::Reset => "econnreset",
+        Status::Cancelled => "ecanceled",
+        Status::Skipped => "skipped",
+    };
+    let stats = outcome.limit.map(|limit| vec![limit.left, limit.rate]).unwrap_or_default();
+    let wait = outcome.wait.unwrap_or_default().nanos().div_ceil(1_000_000);
+    json!({"m": "Answer", "relay": relay, "ticket": outcome.ntf.0, "go": outcome.push,
+        "endpoint": &*outcome.endpoint.0, "status": status, "spent": outcome.spent.nanos(),
+        "settled": outcome.settled, "detail": wait, "server-stats": stats})
+}
+
+/// What a relay is started with, as the wire has it.
+fn settings(fleet: &Fleet, relay: usize) -> Value {
+    let (facts, allowed, figures) = (fleet.facts(), fleet.relays[relay].allowance, fleet.figures);
+    let class = |plan: &juniperwing_model::fleet::TopicPlan| {
+        let topic = &plan.topic;
+        let (semantics, scope) = match topic.effect {
+            Effect::Repeatable => ("pure", "all"),
+            Effect::Collapsible { group: Group::All, .. } => ("token", "all"),
+            Effect::Collapsible { group: Group::Zone, .. } => ("token", "zone"),
+            Effect::OnceOnly => ("side_effect", "all"),
+        };
+        json!({"name": topic.name, "semantics": semantics, "dedup-scope": scope, "fifo-by-key": topic.ordered,
+            "aim": topic.objective.nanos(), "hard-limit": topic.ttl.nanos(), "worth": topic.benefit,
+            "late-value": topic.late_share, "repeat-window": topic.effect.window().unwrap_or_default().nanos()})
+    };
+    let account = |account: &Arc<juniperwing::interface::Account>| json!({"name": account.name, "quota-per-s": account.quota});
+    json!({
+        "balancers": facts.relays, "discovery": "subscribe", "tick": facts.tick.nanos(),
+        "weight-source": if facts.rates_listed { "rough" } else { "none" },
+        "classes": fleet.topics.iter().map(class).collect::<Vec<_>>(),
+        "accounts": fleet.accounts.iter().map(account).collect::<Vec<_>>(),
+        "kinds": fleet.kinds.iter().map(|kind| kind.name.clone()).collect::<Vec<_>>(),
+        "family-info": {"slots": allowed.slots,
+            "per-call": fleet.kinds.iter().map(|kind| kind.per_call).collect::<Vec<_>>(),
+            "separate-routes": fleet.kinds.iter().map(|kind| kind.separate_routes).collect::<Vec<_>>()},
+        "load-report": {"how": "answers", "fields": ["x0", "x1"]},
+        "ceilings": {"max-attempts": allowed.pushes, "max-retry-after": allowed.longest_retry.nanos(),
+            "retry-after": allowed.longest_retry > Span::ZERO, "cancel": allowed.cancel, "probes": allowed.probes,
+            "second-copies": true, "most-held": allowed.held},
+        "rules": {"ask-every": figures.ask_every.nanos(), "cold": figures.cold.nanos(),
+            "cold-from": figures.cold_from, "fall-multiple": figures.fall_multiple,
+            "tip-after": figures.tip_after.nanos(), "settle-after-doubt": figures.settle.nanos()}
+    })
+}
--- a/crates/lab/src/baselines.rs
+++ b/crates/lab/src/baselines.rs
@@ -31,6 +31,8 @@
 const SAVED: f64 = 10.0;
 /// How often an oracle looks again at what it cannot send yet.
 const LOOK: Span = Span::from_millis(20);
+/// How often it looks after what is out.
+const LOOK_OUT: Span = Span::from_millis(200);
 /// A cold destination is sent nothing by an oracle that leaves it less than so many.
 const SPARE: f64 = 4.0;
 
@@ -80,8 +82,11 @@
     ran: Option<(Time, Arc<str>)>,
     /// The call that it is out in.
     out: Option<u64>,
-    /// When the latest was sent.
+    /// When the latest was sent, and where to.
     sent: Time,
+    to: EndpointId,
+    /// The push that is out was called off.
+    off: bool,
     /// It has its final answer; the next of its key waits until it was heard.
     over: bool,
 }
@@ -169,7 +174,20 @@
                 line.rests.max(ntf.past.doubt.map_or(Time::default(), |at| at + self.figures.settle));
         }
         let (ran, over, pushes) = (ntf.past.ran.clone(), ntf.past.ended, ntf.past.pushes);
-        self.held.insert(id, Held { ntf, ready: now, pushes, ran, out: None, sent: now, over });
+        self.held.insert(
+            id,
+            Held {
+                ntf,
+                ready: now,
+                pushes,
+                ran,
+                out: None,
+                sent: now,
+                to: EndpointId::default(),
+                off: false,
+                over,
+            },
+        );
         self.saved = (self.saved + BUDGET).min(SAVED);
     }
 
@@ -288,15 +306,16 @@
 
     /// Sends what may go and ends what may not; says when to look again.
     fn send(&mut self, now: Time, truth: &dyn Truth, commands: &mut Vec<Command>) -> Time {
-        let mut order: Vec<(Time, u64)> = self
-            .held
-            .iter()
-            .filter(|(_, h)| h.out.is_none() && !h.over)
-            .map(|(id, h)| (h.ready, *id))
-            .collect();
+        // An oracle sends first what can still meet its objective; the others go by arrival.
+        let late = |held: &Held| {
+            let born = held.ntf.valid_until - held.ntf.topic.ttl;
+            self.style == Style::Oracle && now.since(born) > held.ntf.topic.objective
+        };
+        let waiting = self.held.iter().filter(|(_, h)| h.out.is_none() && !h.over);
+        let mut order: Vec<(bool, Time, u64)> = waiting.map(|(id, h)| (late(h), h.ready, *id)).collect();
         order.sort_unstable();
         let mut look = Time::NEVER;
-        for (ready, id) in order.iter().copied() {
+        for (_, ready, id) in order.iter().copied() {
             let Some(held) = self.held.get(&id).filter(|held| held.out.is_none()) else { continue };
             let last = held.ntf.valid_until - LEAST_LEFT;
             let Some(zone) = self.may_go(now, held).filter(|_| now < last) else {
@@ -329,7 +348,7 @@
                     && zone.is_some_and(|zone| zone.is_none_or(|zone| zone == at))
             };
             let others =
-                order.iter().map(|o| o.1).filter(|other| *other != id && self.held.contains_key(other));
+                order.iter().map(|o| o.2).filter(|other| *other != id && self.held.contains_key(other));
             let mut call = vec![id];
             call.extend(others.filter(joins).take(most - 1));
             self.push(now, &call, &endpoint, commands);
@@ -337,6 +356,21 @@
         look
     }
 
+    /// Calls off what is out where nothing is answered and may go again; says when to look again.
+    fn call_off(&mut self, now: Time, truth: &dyn Truth, commands: &mut Vec<Command>) -> Time {
+        let mut look = Time::NEVER;
+        for (id, held) in self.held.iter_mut().filter(|(_, held)| held.out.is_some() && !held.off) {
+            let again = held.ntf.topic.effect != Effect::OnceOnly && held.pushes < self.allowed.pushes;
+            if again && truth.endpoint(&held.to).is_some_and(|state| !state.answers) {
+                held.off = true;
+                commands.push(Command::Cancel { ntf: NtfId(*id), push: held.pushes - 1 });
+            } else if again {
+                look = now + LOOK_OUT;
+            }
+        }
+        look
+    }
+
     fn push(&mut self, now: Time, call: &[u64], endpoint: &EndpointId, commands: &mut Vec<Command>) {
         self.next_call += 1;
         self.calls.insert(self.next_call, call.len());
@@ -353,6 +387,7 @@
                 self.saved -= 1.0;
             }
             (held.out, held.pushes, held.sent) = (Some(self.next_call), held.pushes + 1, now);
+            (held.to, held.off) = (endpoint.clone(), false);
             commands.push(Command::Push { ntf: NtfId(*id), endpoint: endpoint.clone(), time_out });
         }
     }
@@ -388,7 +423,10 @@
                 Event::Woken | Event::Probed { .. } => {}
             }
         }
-        let look = self.send(now, truth, &mut commands);
+        let mut look = self.send(now, truth, &mut commands);
+        if self.style == Style::Oracle {
+            look = look.min(self.call_off(now, truth, &mut commands));
+        }
         if look < Time::NEVER {
             commands.push(Command::Wake(look.since(now)));
         }
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -1,9 +1,11 @@
 //! juniperwing-lab: plays scenarios with the core or another policy, compares and sweeps them, and writes reports. It
 //! owns the command line and its exit codes. It must never reach beyond the files that it is given.
 
+mod adapter;
 mod baselines;
 mod compare;
 mod file;
+mod hunt;
 mod play;
 mod plots;
 mod report;
@@ -14,9 +16,13 @@
 use std::process::ExitCode;
 
 use clap::{Args, Parser, Subcommand};
+use juniperwing_model::scenario::Woe;
 use juniperwing_model::{Figures, Scenario};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
 
 use crate::compare::Difference;
+use crate::hunt::Shows;
 use crate::play::Run;
 use crate::plots::Line;
 
@@ -36,13 +42,16 @@
         scenario: PathBuf,
         #[command(flatten)]
         how: How,
-        /// Whose decisions: core, one-try, backoff, breaker, oracle
+        /// Whose decisions: core, one-try, backoff, breaker, oracle, or adapter:PROGRAM of another build
         #[arg(long, default_value = "core")]
         policy: String,
+        /// Play the first seed once more on one core and say where the time goes
+        #[arg(long)]
+        time: bool,
     },
     /// Play two scenarios, or two policies on one, on the same seeds, and state the difference
     Compare {
-        /// The first: SCENARIO or SCENARIO@POLICY
+        /// The first: SCENARIO or SCENARIO@POLICY, such as small@adapter:target/release/juniperwing-adapter
         a: String,
         /// The second
         b: String,
@@ -62,6 +71,46 @@
         #[arg(long, default_value = "core")]
         policy: Vec<String>,
     },
+    /// Search seeds and combinations of troubles for a broken rule or the worst day, and shrink what is found
+    Hunt {
+        /// A scenario file, or the name of one in lab/scenarios; its own troubles are left out
+        scenario: PathBuf,
+        #[command(flatten)]
+        how: How,
+        /// Days to play
+        #[arg(long, default_value_t = 200, value_parser = clap::value_parser!(u64).range(1..=100_000))]
+        budget: u64,
+        /// Only troubles of these kinds
+        #[arg(long, value_delimiter = ',')]
+        only: Vec<String>,
+        /// Look for broken rules alone; else the loss against an oracle counts too
+        #[arg(long)]
+        rules: bool,
+        /// Whose decisions
+        #[arg(long, default_value = "core")]
+        policy: String,
+    },
+    /// Play a day again that a hunt found: the file's own seed
+    Replay {
+        /// The file
+        file: PathBuf,
+        /// The folder for results
+        #[arg(long, default_value = "target/lab")]
+        out: PathBuf,
+        /// Whose decisions
+        #[arg(long, default_value = "core")]
+        policy: String,
+    },
+    /// Which troubles, alone and in pairs, cost a policy most against the best baseline and the oracle
+    Survey {
+        /// A scenario file, or the name of one in lab/scenarios; its own troubles are left out
+        scenario: PathBuf,
+        #[command(flatten)]
+        how: How,
+        /// Pairs too, not only troubles alone
+        #[arg(long)]
+        pairs: bool,
+    },
     /// Check scenario files and say what is wrong with them
     Check {
         /// Scenario files
@@ -103,9 +152,15 @@
 
 fn main() -> ExitCode {
     let done = match Cli::parse().order {
-        Order::Run { scenario, how, policy } => run(&scenario, &how, &policy),
+        Order::Run { scenario, how, policy, time } => run(&scenario, &how, &policy)
+            .and_then(|code| if time { timed(&scenario, &how, &policy) } else { Ok(code) }),
         Order::Compare { a, b, how } => compare(&a, &b, &how),
         Order::Sweep { scenario, over, how, policy } => sweep(&scenario, &over, &how, &policy),
+        Order::Hunt { scenario, how, budget, only, rules, policy } => {
+            hunt(&scenario, &how, budget as usize, &only, rules, &policy)
+        }
+        Order::Replay { file, out, policy } => replay(&file, &out, &policy),
+        Order::Survey { scenario, how, pairs } => survey(&scenario, &how, pairs),
         Order::Check { scenarios } => check(&scenarios),
         Order::Scenarios => scenarios(),
     };
@@ -127,10 +182,10 @@
 }
 
 fn known(policy: &str) -> Result<(), String> {
-    match play::policies(policy) {
-        Some(_) => Ok(()),
-        None => Err(format!("there is no policy {policy:?}; there are {}", play::POLICIES.join(", "))),
+    if play::is_known(policy) {
+        return Ok(());
     }
+    Err(format!("there is no policy {policy:?}; there are {} and adapter:PROGRAM", play::POLICIES.join(", ")))
 }
 
 fn folder(out: &Path, figures: &Figures) -> PathBuf {
@@ -153,9 +208,26 @@
     Ok(code(&figures))
 }
 
+/// Where the time of a run goes.
+fn timed(scenario: &Path, how: &How, policy: &str) -> Done {
+    let run = Run { scenario: file::read(scenario)?, seed: how.seed, policy: policy.to_owned() };
+    let (figures, decisions, all) = play::timed(&run)?;
+    let (model, events) = (all.saturating_sub(decisions), figures.events.max(1));
+    let micros = |time: std::time::Duration| time.as_secs_f64() * 1e6;
+    println!(
+        "{:.1} simulated s a second; decisions {:.2} s ({:.2} us a turn), model {:.2} s ({:.2} us an event)",
+        figures.seconds.len() as f64 / all.as_secs_f64().max(1e-9),
+        decisions.as_secs_f64(),
+        micros(decisions) / figures.turns.max(1) as f64,
+        model.as_secs_f64(),
+        micros(model) / events as f64
+    );
+    Ok(code(&[figures]))
+}
+
 /// `SCENARIO` or `SCENARIO@POLICY`.
 fn side(named: &str) -> Result<(Scenario, String), Box<dyn Error>> {
-    let (path, policy) = named.rsplit_once('@').unwrap_or((named, "core"));
+    let (path, policy) = named.split_once('@').unwrap_or((named, "core"));
     known(policy)?;
     Ok((file::read(Path::new(path))?, policy.to_owned()))
 }
@@ -280,6 +352,161 @@
     Ok(code(&figures))
 }
 
+/// Troubles by their names in scenarios; all that a hunt draws from if none is named.
+fn woes(only: &[String]) -> Result<Vec<Woe>, String> {
+    let named = |name: &String| {
+        let all = || hunt::woes().map(report::name).collect::<Vec<_>>().join(", ");
+        hunt::woes()
+            .find(|woe| report::name(*woe) == *name)
+            .ok_or_else(|| format!("no trouble {name:?}: {}", all()))
+    };
+    if only.is_empty() { Ok(hunt::woes().collect()) } else { only.iter().map(named).collect() }
+}
+
+fn hunt(scenario: &Path, how: &How, budget: usize, only: &[String], rules: bool, policy: &str) -> Done {
+    known(policy)?;
+    let (scenario, only) = (file::read(scenario)?, woes(only)?);
+    let runs = hunt::days(&scenario, &only, how.seed, budget);
+    let runs: Vec<Run> = runs.into_iter().map(|run| Run { policy: policy.to_owned(), ..run }).collect();
+    let beside = |runs: &[Run]| -> Result<Vec<Option<Figures>>, String> {
+        if rules {
+            return Ok(runs.iter().map(|_| None).collect());
+        }
+        let oracle: Vec<Run> =
+            runs.iter().map(|run| Run { policy: "oracle".to_owned(), ..run.clone() }).collect();
+        Ok(how.play(&oracle)?.into_iter().map(Some).collect())
+    };
+    let (figures, others) = (how.play(&runs)?, beside(&runs)?);
+    let shown: Vec<Shows> = figures.iter().zip(&others).map(|(f, o)| Shows::of(f, o.as_ref())).collect();
+    let broken = shown.iter().filter(|s| matches!(s, Shows::Broken(_))).count();
+    println!("{} days played, {broken} with a broken rule", runs.len());
+    let worst = (0..runs.len()).max_by(|a, b| {
+        let (a, b) = (shown[*a].rank(), shown[*b].rank());
+        a.0.cmp(&b.0).then(a.1.total_cmp(&b.1))
+    });
+    let Some(worst) = worst.filter(|_| !rules || broken > 0) else { return Ok(ExitCode::SUCCESS) };
+    println!("the worst: {:?}, seed {}; it is cut down ...", shown[worst], runs[worst].seed);
+    let quiet = How { quiet: true, out: how.out.clone(), ..*how };
+    let show = |scenario: &Scenario| {
+        let run = [Run { scenario: scenario.clone(), ..runs[worst].clone() }];
+        let figures = quiet.play(&run)?;
+        let others = beside(&run)?;
+        Ok(Shows::of(&figures[0], others[0].as_ref()))
+    };
+    let (mut least, found) = hunt::shrink(&runs[worst].scenario, &shown[worst], show)?;
+    least.name = format!("{}-found-{}", scenario.name, runs[worst].seed);
+    least.about = format!("Found by a hunt with {policy}: {found:?}");
+    least.seed = Some(runs[worst].seed);
+    std::fs::create_dir_all(&how.out)?;
+    let path = how.out.join(format!("{}.toml", least.name));
+    std::fs::write(&path, file::write(&least)?)?;
+    let troubles: Vec<String> = least.trouble.iter().map(|t| report::name(t.what)).collect();
+    println!(
+        "{found:?} with {} relays, {} destinations, {:.1} s, troubles: {}\n{}",
+        least.relays.count.least,
+        least.destinations.count.least,
+        least.span_s.least,
+        troubles.join(", "),
+        path.display()
+    );
+    Ok(if broken > 0 { ExitCode::FAILURE } else { ExitCode::SUCCESS })
+}
+
+fn replay(path: &Path, out: &Path, policy: &str) -> Done {
+    let seed = file::read(path)?.seed.ok_or("the file names no seed; play it with run --seed")?;
+    let how = How { seed, seeds: 1, jobs: 1, out: out.to_owned(), quiet: true };
+    run(path, &how, policy)
+}
+
+/// Troubles, what each policy served, how far the core is behind the best baseline and the oracle, and in how many
+/// runs it broke a rule.
+type Row = (String, Vec<f64>, f64, f64, usize);
+
+fn survey(scenario: &Path, how: &How, pairs: bool) -> Done {
+    let mut scenario = file::read(scenario)?;
+    scenario.trouble.clear();
+    let all: Vec<Woe> = hunt::woes().collect();
+    let mut sets: Vec<Vec<Woe>> =
+        std::iter::once(Vec::new()).chain(all.iter().map(|woe| vec![*woe])).collect();
+    if pairs {
+        let second = |n: usize| all[n + 1..].iter().map(move |b| (n, *b));
+        sets.extend((0..all.len()).flat_map(second).map(|(a, b)| vec![all[a], b]));
+    }
+    // An oracle, and the baselines that keep no more than their own books.
+    let policies = play::POLICIES;
+    let mut runs = Vec::new();
+    for set in &sets {
+        for seed in how.seeds() {
+            let mut day = scenario.resolve(seed);
+            let mut chance = ChaCha8Rng::seed_from_u64(seed);
+            day.trouble = set.iter().map(|what| hunt::trouble(&day, *what, &mut chance)).collect();
+            let run = |policy: &str| Run { scenario: day.clone(), seed, policy: policy.to_owned() };
+            runs.extend(policies.map(run));
+        }
+    }
+    let figures = how.play(&runs)?;
+    std::fs::create_dir_all(&how.out)?;
+    let mut table = csv::Writer::from_path(how.out.join("survey.csv"))?;
+    let head = [
+        "troubles",
+        "core",
+        "one-try",
+        "backoff",
+        "breaker",
+        "oracle",
+        "behind_best_kept",
+        "behind_oracle",
+        "core_broken",
+    ];
+    table.write_record(head)?;
+    let mut rows: Vec<Row> = Vec::new();
+    for (set, runs) in sets.iter().zip(figures.chunks(policies.len() * how.seeds as usize)) {
+        let of = |policy: usize| runs.iter().skip(policy).step_by(policies.len());
+        let mean = |policy: usize| of(policy).map(|f| f.served).sum::<f64>() / how.seeds as f64;
+        let broken = |policy: usize| of(policy).filter(|f| f.broken > 0).count();
+        let served: Vec<f64> = (0..policies.len()).map(mean).collect();
+        // A baseline that breaks rules on these days is none to be behind of.
+        let best =
+            (1..4).filter(|policy| broken(*policy) == 0).map(|policy| served[policy]).fold(0.0, f64::max);
+        let name = set.iter().map(|woe| report::name(*woe)).collect::<Vec<_>>().join("+");
+        let name = if name.is_empty() { "calm".to_owned() } else { name };
+        let (behind, behind_oracle) = (best - served[0], served[4] - served[0]);
+        table.serialize((&name, &served, behind, behind_oracle, broken(0)))?;
+        rows.push((name, served, behind, behind_oracle, broken(0)));
+    }
+    table.flush()?;
+    rows.sort_by(|a, b| b.3.total_cmp(&a.3));
+    println!(
+        "{:<26} {:>7} {:>8} {:>8} {:>8} {:>7} {:>9} {:>9}  broken",
+        "troubles", "core", "one-try", "backoff", "breaker", "oracle", "b. best", "b. oracle"
+    );
+    for (name, served, behind, behind_oracle, broken) in rows.iter().take(30) {
+        println!(
+            "{name:<26} {:>7.4} {:>8.4} {:>8.4} {:>8.4} {:>7.4} {behind:>+9.4} {behind_oracle:>+9.4}  {broken}",
+            served[0], served[1], served[2], served[3], served[4]
+        );
+    }
+    let points = |read: &dyn Fn(&Row) -> f64| rows.iter().map(read).collect::<Vec<_>>();
+    let lines = [
+        Line::of("behind the oracle", &points(&|row| row.3.max(0.0))),
+        Line::of("behind the best baseline that kept the rules", &points(&|row| row.2.max(0.0))),
+    ];
+    let mut body =
+        plots::lines("What each set of troubles costs the core", "place in the table", "share", &lines, &[])?;
+    body += "<table><tr><th>Troubles<th>core<th>one try<th>backoff<th>breaker<th>oracle<th>behind best<th>behind \
+             oracle<th>core broke</tr>";
+    for (name, served, behind, behind_oracle, broken) in &rows {
+        write!(body, "<tr><td>{name}")?;
+        served.iter().try_for_each(|served| write!(body, "<td>{served:.4}"))?;
+        write!(body, "<td>{behind:+.4}<td>{behind_oracle:+.4}<td>{broken}</tr>")?;
+    }
+    body += "</table>";
+    let path = how.out.join("survey.html");
+    std::fs::write(&path, report::page(&format!("Survey of {}", scenario.name), &body))?;
+    println!("{}", path.display());
+    Ok(ExitCode::SUCCESS)
+}
+
 fn check(scenarios: &[PathBuf]) -> Done {
     let mut bad = false;
     for path in scenarios {
--- a/crates/lab/src/play.rs
+++ b/crates/lab/src/play.rs
@@ -1,25 +1,94 @@
 //! Plays many runs over the cores. It owns the order of the results, which is that of the runs asked for, whatever
 //! core was done first. It must never let one run see another.
 
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
 use indicatif::{ParallelProgressIterator, ProgressBar, ProgressStyle};
-use juniperwing_model::{Core, Figures, Policies, Scenario};
+use juniperwing::interface::{Command, Event};
+use juniperwing::time::Time;
+use juniperwing_model::fleet::Fleet;
+use juniperwing_model::policy::Truth;
+use juniperwing_model::scenario::Woe;
+use juniperwing_model::{Core, Figures, Policies, Policy, Scenario};
 use rayon::prelude::*;
 
+use crate::adapter::Adapter;
 use crate::baselines;
 
 /// The names of all policies, the core's own first.
 pub const POLICIES: [&str; 5] = ["core", "one-try", "backoff", "breaker", "oracle"];
 
-/// Starts a policy by its name.
-pub fn policies(name: &str) -> Option<Box<dyn Policies + Sync>> {
-    Some(match name {
-        "core" => Box::new(Core),
-        "one-try" => Box::new(baselines::OneTry),
-        "backoff" => Box::new(baselines::Backoff),
-        "breaker" => Box::new(baselines::Breaker),
-        "oracle" => Box::new(baselines::Oracle),
-        _ => return None,
-    })
+/// What an adapter's program is called by, in place of a policy's name.
+const ADAPTER: &str = "adapter:";
+
+/// Whether there is such a policy; an adapter's program is only looked for when it is started.
+pub fn is_known(name: &str) -> bool {
+    POLICIES.contains(&name) || name.strip_prefix(ADAPTER).is_some_and(|path| !path.is_empty())
+}
+
+/// Plays one run.
+fn one(run: &Run, play: impl Fn(&dyn Policies) -> Figures) -> Result<Figures, String> {
+    if let Some(path) = run.policy.strip_prefix(ADAPTER) {
+        if run.scenario.trouble.iter().any(|trouble| trouble.what == Woe::Kill) {
+            return Err(
+                "an adapter's relays have no folder, so none can be killed and come back over it".to_owned()
+            );
+        }
+        let adapter = Adapter::start(path)?;
+        let figures = play(&adapter);
+        return adapter.failed().map_or(Ok(figures), |why| Err(format!("{path}: {why}")));
+    }
+    let policies: &dyn Policies = match run.policy.as_str() {
+        "core" => &Core,
+        "one-try" => &baselines::OneTry,
+        "backoff" => &baselines::Backoff,
+        "breaker" => &baselines::Breaker,
+        "oracle" => &baselines::Oracle,
+        name => return Err(format!("there is no policy {name:?}")),
+    };
+    Ok(play(policies))
+}
+
+/// A policy whose decisions are timed.
+struct Timed<'a> {
+    of: &'a dyn Policies,
+    spent: Rc<Cell<Duration>>,
+}
+
+struct TimedOne {
+    of: Box<dyn Policy>,
+    spent: Rc<Cell<Duration>>,
+}
+
+impl Policies for Timed<'_> {
+    fn name(&self) -> &str {
+        self.of.name()
+    }
+
+    fn start(&self, now: Time, relay: usize, seed: u64, fleet: &Fleet) -> Box<dyn Policy> {
+        Box::new(TimedOne { of: self.of.start(now, relay, seed, fleet), spent: self.spent.clone() })
+    }
+}
+
+impl Policy for TimedOne {
+    fn handle(&mut self, now: Time, events: Vec<Event>, truth: &dyn Truth) -> Vec<Command> {
+        let since = Instant::now();
+        let commands = self.of.handle(now, events, truth);
+        self.spent.set(self.spent.get() + since.elapsed());
+        commands
+    }
+}
+
+/// Plays one run and says how long it took, in decisions and in all. The figures are those of any other run.
+pub fn timed(run: &Run) -> Result<(Figures, Duration, Duration), String> {
+    let (since, spent) = (Instant::now(), Rc::new(Cell::new(Duration::ZERO)));
+    let figures = one(run, |policies| {
+        let timed = Timed { of: policies, spent: spent.clone() };
+        juniperwing_model::play(&run.scenario, run.seed, &timed)
+    })?;
+    Ok((figures, spent.get(), since.elapsed()))
 }
 
 /// One run to be played.
@@ -39,10 +108,7 @@
     let style = ProgressStyle::with_template("{bar:40} {pos}/{len} runs, {elapsed} gone, {eta} to go");
     bar.set_style(style.map_err(|e| e.to_string())?);
     let pool = rayon::ThreadPoolBuilder::new().num_threads(cores).build().map_err(|e| e.to_string())?;
-    let one = |run: &Run| {
-        let policies = policies(&run.policy).ok_or_else(|| format!("there is no policy {:?}", run.policy))?;
-        Ok(juniperwing_model::play(&run.scenario, run.seed, &*policies))
-    };
+    let one = |run: &Run| one(run, |policies| juniperwing_model::play(&run.scenario, run.seed, policies));
     let figures = pool.install(|| runs.par_iter().progress_with(bar.clone()).map(one).collect());
     bar.finish_and_clear();
     figures
--- a/crates/lab/tests/cli.rs
+++ b/crates/lab/tests/cli.rs
@@ -225,3 +225,62 @@
         said(&output)
     );
 }
+
+/// One that goes on as if nothing had happened pushes a returning destination over: the hunt finds a day for that, cuts
+/// it down, and the file that it leaves shows it again.
+#[test]
+fn a_hunt_finds_a_broken_rule_and_its_file_shows_it_again() {
+    let folder = Folder::new();
+    let (file, out) = (folder.write("short.toml", &short()), folder.path("out"));
+    let hunt = [
+        "hunt",
+        &file,
+        "--rules",
+        "--only",
+        "silent,slow",
+        "--budget",
+        "24",
+        "--policy",
+        "backoff",
+        "--out",
+        &out,
+        "--quiet",
+    ];
+    let output = lab(&hunt);
+    let text = said(&output);
+    assert_eq!(output.status.code(), Some(1), "{text}");
+    let found = text.lines().last().expect("a file").to_owned();
+    let kept = std::fs::read_to_string(&found).expect("the file it names");
+    assert!(kept.contains("seed = ") && kept.matches("[[trouble]]").count() <= 2, "{kept}");
+    let again = lab(&["replay", &found, "--policy", "backoff", "--out", &out]);
+    assert_eq!(again.status.code(), Some(1), "{}", said(&again));
+    assert!(said(&again).contains("BROKEN (return"), "{}", said(&again));
+    // The same hunt finds the same.
+    assert_eq!(text, said(&lab(&hunt)));
+    assert_eq!(lab(&["replay", &file]).status.code(), Some(2));
+    assert_eq!(lab(&["hunt", &file, "--only", "bad-luck"]).status.code(), Some(2));
+}
+
+/// An adapter that answers what nobody can read, or ends, spoils the run and not the figures.
+#[test]
+fn an_adapter_that_fails_ends_the_run_with_a_plain_reason() {
+    let folder = Folder::new();
+    let file = folder.write("short.toml", &short());
+    for (program, part) in [
+        ("/bin/cat", "its reply is none"),
+        ("/bin/true", "/bin/true: "),
+        ("/no/adapter", "cannot be started"),
+    ] {
+        let output = lab(&[
+            "run",
+            &file,
+            "--policy",
+            &format!("adapter:{program}"),
+            "--out",
+            &folder.path("out"),
+            "--quiet",
+        ]);
+        assert_eq!(output.status.code(), Some(2), "{program}");
+        assert!(said(&output).contains(part), "{}", said(&output));
+    }
+}
--- a/crates/model/src/scenario.rs
+++ b/crates/model/src/scenario.rs
@@ -74,6 +74,9 @@
     /// What it is for, in a sentence.
     #[serde(default)]
     pub about: String,
+    /// The seed that it is kept for, where it is.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub seed: Option<u64>,
     /// For how long notifications are handed in; the run goes on until all are answered.
     pub span_s: Once,
     /// The zones, by name; endpoints and relays are spread over them in turn.
--- a/crates/model/src/world.rs
+++ b/crates/model/src/world.rs
@@ -210,7 +210,8 @@
     fn endpoint(&self, endpoint: &EndpointId) -> Option<TrueState> {
         let endpoint = &self.endpoints[*self.ids.get(&endpoint.0)?];
         let (lane, struck, now) = (&self.lanes[endpoint.plan.lane], &endpoint.struck, self.now);
-        let out = struck.out(self.spells, now) || struck.goes_on(self.spells, now).is_some();
+        let cut = [Woe::CutThere, Woe::CutBack].into_iter().any(|what| struck.any(self.spells, what, now));
+        let out = cut || struck.out(self.spells, now) || struck.goes_on(self.spells, now).is_some();
         let level = lane.level(now);
         let factor = struck.factor(self.spells, Woe::Limit, now) * level;
         Some(TrueState {
--- a/crates/model/tests/model.rs
+++ b/crates/model/tests/model.rs
@@ -3,6 +3,10 @@
 mod common;
 
 use common::{PassesOn, conserves, scenario};
+use juniperwing::interface::{Command, Event};
+use juniperwing::time::{Span, Time};
+use juniperwing_model::fleet::Fleet;
+use juniperwing_model::policy::{Policies, Policy, Truth};
 use juniperwing_model::scenario::{Law, LimitForm, Range, Scenario};
 use juniperwing_model::{Core, Figures, play};
 use proptest::prelude::*;
@@ -189,3 +193,33 @@
         prop_assert!(bad.is_empty(), "{:#?}", bad);
     }
 }
+
+/// Asks to be woken at once, whenever it is asked anything.
+struct Restless;
+
+impl Policies for Restless {
+    fn name(&self) -> &str {
+        "restless"
+    }
+
+    fn start(&self, _: Time, _: usize, _: u64, _: &Fleet) -> Box<dyn Policy> {
+        Box::new(Restless)
+    }
+}
+
+impl Policy for Restless {
+    fn handle(&mut self, _: Time, _: Vec<Event>, _: &dyn Truth) -> Vec<Command> {
+        vec![Command::Wake(Span::ZERO)]
+    }
+}
+
+/// It has a turn each tick and no more; where there is no tick the run is broken off, and says so.
+#[test]
+fn a_relay_that_never_rests_does_not_stop_the_clock() {
+    let mut idle = scenario(10, "");
+    (idle.traffic.rate, idle.relays.count) = (0.0.into(), 1.0.into());
+    let figures = play(&idle, 1, &Restless);
+    assert!(!figures.cut && (1_990..=2_010).contains(&figures.turns), "{}", figures.turns);
+    idle.relays.tick_ms = 0.0;
+    assert!(play(&idle, 1, &Restless).cut);
+}
