What is not all sent when its endpoint begins to drain is not sent; calls fill in trouble too

The core sends nothing after it is told; a push written to a connection that is still coming up does (a lost SYN is repeated after 1 s).

Change: when the list tells that an endpoint drains, is gone or has moved, calls there whose connection is not up or whose bytes are not all with the system end as not sent (Skipped), so the core sends them elsewhere. A test with a listener that is full fails without it. What joins a call is measured by the usual latency, not stretched.

--- a/crates/relay/src/send.rs
+++ b/crates/relay/src/send.rs
@@ -238,6 +238,19 @@
         }
     }
 
+    /// An endpoint drains, is gone or has moved: what has not all been handed to the system yet, since its connection is
+    /// not up or its endpoint does not read, must not arrive there any more. It ends as not sent.
+    pub fn left(&mut self, net: &mut Net, endpoint: &EndpointId, now: Time) {
+        self.close_idle(net, endpoint);
+        let there = self.calls.iter().filter(|(_, call)| call.endpoint == *endpoint);
+        let tokens: Vec<Token> = there.map(|(token, _)| *token).collect();
+        for token in tokens {
+            if !net.connected(token) || net.unsent(token) > 0 {
+                self.broke(net, token, Status::Skipped, now);
+            }
+        }
+    }
+
     /// Nothing more is sent for a notification.
     pub fn forget(&mut self, ntf: NtfId) {
         self.apart.remove(&ntf);
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -234,7 +234,7 @@
         if let News::Changes(entries) | News::Whole(entries) = &news {
             debug!(self.log, "the list has news"; "entries" => entries.len(), "left" => left.len());
         }
-        left.iter().for_each(|endpoint| self.send.close_idle(&mut self.net, endpoint));
+        left.iter().for_each(|endpoint| self.send.left(&mut self.net, endpoint, now));
         self.route.tell(Event::List(news));
     }
 
--- a/crates/relay/tests/serve.rs
+++ b/crates/relay/tests/serve.rs
@@ -4,11 +4,13 @@
 
 use std::fs::OpenOptions;
 use std::io::Write;
+use std::net::{SocketAddr, TcpStream};
 use std::process::Output;
 use std::sync::mpsc::{Receiver, channel};
 use std::time::{Duration, Instant};
 
 use serde_json::{Value, json};
+use socket2::{Domain, Socket, Type};
 use stand_in::{Client, Message, Rig, Server, program, request};
 
 #[test]
@@ -302,6 +304,29 @@
     assert!(rig.watch().head.contains("index=44 "));
 }
 
+/// A connection that is not up yet would carry its push to an endpoint long after that began to drain.
+#[test]
+fn what_is_still_on_its_way_to_a_connection_is_not_sent_to_an_endpoint_that_drains() {
+    // Room for one connection that nobody accepts: the relay's never comes up.
+    let full = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+    full.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).expect("a free port");
+    full.listen(0).expect("it listens");
+    let dial = full.local_addr().expect("an address").as_socket().expect("IPv4");
+    let _first = TcpStream::connect(dial).expect("room for one");
+    let rig = Rig::with(|config| config["known"]["hosts"][0]["dial"] = json!(dial.to_string()));
+    let mut watch = rig.watch();
+    watch.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+    assert_eq!(rig.client().hand_in("once", "1", "k", b""), 202);
+    rig.logged("push");
+    let host = |name: &str, dial: SocketAddr, health: &str| json!({"host": name, "dial": dial.to_string(), "site": "z", "class": "plain", "block": 7, "health": health});
+    let hosts = [host("e", dial, "draining"), host("f", rig.endpoint.address, "ready")];
+    let line = format!("{}\n", json!({"seq": 42, "whole": false, "hosts": hosts}));
+    watch.write(&format!("{:x}\r\n{line}\r\n", line.len()));
+    assert_eq!(rig.logged("push ended")["status"], "Skipped");
+    // It never ran, so even a once-only one goes to the next.
+    assert_eq!(rig.endpoint.next().id(), "1");
+}
+
 #[test]
 fn on_sighup_the_watch_and_the_notices_go_to_the_address_now_in_the_file() {
     let mut rig = Rig::start();
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -638,7 +638,7 @@
 
     /// What goes to an endpoint next, with its time-outs: first what can still meet its objective. Rule: a call
     /// ends with the first TTL in it, for an answer that comes after speaks of none of them. So only those go
-    /// together whom this leaves their own time-out, or till a call would be overdue.
+    /// together whom this leaves their own time-out, or what hardly any call lasts.
     fn pick(&self, now: Time, to: &EndpointId, zone: &Arc<str>) -> Vec<(NtfId, Span)> {
         let elsewhere = self.asked < self.ends.len();
         let mut ready: Vec<&Held> = self.held.iter().filter(|h| h.turn).collect();
@@ -648,14 +648,14 @@
             return Vec::new();
         }
         ready.sort_by_key(|h| now.since(h.taken) + self.median() > h.ntf.topic.objective);
-        let (overdue_after, mut call) = (self.overdue_after(), Vec::new());
+        let (enough, mut call) = (self.beyond_usual(), Vec::new());
         let (mut ends, mut wanted) = (Time::NEVER, Span::ZERO);
         for held in ready {
             if call.len() == self.per_call {
                 break;
             }
             let (first, time_out) = (ends.min(held.ntf.valid_until), self.time_out(now, held));
-            let most = wanted.max(time_out.min(overdue_after));
+            let most = wanted.max(time_out.min(enough));
             if call.is_empty() || now + most <= first {
                 call.push((held.ntf.id, time_out));
                 (ends, wanted) = (first, most);
@@ -667,13 +667,17 @@
     /// When a call speaks of silence: well beyond what is delivered of late (calls that never end stretch the
     /// fit), and longer after each cut short with none delivered since: then the destination is slow.
     fn overdue_after(&self) -> Span {
+        let vain = self.samples.iter().rev().take_while(|s| s.censored).count();
+        self.beyond_usual().times(2f64.powi(vain.min(8) as i32 / 2))
+    }
+
+    /// What hardly any delivered call of late lasts.
+    fn beyond_usual(&self) -> Span {
         let mut done: Vec<f64> = self.samples.iter().filter(|s| !s.censored).map(|s| s.ln_secs).collect();
         done.sort_by(f64::total_cmp);
         let usual = done.get(done.len() * 9 / 10).map_or(Span::ZERO, |ln| Span::from_secs(ln.exp()));
-        let vain = self.samples.iter().rev().take_while(|s| s.censored).count();
         let floor = if done.len() < WARM_UP { OVERDUE_UNKNOWN } else { OVERDUE_FLOOR };
-        let (least, stretch) = (self.figures.tip_after.times(floor), 2f64.powi(vain.min(8) as i32 / 2));
-        usual.times(OVERDUE).max(least).times(stretch)
+        usual.times(OVERDUE).max(self.figures.tip_after.times(floor))
     }
 
     fn median(&self) -> Span {
