What joins a call is asked what nine in ten calls last, no multiple of it

Change: a notification joins if what is left till the first TTL is its own time-out, or what nine in ten delivered calls of late last (half of tip_after where too few are known).

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -638,7 +638,7 @@
 
     /// What goes to an endpoint next, with its time-outs: first what can still meet its objective. Rule: a call
     /// ends with the first TTL in it, for an answer that comes after speaks of none of them. So only those go
-    /// together whom this leaves their own time-out, or what hardly any call lasts.
+    /// together whom this leaves their own time-out, or what nine in ten calls last.
     fn pick(&self, now: Time, to: &EndpointId, zone: &Arc<str>) -> Vec<(NtfId, Span)> {
         let elsewhere = self.asked < self.ends.len();
         let mut ready: Vec<&Held> = self.held.iter().filter(|h| h.turn).collect();
@@ -648,7 +648,8 @@
             return Vec::new();
         }
         ready.sort_by_key(|h| now.since(h.taken) + self.median() > h.ntf.topic.objective);
-        let (enough, mut call) = (self.beyond_usual(), Vec::new());
+        let enough = self.usual().unwrap_or(self.figures.tip_after.times(OVERDUE_FLOOR));
+        let mut call = Vec::new();
         let (mut ends, mut wanted) = (Time::NEVER, Span::ZERO);
         for held in ready {
             if call.len() == self.per_call {
@@ -668,16 +669,18 @@
     /// fit), and longer after each cut short with none delivered since: then the destination is slow.
     fn overdue_after(&self) -> Span {
         let vain = self.samples.iter().rev().take_while(|s| s.censored).count();
-        self.beyond_usual().times(2f64.powi(vain.min(8) as i32 / 2))
+        let floor = if self.usual().is_none() { OVERDUE_UNKNOWN } else { OVERDUE_FLOOR };
+        let least = self.figures.tip_after.times(floor);
+        let usual = self.usual().unwrap_or_default().times(OVERDUE);
+        usual.max(least).times(2f64.powi(vain.min(8) as i32 / 2))
     }
 
-    /// What hardly any delivered call of late lasts.
-    fn beyond_usual(&self) -> Span {
+    /// What nine in ten delivered calls of late stay under, where enough are known.
+    fn usual(&self) -> Option<Span> {
         let mut done: Vec<f64> = self.samples.iter().filter(|s| !s.censored).map(|s| s.ln_secs).collect();
         done.sort_by(f64::total_cmp);
-        let usual = done.get(done.len() * 9 / 10).map_or(Span::ZERO, |ln| Span::from_secs(ln.exp()));
-        let floor = if done.len() < WARM_UP { OVERDUE_UNKNOWN } else { OVERDUE_FLOOR };
-        usual.times(OVERDUE).max(self.figures.tip_after.times(floor))
+        let known = done.get(done.len() * 9 / 10).filter(|_| done.len() >= WARM_UP);
+        known.map(|ln| Span::from_secs(ln.exp()))
     }
 
     fn median(&self) -> Span {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -253,21 +253,22 @@
 }
 
 /// A call ends with the first TTL in it, so only those go together whom that leaves enough: their own time-out,
-/// or till the call would be overdue (here 750 ms).
+/// or what nine in ten calls last (here 950 ms).
 #[test]
 fn a_call_ends_with_the_first_ttl_in_it_and_costs_nobody_much() {
     let mut rig = Rig::new(8, 4, &[("a", "z")]);
     rig.warm(1, 6, 400);
+    rig.warm(7, 1, 1_200);
     rig.accept(10, "once", None, 600);
     rig.accept(11, "once", None, 16_000);
-    rig.accept(12, "safe", None, 1_100);
+    rig.accept(12, "safe", None, 1_300);
     rig.accept(13, "safe", None, 16_000);
     rig.pass(300);
     expect![[r#"
-        2400   push 10 to a for 600 ms
-        2650   push 11 to a for 850 ms
-        2650   push 12 to a for 850 ms
-        2650   push 13 to a for 850 ms
+        3600   push 10 to a for 600 ms
+        3850   push 11 to a for 1050 ms
+        3850   push 12 to a for 525 ms
+        3850   push 13 to a for 1050 ms
     "#]]
     .assert_eq(&rig.trace);
 }
