The usual latency is worked out once a threshold; one test for what is not all sent

Cause: reread, the last changes sorted a destination's latencies twice for each overdue threshold, asked in three places whether a call's last byte is with the system, and checked the folder that lasts in both main.rs and serve.rs.

Change: overdue_after asks for the usual latency once; is_unsent in send.rs serves all three; main.rs alone checks the folder and hands it to serve. Decisions and messages are as before.

--- a/crates/relay/src/config.rs
+++ b/crates/relay/src/config.rs
@@ -3,7 +3,7 @@
 
 use std::fmt;
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 
 use juniperwing_settings::{Settings, Written};
 use serde::Deserialize;
@@ -137,11 +137,6 @@
             settings,
         })
     }
-
-    /// The folder that lasts, without which nothing can be served.
-    pub fn lasting(&self) -> Result<&Path, Invalid> {
-        self.state.as_deref().ok_or_else(|| Invalid("no folder that lasts: set ROUTER_STATE".to_owned()))
-    }
 }
 
 /// The seed as 64 bits: hexadecimal text, or a number.
--- a/crates/relay/src/main.rs
+++ b/crates/relay/src/main.rs
@@ -16,7 +16,7 @@
 
 use std::ffi::OsString;
 use std::os::unix::net::UnixStream;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::sync::Mutex;
 use std::time::Duration;
@@ -88,11 +88,11 @@
                 }
             };
             if matches!(args.order, Order::Serve) {
-                if let Err(e) = config.lasting() {
-                    eprintln!("juniperwing: {e}");
+                let Some(state) = config.state.clone() else {
+                    eprintln!("juniperwing: no folder that lasts: set ROUTER_STATE");
                     return ExitCode::from(2);
-                }
-                return serve(config, signals, args.level);
+                };
+                return serve(config, &state, signals, args.level);
             }
             let state = config.state.as_ref().map(|state| format!(" in {}", state.display()));
             println!(
@@ -142,7 +142,7 @@
     name.parse().map_err(|()| format!("unknown log level {name:?}").into())
 }
 
-fn serve(config: Config, signals: std::io::Result<Signals>, level: Level) -> ExitCode {
+fn serve(config: Config, state: &Path, signals: std::io::Result<Signals>, level: Level) -> ExitCode {
     // Lines are written by a thread of their own: a reader of the log that stands still holds nothing up.
     let lines = slog_json::Json::default(std::io::stderr());
     let (lines, guard) = slog_async::Async::new(Mutex::new(lines).map(slog::Fuse))
@@ -150,7 +150,7 @@
         .overflow_strategy(slog_async::OverflowStrategy::DropAndReport)
         .build_with_guard();
     let log = Logger::root(lines.filter_level(level).fuse(), o!());
-    let served = signals.and_then(|signals| serve::serve(config, signals, log.clone()));
+    let served = signals.and_then(|signals| serve::serve(config, state, signals, log.clone()));
     let code = match served {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
--- a/crates/relay/src/send.rs
+++ b/crates/relay/src/send.rs
@@ -188,8 +188,15 @@
         let connect = Some(self.connections.connect).filter(|span| *span > Span::ZERO);
         let connect_by = connect.map_or(Time::NEVER, |span| now + span);
         let whole_by = Time::NEVER;
-        let (endpoint_id, delivered) = (endpoint.clone(), false);
-        let call = Call { endpoint: endpoint_id, sent: now, connect_by, whole_by, delivered, many, members };
+        let call = Call {
+            endpoint: endpoint.clone(),
+            sent: now,
+            connect_by,
+            whole_by,
+            delivered: false,
+            many,
+            members,
+        };
         let token = place.and_then(|place| self.connection(net, endpoint, place));
         let (Some(token), Some(place)) = (token, place) else {
             return self.fail(call, Status::NoConnection, now);
@@ -245,7 +252,7 @@
         let there = self.calls.iter().filter(|(_, call)| call.endpoint == *endpoint);
         let tokens: Vec<Token> = there.map(|(token, _)| *token).collect();
         for token in tokens {
-            if !net.connected(token) || net.unsent(token) > 0 {
+            if is_unsent(net, token) {
                 self.broke(net, token, Status::Skipped, now);
             }
         }
@@ -329,7 +336,7 @@
                     broken => {
                         // A single push is delivered with the first line of its answer.
                         let delivered = !call.many && http::first_line(input) == Some(200);
-                        let never = !net.connected(token) || net.unsent(token) > 0;
+                        let never = is_unsent(net, token);
                         let status = match broken {
                             _ if delivered => Status::Delivered,
                             Err(_) => Status::Error,
@@ -341,7 +348,7 @@
                 }
             }
             Happening::Due => {
-                let never = !net.connected(token) || net.unsent(token) > 0;
+                let never = is_unsent(net, token);
                 if never && call.connect_by <= now {
                     return self.broke(net, token, Status::NoConnection, now);
                 }
@@ -419,6 +426,11 @@
     }
 }
 
+/// Whether the last byte of a call has not been handed to the system: then it never ran.
+fn is_unsent(net: &mut Net, token: Token) -> bool {
+    !net.connected(token) || net.unsent(token) > 0
+}
+
 /// A push, or without one a probe, that ended with no answer.
 fn call_ended(endpoint: &EndpointId, member: Option<&Member>, status: Status, spent: Span) -> Ended {
     let (ntf, push) = (member.map(|member| member.ntf), member.map_or(0, |member| member.push));
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -4,7 +4,7 @@
 
 use std::collections::BTreeMap;
 use std::io;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::sync::Arc;
 
 use juniperwing::interface::{
@@ -65,14 +65,13 @@
     log: Logger,
 }
 
-/// Serves until a signal to stop comes and the stop that it asks for is done.
-pub fn serve(config: Config, signals: Signals, log: Logger) -> io::Result<()> {
+/// Serves, over the folder that lasts, until a signal to stop comes and the stop that it asks for is done.
+pub fn serve(config: Config, state: &Path, signals: Signals, log: Logger) -> io::Result<()> {
     let clock = Clock::new();
     let (clients, endpoints) = config.limits.shares();
     // First the address, so that no two processes share a folder.
     let net = Net::new(clock, config.listen, signals, clients)
         .map_err(|e| io::Error::new(e.kind(), format!("cannot listen on {}: {e}", config.listen)))?;
-    let state = config.lasting().map_err(io::Error::other)?;
     let (store, torn) = Store::open(state, config.limits.disk_bytes())
         .map_err(|e| io::Error::new(e.kind(), format!("cannot open the log in {}: {e}", state.display())))?;
     if torn > 0 {
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -669,10 +669,10 @@
     /// fit), and longer after each cut short with none delivered since: then the destination is slow.
     fn overdue_after(&self) -> Span {
         let vain = self.samples.iter().rev().take_while(|s| s.censored).count();
-        let floor = if self.usual().is_none() { OVERDUE_UNKNOWN } else { OVERDUE_FLOOR };
+        let usual = self.usual();
+        let floor = if usual.is_none() { OVERDUE_UNKNOWN } else { OVERDUE_FLOOR };
         let least = self.figures.tip_after.times(floor);
-        let usual = self.usual().unwrap_or_default().times(OVERDUE);
-        usual.max(least).times(2f64.powi(vain.min(8) as i32 / 2))
+        usual.unwrap_or_default().times(OVERDUE).max(least).times(2f64.powi(vain.min(8) as i32 / 2))
     }
 
     /// What nine in ten delivered calls of late stay under, where enough are known.
