The model and the lab reread: twins joined, dead state gone, the judge words only breaks

Change: one of each; the judge keeps what it saw as typed values. No check, bound or expectation changed.

--- a/crates/lab/src/file.rs
+++ b/crates/lab/src/file.rs
@@ -2,6 +2,7 @@
 //! scenario or fill in what the file does not say, beyond the defaults that the scenario itself has.
 
 use std::fmt::{self, Write};
+use std::ops::Range;
 use std::path::{Path, PathBuf};
 
 use juniperwing_model::Scenario;
@@ -63,7 +64,8 @@
     let document = Document::parse(text).ok();
     let mut said = String::new();
     for fault in faults {
-        let span = document.as_ref().and_then(|document| span_of(document.as_item(), &fault.at));
+        let path: Vec<&str> = fault.at.split('.').collect();
+        let span = document.as_ref().and_then(|document| span_of(document.as_item(), &path));
         let line = span.map_or(1, |start| line_of(text, start));
         // A string takes any text.
         let _ = writeln!(said, "{file}:{line}: {}: {}", fault.at, fault.why);
@@ -76,32 +78,21 @@
 }
 
 /// Where the thing at a path of keys and places starts, or the nearest above it that the file has.
-fn span_of(root: &Item, path: &str) -> Option<usize> {
-    let (mut item, mut known) = (root, None);
-    for key in path.split('.') {
-        let next = match key.parse::<usize>() {
-            Ok(place) => match item {
-                Item::ArrayOfTables(tables) => {
-                    // A table of an array is no item of its own.
-                    let table = tables.get(place)?;
-                    known = table.span().map(|span| span.start).or(known);
-                    let rest = path.split('.').skip_while(|k| *k != key).skip(1).collect::<Vec<_>>();
-                    let below = rest.first().and_then(|first| table.get(first));
-                    return below.and_then(Item::span).map(|span| span.start).or(known);
-                }
-                Item::Value(value) => {
-                    let value = value.as_array().and_then(|array| array.get(place));
-                    return value.and_then(|value| value.span()).map(|span| span.start).or(known);
-                }
-                _ => None,
-            },
-            Err(_) => item.get(key),
-        };
-        let Some(next) = next else { break };
-        item = next;
-        known = item.span().map(|span| span.start).or(known);
-    }
-    known
+fn span_of(item: &Item, path: &[&str]) -> Option<usize> {
+    let start = |span: Option<Range<usize>>| span.map(|span| span.start);
+    let Some((key, below)) = path.split_first() else { return start(item.span()) };
+    let inner = match (item, key.parse::<usize>()) {
+        (Item::ArrayOfTables(tables), Ok(place)) => tables.get(place).and_then(|table| {
+            // A table of an array is no item of its own.
+            let inner = below.split_first().and_then(|(key, below)| span_of(table.get(key)?, below));
+            inner.or(start(table.span()))
+        }),
+        (Item::Value(value), Ok(place)) => {
+            start(value.as_array().and_then(|array| array.get(place)).and_then(|value| value.span()))
+        }
+        _ => item.get(key).and_then(|inner| span_of(inner, below)),
+    };
+    inner.or(start(item.span()))
 }
 
 /// A scenario as a file has it.
--- a/crates/lab/src/hunt.rs
+++ b/crates/lab/src/hunt.rs
@@ -53,7 +53,7 @@
 pub fn trouble(scenario: &Scenario, what: Woe, chance: &mut ChaCha8Rng) -> Trouble {
     let span = scenario.span_s.least;
     let (_, least, most) = WOES.iter().copied().find(|woe| woe.0 == what).unwrap_or((what, 1.0, 1.0));
-    let mut between = |least: f64, most: f64| Range::from(least + (most - least) * chance.random::<f64>());
+    let mut between = |least: f64, most: f64| Range::from(Range { least, most }.draw(chance));
     let (start_s, span_s) = (between(0.15 * span, 0.5 * span), between(0.1 * span, 0.35 * span));
     let (size, extent) = (between(least, most), between(0.1, 0.6));
     let whole = chance.random::<f64>() < 0.7;
--- a/crates/model/src/clients.rs
+++ b/crates/model/src/clients.rs
@@ -8,10 +8,10 @@
 use rand_chacha::ChaCha8Rng;
 use rand_distr::{Distribution, Exp1};
 
-use crate::chance::{Chance, Concern, between, sums, weighted};
+use crate::chance::{Chance, Concern, sums, weighted};
 use crate::endpoint::lognormal;
 use crate::fleet::Fleet;
-use crate::scenario::{Clients, Law, Scenario, Woe};
+use crate::scenario::{Clients, Law, Range, Scenario, Woe};
 use crate::woes::{Spell, Struck};
 
 /// Those of one clump come within this long of each other.
@@ -93,9 +93,9 @@
     keys: Vec<Keys>,
     parts: Vec<f64>,
     swing: (f64, f64),
-    clump_s: (f64, f64),
+    clump_s: Range,
     impatient: f64,
-    patience: (f64, f64),
+    patience: Range,
     /// Troubles that send traffic to few relays, with these and a stream of chance.
     hot_relays: Vec<(usize, Vec<usize>, ChaCha8Rng)>,
     hurries: Vec<usize>,
@@ -117,9 +117,9 @@
             keys: Vec::new(),
             parts: sums(fleet.relays.iter().map(|relay| relay.part)),
             swing: (plan.swing.least, plan.swing_s.least),
-            clump_s: (plan.clump_s.least, plan.clump_s.most),
+            clump_s: plan.clump_s,
             impatient: scenario.clients.impatient,
-            patience: (scenario.clients.patience.least, scenario.clients.patience.most),
+            patience: scenario.clients.patience,
             hot_relays,
             hurries: (0..spells.len()).filter(|n| spells[*n].what == Woe::Hurry).collect(),
         };
@@ -199,10 +199,9 @@
                 let at = from.at;
                 return Some(self.arrival(source, destination, at, fleet, spells, struck));
             }
-            let rate = fleet.destinations[destination].rate();
-            let clump = between(&mut from.chance, 0.0, 1.0);
+            let secs = self.clump_s.draw(&mut from.chance);
             let start = from.at;
-            let size = (self.clump_size(clump, rate)).max(LEAST_CLUMP) as usize;
+            let size = (secs * fleet.destinations[destination].rate()).max(LEAST_CLUMP) as usize;
             let mut all: Vec<Arrival> = (0..size)
                 .map(|_| {
                     let late = self.sources[source].chance.random::<f64>() * CLUMP_MS / 1_000.0;
@@ -217,11 +216,6 @@
         }
     }
 
-    fn clump_size(&self, share: f64, rate: f64) -> f64 {
-        let (least, most) = self.clump_s;
-        (least + (most - least) * share) * rate
-    }
-
     fn arrival(
         &mut self, source: usize, destination: usize, at: Time, fleet: &Fleet, spells: &[Spell],
         struck: &[Struck],
@@ -235,8 +229,8 @@
             Law::Lognormal => lognormal(chance, of.work, of.cv),
             Law::Exponential => of.work * Distribution::<f64>::sample(&Exp1, chance),
         };
-        let (hurried, impatient, patience): (f64, f64, f64) =
-            (chance.random(), chance.random(), chance.random());
+        let (hurried, impatient): (f64, f64) = (chance.random(), chance.random());
+        let late = self.patience.draw(chance);
         let mut key = None;
         if fleet.topics[topic].topic.ordered {
             let keys = &mut self.keys[destination];
@@ -264,7 +258,6 @@
                 ends = Some(ttl.times(spell.size));
             }
         }
-        let late = self.patience.0 + (self.patience.1 - self.patience.0) * patience;
         let taken_back = (impatient < self.impatient).then(|| ttl.times(late));
         let patience = match (ends, taken_back) {
             (Some(a), Some(b)) => Some(a.min(b)),
--- a/crates/model/src/fleet.rs
+++ b/crates/model/src/fleet.rs
@@ -144,7 +144,8 @@
     DestinationId(place as u64)
 }
 
-fn span_ms(ms: f64) -> Span {
+/// A span of so many milliseconds, whole or not.
+pub(crate) fn span_ms(ms: f64) -> Span {
     Span::from_secs(ms / 1_000.0)
 }
 
--- a/crates/model/src/judge.rs
+++ b/crates/model/src/judge.rs
@@ -102,6 +102,26 @@
     pub(crate) fall_slack: f64,
 }
 
+/// What a relay was seen to do or to hear.
+enum Seen {
+    /// It pushes a notification to an endpoint.
+    Pushes(u64, usize),
+    /// It hears how a push of a notification ended.
+    Hears(u64, u32, Ran),
+    /// It ends a notification.
+    Ends(u64, &'static str),
+}
+
+impl fmt::Display for Seen {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Seen::Pushes(ntf, endpoint) => write!(f, "pushes {ntf} to endpoint {endpoint}"),
+            Seen::Hears(ntf, push, ran) => write!(f, "hears of push {push} of {ntf}: {ran:?}"),
+            Seen::Ends(ntf, end) => write!(f, "ends {ntf}: {end}"),
+        }
+    }
+}
+
 struct Push {
     number: u32,
     at: Time,
@@ -151,7 +171,8 @@
     waits: BTreeMap<(usize, usize), Time>,
     lanes: Vec<LaneRecord>,
     ran: BTreeMap<usize, Time>,
-    recent: VecDeque<String>,
+    /// What was seen last, and of which relay; put into words only where a rule breaks.
+    recent: VecDeque<(Time, usize, Seen)>,
     breaks: Vec<Break>,
     count: usize,
 }
@@ -189,12 +210,14 @@
                 format!("push {} at {:.3} s to zone {}: {ran}", push.number, secs(push.at), push.zone)
             }));
         }
-        before.extend(self.recent.iter().cloned());
+        before.extend(
+            self.recent.iter().map(|(at, relay, seen)| format!("{:.3} s: relay {relay} {seen}", secs(*at))),
+        );
         self.breaks.push(Break { rule, at_s: secs(now), relay, notification: ntf, what, before });
     }
 
-    fn note(&mut self, line: impl FnOnce() -> String) {
-        self.recent.push_back(line());
+    fn note(&mut self, now: Time, relay: usize, seen: Seen) {
+        self.recent.push_back((now, relay, seen));
         if self.recent.len() > BEFORE {
             self.recent.pop_front();
         }
@@ -215,7 +238,7 @@
     /// A relay pushes.
     pub(crate) fn sent(&mut self, now: Time, relay: usize, ntf: u64, push: u32, to: To) {
         let To { endpoint, zone, lane } = to;
-        self.note(|| format!("{:.3} s: relay {relay} pushes {ntf} to endpoint {endpoint}", secs(now)));
+        self.note(now, relay, Seen::Pushes(ntf, endpoint));
         if let Some(told) = self.drains.get(&(relay, endpoint))
             && now > *told + self.figures.drain_grace
         {
@@ -291,7 +314,7 @@
 
     /// A relay is told how a push ended.
     pub(crate) fn outcome(&mut self, now: Time, relay: usize, ntf: u64, push: u32, ran: Ran) {
-        self.note(|| format!("{:.3} s: relay {relay} hears of push {push} of {ntf}: {ran:?}", secs(now)));
+        self.note(now, relay, Seen::Hears(ntf, push, ran));
         let Some(known) = self.known.get_mut(&ntf) else { return };
         if let Some(push) = known.pushes.iter_mut().find(|p| p.number == push && p.ran.is_none()) {
             push.ran = Some(ran);
@@ -324,8 +347,8 @@
     }
 
     /// A final answer: delivered, throttled or expired.
-    pub(crate) fn ended(&mut self, now: Time, relay: usize, ntf: u64, end: &str) {
-        self.note(|| format!("{:.3} s: relay {relay} ends {ntf}: {end}", secs(now)));
+    pub(crate) fn ended(&mut self, now: Time, relay: usize, ntf: u64, end: &'static str) {
+        self.note(now, relay, Seen::Ends(ntf, end));
         let Some(known) = self.known.get_mut(&ntf) else {
             return self.broken(
                 Rule::Lost,
--- a/crates/model/src/policy.rs
+++ b/crates/model/src/policy.rs
@@ -16,12 +16,8 @@
     pub room: usize,
     /// Calls that wait there.
     pub waiting: usize,
-    /// The share of its capacity that it has.
-    pub level: f64,
     /// The share of its limit that is left; 1 where there is none.
     pub left: f64,
-    /// How many times as long as usual it takes.
-    pub slow: f64,
     /// How much more a cold destination may be sent before it falls over, in notifications; infinite for a warm one.
     pub spare: f64,
 }
--- a/crates/model/src/world.rs
+++ b/crates/model/src/world.rs
@@ -18,7 +18,7 @@
 use crate::clients::{Arrival, Traffic, comes_again};
 use crate::endpoint::{CallId, Endpoint, Lane, Outage, Place};
 use crate::figures::{Figures, Ledger, Undelivered, Watched, worth};
-use crate::fleet::{EndpointPlan, Fleet, RelayPlan, destination_id, endpoint_id};
+use crate::fleet::{EndpointPlan, Fleet, RelayPlan, destination_id, endpoint_id, span_ms as ms};
 use crate::judge::{self, Judge, Ran, Repeat, Taken, To};
 use crate::policy::{Policies, Policy, TrueState, Truth};
 use crate::queue::Queue;
@@ -212,15 +212,12 @@
         let (lane, struck, now) = (&self.lanes[endpoint.plan.lane], &endpoint.struck, self.now);
         let cut = [Woe::CutThere, Woe::CutBack].into_iter().any(|what| struck.any(self.spells, what, now));
         let out = cut || struck.out(self.spells, now) || struck.goes_on(self.spells, now).is_some();
-        let level = lane.level(now);
-        let factor = struck.factor(self.spells, Woe::Limit, now) * level;
+        let factor = struck.factor(self.spells, Woe::Limit, now) * lane.level(now);
         Some(TrueState {
             answers: !endpoint.gone && !lane.fallen && !out,
             room: endpoint.plan.servers.saturating_sub(endpoint.running),
             waiting: endpoint.queue.len(),
-            level,
             left: lane.limit.told(1.0).map_or(1.0, |_| lane.limit.clone().left(now, factor)),
-            slow: struck.factor(self.spells, Woe::Slow, now),
             spare: lane.spare(now, self.figures.tip_after, self.figures.fall_multiple),
         })
     }
@@ -268,10 +265,6 @@
     most_events: u64,
 }
 
-fn ms(ms: f64) -> Span {
-    Span::from_secs(ms / 1_000.0)
-}
-
 impl<'a> World<'a> {
     fn new(scenario: &Scenario, seed: u64, policies: &'a dyn Policies) -> World<'a> {
         let chance = Chance::new(seed);
@@ -306,8 +299,8 @@
         }
         let mut struck = vec![Struck::default(); fleet.destinations.len()];
         let (mut struck_relays, mut struck_ends) = (Vec::new(), Vec::new());
-        for place in 0..spells.len() {
-            let (destinations, ends, relays) = strike(scenario, &fleet, place, &chance);
+        for (place, spell) in spells.iter().enumerate() {
+            let (destinations, ends, relays) = strike(scenario, &fleet, place, spell, &chance);
             destinations.into_iter().for_each(|d| struck[d].by(place));
             ends.iter().for_each(|end| endpoints[*end].struck.by(place));
             struck_ends.push(ends);
@@ -336,9 +329,8 @@
             told_until: Time::default(),
         };
         let nodes = fleet.relays.iter().enumerate().map(node).collect();
-        let names = |names: Vec<&str>| names.into_iter().map(str::to_owned).collect::<Vec<_>>();
-        let topics = names(scenario.topic.iter().map(|t| t.name.as_str()).collect());
-        let accounts = names(scenario.account.iter().map(|a| a.name.as_str()).collect());
+        let topics: Vec<String> = scenario.topic.iter().map(|topic| topic.name.clone()).collect();
+        let accounts: Vec<String> = scenario.account.iter().map(|account| account.name.clone()).collect();
         let mut ledger = Ledger::new(&topics, &accounts);
         ledger.figures.scenario = scenario.name.clone();
         ledger.figures.policy = policies.name().to_owned();
@@ -354,7 +346,10 @@
         // Those struck first, then the busiest.
         let mut order: Vec<usize> = (0..fleet.destinations.len()).collect();
         order.sort_by_key(|d| (struck[*d].is_never(), *d));
-        let watched = order.into_iter().take(WATCHED).enumerate().map(|(n, d)| (d, n)).collect();
+        order.truncate(WATCHED);
+        let watched = order.iter().enumerate().map(|(n, d)| (*d, n)).collect();
+        ledger.figures.watched =
+            order.into_iter().map(|destination| Watched { destination, ..Watched::default() }).collect();
         let span = scenario.span_s.least;
         let rate = scenario.traffic.rate.least * scenario.traffic.load.least;
         let most_events = EVENTS_A_SECOND * fleet.relays.len() as f64 * (span + 120.0)
@@ -394,11 +389,6 @@
     }
 
     fn run(&mut self) {
-        for destination in self.watched.keys() {
-            self.ledger.figures.watched.push(Watched { destination: *destination, ..Watched::default() });
-        }
-        // In the order of their places in the figures.
-        self.ledger.figures.watched.sort_by_key(|w| self.watched.get(&w.destination).copied());
         for relay in 0..self.nodes.len() {
             self.start(relay);
         }
@@ -1365,13 +1355,18 @@
 
     /// An answer reaches the relay.
     fn back(&mut self, id: CallId, status: Status, wait: Option<Span>, limit: Option<LimitReport>) {
-        let Some(call) = self.calls.get_mut(&id).filter(|call| call.open) else { return };
-        let members: Vec<usize> = (0..call.members.len()).filter(|n| call.members[*n].out).collect();
-        for member in members {
-            self.ended(id, member, status, wait, limit);
+        if self.calls.get(&id).is_some_and(|call| call.open) {
+            self.ended_all(id, status, wait, limit);
+            let keep = !matches!(status, Status::NoConnection | Status::Reset | Status::Skipped);
+            self.close(id, keep);
         }
-        let keep = !matches!(status, Status::NoConnection | Status::Reset | Status::Skipped);
-        self.close(id, keep);
+    }
+
+    /// All pushes of a call that are still out have their outcome.
+    fn ended_all(&mut self, id: CallId, status: Status, wait: Option<Span>, limit: Option<LimitReport>) {
+        let Some(call) = self.calls.get(&id) else { return };
+        let out: Vec<usize> = (0..call.members.len()).filter(|n| call.members[*n].out).collect();
+        out.into_iter().for_each(|member| self.ended(id, member, status, wait, limit));
     }
 
     /// One push of a call has its outcome.
@@ -1424,9 +1419,7 @@
 
     /// A call is over without an answer.
     fn broke(&mut self, id: CallId, status: Status) {
-        let Some(call) = self.calls.get(&id) else { return };
-        let left: Vec<usize> = (0..call.members.len()).filter(|n| call.members[*n].out).collect();
-        left.into_iter().for_each(|member| self.ended(id, member, status, None, None));
+        self.ended_all(id, status, None, None);
         self.close(id, false);
     }
 
@@ -1485,7 +1478,7 @@
 
 /// Whom a trouble strikes: destinations, endpoints, relays.
 fn strike(
-    scenario: &Scenario, fleet: &Fleet, place: usize, chance: &Chance,
+    scenario: &Scenario, fleet: &Fleet, place: usize, spell: &Spell, chance: &Chance,
 ) -> (Vec<usize>, Vec<usize>, Vec<usize>) {
     let trouble = &scenario.trouble[place];
     let mut draws = chance.stream(Concern::Trouble, place << 1);
@@ -1494,15 +1487,12 @@
         let _: f64 = draws.random();
     }
     let zone = trouble.zone.as_ref().and_then(|name| scenario.zones.iter().position(|zone| zone == name));
-    let account =
-        trouble.account.as_ref().and_then(|name| scenario.account.iter().position(|a| a.name == *name));
-    let topic = trouble.topic.as_ref().and_then(|name| scenario.topic.iter().position(|t| t.name == *name));
     let allowed = |destination: &usize| {
         let plan = &fleet.destinations[*destination];
         let kind = &scenario.kind[plan.kind].name;
         trouble.kind.as_ref().is_none_or(|name| name == kind)
-            && account.is_none_or(|account| plan.account == Some(account))
-            && topic.is_none_or(|topic| plan.rates[topic] > 0.0)
+            && spell.account.is_none_or(|account| plan.account == Some(account))
+            && spell.topic.is_none_or(|topic| plan.rates[topic] > 0.0)
             && trouble.destination.is_none_or(|only| only == *destination)
             && zone.is_none_or(|zone| plan.endpoints.iter().any(|end| fleet.endpoints[*end].zone == zone))
     };
