A call is written once its connection is up, without what may not go any more

At fault: Send::start, which put the bytes into the buffer of a connection that was not up, and end_members, which left them there.

Now Send::write is the one place where a call is written, once its connection is up and the turn is decided: members that are over or past the time that the core gave (Push::send_within) are left out, and what never went ends as NoConnection. On a told wait the core recalls what is not out (Command::Recall).

Two tests on sockets fail without it.

--- a/crates/adapter/src/main.rs
+++ b/crates/adapter/src/main.rs
@@ -91,7 +91,7 @@
                 commands.extend(given.into_iter().map(|command| (&**name, command)));
             }
         }
-        let cmds = commands.iter().map(|(relay, command)| carried(relay, command)).collect();
+        let cmds = commands.iter().filter_map(|(relay, command)| carried(relay, command)).collect();
         serde_json::to_string(&wire::Reply { cmds }).map_err(|e| format!("no reply can be written: {e}"))
     }
 
@@ -241,10 +241,10 @@
     }
 }
 
-/// A command as the wire has it.
-fn carried<'a>(relay: &'a str, command: &'a Command) -> wire::Cmd<'a> {
-    match command {
-        Command::Push { ntf, endpoint, time_out } => wire::Cmd::Transmit {
+/// A command as the wire has it, if it has it.
+fn carried<'a>(relay: &'a str, command: &'a Command) -> Option<wire::Cmd<'a>> {
+    Some(match command {
+        Command::Push { ntf, endpoint, time_out, .. } => wire::Cmd::Transmit {
             relay,
             ticket: ntf.0,
             endpoint: &endpoint.0,
@@ -260,5 +260,7 @@
         Command::CloseIdle(endpoint) => wire::Cmd::DropConns { relay, endpoint: &endpoint.0 },
         Command::Log(line) => wire::Cmd::SayLog { relay, line },
         Command::Probe(endpoint) => wire::Cmd::SoundOut { relay, endpoint: &endpoint.0 },
-    }
+        // On the wire a push is out at once.
+        Command::Recall(_) => return None,
+    })
 }
--- a/crates/lab/src/adapter.rs
+++ b/crates/lab/src/adapter.rs
@@ -141,6 +141,7 @@
                     ntf: NtfId(ticket),
                     endpoint: endpoint(to),
                     time_out: Span::from_nanos(give_up_after),
+                    send_within: Span::from_nanos(give_up_after),
                 },
                 Cmd::AbortAttempt { ticket, go } => Command::Cancel { ntf: NtfId(ticket), push: go },
                 Cmd::Bounce { ticket, retry_in } => {
--- a/crates/lab/src/baselines.rs
+++ b/crates/lab/src/baselines.rs
@@ -388,7 +388,12 @@
             }
             (held.out, held.pushes, held.sent) = (Some(self.next_call), held.pushes + 1, now);
             (held.to, held.off) = (endpoint.clone(), false);
-            commands.push(Command::Push { ntf: NtfId(*id), endpoint: endpoint.clone(), time_out });
+            commands.push(Command::Push {
+                ntf: NtfId(*id),
+                endpoint: endpoint.clone(),
+                time_out,
+                send_within: time_out,
+            });
         }
     }
 
--- a/crates/model/src/world.rs
+++ b/crates/model/src/world.rs
@@ -900,10 +900,10 @@
         while let Some((command, later)) = rest.split_first() {
             rest = later;
             match command {
-                Command::Push { ntf, endpoint, time_out } => {
+                Command::Push { ntf, endpoint, time_out, .. } => {
                     let mut pushes = vec![(ntf.0, *time_out)];
                     let most = self.per_call(endpoint);
-                    while let Some((Command::Push { ntf, endpoint: same, time_out }, later)) =
+                    while let Some((Command::Push { ntf, endpoint: same, time_out, .. }, later)) =
                         rest.split_first()
                         && same == endpoint
                         && pushes.len() < most
@@ -933,7 +933,8 @@
                         self.endpoints[endpoint].connections -= idle.len();
                     }
                 }
-                Command::Log(_) => {}
+                // Here a call is out at once.
+                Command::Log(_) | Command::Recall(_) => {}
             }
         }
     }
--- a/crates/model/tests/common/mod.rs
+++ b/crates/model/tests/common/mod.rs
@@ -128,7 +128,7 @@
                     self.next += 1;
                     let endpoint = ends[self.next % ends.len()].clone();
                     let time_out = ntf.valid_until.since(now);
-                    commands.push(Command::Push { ntf: ntf.id, endpoint, time_out });
+                    commands.push(Command::Push { ntf: ntf.id, endpoint, time_out, send_within: time_out });
                 }
                 _ => {}
             }
--- a/crates/model/tests/judge.rs
+++ b/crates/model/tests/judge.rs
@@ -105,6 +105,7 @@
             ntf,
             endpoint,
             time_out: Span::from_millis(2_000),
+            send_within: Span::from_millis(2_000),
         });
         match self.bend {
             Bend::Silent if matches!(command, Command::Expire(_)) => Vec::new(),
--- a/crates/relay/src/book.rs
+++ b/crates/relay/src/book.rs
@@ -124,6 +124,9 @@
     /// What happened on the connection that notices go by.
     pub fn happened(&mut self, net: &mut Net, token: Token, what: Happening, now: Time) -> Heard {
         let mut heard = Heard::default();
+        if what == Happening::Up {
+            return heard;
+        }
         if self.connection != Some(token) {
             net.close(token);
             return heard;
--- a/crates/relay/src/discovery.rs
+++ b/crates/relay/src/discovery.rs
@@ -170,6 +170,7 @@
             return Ok(Vec::new());
         };
         let read = match what {
+            Happening::Up => return Ok(Vec::new()),
             Happening::Due => Err("silent"),
             Happening::Ended if !net.connected(token) => Err("cannot be reached"),
             _ => watch.read(net),
--- a/crates/relay/src/event_loop.rs
+++ b/crates/relay/src/event_loop.rs
@@ -76,6 +76,8 @@
 pub enum Happening {
     /// A client has connected.
     Accepted,
+    /// The connection that we opened is up.
+    Up,
     /// There are new bytes in the input, or it is to be looked at again.
     Data,
     /// The peer has ended or broken the connection; it is still to be closed.
@@ -306,6 +308,7 @@
                 }
             }
             self.watch_for(token, (true, false));
+            turn.happenings.push((token, role, Happening::Up));
         }
         self.unflushed.insert(token);
         let Some(conn) = self.conn(token).filter(|conn| !conn.ended) else { return };
--- a/crates/relay/src/send.rs
+++ b/crates/relay/src/send.rs
@@ -33,6 +33,8 @@
     /// Others with its key wait for it.
     pub ordered: bool,
     pub time_out: Span,
+    /// It is not to go out to the endpoint after that.
+    pub send_within: Span,
 }
 
 struct Member {
@@ -41,6 +43,9 @@
     push: u32,
     ordered: bool,
     deadline: Time,
+    send_by: Time,
+    /// Its item of a call of several, until that is written.
+    item: Vec<u8>,
     /// Its outcome is still to come.
     out: bool,
 }
@@ -54,10 +59,19 @@
     /// A single push that read 200 in the first line of its answer before its time was up.
     delivered: bool,
     many: bool,
+    /// What goes out once the connection is up; nothing once it has been written.
+    unwritten: Option<Unwritten>,
     /// Empty for a probe.
     members: Vec<Member>,
 }
 
+enum Unwritten {
+    /// A message for one notification, or a probe.
+    Whole(Vec<u8>),
+    /// A call of several to this host, of the items of whatever is still wanted then.
+    Several(String),
+}
+
 /// How a push ended; without a notification, how a probe did.
 #[derive(Debug)]
 pub struct Ended {
@@ -88,6 +102,8 @@
     connections: Connections,
     most: usize,
     calls: BTreeMap<Token, Call>,
+    /// Connections that are up, with a call that has not been written.
+    ready: Vec<Token>,
     idle: BTreeMap<EndpointId, Vec<Token>>,
     resting: BTreeMap<Token, EndpointId>,
     /// Were in a call of several that its endpoint could not read; each goes in a call of its own.
@@ -99,7 +115,8 @@
     /// With at most so many connections to endpoints.
     pub fn new(connections: Connections, most: usize) -> Send {
         let (calls, idle, resting) = (BTreeMap::new(), BTreeMap::new(), BTreeMap::new());
-        Send { connections, most, calls, idle, resting, apart: BTreeSet::new(), ended: Vec::new() }
+        let (ready, ended) = (Vec::new(), Vec::new());
+        Send { connections, most, calls, ready, idle, resting, apart: BTreeSet::new(), ended }
     }
 
     /// All outcomes since this was last asked.
@@ -147,47 +164,76 @@
         &mut self, net: &mut Net, endpoint: &EndpointId, place: Option<&Place>, pushes: &[Push<'_>],
         now: Time,
     ) {
+        let several = pushes.len() > 1;
+        let item = |push: &Push<'_>| serde_json::to_vec(&Item::of(push)).expect("items are plain text");
         let members = pushes.iter().map(|push| Member {
             ntf: push.ntf,
             id: push.id.to_owned(),
             push: push.push,
             ordered: push.ordered,
             deadline: now + push.time_out,
+            send_by: now + push.send_within,
+            item: if several { item(push) } else { Vec::new() },
             out: true,
         });
         let members = members.collect();
-        let many = pushes.len() > 1;
-        let longest = pushes.iter().map(|push| push.time_out).max().unwrap_or_default();
-        let time_out = (longest.nanos() / 1_000_000).max(1).to_string();
-        let bytes = |host: &str| {
-            let mut headers = vec![("Host", host), ("Request-Timeout-Ms", time_out.as_str())];
-            if let [push] = pushes {
-                headers.push(("Request-Id", push.id));
-                headers.extend(push.idempotency_key.map(|key| ("Idempotency-Key", key)));
-                return http::message("POST /hook HTTP/1.1", &headers, push.body);
-            }
-            headers.push(("Content-Type", "application/json"));
-            let items: Vec<Item<'_>> = pushes.iter().map(Item::of).collect();
-            let body = serde_json::to_vec(&items).expect("items are plain text");
-            http::message("POST /hook/batch HTTP/1.1", &headers, &body)
+        let unwritten = |host: &str| {
+            let [push] = pushes else { return Unwritten::Several(host.to_owned()) };
+            let time_out = whole_millis(push.time_out);
+            let mut headers =
+                vec![("Host", host), ("Request-Timeout-Ms", time_out.as_str()), ("Request-Id", push.id)];
+            headers.extend(push.idempotency_key.map(|key| ("Idempotency-Key", key)));
+            Unwritten::Whole(http::message("POST /hook HTTP/1.1", &headers, push.body))
         };
-        self.start(net, endpoint, place, members, many, bytes, now);
+        self.start(net, endpoint, place, members, unwritten, now);
+    }
+
+    /// Writes the calls whose connections are up: what is not wanted any more, or would come too late, is left
+    /// out. Every call passes here, after all that a turn brings is known and decided.
+    pub fn write(&mut self, net: &mut Net, now: Time) {
+        for token in std::mem::take(&mut self.ready) {
+            let late = |member: &Member| member.out && member.send_by <= now;
+            if self.calls.get(&token).is_some_and(|call| call.members.iter().any(late)) {
+                self.end_members(net, token, Status::NoConnection, now, late);
+            }
+            let Some(call) = self.calls.get_mut(&token) else { continue };
+            match call.unwritten.take() {
+                Some(Unwritten::Whole(bytes)) => net.write(token, &bytes),
+                Some(Unwritten::Several(host)) => {
+                    call.members.retain(|member| member.out);
+                    let deadlines = call.members.iter().map(|member| member.deadline.since(now));
+                    let time_out = whole_millis(deadlines.max().unwrap_or_default());
+                    let items = call.members.iter_mut().map(|member| std::mem::take(&mut member.item));
+                    let body = [b"[", items.collect::<Vec<_>>().join(&b',').as_slice(), b"]"].concat();
+                    let headers = [
+                        ("Host", host.as_str()),
+                        ("Request-Timeout-Ms", &time_out),
+                        ("Content-Type", "application/json"),
+                    ];
+                    net.write(token, &http::message("POST /hook/batch HTTP/1.1", &headers, &body));
+                }
+                None => {}
+            }
+            net.due(token, call.due());
+        }
     }
 
     /// Asks an endpoint for its health.
     pub fn probe(&mut self, net: &mut Net, endpoint: &EndpointId, place: Option<&Place>, now: Time) {
-        let bytes = |host: &str| http::message("GET /health HTTP/1.1", &[("Host", host)], b"");
-        self.start(net, endpoint, place, Vec::new(), false, bytes, now);
+        let message =
+            |host: &str| Unwritten::Whole(http::message("GET /health HTTP/1.1", &[("Host", host)], b""));
+        self.start(net, endpoint, place, Vec::new(), message, now);
     }
 
-    #[expect(clippy::too_many_arguments, reason = "the parts of a call")]
     fn start(
         &mut self, net: &mut Net, endpoint: &EndpointId, place: Option<&Place>, members: Vec<Member>,
-        many: bool, bytes: impl FnOnce(&str) -> Vec<u8>, now: Time,
+        unwritten: impl FnOnce(&str) -> Unwritten, now: Time,
     ) {
         let connect = Some(self.connections.connect).filter(|span| *span > Span::ZERO);
         let connect_by = connect.map_or(Time::NEVER, |span| now + span);
         let whole_by = Time::NEVER;
+        let unwritten = place.map(|place| unwritten(&place.dial.to_string()));
+        let many = members.len() > 1;
         let call = Call {
             endpoint: endpoint.clone(),
             sent: now,
@@ -195,13 +241,14 @@
             whole_by,
             delivered: false,
             many,
+            unwritten,
             members,
         };
         let token = place.and_then(|place| self.connection(net, endpoint, place));
-        let (Some(token), Some(place)) = (token, place) else {
-            return self.fail(call, Status::NoConnection, now);
-        };
-        net.write(token, &bytes(&place.dial.to_string()));
+        let Some(token) = token else { return self.fail(call, Status::NoConnection, now) };
+        if net.connected(token) {
+            self.ready.push(token);
+        }
         net.due(token, call.due());
         self.calls.insert(token, call);
     }
@@ -245,14 +292,19 @@
         }
     }
 
-    /// An endpoint drains, is gone or has moved: what has not all been handed to the system yet, since its connection is
-    /// not up or its endpoint does not read, must not arrive there any more. It ends as not sent.
+    /// An endpoint drains, is gone or has moved.
     pub fn left(&mut self, net: &mut Net, endpoint: &EndpointId, now: Time) {
         self.close_idle(net, endpoint);
+        self.recall(net, endpoint, now);
+    }
+
+    /// What has not all been handed to the system yet, since its connection is not up or its endpoint does not read,
+    /// must not arrive at the endpoint any more. It ends as not sent.
+    pub fn recall(&mut self, net: &mut Net, endpoint: &EndpointId, now: Time) {
         let there = self.calls.iter().filter(|(_, call)| call.endpoint == *endpoint);
         let tokens: Vec<Token> = there.map(|(token, _)| *token).collect();
         for token in tokens {
-            if is_unsent(net, token) {
+            if self.is_unsent(net, token) {
                 self.broke(net, token, Status::Skipped, now);
             }
         }
@@ -286,10 +338,13 @@
     fn end_members(
         &mut self, net: &mut Net, token: Token, status: Status, now: Time, which: impl Fn(&Member) -> bool,
     ) {
+        // What had not gone out never ran, and is left out when the rest goes.
+        let unsent = self.is_unsent(net, token);
+        let status = if unsent { Status::NoConnection } else { status };
         let Some(call) = self.calls.get_mut(&token) else { return };
         let mut closes = false;
         for member in call.members.iter_mut().filter(|member| which(member)) {
-            (member.out, closes) = (false, closes || member.ordered);
+            (member.out, closes) = (false, closes || member.ordered && !unsent);
             self.ended.push(call_ended(&call.endpoint, Some(member), status, now.since(call.sent)));
         }
         if !closes && call.members.iter().any(|member| member.out) {
@@ -316,6 +371,7 @@
         let Some(call) = self.calls.get_mut(&token) else { return };
         match what {
             Happening::Accepted => {}
+            Happening::Up => self.ready.push(token),
             Happening::Data | Happening::Ended => {
                 let ended = what == Happening::Ended;
                 let Some(input) = net.input(token) else { return };
@@ -336,7 +392,7 @@
                     broken => {
                         // A single push is delivered with the first line of its answer.
                         let delivered = !call.many && http::first_line(input) == Some(200);
-                        let never = is_unsent(net, token);
+                        let never = self.is_unsent(net, token);
                         let status = match broken {
                             _ if delivered => Status::Delivered,
                             Err(_) => Status::Error,
@@ -348,7 +404,8 @@
                 }
             }
             Happening::Due => {
-                let never = is_unsent(net, token);
+                let never = self.is_unsent(net, token);
+                let Some(call) = self.calls.get_mut(&token) else { return };
                 if never && call.connect_by <= now {
                     return self.broke(net, token, Status::NoConnection, now);
                 }
@@ -363,7 +420,8 @@
                 }
                 // Once it is up only the pushes' own time-outs count.
                 call.connect_by = if never { call.connect_by } else { Time::NEVER };
-                self.end_members(net, token, status, now, |member| member.out && member.deadline <= now);
+                let over = |member: &Member| member.deadline <= now || never && member.send_by <= now;
+                self.end_members(net, token, status, now, |member| member.out && over(member));
             }
         }
     }
@@ -400,6 +458,12 @@
         }
     }
 
+    /// Whether the last byte of a call has not been handed to the system: then it never ran.
+    fn is_unsent(&self, net: &mut Net, token: Token) -> bool {
+        let unwritten = self.calls.get(&token).is_some_and(|call| call.unwritten.is_some());
+        unwritten || !net.connected(token) || net.unsent(token) > 0
+    }
+
     /// The call is over without an answer: whatever of it is still out ends so, and its connection is closed.
     fn broke(&mut self, net: &mut Net, token: Token, status: Status, now: Time) {
         net.close(token);
@@ -421,14 +485,18 @@
 impl Call {
     /// When the next of its pushes times out, or its connection should be up.
     fn due(&self) -> Time {
-        let deadlines = self.members.iter().filter(|member| member.out).map(|member| member.deadline);
+        let unwritten = self.unwritten.is_some();
+        let last = |member: &Member| {
+            if unwritten { member.deadline.min(member.send_by) } else { member.deadline }
+        };
+        let deadlines = self.members.iter().filter(|member| member.out).map(last);
         deadlines.min().unwrap_or(Time::NEVER).min(self.connect_by).min(self.whole_by)
     }
 }
 
-/// Whether the last byte of a call has not been handed to the system: then it never ran.
-fn is_unsent(net: &mut Net, token: Token) -> bool {
-    !net.connected(token) || net.unsent(token) > 0
+/// As a header states it.
+fn whole_millis(span: Span) -> String {
+    (span.nanos() / 1_000_000).max(1).to_string()
 }
 
 /// A push, or without one a probe, that ended with no answer.
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -115,6 +115,7 @@
             }
             self.outcomes(now);
             self.decide(now);
+            self.send.write(&mut self.net, now);
             self.store.flush()?;
             self.net.flush();
             if turn.stop && stop.is_none() {
@@ -295,7 +296,7 @@
                 Command::Push { endpoint, .. } => {
                     let same = |c: &&Command| matches!(c, Command::Push { endpoint: e, .. } if e == endpoint);
                     let more = later.iter().take_while(same).count();
-                    let pushes: Vec<(NtfId, Span)> =
+                    let pushes: Vec<(NtfId, Span, Span)> =
                         std::iter::once(command).chain(&later[..more]).filter_map(push).collect();
                     rest = &later[more..];
                     self.push(endpoint, &pushes, now);
@@ -327,6 +328,7 @@
                     self.send.probe(&mut self.net, endpoint, self.discovery.place(endpoint), now);
                 }
                 Command::CloseIdle(endpoint) => self.send.close_idle(&mut self.net, endpoint),
+                Command::Recall(endpoint) => self.send.recall(&mut self.net, endpoint, now),
                 Command::Log(line) => info!(self.log, "{}", line),
             }
         }
@@ -343,13 +345,13 @@
         self.take_in.answer(&mut self.net, token, answer);
     }
 
-    fn push(&mut self, endpoint: &EndpointId, pushes: &[(NtfId, Span)], now: Time) {
+    fn push(&mut self, endpoint: &EndpointId, pushes: &[(NtfId, Span, Span)], now: Time) {
         let place = self.discovery.place(endpoint);
         let zone = place.map(|place| place.zone.clone()).unwrap_or_default();
-        for (ntf, _) in pushes {
+        for (ntf, ..) in pushes {
             self.store.pushed(ntf.0, now, &zone);
         }
-        let outgoing = pushes.iter().filter_map(|(ntf, time_out)| {
+        let outgoing = pushes.iter().filter_map(|(ntf, time_out, send_within)| {
             let kept = self.store.get(ntf.0)?;
             let left = Time::from_nanos(kept.taken.valid_until).since(now);
             Some(Push {
@@ -361,6 +363,7 @@
                 ordered: kept.taken.words.key.is_some()
                     && self.settings.topic(&kept.taken.words.topic).is_some_and(|topic| topic.ordered),
                 time_out: (*time_out).min(left),
+                send_within: *send_within,
             })
         });
         let outgoing: Vec<Push<'_>> = outgoing.collect();
@@ -393,9 +396,9 @@
     }
 }
 
-fn push(command: &Command) -> Option<(NtfId, Span)> {
+fn push(command: &Command) -> Option<(NtfId, Span, Span)> {
     match command {
-        Command::Push { ntf, time_out, .. } => Some((*ntf, *time_out)),
+        Command::Push { ntf, time_out, send_within, .. } => Some((*ntf, *time_out, *send_within)),
         _ => None,
     }
 }
--- a/crates/relay/src/take_in.rs
+++ b/crates/relay/src/take_in.rs
@@ -75,6 +75,7 @@
                 net.due(token, now + SLOW);
                 None
             }
+            Happening::Up => None,
             Happening::Data => self.read(net, token, now),
             Happening::Ended => {
                 // What came whole before the end was read with it and has its answer in this turn.
--- a/crates/relay/tests/serve.rs
+++ b/crates/relay/tests/serve.rs
@@ -3,7 +3,7 @@
 mod stand_in;
 
 use std::fs::OpenOptions;
-use std::io::Write;
+use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::process::Output;
 use std::sync::mpsc::{Receiver, channel};
@@ -11,7 +11,7 @@
 
 use serde_json::{Value, json};
 use socket2::{Domain, Socket, Type};
-use stand_in::{Client, Message, Rig, Server, program, request};
+use stand_in::{Client, LIMIT, Message, Rig, Server, program, request};
 
 #[test]
 fn a_notification_goes_on_unchanged_and_is_over_when_delivered() {
@@ -304,15 +304,73 @@
     assert!(rig.watch().head.contains("index=44 "));
 }
 
-/// A connection that is not up yet would carry its push to an endpoint long after that began to drain.
-#[test]
-fn what_is_still_on_its_way_to_a_connection_is_not_sent_to_an_endpoint_that_drains() {
-    // Room for one connection that nobody accepts: the relay's never comes up.
+/// A listener with room for one connection, which is taken: the relay's does not come up until it is accepted.
+fn full() -> (Socket, SocketAddr, TcpStream) {
     let full = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
     full.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).expect("a free port");
     full.listen(0).expect("it listens");
+    full.set_read_timeout(Some(LIMIT)).expect("a limit");
     let dial = full.local_addr().expect("an address").as_socket().expect("IPv4");
-    let _first = TcpStream::connect(dial).expect("room for one");
+    let first = TcpStream::connect(dial).expect("room for one");
+    (full, dial, first)
+}
+
+/// A connection that comes up late would carry a copy to its endpoint after its window, and with it the others.
+#[test]
+fn a_call_goes_without_what_may_not_go_any_more_when_its_connection_comes_up_late() {
+    let (full, dial, _first) = full();
+    let rig = Rig::with(|config| {
+        config["settings"]["family-info"]["per-call"] = json!([10]);
+        config["settings"]["classes"][1]["repeat-window"] = json!(700_000_000);
+        let mut late = config["known"]["hosts"][0].clone();
+        (late["host"], late["dial"]) = (json!("f"), json!(dial.to_string()));
+        config["known"]["hosts"].as_array_mut().expect("hosts").push(late);
+    });
+    let mut client = rig.client();
+    assert_eq!(client.hand_in("mark", "1", "", b""), 202);
+    let mut first = rig.endpoint.next();
+    assert_eq!(client.hand_in("safe", "2", "", b""), 202);
+    first.answer("500 Internal Server Error", "", "");
+    let ended = || rig.logged("push ended")["status"].clone();
+    assert_eq!(ended(), "Error");
+    // The copy's window ends while the connection is not up: it never went.
+    assert_eq!(ended(), "NoConnection");
+    assert_eq!(rig.notice().1, json!({"message": "1", "outcome": "given_up"}));
+    full.accept().expect("the connection that took the room");
+    let (call, _) = full.accept().expect("the relay's, tried again by its system");
+    let mut body = Vec::new();
+    let mut call = TcpStream::from(call);
+    call.set_read_timeout(Some(LIMIT)).expect("a limit");
+    while !body.ends_with(b"]") {
+        let mut piece = [0; 1_024];
+        let count = call.read(&mut piece).expect("a call");
+        assert!(count > 0, "{}", String::from_utf8_lossy(&body));
+        body.extend_from_slice(&piece[..count]);
+    }
+    let body = String::from_utf8(body).expect("plain text");
+    assert!(body.contains(r#""id":"2""#) && !body.contains(r#""id":"1""#), "{body}");
+}
+
+/// Told to wait by one endpoint, the relay must not go on to another of the destination once it is reached.
+#[test]
+fn what_is_still_on_its_way_to_a_connection_is_not_sent_in_a_wait_told_meanwhile() {
+    let (_full, dial, _first) = full();
+    let rig = Rig::with(|config| {
+        let mut late = config["known"]["hosts"][0].clone();
+        (late["host"], late["dial"]) = (json!("f"), json!(dial.to_string()));
+        config["known"]["hosts"].as_array_mut().expect("hosts").push(late);
+    });
+    let mut client = rig.client();
+    assert_eq!([client.hand_in("safe", "1", "", b""), client.hand_in("safe", "2", "", b"")], [202; 2]);
+    rig.endpoint.next().answer("429 Too Many Requests", "Retry-After: 9.5\r\n", "");
+    assert_eq!(rig.logged("push ended")["status"], "Busy");
+    assert_eq!(rig.logged("push ended")["status"], "Skipped");
+}
+
+/// A connection that is not up yet would carry its push to an endpoint long after that began to drain.
+#[test]
+fn what_is_still_on_its_way_to_a_connection_is_not_sent_to_an_endpoint_that_drains() {
+    let (_full, dial, _first) = full();
     let rig = Rig::with(|config| config["known"]["hosts"][0]["dial"] = json!(dial.to_string()));
     let mut watch = rig.watch();
     watch.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -317,6 +317,8 @@
         endpoint: EndpointId,
         /// When to abandon the push.
         time_out: Span,
+        /// When it has not gone out to the endpoint by then, for its connection is not up, it is not to go.
+        send_within: Span,
     },
     /// Call a push off.
     Cancel {
@@ -342,6 +344,8 @@
     Probe(EndpointId),
     /// Close this relay's idle connections to an endpoint.
     CloseIdle(EndpointId),
+    /// What has not gone out to an endpoint yet, for its connection is not up, is not to go.
+    Recall(EndpointId),
     /// Tell the staff.
     Log(String),
 }
--- a/src/mail.rs
+++ b/src/mail.rs
@@ -62,7 +62,8 @@
 pub(crate) struct Call {
     pub(crate) destination: DestinationId,
     pub(crate) endpoint: EndpointId,
-    pub(crate) pushes: Vec<(NtfId, Span)>,
+    /// Each with its time-out, and how soon it must have gone out.
+    pub(crate) pushes: Vec<(NtfId, Span, Span)>,
     pub(crate) overdue_after: Span,
     /// The gaps between this relay's calls to the endpoint, and to the lane, after an outage.
     pub(crate) gaps: (Span, Span),
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -388,8 +388,9 @@
                 if call.fresh {
                     mail.commands.push(Command::CloseIdle(call.endpoint.clone()));
                 }
-                for &(ntf, time_out) in &call.pushes {
-                    mail.commands.push(Command::Push { ntf, endpoint: call.endpoint.clone(), time_out });
+                for &(ntf, time_out, send_within) in &call.pushes {
+                    let endpoint = call.endpoint.clone();
+                    mail.commands.push(Command::Push { ntf, endpoint, time_out, send_within });
                 }
                 mail.put(Part::Endpoint(call.endpoint.clone()), Note::Sent(call.clone()));
                 mail.put(Part::Slots, Note::Sent(call.clone()));
@@ -481,13 +482,19 @@
         self.ntf.topic.effect != Effect::OnceOnly
     }
 
+    /// When the window for copies ends, once a push may have run.
+    fn closes(&self) -> Option<Time> {
+        self.past.ran.as_ref().zip(self.ntf.topic.effect.window()).map(|(ran, window)| ran.0 + window)
+    }
+
     /// Rule: no effect twice. Every send passes here.
     fn may_run(&self, now: Time, zone: Option<&Arc<str>>, most: u32) -> bool {
         let effect = match (&self.past.ran, self.ntf.topic.effect) {
             (None, _) | (Some(_), Effect::Repeatable) => true,
             (Some(_), Effect::OnceOnly) => false,
-            (Some((at, first)), Effect::Collapsible { group, window }) => {
-                now + ARRIVAL < *at + window && (group == Group::All || zone.is_none_or(|zone| zone == first))
+            (Some((_, first)), Effect::Collapsible { group, .. }) => {
+                let open = self.closes().is_some_and(|end| now + ARRIVAL < end);
+                open && (group == Group::All || zone.is_none_or(|zone| zone == first))
             }
         };
         effect && self.past.pushes < most && !self.over && self.out.is_none()
@@ -546,7 +553,13 @@
             Note::Turn(id) => self.change(id, |held| held.turn = true),
             Note::Withdrawn(id) => self.change(id, |held| held.over = true),
             Note::Heard(id) => self.change(id, |held| held.past.ended = false),
-            Note::Outcome(outcome, first) => self.outcome(&outcome, first, mail.now),
+            Note::Outcome(outcome, first) => {
+                // Guards against calls whose connections are not up yet: they would go in the told wait.
+                let bound = |end: &&(EndpointId, Arc<str>)| !self.apart || end.0 == outcome.endpoint;
+                let waits = self.ends.iter().filter(|_| first && outcome.wait.is_some()).filter(bound);
+                waits.for_each(|end| mail.commands.push(Command::Recall(end.0.clone())));
+                self.outcome(&outcome, first, mail.now);
+            }
             Note::Sent(call) => {
                 let Some(place) = self.ends.iter().position(|end| end.0 == call.endpoint) else { return };
                 self.next = place + 1;
@@ -573,9 +586,8 @@
         (0..self.held.len()).rev().for_each(|place| self.give_up_if_vain(place, mail));
         let (late, mut next) = (self.median().max(LEAST_LEFT) - Span::from_nanos(1), Time::NEVER);
         for held in self.held.iter().filter(|h| h.out.is_none()) {
-            let window = held.ntf.topic.effect.window();
-            let end = held.past.ran.as_ref().zip(window).map(|(ran, window)| ran.0 + window - ARRIVAL);
-            let dues = [held.ntf.valid_until - late, self.filled(held), end.unwrap_or(Time::NEVER)];
+            let end = held.closes().map_or(Time::NEVER, |end| end - ARRIVAL);
+            let dues = [held.ntf.valid_until - late, self.filled(held), end];
             next = dues.into_iter().filter(|at| *at > mail.now).fold(next, Time::min);
         }
         mail.alarm(Part::Destination(self.id), next);
@@ -639,7 +651,7 @@
     /// What goes to an endpoint next, with its time-outs: first what can still meet its objective. Rule: a call
     /// ends with the first TTL in it, for an answer that comes after speaks of none of them. So only those go
     /// together whom this leaves their own time-out, or what nine in ten calls last.
-    fn pick(&self, now: Time, to: &EndpointId, zone: &Arc<str>) -> Vec<(NtfId, Span)> {
+    fn pick(&self, now: Time, to: &EndpointId, zone: &Arc<str>) -> Vec<(NtfId, Span, Span)> {
         let elsewhere = self.asked < self.ends.len();
         let mut ready: Vec<&Held> = self.held.iter().filter(|h| h.turn).collect();
         ready.retain(|h| h.may_run(now, Some(zone), self.allowed.pushes));
@@ -658,11 +670,12 @@
             let (first, time_out) = (ends.min(held.ntf.valid_until), self.time_out(now, held));
             let most = wanted.max(time_out.min(enough));
             if call.is_empty() || now + most <= first {
-                call.push((held.ntf.id, time_out));
+                let by = held.closes().map_or(Time::NEVER, |end| end - ARRIVAL);
+                call.push((held.ntf.id, time_out, by.since(now)));
                 (ends, wanted) = (first, most);
             }
         }
-        call.into_iter().map(|(ntf, time_out)| (ntf, time_out.min(ends.since(now)))).collect()
+        call.into_iter().map(|(ntf, time_out, by)| (ntf, time_out.min(ends.since(now)), by)).collect()
     }
 
     /// When a call speaks of silence: well beyond what is delivered of late (calls that never end stretch the
--- a/tests/helper/mod.rs
+++ b/tests/helper/mod.rs
@@ -85,7 +85,7 @@
                 heard.push(ntf);
             }
             let line = match command {
-                Command::Push { ntf, endpoint, time_out } => {
+                Command::Push { ntf, endpoint, time_out, .. } => {
                     let line =
                         format!("push {} to {} for {} ms", ntf.0, endpoint.0, time_out.nanos() / 1_000_000);
                     self.out.push((ntf, endpoint, ms));
@@ -100,6 +100,7 @@
                 }
                 Command::Probe(endpoint) => format!("probe {}", endpoint.0),
                 Command::CloseIdle(endpoint) => format!("close idle connections to {}", endpoint.0),
+                Command::Recall(endpoint) => format!("recall what is not out to {}", endpoint.0),
                 Command::Log(line) => line,
                 Command::Wake(after) => {
                     self.wake = Time::from_nanos(self.ms * 1_000_000) + after;
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -143,6 +143,10 @@
         0      subscribe
         0      push 1 to a for 16000 ms
         0      push 2 to b for 16000 ms
+        0      recall what is not out to a
+        0      recall what is not out to b
+        0      recall what is not out to a
+        0      recall what is not out to b
         1500   push 2 to a for 14500 ms
         3000   push 1 to b for 13000 ms
     "#]]
@@ -620,6 +624,7 @@
     expect![[r#"
         0      subscribe
         0      push 1 to a for 16000 ms
+        0      recall what is not out to a
         840    push 2 to a for 15160 ms
     "#]]
     .assert_eq(&rig.trace);
