A 503 that closes a new connection is a shortage of connections, not trouble

At fault: relay::fates, which read them as Busy, and Endpoint::judge, which takes Busy with no word of a limit for a sign of an outage; after an outage one of 282 relays may try again only every 10 to 50 s. Ruled out: limits (those answers bring a report), dead endpoints (they answered).

Such an answer is Status::Crowded now: it shows that the endpoint is up, has idle connections closed after each call as refused ones did before, and pauses its destination for 1.6 s at the most.

--- a/crates/lab/src/adapter.rs
+++ b/crates/lab/src/adapter.rs
@@ -213,7 +213,7 @@
         Status::Error => "err",
         Status::Busy => "busy",
         Status::TimedOut => "etimedout",
-        Status::NoConnection => "econnrefused",
+        Status::NoConnection | Status::Crowded => "econnrefused",
         Status::Reset => "econnreset",
         Status::Cancelled => "ecanceled",
         Status::Skipped => "skipped",
--- a/crates/model/src/figures.rs
+++ b/crates/model/src/figures.rs
@@ -250,7 +250,7 @@
             Status::Error => &mut pushes.error,
             Status::Busy => &mut pushes.busy,
             Status::TimedOut => &mut pushes.timed_out,
-            Status::NoConnection => &mut pushes.no_connection,
+            Status::NoConnection | Status::Crowded => &mut pushes.no_connection,
             Status::Reset => &mut pushes.reset,
             Status::Cancelled => &mut pushes.cancelled,
             Status::Skipped => &mut pushes.skipped,
--- a/crates/model/src/world.rs
+++ b/crates/model/src/world.rs
@@ -785,7 +785,7 @@
             Told::Ended { mut outcome, lane } => {
                 let (ntf, status) = (outcome.ntf.0, outcome.status);
                 let ran = match status {
-                    Status::Busy | Status::NoConnection | Status::Skipped => Ran::Never,
+                    Status::Busy | Status::NoConnection | Status::Crowded | Status::Skipped => Ran::Never,
                     Status::TimedOut | Status::Reset | Status::Cancelled => Ran::Unsure,
                     Status::Delivered | Status::Error => Ran::Maybe,
                 };
@@ -1184,7 +1184,7 @@
         let struck = &endpoint.struck;
         let refuses = endpoint.gone || struck.any(&self.spells, Woe::Down, now);
         if refuses || endpoint.connections >= endpoint.plan.connections {
-            let status = Status::NoConnection;
+            let status = if refuses { Status::NoConnection } else { Status::Crowded };
             self.queue.put(now + call.one_way, Happens::Back { call: id, status, wait: None, limit: None });
             return self.at(id, Where::Done);
         }
@@ -1358,7 +1358,8 @@
     fn back(&mut self, id: CallId, status: Status, wait: Option<Span>, limit: Option<LimitReport>) {
         if self.calls.get(&id).is_some_and(|call| call.open) {
             self.ended_all(id, status, wait, limit);
-            let keep = !matches!(status, Status::NoConnection | Status::Reset | Status::Skipped);
+            let keep =
+                !matches!(status, Status::NoConnection | Status::Crowded | Status::Reset | Status::Skipped);
             self.close(id, keep);
         }
     }
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -33,6 +33,8 @@
         200 if many => return each(response, ids),
         200 => Fate::of(Status::Delivered),
         429 | 503 if response.header("Slots-Taken") == Some("1") => Fate::of(Status::Skipped),
+        // Not even its connection is kept: there are too many.
+        503 if !response.keep => Fate::of(Status::Crowded),
         429 | 503 => Fate::of(Status::Busy),
         // All pushes are used up: not sent, its end is still owed.
         504 => Fate::of(Status::Skipped),
@@ -103,6 +105,7 @@
             ("429 Too Many Requests\nRetry-After: 0.75\n", false),
             ("503 Service Unavailable\n", false),
             ("503 Service Unavailable\nRetry-After: inf\n", false),
+            ("503 Service Unavailable\nConnection: close\n", false),
             ("503 Service Unavailable\nSlots-Taken: 1\n", false),
             ("504 Gateway Timeout\n", false),
             ("410 Gone\n", false),
@@ -122,6 +125,7 @@
             false Busy over false wait Some(750)
             false Busy over false wait None
             false Busy over false wait None
+            false Crowded over false wait None
             false Skipped over false wait None
             false Skipped over false wait None
             false Skipped over true wait None
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -225,6 +225,8 @@
     TimedOut,
     /// No connection; it never ran.
     NoConnection,
+    /// Turned away by an endpoint that is up, for it has too many connections; it never ran.
+    Crowded,
     /// The connection broke; it may have run.
     Reset,
     /// Called off; it may have run.
@@ -236,7 +238,7 @@
 impl Status {
     /// Whether a push that ended so may have run.
     pub const fn may_have_run(self) -> bool {
-        !matches!(self, Status::Busy | Status::NoConnection | Status::Skipped)
+        !matches!(self, Status::Busy | Status::NoConnection | Status::Crowded | Status::Skipped)
     }
 
     /// Whether a push that ended so may still be running.
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -311,10 +311,9 @@
                 if let Some(out) = lost.next_back().filter(|o| now.since(o.at) < span.times(PATIENCE)) {
                     mail.put(Part::Book, Note::Stale(out.idle.times(0.9), None));
                 }
-                // Guards against the few connections that some destinations take, which many relays fill with
-                // idle ones: refused before it answers, one that is up is short of them. None is left idle.
-                if std::mem::take(&mut self.refused) && !was_aside && self.stale(now) != Some(Span::ZERO) {
-                    mail.put(Part::Book, Note::Stale(Span::ZERO, Some(self.entry.kind.clone())));
+                // Refused before it answers, one that is up is short of connections.
+                if std::mem::take(&mut self.refused) && !was_aside {
+                    self.short_of_connections(mail);
                 }
                 self.delivered = Some(now);
                 self.streak = if was_aside { 0 } else { self.streak.saturating_sub(1) };
@@ -323,6 +322,10 @@
             // Above a told limit, or up, as a call shows that is out and not lost: no sign of an outage.
             Status::Busy if limit.is_some_and(|l| l.rate > 0.0 && l.left < LOW) => false,
             Status::NoConnection => self.outs.iter().all(|o| o.lost(now)),
+            Status::Crowded => {
+                self.short_of_connections(mail);
+                false
+            }
             _ => status != Status::Skipped,
         };
         self.refused |= status == Status::NoConnection;
@@ -330,6 +333,14 @@
         self.suspect(mail);
     }
 
+    /// Guards against the few connections that some destinations take, which many relays fill with idle ones: at
+    /// endpoints of this kind none is left idle.
+    fn short_of_connections(&self, mail: &mut Mail) {
+        if self.stale(mail.now) != Some(Span::ZERO) {
+            mail.put(Part::Book, Note::Stale(Span::ZERO, Some(self.entry.kind.clone())));
+        }
+    }
+
     /// Guards against silence as well as failures: a call long overdue is evidence before its time-out.
     fn suspect(&mut self, mail: &mut Mail) {
         let (now, span) = (mail.now, self.figures.tip_after);
@@ -447,12 +458,13 @@
                 (self.refused, self.window) = (0, self.window + 1.0 / self.window);
                 self.back = self.back.map(|(since, from, wins)| (since, from, wins + 1));
             }
-            Status::Busy | Status::NoConnection if mail.now >= self.pause_until => {
+            Status::Busy | Status::NoConnection | Status::Crowded if mail.now >= self.pause_until => {
                 // One of many relays may see a destination once in many seconds and cannot tell a limit from
                 // an outage, while all that come back after an outage count: each does so ever more rarely.
                 let first = PAUSE.max(self.calls(REFUSED));
-                let grows = if self.rate > 0.0 || status == Status::NoConnection { 1 } else { 2 };
-                self.pause_until = mail.now + pause(first, grows * self.refused, self.cold_gap(), mail);
+                let grows = if self.rate > 0.0 || status != Status::Busy { 1 } else { 2 };
+                let longest = if status == Status::Crowded { Span::ZERO } else { self.cold_gap() };
+                self.pause_until = mail.now + pause(first, grows * self.refused, longest, mail);
                 self.refused += 1;
                 self.window = (self.window * 0.6).max(1.0);
             }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -425,6 +425,40 @@
     .assert_eq(&rig.trace);
 }
 
+/// An endpoint that says it has no room for a connection is up: no sign of an outage, and none is left idle.
+#[test]
+fn an_endpoint_short_of_connections_is_no_endpoint_in_trouble() {
+    let mut rig = Rig::new(4, 1, &[("a", "z")]);
+    rig.accept(1, "safe", None, 16_000);
+    for status in [Status::Crowded, Status::Crowded, Status::Crowded, Status::Crowded, Status::Delivered] {
+        rig.end(1, status);
+        rig.pass(2_400);
+    }
+    rig.accept(2, "safe", None, 16_000);
+    rig.end(2, Status::Delivered);
+    expect![[r#"
+        0      subscribe
+        0      push 1 to a for 16000 ms
+        0      close idle connections to a
+        90     close idle connections to a
+        90     push 1 to a for 15910 ms
+        2400   close idle connections to a
+        3430   close idle connections to a
+        3430   push 1 to a for 12570 ms
+        4800   close idle connections to a
+        6990   close idle connections to a
+        6990   push 1 to a for 9010 ms
+        7200   close idle connections to a
+        8780   close idle connections to a
+        8780   push 1 to a for 7220 ms
+        9600   close idle connections to a
+        12000  close idle connections to a
+        12000  push 2 to a for 16000 ms
+        12000  close idle connections to a
+    "#]]
+    .assert_eq(&rig.trace);
+}
+
 /// Nobody listens at one of two: it is left out like any that fails, and the other does not wait for it.
 #[test]
 fn an_endpoint_that_refuses_all_connections_is_set_aside() {
