A wait told in an answer to a call that is over is heeded

In between it had a call out at the other endpoint from 30.208 s that timed out at 30.412 s, 203 ms later, at the end of its TTL, while the round trip with a new connection is 160 ms: the answer crossed the end of the call. At fault: Send::broke, which closed the connection with that answer unread. Ruled out: the waits that were read (each push came after them), calls on connections not up yet (mended before).

A call that timed out or was called off is abandoned by ending the sending, as the protocol allows, and its connection is read for one second more; a wait told there reaches the core (Event::Told), which has all of that lane wait and recalls what is not out. The socket test fails without it.

--- a/crates/lab/src/adapter.rs
+++ b/crates/lab/src/adapter.rs
@@ -203,7 +203,7 @@
         Event::Ended(outcome) => happened.push(answer(relay, &outcome)),
         Event::Withdrawn(ntf) => happened.push(json!({"m": "Withdrawn", "relay": relay, "ticket": ntf.0})),
         Event::Woken => happened.push(json!({"m": "Ring", "relay": relay, "label": "wake"})),
-        Event::Heard(_) | Event::Slots(_) | Event::Probed { .. } => {}
+        Event::Heard(_) | Event::Slots(_) | Event::Probed { .. } | Event::Told { .. } => {}
     }
 }
 
--- a/crates/relay/src/event_loop.rs
+++ b/crates/relay/src/event_loop.rs
@@ -449,6 +449,15 @@
         self.due(token, until);
     }
 
+    /// Ends our sending on a connection; what its peer still sends is read.
+    pub fn stop_sending(&mut self, token: Token) {
+        if let Some(conn) = self.conn(token) {
+            conn.output.clear();
+            // The peer may have gone already.
+            let _ = conn.socket.shutdown(Shutdown::Write);
+        }
+    }
+
     /// Closes a connection at once: the one place where sockets are given back.
     pub fn close(&mut self, token: Token) {
         let Some(due) = self.conn(token).map(|conn| conn.due) else { return };
--- a/crates/relay/src/send.rs
+++ b/crates/relay/src/send.rs
@@ -22,6 +22,9 @@
 /// Guards against answers that never end: one is whole so long after its first bytes, or it is spoilt.
 const SLOW: Span = Span::from_millis(500);
 
+/// Guards against waits told in answers that cross the end of their call: its connection is read on for so long.
+const LAST_WORDS: Span = Span::from_millis(1_000);
+
 /// A notification to be pushed.
 pub struct Push<'a> {
     pub ntf: NtfId,
@@ -106,9 +109,12 @@
     ready: Vec<Token>,
     idle: BTreeMap<EndpointId, Vec<Token>>,
     resting: BTreeMap<Token, EndpointId>,
+    /// Connections of calls that are over, on which an answer may still come.
+    leaving: BTreeMap<Token, EndpointId>,
     /// Were in a call of several that its endpoint could not read; each goes in a call of its own.
     apart: BTreeSet<NtfId>,
     ended: Vec<Ended>,
+    told: Vec<(EndpointId, Span)>,
 }
 
 impl Send {
@@ -116,7 +122,8 @@
     pub fn new(connections: Connections, most: usize) -> Send {
         let (calls, idle, resting) = (BTreeMap::new(), BTreeMap::new(), BTreeMap::new());
         let (ready, ended) = (Vec::new(), Vec::new());
-        Send { connections, most, calls, ready, idle, resting, apart: BTreeSet::new(), ended }
+        let (leaving, apart, told) = (BTreeMap::new(), BTreeSet::new(), Vec::new());
+        Send { connections, most, calls, ready, idle, resting, leaving, apart, ended, told }
     }
 
     /// All outcomes since this was last asked.
@@ -124,6 +131,11 @@
         std::mem::take(&mut self.ended)
     }
 
+    /// The waits told in answers to calls that were over, since this was last asked.
+    pub fn take_told(&mut self) -> Vec<(EndpointId, Span)> {
+        std::mem::take(&mut self.told)
+    }
+
     /// Whether outcomes wait to be taken.
     pub fn has_ended(&self) -> bool {
         !self.ended.is_empty()
@@ -264,15 +276,16 @@
             net.close(token);
         }
         self.idle.remove(endpoint);
-        // Guards against more connections than there are descriptors: an idle one makes room.
-        if self.calls.len() + self.resting.len() >= self.most {
-            let token = *self.resting.first_key_value()?.0;
-            self.retire(net, token);
+        // Guards against more connections than there are descriptors: one without a call makes room.
+        if self.calls.len() + self.resting.len() + self.leaving.len() >= self.most {
+            let (token, _) = self.leaving.first_key_value().or(self.resting.first_key_value())?;
+            self.retire(net, *token);
         }
         net.open(place.dial, Role::Endpoint).ok()
     }
 
     fn retire(&mut self, net: &mut Net, token: Token) {
+        self.leaving.remove(&token);
         if let Some(endpoint) = self.resting.remove(&token)
             && let Some(tokens) = self.idle.get_mut(&endpoint)
         {
@@ -357,6 +370,16 @@
     /// What happened on a connection to an endpoint.
     pub fn happened(&mut self, net: &mut Net, token: Token, what: Happening, settings: &Settings, now: Time) {
         let Some(call) = self.calls.get(&token) else {
+            if let Some(endpoint) = self.leaving.get(&token).filter(|_| what != Happening::Due) {
+                let ended = what == Happening::Ended;
+                match net.input(token).map(|input| http::response(input, ended)) {
+                    Some(Ok(Some((response, _)))) => {
+                        self.told.extend(relay::wait(&response).map(|wait| (endpoint.clone(), wait)));
+                    }
+                    Some(Ok(None)) if !ended => return,
+                    _ => {}
+                }
+            }
             // Idle: its time is up, its endpoint closed it, or it sends what nobody asked for.
             return self.retire(net, token);
         };
@@ -466,7 +489,15 @@
 
     /// The call is over without an answer: whatever of it is still out ends so, and its connection is closed.
     fn broke(&mut self, net: &mut Net, token: Token, status: Status, now: Time) {
-        net.close(token);
+        let waited_for = matches!(status, Status::TimedOut | Status::Cancelled);
+        let heard = waited_for && !self.is_unsent(net, token) && !net.ended(token);
+        if let Some(call) = self.calls.get(&token).filter(|_| heard) {
+            net.stop_sending(token);
+            net.due(token, now + LAST_WORDS);
+            self.leaving.insert(token, call.endpoint.clone());
+        } else {
+            net.close(token);
+        }
         if let Some(call) = self.calls.remove(&token) {
             self.fail(call, status, now);
         }
--- a/crates/relay/tests/serve.rs
+++ b/crates/relay/tests/serve.rs
@@ -367,6 +367,28 @@
     assert_eq!(rig.logged("push ended")["status"], "Skipped");
 }
 
+/// An answer that crosses the end of its call tells a wait all the same.
+#[test]
+fn a_wait_told_to_a_call_that_is_over_is_heeded() {
+    let rig = Rig::start();
+    let mut client = rig.client();
+    client.write(&request("safe", "1", "", 300, b""));
+    assert_eq!(client.answer().0, 202);
+    let mut call = rig.endpoint.next();
+    assert_eq!(rig.logged("push ended")["status"], "TimedOut");
+    assert!(call.is_closed());
+    call.answer("429 Too Many Requests", "Retry-After: 9.5\r\n", "");
+    rig.logged("a wait was told late");
+    client.write(&request("safe", "2", "", 300, b""));
+    assert_eq!(client.answer().0, 202);
+    let (mut notice, ends) = rig.notices();
+    notice.answer("204 No Content", "", "");
+    assert_eq!(ends[0], json!({"message": "1", "outcome": "given_up"}));
+    let (_, end) = rig.notice();
+    assert_eq!((&end["message"], &end["outcome"]), (&json!("2"), &json!("handed_back")));
+    assert!(rig.endpoint.next_soon().is_none());
+}
+
 /// A connection that is not up yet would carry its push to an endpoint long after that began to drain.
 #[test]
 fn what_is_still_on_its_way_to_a_connection_is_not_sent_to_an_endpoint_that_drains() {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -286,6 +286,13 @@
     Accepted(Notification),
     /// A push ended.
     Ended(Outcome),
+    /// An endpoint told a wait in the answer to a call that was over by then.
+    Told {
+        /// The endpoint.
+        endpoint: EndpointId,
+        /// How long it said to wait.
+        wait: Span,
+    },
     /// The client has taken the notification back; nothing is owed any more.
     Withdrawn(NtfId),
     /// The client has heard the final answer that the relay gave.
--- a/src/mail.rs
+++ b/src/mail.rs
@@ -46,6 +46,10 @@
     Sent(Call),
     /// A push ended; the flag says that its call had shown no outcome before, for a call has one fate.
     Outcome(Outcome, bool),
+    /// A wait that was told by no outcome.
+    Told(Span),
+    /// What is not out to the endpoint, or what shares its lane, is not to go.
+    Recall(EndpointId),
     /// All slots are taken and others wait: calls that are overdue may be called off; once-only ones too if
     /// the flag says that most slots are stuck.
     Shed(bool),
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -56,6 +56,7 @@
                 Event::Ended(outcome) => {
                     (Part::Endpoint(outcome.endpoint.clone()), Note::Outcome(outcome, false))
                 }
+                Event::Told { endpoint, wait } => (Part::Endpoint(endpoint), Note::Told(wait)),
                 Event::Withdrawn(ntf) | Event::Heard(ntf) => {
                     let Some((id, _)) = self.destinations.iter().find(|(_, d)| d.holds(ntf)) else {
                         continue;
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -239,6 +239,10 @@
                 self.outs.push(Out { at, idle, overdue_at, ntfs, answered: false });
             }
             Note::Outcome(outcome, _) => self.outcome(outcome, mail),
+            Note::Told(wait) => {
+                mail.put(self.lane(), Note::Told(wait));
+                self.recall(mail);
+            }
             _ => self.suspect(mail),
         }
     }
@@ -248,6 +252,12 @@
         Part::Lane((self.entry.destination, apart))
     }
 
+    /// Guards against calls whose connections are not up yet: they would go in the wait that was told.
+    fn recall(&self, mail: &mut Mail) {
+        let endpoint = self.entry.endpoint.clone();
+        mail.put(Part::Destination(self.entry.destination), Note::Recall(endpoint));
+    }
+
     fn stale(&self, now: Time) -> Option<Span> {
         self.stale.filter(|(_, told)| now.since(*told) < STALE_MEMORY).map(|(span, _)| span)
     }
@@ -287,6 +297,7 @@
             }
         }
         if first {
+            outcome.wait.iter().for_each(|_| self.recall(mail));
             self.judge(at, outcome.status, outcome.limit, mail);
         }
         mail.put(self.lane(), Note::Outcome(outcome.clone(), first));
@@ -407,6 +418,7 @@
                 mail.put(Part::Slots, Note::Sent(call.clone()));
                 mail.put(Part::Destination(call.destination), Note::Sent(call));
             }
+            Note::Told(wait) => self.wait_until = self.wait_until.max(mail.now + wait),
             Note::Ended(_) => self.out = self.out.saturating_sub(1),
             Note::Back(at) => self.back = Some((at, at + self.cold_gap().times(mail.chance()), 0)),
             Note::Outcome(outcome, first) => {
@@ -565,12 +577,10 @@
             Note::Turn(id) => self.change(id, |held| held.turn = true),
             Note::Withdrawn(id) => self.change(id, |held| held.over = true),
             Note::Heard(id) => self.change(id, |held| held.past.ended = false),
-            Note::Outcome(outcome, first) => {
-                // Guards against calls whose connections are not up yet: they would go in the told wait.
-                let bound = |end: &&(EndpointId, Arc<str>)| !self.apart || end.0 == outcome.endpoint;
-                let waits = self.ends.iter().filter(|_| first && outcome.wait.is_some()).filter(bound);
-                waits.for_each(|end| mail.commands.push(Command::Recall(end.0.clone())));
-                self.outcome(&outcome, first, mail.now);
+            Note::Outcome(outcome, first) => self.outcome(&outcome, first, mail.now),
+            Note::Recall(endpoint) => {
+                let bound = self.ends.iter().filter(|end| !self.apart || end.0 == endpoint);
+                bound.for_each(|end| mail.commands.push(Command::Recall(end.0.clone())));
             }
             Note::Sent(call) => {
                 let Some(place) = self.ends.iter().position(|end| end.0 == call.endpoint) else { return };
