What waits half sent is not called never run: only an unwritten call leaves members out

Cause, found on rereading Send::end_members: it took any call with bytes not handed to the system as one that can leave a member out. That holds for a call not written yet; of one written and half sent the rest may still go, with the member in it, which had ended as NoConnection while its key's next went on.

--- a/crates/relay/src/send.rs
+++ b/crates/relay/src/send.rs
@@ -351,13 +351,13 @@
     fn end_members(
         &mut self, net: &mut Net, token: Token, status: Status, now: Time, which: impl Fn(&Member) -> bool,
     ) {
-        // What had not gone out never ran, and is left out when the rest goes.
-        let unsent = self.is_unsent(net, token);
-        let status = if unsent { Status::NoConnection } else { status };
         let Some(call) = self.calls.get_mut(&token) else { return };
+        // What has not been written never ran, and is left out when the rest is. What waits half sent may still go.
+        let unwritten = call.unwritten.is_some();
+        let status = if unwritten { Status::NoConnection } else { status };
         let mut closes = false;
         for member in call.members.iter_mut().filter(|member| which(member)) {
-            (member.out, closes) = (false, closes || member.ordered && !unsent);
+            (member.out, closes) = (false, closes || member.ordered && !unwritten);
             self.ended.push(call_ended(&call.endpoint, Some(member), status, now.since(call.sent)));
         }
         if !closes && call.members.iter().any(|member| member.out) {
