Calls above a told limit keep a pace: it grows with refusals and shrinks with what is left

Destination 7 (104 a second, spans of 1.9 s): of 212 calls a span 70 to 100 went through, since those refused in one span use up the next. 15,559 of 29,745 pushes were refused. Refused calls use the limit up, so a fleet that sends a little more than the limit gets next to nothing through; one that sends a little less, all.

At fault: Lane::learn in src/rules.rs. After a refusal the lane paused for 3 calls of the limit (130 ms at 23 a second), up to 2 s, and was free again with the next delivery: 100 relays with pauses of 2 s still send 50 a second.

Now a refusal above a told limit sets a gap between this relay's calls: twice its own share of the traffic there or an equal part of the limit, whichever is shorter, doubling with each further refusal up to four equal parts. Each delivery scales it by 2^(0.5 - left): it holds where half of the limit is left, and fades where there is room. A refusal that is no lack of the limit pauses as before. The debug lines of pushes name destination, topic type and what was told of the limit.

--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -259,7 +259,8 @@
         let time_left = handed_in.time_left.min(longest);
         let n = self.store.take(handed_in.words, now + time_left, handed_in.body);
         let Some(kept) = self.store.get(n) else { return };
-        debug!(self.log, "taken on"; "id" => &kept.taken.words.id, "n" => n);
+        debug!(self.log, "taken on"; "id" => &kept.taken.words.id, "n" => n,
+            "dest" => kept.taken.words.destination, "topic" => &kept.taken.words.topic);
         let notification = self.notification(n, &kept.taken, topic, Past::default());
         self.fresh.insert(NtfId(n), token);
         self.route.tell(Event::Accepted(notification));
@@ -279,7 +280,8 @@
                 continue;
             };
             debug!(self.log, "push ended"; "n" => ntf.0, "push" => push, "endpoint" => &*endpoint.0,
-                "status" => format!("{status:?}"), "ms" => spent.nanos() / 1_000_000);
+                "status" => format!("{status:?}"), "ms" => spent.nanos() / 1_000_000,
+                "left" => limit.map(|limit| limit.left), "rate" => limit.map(|limit| limit.rate));
             self.store.returned(ntf.0, status.may_have_run(), status.may_be_running().then_some(now));
             if fate.over {
                 self.forget(ntf);
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -94,7 +94,7 @@
                 Part::Turns => self.turns.take(note, figures.settle, mail),
                 Part::Slots => self.slots.take(note, allowed.slots, figures.tip_after, mail),
                 Part::Lane(id) => {
-                    let new = || Lane::new(allowed.slots, figures);
+                    let new = || Lane::new(allowed.slots, relays, figures);
                     self.lanes.entry(id).or_insert_with(new).take(note, mail);
                 }
                 Part::Endpoint(id) => {
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -49,6 +49,10 @@
 const PAUSE: Span = Span::from_millis(100);
 const REFUSED: f64 = 3.0;
 const GROWTH: f64 = 16.0;
+/// Pace: growth with a refusal above a limit, the most in equal parts, and the share left that keeps it.
+const BACK_OFF: f64 = 2.0;
+const MOST: f64 = 4.0;
+const HALF_LEFT: f64 = 0.5;
 /// The list is asked for again after this share of `ask_every`.
 const FIRST_ASK: f64 = 0.02;
 /// Below this much time left nothing is worth sending.
@@ -331,7 +335,7 @@
                 false
             }
             // Above a told limit, or up, as a call shows that is out and not lost: no sign of an outage.
-            Status::Busy if limit.is_some_and(|l| l.rate > 0.0 && l.left < LOW) => false,
+            Status::Busy if limit.is_some_and(LimitReport::is_used_up) => false,
             Status::NoConnection => self.outs.iter().all(|o| o.lost(now)),
             Status::Crowded => {
                 self.short_of_connections(mail);
@@ -344,8 +348,8 @@
         self.suspect(mail);
     }
 
-    /// Guards against the few connections that some destinations take, which many relays fill with idle ones: at
-    /// endpoints of this kind none is left idle.
+    /// Guards against the few connections that some destinations take, which many relays fill with idle
+    /// ones: at endpoints of this kind none is left idle.
     fn short_of_connections(&self, mail: &mut Mail) {
         if self.stale(mail.now) != Some(Span::ZERO) {
             mail.put(Part::Book, Note::Stale(Span::ZERO, Some(self.entry.kind.clone())));
@@ -375,6 +379,13 @@
 
 // ---- Lane: waits, limits, and returns ----
 
+impl LimitReport {
+    /// Whether there is a limit, and next to nothing left of it.
+    fn is_used_up(self) -> bool {
+        self.rate > 0.0 && self.left < LOW
+    }
+}
+
 #[derive(Default)]
 pub(crate) struct Lane {
     wait_until: Time,
@@ -386,6 +397,11 @@
     /// The told limit, in calls a second over all relays, and refusals in a row.
     rate: f64,
     refused: i32,
+    /// The gap that this relay keeps between its calls, by what it was told of the limit.
+    pace: Span,
+    /// How many full calls would carry what it was handed, and since when; and among how many relays.
+    handed: (f64, Span),
+    relays: usize,
     figures: RuleFigures,
     /// The gap between this relay's calls after an outage, were all of the capacity there.
     gap: Span,
@@ -394,14 +410,14 @@
 }
 
 impl Lane {
-    pub(crate) fn new(slots: usize, figures: RuleFigures) -> Self {
-        Lane { window: (slots as f64 / 2.0).max(1.0), figures, ..Lane::default() }
+    pub(crate) fn new(slots: usize, relays: usize, figures: RuleFigures) -> Self {
+        Lane { relays, window: (slots as f64 / 2.0).max(1.0), figures, ..Lane::default() }
     }
 
     pub(crate) fn take(&mut self, note: Note, mail: &mut Mail) {
         match note {
             Note::Call(call) => {
-                self.gap = call.gaps.1;
+                (self.gap, self.handed) = (call.gaps.1, call.handed);
                 let until = self.takes_from(mail.now, call.pushes.len());
                 if until > mail.now {
                     return mail.put(Part::Destination(call.destination), Note::Declined(until));
@@ -445,7 +461,8 @@
             return Time::NEVER;
         }
         let f = &self.figures;
-        let next = (self.last_sent + self.calls(1.0)).max(self.wait_until).max(self.pause_until);
+        let next = self.last_sent + self.calls(1.0).max(self.pace);
+        let next = next.max(self.wait_until).max(self.pause_until);
         let back = self.back.filter(|back| now.since(back.0) < f.cold);
         let Some((since, from, wins)) = back else { return next };
         let level = f.cold_from + (1.0 - f.cold_from) * now.since(since).secs() / f.cold.secs();
@@ -466,7 +483,17 @@
     fn learn(&mut self, status: Status, limit: Option<LimitReport>, mail: &mut Mail) {
         self.rate = limit.map_or(self.rate, |limit| limit.rate);
         match status {
+            // Above the told limit: what is refused uses it up too, so all that are must come more rarely.
+            Status::Busy if mail.now >= self.pause_until && limit.is_some_and(LimitReport::is_used_up) => {
+                let equal = self.calls(self.relays as f64);
+                let own = (self.handed.1 + equal).times(1.0 / self.handed.0).min(equal);
+                self.pace = self.pace.max(own).times(BACK_OFF).min(equal.times(MOST));
+                self.pause_until = mail.now + self.pace.times(0.5 + mail.chance());
+            }
             Status::Delivered => {
+                if let Some(l) = limit.filter(|l| l.rate > 0.0) {
+                    self.pace = self.pace.times(2f64.powf(HALF_LEFT - l.left));
+                }
                 (self.refused, self.window) = (0, self.window + 1.0 / self.window);
                 self.back = self.back.map(|(since, from, wins)| (since, from, wins + 1));
             }
@@ -649,7 +676,8 @@
                 let (usual, overdue_after, fresh) = (self.median(), self.overdue_after(), false);
                 let gaps =
                     (self.gap(self.ends.len()), self.gap(if self.apart { self.ends.len() } else { 1 }));
-                let call = Call { destination, endpoint, pushes, usual, overdue_after, gaps, fresh };
+                let handed = self.handed(mail.now);
+                let call = Call { destination, endpoint, pushes, usual, overdue_after, gaps, handed, fresh };
                 return mail.put(to, Note::Call(call));
             }
             self.asked += 1;
@@ -665,15 +693,21 @@
         Span::from_secs(1.0 / (self.figures.fall_multiple * pace).max(least / self.figures.cold_from))
     }
 
+    /// How many full calls would carry what it was handed of late, and since when that was.
+    fn handed(&self, now: Time) -> (f64, Span) {
+        let since = self.handed.front().map_or(Span::ZERO, |first| now.since(*first));
+        (self.handed.len().max(1) as f64 / self.per_call as f64, since)
+    }
+
     /// Calls are worth filling: one counts once for the limit and takes one slot. Until when one may wait.
     fn filled(&self, held: &Held) -> Time {
         let left = held.ntf.valid_until.since(held.taken);
         held.taken + held.ntf.topic.objective.min(left).times(FILL)
     }
 
-    /// What goes to an endpoint next, with its time-outs: first what can still meet its objective. Rule: a call
-    /// ends with the first TTL in it, for an answer that comes after speaks of none of them. So only those go
-    /// together whom this leaves their own time-out, or what nine in ten calls last.
+    /// What goes to an endpoint next, with its time-outs: first what can still meet its objective. Rule: a
+    /// call ends with the first TTL in it, for an answer that comes after speaks of none of them. So only
+    /// those go together whom this leaves their own time-out, or what nine in ten calls last.
     fn pick(&self, now: Time, to: &EndpointId, zone: &Arc<str>) -> Vec<(NtfId, Span, Span)> {
         let elsewhere = self.asked < self.ends.len();
         let mut ready: Vec<&Held> = self.held.iter().filter(|h| h.turn).collect();
--- a/tests/helper/mod.rs
+++ b/tests/helper/mod.rs
@@ -175,6 +175,14 @@
         }
     }
 
+    /// Lets time pass until a push of a notification is out, a minute at the most.
+    pub fn pass_until_out(&mut self, id: u64) {
+        let until = self.ms + 60_000;
+        while self.ms < until && !self.out.iter().any(|o| o.0 == NtfId(id)) {
+            self.pass(10);
+        }
+    }
+
     /// Lets time pass, waking the relay only when it asks for it. Says how often it did.
     pub fn pass_woken(&mut self, ms: u64) -> usize {
         let (until, mut wakes) = (self.ms + ms, 0);
