A relay's own share goes by its age, its first refusal sets it, and calls fill as limits are used

Its pause is as long as its part after an outage asks for, up to cold (14 s) and half as much again: Destination::gap counted the 2 notifications handed in by then over two cold (28 s) though the relay was 4 s old. Now they count over its age.

So filling for half of the objective costs where limits leave room and clients give up, and gains where they do not: it now goes with the share of the limit last told to be used, a quarter of it at the least. And the pace began at twice the relay's own share: too much where refused calls do not use the limit up. It begins at the share itself.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -45,6 +45,8 @@
 const OVERDUE_UNKNOWN: f64 = 2.0;
 /// Share of the latency objective, or of the TTL if that is shorter, for which a call may wait to be filled.
 const FILL: f64 = 0.5;
+/// It waits for so much of that at the least where the limit leaves room.
+const UNFILLED: f64 = 0.25;
 /// First pause after a refusal that told no wait: at the least, in calls of the told limit, and its growth.
 const PAUSE: Span = Span::from_millis(100);
 const REFUSED: f64 = 3.0;
@@ -487,7 +489,7 @@
             Status::Busy if mail.now >= self.pause_until && limit.is_some_and(LimitReport::is_used_up) => {
                 let equal = self.calls(self.relays as f64);
                 let own = (self.handed.1 + equal).times(1.0 / self.handed.0).min(equal);
-                self.pace = self.pace.max(own).times(BACK_OFF).min(equal.times(MOST));
+                self.pace = self.pace.times(BACK_OFF).max(own).min(equal.times(MOST));
                 self.pause_until = mail.now + self.pace.times(0.5 + mail.chance());
             }
             Status::Delivered => {
@@ -567,10 +569,13 @@
     asked: usize,
     again: Time,
     held: Vec<Held>,
-    /// When it was handed notifications of late.
+    /// When it was handed notifications of late, and since when that is known.
     handed: VecDeque<Time>,
+    born: Option<Time>,
     samples: VecDeque<Sample>,
     fit: Option<Fit>,
+    /// The share of the limit that was left when it was last told; 0 until then.
+    left: f64,
 }
 
 impl Destination {
@@ -583,6 +588,7 @@
     }
 
     pub(crate) fn take(&mut self, note: Note, mail: &mut Mail) {
+        self.born = self.born.or(Some(mail.now));
         match note {
             Note::Listed(entry) => {
                 (self.per_call, self.apart) = (entry.kind.per_call.max(1), entry.kind.separate_routes);
@@ -674,9 +680,9 @@
             if !pushes.is_empty() {
                 let (to, destination) = (Part::Endpoint(endpoint.clone()), self.id);
                 let (usual, overdue_after, fresh) = (self.median(), self.overdue_after(), false);
-                let gaps =
-                    (self.gap(self.ends.len()), self.gap(if self.apart { self.ends.len() } else { 1 }));
-                let handed = self.handed(mail.now);
+                let (all, now) = (self.ends.len(), mail.now);
+                let gaps = (self.gap(all, now), self.gap(if self.apart { all } else { 1 }, now));
+                let handed = (self.handed.len().max(1) as f64 / self.per_call as f64, self.known(now));
                 let call = Call { destination, endpoint, pushes, usual, overdue_after, gaps, handed, fresh };
                 return mail.put(to, Note::Call(call));
             }
@@ -687,22 +693,23 @@
 
     /// The gap between calls after an outage, at one of so many parts, were all of the capacity there. If
     /// each relay sends in step with what it is handed, all do: none needs to know how many wait.
-    fn gap(&self, parts: usize) -> Span {
-        let pace = self.handed.len() as f64 / (MEMORY * self.figures.cold.secs() * parts as f64);
+    fn gap(&self, parts: usize, now: Time) -> Span {
+        let pace = self.handed.len() as f64 / (self.known(now).secs() * parts as f64);
         let least = LEAST / (self.figures.tip_after.secs() * self.relays.max(1) as f64);
         Span::from_secs(1.0 / (self.figures.fall_multiple * pace).max(least / self.figures.cold_from))
     }
 
-    /// How many full calls would carry what it was handed of late, and since when that was.
-    fn handed(&self, now: Time) -> (f64, Span) {
-        let since = self.handed.front().map_or(Span::ZERO, |first| now.since(*first));
-        (self.handed.len().max(1) as f64 / self.per_call as f64, since)
+    /// For how long it is known what was handed in: less than it counts in a relay that has just started.
+    fn known(&self, now: Time) -> Span {
+        let age = now.since(self.born.unwrap_or(now)) + self.figures.tip_after;
+        age.min(self.figures.cold.times(MEMORY))
     }
 
     /// Calls are worth filling: one counts once for the limit and takes one slot. Until when one may wait.
     fn filled(&self, held: &Held) -> Time {
         let left = held.ntf.valid_until.since(held.taken);
-        held.taken + held.ntf.topic.objective.min(left).times(FILL)
+        let share = FILL * (1.0 - self.left).max(UNFILLED);
+        held.taken + held.ntf.topic.objective.min(left).times(share)
     }
 
     /// What goes to an endpoint next, with its time-outs: first what can still meet its objective. Rule: a
@@ -772,6 +779,7 @@
             keep(&mut self.samples, Sample { at: now, ln_secs, censored }, SAMPLES);
             self.fit = Fit::of(&self.samples);
         }
+        self.left = o.limit.map_or(self.left, |limit| limit.left);
         let Some(held) = self.held.iter_mut().find(|h| h.ntf.id == o.ntf) else { return };
         let sent = held.out.take();
         held.over |= o.settled;
