One connection refused some time ago is enough to come back slowly; long calls fill for less

Now a connection refused two tip_after or more before the next delivery calls for it too; refused less long ago it is a shortage of connections, as before. Such a relay heard of the return by a call of its own, so it adds no random wait to its part: others see it at other times.

--- a/src/mail.rs
+++ b/src/mail.rs
@@ -55,8 +55,8 @@
     Shed(bool),
     /// A call has all its outcomes.
     Ended(DestinationId),
-    /// It is, or will be, back from an outage at that time.
-    Back(Time),
+    /// It is, or will be, back from an outage at that time; the flag says that others may see it just then.
+    Back(Time, bool),
     /// Connections must not be idle for so long, at endpoints of one kind or all.
     Stale(Span, Option<Arc<Kind>>),
 }
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -43,10 +43,10 @@
 const OVERDUE: f64 = 2.5;
 const OVERDUE_FLOOR: f64 = 0.5;
 const OVERDUE_UNKNOWN: f64 = 2.0;
-/// Share of the latency objective, or of the TTL if that is shorter, for which a call may wait to be filled.
+/// Share of the latency objective, or of the TTL if that is shorter, for which a call may wait to be filled:
+/// of what is left of it beside so many times what nine in ten calls last.
 const FILL: f64 = 0.5;
-/// It waits for so much of that at the least where the limit leaves room.
-const UNFILLED: f64 = 0.25;
+const UNFILLED: f64 = 2.0;
 /// First pause after a refusal that told no wait: at the least, in calls of the told limit, and its growth.
 const PAUSE: Span = Span::from_millis(100);
 const REFUSED: f64 = 3.0;
@@ -201,7 +201,7 @@
     delivered: Option<Time>,
     /// Failures less deliveries, and whether a connection was refused since the last of these.
     streak: usize,
-    refused: bool,
+    refused: Option<Time>,
     /// Connections are not to be idle for that long, as last told at the second time.
     stale: Option<(Span, Time)>,
     /// Set aside: the next call not before then.
@@ -318,9 +318,12 @@
                 // Too short for an outage, as far as this relay saw: no reason to hold back.
                 let brief = self.delivered.is_some_and(|t| now.since(t) < span.times(BRIEF));
                 let was_aside = self.aside.take().is_some();
-                if was_aside && !brief {
+                // One refused connection will do, some time ago: of many relays, most see no more of an outage.
+                let refused = self.refused.take();
+                let down = refused.is_some_and(|at| now.since(at) >= span.times(BRIEF));
+                if (was_aside || down) && !brief {
                     mail.commands.push(Command::Log(format!("{} is back", self.entry.endpoint.0)));
-                    mail.put(self.lane(), Note::Back(now));
+                    mail.put(self.lane(), Note::Back(now, was_aside));
                 }
                 // Guards against connections that die unseen while idle: then all endpoints get fresh ones.
                 let idle = span.times(OVERDUE_FLOOR);
@@ -329,7 +332,7 @@
                     mail.put(Part::Book, Note::Stale(out.idle.times(0.9), None));
                 }
                 // Refused before it answers, one that is up is short of connections.
-                if std::mem::take(&mut self.refused) && !was_aside {
+                if refused.is_some() && !down && !was_aside {
                     self.short_of_connections(mail);
                 }
                 self.delivered = Some(now);
@@ -345,7 +348,7 @@
             }
             _ => status != Status::Skipped,
         };
-        self.refused |= status == Status::NoConnection;
+        self.refused = self.refused.or((status == Status::NoConnection).then_some(now));
         self.streak += usize::from(sign);
         self.suspect(mail);
     }
@@ -438,7 +441,10 @@
             }
             Note::Told(wait) => self.wait_until = self.wait_until.max(mail.now + wait),
             Note::Ended(_) => self.out = self.out.saturating_sub(1),
-            Note::Back(at) => self.back = Some((at, at + self.cold_gap().times(mail.chance()), 0)),
+            Note::Back(at, apart) => {
+                let wait = if apart { self.cold_gap().times(mail.chance()) } else { Span::ZERO };
+                self.back = Some((at, at + wait, 0));
+            }
             Note::Outcome(outcome, first) => {
                 // The outcomes of a call come in rounds of their own, each with a wait: all bind.
                 if let Some(wait) = outcome.wait {
@@ -446,7 +452,7 @@
                     // Guards against all who were told when it opens: they would come back at the same time.
                     let limited = outcome.limit.is_some_and(|limit| limit.rate > 0.0);
                     if first && !(limited && wait < self.figures.tip_after.times(BRIEF)) {
-                        self.take(Note::Back(self.wait_until), mail);
+                        self.take(Note::Back(self.wait_until, true), mail);
                     }
                 }
                 if first {
@@ -574,8 +580,6 @@
     born: Option<Time>,
     samples: VecDeque<Sample>,
     fit: Option<Fit>,
-    /// The share of the limit that was left when it was last told; 0 until then.
-    left: f64,
 }
 
 impl Destination {
@@ -708,8 +712,8 @@
     /// Calls are worth filling: one counts once for the limit and takes one slot. Until when one may wait.
     fn filled(&self, held: &Held) -> Time {
         let left = held.ntf.valid_until.since(held.taken);
-        let share = FILL * (1.0 - self.left).max(UNFILLED);
-        held.taken + held.ntf.topic.objective.min(left).times(share)
+        let calls = self.usual().unwrap_or_default().times(UNFILLED);
+        held.taken + (held.ntf.topic.objective.min(left) - calls).times(FILL)
     }
 
     /// What goes to an endpoint next, with its time-outs: first what can still meet its objective. Rule: a
@@ -779,7 +783,6 @@
             keep(&mut self.samples, Sample { at: now, ln_secs, censored }, SAMPLES);
             self.fit = Fit::of(&self.samples);
         }
-        self.left = o.limit.map_or(self.left, |limit| limit.left);
         let Some(held) = self.held.iter_mut().find(|h| h.ntf.id == o.ntf) else { return };
         let sent = held.out.take();
         held.over |= o.settled;
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -269,10 +269,10 @@
     rig.accept(13, "safe", None, 16_000);
     rig.pass(1_050);
     expect![[r#"
-        10600  push 10 to a for 600 ms
-        11250  push 11 to a for 15350 ms
-        11250  push 13 to a for 2558 ms
-        11260  push 12 to a for 640 ms
+        10600  throttle 10
+        10600  push 11 to a for 16000 ms
+        10610  push 12 to a for 1290 ms
+        10620  push 13 to a for 2282 ms
     "#]]
     .assert_eq(&rig.trace);
 }
@@ -320,7 +320,7 @@
         8400   push 109 to a for 3750 ms
         8400   push 110 to a for 3750 ms
         8400   push 111 to a for 3750 ms
-        9900   a set aside
+        10400  a set aside
         13400  a is back
     "#]]
     .assert_eq(&rig.trace);
@@ -587,22 +587,57 @@
     .assert_eq(&rig.trace);
 }
 
-/// Filling spares the limit, and costs time: where the limit leaves room, calls wait a quarter as long.
+/// Filling must leave time within the objective for the call itself: where calls last long, they wait less.
 #[test]
-fn calls_wait_longer_to_be_filled_the_less_of_the_limit_is_left() {
+fn calls_that_last_long_wait_less_to_be_filled() {
     let mut rig = Rig::new(4, 10, &[("a", "z")]);
-    for (id, left) in [(1, 1.0), (2, 0.5), (3, 0.0), (4, 0.0)] {
+    for id in 1..=8 {
         rig.accept(id, "safe", None, 16_000);
         rig.pass_until_out(id);
-        rig.limit = Some(LimitReport { left, rate: 10.0 });
+        rig.pass(400);
         rig.end(id, Status::Delivered);
     }
     expect![[r#"
         0      subscribe
         1000   push 1 to a for 15000 ms
-        1250   push 2 to a for 15750 ms
-        1750   push 3 to a for 15500 ms
-        2750   push 4 to a for 15000 ms
+        2400   push 2 to a for 15000 ms
+        3800   push 3 to a for 15000 ms
+        5200   push 4 to a for 15000 ms
+        6600   push 5 to a for 15000 ms
+        7600   push 6 to a for 2566 ms
+        8600   push 7 to a for 2566 ms
+        9600   push 8 to a for 2566 ms
+    "#]]
+    .assert_eq(&rig.trace);
+}
+
+/// Of many relays most see no more of an outage than one refused connection, while together they hold enough to
+/// push a cold destination over.
+#[test]
+fn one_refused_connection_is_enough_to_come_back_slowly() {
+    let mut rig = Rig::one_of(100, 8, 1, &[("a", "z"), ("b", "z")]);
+    for id in 1..=8 {
+        rig.accept(id, "safe", None, 16_000);
+    }
+    rig.out_now().into_iter().for_each(|id| rig.end(id, Status::NoConnection));
+    rig.pass(6_000);
+    for _ in 0..40 {
+        rig.out_now().into_iter().for_each(|id| rig.end(id, Status::Delivered));
+        rig.pass(50);
+    }
+    expect![[r#"
+        0      subscribe
+        0      push 1 to a for 16000 ms
+        0      push 2 to b for 16000 ms
+        0      push 3 to a for 16000 ms
+        0      push 4 to b for 16000 ms
+        90     push 2 to a for 15910 ms
+        90     push 1 to b for 15910 ms
+        90     push 4 to a for 15910 ms
+        3090   a set aside
+        6000   a is back
+        6000   b is back
+        6000   push 3 to b for 10000 ms
     "#]]
     .assert_eq(&rig.trace);
 }
