--- a/src/rules.rs
+++ b/src/rules.rs
@@ -318,7 +318,7 @@
                 // Too short for an outage, as far as this relay saw: no reason to hold back.
                 let brief = self.delivered.is_some_and(|t| now.since(t) < span.times(BRIEF));
                 let was_aside = self.aside.take().is_some();
-                // One refused connection will do, some time ago: of many relays, most see no more of an outage.
+                // One connection refused some time ago will do: of many relays most see no more of it.
                 let refused = self.refused.take();
                 let down = refused.is_some_and(|at| now.since(at) >= span.times(BRIEF));
                 if (was_aside || down) && !brief {
