Cutoff: the fitted median counts for no more than the longest delivered call in the fit

The fit of samples that are nearly all censored puts the median beyond every TTL; give_up_if_vain then lets nothing go, so no sample ever comes that would mend it (rules.rs median, give_up_if_vain; a fit ages by its newest sample, not by the clock). Ruled out: the endpoints (other relays had deliveries there at the time), a full hold (they were accepted). The trace added to tests/rules.rs: 'throttle 30' before, 'push 30 to a' now.

What is now sent at Sofia still goes to endpoints that leave it unanswered.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -764,8 +764,13 @@
         known.map(|ln| Span::from_secs(ln.exp()))
     }
 
+    /// The fitted median, no longer than the longest delivered call of those in the fit: where most were cut
+    /// short the fit says that calls last longer, but not how long. Without this a relay that sees little gives
+    /// up all that comes, sends nothing, and never learns better.
     fn median(&self) -> Span {
-        self.fit.map_or(Span::ZERO, |fit| fit.median())
+        let done = self.samples.iter().filter(|s| !s.censored).map(|s| s.ln_secs);
+        let longest = Span::from_secs(done.reduce(f64::max).map_or(0.0, f64::exp));
+        self.fit.map_or(Span::ZERO, |fit| fit.median().min(longest))
     }
 
     fn time_out(&self, now: Time, held: &Held) -> Span {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -806,3 +806,27 @@
     "#]]
     .assert_eq(&rig.trace);
 }
+
+/// Calls cut short say that a call lasts longer, not how long: the fit's word beyond what was ever delivered must
+/// not end what has all its time, or nothing would be sent again and nothing learned.
+#[test]
+fn calls_cut_short_do_not_have_all_that_comes_given_up() {
+    let mut rig = Rig::new(8, 1, &[("a", "z")]);
+    rig.warm(1, 6, 100);
+    for id in 10..18 {
+        rig.accept(id, "once", None, 16_000);
+        rig.pass(10);
+    }
+    rig.pass(15_990);
+    for id in rig.out_now() {
+        rig.end(id, Status::TimedOut);
+    }
+    rig.pass(20_000);
+    rig.trace.clear();
+    rig.accept(30, "safe", None, 16_000);
+    rig.pass_until_out(30);
+    expect![[r#"
+        36670  push 30 to a for 16000 ms
+    "#]]
+    .assert_eq(&rig.trace);
+}
