Endpoints of the relay's own zone are asked first where crossing zones is priced

Ruled out as the cause of full slots alone: refused connections end after 0.13 s. The order of asking is the rotation, own zone first; a resend still goes to the next other endpoint. Where there is no price or one zone, nothing changes. The core's facts now come as one Terms, to be given anew while it runs.

A trace in tests/rules.rs keeps it.

--- a/crates/adapter/src/main.rs
+++ b/crates/adapter/src/main.rs
@@ -214,7 +214,7 @@
 
 fn start(now: Time, spawn: &wire::Spawn) -> Hosted {
     let settings = Settings::from(&spawn.boot_info);
-    let relay = Relay::new(now, seed(&spawn.prng), settings.fleet, settings.allowance, settings.figures);
+    let relay = Relay::new(now, seed(&spawn.prng), settings.terms.clone());
     Hosted { relay, events: Vec::new(), settings }
 }
 
--- a/crates/lab/src/adapter.rs
+++ b/crates/lab/src/adapter.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 
 use juniperwing::interface::{
-    Command, Effect, EndpointId, Event, Group, News, NtfId, Outcome, Readiness, Status,
+    Command, Effect, EndpointId, Event, Group, News, NtfId, Outcome, Readiness, Status, Terms,
 };
 use juniperwing::time::{Span, Time};
 use juniperwing_model::fleet::Fleet;
@@ -203,7 +203,11 @@
         Event::Ended(outcome) => happened.push(answer(relay, &outcome)),
         Event::Withdrawn(ntf) => happened.push(json!({"m": "Withdrawn", "relay": relay, "ticket": ntf.0})),
         Event::Woken => happened.push(json!({"m": "Ring", "relay": relay, "label": "wake"})),
-        Event::Heard(_) | Event::Slots(_) | Event::Probed { .. } | Event::Told { .. } => {}
+        Event::Heard(_)
+        | Event::Terms(_)
+        | Event::Slots(_)
+        | Event::Probed { .. }
+        | Event::Told { .. } => {}
     }
 }
 
@@ -227,7 +231,7 @@
 
 /// What a relay is started with, as the wire has it.
 fn settings(fleet: &Fleet, relay: usize) -> Value {
-    let (facts, allowed, figures) = (fleet.facts(), fleet.relays[relay].allowance, fleet.figures);
+    let Terms { fleet: facts, allowance: allowed, figures } = fleet.terms(relay);
     let class = |plan: &juniperwing_model::fleet::TopicPlan| {
         let topic = &plan.topic;
         let (semantics, scope) = match topic.effect {
--- a/crates/lab/src/baselines.rs
+++ b/crates/lab/src/baselines.rs
@@ -425,7 +425,7 @@
                 Event::Ended(outcome) => self.outcome(now, &outcome),
                 Event::Withdrawn(ntf) | Event::Heard(ntf) => self.forget(ntf.0),
                 Event::Slots(slots) => self.allowed.slots = slots,
-                Event::Woken | Event::Probed { .. } | Event::Told { .. } => {}
+                Event::Woken | Event::Terms(_) | Event::Probed { .. } | Event::Told { .. } => {}
             }
         }
         let mut look = self.send(now, truth, &mut commands);
--- a/crates/model/src/fleet.rs
+++ b/crates/model/src/fleet.rs
@@ -4,7 +4,9 @@
 
 use std::sync::Arc;
 
-use juniperwing::interface::{self, Allowance, DestinationId, EndpointId, Group, RuleFigures, TopicType};
+use juniperwing::interface::{
+    self, Allowance, DestinationId, EndpointId, Group, RuleFigures, Terms, TopicType,
+};
 use juniperwing::time::Span;
 use rand::Rng;
 use rand::seq::SliceRandom;
@@ -171,14 +173,16 @@
         fleet
     }
 
-    /// What a relay is told of the fleet.
-    pub fn facts(&self) -> interface::Fleet {
-        interface::Fleet {
+    /// What a relay, by place, is told of where it serves. Crossing zones has no price here.
+    pub fn terms(&self, relay: usize) -> Terms {
+        let fleet = interface::Fleet {
             relays: self.relays.len(),
             rates_listed: self.rates_listed,
             list_on_request: true,
             tick: self.tick,
-        }
+            home: None,
+        };
+        Terms { fleet, allowance: self.relays[relay].allowance, figures: self.figures }
     }
 
     fn draw_destinations(&mut self, scenario: &Scenario, chance: &Chance) {
--- a/crates/model/src/policy.rs
+++ b/crates/model/src/policy.rs
@@ -53,8 +53,7 @@
     }
 
     fn start(&self, now: Time, relay: usize, seed: u64, fleet: &Fleet) -> Box<dyn Policy> {
-        let facts = fleet.facts();
-        Box::new(Relay::new(now, seed, facts, fleet.relays[relay].allowance, fleet.figures))
+        Box::new(Relay::new(now, seed, fleet.terms(relay)))
     }
 }
 
--- a/crates/model/tests/judge.rs
+++ b/crates/model/tests/judge.rs
@@ -54,7 +54,7 @@
     }
 
     fn start(&self, now: Time, relay: usize, seed: u64, fleet: &Fleet) -> Box<dyn Policy> {
-        let core = Relay::new(now, seed, fleet.facts(), fleet.relays[relay].allowance, fleet.figures);
+        let core = Relay::new(now, seed, fleet.terms(relay));
         let (last, ended, drained) = (BTreeMap::new(), BTreeSet::new(), BTreeMap::new());
         Box::new(Relayed { bend: self.0, core, last, ended, drained, late: Vec::new() })
     }
--- a/crates/relay/src/admit.rs
+++ b/crates/relay/src/admit.rs
@@ -43,7 +43,7 @@
         if !discovery.knows(DestinationId(words.destination)) {
             return Err(if discovery.is_current() { Answer::Unknown } else { Answer::Unavailable });
         }
-        let most = settings.allowance.held;
+        let most = settings.terms.allowance.held;
         // Guards against a folder that fills up, and a hold larger than the settings allow.
         if !store.takes(handed_in.body.len()) || most > 0 && store.len() >= most {
             return Err(Answer::Unavailable);
--- a/crates/relay/src/config.rs
+++ b/crates/relay/src/config.rs
@@ -119,7 +119,7 @@
         let or_env =
             |written: String, name: &str| Some(written).filter(|w| !w.is_empty()).or_else(|| env(name));
         let settings = Settings::from(&file.settings);
-        if settings.allowance.slots == 0 || settings.allowance.pushes == 0 {
+        if settings.terms.allowance.slots == 0 || settings.terms.allowance.pushes == 0 {
             return invalid("settings: family-info.slots and ceilings.max-attempts must be above 0");
         }
         if !settings.has_topics() {
--- a/crates/relay/src/route.rs
+++ b/crates/relay/src/route.rs
@@ -14,7 +14,7 @@
 
 impl Route {
     pub fn new(now: Time, seed: u64, settings: &Settings) -> Route {
-        let core = Relay::new(now, seed, settings.fleet, settings.allowance, settings.figures);
+        let core = Relay::new(now, seed, settings.terms.clone());
         Route { core, events: Vec::new(), wake: now }
     }
 
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 
 use juniperwing::interface::{
-    Account, Allowance, Effect, Fleet, Group, Kind, LimitReport, RuleFigures, TopicType,
+    Account, Allowance, Effect, Fleet, Group, Kind, LimitReport, RuleFigures, Terms, TopicType,
 };
 use juniperwing::time::Span;
 use serde::Deserialize;
@@ -18,6 +18,7 @@
     balancers: usize,
     ceilings: Ceilings,
     classes: Vec<Class>,
+    costs: Costs,
     discovery: String,
     family_info: FamilyInfo,
     kinds: Vec<String>,
@@ -25,6 +26,13 @@
     rules: Rules,
     tick: u64,
     weight_source: String,
+    zone: String,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(rename_all = "kebab-case", default)]
+struct Costs {
+    cross_zone: f64,
 }
 
 #[derive(Deserialize, Default)]
@@ -101,12 +109,8 @@
 /// Settings in the core's types.
 #[derive(Debug, Default)]
 pub struct Settings {
-    /// The group of relays.
-    pub fleet: Fleet,
-    /// What a relay may use.
-    pub allowance: Allowance,
-    /// The figures of the rules.
-    pub figures: RuleFigures,
+    /// What the core goes by.
+    pub terms: Terms,
     /// Connections to endpoints.
     pub connections: Connections,
     topics: Vec<Arc<TopicType>>,
@@ -168,12 +172,14 @@
         });
         let account = |a: &WrittenAccount| Account { name: a.name.clone(), quota: a.quota_per_s };
         let fields = &written.load_report.fields;
-        Settings {
+        let crossing = written.costs.cross_zone > 0.0 && !written.zone.is_empty();
+        let terms = Terms {
             fleet: Fleet {
                 relays: written.balancers,
                 rates_listed: matches!(written.weight_source.as_str(), "nominal" | "rough"),
                 list_on_request: written.discovery == "subscribe",
                 tick: Span::from_nanos(written.tick),
+                home: crossing.then(|| Arc::from(written.zone.as_str())),
             },
             allowance: Allowance {
                 slots: family.slots,
@@ -195,6 +201,9 @@
                 tip_after: Span::from_nanos(rules.tip_after),
                 settle: Span::from_nanos(rules.settle_after_doubt),
             },
+        };
+        Settings {
+            terms,
             connections: Connections {
                 idle: Span::from_nanos(ceilings.conn_idle),
                 connect: Span::from_nanos(ceilings.connect_timeout),
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -93,8 +93,19 @@
     pub quota: f64,
 }
 
+/// What a relay is told of where it serves: when it starts, and again whenever that changes.
+#[derive(Clone, Debug, Default)]
+pub struct Terms {
+    /// The group of relays that it belongs to.
+    pub fleet: Fleet,
+    /// What it may use.
+    pub allowance: Allowance,
+    /// The figures of the rules.
+    pub figures: RuleFigures,
+}
+
 /// The group of relays that this one belongs to.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct Fleet {
     /// How many relays there are, this one included.
     pub relays: usize,
@@ -104,6 +115,8 @@
     pub list_on_request: bool,
     /// The shortest gap between two rounds.
     pub tick: Span,
+    /// The relay's own zone, where pushes to endpoints in others are priced.
+    pub home: Option<Arc<str>>,
 }
 
 /// What this relay may use.
@@ -297,7 +310,9 @@
     Withdrawn(NtfId),
     /// The client has heard the final answer that the relay gave.
     Heard(NtfId),
-    /// From now on this relay may have so many calls out at once.
+    /// From now on these terms hold. What was decided before stands; a notification keeps its topic type.
+    Terms(Terms),
+    /// From now on this relay may have so many calls out at once, whatever the terms say.
     Slots(usize),
     /// A wake-up that was asked for.
     Woken,
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -1,19 +1,18 @@
 //! A relay: its parts, where each event goes, and the loop that hands out their notes. Nothing here decides.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
-use crate::interface::{
-    Allowance, Command, DestinationId, EndpointId, Event, Fleet, LONGEST_WAKE, RuleFigures,
-};
+use crate::interface::{Command, DestinationId, EndpointId, Event, LONGEST_WAKE, Terms};
 use crate::mail::{LaneId, Mail, Note, Part};
 use crate::rules::{Book, Destination, Endpoint, Lane, Slots, Turns};
 use crate::time::Time;
 
 /// A relay's decisions. It knows only its own events, its clock and its seed.
 pub struct Relay {
-    fleet: Fleet,
-    allowed: Allowance,
-    figures: RuleFigures,
+    terms: Arc<Terms>,
+    /// Slots at the most, whatever the terms say.
+    most_slots: usize,
     /// When the next wake-up asked for is due.
     wake: Time,
     mail: Mail,
@@ -27,13 +26,12 @@
 
 impl Relay {
     /// A relay that has just started and knows nothing yet.
-    pub fn new(now: Time, seed: u64, fleet: Fleet, allowed: Allowance, figures: RuleFigures) -> Self {
+    pub fn new(now: Time, seed: u64, terms: Terms) -> Self {
         let mut mail = Mail::new(seed);
-        mail.alarm(Part::Book, if fleet.list_on_request { now } else { Time::NEVER });
+        mail.alarm(Part::Book, if terms.fleet.list_on_request { now } else { Time::NEVER });
         Relay {
-            fleet,
-            allowed,
-            figures,
+            terms: Arc::new(terms),
+            most_slots: usize::MAX,
             wake: Time::default(),
             mail,
             book: Book::default(),
@@ -66,7 +64,11 @@
                     (Part::Destination(*id), note)
                 }
                 Event::Slots(slots) => {
-                    self.allowed.slots = slots;
+                    self.most_slots = slots;
+                    (Part::Slots, Note::Due)
+                }
+                Event::Terms(terms) => {
+                    self.adopt(Arc::new(terms));
                     (Part::Slots, Note::Due)
                 }
                 Event::Probed { .. } | Event::Woken => continue,
@@ -77,29 +79,42 @@
         // Each part says when time alone next changes something for it; a wake-up not yet due will do. One
         // that is due within a tick may have come by now, for a front's clock can be coarser than this one.
         let next = self.mail.next_alarm().min(now + LONGEST_WAKE);
-        if self.wake <= now + self.fleet.tick || next < self.wake {
+        if self.wake <= now + self.terms.fleet.tick || next < self.wake {
             self.wake = next;
             self.mail.commands.push(Command::Wake(next.since(now)));
         }
         std::mem::take(&mut self.mail.commands)
     }
 
+    /// Has all parts go by other terms. What they have seen and decided so far stays with them.
+    fn adopt(&mut self, terms: Arc<Terms>) {
+        // News of the list may have to be asked for from now on. One that is subscribed loses nothing.
+        if terms.fleet.list_on_request && !self.terms.fleet.list_on_request {
+            self.mail.alarm(Part::Book, self.mail.now);
+        }
+        self.endpoints.values_mut().for_each(|endpoint| endpoint.terms = terms.clone());
+        self.lanes.values_mut().for_each(|lane| lane.terms = terms.clone());
+        self.destinations.values_mut().for_each(|destination| destination.terms = terms.clone());
+        self.terms = terms;
+    }
+
     /// The one loop: empties every inbox.
     fn settle(&mut self) {
-        let (allowed, figures, relays) = (self.allowed, self.figures, self.fleet.relays);
+        let terms = self.terms.clone();
+        let (slots, figures) = (terms.allowance.slots.min(self.most_slots), &terms.figures);
         while let Some((part, note)) = self.mail.next() {
             let mail = &mut self.mail;
             match part {
                 Part::Book => self.book.take(note, figures.ask_every, mail),
                 Part::Turns => self.turns.take(note, figures.settle, mail),
-                Part::Slots => self.slots.take(note, allowed.slots, figures.tip_after, mail),
+                Part::Slots => self.slots.take(note, slots, figures.tip_after, mail),
                 Part::Lane(id) => {
-                    let new = || Lane::new(allowed.slots, relays, figures);
+                    let new = || Lane::new(terms.clone());
                     self.lanes.entry(id).or_insert_with(new).take(note, mail);
                 }
                 Part::Endpoint(id) => {
                     if let Note::Listed(entry) = &note {
-                        let new = || Endpoint::new(figures);
+                        let new = || Endpoint::new(terms.clone());
                         self.endpoints.entry(entry.endpoint.clone()).or_insert_with(new);
                     }
                     let Some(endpoint) = self.endpoints.get_mut(&id) else { continue };
@@ -110,7 +125,7 @@
                     }
                 }
                 Part::Destination(id) => {
-                    let new = || Destination::new(id, relays, allowed, figures);
+                    let new = || Destination::new(id, terms.clone());
                     self.destinations.entry(id).or_insert_with(new).take(note, mail);
                 }
             }
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -9,8 +9,8 @@
 use std::sync::Arc;
 
 use crate::interface::{
-    Allowance, Command, DestinationId, Effect, EndpointId, Entry, Group, LimitReport, News, Notification,
-    NtfId, Outcome, Past, Readiness, RuleFigures, Status,
+    Command, DestinationId, Effect, EndpointId, Entry, Group, LimitReport, News, Notification, NtfId,
+    Outcome, Past, Readiness, Status, Terms,
 };
 use crate::mail::{Call, Mail, Note, Part, keep};
 use crate::time::{Span, Time};
@@ -194,8 +194,8 @@
 
 #[derive(Default)]
 pub(crate) struct Endpoint {
+    pub(crate) terms: Arc<Terms>,
     entry: Entry,
-    figures: RuleFigures,
     outs: Vec<Out>,
     used: Time,
     delivered: Option<Time>,
@@ -211,8 +211,8 @@
 }
 
 impl Endpoint {
-    pub(crate) fn new(figures: RuleFigures) -> Self {
-        Endpoint { figures, ..Endpoint::default() }
+    pub(crate) fn new(terms: Arc<Terms>) -> Self {
+        Endpoint { terms, ..Endpoint::default() }
     }
 
     pub(crate) fn gone(&self) -> bool {
@@ -278,14 +278,14 @@
         } else if let Some(next) = self.aside {
             // A call still out there tells of the return by itself, and costs no further slot.
             let patience = if self.outs.is_empty() { 0.0 } else { PATIENCE };
-            next + self.figures.tip_after.times(patience)
+            next + self.terms.figures.tip_after.times(patience)
         } else {
             now
         }
     }
 
     fn next_trial(&self, mail: &mut Mail) -> Time {
-        let gap = self.gap.times(1.0 / self.figures.cold_from).max(self.figures.tip_after);
+        let gap = self.gap.times(1.0 / self.terms.figures.cold_from).max(self.terms.figures.tip_after);
         mail.now + gap.times(0.75 + mail.chance() / 2.0)
     }
 
@@ -312,7 +312,7 @@
 
     /// What an outcome, of a call sent at `at`, says of the endpoint's health.
     fn judge(&mut self, at: Time, status: Status, limit: Option<LimitReport>, mail: &mut Mail) {
-        let (now, span) = (mail.now, self.figures.tip_after);
+        let (now, span) = (mail.now, self.terms.figures.tip_after);
         let sign = match status {
             Status::Delivered => {
                 // Too short for an outage, as far as this relay saw: no reason to hold back.
@@ -363,7 +363,7 @@
 
     /// Guards against silence as well as failures: a call long overdue is evidence before its time-out.
     fn suspect(&mut self, mail: &mut Mail) {
-        let (now, span) = (mail.now, self.figures.tip_after);
+        let (now, span) = (mail.now, self.terms.figures.tip_after);
         let mut lost = self.outs.iter().filter(|o| o.lost(now)).count();
         if let Some(good) = self.delivered.filter(|t| lost > 0 && now.since(*t) < span) {
             mail.alarm(Part::Endpoint(self.entry.endpoint.clone()), good + span);
@@ -393,6 +393,7 @@
 
 #[derive(Default)]
 pub(crate) struct Lane {
+    pub(crate) terms: Arc<Terms>,
     wait_until: Time,
     pause_until: Time,
     /// Calls out, and how many may be, by what the lane has shown lately.
@@ -404,10 +405,8 @@
     refused: i32,
     /// The gap that this relay keeps between its calls, by what it was told of the limit.
     pace: Span,
-    /// How many full calls would carry what it was handed, in how long; and among how many relays.
+    /// How many full calls would carry what it was handed, in how long.
     handed: (f64, Span),
-    relays: usize,
-    figures: RuleFigures,
     /// The gap between this relay's calls after an outage, were all of the capacity there.
     gap: Span,
     /// Back at the first time: calls from the second on, doubling with each of so many delivered.
@@ -415,8 +414,8 @@
 }
 
 impl Lane {
-    pub(crate) fn new(slots: usize, relays: usize, figures: RuleFigures) -> Self {
-        Lane { relays, window: (slots as f64 / 2.0).max(1.0), figures, ..Lane::default() }
+    pub(crate) fn new(terms: Arc<Terms>) -> Self {
+        Lane { window: (terms.allowance.slots as f64 / 2.0).max(1.0), terms, ..Lane::default() }
     }
 
     pub(crate) fn take(&mut self, note: Note, mail: &mut Mail) {
@@ -451,7 +450,7 @@
                     self.wait_until = self.wait_until.max(mail.now + wait);
                     // Guards against all who were told when it opens: they would come back at the same time.
                     let limited = outcome.limit.is_some_and(|limit| limit.rate > 0.0);
-                    if first && !(limited && wait < self.figures.tip_after.times(BRIEF)) {
+                    if first && !(limited && wait < self.terms.figures.tip_after.times(BRIEF)) {
                         self.take(Note::Back(self.wait_until, true), mail);
                     }
                 }
@@ -468,7 +467,7 @@
         if self.out as f64 >= self.window {
             return Time::NEVER;
         }
-        let f = &self.figures;
+        let f = &self.terms.figures;
         let next = self.last_sent + self.calls(1.0).max(self.pace);
         let next = next.max(self.wait_until).max(self.pause_until);
         let back = self.back.filter(|back| now.since(back.0) < f.cold);
@@ -480,7 +479,7 @@
     }
 
     fn cold_gap(&self) -> Span {
-        self.gap.times(1.0 / self.figures.cold_from).min(self.figures.cold)
+        self.gap.times(1.0 / self.terms.figures.cold_from).min(self.terms.figures.cold)
     }
 
     /// How long the told limit takes for so many calls; where none is told, no time.
@@ -493,7 +492,7 @@
         match status {
             // Above the told limit: what is refused uses it up too, so all that are must come more rarely.
             Status::Busy if mail.now >= self.pause_until && limit.is_some_and(LimitReport::is_used_up) => {
-                let equal = self.calls(self.relays as f64);
+                let equal = self.calls(self.terms.fleet.relays as f64);
                 let own = (self.handed.1 + equal).times(1.0 / self.handed.0).min(equal);
                 self.pace = self.pace.times(BACK_OFF).max(own).min(equal.times(MOST));
                 self.pause_until = mail.now + self.pace.times(0.5 + mail.chance());
@@ -562,10 +561,8 @@
 
 #[derive(Default)]
 pub(crate) struct Destination {
+    pub(crate) terms: Arc<Terms>,
     id: DestinationId,
-    allowed: Allowance,
-    figures: RuleFigures,
-    relays: usize,
     per_call: usize,
     apart: bool,
     /// Its endpoints, by id, with their zones, and where the rotation stands.
@@ -583,8 +580,8 @@
 }
 
 impl Destination {
-    pub(crate) fn new(id: DestinationId, relays: usize, allowed: Allowance, figures: RuleFigures) -> Self {
-        Destination { id, relays, allowed, figures, ..Destination::default() }
+    pub(crate) fn new(id: DestinationId, terms: Arc<Terms>) -> Self {
+        Destination { id, terms, ..Destination::default() }
     }
 
     pub(crate) fn holds(&self, ntf: NtfId) -> bool {
@@ -609,7 +606,7 @@
                 let (past, over) = (ntf.past.clone(), ntf.past.ended);
                 self.held.push(Held { ntf, past, taken, turn, over, ..Held::default() });
                 self.handed.push_back(taken);
-                self.handed.retain(|at| taken.since(*at) < self.figures.cold.times(MEMORY));
+                self.handed.retain(|at| taken.since(*at) < self.terms.figures.cold.times(MEMORY));
             }
             Note::Turn(id) => self.change(id, |held| held.turn = true),
             Note::Withdrawn(id) => self.change(id, |held| held.over = true),
@@ -661,10 +658,12 @@
         let (now, usual) = (mail.now, self.overdue_after());
         for place in 0..self.held.len() {
             let held = &self.held[place];
-            let Some(at) = held.out.as_ref().filter(|_| self.allowed.cancel).map(|o| o.0) else { continue };
+            let Some(at) = held.out.as_ref().filter(|_| self.terms.allowance.cancel).map(|o| o.0) else {
+                continue;
+            };
             let waits = |h: &&Held| !h.turn && h.ntf.key == held.ntf.key;
             let behind = held.ntf.topic.ordered && self.held.iter().filter(waits).count() > 1;
-            let after = if held.again() { usual } else { usual.max(self.figures.tip_after) };
+            let after = if held.again() { usual } else { usual.max(self.terms.figures.tip_after) };
             let due = if full || behind { at + after } else { Time::NEVER };
             if now < due {
                 mail.alarm(if behind { Part::Destination(self.id) } else { Part::Slots }, due);
@@ -675,11 +674,16 @@
         }
     }
 
-    /// Asks the next endpoint in rotation for the slot at hand; in a first round, resends go elsewhere.
+    /// Asks the next endpoint in rotation for the slot at hand; in a first round, resends go elsewhere. Where
+    /// crossing zones is priced, those of the relay's own zone are asked before the others.
     fn offer(&mut self, asked: usize, again: Time, mail: &mut Mail) {
         (self.asked, self.again) = (asked, again);
+        let mut order: Vec<usize> = (0..self.ends.len()).map(|i| (self.next + i) % self.ends.len()).collect();
+        let away =
+            |end: &usize| self.terms.fleet.home.as_ref().is_some_and(|home| *home != self.ends[*end].1);
+        order.sort_by_key(away);
         while self.asked < 2 * self.ends.len() && !self.held.is_empty() {
-            let (endpoint, zone) = self.ends[(self.next + self.asked) % self.ends.len()].clone();
+            let (endpoint, zone) = self.ends[order[self.asked % order.len()]].clone();
             let pushes = self.pick(mail.now, &endpoint, &zone);
             if !pushes.is_empty() {
                 let (to, destination) = (Part::Endpoint(endpoint.clone()), self.id);
@@ -699,14 +703,16 @@
     /// each relay sends in step with what it is handed, all do: none needs to know how many wait.
     fn gap(&self, parts: usize, now: Time) -> Span {
         let pace = self.handed.len() as f64 / (self.known(now).secs() * parts as f64);
-        let least = LEAST / (self.figures.tip_after.secs() * self.relays.max(1) as f64);
-        Span::from_secs(1.0 / (self.figures.fall_multiple * pace).max(least / self.figures.cold_from))
+        let least = LEAST / (self.terms.figures.tip_after.secs() * self.terms.fleet.relays.max(1) as f64);
+        Span::from_secs(
+            1.0 / (self.terms.figures.fall_multiple * pace).max(least / self.terms.figures.cold_from),
+        )
     }
 
     /// For how long it is known what was handed in: less than it counts in a relay that has just started.
     fn known(&self, now: Time) -> Span {
-        let age = now.since(self.born.unwrap_or(now)) + self.figures.tip_after;
-        age.min(self.figures.cold.times(MEMORY))
+        let age = now.since(self.born.unwrap_or(now)) + self.terms.figures.tip_after;
+        age.min(self.terms.figures.cold.times(MEMORY))
     }
 
     /// Calls are worth filling: one counts once for the limit and takes one slot. Until when one may wait.
@@ -722,13 +728,13 @@
     fn pick(&self, now: Time, to: &EndpointId, zone: &Arc<str>) -> Vec<(NtfId, Span, Span)> {
         let elsewhere = self.asked < self.ends.len();
         let mut ready: Vec<&Held> = self.held.iter().filter(|h| h.turn).collect();
-        ready.retain(|h| h.may_run(now, Some(zone), self.allowed.pushes));
+        ready.retain(|h| h.may_run(now, Some(zone), self.terms.allowance.pushes));
         ready.retain(|h| !(elsewhere && h.last.as_ref() == Some(to)));
         if ready.len() < self.per_call && ready.iter().all(|h| now < self.filled(h)) {
             return Vec::new();
         }
         ready.sort_by_key(|h| now.since(h.taken) + self.median() > h.ntf.topic.objective);
-        let enough = self.usual().unwrap_or(self.figures.tip_after.times(OVERDUE_FLOOR));
+        let enough = self.usual().unwrap_or(self.terms.figures.tip_after.times(OVERDUE_FLOOR));
         let mut call = Vec::new();
         let (mut ends, mut wanted) = (Time::NEVER, Span::ZERO);
         for held in ready {
@@ -752,7 +758,7 @@
         let vain = self.samples.iter().rev().take_while(|s| s.censored).count();
         let usual = self.usual();
         let floor = if usual.is_none() { OVERDUE_UNKNOWN } else { OVERDUE_FLOOR };
-        let least = self.figures.tip_after.times(floor);
+        let least = self.terms.figures.tip_after.times(floor);
         usual.unwrap_or_default().times(OVERDUE).max(least).times(2f64.powi(vain.min(8) as i32 / 2))
     }
 
@@ -777,7 +783,7 @@
         let left = held.ntf.valid_until.since(now);
         // Guards against a fit that lags: where restarts do not pay they only cut calls that are nearly done.
         let vain = self.samples.iter().rev().take(RECENT).filter(|s| s.censored).count() * 2 >= RECENT;
-        let pushes = if held.again() && !vain { self.allowed.pushes - held.past.pushes } else { 1 };
+        let pushes = if held.again() && !vain { self.terms.allowance.pushes - held.past.pushes } else { 1 };
         self.fit.map_or(left, |fit| fit.time_out(left, pushes))
     }
 
@@ -803,13 +809,13 @@
     fn give_up_if_vain(&mut self, place: usize, mail: &mut Mail) {
         let (usual, held) = (self.median().max(LEAST_LEFT), &mut self.held[place]);
         let in_time = mail.now + usual <= held.ntf.valid_until;
-        let lives = in_time && held.may_run(mail.now, None, self.allowed.pushes);
+        let lives = in_time && held.may_run(mail.now, None, self.terms.allowance.pushes);
         if held.out.is_some() || held.past.ended || lives {
             return;
         }
         let (ntf, key) = (held.ntf.id, held.ntf.key.clone().filter(|_| held.ntf.topic.ordered));
         if !held.over {
-            let retry_in = self.allowed.longest_retry.min(usual);
+            let retry_in = self.terms.allowance.longest_retry.min(usual);
             let throttled = Command::Throttle { ntf, retry_in };
             mail.commands.push(if held.past.ran.is_some() { Command::Expire(ntf) } else { throttled });
             (held.over, held.past.ended) = (true, key.is_some());
--- a/tests/helper/mod.rs
+++ b/tests/helper/mod.rs
@@ -38,6 +38,30 @@
     ]
 }
 
+/// One of so many relays, with so many slots.
+pub fn terms(relays: usize, slots: usize) -> Terms {
+    let ms = Span::from_millis;
+    Terms {
+        fleet: Fleet { relays, list_on_request: true, tick: ms(5), ..Fleet::default() },
+        allowance: Allowance {
+            slots,
+            pushes: 8,
+            held: 100,
+            longest_retry: ms(3_000),
+            cancel: true,
+            ..Allowance::default()
+        },
+        figures: RuleFigures {
+            ask_every: ms(10_000),
+            cold_from: 0.2,
+            cold: ms(10_000),
+            fall_multiple: 2.0,
+            tip_after: ms(1_500),
+            settle: ms(300),
+        },
+    }
+}
+
 impl Rig {
     /// A relay, one of two, with eight pushes for each notification and a list of endpoints (`name zone`) of
     /// destination 1, whose calls carry up to `per_call` notifications.
@@ -47,21 +71,12 @@
 
     /// The same, one of so many relays.
     pub fn one_of(relays: usize, slots: usize, per_call: usize, endpoints: &[(&str, &str)]) -> Rig {
-        let ms = Span::from_millis;
-        let relay = Relay::new(
-            Time::from_nanos(0),
-            7,
-            Fleet { relays, rates_listed: false, list_on_request: true, tick: ms(5) },
-            Allowance { slots, pushes: 8, held: 100, longest_retry: ms(3_000), probes: false, cancel: true },
-            RuleFigures {
-                ask_every: ms(10_000),
-                cold_from: 0.2,
-                cold: ms(10_000),
-                fall_multiple: 2.0,
-                tip_after: ms(1_500),
-                settle: ms(300),
-            },
-        );
+        Rig::with(terms(relays, slots), per_call, endpoints)
+    }
+
+    /// The same, told these terms.
+    pub fn with(terms: Terms, per_call: usize, endpoints: &[(&str, &str)]) -> Rig {
+        let relay = Relay::new(Time::from_nanos(0), 7, terms);
         let kind = Arc::new(Kind { name: "plain".to_owned(), separate_routes: false, per_call });
         let mut rig = Rig {
             relay,
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -5,7 +5,7 @@
 use std::fmt::Write;
 
 use expect_test::expect;
-use helper::Rig;
+use helper::{Rig, terms};
 use juniperwing::interface::{Event, LimitReport, News, NtfId, Past, Readiness, Status};
 use juniperwing::rules::Fit;
 use juniperwing::time::Span;
@@ -830,3 +830,30 @@
     "#]]
     .assert_eq(&rig.trace);
 }
+
+/// Where crossing zones is priced, the endpoints of the relay's own zone are asked first, in rotation; those of
+/// others get what these turned away, and all when these drain.
+#[test]
+fn endpoints_of_the_own_zone_are_asked_first() {
+    let mut terms = terms(2, 8);
+    terms.fleet.home = Some("z".into());
+    let mut rig = Rig::with(terms, 1, &[("a", "y"), ("b", "z"), ("c", "z")]);
+    for id in 1..=3 {
+        rig.accept(id, "safe", None, 16_000);
+    }
+    rig.end(1, Status::Error);
+    rig.give(Event::List(News::Changes(vec![
+        rig.entry("b", "z", Readiness::Draining),
+        rig.entry("c", "z", Readiness::Deleted),
+    ])));
+    rig.accept(4, "safe", None, 16_000);
+    expect![[r#"
+        0      subscribe
+        0      push 1 to b for 16000 ms
+        0      push 2 to c for 16000 ms
+        0      push 3 to b for 16000 ms
+        0      push 1 to c for 16000 ms
+        0      push 4 to a for 16000 ms
+    "#]]
+    .assert_eq(&rig.trace);
+}
