--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -176,7 +176,7 @@
         let terms = Terms {
             fleet: Fleet {
                 relays: written.balancers,
-                rates_listed: matches!(written.weight_source.as_str(), "nominal" | "rough"),
+                rates_listed: written.weight_source == "nominal",
                 list_on_request: written.discovery == "subscribe",
                 tick: Span::from_nanos(written.tick),
                 home: crossing.then(|| Arc::from(written.zone.as_str())),
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -109,7 +109,7 @@
 pub struct Fleet {
     /// How many relays there are, this one included.
     pub relays: usize,
-    /// Whether list entries carry a rate (calls a second over all relays), be it a rough one.
+    /// Whether list entries carry the rate that is taken, in calls a second over all relays, and not a rough one.
     pub rates_listed: bool,
     /// Whether news of the list has to be asked for.
     pub list_on_request: bool,
--- a/src/mail.rs
+++ b/src/mail.rs
@@ -46,6 +46,8 @@
     Sent(Call),
     /// A push ended; the flag says that its call had shown no outcome before, for a call has one fate.
     Outcome(Outcome, bool),
+    /// The list says what rate the lane takes from all relays.
+    Rate(f64),
     /// A wait that was told by no outcome.
     Told(Span),
     /// What is not out to the endpoint, or what shares its lane, is not to go.
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -55,6 +55,8 @@
 const BACK_OFF: f64 = 2.0;
 const MOST: f64 = 4.0;
 const HALF_LEFT: f64 = 0.5;
+/// Where no limit is told in answers, a delivery speaks of so much of the listed rate left.
+const LEFT_UNTOLD: f64 = 0.75;
 /// The list is asked for again after this share of `ask_every`.
 const FIRST_ASK: f64 = 0.02;
 /// Below this much time left nothing is worth sending.
@@ -221,7 +223,12 @@
 
     pub(crate) fn take(&mut self, note: Note, mail: &mut Mail) {
         match note {
-            Note::Listed(entry) => self.entry = entry,
+            Note::Listed(entry) => {
+                self.entry = entry;
+                if self.rate_listed() {
+                    mail.put(self.lane(), Note::Rate(self.entry.rate));
+                }
+            }
             Note::Call(mut call) => {
                 self.gap = call.gaps.0;
                 let until = self.takes_from(mail.now);
@@ -253,6 +260,10 @@
         }
     }
 
+    fn rate_listed(&self) -> bool {
+        self.terms.fleet.rates_listed && self.entry.rate > 0.0
+    }
+
     fn lane(&self) -> Part {
         let apart = self.entry.kind.separate_routes.then(|| self.entry.endpoint.clone());
         Part::Lane((self.entry.destination, apart))
@@ -339,8 +350,8 @@
                 self.streak = if was_aside { 0 } else { self.streak.saturating_sub(1) };
                 false
             }
-            // Above a told limit, or up, as a call shows that is out and not lost: no sign of an outage.
-            Status::Busy if limit.is_some_and(LimitReport::is_used_up) => false,
+            // Above a told or listed limit, or up, as a call shows that is out and not lost: no sign of an outage.
+            Status::Busy if limit.map_or(self.rate_listed(), LimitReport::is_used_up) => false,
             Status::NoConnection => self.outs.iter().all(|o| o.lost(now)),
             Status::Crowded => {
                 self.short_of_connections(mail);
@@ -438,6 +449,7 @@
                 mail.put(Part::Slots, Note::Sent(call.clone()));
                 mail.put(Part::Destination(call.destination), Note::Sent(call));
             }
+            Note::Rate(rate) => self.rate = rate,
             Note::Told(wait) => self.wait_until = self.wait_until.max(mail.now + wait),
             Note::Ended(_) => self.out = self.out.saturating_sub(1),
             Note::Back(at, apart) => {
@@ -449,7 +461,7 @@
                 if let Some(wait) = outcome.wait {
                     self.wait_until = self.wait_until.max(mail.now + wait);
                     // Guards against all who were told when it opens: they would come back at the same time.
-                    let limited = outcome.limit.is_some_and(|limit| limit.rate > 0.0);
+                    let limited = outcome.limit.map_or(self.rate, |limit| limit.rate) > 0.0;
                     if first && !(limited && wait < self.terms.figures.tip_after.times(BRIEF)) {
                         self.take(Note::Back(self.wait_until, true), mail);
                     }
@@ -489,17 +501,19 @@
 
     fn learn(&mut self, status: Status, limit: Option<LimitReport>, mail: &mut Mail) {
         self.rate = limit.map_or(self.rate, |limit| limit.rate);
+        let above = limit.map_or(self.rate > 0.0, LimitReport::is_used_up);
         match status {
-            // Above the told limit: what is refused uses it up too, so all that are must come more rarely.
-            Status::Busy if mail.now >= self.pause_until && limit.is_some_and(LimitReport::is_used_up) => {
+            // Above the told or listed limit: what is refused uses it up too, so all that are must come more rarely.
+            Status::Busy if mail.now >= self.pause_until && above => {
                 let equal = self.calls(self.terms.fleet.relays as f64);
                 let own = (self.handed.1 + equal).times(1.0 / self.handed.0).min(equal);
                 self.pace = self.pace.times(BACK_OFF).max(own).min(equal.times(MOST));
                 self.pause_until = mail.now + self.pace.times(0.5 + mail.chance());
             }
             Status::Delivered => {
-                if let Some(l) = limit.filter(|l| l.rate > 0.0) {
-                    self.pace = self.pace.times(2f64.powf(HALF_LEFT - l.left));
+                if self.rate > 0.0 {
+                    let left = limit.map_or(LEFT_UNTOLD, |limit| limit.left);
+                    self.pace = self.pace.times(2f64.powf(HALF_LEFT - left));
                 }
                 (self.refused, self.window) = (0, self.window + 1.0 / self.window);
                 self.back = self.back.map(|(since, from, wins)| (since, from, wins + 1));
