A listed rate stands in for a told limit: refusals set a pace, a short wait is no outage

Where refused calls use the limit up, too many attempts are fatal: destination 377 (listed 82 a second) got 20 a second through, 37 (listed 16) 11 in 35 s. The list's rate was read and not used.

The trace in tests/rules.rs: before, 'a set aside' after the third refusal.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -55,7 +55,8 @@
 const BACK_OFF: f64 = 2.0;
 const MOST: f64 = 4.0;
 const HALF_LEFT: f64 = 0.5;
-/// Where no limit is told in answers, a delivery speaks of so much of the listed rate left.
+/// Where no limit is told in answers but a rate is listed: the first pace, and what a delivery says is left.
+const FIRST_PACE: Span = Span::from_millis(500);
 const LEFT_UNTOLD: f64 = 0.75;
 /// The list is asked for again after this share of `ask_every`.
 const FIRST_ASK: f64 = 0.02;
@@ -506,8 +507,12 @@
             // Above the told or listed limit: what is refused uses it up too, so all that are must come more rarely.
             Status::Busy if mail.now >= self.pause_until && above => {
                 let equal = self.calls(self.terms.fleet.relays as f64);
-                let own = (self.handed.1 + equal).times(1.0 / self.handed.0).min(equal);
-                self.pace = self.pace.times(BACK_OFF).max(own).min(equal.times(MOST));
+                // Told nothing, a relay that sees little cannot tell a limit passed just now from one passed all along.
+                let own = match limit {
+                    Some(_) => (self.handed.1 + equal).times(1.0 / self.handed.0).min(equal),
+                    None => FIRST_PACE.max(self.calls(REFUSED)),
+                };
+                self.pace = self.pace.times(BACK_OFF).max(own).min(equal.times(MOST).max(own));
                 self.pause_until = mail.now + self.pace.times(0.5 + mail.chance());
             }
             Status::Delivered => {
--- a/tests/helper/mod.rs
+++ b/tests/helper/mod.rs
@@ -21,6 +21,8 @@
     pub hears: bool,
     /// What destinations tell of their limit.
     pub limit: Option<LimitReport>,
+    /// The rate that the list gives for destinations.
+    pub rate: f64,
 }
 
 /// Topic types: `safe` (repeatable), `mark` (collapsible in its zone for 4 s), `once` (once-only, in order).
@@ -88,6 +90,7 @@
             wake: Time::NEVER,
             hears: true,
             limit: None,
+            rate: 1.0,
         };
         let entries =
             endpoints.iter().map(|(name, zone)| rig.entry(name, zone, Readiness::Serving)).collect();
@@ -239,7 +242,7 @@
             kind: self.kind.clone(),
             zone: Arc::from(zone),
             readiness,
-            rate: 1.0,
+            rate: self.rate,
         }
     }
 }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -857,3 +857,39 @@
     "#]]
     .assert_eq(&rig.trace);
 }
+
+/// A rate is listed and nothing is told in answers: what is refused is above the limit, no sign of an outage, and
+/// sets a pace that grows with each and shrinks with deliveries. The end of a short told wait is no return.
+#[test]
+fn a_listed_rate_stands_in_for_a_told_limit() {
+    let mut terms = terms(50, 8);
+    terms.fleet.rates_listed = true;
+    let mut rig = Rig::with(terms, 1, &[("a", "z")]);
+    rig.rate = 20.0;
+    rig.give(Event::List(News::Changes(vec![rig.entry("a", "z", Readiness::Serving)])));
+    rig.accept(1, "safe", None, 30_000);
+    for _ in 0..3 {
+        rig.pass_until_out(1);
+        rig.end(1, Status::Busy);
+    }
+    rig.pass_until_out(1);
+    rig.refuse(1, Span::from_millis(900));
+    for id in 1..=3 {
+        rig.accept(id + 1, "safe", None, 30_000);
+        rig.pass_until_out(id);
+        rig.end(id, Status::Delivered);
+    }
+    expect![[r#"
+        0      subscribe
+        50     push 1 to a for 29950 ms
+        550    push 1 to a for 29450 ms
+        1840   push 1 to a for 28160 ms
+        4570   push 1 to a for 25430 ms
+        4570   recall what is not out to a
+        8570   push 2 to a for 26000 ms
+        12570  push 1 to a for 17430 ms
+        12570  close idle connections to a
+        15400  push 3 to a for 27170 ms
+    "#]]
+    .assert_eq(&rig.trace);
+}
