A connection that its endpoint would have closed before the relay's next call is not left idle

What there was (Endpoint::short_of_connections) acts only once a relay has been refused and delivered within 3 s, which one that comes seldom is not.

--- a/crates/model/src/fleet.rs
+++ b/crates/model/src/fleet.rs
@@ -288,6 +288,7 @@
                 longest_retry: span_ms(scenario.clients.longest_retry_ms),
                 probes: false,
                 cancel: true,
+                idle: Span::from_secs(scenario.network.idle_s),
             };
             let seed = chance.stream(Concern::Policies, place).random();
             let (zone, distance) = (place % self.zones.len(), draws.random());
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -192,6 +192,7 @@
                 }),
                 probes: ceilings.probes,
                 cancel: ceilings.cancel,
+                idle: Span::from_nanos(ceilings.conn_idle),
             },
             figures: RuleFigures {
                 ask_every: Span::from_nanos(rules.ask_every),
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -305,12 +305,16 @@
         let Some(place) = self.outs.iter().position(|out| out.ntfs.contains(&outcome.ntf)) else { return };
         let (out, to) = (&mut self.outs[place], self.entry.destination);
         out.ntfs.retain(|ntf| *ntf != outcome.ntf);
-        let (at, first) = (out.at, !std::mem::replace(&mut out.answered, true));
+        let (at, seldom) =
+            (out.at, self.terms.allowance.idle > Span::ZERO && out.idle > self.terms.allowance.idle);
+        let first = !std::mem::replace(&mut out.answered, true);
         if out.ntfs.is_empty() {
             self.outs.remove(place);
             mail.put(self.lane(), Note::Ended(to));
             mail.put(Part::Slots, Note::Ended(to));
-            if self.stale(mail.now) == Some(Span::ZERO) {
+            // Guards against the few connections that some destinations take, which many relays fill with idle ones:
+            // where they are short, and where one would have been closed anyway before this relay came again.
+            if seldom || self.stale(mail.now) == Some(Span::ZERO) {
                 mail.commands.push(Command::CloseIdle(self.entry.endpoint.clone()));
             }
         }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -893,3 +893,26 @@
     "#]]
     .assert_eq(&rig.trace);
 }
+
+/// A connection that its endpoint would have closed before this relay came again is closed at once: of few
+/// connections, idle ones are the most where many relays each come seldom.
+#[test]
+fn a_connection_used_seldom_is_not_left_idle() {
+    let mut terms = terms(50, 8);
+    terms.allowance.idle = Span::from_millis(5_000);
+    let mut rig = Rig::with(terms, 1, &[("a", "z")]);
+    for (id, ms) in [(1, 100), (2, 1_000), (3, 6_000), (4, 1_000)] {
+        rig.pass(ms);
+        rig.accept(id, "safe", None, 16_000);
+        rig.end(id, Status::Delivered);
+    }
+    expect![[r#"
+        0      subscribe
+        100    push 1 to a for 16000 ms
+        1100   push 2 to a for 16000 ms
+        7100   push 3 to a for 16000 ms
+        7100   close idle connections to a
+        8100   push 4 to a for 16000 ms
+    "#]]
+    .assert_eq(&rig.trace);
+}
