--- a/src/rules.rs
+++ b/src/rules.rs
@@ -51,8 +51,10 @@
 const PAUSE: Span = Span::from_millis(100);
 const REFUSED: f64 = 3.0;
 const GROWTH: f64 = 16.0;
-/// Pace: growth with a refusal above a limit, the most in equal parts, and the share left that keeps it.
+/// Pace: growth with a refusal above a limit, and with one that told a wait, the most in equal parts, and the
+/// share left that keeps it.
 const BACK_OFF: f64 = 2.0;
+const TOLD_BACK_OFF: f64 = 8.0;
 const MOST: f64 = 4.0;
 const HALF_LEFT: f64 = 0.5;
 /// Where no limit is told in answers but a rate is listed: the first pace, and what a delivery says is left.
@@ -472,7 +474,7 @@
                     }
                 }
                 if first {
-                    self.learn(outcome.status, outcome.limit, mail);
+                    self.learn(&outcome, mail);
                 }
             }
             _ => {}
@@ -504,7 +506,8 @@
         if self.rate > 0.0 { Span::from_secs(count / self.rate) } else { Span::ZERO }
     }
 
-    fn learn(&mut self, status: Status, limit: Option<LimitReport>, mail: &mut Mail) {
+    fn learn(&mut self, outcome: &Outcome, mail: &mut Mail) {
+        let (status, limit, wait) = (outcome.status, outcome.limit, outcome.wait.unwrap_or_default());
         self.rate = limit.map_or(self.rate, |limit| limit.rate);
         let above = limit.map_or(self.rate > 0.0, LimitReport::is_used_up);
         match status {
@@ -512,11 +515,13 @@
             Status::Busy if mail.now >= self.pause_until && above => {
                 let equal = self.calls(self.terms.fleet.relays as f64);
                 // Told nothing, a relay that sees little cannot tell a limit passed just now from one passed all along.
+                // A told wait says by how much: all who were told come back at its end, and use it up again.
                 let own = match limit {
                     Some(_) => (self.handed.1 + equal).times(1.0 / self.handed.0).min(equal),
-                    None => FIRST_PACE.max(self.calls(REFUSED)),
+                    None => FIRST_PACE.max(self.calls(REFUSED)).max(wait.times(BACK_OFF)),
                 };
-                self.pace = self.pace.times(BACK_OFF).max(own).min(equal.times(MOST).max(own));
+                let grows = if wait > Span::ZERO { TOLD_BACK_OFF } else { BACK_OFF };
+                self.pace = self.pace.times(grows).max(own).min(equal.times(MOST).max(own));
                 self.pause_until = mail.now + self.pace.times(0.5 + mail.chance());
             }
             Status::Delivered => {
