What is of a topic type that an endpoint fails goes to the destination's others first

Destination::pick now leaves it to the others for a while after a loss, or while a call of that type is overdue there; where all fail it, or there is one, all goes as before.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -605,6 +605,8 @@
     born: Option<Time>,
     samples: VecDeque<Sample>,
     fit: Option<Fit>,
+    /// What may have run without a delivery since, by endpoint and topic type: how often, and when last.
+    failing: BTreeMap<(EndpointId, String), (u32, Time)>,
 }
 
 impl Destination {
@@ -626,6 +628,7 @@
                     self.ends.push((entry.endpoint, entry.zone));
                     self.ends.sort();
                 }
+                self.failing.retain(|key, _| self.ends.iter().any(|end| end.0 == key.0));
             }
             Note::Accepted(ntf) => {
                 let key = ntf.key.clone().filter(|_| ntf.topic.ordered);
@@ -757,7 +760,7 @@
         let elsewhere = self.asked < self.ends.len();
         let mut ready: Vec<&Held> = self.held.iter().filter(|h| h.turn).collect();
         ready.retain(|h| h.may_run(now, Some(zone), self.terms.allowance.pushes));
-        ready.retain(|h| !(elsewhere && h.last.as_ref() == Some(to)));
+        ready.retain(|h| !(elsewhere && (h.last.as_ref() == Some(to) || self.fails(h, to, now))));
         if ready.len() < self.per_call && ready.iter().all(|h| now < self.filled(h)) {
             return Vec::new();
         }
@@ -780,6 +783,16 @@
         call.into_iter().map(|(ntf, time_out, by)| (ntf, time_out.min(ends.since(now)), by)).collect()
     }
 
+    /// Guards against an endpoint that fails one topic type and takes the others as usual: while another takes
+    /// it, what is of that type goes there, after a loss for a while, longer after each.
+    fn fails(&self, held: &Held, to: &EndpointId, now: Time) -> bool {
+        let same = |h: &&Held| h.last.as_ref() == Some(to) && h.ntf.topic.name == held.ntf.topic.name;
+        let overdue = |h: &Held| h.out.as_ref().is_some_and(|out| now.since(out.0) > self.overdue_after());
+        let lost = self.failing.get(&(to.clone(), held.ntf.topic.name.clone()));
+        lost.is_some_and(|(times, at)| now.since(*at) < SLOT_MEMORY.times(f64::from(*times)))
+            || self.held.iter().filter(same).any(overdue)
+    }
+
     /// When a call speaks of silence: well beyond what is delivered of late (calls that never end stretch the
     /// fit), and longer after each cut short with none delivered since: then the destination is slow.
     fn overdue_after(&self) -> Span {
@@ -824,6 +837,15 @@
         }
         let Some(held) = self.held.iter_mut().find(|h| h.ntf.id == o.ntf) else { return };
         let sent = held.out.take();
+        if let Some(last) = held.last.clone() {
+            let key = (last, held.ntf.topic.name.clone());
+            if o.status == Status::Delivered {
+                self.failing.remove(&key);
+            } else if o.status.may_have_run() {
+                let times = self.failing.get(&key).map_or(1, |failing| failing.0 + 1);
+                self.failing.insert(key, (times, now));
+            }
+        }
         held.over |= o.settled;
         if o.status.may_have_run() {
             held.past.ran = held.past.ran.take().or(sent);
