The pace follows told waits only; refusals that tell nothing pause eightfold in a row again

Ruled out: calls after a told wait (none), relays that had seen none fail. A refusal that tells a wait speaks of a limit; one that tells nothing may be a full queue behind a silence: it pauses 100 ms, then eightfold with each in a row, as it did (Lane::learn).

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -509,7 +509,7 @@
     fn learn(&mut self, outcome: &Outcome, mail: &mut Mail) {
         let (status, limit, wait) = (outcome.status, outcome.limit, outcome.wait.unwrap_or_default());
         self.rate = limit.map_or(self.rate, |limit| limit.rate);
-        let above = limit.map_or(self.rate > 0.0, LimitReport::is_used_up);
+        let above = limit.map_or(self.rate > 0.0 && wait > Span::ZERO, LimitReport::is_used_up);
         match status {
             // Above the told or listed limit: what is refused uses it up too, so all that are must come more rarely.
             Status::Busy if mail.now >= self.pause_until && above => {
