The second refusal in a row that tells nothing pauses nearly to the part after an outage

Ruled out: calls after a told wait, calls held back by a set-aside endpoint. Growth 64 holds again unless a limit is told.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -536,7 +536,7 @@
                 // One of many relays may see a destination once in many seconds and cannot tell a limit from
                 // an outage, while all that come back after an outage count: each does so ever more rarely.
                 let first = PAUSE.max(self.calls(REFUSED));
-                let grows = if self.rate > 0.0 || status != Status::Busy { 1 } else { 2 };
+                let grows = if limit.is_some_and(|l| l.rate > 0.0) || status != Status::Busy { 1 } else { 2 };
                 let longest = if status == Status::Crowded { Span::ZERO } else { self.cold_gap() };
                 self.pause_until = mail.now + pause(first, grows * self.refused, longest, mail);
                 self.refused += 1;
