--- a/src/rules.rs
+++ b/src/rules.rs
@@ -523,6 +523,9 @@
                 let grows = if wait > Span::ZERO { TOLD_BACK_OFF } else { BACK_OFF };
                 self.pace = self.pace.times(grows).max(own).min(equal.times(MOST).max(own));
                 self.pause_until = mail.now + self.pace.times(0.5 + mail.chance());
+                if limit.is_none() {
+                    self.pause(status, 2, mail);
+                }
             }
             Status::Delivered => {
                 if self.rate > 0.0 {
@@ -533,19 +536,24 @@
                 self.back = self.back.map(|(since, from, wins)| (since, from, wins + 1));
             }
             Status::Busy | Status::NoConnection | Status::Crowded if mail.now >= self.pause_until => {
-                // One of many relays may see a destination once in many seconds and cannot tell a limit from
-                // an outage, while all that come back after an outage count: each does so ever more rarely.
-                let first = PAUSE.max(self.calls(REFUSED));
-                let grows = if limit.is_some_and(|l| l.rate > 0.0) || status != Status::Busy { 1 } else { 2 };
-                let longest = if status == Status::Crowded { Span::ZERO } else { self.cold_gap() };
-                self.pause_until = mail.now + pause(first, grows * self.refused, longest, mail);
-                self.refused += 1;
+                let told = limit.is_some_and(|l| l.rate > 0.0);
+                self.pause(status, if told || status != Status::Busy { 1 } else { 2 }, mail);
                 self.window = (self.window * 0.6).max(1.0);
             }
             Status::TimedOut | Status::Reset => self.window = (self.window * 0.95).max(1.0),
             _ => {}
         }
     }
+
+    /// One of many relays may see a destination once in many seconds and cannot tell a limit from an outage, while
+    /// all that come back after an outage count: each does so ever more rarely.
+    fn pause(&mut self, status: Status, grows: i32, mail: &mut Mail) {
+        let first = PAUSE.max(self.calls(REFUSED));
+        let longest = if status == Status::Crowded { Span::ZERO } else { self.cold_gap() };
+        let until = mail.now + pause(first, grows * self.refused, longest, mail);
+        self.pause_until = self.pause_until.max(until);
+        self.refused += 1;
+    }
 }
 
 // ---- Destination: what goes next, for how long, and when it is given up ----
