A relay that finds no connection keeps to its part in full, not only to the time of a return

Destination 37 (listed 4.7 a second, back for 2.2 s) got 3.6 times what it could do: 28 relays had pushed in the last 2.5 s, one notification each, 7 to 11 s after their second refused connection: Lane's pause was cut to cold (9.4 s), where the part of a relay that was handed one notification in 18.8 s is 48 s. Ruled out: calls after a delivery (two in all).

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -460,7 +460,11 @@
             Note::Told(wait) => self.wait_until = self.wait_until.max(mail.now + wait),
             Note::Ended(_) => self.out = self.out.saturating_sub(1),
             Note::Back(at, apart) => {
-                let wait = if apart { self.cold_gap().times(mail.chance()) } else { Span::ZERO };
+                let wait = if apart {
+                    self.part().min(self.terms.figures.cold).times(mail.chance())
+                } else {
+                    Span::ZERO
+                };
                 self.back = Some((at, at + wait, 0));
             }
             Note::Outcome(outcome, first) => {
@@ -497,8 +501,9 @@
         next.max(from).max(self.last_sent + gap.times(weight))
     }
 
-    fn cold_gap(&self) -> Span {
-        self.gap.times(1.0 / self.terms.figures.cold_from).min(self.terms.figures.cold)
+    /// The gap between this relay's calls right after an outage.
+    fn part(&self) -> Span {
+        self.gap.times(1.0 / self.terms.figures.cold_from)
     }
 
     /// How long the told limit takes for so many calls; where none is told, no time.
@@ -549,7 +554,12 @@
     /// all that come back after an outage count: each does so ever more rarely.
     fn pause(&mut self, status: Status, grows: i32, mail: &mut Mail) {
         let first = PAUSE.max(self.calls(REFUSED));
-        let longest = if status == Status::Crowded { Span::ZERO } else { self.cold_gap() };
+        let longest = match status {
+            Status::Crowded => Span::ZERO,
+            // No limit is spoken of, so nothing is lost by keeping to the part in full.
+            Status::NoConnection => self.part(),
+            _ => self.part().min(self.terms.figures.cold),
+        };
         let until = mail.now + pause(first, grows * self.refused, longest, mail);
         self.pause_until = self.pause_until.max(until);
         self.refused += 1;
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -965,3 +965,30 @@
     "#]]
     .assert_eq(&rig.trace);
 }
+
+/// Where no connection is to be had, a relay that sees little keeps to its part in full, longer than a cold
+/// destination takes to warm up: many such relays, one notification each, would push it over together.
+#[test]
+fn no_connection_pauses_up_to_the_part_in_full() {
+    let mut terms = terms(300, 8);
+    terms.fleet.rates_listed = true;
+    let mut rig = Rig::with(terms, 1, &[("a", "z"), ("b", "z")]);
+    rig.rate = 5.0;
+    rig.give(Event::List(News::Changes(vec![rig.entry("a", "z", Readiness::Serving)])));
+    rig.pass(20_000);
+    rig.accept(1, "safe", None, 90_000);
+    for _ in 0..3 {
+        rig.pass_until_out(1);
+        rig.pass(1_000);
+        rig.end(1, Status::NoConnection);
+    }
+    rig.pass_until_out(1);
+    expect![[r#"
+        0      subscribe
+        20000  push 1 to a for 90000 ms
+        21540  push 1 to b for 88460 ms
+        28690  push 1 to a for 81310 ms
+        82040  push 1 to b for 27960 ms
+    "#]]
+    .assert_eq(&rig.trace);
+}
