SIGHUP switches settings in a running relay, both ways; what was taken on keeps its effect

Before, all but the address of discovery waited for the next start. Settings (figures of rules, allowance, slots, topic types, kinds, accounts, how the list comes) now reach the core as one event (Event::Terms); calls out, waits, drains and returns under way stay, as does the effect of what was taken on, in the record too (store: Promise), so a process that follows keeps it. A file with a fault is refused whole with its key named, a topic type or kind in use may not go, separate-routes of a listed kind may not change, and what only a start can change is said. Keys of faults that the parser finds come from serde_path_to_error. check-config prints what it read. Found by the assumption that lists are asked for: where settings say the list is pushed, the relay on sockets opened no watch and would have kept its first list for good; it opens one now (the test waited in vain before). Tests on loopback: switched there and back six times with 24 notifications, once-only ones out: each pushed once, none owed after; SIGKILL right after a switch: once-only stays so; ten faults refused.

--- a/crates/relay/src/config.rs
+++ b/crates/relay/src/config.rs
@@ -35,7 +35,7 @@
 }
 
 /// What the machine gives.
-#[derive(Clone, Copy, Debug, Deserialize)]
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq)]
 #[serde(default)]
 pub struct Limits {
     pub sockets: usize,
@@ -60,16 +60,35 @@
     }
 }
 
+/// What a running process cannot change.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Fixed {
+    pub name: String,
+    pub listen: SocketAddr,
+    pub seed: u64,
+    pub limits: Limits,
+}
+
+impl Fixed {
+    /// The keys that differ in another.
+    pub fn differs(&self, other: &Fixed) -> Vec<&'static str> {
+        let keys = [
+            ("name", self.name != other.name),
+            ("listen", self.listen != other.listen),
+            ("seed", self.seed != other.seed),
+            ("limits", self.limits != other.limits),
+        ];
+        keys.into_iter().filter(|key| key.1).map(|key| key.0).collect()
+    }
+}
+
 pub struct Config {
     /// The file that this was read from.
     pub path: PathBuf,
-    pub name: String,
-    pub listen: SocketAddr,
+    pub fixed: Fixed,
     pub discovery: SocketAddr,
     /// The folder that lasts; a check needs none.
     pub state: Option<PathBuf>,
-    pub seed: u64,
-    pub limits: Limits,
     pub known: List,
     pub settings: Settings,
 }
@@ -104,7 +123,10 @@
         };
         let text = std::fs::read(&path)
             .or_else(|e| invalid(format!("cannot read the configuration {}: {e}", path.display())))?;
-        let file: File = serde_json::from_slice(&text)
+        let mut parser = serde_json::Deserializer::from_slice(&text);
+        let file: File = serde_path_to_error::deserialize(&mut parser)
+            .map_err(|e| e.to_string())
+            .and_then(|file| parser.end().map_err(|e| e.to_string()).map(|()| file))
             .or_else(|e| invalid(format!("{} is no valid configuration: {e}", path.display())))?;
         let state = env("ROUTER_STATE").map(PathBuf::from);
         if let Some(state) = state.as_ref().filter(|state| !state.is_dir()) {
@@ -118,21 +140,20 @@
         }
         let or_env =
             |written: String, name: &str| Some(written).filter(|w| !w.is_empty()).or_else(|| env(name));
-        let settings = Settings::from(&file.settings);
-        if settings.terms.allowance.slots == 0 || settings.terms.allowance.pushes == 0 {
-            return invalid("settings: family-info.slots and ceilings.max-attempts must be above 0");
-        }
-        if !settings.has_topics() {
-            return invalid("settings: classes is empty, so no notification could be taken on");
-        }
+        file.settings.check().or_else(invalid)?;
+        let mut settings = Settings::from(&file.settings);
+        // On sockets news comes by a watch alone, and somebody has to open it, pushed or not.
+        settings.terms.fleet.list_on_request = true;
         Ok(Config {
             path,
-            name: or_env(file.name, "ROUTER_NAME").unwrap_or_default(),
-            listen: address("listen", &or_env(file.listen, "ROUTER_LISTEN").unwrap_or_default())?,
+            fixed: Fixed {
+                name: or_env(file.name, "ROUTER_NAME").unwrap_or_default(),
+                listen: address("listen", &or_env(file.listen, "ROUTER_LISTEN").unwrap_or_default())?,
+                seed: seed(&file.seed),
+                limits: file.limits,
+            },
             discovery: address("discovery", &or_env(file.discovery, "ROUTER_DISCOVERY").unwrap_or_default())?,
             state,
-            seed: seed(&file.seed),
-            limits: file.limits,
             known: file.known,
             settings,
         })
--- a/crates/relay/src/discovery.rs
+++ b/crates/relay/src/discovery.rs
@@ -50,8 +50,8 @@
     pub dial: SocketAddr,
     pub zone: Arc<str>,
     pub per_call: usize,
-    serving: bool,
-    destination: DestinationId,
+    /// As the core was told of it.
+    entry: Entry,
 }
 
 struct Watch {
@@ -121,26 +121,40 @@
             };
             self.places.remove(&entry.endpoint);
             if let Some(dial) = host.dial.parse().ok().filter(|_| entry.readiness != Readiness::Deleted) {
-                let serving = entry.readiness == Readiness::Serving;
                 let (zone, per_call) = (entry.zone.clone(), entry.kind.per_call.max(1));
-                let destination = entry.destination;
                 self.places
-                    .insert(entry.endpoint.clone(), Place { dial, zone, per_call, serving, destination });
+                    .insert(entry.endpoint.clone(), Place { dial, zone, per_call, entry: entry.clone() });
             }
             entries.push(entry);
         }
         let left = |id: &EndpointId, old: &Place| {
-            self.places.get(id).is_none_or(|now| now.dial != old.dial || !now.serving)
+            self.places
+                .get(id)
+                .is_none_or(|now| now.dial != old.dial || now.entry.readiness != Readiness::Serving)
         };
         let closing = before.iter().filter(|(id, old)| left(id, old)).map(|(id, _)| id.clone()).collect();
         let forget = now + settings.longest_ttl();
-        self.destinations.extend(before.values().map(|place| (place.destination, forget)));
-        self.destinations.extend(self.places.values().map(|place| (place.destination, Time::NEVER)));
+        self.destinations.extend(before.values().map(|place| (place.entry.destination, forget)));
+        self.destinations.extend(self.places.values().map(|place| (place.entry.destination, Time::NEVER)));
         self.destinations.retain(|_, until| *until > now);
         let news = if list.whole { News::Whole(entries) } else { News::Changes(entries) };
         (news, closing)
     }
 
+    /// The kinds of the endpoints on the list.
+    pub fn kinds(&self) -> impl Iterator<Item = &str> {
+        self.places.values().map(|place| place.entry.kind.name.as_str())
+    }
+
+    /// Reads the kinds on the list anew, by other settings. Gives the news of it for the core.
+    pub fn reread(&mut self, settings: &Settings) -> News {
+        for place in self.places.values_mut() {
+            place.entry.kind = settings.kind(&place.entry.kind.name);
+            place.per_call = place.entry.kind.per_call.max(1);
+        }
+        News::Changes(self.places.values().map(|place| place.entry.clone()).collect())
+    }
+
     /// Opens a watch, in place of one that is open. Says whether that could be begun.
     pub fn subscribe(&mut self, net: &mut Net, now: Time) -> bool {
         self.wanted = true;
--- a/crates/relay/src/main.rs
+++ b/crates/relay/src/main.rs
@@ -96,12 +96,13 @@
             }
             let state = config.state.as_ref().map(|state| format!(" in {}", state.display()));
             println!(
-                "{} listens on {}, asks {}, keeps up to {} bytes{}",
-                config.name,
-                config.listen,
+                "{} listens on {}, asks {}, keeps up to {} bytes{}\n{}",
+                config.fixed.name,
+                config.fixed.listen,
                 config.discovery,
-                config.limits.disk_bytes(),
-                state.unwrap_or_default()
+                config.fixed.limits.disk_bytes(),
+                state.unwrap_or_default(),
+                config.settings,
             );
         }
     }
--- a/crates/relay/src/send.rs
+++ b/crates/relay/src/send.rs
@@ -126,6 +126,11 @@
         Send { connections, most, calls, ready, idle, resting, leaving, apart, ended, told }
     }
 
+    /// Goes by other settings from now on; connections under way keep the times they were given.
+    pub fn adopt(&mut self, connections: Connections) {
+        self.connections = connections;
+    }
+
     /// All outcomes since this was last asked.
     pub fn take_ended(&mut self) -> Vec<Ended> {
         std::mem::take(&mut self.ended)
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -15,12 +15,12 @@
 
 use crate::admit::Admit;
 use crate::book::Book;
-use crate::config::Config;
+use crate::config::{Config, Fixed};
 use crate::discovery::{Discovery, List};
 use crate::event_loop::{Clock, Happening, Net, Role, Signals, Token};
 use crate::route::Route;
 use crate::send::{Ended, Push, Send};
-use crate::store::{End, Store, Taken};
+use crate::store::{End, Promise, Store, Taken};
 use crate::take_in::{Answer, HandedIn, TakeIn};
 
 /// After a signal to stop, all goes on for so long; then there are no slots for further calls, and those out
@@ -51,6 +51,7 @@
 struct Chain {
     /// Where the configuration is.
     config: PathBuf,
+    fixed: Fixed,
     settings: juniperwing_settings::Settings,
     net: Net,
     discovery: Discovery,
@@ -68,11 +69,11 @@
 /// Serves, over the folder that lasts, until a signal to stop comes and the stop that it asks for is done.
 pub fn serve(config: Config, state: &Path, signals: Signals, log: Logger) -> io::Result<()> {
     let clock = Clock::new();
-    let (clients, endpoints) = config.limits.shares();
+    let (clients, endpoints) = config.fixed.limits.shares();
     // First the address, so that no two processes share a folder.
-    let net = Net::new(clock, config.listen, signals, clients)
-        .map_err(|e| io::Error::new(e.kind(), format!("cannot listen on {}: {e}", config.listen)))?;
-    let (store, torn) = Store::open(state, config.limits.disk_bytes())
+    let net = Net::new(clock, config.fixed.listen, signals, clients)
+        .map_err(|e| io::Error::new(e.kind(), format!("cannot listen on {}: {e}", config.fixed.listen)))?;
+    let (store, torn) = Store::open(state, config.fixed.limits.disk_bytes())
         .map_err(|e| io::Error::new(e.kind(), format!("cannot open the log in {}: {e}", state.display())))?;
     if torn > 0 {
         warn!(log, "a torn tail of the log was cut off"; "bytes" => torn);
@@ -84,17 +85,18 @@
         discovery: Discovery::new(config.discovery),
         take_in: TakeIn::default(),
         admit: Admit::default(),
-        route: Route::new(clock.now(), config.seed, &settings),
+        route: Route::new(clock.now(), config.fixed.seed, &settings),
         send: Send::new(settings.connections, endpoints),
         book: Book::new(config.discovery),
         store,
         fresh: BTreeMap::new(),
         settings,
-        log: log.new(o!("relay" => config.name)),
+        log: log.new(o!("relay" => config.fixed.name.clone())),
+        fixed: config.fixed,
     };
     chain.learn(config.known, clock.now());
     chain.resume(clock.now());
-    let listen = chain.net.local_addr().unwrap_or(config.listen).to_string();
+    let listen = chain.net.local_addr().unwrap_or(chain.fixed.listen).to_string();
     info!(chain.log, "serving"; "listen" => listen, "owed" => chain.store.len());
     chain.run(clock)
 }
@@ -145,14 +147,28 @@
         }
     }
 
-    /// Reads the configuration anew: where discovery is takes effect at once, all else with the next start.
+    /// Reads the configuration anew. Settings and where discovery is take effect at once; what was taken on keeps
+    /// its effect and its time, and calls, waits, drains and returns under way go on as they are.
     fn reload(&mut self, now: Time) {
         let config = match Config::read(Some(self.config.clone())) {
             Ok(config) => config,
             // Guards against a file that is half written or wrong: what was read before holds.
             Err(e) => return warn!(self.log, "the new configuration cannot be used"; "why" => e.to_string()),
         };
-        info!(self.log, "configuration read anew"; "discovery" => config.discovery.to_string());
+        let held = self.store.live().map(|(_, kept)| kept.taken.words.topic.as_str());
+        if let Some(why) = self.settings.bars(&config.settings, held, self.discovery.kinds()) {
+            return warn!(self.log, "the new configuration cannot be used"; "why" => why);
+        }
+        let fixed = self.fixed.differs(&config.fixed);
+        if !fixed.is_empty() {
+            warn!(self.log, "changes that wait for the next start"; "keys" => fixed.join(", "));
+        }
+        info!(self.log, "configuration read anew"; "discovery" => config.discovery.to_string(),
+            "settings" => config.settings.to_string());
+        self.settings = config.settings;
+        self.send.adopt(self.settings.connections);
+        self.route.tell(Event::Terms(self.settings.terms.clone()));
+        self.route.tell(Event::List(self.discovery.reread(&self.settings)));
         if config.discovery == self.discovery.address {
             return;
         }
@@ -179,6 +195,8 @@
                 ended: history.end.is_some(),
             };
             let topic = self.settings.topic(&taken.words.topic);
+            let topic =
+                topic.map(|topic| taken.kept.map_or(topic.clone(), |kept| Arc::new(kept.keep(&topic))));
             let notification = topic.map(|topic| self.notification(n, taken, topic, past));
             owed.push((n, history.out.is_some(), notification));
         }
@@ -257,7 +275,7 @@
         // Guards against times to live without end: nothing is held longer than its topic type may be.
         let longest = if topic.ttl > Span::ZERO { topic.ttl } else { handed_in.time_left };
         let time_left = handed_in.time_left.min(longest);
-        let n = self.store.take(handed_in.words, now + time_left, handed_in.body);
+        let n = self.store.take(handed_in.words, now + time_left, Promise::from(&*topic), handed_in.body);
         let Some(kept) = self.store.get(n) else { return };
         debug!(self.log, "taken on"; "id" => &kept.taken.words.id, "n" => n,
             "dest" => kept.taken.words.destination, "topic" => &kept.taken.words.topic);
@@ -367,7 +385,10 @@
                 body: &kept.body,
                 push: kept.taken.history.pushes - 1,
                 ordered: kept.taken.words.key.is_some()
-                    && self.settings.topic(&kept.taken.words.topic).is_some_and(|topic| topic.ordered),
+                    && kept.taken.kept.map_or_else(
+                        || self.settings.topic(&kept.taken.words.topic).is_some_and(|topic| topic.ordered),
+                        |kept| kept.ordered,
+                    ),
                 time_out: (*time_out).min(left),
                 send_within: *send_within,
             })
--- a/crates/relay/src/store.rs
+++ b/crates/relay/src/store.rs
@@ -11,7 +11,8 @@
 use std::io::{self, Write};
 use std::path::{Path, PathBuf};
 
-use juniperwing::time::Time;
+use juniperwing::interface::{Effect, Group, TopicType};
+use juniperwing::time::{Span, Time};
 use serde::{Deserialize, Serialize};
 
 /// Length, checksum, and length of the part before the body.
@@ -67,6 +68,56 @@
     pub words: Words,
     pub valid_until: u64,
     pub history: History,
+    /// What a second run would do, by the settings it was taken on under; a log of before then says nothing.
+    #[serde(default)]
+    pub kept: Option<Promise>,
+}
+
+/// What holds for a notification whatever the settings become.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Promise {
+    pub effect: Repeat,
+    pub ordered: bool,
+}
+
+/// The core's effects, as they are written down.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Repeat {
+    Runs,
+    /// Dropped for so many nanoseconds, by all endpoints or by those of one zone.
+    Dropped {
+        all: bool,
+        window: u64,
+    },
+    Never,
+}
+
+impl From<&TopicType> for Promise {
+    fn from(topic: &TopicType) -> Promise {
+        let effect = match topic.effect {
+            Effect::Repeatable => Repeat::Runs,
+            Effect::Collapsible { group, window } => {
+                Repeat::Dropped { all: group == Group::All, window: window.nanos() }
+            }
+            Effect::OnceOnly => Repeat::Never,
+        };
+        Promise { effect, ordered: topic.ordered }
+    }
+}
+
+impl Promise {
+    /// A topic type as it is now, but for what was promised.
+    pub fn keep(self, topic: &TopicType) -> TopicType {
+        let effect = match self.effect {
+            Repeat::Runs => Effect::Repeatable,
+            Repeat::Dropped { all, window } => {
+                let group = if all { Group::All } else { Group::Zone };
+                Effect::Collapsible { group, window: Span::from_nanos(window) }
+            }
+            Repeat::Never => Effect::OnceOnly,
+        };
+        TopicType { effect, ordered: self.ordered, ..topic.clone() }
+    }
 }
 
 #[derive(Serialize, Deserialize)]
@@ -202,9 +253,10 @@
     }
 
     /// Takes a notification on and numbers it.
-    pub fn take(&mut self, words: Words, valid_until: Time, body: Vec<u8>) -> u64 {
+    pub fn take(&mut self, words: Words, valid_until: Time, kept: Promise, body: Vec<u8>) -> u64 {
         let n = self.next;
-        let taken = Taken { words, valid_until: nanos(valid_until), history: History::default() };
+        let history = History::default();
+        let taken = Taken { words, valid_until: nanos(valid_until), history, kept: Some(kept) };
         self.record(Record::Taken(n, Box::new(taken)), body);
         n
     }
@@ -329,7 +381,8 @@
             idempotency_key: None,
             destination: 7,
         };
-        store.take(words, Time::from_nanos(9), body.to_vec())
+        let kept = Promise { effect: Repeat::Dropped { all: true, window: 5 }, ordered: true };
+        store.take(words, Time::from_nanos(9), kept, body.to_vec())
     }
 
     fn held(store: &Store) -> Vec<(u64, Taken, Vec<u8>)> {
--- a/crates/relay/tests/serve.rs
+++ b/crates/relay/tests/serve.rs
@@ -2,6 +2,7 @@
 
 mod stand_in;
 
+use std::collections::BTreeMap;
 use std::fs::OpenOptions;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
@@ -778,3 +779,123 @@
         }
     }
 }
+
+/// Settings of another shape: fewer slots, other rates and figures, once-only made repeatable, the list pushed.
+fn moved(config: &Value) -> Value {
+    let mut moved = config.clone();
+    let settings = &mut moved["settings"];
+    settings["family-info"]["slots"] = json!(2);
+    settings["rules"]["fall-multiple"] = json!(1.5);
+    settings["weight-source"] = json!("nominal");
+    settings["discovery"] = json!("automatic");
+    settings["costs"] = json!({"cross-zone": 0.084});
+    settings["zone"] = json!("z");
+    settings["classes"][2]["semantics"] = json!("pure");
+    moved
+}
+
+/// Under traffic, with once-only notifications out: each has its one end, none runs twice, there and back.
+#[test]
+fn on_sighup_settings_are_switched_there_and_back_and_nothing_is_lost_or_sent_twice() {
+    let mut rig = Rig::start();
+    let (old, new) = (rig.config.to_string(), moved(&rig.config).to_string());
+    let endpoint = std::mem::replace(&mut rig.endpoint, Server::start());
+    let (mut client, mut runs, mut pushes) = (rig.client(), BTreeMap::new(), 0);
+    let mut out = Vec::new();
+    for round in 0..6u64 {
+        for n in 0..4u64 {
+            let (topic, id) = (["once", "safe", "mark", "once"][n as usize], format!("{round}-{n}"));
+            assert_eq!(client.hand_in(topic, &id, &id, b"x"), 202);
+        }
+        // Switched while calls are out, some of which are answered only after the switch.
+        while let Some(push) = endpoint.next_soon() {
+            *runs.entry(push.id().to_owned()).or_insert(0) += 1;
+            pushes += 1;
+            out.push(push);
+            if out.len() > 1 {
+                out.remove(0).answer("200 OK", "", "");
+            }
+        }
+        rig.reload(if round % 2 == 0 { &new } else { &old });
+        let line = rig.logged("configuration read anew");
+        assert_eq!(line["settings"].as_str().map(|text| text.contains("2 slots")), Some(round % 2 == 0));
+    }
+    while pushes < 24 {
+        out.drain(..).for_each(|mut push| push.answer("200 OK", "", ""));
+        let push = endpoint.next();
+        *runs.entry(push.id().to_owned()).or_insert(0) += 1;
+        pushes += 1;
+        out.push(push);
+    }
+    out.drain(..).for_each(|mut push| push.answer("200 OK", "", ""));
+    assert!(endpoint.next_soon().is_none());
+    assert_eq!((runs.len(), runs.values().all(|times| *times == 1)), (24, true), "{runs:?}");
+    // Nothing is owed any more: a process that follows takes up nothing.
+    rig.kill();
+    let line = rig.restart();
+    assert_eq!(line["owed"], 0);
+}
+
+/// What the new settings say of a topic type holds for what is taken on from then; the record keeps the old.
+#[test]
+fn killed_right_after_a_switch_once_only_stays_once_only() {
+    let mut rig = Rig::start();
+    assert_eq!(rig.client().hand_in("once", "1", "k", b"x"), 202);
+    let first = rig.endpoint.next();
+    rig.config = moved(&rig.config);
+    rig.reload(&rig.config.to_string());
+    rig.logged("configuration read anew");
+    rig.kill();
+    drop(first);
+    rig.restart();
+    assert_eq!(rig.notice().1, json!({"message": "1", "outcome": "given_up"}));
+    assert_eq!(rig.client().hand_in("once", "2", "k2", b"x"), 202);
+    assert_eq!(rig.endpoint.next().id(), "2");
+    rig.kill();
+    rig.restart();
+    // Taken on as repeatable, it goes again.
+    assert_eq!(rig.endpoint.next().id(), "2");
+}
+
+/// A file that cannot be used is refused whole with the key at fault, and the last good settings go on.
+#[test]
+fn a_new_configuration_with_a_fault_is_refused_whole() {
+    let rig = Rig::start();
+    assert_eq!(rig.client().hand_in("once", "1", "k", b"x"), 202);
+    let push = rig.endpoint.next();
+    let change = |pointer: &str, value: Value| {
+        let mut config = moved(&rig.config);
+        *config.pointer_mut(pointer).expect("a known place") = value;
+        config.to_string()
+    };
+    let class = rig.config["settings"]["classes"][0].clone();
+    for (text, part) in [
+        (change("/settings/family-info/slots", json!(0)), "settings.family-info.slots"),
+        (change("/settings/ceilings/max-attempts", json!(0)), "settings.ceilings.max-attempts"),
+        (change("/settings/rules/fall-multiple", json!(0.9)), "settings.rules.fall-multiple"),
+        (change("/settings/rules/tip-after", json!(-1)), "settings.rules.tip-after"),
+        (change("/settings/rules/cold-from", json!(1.5)), "settings.rules.cold-from"),
+        (change("/settings/classes/1/late-value", json!(2)), "settings.classes[1].late-value"),
+        (change("/settings/classes/0/semantics", json!("twice")), "settings.classes[0].semantics"),
+        (change("/settings/classes", json!([class])), "settings.classes lacks \"once\""),
+        (change("/settings/kinds", json!(["other"])), "settings.kinds lacks \"plain\""),
+        (change("/settings/family-info/separate-routes", json!([true])), "separate-routes changes"),
+    ] {
+        rig.reload(&text);
+        let line = rig.logged("the new configuration cannot be used");
+        assert!(line["why"].as_str().is_some_and(|why| why.contains(part)), "{line} lacks {part}");
+    }
+    // The old ones hold: once-only is so still, and what came meanwhile is served.
+    rig.reload(&change("/listen", json!("127.0.0.1:1")));
+    assert_eq!(rig.logged("changes that wait for the next start")["keys"], "listen");
+    drop(push);
+    assert_eq!(rig.client().hand_in("safe", "2", "", b"x"), 202);
+    rig.endpoint.next().answer("200 OK", "", "");
+}
+
+/// A list that is pushed comes by a watch all the same, and somebody has to open it.
+#[test]
+fn where_the_list_is_pushed_a_watch_is_opened_too() {
+    let rig = Rig::with(|config| config["settings"]["discovery"] = json!("automatic"));
+    assert!(rig.watch().head.starts_with("GET /v1/endpoints?stream=1&index=41 "));
+}
--- a/crates/relay/tests/stand_in/mod.rs
+++ b/crates/relay/tests/stand_in/mod.rs
@@ -194,7 +194,7 @@
     }
 
     /// Starts the relay over the folder as it is, and waits until it serves.
-    pub fn restart(&mut self) {
+    pub fn restart(&mut self) -> Value {
         let path = self.config_path();
         std::fs::write(&path, self.config.to_string()).expect("a written file");
         let mut relay = program()
@@ -217,6 +217,7 @@
         (self.relay, self.log) = (Some(relay), log);
         let line = self.logged("serving");
         self.listen = line["listen"].as_str().and_then(|text| text.parse().ok()).expect("an address");
+        line
     }
 
     /// Waits for a line of the log.
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -2,6 +2,7 @@
 //! finds them in `Spawn`, the relay on sockets in its configuration. It holds no value of its own and decides
 //! nothing.
 
+use std::fmt;
 use std::sync::Arc;
 
 use juniperwing::interface::{
@@ -82,9 +83,9 @@
 #[serde(rename_all = "kebab-case", default)]
 struct Rules {
     ask_every: u64,
-    cold_from: f64,
+    cold_from: Option<f64>,
     cold: u64,
-    fall_multiple: f64,
+    fall_multiple: Option<f64>,
     tip_after: u64,
     settle_after_doubt: u64,
 }
@@ -95,6 +96,51 @@
     fields: Vec<String>,
 }
 
+impl Written {
+    /// Whether a relay can go by these settings; if not, the key at fault and what is wrong with it.
+    pub fn check(&self) -> Result<(), String> {
+        let (rules, share) = (&self.rules, 0.0..=1.0);
+        let fault = |key: String, why: &str| Err(format!("settings.{key} {why}"));
+        if self.family_info.slots == 0 {
+            return fault("family-info.slots".into(), "must be above 0");
+        }
+        if self.ceilings.max_attempts == 0 {
+            return fault("ceilings.max-attempts".into(), "must be above 0");
+        }
+        if self.classes.is_empty() {
+            return fault("classes".into(), "is empty, so no notification could be taken on");
+        }
+        if rules.fall_multiple.is_some_and(|multiple| !(multiple >= 1.0 && multiple.is_finite())) {
+            return fault("rules.fall-multiple".into(), "must be 1 or more");
+        }
+        if rules.cold_from.is_some_and(|from| from <= 0.0 || !share.contains(&from)) {
+            return fault("rules.cold-from".into(), "must be a share above 0, 1 at the most");
+        }
+        if self.costs.cross_zone < 0.0 || !self.costs.cross_zone.is_finite() {
+            return fault("costs.cross-zone".into(), "must not be negative");
+        }
+        for (i, class) in self.classes.iter().enumerate() {
+            if !matches!(class.semantics.as_str(), "pure" | "token" | "side_effect") {
+                return fault(format!("classes[{i}].semantics"), "is no effect that is known");
+            }
+            if class.semantics == "token" && !matches!(class.dedup_scope.as_str(), "" | "all" | "zone") {
+                return fault(format!("classes[{i}].dedup-scope"), "is no group that is known");
+            }
+            if !share.contains(&class.late_value) {
+                return fault(format!("classes[{i}].late-value"), "must be a share from 0 to 1");
+            }
+            if class.name.is_empty() || self.classes[..i].iter().any(|other| other.name == class.name) {
+                return fault(format!("classes[{i}].name"), "is empty or names another topic type");
+            }
+        }
+        let doubled = |(i, name): (usize, &String)| self.kinds[..i].contains(name).then_some(i);
+        match self.kinds.iter().enumerate().find_map(doubled) {
+            Some(i) => fault(format!("kinds[{i}]"), "names another kind"),
+            None => Ok(()),
+        }
+    }
+}
+
 /// What connections to endpoints may do.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Connections {
@@ -127,11 +173,6 @@
         self.topics.iter().find(|topic| topic.name == name).cloned()
     }
 
-    /// Whether any topic type is known.
-    pub fn has_topics(&self) -> bool {
-        !self.topics.is_empty()
-    }
-
     /// The longest time to live of all topic types.
     pub fn longest_ttl(&self) -> Span {
         self.topics.iter().map(|topic| topic.ttl).max().unwrap_or_default()
@@ -142,6 +183,30 @@
         self.accounts.iter().find(|account| account.name == name).cloned()
     }
 
+    /// What stands against going over to other settings, while notifications of these topic types are held and
+    /// endpoints of these kinds listed: the key, and why.
+    pub fn bars<'a>(
+        &self, other: &Settings, mut topics: impl Iterator<Item = &'a str>,
+        mut kinds: impl Iterator<Item = &'a str>,
+    ) -> Option<String> {
+        if let Some(name) = topics.find(|name| self.topic(name).is_some() && other.topic(name).is_none()) {
+            return Some(format!("settings.classes lacks {name:?}, of which notifications are held"));
+        }
+        let find =
+            |settings: &Settings, name: &str| settings.kinds.iter().find(|kind| kind.name == name).cloned();
+        kinds.find_map(|name| {
+            let (now, then) = (find(self, name)?, find(other, name));
+            match then {
+                None => Some(format!("settings.kinds lacks {name:?}, of which endpoints are listed")),
+                // Waits and limits would have to be split up or thrown together.
+                Some(then) if then.separate_routes != now.separate_routes => Some(format!(
+                    "settings.family-info.separate-routes changes for {name:?}, of which endpoints are listed"
+                )),
+                Some(_) => None,
+            }
+        })
+    }
+
     /// The kind of that name, or one of which nothing more is told.
     pub fn kind(&self, name: &str) -> Arc<Kind> {
         let known = self.kinds.iter().find(|known| known.name == name).cloned();
@@ -162,6 +227,28 @@
     }
 }
 
+/// What was read, for whoever wrote it.
+impl fmt::Display for Settings {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Terms { fleet, allowance, figures } = &self.terms;
+        let names = |names: Vec<&str>| names.join(", ");
+        write!(f, "{} relays, the list ", fleet.relays)?;
+        f.write_str(if fleet.list_on_request { "asked for" } else { "pushed" })?;
+        f.write_str(if fleet.rates_listed { ", with rates" } else { ", with no rates to go by" })?;
+        if let Some(home) = &fleet.home {
+            write!(f, "; zone {home} first")?;
+        }
+        let secs = |span: Span| span.secs();
+        write!(f, "; {} slots, {} pushes, {} held", allowance.slots, allowance.pushes, allowance.held)?;
+        write!(f, ", {} s to come back at the most", secs(allowance.longest_retry))?;
+        write!(f, ", connections idle for {} s", secs(allowance.idle))?;
+        write!(f, "; cold from {} for {} s", figures.cold_from, secs(figures.cold))?;
+        write!(f, ", falls above {} times for {} s", figures.fall_multiple, secs(figures.tip_after))?;
+        write!(f, "; topic types {}", names(self.topics.iter().map(|topic| topic.name.as_str()).collect()))?;
+        write!(f, "; kinds {}", names(self.kinds.iter().map(|kind| kind.name.as_str()).collect()))
+    }
+}
+
 impl From<&Written> for Settings {
     fn from(written: &Written) -> Settings {
         let (family, ceilings, rules) = (&written.family_info, &written.ceilings, &written.rules);
@@ -196,9 +283,9 @@
             },
             figures: RuleFigures {
                 ask_every: Span::from_nanos(rules.ask_every),
-                cold_from: rules.cold_from,
+                cold_from: rules.cold_from.unwrap_or_default(),
                 cold: Span::from_nanos(rules.cold),
-                fall_multiple: rules.fall_multiple,
+                fall_multiple: rules.fall_multiple.unwrap_or_default(),
                 tip_after: Span::from_nanos(rules.tip_after),
                 settle: Span::from_nanos(rules.settle_after_doubt),
             },
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -992,3 +992,43 @@
     "#]]
     .assert_eq(&rig.trace);
 }
+
+/// Other terms while it runs: fewer slots than calls out only mean no new ones; what was taken keeps its effect;
+/// waits stay; the way back is the same step.
+#[test]
+fn other_terms_take_effect_in_a_running_relay_both_ways() {
+    let mut rig = Rig::new(3, 1, &[("a", "z"), ("b", "y")]);
+    let mut fewer = terms(2, 1);
+    fewer.fleet.home = Some("y".into());
+    for id in 1..=3 {
+        rig.accept(id, "once", None, 16_000);
+    }
+    rig.give(Event::Terms(fewer));
+    rig.accept(4, "safe", None, 16_000);
+    rig.pass(10);
+    rig.end(1, Status::Delivered);
+    rig.end(2, Status::Delivered);
+    rig.pass(10);
+    rig.end(3, Status::TimedOut);
+    rig.pass(10);
+    rig.refuse(4, Span::from_millis(300));
+    rig.give(Event::Terms(terms(2, 3)));
+    rig.accept(5, "safe", None, 16_000);
+    rig.accept(6, "safe", None, 16_000);
+    rig.pass(20_000);
+    expect![[r#"
+        0      subscribe
+        0      push 1 to a for 16000 ms
+        0      push 2 to b for 16000 ms
+        10     push 3 to b for 15990 ms
+        20     expire 3
+        20     push 4 to b for 15980 ms
+        30     recall what is not out to a
+        30     recall what is not out to b
+        1520   push 4 to a for 14480 ms
+        3020   push 5 to b for 13010 ms
+        6020   b set aside
+        16020  throttle 6
+    "#]]
+    .assert_eq(&rig.trace);
+}
