Clearing up: endpoints on separate routes are taken as one destination

The lanes by endpoint, their ends with an endpoint, and the two readings of a part go from the core. Rules hold there all the same: a wait then binds the whole destination, and a return is counted over it, both stricter.

--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -192,19 +192,9 @@
         if let Some(name) = topics.find(|name| self.topic(name).is_some() && other.topic(name).is_none()) {
             return Some(format!("settings.classes lacks {name:?}, of which notifications are held"));
         }
-        let find =
-            |settings: &Settings, name: &str| settings.kinds.iter().find(|kind| kind.name == name).cloned();
-        kinds.find_map(|name| {
-            let (now, then) = (find(self, name)?, find(other, name));
-            match then {
-                None => Some(format!("settings.kinds lacks {name:?}, of which endpoints are listed")),
-                // Waits and limits would have to be split up or thrown together.
-                Some(then) if then.separate_routes != now.separate_routes => Some(format!(
-                    "settings.family-info.separate-routes changes for {name:?}, of which endpoints are listed"
-                )),
-                Some(_) => None,
-            }
-        })
+        let knows = |settings: &Settings, name: &str| settings.kinds.iter().any(|kind| kind.name == name);
+        let gone = kinds.find(|name| knows(self, name) && !knows(other, name))?;
+        Some(format!("settings.kinds lacks {gone:?}, of which endpoints are listed"))
     }
 
     /// The kind of that name, or one of which nothing more is told.
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -78,7 +78,8 @@
 pub struct Kind {
     /// Its name.
     pub name: String,
-    /// Whether its endpoints are separate routes, each with its own limit, waits and outages.
+    /// Whether its endpoints are separate routes, each with its own limit, waits and outages. The core takes them
+    /// as one destination all the same, which is stricter.
     pub separate_routes: bool,
     /// Most notifications that travel in one call.
     pub per_call: usize,
--- a/src/mail.rs
+++ b/src/mail.rs
@@ -8,16 +8,13 @@
 use crate::interface::{Command, DestinationId, EndpointId, Entry, Kind, News, Notification, NtfId, Outcome};
 use crate::time::{Span, Time};
 
-/// The lane of a call: its limit and waits hold for the destination or, where routes are apart, the endpoint.
-pub(crate) type LaneId = (DestinationId, Option<EndpointId>);
-
 /// The parts, in the order in which their inboxes are emptied.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Part {
     Book,
     Turns,
     Endpoint(EndpointId),
-    Lane(LaneId),
+    Lane(DestinationId),
     Destination(DestinationId),
     Slots,
 }
@@ -50,8 +47,8 @@
     Rate(f64),
     /// A wait that was told by no outcome.
     Told(Span),
-    /// What is not out to the endpoint, or what shares its lane, is not to go.
-    Recall(EndpointId),
+    /// What is not out to the destination's endpoints is not to go.
+    Recall,
     /// All slots are taken and others wait: calls that are overdue may be called off; once-only ones too if
     /// the flag says that most slots are stuck.
     Shed(bool),
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use crate::interface::{Command, DestinationId, EndpointId, Event, LONGEST_WAKE, Terms};
-use crate::mail::{LaneId, Mail, Note, Part};
+use crate::mail::{Mail, Note, Part};
 use crate::rules::{Book, Destination, Endpoint, Lane, Slots, Turns};
 use crate::time::Time;
 
@@ -20,7 +20,7 @@
     turns: Turns,
     slots: Slots,
     endpoints: BTreeMap<EndpointId, Endpoint>,
-    lanes: BTreeMap<LaneId, Lane>,
+    lanes: BTreeMap<DestinationId, Lane>,
     destinations: BTreeMap<DestinationId, Destination>,
 }
 
@@ -121,7 +121,6 @@
                     endpoint.take(note, mail);
                     if endpoint.gone() {
                         self.endpoints.remove(&id);
-                        self.lanes.retain(|lane, _| lane.1.as_ref() != Some(&id));
                     }
                 }
                 Part::Destination(id) => {
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -268,14 +268,12 @@
     }
 
     fn lane(&self) -> Part {
-        let apart = self.entry.kind.separate_routes.then(|| self.entry.endpoint.clone());
-        Part::Lane((self.entry.destination, apart))
+        Part::Lane(self.entry.destination)
     }
 
     /// Guards against calls whose connections are not up yet: they would go in the wait that was told.
     fn recall(&self, mail: &mut Mail) {
-        let endpoint = self.entry.endpoint.clone();
-        mail.put(Part::Destination(self.entry.destination), Note::Recall(endpoint));
+        mail.put(Part::Destination(self.entry.destination), Note::Recall);
     }
 
     fn stale(&self, now: Time) -> Option<Span> {
@@ -610,7 +608,6 @@
     pub(crate) terms: Arc<Terms>,
     id: DestinationId,
     per_call: usize,
-    apart: bool,
     /// Its endpoints, by id, with their zones, and where the rotation stands.
     ends: Vec<(EndpointId, Arc<str>)>,
     next: usize,
@@ -640,7 +637,7 @@
         self.born = self.born.or(Some(mail.now));
         match note {
             Note::Listed(entry) => {
-                (self.per_call, self.apart) = (entry.kind.per_call.max(1), entry.kind.separate_routes);
+                self.per_call = entry.kind.per_call.max(1);
                 self.ends.retain(|end| end.0 != entry.endpoint);
                 if entry.readiness == Readiness::Serving {
                     self.ends.push((entry.endpoint, entry.zone));
@@ -661,9 +658,8 @@
             Note::Withdrawn(id) => self.change(id, |held| held.over = true),
             Note::Heard(id) => self.change(id, |held| held.past.ended = false),
             Note::Outcome(outcome, first) => self.outcome(&outcome, first, mail.now),
-            Note::Recall(endpoint) => {
-                let bound = self.ends.iter().filter(|end| !self.apart || end.0 == endpoint);
-                bound.for_each(|end| mail.commands.push(Command::Recall(end.0.clone())));
+            Note::Recall => {
+                self.ends.iter().for_each(|end| mail.commands.push(Command::Recall(end.0.clone())));
             }
             Note::Sent(call) => {
                 let Some(place) = self.ends.iter().position(|end| end.0 == call.endpoint) else { return };
@@ -737,8 +733,8 @@
             if !pushes.is_empty() {
                 let (to, destination) = (Part::Endpoint(endpoint.clone()), self.id);
                 let (usual, overdue_after, fresh) = (self.median(), self.overdue_after(), false);
-                let (all, now) = (self.ends.len(), mail.now);
-                let gaps = (self.gap(all, now), self.gap(if self.apart { all } else { 1 }, now));
+                let now = mail.now;
+                let gaps = (self.gap(self.ends.len(), now), self.gap(1, now));
                 let handed = (self.handed.len().max(1) as f64 / self.per_call as f64, self.known(now));
                 let call = Call { destination, endpoint, pushes, usual, overdue_after, gaps, handed, fresh };
                 return mail.put(to, Note::Call(call));
