--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -269,7 +269,7 @@
                 }),
                 probes: ceilings.probes,
                 cancel: ceilings.cancel,
-                idle: Span::from_nanos(ceilings.conn_idle),
+                idle: Span::from_nanos(if ceilings.conn_idle > 0 { ceilings.conn_idle } else { u64::MAX }),
             },
             figures: RuleFigures {
                 ask_every: Span::from_nanos(rules.ask_every),
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -135,7 +135,7 @@
     pub probes: bool,
     /// Whether a push may be called off.
     pub cancel: bool,
-    /// Connections idle for so long are closed by their endpoints; zero if that is not told.
+    /// Connections idle for so long are closed by their endpoints; without end if that is not told.
     pub idle: Span,
 }
 
--- a/src/mail.rs
+++ b/src/mail.rs
@@ -43,8 +43,6 @@
     Sent(Call),
     /// A push ended; the flag says that its call had shown no outcome before, for a call has one fate.
     Outcome(Outcome, bool),
-    /// The list says what rate the lane takes from all relays.
-    Rate(f64),
     /// A wait that was told by no outcome.
     Told(Span),
     /// What is not out to the destination's endpoints is not to go.
@@ -67,11 +65,13 @@
     pub(crate) endpoint: EndpointId,
     /// Each with its time-out, and how soon it must have gone out.
     pub(crate) pushes: Vec<(NtfId, Span, Span)>,
-    pub(crate) overdue_after: Span,
+    pub(crate) overdue: Span,
     /// The gaps between this relay's calls to the endpoint, and to the lane, after an outage.
     pub(crate) gaps: (Span, Span),
     /// How many full calls would carry what the destination was handed of late, and in how long.
     pub(crate) handed: (f64, Span),
+    /// The listed rate to go by, in calls a second over all relays; zero if there is none.
+    pub(crate) rate: f64,
     /// How long such a call usually lasts.
     pub(crate) usual: Span,
     /// It must not go over a connection that has been idle.
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -1,8 +1,6 @@
-//! All decisions of a relay. Make a [`crate::Relay`] at start, call its `handle` each round with the clock
-//! and all that has happened, in order, and carry out the commands it gives. The types on both sides are in
-//! `interface.rs`; why things are as they are stands in `docs/design.md`. Each part has an inbox, and
-//! parts talk only by notes put into these (`mail.rs`), which one loop (`relay.rs`) hands out. A send passes
-//! them in turn: `Slots` offers a slot to a `Destination`, which picks notifications (cutoff, effects, order)
+//! All decisions of a relay, for [`crate::Relay`]; no I/O, no wire. `docs/design.md` says why. Parts have
+//! inboxes and talk only by notes (`mail.rs`), which one loop (`relay.rs`) hands out. A send passes them in
+//! turn: `Slots` offers a slot to a `Destination`, which picks notifications (cutoff, effects, order)
 //! and asks an `Endpoint` (drains, health), which asks its `Lane` (waits, limits, returns), which pushes.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -20,8 +18,6 @@
 const HALF_AGE: Span = Span::from_millis(8_000);
 /// Calls seen before the fit is trusted.
 const WARM_UP: usize = 5;
-/// Of so many latest calls, half cut short mean that restarts do not pay.
-const RECENT: usize = 8;
 /// A destination's latencies vary at least this much (standard deviation of the logarithm).
 const SIGMA_FLOOR: f64 = 0.25;
 const SLOT_MEMORY: Span = Span::from_millis(10_000);
@@ -43,22 +39,19 @@
 const OVERDUE: f64 = 2.5;
 const OVERDUE_FLOOR: f64 = 0.5;
 const OVERDUE_UNKNOWN: f64 = 2.0;
-/// Share of the latency objective, or of the TTL if that is shorter, for which a call may wait to be filled:
-/// of what is left of it beside so many times what nine in ten calls last.
+/// Share of the objective or a shorter TTL, less so many usual calls, for which a call may wait to be filled.
 const FILL: f64 = 0.5;
 const USUAL_CALLS: f64 = 2.0;
 /// First pause after a refusal that told no wait: at the least, in calls of the told limit, and its growth.
 const PAUSE: Span = Span::from_millis(100);
 const REFUSED: f64 = 3.0;
 const GROWTH: f64 = 16.0;
-/// Pace: growth with a refusal above a limit, and with one that told a wait, the most in equal parts, and the
-/// share left that keeps it.
+/// Pace: growth with a refusal, with one that told a wait, the most in equal parts, and what left keeps it.
 const BACK_OFF: f64 = 2.0;
 const TOLD_BACK_OFF: f64 = 8.0;
 const MOST: f64 = 4.0;
 const HALF_LEFT: f64 = 0.5;
-/// Where no limit is told in answers but a rate is listed: the first pace, and what a delivery says is left.
-const FIRST_PACE: Span = Span::from_millis(500);
+/// What a delivery says is left of a listed rate, where no limit is told in answers.
 const LEFT_UNTOLD: f64 = 0.75;
 /// The list is asked for again after this share of `ask_every`.
 const FIRST_ASK: f64 = 0.02;
@@ -123,8 +116,7 @@
         Span::from_secs(self.mu.exp())
     }
 
-    /// The logarithm of the chance that `pushes` evenly spaced over `left` all miss. The chance of success
-    /// itself saturates at 1, as would that of a miss at 0, and would end the search too early or too late.
+    /// The logarithm of the chance that evenly spaced pushes all miss: the chance itself saturates.
     fn ln_miss(&self, left: Span, pushes: u32) -> f64 {
         let z = (((left.secs() / f64::from(pushes)).ln() - self.mu) / self.sigma).min(36.0);
         f64::from(pushes) * (libm::erfc(z / std::f64::consts::SQRT_2) / 2.0).ln()
@@ -226,13 +218,9 @@
 
     pub(crate) fn take(&mut self, note: Note, mail: &mut Mail) {
         match note {
-            Note::Listed(entry) => {
-                self.entry = entry;
-                if self.rate_listed() {
-                    mail.put(self.lane(), Note::Rate(self.entry.rate));
-                }
-            }
+            Note::Listed(entry) => self.entry = entry,
             Note::Call(mut call) => {
+                call.rate = self.rate();
                 self.gap = call.gaps.0;
                 let until = self.takes_from(mail.now);
                 if until > mail.now {
@@ -249,7 +237,7 @@
                 let (at, idle) = (mail.now, mail.now.since(self.used));
                 self.used = at;
                 self.aside = self.aside.map(|_| self.next_trial(mail));
-                let overdue_at = at + call.overdue_after;
+                let overdue_at = at + call.overdue;
                 mail.alarm(Part::Endpoint(call.endpoint), overdue_at);
                 let ntfs = call.pushes.into_iter().map(|push| push.0).collect();
                 self.outs.push(Out { at, idle, overdue_at, ntfs, answered: false });
@@ -263,8 +251,9 @@
         }
     }
 
-    fn rate_listed(&self) -> bool {
-        self.terms.fleet.rates_listed && self.entry.rate > 0.0
+    /// The rate to go by that the list gives, in calls a second over all relays; zero if there is none.
+    fn rate(&self) -> f64 {
+        if self.terms.fleet.rates_listed { self.entry.rate } else { 0.0 }
     }
 
     fn lane(&self) -> Part {
@@ -305,15 +294,13 @@
         let Some(place) = self.outs.iter().position(|out| out.ntfs.contains(&outcome.ntf)) else { return };
         let (out, to) = (&mut self.outs[place], self.entry.destination);
         out.ntfs.retain(|ntf| *ntf != outcome.ntf);
-        let (at, seldom) =
-            (out.at, self.terms.allowance.idle > Span::ZERO && out.idle > self.terms.allowance.idle);
+        let (at, seldom) = (out.at, out.idle > self.terms.allowance.idle);
         let first = !std::mem::replace(&mut out.answered, true);
         if out.ntfs.is_empty() {
             self.outs.remove(place);
             mail.put(self.lane(), Note::Ended(to));
             mail.put(Part::Slots, Note::Ended(to));
-            // Guards against the few connections that some destinations take, which many relays fill with idle ones:
-            // where they are short, and where one would have been closed anyway before this relay came again.
+            // Guards against few connections, full of idle ones: where short, or this relay comes too seldom.
             if seldom || self.stale(mail.now) == Some(Span::ZERO) {
                 mail.commands.push(Command::CloseIdle(self.entry.endpoint.clone()));
             }
@@ -355,8 +342,8 @@
                 self.streak = if was_aside { 0 } else { self.streak.saturating_sub(1) };
                 false
             }
-            // Above a told or listed limit, or up, as a call shows that is out and not lost: no sign of an outage.
-            Status::Busy if limit.map_or(self.rate_listed(), LimitReport::is_used_up) => false,
+            // Above a limit, or up, as a call shows that is out and not lost: no sign of an outage.
+            Status::Busy if limit.map_or(self.rate() > 0.0, LimitReport::is_used_up) => false,
             Status::NoConnection => self.outs.iter().all(|o| o.lost(now)),
             Status::Crowded => {
                 self.short_of_connections(mail);
@@ -369,8 +356,7 @@
         self.suspect(mail);
     }
 
-    /// Guards against the few connections that some destinations take, which many relays fill with idle
-    /// ones: at endpoints of this kind none is left idle.
+    /// Guards against few connections, which many relays fill with idle ones: at this kind none is left idle.
     fn short_of_connections(&self, mail: &mut Mail) {
         if self.stale(mail.now) != Some(Span::ZERO) {
             mail.put(Part::Book, Note::Stale(Span::ZERO, Some(self.entry.kind.clone())));
@@ -416,8 +402,9 @@
     out: usize,
     window: f64,
     last_sent: Time,
-    /// The told limit, in calls a second over all relays, and refusals in a row.
+    /// The limit, told or else listed, in calls a second over all relays; and refusals in a row.
     rate: f64,
+    told: bool,
     refused: i32,
     /// The gap that this relay keeps between its calls, by what it was told of the limit.
     pace: Span,
@@ -438,6 +425,7 @@
         match note {
             Note::Call(call) => {
                 (self.gap, self.handed) = (call.gaps.1, call.handed);
+                self.rate = if self.told { self.rate } else { call.rate };
                 let until = self.takes_from(mail.now, call.pushes.len());
                 if until > mail.now {
                     return mail.put(Part::Destination(call.destination), Note::Declined(until));
@@ -454,15 +442,11 @@
                 mail.put(Part::Slots, Note::Sent(call.clone()));
                 mail.put(Part::Destination(call.destination), Note::Sent(call));
             }
-            Note::Rate(rate) => self.rate = rate,
             Note::Told(wait) => self.wait_until = self.wait_until.max(mail.now + wait),
             Note::Ended(_) => self.out = self.out.saturating_sub(1),
             Note::Back(at, apart) => {
-                let wait = if apart {
-                    self.part().min(self.terms.figures.cold).times(mail.chance())
-                } else {
-                    Span::ZERO
-                };
+                let most = if apart { self.part().min(self.terms.figures.cold) } else { Span::ZERO };
+                let wait = most.times(mail.chance());
                 self.back = Some((at, at + wait, 0));
             }
             Note::Outcome(outcome, first) => {
@@ -511,19 +495,17 @@
 
     fn learn(&mut self, outcome: &Outcome, mail: &mut Mail) {
         let (status, limit, wait) = (outcome.status, outcome.limit, outcome.wait.unwrap_or_default());
-        self.rate = limit.map_or(self.rate, |limit| limit.rate);
+        (self.rate, self.told) = limit.map_or((self.rate, self.told), |limit| (limit.rate, true));
         let above = limit.map_or(self.rate > 0.0 && wait > Span::ZERO, LimitReport::is_used_up);
         match status {
-            // Above the told or listed limit: what is refused uses it up too, so all that are must come more rarely.
+            // Above the limit: what is refused uses it up too, so all that are must come more rarely.
             Status::Busy if mail.now >= self.pause_until && above => {
                 let equal = self.calls(self.terms.fleet.relays as f64);
-                // Told nothing, a relay that sees little cannot tell a limit passed just now from one passed all along.
                 // A told wait says by how much: all who were told come back at its end, and use it up again.
-                let own = match limit {
-                    Some(_) => (self.handed.1 + equal).times(1.0 / self.handed.0).min(equal),
-                    None => FIRST_PACE.max(self.calls(REFUSED)).max(wait.times(BACK_OFF)),
+                let (own, grows) = match limit {
+                    Some(_) => ((self.handed.1 + equal).times(1.0 / self.handed.0).min(equal), BACK_OFF),
+                    None => (self.calls(REFUSED).max(wait.times(BACK_OFF)), TOLD_BACK_OFF),
                 };
-                let grows = if wait > Span::ZERO { TOLD_BACK_OFF } else { BACK_OFF };
                 self.pace = self.pace.times(grows).max(own).min(equal.times(MOST).max(own));
                 self.pause_until = mail.now + self.pace.times(0.5 + mail.chance());
                 if limit.is_none() {
@@ -548,8 +530,7 @@
         }
     }
 
-    /// One of many relays may see a destination once in many seconds and cannot tell a limit from an outage, while
-    /// all that come back after an outage count: each does so ever more rarely.
+    /// A relay that sees little cannot tell a limit from an outage, after which all count: ever more rarely.
     fn pause(&mut self, status: Status, grows: i32, mail: &mut Mail) {
         let first = PAUSE.max(self.calls(REFUSED));
         let longest = match status {
@@ -700,12 +681,10 @@
 
     /// Calls off what is overdue, or sets an alarm: where slots are `full`, and where more of its key wait.
     fn shed(&mut self, full: bool, dire: bool, mail: &mut Mail) {
-        let (now, usual) = (mail.now, self.overdue_after());
+        let (now, usual, cancel) = (mail.now, self.overdue_after(), self.terms.allowance.cancel);
         for place in 0..self.held.len() {
             let held = &self.held[place];
-            let Some(at) = held.out.as_ref().filter(|_| self.terms.allowance.cancel).map(|o| o.0) else {
-                continue;
-            };
+            let Some(at) = held.out.as_ref().filter(|_| cancel).map(|o| o.0) else { continue };
             let waits = |h: &&Held| !h.turn && h.ntf.key == held.ntf.key;
             let behind = held.ntf.topic.ordered && self.held.iter().filter(waits).count() > 1;
             let after = if held.again() { usual } else { usual.max(self.terms.figures.tip_after) };
@@ -719,24 +698,22 @@
         }
     }
 
-    /// Asks the next endpoint in rotation for the slot at hand; in a first round, resends go elsewhere. Where
-    /// crossing zones is priced, those of the relay's own zone are asked before the others.
+    /// Asks the next endpoint in rotation, own zone first if crossing is priced; resends first go elsewhere.
     fn offer(&mut self, asked: usize, again: Time, mail: &mut Mail) {
         (self.asked, self.again) = (asked, again);
         let mut order: Vec<usize> = (0..self.ends.len()).map(|i| (self.next + i) % self.ends.len()).collect();
-        let away =
-            |end: &usize| self.terms.fleet.home.as_ref().is_some_and(|home| *home != self.ends[*end].1);
-        order.sort_by_key(away);
+        let home = self.terms.fleet.home.as_ref();
+        order.sort_by_key(|end| home.is_some_and(|home| *home != self.ends[*end].1));
         while self.asked < 2 * self.ends.len() && !self.held.is_empty() {
             let (endpoint, zone) = self.ends[order[self.asked % order.len()]].clone();
             let pushes = self.pick(mail.now, &endpoint, &zone);
             if !pushes.is_empty() {
                 let (to, destination) = (Part::Endpoint(endpoint.clone()), self.id);
-                let (usual, overdue_after, fresh) = (self.median(), self.overdue_after(), false);
-                let now = mail.now;
+                let (usual, overdue, now) = (self.median(), self.overdue_after(), mail.now);
                 let gaps = (self.gap(self.ends.len(), now), self.gap(1, now));
                 let handed = (self.handed.len().max(1) as f64 / self.per_call as f64, self.known(now));
-                let call = Call { destination, endpoint, pushes, usual, overdue_after, gaps, handed, fresh };
+                let (fresh, rate) = (false, 0.0);
+                let call = Call { destination, endpoint, pushes, usual, overdue, gaps, handed, rate, fresh };
                 return mail.put(to, Note::Call(call));
             }
             self.asked += 1;
@@ -744,14 +721,12 @@
         mail.put(Part::Slots, Note::Pass(self.id, self.again));
     }
 
-    /// The gap between calls after an outage, at one of so many parts, were all of the capacity there. If
-    /// each relay sends in step with what it is handed, all do: none needs to know how many wait.
+    /// The gap between calls after an outage, at one of so many parts, by what was handed in.
     fn gap(&self, parts: usize, now: Time) -> Span {
         let pace = self.handed.len() as f64 / (self.known(now).secs() * parts as f64);
-        let least = LEAST / (self.terms.figures.tip_after.secs() * self.terms.fleet.relays.max(1) as f64);
-        Span::from_secs(
-            1.0 / (self.terms.figures.fall_multiple * pace).max(least / self.terms.figures.cold_from),
-        )
+        let f = &self.terms.figures;
+        let least = LEAST / (f.tip_after.secs() * self.terms.fleet.relays.max(1) as f64);
+        Span::from_secs(1.0 / (f.fall_multiple * pace).max(least / f.cold_from))
     }
 
     /// For how long it is known what was handed in: less than it counts in a relay that has just started.
@@ -760,16 +735,15 @@
         age.min(self.terms.figures.cold.times(MEMORY))
     }
 
-    /// Calls are worth filling: one counts once for the limit and takes one slot. Until when one may wait.
+    /// Calls are worth filling: one counts once for the limit and takes one slot. Until when it may wait.
     fn filled(&self, held: &Held) -> Time {
         let left = held.ntf.valid_until.since(held.taken);
         let calls = self.usual().unwrap_or_default().times(USUAL_CALLS);
         held.taken + (held.ntf.topic.objective.min(left) - calls).times(FILL)
     }
 
-    /// What goes to an endpoint next, with its time-outs: first what can still meet its objective. Rule: a
-    /// call ends with the first TTL in it, for an answer that comes after speaks of none of them. So only
-    /// those go together whom this leaves their own time-out, or what nine in ten calls last.
+    /// What goes to an endpoint next: first what can still meet its objective. Rule: a call ends with the
+    /// first TTL in it, so only those join whom this leaves their time-out, or what nine in ten calls last.
     fn pick(&self, now: Time, to: &EndpointId, zone: &Arc<str>) -> Vec<(NtfId, Span, Span)> {
         let elsewhere = self.asked < self.ends.len();
         let mut ready: Vec<&Held> = self.held.iter().filter(|h| h.turn).collect();
@@ -797,8 +771,7 @@
         call.into_iter().map(|(ntf, time_out, by)| (ntf, time_out.min(ends.since(now)), by)).collect()
     }
 
-    /// Guards against an endpoint that fails one topic type and takes the others as usual: while another takes
-    /// it, what is of that type goes there, after a loss for a while, longer after each.
+    /// Guards against an endpoint that fails one topic type: that goes to others, longer after each loss.
     fn fails(&self, held: &Held, to: &EndpointId, now: Time) -> bool {
         let same = |h: &&Held| h.last.as_ref() == Some(to) && h.ntf.topic.name == held.ntf.topic.name;
         let overdue = |h: &Held| h.out.as_ref().is_some_and(|out| now.since(out.0) > self.overdue_after());
@@ -807,8 +780,7 @@
             || self.held.iter().filter(same).any(overdue)
     }
 
-    /// When a call speaks of silence: well beyond what is delivered of late (calls that never end stretch the
-    /// fit), and longer after each cut short with none delivered since: then the destination is slow.
+    /// When a call speaks of silence: well beyond what is delivered, longer after each cut short since.
     fn overdue_after(&self) -> Span {
         let vain = self.samples.iter().rev().take_while(|s| s.censored).count();
         let usual = self.usual();
@@ -825,9 +797,8 @@
         known.map(|ln| Span::from_secs(ln.exp()))
     }
 
-    /// The fitted median, no longer than the longest delivered call of those in the fit: where most were cut
-    /// short the fit says that calls last longer, but not how long. Without this a relay that sees little gives
-    /// up all that comes, sends nothing, and never learns better.
+    /// The fitted median, no longer than the longest call delivered: calls cut short do not say how long they
+    /// last. Without this bound a relay that sees little gives up all that comes, for good.
     fn median(&self) -> Span {
         let done = self.samples.iter().filter(|s| !s.censored).map(|s| s.ln_secs);
         let longest = Span::from_secs(done.reduce(f64::max).map_or(0.0, f64::exp));
@@ -836,9 +807,7 @@
 
     fn time_out(&self, now: Time, held: &Held) -> Span {
         let left = held.ntf.valid_until.since(now);
-        // Guards against a fit that lags: where restarts do not pay they only cut calls that are nearly done.
-        let vain = self.samples.iter().rev().take(RECENT).filter(|s| s.censored).count() * 2 >= RECENT;
-        let pushes = if held.again() && !vain { self.terms.allowance.pushes - held.past.pushes } else { 1 };
+        let pushes = if held.again() { self.terms.allowance.pushes - held.past.pushes } else { 1 };
         self.fit.map_or(left, |fit| fit.time_out(left, pushes))
     }
 
@@ -851,17 +820,10 @@
         }
         let Some(held) = self.held.iter_mut().find(|h| h.ntf.id == o.ntf) else { return };
         let sent = held.out.take();
-        if let Some(last) = held.last.clone() {
-            let key = (last, held.ntf.topic.name.clone());
-            if o.status == Status::Delivered {
-                self.failing.remove(&key);
-            } else if o.status.may_have_run() {
-                let times = self.failing.get(&key).map_or(1, |failing| failing.0 + 1);
-                self.failing.insert(key, (times, now));
-            }
-        }
         held.over |= o.settled;
         if o.status.may_have_run() {
+            let failing = self.failing.entry((o.endpoint.clone(), held.ntf.topic.name.clone())).or_default();
+            *failing = (if o.status == Status::Delivered { 0 } else { failing.0 + 1 }, now);
             held.past.ran = held.past.ran.take().or(sent);
         }
         if o.status.may_be_running() {
@@ -932,8 +894,7 @@
         }
         let waiting = self.waiting.iter().filter(|(_, from)| **from <= now).map(|w| *w.0);
         if self.open < total && !self.offered {
-            // The design's choice: least slot time, calls out included at what they are likely to take, or a
-            // slow destination gets all slots. What is stuck at one endpoint must not starve the others.
+            // The design's choice: least slot time, calls out included at what they are likely to take.
             let until = |c: &Lasted| c.1.unwrap_or(now.max(c.0 + c.2)).min(c.0 + c.2.max(tip_after));
             let spent = |c: &Lasted| until(c).since(c.0.max(now - SLOT_MEMORY)).nanos();
             let spent = |id: &DestinationId| self.calls.get(id).into_iter().flatten().map(spent).sum::<u64>();
@@ -942,7 +903,7 @@
                 mail.put(Part::Destination(next), Note::Slot);
             }
         } else if self.open >= total && waiting.count() > 0 {
-            // Guards against silent destinations that take every slot; once-only pushes go if most are stuck.
+            // Guards against silent destinations that take every slot; once-only ones go if most are stuck.
             let stuck = |c: &&Lasted| c.1.is_none() && now.since(c.0) >= tip_after;
             let dire = self.calls.values().flatten().filter(stuck).count() * 2 > total;
             let out = self.calls.iter().filter(|(_, calls)| calls.iter().any(|c| c.1.is_none()));
--- a/tests/helper/mod.rs
+++ b/tests/helper/mod.rs
@@ -51,6 +51,7 @@
             held: 100,
             longest_retry: ms(3_000),
             cancel: true,
+            idle: ms(u64::MAX),
             ..Allowance::default()
         },
         figures: RuleFigures {
