What cannot go before its time is up, by the times that endpoints named, is answered at once

Cause: the cutoff compared the time left with a usual call only, from now (Destination::give_up_if_vain). A destination knows from when an endpoint that declined takes a call (again); what that is too late for is answered as soon as all have declined, and told to come back then, up to the longest advice.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -408,7 +408,6 @@
     refused: i32,
     /// The gap that this relay keeps between its calls, by what it was told of the limit.
     pace: Span,
-    /// How many full calls would carry what it was handed, in how long.
     handed: (f64, Span),
     /// The gap between this relay's calls after an outage, were all of the capacity there.
     gap: Span,
@@ -718,6 +717,7 @@
             }
             self.asked += 1;
         }
+        (0..self.held.len()).rev().for_each(|place| self.give_up_if_vain(place, mail));
         mail.put(Part::Slots, Note::Pass(self.id, self.again));
     }
 
@@ -831,17 +831,18 @@
         }
     }
 
-    /// The design's cutoff, and rule: one final answer, at once where no delivery can be had in time.
+    /// The design's cutoff, and rule: one final answer, at once if an endpoint takes it too late.
     fn give_up_if_vain(&mut self, place: usize, mail: &mut Mail) {
         let (usual, held) = (self.median().max(LEAST_LEFT), &mut self.held[place]);
-        let in_time = mail.now + usual <= held.ntf.valid_until;
+        let from = if self.again < Time::NEVER { self.again.max(mail.now) } else { mail.now };
+        let in_time = from + usual <= held.ntf.valid_until;
         let lives = in_time && held.may_run(mail.now, None, self.terms.allowance.pushes);
         if held.out.is_some() || held.past.ended || lives {
             return;
         }
         let (ntf, key) = (held.ntf.id, held.ntf.key.clone().filter(|_| held.ntf.topic.ordered));
         if !held.over {
-            let retry_in = self.terms.allowance.longest_retry.min(usual);
+            let retry_in = self.terms.allowance.longest_retry.min(usual.max(from.since(mail.now)));
             let throttled = Command::Throttle { ntf, retry_in };
             mail.commands.push(if held.past.ran.is_some() { Command::Expire(ntf) } else { throttled });
             (held.over, held.past.ended) = (true, key.is_some());
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -1035,3 +1035,28 @@
     "#]]
     .assert_eq(&rig.trace);
 }
+
+/// A told wait, or a pause, that ends after the time of a notification: it is answered at once, not held until near
+/// its TTL, whether it waits already or comes later.
+#[test]
+fn what_cannot_go_in_time_is_answered_at_once() {
+    let mut rig = Rig::new(4, 1, &[("a", "z")]);
+    rig.accept(1, "safe", None, 16_000);
+    rig.accept(2, "safe", None, 9_000);
+    rig.end(2, Status::NoConnection);
+    rig.refuse(1, Span::from_millis(12_000));
+    rig.pass(100);
+    rig.accept(3, "safe", None, 8_000);
+    rig.accept(4, "safe", None, 30_000);
+    rig.pass_until_out(4);
+    expect![[r#"
+        0      subscribe
+        0      push 1 to a for 16000 ms
+        0      push 2 to a for 9000 ms
+        0      recall what is not out to a
+        0      throttle 2
+        100    throttle 3
+        12270  push 4 to a for 17830 ms
+    "#]]
+    .assert_eq(&rig.trace);
+}
