A connection that does not come up pauses nearly to the part with the second in a row

Destination 143 (listed 5.6 a second, vanished from 26.6 to 42.3 s), back for 1.9 s, got 3.9 times what it could do: 36 relays had pushed in the last 2.5 s, one notification each, 4 to 8 s after their second connection that had not come up (1 s each): that pause was 0.5 s times 8. Ruled out: full queues (no refusal before the return), relays new to it (three).

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -409,7 +409,6 @@
     /// The gap that this relay keeps between its calls, by what it was told of the limit.
     pace: Span,
     handed: (f64, Span),
-    /// The gap between this relay's calls after an outage, were all of the capacity there.
     gap: Span,
     /// Back at the first time: calls from the second on, doubling with each of so many delivered.
     back: Option<(Time, Time, i32)>,
@@ -449,7 +448,6 @@
                 self.back = Some((at, at + wait, 0));
             }
             Note::Outcome(outcome, first) => {
-                // The outcomes of a call come in rounds of their own, each with a wait: all bind.
                 if let Some(wait) = outcome.wait {
                     self.wait_until = self.wait_until.max(mail.now + wait);
                     // Guards against all who were told when it opens: they would come back at the same time.
@@ -520,8 +518,10 @@
                 self.back = self.back.map(|(since, from, wins)| (since, from, wins + 1));
             }
             Status::Busy | Status::NoConnection | Status::Crowded if mail.now >= self.pause_until => {
-                let told = limit.is_some_and(|l| l.rate > 0.0);
-                self.pause(status, if told || status != Status::Busy { 1 } else { 2 }, mail);
+                // A full table of connections refuses at once, one that cannot be reached does not.
+                let at_once = outcome.spent < self.terms.figures.tip_after.times(OVERDUE_FLOOR);
+                let mild = if status == Status::Busy { limit.is_some_and(|l| l.rate > 0.0) } else { at_once };
+                self.pause(status, if mild { 1 } else { 2 }, mail);
                 self.window = (self.window * 0.6).max(1.0);
             }
             Status::TimedOut | Status::Reset => self.window = (self.window * 0.95).max(1.0),
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -414,8 +414,8 @@
         90     close idle connections to a
         90     push 1 to a for 15910 ms
         2400   close idle connections to a
-        3430   close idle connections to a
-        3430   push 1 to a for 12570 ms
+        4450   close idle connections to a
+        4450   push 1 to a for 11550 ms
         4800   close idle connections to a
         6990   close idle connections to a
         6990   push 1 to a for 9010 ms
@@ -962,8 +962,8 @@
         0      subscribe
         20000  push 1 to a for 90000 ms
         21540  push 1 to b for 88460 ms
-        28690  push 1 to a for 81310 ms
-        82040  push 1 to b for 27960 ms
+        71710  push 1 to a for 38290 ms
+        72710  throttle 1
     "#]]
     .assert_eq(&rig.trace);
 }
@@ -1060,3 +1060,35 @@
     "#]]
     .assert_eq(&rig.trace);
 }
+
+/// A connection refused at once may be a full table and is tried again soon; one that did not come up for long is
+/// out of reach, and the second in a row pauses nearly to the relay's part.
+#[test]
+fn a_connection_that_does_not_come_up_pauses_longer_than_one_refused_at_once() {
+    let mut trace = String::new();
+    for ms in [50, 1_000] {
+        let mut rig = Rig::one_of(300, 8, 1, &[("a", "z"), ("b", "z")]);
+        rig.pass(20_000);
+        rig.accept(1, "safe", None, 90_000);
+        for _ in 0..2 {
+            rig.pass_until_out(1);
+            rig.pass(ms);
+            rig.end(1, Status::NoConnection);
+        }
+        rig.pass_until_out(1);
+        writeln!(trace, "{}", rig.trace).expect("a string");
+    }
+    expect![[r#"
+        0      subscribe
+        20000  push 1 to a for 90000 ms
+        20140  push 1 to b for 89860 ms
+        21220  push 1 to a for 88780 ms
+
+        0      subscribe
+        20000  push 1 to a for 90000 ms
+        21090  push 1 to b for 88910 ms
+        30290  push 1 to a for 79710 ms
+
+    "#]]
+    .assert_eq(&trace);
+}
