--- a/src/mail.rs
+++ b/src/mail.rs
@@ -8,16 +8,13 @@
 use crate::interface::{Command, DestinationId, EndpointId, Entry, Kind, News, Notification, NtfId, Outcome};
 use crate::time::{Span, Time};
 
-/// The lane of a call: its limit and waits hold for the destination or, where routes are apart, the endpoint.
-pub(crate) type LaneId = (DestinationId, Option<EndpointId>);
-
 /// The parts, in the order in which their inboxes are emptied.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Part {
     Book,
     Turns,
     Endpoint(EndpointId),
-    Lane(LaneId),
+    Lane(DestinationId),
     Destination(DestinationId),
     Slots,
 }
@@ -46,12 +43,10 @@
     Sent(Call),
     /// A push ended; the flag says that its call had shown no outcome before, for a call has one fate.
     Outcome(Outcome, bool),
-    /// The list says what rate the lane takes from all relays.
-    Rate(f64),
     /// A wait that was told by no outcome.
     Told(Span),
-    /// What is not out to the endpoint, or what shares its lane, is not to go.
-    Recall(EndpointId),
+    /// What is not out to the destination's endpoints is not to go.
+    Recall,
     /// All slots are taken and others wait: calls that are overdue may be called off; once-only ones too if
     /// the flag says that most slots are stuck.
     Shed(bool),
@@ -70,11 +65,13 @@
     pub(crate) endpoint: EndpointId,
     /// Each with its time-out, and how soon it must have gone out.
     pub(crate) pushes: Vec<(NtfId, Span, Span)>,
-    pub(crate) overdue_after: Span,
+    pub(crate) overdue: Span,
     /// The gaps between this relay's calls to the endpoint, and to the lane, after an outage.
     pub(crate) gaps: (Span, Span),
     /// How many full calls would carry what the destination was handed of late, and in how long.
     pub(crate) handed: (f64, Span),
+    /// The listed rate to go by, in calls a second over all relays; zero if there is none.
+    pub(crate) rate: f64,
     /// How long such a call usually lasts.
     pub(crate) usual: Span,
     /// It must not go over a connection that has been idle.
