A place on the list derives zone and calls from its entry; traces of listed rates share a rig

Cause: Place kept the zone and the notifications of a call beside the entry that has both, so reread had to write one of them twice; three traces built the same listed-rate rig by hand, two of them line by line alike. Now zone() and per_call() come from the entry (Discovery, Send, Chain), and Rig::listed serves the traces. A closure in the settings' summary that only renamed a call is gone.

--- a/crates/relay/src/discovery.rs
+++ b/crates/relay/src/discovery.rs
@@ -48,12 +48,21 @@
 #[derive(Clone, Debug, PartialEq)]
 pub struct Place {
     pub dial: SocketAddr,
-    pub zone: Arc<str>,
-    pub per_call: usize,
     /// As the core was told of it.
     entry: Entry,
 }
 
+impl Place {
+    pub fn zone(&self) -> Arc<str> {
+        self.entry.zone.clone()
+    }
+
+    /// Most notifications in one call.
+    pub fn per_call(&self) -> usize {
+        self.entry.kind.per_call.max(1)
+    }
+}
+
 struct Watch {
     token: Token,
     /// Whether the head of the answer has come.
@@ -121,9 +130,7 @@
             };
             self.places.remove(&entry.endpoint);
             if let Some(dial) = host.dial.parse().ok().filter(|_| entry.readiness != Readiness::Deleted) {
-                let (zone, per_call) = (entry.zone.clone(), entry.kind.per_call.max(1));
-                self.places
-                    .insert(entry.endpoint.clone(), Place { dial, zone, per_call, entry: entry.clone() });
+                self.places.insert(entry.endpoint.clone(), Place { dial, entry: entry.clone() });
             }
             entries.push(entry);
         }
@@ -150,7 +157,6 @@
     pub fn reread(&mut self, settings: &Settings) -> News {
         for place in self.places.values_mut() {
             place.entry.kind = settings.kind(&place.entry.kind.name);
-            place.per_call = place.entry.kind.per_call.max(1);
         }
         News::Changes(self.places.values().map(|place| place.entry.clone()).collect())
     }
--- a/crates/relay/src/send.rs
+++ b/crates/relay/src/send.rs
@@ -159,7 +159,7 @@
         if !self.connections.second_copies {
             pushes.iter().for_each(|push| self.abandon(net, push.ntf, now));
         }
-        let (mut rest, per_call) = (pushes, place.map_or(1, |place| place.per_call));
+        let (mut rest, per_call) = (pushes, place.map_or(1, |place| place.per_call()));
         while !rest.is_empty() {
             let (mut count, mut size) = (1, encoded(&rest[0]));
             let joins = |push: &Push<'_>| !self.apart.contains(&push.ntf);
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -371,7 +371,7 @@
 
     fn push(&mut self, endpoint: &EndpointId, pushes: &[(NtfId, Span, Span)], now: Time) {
         let place = self.discovery.place(endpoint);
-        let zone = place.map(|place| place.zone.clone()).unwrap_or_default();
+        let zone = place.map(|place| place.zone()).unwrap_or_default();
         for (ntf, ..) in pushes {
             self.store.pushed(ntf.0, now, &zone);
         }
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -228,12 +228,11 @@
         if let Some(home) = &fleet.home {
             write!(f, "; zone {home} first")?;
         }
-        let secs = |span: Span| span.secs();
         write!(f, "; {} slots, {} pushes, {} held", allowance.slots, allowance.pushes, allowance.held)?;
-        write!(f, ", {} s to come back at the most", secs(allowance.longest_retry))?;
-        write!(f, ", connections idle for {} s", secs(allowance.idle))?;
-        write!(f, "; cold from {} for {} s", figures.cold_from, secs(figures.cold))?;
-        write!(f, ", falls above {} times for {} s", figures.fall_multiple, secs(figures.tip_after))?;
+        write!(f, ", {} s to come back at the most", allowance.longest_retry.secs())?;
+        write!(f, ", connections idle for {} s", allowance.idle.secs())?;
+        write!(f, "; cold from {} for {} s", figures.cold_from, figures.cold.secs())?;
+        write!(f, ", falls above {} times for {} s", figures.fall_multiple, figures.tip_after.secs())?;
         write!(f, "; topic types {}", names(self.topics.iter().map(|topic| topic.name.as_str()).collect()))?;
         write!(f, "; kinds {}", names(self.kinds.iter().map(|kind| kind.name.as_str()).collect()))
     }
--- a/tests/helper/mod.rs
+++ b/tests/helper/mod.rs
@@ -99,6 +99,17 @@
         rig
     }
 
+    /// One of so many relays, with eight slots, whose list gives this rate for each endpoint of zone `z`.
+    pub fn listed(relays: usize, rate: f64, endpoints: &[&str]) -> Rig {
+        let mut terms = terms(relays, 8);
+        terms.fleet.rates_listed = true;
+        let mut rig = Rig::with(terms, 1, &endpoints.iter().map(|name| (*name, "z")).collect::<Vec<_>>());
+        rig.rate = rate;
+        let entries = endpoints.iter().map(|name| rig.entry(name, "z", Readiness::Serving)).collect();
+        rig.give(Event::List(News::Changes(entries)));
+        rig
+    }
+
     /// Hands in one event and writes down what follows.
     pub fn give(&mut self, event: Event) {
         let commands = self.relay.handle(Time::from_nanos(self.ms * 1_000_000), vec![event]);
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -831,11 +831,7 @@
 /// a wait is told sets a pace that grows with each and shrinks with deliveries. A short wait's end is no return.
 #[test]
 fn a_listed_rate_stands_in_for_a_told_limit() {
-    let mut terms = terms(50, 8);
-    terms.fleet.rates_listed = true;
-    let mut rig = Rig::with(terms, 1, &[("a", "z")]);
-    rig.rate = 20.0;
-    rig.give(Event::List(News::Changes(vec![rig.entry("a", "z", Readiness::Serving)])));
+    let mut rig = Rig::listed(50, 20.0, &["a"]);
     rig.accept(1, "safe", None, 90_000);
     for wait in [0, 300, 300] {
         rig.pass_until_out(1);
@@ -918,11 +914,7 @@
 /// are met as an outage is, though a rate is listed.
 #[test]
 fn refusals_in_a_row_keep_a_relay_to_its_part_though_a_rate_is_listed() {
-    let mut terms = terms(50, 8);
-    terms.fleet.rates_listed = true;
-    let mut rig = Rig::with(terms, 1, &[("a", "z")]);
-    rig.rate = 20.0;
-    rig.give(Event::List(News::Changes(vec![rig.entry("a", "z", Readiness::Serving)])));
+    let mut rig = Rig::listed(50, 20.0, &["a"]);
     rig.accept(1, "safe", None, 60_000);
     for wait in [200, 0, 0] {
         rig.pass_until_out(1);
@@ -944,12 +936,7 @@
 /// destination takes to warm up: many such relays, one notification each, would push it over together.
 #[test]
 fn no_connection_pauses_up_to_the_part_in_full() {
-    let mut terms = terms(300, 8);
-    terms.fleet.rates_listed = true;
-    let mut rig = Rig::with(terms, 1, &[("a", "z"), ("b", "z")]);
-    rig.rate = 5.0;
-    let entries = ["a", "b"].map(|name| rig.entry(name, "z", Readiness::Serving));
-    rig.give(Event::List(News::Changes(entries.to_vec())));
+    let mut rig = Rig::listed(300, 5.0, &["a", "b"]);
     rig.pass(20_000);
     rig.accept(1, "safe", None, 90_000);
     for _ in 0..3 {
