A push is on record when it is about to be written, not when it is decided on

Seen by reading, then forced: a connection that never comes up (a listener whose backlog is full), a once-only notification handed in, "push" in the log, SIGKILL, start. The next process logged owed 1 and sent {"message":"1","outcome":"given_up"} with no call. Lines at fault: Chain::push wrote Record::Pushed for each push decided on, Chain::resume takes what is out as one that may have run. Now Send::write says what is in the calls that it queues, in the turn in which the first byte may go out, and that is on record before Net::flush. Killed between the record and the byte, it counts as one that may have run, as before: no more risk of a double effect. The form of the log is the same, so an older log is read, and a compacted one counts pushes that went, not those decided on. The number of a push within a process is Kept::chosen.

A topic type that the settings lack at the start was given up untried too; what was promised of it is in the log, so it is tried.

At the start the log says owed, untried and tried; once all that was untried was tried or has ended it says how many were tried, ran out of time, or were given up in time.

Tests, both seen failing without the mend: crossings::what_was_decided_on_and_never_written_is_tried_by_the_next_process (untried 0 for 2), crossings::what_was_taken_on_under_a_topic_type_that_is_gone_is_tried_and_once_only_stays_so (no push within 20 s). Calls of one and of several. Ruled out: a torn last record (its turn never came to Net::flush; a_log_cut_anywhere_keeps_what_came_before).

--- a/crates/relay/src/send.rs
+++ b/crates/relay/src/send.rs
@@ -2,6 +2,7 @@
 //! must never choose an endpoint, send again of its own accord, or hold a push back.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
 
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
@@ -55,6 +56,7 @@
 
 struct Call {
     endpoint: EndpointId,
+    zone: Arc<str>,
     sent: Time,
     connect_by: Time,
     /// When an answer that has begun must be whole.
@@ -206,15 +208,22 @@
     }
 
     /// Writes the calls whose connections are up: what is not wanted any more, or would come too late, is left
-    /// out. Every call passes here, after all that a turn brings is known and decided.
-    pub fn write(&mut self, net: &mut Net, now: Time) {
+    /// out. Every call passes here, after all that a turn brings is known and decided. Gives what is in them, and
+    /// the zone it goes to: no byte of it may go out before that is on record.
+    pub fn write(&mut self, net: &mut Net, now: Time) -> Vec<(NtfId, Arc<str>)> {
+        let mut gone = Vec::new();
         for token in std::mem::take(&mut self.ready) {
             let late = |member: &Member| member.out && member.send_by <= now;
             if self.calls.get(&token).is_some_and(|call| call.members.iter().any(late)) {
                 self.end_members(net, token, Status::NoConnection, now, late);
             }
             let Some(call) = self.calls.get_mut(&token) else { continue };
-            match call.unwritten.take() {
+            let unwritten = call.unwritten.take();
+            if unwritten.is_some() {
+                let out = call.members.iter().filter(|member| member.out);
+                gone.extend(out.map(|member| (member.ntf, call.zone.clone())));
+            }
+            match unwritten {
                 Some(Unwritten::Whole(bytes)) => net.write(token, &bytes),
                 Some(Unwritten::Several(host)) => {
                     call.members.retain(|member| member.out);
@@ -233,6 +242,7 @@
             }
             net.due(token, call.due());
         }
+        gone
     }
 
     /// Asks an endpoint for its health.
@@ -253,6 +263,7 @@
         let many = members.len() > 1;
         let call = Call {
             endpoint: endpoint.clone(),
+            zone: place.map(Place::zone).unwrap_or_default(),
             sent: now,
             connect_by,
             whole_by,
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -2,7 +2,7 @@
 //! hands each turn's events from one to the next. It must never decide anything itself, nor let bytes out
 //! that speak of what the store has not written yet.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
@@ -63,9 +63,20 @@
     store: Store,
     /// Handed in in this turn and not answered yet.
     fresh: BTreeMap<NtfId, Token>,
+    taken_up: TakenUp,
     log: Logger,
 }
 
+/// What an earlier process took on and never pushed, and what has become of it.
+#[derive(Default)]
+struct TakenUp {
+    untried: BTreeSet<NtfId>,
+    tried: usize,
+    /// Ended with no push, out of time or not.
+    late: usize,
+    vain: usize,
+}
+
 /// Serves, over the folder that lasts, until a signal to stop comes and the stop that it asks for is done.
 pub fn serve(config: Config, state: &Path, signals: Signals, log: Logger) -> io::Result<()> {
     let clock = Clock::new();
@@ -90,6 +101,7 @@
         book: Book::new(config.discovery),
         store,
         fresh: BTreeMap::new(),
+        taken_up: TakenUp::default(),
         settings,
         log: log.new(o!("relay" => config.fixed.name.clone())),
         fixed: config.fixed,
@@ -97,7 +109,10 @@
     chain.learn(config.known, clock.now());
     chain.resume(clock.now());
     let listen = chain.net.local_addr().unwrap_or(chain.fixed.listen).to_string();
-    info!(chain.log, "serving"; "listen" => listen, "owed" => chain.store.len());
+    let (owed, untried) = (chain.store.len(), chain.taken_up.untried.len());
+    let heard = chain.store.live().filter(|(_, kept)| kept.taken.history.end.is_some()).count();
+    info!(chain.log, "serving"; "listen" => listen, "owed" => owed, "untried" => untried,
+        "tried" => owed - untried - heard);
     chain.run(clock)
 }
 
@@ -117,7 +132,10 @@
             }
             self.outcomes(now);
             self.decide(now);
-            self.send.write(&mut self.net, now);
+            for (ntf, zone) in self.send.write(&mut self.net, now) {
+                self.store.pushed(ntf.0, now, &zone);
+                self.taken_up(ntf, now);
+            }
             self.store.flush()?;
             self.net.flush();
             if turn.stop && stop.is_none() {
@@ -194,9 +212,16 @@
                 doubt: if history.out.is_some() { Some(now) } else { history.doubt.map(Time::from_nanos) },
                 ended: history.end.is_some(),
             };
+            if history.pushes == 0 && history.end.is_none() {
+                self.taken_up.untried.insert(NtfId(n));
+            }
+            // Guards against a topic type that the settings lack since: what was promised holds, and it is tried.
+            let lacking = || Arc::new(TopicType { name: taken.words.topic.clone(), ..TopicType::default() });
             let topic = self.settings.topic(&taken.words.topic);
-            let topic =
-                topic.map(|topic| taken.kept.map_or(topic.clone(), |kept| Arc::new(kept.keep(&topic))));
+            let topic = match taken.kept {
+                Some(kept) => Some(Arc::new(kept.keep(&topic.unwrap_or_else(lacking)))),
+                None => topic,
+            };
             let notification = topic.map(|topic| self.notification(n, taken, topic, past));
             owed.push((n, history.out.is_some(), notification));
         }
@@ -206,12 +231,29 @@
             }
             match notification {
                 Some(notification) => self.route.tell(Event::Accepted(notification)),
-                // The settings have changed since: nobody here knows how to treat it any more.
-                None => self.end(NtfId(n), End::GivenUp),
+                // In a log that is older than promises: nobody here knows how to treat it any more.
+                None => self.end(NtfId(n), End::GivenUp, now),
             }
         }
     }
 
+    /// Counts what became of a notification that an earlier process left untried, once it has gone out or ended.
+    fn taken_up(&mut self, ntf: NtfId, now: Time) {
+        let up = &mut self.taken_up;
+        if !up.untried.remove(&ntf) {
+            return;
+        }
+        match self.store.get(ntf.0).map(|kept| &kept.taken) {
+            Some(taken) if taken.history.end.is_none() => up.tried += 1,
+            Some(taken) if taken.valid_until > now.since(Time::default()).nanos() => up.vain += 1,
+            _ => up.late += 1,
+        }
+        if up.untried.is_empty() {
+            info!(self.log, "all that was taken up untried was tried or has ended"; "tried" => up.tried,
+                "out of time" => up.late, "given up" => up.vain);
+        }
+    }
+
     fn notification(&self, n: u64, taken: &Taken, topic: Arc<TopicType>, past: Past) -> Notification {
         Notification {
             id: NtfId(n),
@@ -331,7 +373,7 @@
                         self.answer(token, *ntf, Answer::Throttled(*retry_in));
                         self.heard(*ntf);
                     } else {
-                        self.end(*ntf, End::HandedBack(retry_in.nanos() / 1_000_000));
+                        self.end(*ntf, End::HandedBack(retry_in.nanos() / 1_000_000), now);
                     }
                 }
                 Command::Expire(ntf) => {
@@ -339,7 +381,7 @@
                         self.answer(token, *ntf, Answer::Expired);
                         self.heard(*ntf);
                     } else {
-                        self.end(*ntf, End::GivenUp);
+                        self.end(*ntf, End::GivenUp, now);
                     }
                 }
                 Command::Wake(_) => {}
@@ -371,11 +413,8 @@
 
     fn push(&mut self, endpoint: &EndpointId, pushes: &[(NtfId, Span, Span)], now: Time) {
         let place = self.discovery.place(endpoint);
-        let zone = place.map(|place| place.zone()).unwrap_or_default();
-        for (ntf, ..) in pushes {
-            self.store.pushed(ntf.0, now, &zone);
-        }
-        let outgoing = pushes.iter().filter_map(|(ntf, time_out, send_within)| {
+        let numbers: Vec<_> = pushes.iter().map(|(ntf, ..)| self.store.chosen(ntf.0)).collect();
+        let outgoing = pushes.iter().zip(numbers).filter_map(|((ntf, time_out, send_within), number)| {
             let kept = self.store.get(ntf.0)?;
             let left = Time::from_nanos(kept.taken.valid_until).since(now);
             Some(Push {
@@ -383,7 +422,7 @@
                 id: &kept.taken.words.id,
                 idempotency_key: kept.taken.words.idempotency_key.as_deref(),
                 body: &kept.body,
-                push: kept.taken.history.pushes - 1,
+                push: number?,
                 ordered: kept.taken.words.key.is_some()
                     && kept.taken.kept.map_or_else(
                         || self.settings.topic(&kept.taken.words.topic).is_some_and(|topic| topic.ordered),
@@ -400,8 +439,9 @@
     }
 
     /// Not delivered: its client is told by a notice.
-    fn end(&mut self, ntf: NtfId, end: End) {
+    fn end(&mut self, ntf: NtfId, end: End, now: Time) {
         self.store.ended(ntf.0, end);
+        self.taken_up(ntf, now);
         if let Some(kept) = self.store.get(ntf.0) {
             debug!(self.log, "ended"; "id" => &kept.taken.words.id, "n" => ntf.0, "end" => format!("{end:?}"));
             self.book.owe(ntf.0);
--- a/crates/relay/src/store.rs
+++ b/crates/relay/src/store.rs
@@ -40,8 +40,9 @@
 /// What has been done with a notification. All times are Unix time in nanoseconds.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct History {
+    /// Pushes of which at least a byte may have gone out.
     pub pushes: u32,
-    /// The push that is out.
+    /// The one of these that is out.
     pub out: Option<Gone>,
     /// The first push that may have run.
     pub ran: Option<Gone>,
@@ -123,6 +124,7 @@
 #[derive(Serialize, Deserialize)]
 enum Record {
     Taken(u64, Box<Taken>),
+    /// A push is about to be written to its endpoint, in the turn in which its first byte may go out.
     Pushed(u64, u64, String),
     /// A push ended: whether it may have run, and since when it may still be running.
     Returned(u64, bool, Option<u64>),
@@ -135,6 +137,8 @@
 pub struct Kept {
     pub taken: Taken,
     pub body: Vec<u8>,
+    /// Pushes decided on. One whose connection never came up is in no log: for the next process it never was.
+    pub chosen: u32,
     /// What it takes in the log at the most.
     bytes: u64,
 }
@@ -200,12 +204,15 @@
                 self.ids.insert(taken.words.id.clone());
                 self.next = self.next.max(n + 1);
                 self.live_bytes += bytes;
-                self.live.insert(n, Kept { taken: *taken, body, bytes });
+                let chosen = taken.history.pushes;
+                self.live.insert(n, Kept { taken: *taken, body, chosen, bytes });
             }
             Record::Pushed(n, at, zone) => {
-                if let Some(history) = self.history(n) {
+                if let Some(kept) = self.live.get_mut(&n) {
+                    let history = &mut kept.taken.history;
                     history.pushes += 1;
                     history.out = Some((at, zone));
+                    kept.chosen = kept.chosen.max(history.pushes);
                 }
             }
             Record::Returned(n, ran, doubt) => {
@@ -261,6 +268,14 @@
         n
     }
 
+    /// Counts a push that was decided on. Gives its number, from 0.
+    pub fn chosen(&mut self, n: u64) -> Option<u32> {
+        let kept = self.live.get_mut(&n)?;
+        kept.chosen += 1;
+        Some(kept.chosen - 1)
+    }
+
+    /// A push is about to be written: after the next flush, whoever reads the log must take it that it may have run.
     pub fn pushed(&mut self, n: u64, at: Time, zone: &str) {
         self.record(Record::Pushed(n, nanos(at), zone.to_owned()), Vec::new());
     }
--- a/crates/relay/tests/serve.rs
+++ b/crates/relay/tests/serve.rs
@@ -1,5 +1,6 @@
 //! The relay as a process, spoken to over sockets.
 
+mod crossings;
 mod stand_in;
 
 use std::collections::BTreeMap;
