An answer that comes before its call has gone out is none; a shorter idle time closes what is idle

Both seen by reading, then forced. A connection that comes up late (a full backlog) and brings "HTTP/1.1 200 OK" before the call is written: the log said push ended, status Delivered, and the notification was over, though it never went out. With 500 or noise a once-only one was given up as one that may have run. Lines at fault: Send::happened read whatever had come on a connection with a call as that call's answer, written or not. Now what comes before the last byte has gone out is no connection (never ran); only a refusal (503, 429) speaks of the connection itself and stands; nothing is written behind what has begun. Send::adopt left idle connections with the time of the settings before: made shorter by SIGHUP, they would be written to after their endpoint closes them, which ends as a reset. They are closed where the time is shorter.

--- a/crates/relay/src/send.rs
+++ b/crates/relay/src/send.rs
@@ -128,8 +128,14 @@
         Send { connections, most, calls, ready, idle, resting, leaving, apart, ended, told }
     }
 
-    /// Goes by other settings from now on; connections under way keep the times they were given.
-    pub fn adopt(&mut self, connections: Connections) {
+    /// Goes by other settings from now on; connections under way keep the times they were given. Idle ones go where
+    /// that would be too long.
+    pub fn adopt(&mut self, net: &mut Net, connections: Connections) {
+        let told = |span: Span| if span > Span::ZERO { span.nanos() } else { u64::MAX };
+        if told(connections.idle) < told(self.connections.idle) {
+            self.idle.clear();
+            std::mem::take(&mut self.resting).into_keys().for_each(|token| net.close(token));
+        }
         self.connections = connections;
     }
 
@@ -407,6 +413,7 @@
                 return;
             }
         }
+        let never = self.is_unsent(net, token);
         let Some(call) = self.calls.get_mut(&token) else { return };
         match what {
             Happening::Accepted => {}
@@ -418,12 +425,15 @@
                     Ok(Some((response, length))) => {
                         let clean = response.keep && length == input.len() && !ended;
                         input.clear();
-                        let keep = clean && net.unsent(token) == 0;
-                        self.answered(net, token, &response, keep, settings, now);
+                        self.answered(net, token, &response, (clean, never), settings, now);
+                    }
+                    // Nothing is to be written behind what speaks of something else.
+                    Ok(None) if !ended && call.unwritten.is_some() => {
+                        self.broke(net, token, Status::NoConnection, now);
                     }
                     Ok(None) if !ended => {
                         if http::has_begun(input) {
-                            call.delivered = !call.many && http::first_line(input) == Some(200);
+                            call.delivered = !never && !call.many && http::first_line(input) == Some(200);
                             call.whole_by = call.whole_by.min(now + SLOW);
                             net.due(token, call.due());
                         }
@@ -431,11 +441,10 @@
                     broken => {
                         // A single push is delivered with the first line of its answer.
                         let delivered = !call.many && http::first_line(input) == Some(200);
-                        let never = self.is_unsent(net, token);
                         let status = match broken {
+                            _ if never => Status::NoConnection,
                             _ if delivered => Status::Delivered,
                             Err(_) => Status::Error,
-                            _ if never => Status::NoConnection,
                             _ => Status::Reset,
                         };
                         self.broke(net, token, status, now);
@@ -443,15 +452,13 @@
                 }
             }
             Happening::Due => {
-                let never = self.is_unsent(net, token);
-                let Some(call) = self.calls.get_mut(&token) else { return };
                 if never && call.connect_by <= now {
                     return self.broke(net, token, Status::NoConnection, now);
                 }
                 let status = match (call.delivered, never) {
+                    (_, true) => Status::NoConnection,
                     (true, _) => Status::Delivered,
                     _ if call.whole_by <= now => Status::Error,
-                    (_, true) => Status::NoConnection,
                     _ => Status::TimedOut,
                 };
                 if call.members.is_empty() || call.whole_by <= now {
@@ -466,8 +473,8 @@
     }
 
     fn answered(
-        &mut self, net: &mut Net, token: Token, response: &http::Response, keep: bool, settings: &Settings,
-        now: Time,
+        &mut self, net: &mut Net, token: Token, response: &http::Response, (clean, never): (bool, bool),
+        settings: &Settings, now: Time,
     ) {
         let Some(call) = self.calls.remove(&token) else { return };
         let (wait, limit) = (relay::wait(response), relay::limit(response, settings));
@@ -478,16 +485,23 @@
             self.ended.push(Ended { ntf: None, push: 0, endpoint, fate, spent, wait, limit });
         }
         let ids: Vec<&str> = call.members.iter().map(|member| member.id.as_str()).collect();
-        let fates = relay::fates(response, &ids, call.many);
+        let mut fates = relay::fates(response, &ids, call.many);
+        // Guards against an answer that comes before its call has gone out: but for one that turns the connection
+        // away it speaks of something else, and none of the call ran.
+        if never {
+            let of = |fate: &Fate| matches!(fate.status, Status::Busy | Status::Crowded);
+            let none = Fate::of(Status::NoConnection);
+            fates.iter_mut().filter(|fate| !of(fate)).for_each(|fate| *fate = none);
+        }
         // Guards against one that spoils the call for all that go with it, again and again.
-        if call.many && relay::unreadable(response) {
+        if !never && call.many && relay::unreadable(response) {
             self.apart.extend(call.members.iter().map(|member| member.ntf));
         }
         for (member, fate) in call.members.iter().zip(fates).filter(|(member, _)| member.out) {
             let (ntf, endpoint) = (Some(member.ntf), endpoint.clone());
             self.ended.push(Ended { ntf, push: member.push, endpoint, fate, spent, wait, limit });
         }
-        if keep {
+        if clean && !never {
             let idle = Some(self.connections.idle).filter(|span| *span > Span::ZERO);
             net.due(token, idle.map_or(Time::NEVER, |span| now + span.times(RETIRED_AT)));
             self.idle.entry(call.endpoint.clone()).or_default().push(token);
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -187,7 +187,7 @@
         info!(self.log, "configuration read anew"; "discovery" => config.discovery.to_string(),
             "settings" => config.settings.to_string());
         self.settings = config.settings;
-        self.send.adopt(self.settings.connections);
+        self.send.adopt(&mut self.net, self.settings.connections);
         self.route.tell(Event::Terms(self.settings.terms.clone()));
         self.route.tell(Event::List(self.discovery.reread(&self.settings)));
         if config.discovery == self.discovery.address {
