Watches: lists on several lines are read, pieces of a line are silence, good lists come before a break

Seen by reading, then forced, each in Watch::read or Discovery::happened. It is read value by value now, in one buffer of the same bound. (2) Any byte set the 3 s of silence anew, so a watch that brings half a line now and then was never begun anew, and news counts as told 6 s after the silence began. Now the head does once, and each whole list or empty line. (3) A list before one that cannot be read was thrown away by the early return. It is learnt, and the watch begun anew from its version. (4) The core's count of failures was reset by lists alone: a watch that said only that nothing had changed and broke again was begun anew after up to 4.8 s, beyond the 6 s with the 3 s of silence. Such word is handed on as news without entries, which resets it. Ruled out: a lower or skipped seq. A watch that comes from another discovery after SIGHUP may count anew, and TCP keeps the order.

--- a/crates/relay/src/discovery.rs
+++ b/crates/relay/src/discovery.rs
@@ -182,70 +182,107 @@
         !self.wanted || self.subscribe(net, now)
     }
 
-    /// Reads what a watch brings: lists in order, or that it broke.
-    pub fn happened(
-        &mut self, net: &mut Net, token: Token, what: Happening, now: Time,
-    ) -> Result<Vec<List>, &'static str> {
-        let Some(watch) = self.watch.as_mut().filter(|watch| watch.token == token) else {
-            return Ok(Vec::new());
-        };
-        let read = match what {
-            Happening::Up => return Ok(Vec::new()),
-            Happening::Due => Err("silent"),
-            Happening::Ended if !net.connected(token) => Err("cannot be reached"),
-            _ => watch.read(net),
-        };
-        net.due(token, now + SILENT);
-        match (read, what) {
-            // Lists that came before the end still count.
-            (Ok(lists), Happening::Ended) if lists.is_empty() => self.broken(net, "ended"),
-            (Ok(lists), Happening::Ended) => {
-                net.due(token, now);
-                Ok(lists)
+    /// Reads what a watch brings: news in order, and then that it broke, if it did.
+    pub fn happened(&mut self, net: &mut Net, token: Token, what: Happening, now: Time) -> Brought {
+        let mut brought = Brought::default();
+        let Some(watch) = self.watch.as_mut().filter(|watch| watch.token == token) else { return brought };
+        match what {
+            Happening::Up => return brought,
+            Happening::Due => brought.broken = Some("silent"),
+            Happening::Ended if !net.connected(token) => brought.broken = Some("cannot be reached"),
+            _ => {
+                let begun = watch.begun;
+                brought = watch.read(net);
+                // Guards against one that keeps itself alive by pieces of lines, and tells nothing.
+                if brought.heard || watch.begun != begun {
+                    net.due(token, now + SILENT);
+                }
+                if what == Happening::Ended && brought.broken.is_none() {
+                    brought.broken = Some("ended");
+                }
             }
-            (Ok(lists), _) => Ok(lists),
-            (Err(why), _) => self.broken(net, why),
         }
-    }
-
-    fn broken(&mut self, net: &mut Net, why: &'static str) -> Result<Vec<List>, &'static str> {
-        if let Some(watch) = self.watch.take() {
-            net.close(watch.token);
+        if brought.broken.is_some() {
+            self.watch = None;
+            net.close(token);
         }
-        Err(why)
+        brought
     }
 }
 
+/// What a watch brought.
+#[derive(Default)]
+pub struct Brought {
+    pub lists: Vec<List>,
+    /// A list, or word that nothing has changed.
+    pub heard: bool,
+    /// Why there will be no more.
+    pub broken: Option<&'static str>,
+}
+
 impl Watch {
-    fn read(&mut self, net: &mut Net) -> Result<Vec<List>, &'static str> {
+    fn read(&mut self, net: &mut Net) -> Brought {
+        let mut brought = Brought::default();
+        brought.broken = self.take(net, &mut brought).err();
+        self.told |= brought.heard;
+        brought
+    }
+
+    fn take(&mut self, net: &mut Net, brought: &mut Brought) -> Result<(), &'static str> {
         let Some(input) = net.input(self.token) else { return Err("closed") };
         if !self.begun {
             match http::response_head(input) {
-                Ok(None) => return Ok(Vec::new()),
+                Ok(None) => return Ok(()),
                 Ok(Some(head)) if head.status == 200 => drop(input.drain(..head.start)),
                 Ok(Some(_)) => return Err("refused"),
                 Err(_) => return Err("unreadable"),
             }
             self.begun = true;
         }
-        let (mut at, mut last) = (0, false);
-        while let Some((data, next)) = http::chunk(&input[at..], LINE_MOST).map_err(|_| "unreadable")? {
-            self.text.extend_from_slice(&input[at..][data.clone()]);
-            last |= data.is_empty();
-            at += next;
+        let (mut at, mut end) = (0, None);
+        loop {
+            match http::chunk(&input[at..], LINE_MOST) {
+                Ok(Some((data, next))) => {
+                    self.text.extend_from_slice(&input[at..][data.clone()]);
+                    at += next;
+                    if data.is_empty() {
+                        end = Some("ended");
+                        break;
+                    }
+                }
+                Ok(None) => break,
+                Err(_) => {
+                    end = Some("unreadable");
+                    break;
+                }
+            }
         }
         input.drain(..at);
-        if self.text.len() > LINE_MOST {
-            return Err("too long");
-        }
-        let mut lists = Vec::new();
-        while let Some(end) = self.text.iter().position(|byte| *byte == b'\n') {
-            self.told = true;
-            let line: Vec<u8> = self.text.drain(..=end).collect();
-            if !line.trim_ascii().is_empty() {
-                lists.push(serde_json::from_slice(&line).map_err(|_| "unreadable")?);
+        // What came before an end, or before what cannot be read, still counts.
+        let read = self.lists(brought);
+        let long = if self.text.len() > LINE_MOST { Err("too long") } else { Ok(()) };
+        read.and(long).and(end.map_or(Ok(()), Err))
+    }
+
+    /// Takes the lists that are whole out of the text. Each may stand on one line or on several.
+    fn lists(&mut self, brought: &mut Brought) -> Result<(), &'static str> {
+        loop {
+            let blank = self.text.iter().take_while(|byte| byte.is_ascii_whitespace()).count();
+            brought.heard |= self.text.drain(..blank).any(|byte| byte == b'\n');
+            if self.text.is_empty() {
+                return Ok(());
+            }
+            let mut values = serde_json::Deserializer::from_slice(&self.text).into_iter();
+            match values.next() {
+                Some(Ok(list)) => {
+                    brought.lists.push(list);
+                    brought.heard = true;
+                    let length = values.byte_offset();
+                    self.text.drain(..length);
+                }
+                Some(Err(e)) if !e.is_eof() => return Err("unreadable"),
+                _ => return Ok(()),
             }
         }
-        if last && lists.is_empty() { Err("ended") } else { Ok(lists) }
     }
 }
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -277,10 +277,15 @@
                 }
             }
             Role::Endpoint => self.send.happened(&mut self.net, token, what, &self.settings, now),
-            Role::Watch => match self.discovery.happened(&mut self.net, token, what, now) {
-                Ok(lists) => lists.into_iter().for_each(|list| self.learn(list, now)),
-                Err(why) => self.lost_watch(why),
-            },
+            Role::Watch => {
+                let brought = self.discovery.happened(&mut self.net, token, what, now);
+                // Word that nothing has changed is news too: the watch is well.
+                if brought.heard && brought.lists.is_empty() {
+                    self.route.tell(Event::List(News::Changes(Vec::new())));
+                }
+                brought.lists.into_iter().for_each(|list| self.learn(list, now));
+                brought.broken.into_iter().for_each(|why| self.lost_watch(why));
+            }
             Role::Notices => {
                 let heard = self.book.happened(&mut self.net, token, what, now);
                 if let Some(n) = heard.unreadable {
