A pushed list is asked for soon however often that fails; the first pause is 20 to 200 ms

Where lists are pushed, what discovery has counts as told at once when it is back, but the pause before the next watch had grown to up to 4.8 s by then (0.2 s, eightfold to 3.2 s, times 0.5 to 1.5): a drain told in it was not seen. relay.rs and the adapter's settings said nothing of pushed lists to the core on sockets, since a watch has to be opened in any case (config.rs). Fleet::list_pushed says it now, and there the pause does not grow. With ask-every of 60 s the first pause was up to 1.8 s, with 0 or none it was none at all: a loop without a pause while discovery is down. It is ask-every x 0.02, 20 ms at least and 200 ms at most; with 10 s, as everywhere so far, nothing changes. The log of a start and of SIGHUP says "pushed" where they are.

--- a/crates/model/src/fleet.rs
+++ b/crates/model/src/fleet.rs
@@ -179,6 +179,7 @@
             relays: self.relays.len(),
             rates_listed: self.rates_listed,
             list_on_request: true,
+            list_pushed: false,
             tick: self.tick,
             home: None,
         };
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -223,7 +223,7 @@
         let Terms { fleet, allowance, figures } = &self.terms;
         let names = |names: Vec<&str>| names.join(", ");
         write!(f, "{} relays, the list ", fleet.relays)?;
-        f.write_str(if fleet.list_on_request { "asked for" } else { "pushed" })?;
+        f.write_str(if fleet.list_pushed { "pushed" } else { "asked for" })?;
         f.write_str(if fleet.rates_listed { ", with rates" } else { ", with no rates to go by" })?;
         if let Some(home) = &fleet.home {
             write!(f, "; zone {home} first")?;
@@ -254,6 +254,7 @@
                 relays: written.balancers,
                 rates_listed: written.weight_source == "nominal",
                 list_on_request: written.discovery == "subscribe",
+                list_pushed: written.discovery != "subscribe",
                 tick: Span::from_nanos(written.tick),
                 home: crossing.then(|| Arc::from(written.zone.as_str())),
             },
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -114,6 +114,8 @@
     pub rates_listed: bool,
     /// Whether news of the list has to be asked for.
     pub list_on_request: bool,
+    /// Whether what discovery has counts as told at once, asked for or not.
+    pub list_pushed: bool,
     /// The shortest gap between two rounds.
     pub tick: Span,
     /// The relay's own zone, where pushes to endpoints in others are priced.
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -105,7 +105,7 @@
         while let Some((part, note)) = self.mail.next() {
             let mail = &mut self.mail;
             match part {
-                Part::Book => self.book.take(note, figures.ask_every, mail),
+                Part::Book => self.book.take(note, figures.ask_every, terms.fleet.list_pushed, mail),
                 Part::Turns => self.turns.take(note, figures.settle, mail),
                 Part::Slots => self.slots.take(note, slots, figures.tip_after, mail),
                 Part::Lane(id) => {
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -756,10 +756,8 @@
         let enough = self.usual().unwrap_or(self.terms.figures.tip_after.times(OVERDUE_FLOOR));
         let mut call = Vec::new();
         let (mut ends, mut wanted) = (Time::NEVER, Span::ZERO);
-        for held in ready {
-            if call.len() == self.per_call {
-                break;
-            }
+        let mut ready = ready.into_iter();
+        while let Some(held) = ready.next().filter(|_| call.len() < self.per_call) {
             let (first, time_out) = (ends.min(held.ntf.valid_until), self.time_out(now, held));
             let most = wanted.max(time_out.min(enough));
             if call.is_empty() || now + most <= first {
@@ -924,13 +922,14 @@
 }
 
 impl Book {
-    pub(crate) fn take(&mut self, note: Note, ask_every: Span, mail: &mut Mail) {
+    pub(crate) fn take(&mut self, note: Note, ask_every: Span, pushed: bool, mail: &mut Mail) {
         match note {
             Note::News(News::Broken) if !self.pausing => {
-                // Guards against a list out of reach or overrun: ask again, ever later, never in step.
-                let at = mail.now + pause(ask_every.times(FIRST_ASK), self.failures, Span::ZERO, mail);
+                // Guards against a list overrun: ask again, never in step; ever later unless it counts as told.
+                let first = ask_every.times(FIRST_ASK).clamp(LEAST_LEFT, PAUSE.times(BACK_OFF));
+                let at = mail.now + pause(first, self.failures, Span::ZERO, mail);
                 mail.alarm(Part::Book, at);
-                (self.pausing, self.failures) = (true, self.failures + 1);
+                (self.pausing, self.failures) = (true, self.failures + i32::from(!pushed));
             }
             Note::News(News::Changes(entries)) => self.merge(entries, mail),
             Note::News(News::Whole(mut entries)) => {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -131,6 +131,40 @@
     .assert_eq(&rig.trace);
 }
 
+/// Where it counts as told at once, each moment without a watch may miss a drain; else a list out of reach is asked
+/// for ever more rarely, and word from it ends that. Whatever `ask_every` is, the first pause is short, and not none.
+#[test]
+fn a_list_out_of_reach_is_asked_for_soon_where_it_is_pushed_and_ever_later_where_it_is_not() {
+    let mut trace = String::new();
+    for (pushed, ask_every) in [(true, 10_000), (false, 10_000), (false, 60_000), (false, 0)] {
+        let mut terms = terms(2, 4);
+        (terms.fleet.list_pushed, terms.figures.ask_every) = (pushed, Span::from_millis(ask_every));
+        let mut rig = Rig::with(terms, 1, &[("a", "z")]);
+        let mut pauses = Vec::new();
+        for broken in 0..6 {
+            if broken == 4 {
+                rig.give(Event::List(News::Changes(Vec::new())));
+            }
+            rig.trace.clear();
+            rig.give(Event::List(News::Broken));
+            let mut ms = 0;
+            while rig.trace.is_empty() && ms < 20_000 {
+                rig.pass(10);
+                ms += 10;
+            }
+            pauses.push(ms);
+        }
+        writeln!(trace, "pushed {pushed}, ask every {ask_every} ms: {pauses:?}").expect("a string");
+    }
+    expect![[r#"
+        pushed true, ask every 10000 ms: [180, 260, 280, 200, 170, 210]
+        pushed false, ask every 10000 ms: [180, 2050, 4370, 3160, 170, 1620]
+        pushed false, ask every 60000 ms: [180, 2050, 4370, 3160, 170, 1620]
+        pushed false, ask every 0 ms: [20, 210, 440, 320, 20, 170]
+    "#]]
+    .assert_eq(&trace);
+}
+
 #[test]
 fn waits_are_heeded_for_the_whole_destination() {
     let mut rig = Rig::new(4, 1, &[("a", "z"), ("b", "z")]);
