At a stop the backlog is taken in first, last answers say that they close, calls out are waited for

By reading, then forced with SIGSTOP past 2.8 s: with as many clients as there is room for but one, of two new connections with a request each the second was dropped by Net::stop_listening with the backlog (reset, no answer). Now it accepts what has connected before it closes the listener, and those have their answer. TakeIn::close_idle closed connections that had not asked yet or had something unread at the system (a request that crossed); they stay until they are answered or 3.1 s are over. From 2.8 s on each answer carries Connection: close, so a client has no reason to send behind it. With no client left, the process ended at the first event after 2.8 s though calls were out, which left once-only ones in doubt and given up by the next; it waits for them up to 3.1 s. Guarded and not forced: a request that comes between the last look and the closing of an idle connection (microseconds).

--- a/crates/relay/src/event_loop.rs
+++ b/crates/relay/src/event_loop.rs
@@ -240,8 +240,11 @@
         }
     }
 
-    /// Takes no further clients.
+    /// Takes no further clients but those that have connected already.
     pub fn stop_listening(&mut self) {
+        let mut last = Turn::default();
+        self.accept(&mut last);
+        self.again.extend(last.happenings);
         if let Some(listener) = self.listener.take() {
             // The listener is closed with it, whatever the poller says.
             let _ = self.poller.delete(&listener);
@@ -431,14 +434,14 @@
         }
     }
 
-    /// Has the input looked at again in the next turn.
-    pub fn again(&mut self, token: Token) {
-        if let Some(role) = self.conn(token).map(|conn| conn.role) {
     /// Whether the time of a connection that was found due has not been set anew since.
     pub fn is_overdue(&mut self, token: Token) -> bool {
         self.conn(token).is_some_and(|conn| conn.due == Time::NEVER)
     }
 
+    /// Has the input looked at again in the next turn.
+    pub fn again(&mut self, token: Token) {
+        if let Some(role) = self.conn(token).map(|conn| conn.role) {
             self.again.push((token, role, Happening::Data));
         }
     }
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -124,6 +124,7 @@
             let next = stop.map_or(Time::NEVER, |(since, stage)| since + stage.ends_after());
             let turn = self.net.wait(until.min(self.book.due()).min(next));
             let now = clock.now();
+            self.take_in.closing = stop.is_some_and(|(since, _)| since + STILL_TAKING <= now);
             for (token, role, what) in turn.happenings {
                 // Guards against a time that is up in the turn in which what was waited for has come.
                 if what != Happening::Due || self.net.is_overdue(token) {
@@ -158,7 +159,8 @@
                     *stage = Stop::Closing;
                     self.net.stop_listening();
                 }
-                Stop::Closing if self.take_in.close_idle(&mut self.net) || due => {
+                // What is out may still end, and is no doubt of the next process then.
+                Stop::Closing if self.take_in.close_idle(&mut self.net) && self.send.out() == 0 || due => {
                     self.net.flush();
                     info!(self.log, "stopped"; "owed" => self.store.len(), "calls" => self.send.out());
                     return Ok(());
--- a/crates/relay/src/take_in.rs
+++ b/crates/relay/src/take_in.rs
@@ -62,6 +62,8 @@
     clients: BTreeMap<Token, Client>,
     /// Says 503 at `/ready`.
     pub stopping: bool,
+    /// Each answer says that its connection closes, so that no further request crosses the closing.
+    pub closing: bool,
 }
 
 impl TakeIn {
@@ -186,7 +188,7 @@
 
     fn respond(&mut self, net: &mut Net, token: Token, status: u16, headers: &[(&str, &str)]) {
         let Some(client) = self.clients.get_mut(&token) else { return };
-        let keep = client.asking.take().unwrap_or(false) && !net.ended(token);
+        let keep = client.asking.take().unwrap_or(false) && !net.ended(token) && !self.closing;
         let mut headers = headers.to_vec();
         if !keep {
             headers.push(("Connection", "close"));
@@ -213,11 +215,12 @@
 
     /// Closes every connection that has no request under way. Says whether none is left.
     pub fn close_idle(&mut self, net: &mut Net) -> bool {
-        let idle = |net: &mut Net, token: &Token, client: &Client| {
-            client.asking.is_none() && net.input(*token).is_none_or(|input| input.is_empty())
+        // Guards against requests that came since the last look, or are about to, on a connection just made.
+        let idle = |net: &mut Net, token: Token, client: &Client| {
+            client.asked && client.asking.is_none() && !net.has_unread(token)
         };
         let closing: Vec<Token> =
-            self.clients.iter().filter(|(token, c)| idle(net, token, c)).map(|(token, _)| *token).collect();
+            self.clients.iter().filter(|(token, c)| idle(net, **token, c)).map(|(token, _)| *token).collect();
         closing.into_iter().for_each(|token| self.leave(net, token));
         self.clients.is_empty()
     }
