Loopback tests that force crossings: stops, watches, early answers, times that are up

crates/relay/tests/crossings: SIGSTOP and SIGCONT around what is to be seen in one turn, a full backlog for connections that come up late, pieces of a watch. The stand-in's wait for a line of the log has a limit as a whole: with a mend taken out a test ran on for as long as lines came.

--- a/crates/relay/tests/crossings/mod.rs
+++ b/crates/relay/tests/crossings/mod.rs
@@ -1,9 +1,13 @@
 //! What happens when a request, an answer or a signal comes between two lines: each crossing is forced.
 
+use std::io::Write;
+use std::net::TcpStream;
+use std::time::{Duration, Instant};
+
 use serde_json::{Value, json};
 
 use crate::full;
-use crate::stand_in::{Rig, request};
+use crate::stand_in::{Client, Message, Rig, request};
 
 /// The destination's endpoint is where nothing comes up until it is accepted.
 fn out_of_reach(config: &mut Value, dial: std::net::SocketAddr) {
@@ -69,3 +73,228 @@
     assert_eq!(rig.notice().1, json!({"message": "1", "outcome": "given_up"}));
     assert!(rig.endpoint.next_soon().is_none());
 }
+
+/// Sleeps until so long after a moment: some times of the relay's are to be up, whatever else happens.
+fn until(since: Instant, ms: u64) {
+    std::thread::sleep(Duration::from_millis(ms).saturating_sub(since.elapsed()));
+}
+
+/// The end of a request and the end of its time are seen in one turn. It is whole: it has an answer.
+#[test]
+fn a_request_that_is_whole_in_the_turn_in_which_its_time_is_up_is_answered() {
+    let rig = Rig::start();
+    let whole = request("safe", "1", "", 16_000, b"x");
+    let mut client = rig.client();
+    client.write(&whole[..whole.len() - 1]);
+    let since = Instant::now();
+    rig.signal("-STOP");
+    client.write(&whole[whole.len() - 1..]);
+    until(since, 2_300);
+    rig.signal("-CONT");
+    assert_eq!(client.answer().0, 202);
+    assert_eq!(rig.endpoint.next().id(), "1");
+}
+
+/// What an endpoint says before a call has gone out to it speaks of no call: it was not delivered, and never ran.
+#[test]
+fn an_answer_that_comes_before_its_call_has_gone_out_is_none() {
+    for (early, status) in [
+        ("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", "NoConnection"),
+        ("HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n", "NoConnection"),
+        ("HTTP/1.1 200 OK\r\nX: never ends", "NoConnection"),
+        ("noise\r\n\r\n", "NoConnection"),
+        ("HTTP/1.1 503 Full\r\nConnection: close\r\nContent-Length: 0\r\n\r\n", "Crowded"),
+    ] {
+        let (full, dial, _first) = full();
+        let rig = Rig::with(|config| {
+            // Another endpoint, which drains, so that all goes to the one where nothing comes up.
+            let mut late = config["known"]["hosts"][0].clone();
+            (late["host"], late["health"]) = (json!("f"), json!("draining"));
+            out_of_reach(config, dial);
+            config["known"]["hosts"].as_array_mut().expect("hosts").push(late);
+            config["settings"]["ceilings"]["connect-timeout"] = json!(10_000_000_000u64);
+        });
+        let mut watch = rig.watch();
+        watch.write(HEAD);
+        assert_eq!(rig.client().hand_in("once", "1", "k", b"x"), 202);
+        rig.logged("push");
+        rig.signal("-STOP");
+        full.accept().expect("the connection that took the room");
+        let (call, _) = full.accept().expect("the relay's, tried again by its system");
+        let mut call = TcpStream::from(call);
+        call.write_all(early.as_bytes()).expect("room");
+        rig.signal("-CONT");
+        assert_eq!(rig.logged("push ended")["status"], status, "{early}");
+        drop(full);
+        // It never ran, so even a once-only one goes to an endpoint that takes calls again.
+        line(
+            &mut watch,
+            &list(42, false, &[("e", "gone", None), ("f", "ready", Some(rig.endpoint.address))]),
+        );
+        assert_eq!(rig.endpoint.next().id(), "1", "{early}");
+    }
+}
+
+const HEAD: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+/// A list of endpoints of destination 7.
+fn list(seq: u32, whole: bool, hosts: &[(&str, &str, Option<std::net::SocketAddr>)]) -> Value {
+    let host = |(name, health, dial): &(&str, &str, Option<std::net::SocketAddr>)| {
+        json!({"host": name, "dial": dial.map(|dial| dial.to_string()).unwrap_or_default(), "site": "z",
+            "class": "plain", "block": 7, "health": health})
+    };
+    json!({"seq": seq, "whole": whole, "hosts": hosts.iter().map(host).collect::<Vec<_>>()})
+}
+
+fn chunk(text: &str) -> String {
+    format!("{:x}\r\n{text}\r\n", text.len())
+}
+
+fn line(watch: &mut Message, list: &Value) {
+    watch.write(&chunk(&format!("{list}\n")));
+}
+
+/// A list that can be read counts, though one that cannot comes behind it; that one changes nothing.
+#[test]
+fn a_list_before_one_that_cannot_be_read_is_heeded_and_the_watch_begun_anew_behind_it() {
+    let rig = Rig::start();
+    let mut watch = rig.watch();
+    let drains = list(43, false, &[("e", "draining", Some(rig.endpoint.address))]);
+    watch.write(&format!("{HEAD}{}", chunk(&format!("{drains}\n{{\"seq\": 44, \"hosts\": [17]}}\n"))));
+    rig.logged("the list has news");
+    assert!(rig.watch().head.contains("index=43 "));
+    assert_eq!(rig.client().hand_in("safe", "1", "", b""), 202);
+    rig.logged("taken on");
+    assert!(rig.endpoint.next_soon().is_none());
+}
+
+/// A list may stand on several lines, and come in pieces.
+#[test]
+fn a_list_that_comes_indented_is_read() {
+    let rig = Rig::start();
+    let mut watch = rig.watch();
+    watch.write(HEAD);
+    let lists = [
+        list(43, true, &[("e", "draining", Some(rig.endpoint.address))]),
+        list(44, false, &[("f", "ready", Some(rig.endpoint.address))]),
+    ];
+    let text: Vec<String> =
+        lists.iter().map(|list| serde_json::to_string_pretty(list).expect("plain data") + "\n").collect();
+    let text = text.concat();
+    let (first, rest) = text.split_at(text.len() / 3);
+    watch.write(&chunk(first));
+    watch.write(&chunk(rest));
+    assert_eq!(rig.logged("the list has news")["entries"], 1);
+    assert_eq!(rig.client().hand_in("safe", "1", "", b""), 202);
+    assert_eq!(rig.logged("push")["endpoint"], "f");
+    watch.write("0\r\n\r\n");
+    assert!(rig.watch().head.contains("index=44 "));
+}
+
+/// Pieces of a line keep no watch alive: nothing is told by them.
+#[test]
+fn a_watch_that_brings_only_pieces_of_a_line_is_silent() {
+    let rig = Rig::start();
+    let mut watch = rig.watch();
+    let since = Instant::now();
+    watch.write(HEAD);
+    let text = list(43, true, &[("e", "draining", Some(rig.endpoint.address))]).to_string();
+    let mut pieces = text.as_bytes().chunks(1).map(|piece| chunk(&String::from_utf8_lossy(piece)));
+    let mut next = None;
+    while next.is_none() {
+        watch.try_write(&pieces.next().expect("silent before the list is whole"));
+        next = rig.platform.next_soon();
+        until(Instant::now(), 120);
+    }
+    assert!(next.is_some_and(|next| next.head.contains("index=41 ")));
+    // Silent for 3 s from its head on; the rest is for a machine that is busy. News is to be had within 6 s.
+    assert!(since.elapsed() < Duration::from_millis(5_500), "{:?}", since.elapsed());
+}
+
+/// Word that nothing has changed is word: a watch that breaks after it is begun anew soon, however often.
+#[test]
+fn a_watch_that_breaks_again_and_again_after_word_came_is_begun_anew_soon_each_time() {
+    let rig = Rig::start();
+    let since = Instant::now();
+    for _ in 0..6 {
+        let mut watch = rig.watch();
+        watch.write(&format!("{HEAD}{}0\r\n\r\n", chunk("\n")));
+    }
+    rig.watch();
+    // 0.3 s each at the most.
+    assert!(since.elapsed() < Duration::from_secs(4), "{:?}", since.elapsed());
+}
+
+/// Made shorter, the time for which endpoints keep idle connections holds for those that are idle already.
+#[test]
+fn on_sighup_with_a_shorter_idle_time_idle_connections_are_closed() {
+    let mut rig = Rig::start();
+    let mut client = rig.client();
+    for id in ["1", "2"] {
+        assert_eq!(client.hand_in("safe", id, "", b""), 202);
+        let mut push = rig.endpoint.next();
+        push.answer("200 OK", "", "");
+        rig.logged("push ended");
+        if id == "2" {
+            rig.config["settings"]["ceilings"]["conn-idle"] = json!(3_000_000_000u64);
+            rig.reload(&rig.config.to_string());
+            rig.logged("configuration read anew");
+            let since = Instant::now();
+            assert!(push.is_closed());
+            assert!(since.elapsed() < Duration::from_millis(1_500), "{:?}", since.elapsed());
+        }
+    }
+}
+
+/// A relay that has been told to stop and has no slots any more.
+fn stopping(rig: &Rig) -> Instant {
+    rig.terminate();
+    rig.logged("stopping");
+    Instant::now()
+}
+
+/// Requests that are in the system's buffers, on connections old and new, when the last of its time to serve comes;
+/// there are as many clients as there is room for, but one.
+#[test]
+fn at_the_end_of_a_stop_what_has_come_and_was_not_read_yet_has_its_answer() {
+    let mut rig = Rig::with(|config| config["limits"]["sockets"] = json!(64));
+    let mut old: Vec<Client> = (0..15).map(|_| rig.client()).collect();
+    for (place, client) in old.iter_mut().enumerate() {
+        assert_eq!(client.hand_in("safe", &format!("1-{place}"), "", b""), 202);
+    }
+    let since = stopping(&rig);
+    rig.logged("no further calls");
+    rig.signal("-STOP");
+    old[0].write(&request("safe", "2", "", 16_000, b""));
+    let mut new: Vec<Client> = (0..2).map(|_| rig.client()).collect();
+    for (place, client) in new.iter_mut().enumerate() {
+        client.write(&request("safe", &format!("3-{place}"), "", 16_000, b""));
+    }
+    // No more is taken in from 2.8 s on, and it is out at 3.1 s.
+    until(since, 2_850);
+    rig.signal("-CONT");
+    for client in old[..1].iter_mut().chain(&mut new) {
+        let (status, head) = client.answer();
+        assert_eq!((status, head.contains("Connection: close")), (202, true), "{head}");
+    }
+    assert_eq!(rig.logged("stopped")["owed"], 18);
+    assert_eq!(rig.ended(), Some(0));
+    assert!(since.elapsed() < Duration::from_millis(3_700), "{:?}", since.elapsed());
+}
+
+/// With no client left it still waits for the calls that are out, as long as it may.
+#[test]
+fn calls_that_are_out_at_a_stop_may_end_though_no_client_is_left() {
+    let mut rig = Rig::start();
+    let mut client = rig.client();
+    assert_eq!([client.hand_in("once", "1", "k", b""), client.hand_in("once", "2", "l", b"")], [202; 2]);
+    let mut pushes = [rig.endpoint.next(), rig.endpoint.next()];
+    drop(client);
+    let since = stopping(&rig);
+    for (push, ms) in pushes.iter_mut().zip([2_880, 2_980]) {
+        until(since, ms);
+        push.answer("200 OK", "", "");
+    }
+    assert_eq!(rig.logged("stopped")["owed"], 0);
+    assert_eq!(rig.ended(), Some(0));
+}
--- a/crates/relay/tests/stand_in/mod.rs
+++ b/crates/relay/tests/stand_in/mod.rs
@@ -42,6 +42,12 @@
         self.stream.write_all(bytes.as_bytes()).expect("the relay reads");
     }
 
+    /// Writes to a relay that may have closed the connection.
+    pub fn try_write(&mut self, bytes: &str) {
+        // What the relay makes of it, or has made, is what a test looks at.
+        let _ = self.stream.write_all(bytes.as_bytes());
+    }
+
     /// Whether the relay has closed the connection, or does so in time.
     pub fn is_closed(&mut self) -> bool {
         self.stream.set_read_timeout(Some(LIMIT)).expect("a limit");
@@ -227,8 +233,10 @@
 
     /// The log up to a line.
     pub fn logged_until(&self, message: &str) -> Vec<Value> {
-        let mut lines = Vec::new();
+        let (mut lines, since) = (Vec::new(), Instant::now());
         while lines.last().is_none_or(|line: &Value| line["msg"] != message) {
+            // Lines of what goes on for ever must not be waited through beyond the limit.
+            assert!(since.elapsed() < LIMIT, "{message:?} in time");
             lines.push(self.log.recv_timeout(LIMIT).expect("a line of the log in time"));
         }
         lines
