With no slots left before a restart, what the next process could not push in time is refused

From 2.0 s after SIGTERM there are no slots, up to 3.1 s notifications were taken on all the same, and the next process starts 4.3 s after SIGTERM at the soonest. Lines at fault: Slots::take knew of no slots only as of slots that are full. Now, with no slots at all, destinations that wait are told that there are none for 2.3 s (3.7 s from SIGTERM to SIGKILL and 0.6 s to the start, less the 2.0 s), and the cutoff as it stands does the rest: what ends before that is handed back at once, refused harmlessly where it is just handed in, with a time to come back. What is overdue is not called off any more once there are no slots: it may end until the process does.

--- a/crates/relay/tests/crossings/mod.rs
+++ b/crates/relay/tests/crossings/mod.rs
@@ -298,3 +298,17 @@
     assert_eq!(rig.logged("stopped")["owed"], 0);
     assert_eq!(rig.ended(), Some(0));
 }
+
+/// Handed in when there are no slots any more: taken on only if the next process can still push it.
+#[test]
+fn what_comes_too_late_in_a_stop_for_its_time_to_live_is_refused_and_the_rest_taken_on() {
+    let rig = Rig::start();
+    stopping(&rig);
+    rig.logged("no further calls");
+    let mut client = rig.client();
+    client.write(&request("safe", "1", "", 1_500, b""));
+    let (status, head) = client.answer();
+    assert_eq!((status, head.contains("Retry-After: 2.3")), (429, true), "{head}");
+    assert_eq!(client.hand_in("safe", "2", "", b""), 202);
+    assert_eq!(rig.logged("stopped")["owed"], 1);
+}
--- a/src/mail.rs
+++ b/src/mail.rs
@@ -35,7 +35,7 @@
     /// A destination has something to send.
     Ask(DestinationId),
     /// A slot is free: does the destination take it? It passes (until then), or a call goes from part to part
-    /// until sent or declined (until then).
+    /// until sent or declined (until then). To a destination: there are no slots until then.
     Slot,
     Pass(DestinationId, Time),
     Call(Call),
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -55,6 +55,8 @@
 const LEFT_UNTOLD: f64 = 0.75;
 /// The list is asked for again after this share of `ask_every`.
 const FIRST_ASK: f64 = 0.02;
+/// With no slots any more, before a planned restart, the next process can push so much later.
+const NEXT_LIFE: Span = Span::from_millis(2_300);
 /// Below this much time left nothing is worth sending.
 const LEAST_LEFT: Span = Span::from_millis(20);
 /// A copy goes so long before its window ends, to arrive in it over a connection that is still to be opened.
@@ -444,8 +446,7 @@
             Note::Ended(_) => self.out = self.out.saturating_sub(1),
             Note::Back(at, apart) => {
                 let most = if apart { self.part().min(self.terms.figures.cold) } else { Span::ZERO };
-                let wait = most.times(mail.chance());
-                self.back = Some((at, at + wait, 0));
+                self.back = Some((at, at + most.times(mail.chance()), 0));
             }
             Note::Outcome(outcome, first) => {
                 if let Some(wait) = outcome.wait {
@@ -638,9 +639,7 @@
             Note::Withdrawn(id) => self.change(id, |held| held.over = true),
             Note::Heard(id) => self.change(id, |held| held.past.ended = false),
             Note::Outcome(outcome, first) => self.outcome(&outcome, first, mail.now),
-            Note::Recall => {
-                self.ends.iter().for_each(|end| mail.commands.push(Command::Recall(end.0.clone())));
-            }
+            Note::Recall => self.ends.iter().for_each(|e| mail.commands.push(Command::Recall(e.0.clone()))),
             Note::Sent(call) => {
                 let Some(place) = self.ends.iter().position(|end| end.0 == call.endpoint) else { return };
                 self.next = place + 1;
@@ -652,6 +651,7 @@
             }
             Note::Slot => return self.offer(0, Time::NEVER, mail),
             Note::Declined(until) => return self.offer(self.asked + 1, self.again.min(until), mail),
+            Note::Pass(_, until) => return self.offer(2 * self.ends.len(), until, mail),
             Note::Shed(dire) => return self.shed(true, dire, mail),
             _ => {}
         }
@@ -824,9 +824,7 @@
             *failing = (if o.status == Status::Delivered { 0 } else { failing.0 + 1 }, now);
             held.past.ran = held.past.ran.take().or(sent);
         }
-        if o.status.may_be_running() {
-            held.past.doubt = Some(now);
-        }
+        held.past.doubt = Some(now).filter(|_| o.status.may_be_running()).or(held.past.doubt);
     }
 
     /// The design's cutoff, and rule: one final answer, at once if an endpoint takes it too late.
@@ -901,6 +899,9 @@
                 self.offered = true;
                 mail.put(Part::Destination(next), Note::Slot);
             }
+        } else if total == 0 {
+            // Guards against what only the next process could push, if that is too late for it.
+            waiting.for_each(|id| mail.put(Part::Destination(id), Note::Pass(id, now + NEXT_LIFE)));
         } else if self.open >= total && waiting.count() > 0 {
             // Guards against silent destinations that take every slot; once-only ones go if most are stuck.
             let stuck = |c: &&Lasted| c.1.is_none() && now.since(c.0) >= tip_after;
@@ -925,7 +926,7 @@
     pub(crate) fn take(&mut self, note: Note, ask_every: Span, pushed: bool, mail: &mut Mail) {
         match note {
             Note::News(News::Broken) if !self.pausing => {
-                // Guards against a list overrun: ask again, never in step; ever later unless it counts as told.
+                // Guards against a list overrun: ask again, never in step; ever later, unless it is pushed.
                 let first = ask_every.times(FIRST_ASK).clamp(LEAST_LEFT, PAUSE.times(BACK_OFF));
                 let at = mail.now + pause(first, self.failures, Span::ZERO, mail);
                 mail.alarm(Part::Book, at);
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -165,6 +165,34 @@
     .assert_eq(&trace);
 }
 
+/// Before a planned restart: what would be out of time by the next process is handed back at once, with a time to come
+/// back; the rest is held for it. What is out may end.
+#[test]
+fn with_no_slots_any_more_what_the_next_process_could_not_push_in_time_is_handed_back_at_once() {
+    let mut rig = Rig::new(1, 1, &[("a", "z")]);
+    for (id, ttl) in [(1, 16_000), (2, 2_000), (3, 16_000)] {
+        rig.accept(id, "safe", None, ttl);
+    }
+    rig.accept(4, "once", Some("k"), 16_000);
+    rig.accept(5, "once", Some("k"), 1_500);
+    rig.pass(100);
+    rig.give(Event::Slots(0));
+    rig.accept(6, "safe", None, 2_200);
+    rig.accept(7, "safe", None, 2_400);
+    rig.pass(50);
+    rig.end(1, Status::Delivered);
+    rig.accept(8, "mark", None, 900);
+    expect![[r#"
+        0      subscribe
+        0      push 1 to a for 16000 ms
+        100    throttle 5
+        100    throttle 2
+        100    throttle 6
+        150    throttle 8
+    "#]]
+    .assert_eq(&rig.trace);
+}
+
 #[test]
 fn waits_are_heeded_for_the_whole_destination() {
     let mut rig = Rig::new(4, 1, &[("a", "z"), ("b", "z")]);
