Crossings ruled out by test: told as a connection comes up, signals at any time, keys missing

Leads that no fault was found behind, each forced: a drain or a wait told in the very turn in which the connection of a call comes up (SIGSTOP around both: the call ends as Skipped and no byte arrives); SIGTERM twice, SIGINT in a stop, SIGHUP before and in it, with a file that cannot be used and with other slots (one stop, out within 3.7 s, no push after "no further calls"); each key of the settings missing, one at a time (served, or refused with its name).

--- a/crates/relay/tests/crossings/mod.rs
+++ b/crates/relay/tests/crossings/mod.rs
@@ -1,6 +1,6 @@
 //! What happens when a request, an answer or a signal comes between two lines: each crossing is forced.
 
-use std::io::Write;
+use std::io::{Read, Write};
 use std::net::TcpStream;
 use std::time::{Duration, Instant};
 
@@ -312,3 +312,115 @@
     assert_eq!(client.hand_in("safe", "2", "", b""), 202);
     assert_eq!(rig.logged("stopped")["owed"], 1);
 }
+
+/// A drain, or a wait, is told in the very turn in which the connection of a call comes up: no byte of it goes out.
+#[test]
+fn what_is_told_in_the_turn_in_which_a_connection_comes_up_holds_for_its_call() {
+    for drains in [true, false] {
+        let (full, dial, _first) = full();
+        let rig = Rig::with(|config| {
+            let mut late = config["known"]["hosts"][0].clone();
+            (late["host"], late["dial"]) = (json!("f"), json!(dial.to_string()));
+            config["known"]["hosts"].as_array_mut().expect("hosts").push(late);
+            config["settings"]["ceilings"]["connect-timeout"] = json!(10_000_000_000u64);
+        });
+        let mut watch = rig.watch();
+        watch.write(HEAD);
+        let mut client = rig.client();
+        assert_eq!([client.hand_in("safe", "1", "", b""), client.hand_in("safe", "2", "", b"")], [202; 2]);
+        let mut other = rig.endpoint.next();
+        rig.logged("push");
+        rig.logged("push");
+        rig.signal("-STOP");
+        full.accept().expect("the connection that took the room");
+        let (call, _) = full.accept().expect("the relay's, tried again by its system");
+        if drains {
+            line(&mut watch, &list(42, false, &[("f", "draining", Some(dial))]));
+        } else {
+            other.answer("429 Too Many Requests", "Retry-After: 9.5\r\n", "");
+        }
+        rig.signal("-CONT");
+        let lines = rig.logged_until("push ended");
+        let last = if drains { lines.last().cloned() } else { Some(rig.logged("push ended")) };
+        assert_eq!(last.map(|line| line["status"].clone()), Some(json!("Skipped")), "{lines:?}");
+        let (mut call, mut bytes) = (TcpStream::from(call), Vec::new());
+        // It may be reset: what counts is that nothing came.
+        let _ = call.read_to_end(&mut bytes);
+        assert_eq!(bytes, b"");
+    }
+}
+
+/// Signals before it serves, twice, and in a stop: one stop, in time, and nothing else.
+#[test]
+fn signals_at_any_time_make_one_stop() {
+    let mut rig = Rig::start();
+    assert_eq!(rig.client().hand_in("once", "1", "k", b"x"), 202);
+    let first = rig.endpoint.next();
+    rig.reload(&rig.config.to_string());
+    let since = stopping(&rig);
+    rig.terminate();
+    rig.reload("{");
+    rig.logged("the new configuration cannot be used");
+    rig.config["settings"]["family-info"]["slots"] = json!(4);
+    rig.reload(&rig.config.to_string());
+    rig.logged("configuration read anew");
+    rig.logged("no further calls");
+    rig.reload(&rig.config.to_string());
+    rig.logged("configuration read anew");
+    // Slots in a file read anew are none in a stop.
+    assert_eq!(rig.client().hand_in("safe", "2", "", b"late"), 202);
+    let rest = rig.logged_until("stopped");
+    assert!(rest.iter().all(|line| line["msg"] != "push" && line["msg"] != "stopping"), "{rest:?}");
+    assert_eq!(rig.ended(), Some(0));
+    assert!(since.elapsed() < Duration::from_millis(3_700), "{:?}", since.elapsed());
+    drop(first);
+    // Told to stop as soon as it can hear it: it serves its time all the same, with what it owes.
+    rig.restart();
+    rig.terminate();
+    assert_eq!(&*rig.endpoint.next().body, b"late");
+    rig.logged("stopping");
+    rig.terminate();
+    rig.signal("-INT");
+    let rest = rig.logged_until("stopped");
+    assert!(rest.iter().all(|line| line["msg"] != "stopping"), "{rest:?}");
+    assert_eq!(rig.ended(), Some(0));
+}
+
+/// Any one key missing, the relay says which it is and does not start, or it serves.
+#[test]
+fn with_any_key_of_the_settings_missing_it_serves_or_says_which() {
+    let whole = Rig::start().config.clone();
+    let mut paths = vec![String::new()];
+    let mut keys = Vec::new();
+    while let Some(path) = paths.pop() {
+        let Some(Value::Object(object)) = whole["settings"].pointer(&path) else { continue };
+        for key in object.keys() {
+            keys.push((path.clone(), key.clone()));
+            paths.push(format!("{path}/{key}"));
+        }
+    }
+    for at in 0..3 {
+        let class = whole["settings"]["classes"][at].as_object().expect("a topic type");
+        keys.extend(class.keys().map(|key| (format!("/classes/{at}"), key.clone())));
+    }
+    assert!(keys.len() > 50, "{}", keys.len());
+    for (path, key) in keys {
+        let mut config = whole.clone();
+        let object = config["settings"].pointer_mut(&path).and_then(Value::as_object_mut);
+        object.expect("an object").remove(&key);
+        let checked = crate::check(&config);
+        if let Err(said) = checked {
+            assert!(said.contains(&key) || key == "family-info" || key == "ceilings", "{path}/{key}: {said}");
+            continue;
+        }
+        let rig = Rig::with(|told| {
+            let (known, discovery) = (told["known"].clone(), told["discovery"].clone());
+            *told = config;
+            (told["known"], told["discovery"]) = (known, discovery);
+        });
+        // Without its name a topic type is another; what is said of it then is an answer too.
+        let status = rig.client().hand_in("safe", "1", "", b"x");
+        assert_eq!(status, 202, "{path}/{key}");
+        assert_eq!(rig.endpoint.next().id(), "1", "{path}/{key}");
+    }
+}
--- a/crates/relay/tests/serve.rs
+++ b/crates/relay/tests/serve.rs
@@ -533,6 +533,16 @@
     program().args(args).env("ROUTER_STATE", state).output().expect("the program runs")
 }
 
+/// What `check-config` says against a configuration.
+fn check(config: &Value) -> Result<(), String> {
+    let file = std::env::temp_dir().join(format!("juniperwing-check-{}.json", std::process::id()));
+    std::fs::write(&file, config.to_string()).expect("room");
+    let output = program().args(["check-config", "--config"]).arg(&file).output().expect("the program runs");
+    std::fs::remove_file(&file).expect("a file of ours");
+    let said = String::from_utf8_lossy(&output.stderr).into_owned();
+    if output.status.success() { Ok(()) } else { Err(said) }
+}
+
 #[test]
 fn bad_configuration_and_arguments_end_with_a_plain_message() {
     let rig = Rig::start();
