What a restart finds untried goes before what has come since

Cause, from the log of n4 at herna-ba: four slots, 87 owed after 4 s with none, and as soon as they were past their objective (1.5 and 2 s after the start) Destination::pick put all that came since before them, until their time was up. Now what was taken on by an earlier life (Past::taken_up) keeps its place before what can still meet its objective. Ruled out: a pushed-back start, waits and returns (none in n4's log in these seconds), and the connection of each first call. Open: slots that are too few for what waits; a relay cannot have more.

--- a/crates/model/src/world.rs
+++ b/crates/model/src/world.rs
@@ -874,6 +874,7 @@
             key: message.key.clone(),
             valid_until: message.valid_until,
             past: Past {
+                taken_up: true,
                 pushes: held.pushes,
                 ran: held.ran.map(|(at, of)| (at, zone(of))),
                 doubt: held.doubt,
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -216,6 +216,7 @@
                 ran: ran.map(|(at, zone)| (Time::from_nanos(*at), Arc::from(zone.as_str()))),
                 doubt: if history.out.is_some() { Some(now) } else { history.doubt.map(Time::from_nanos) },
                 ended: history.end.is_some(),
+                taken_up: true,
             };
             if history.pushes == 0 && history.end.is_none() {
                 self.taken_up.untried.insert(NtfId(n));
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -169,6 +169,8 @@
     pub doubt: Option<Time>,
     /// It has its final answer, which its client has not heard.
     pub ended: bool,
+    /// It was taken on by an earlier life.
+    pub taken_up: bool,
 }
 
 /// A notification as it was handed in.
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -752,7 +752,7 @@
         if ready.len() < self.per_call && ready.iter().all(|h| now < self.filled(h)) {
             return Vec::new();
         }
-        ready.sort_by_key(|h| now.since(h.taken) + self.median() > h.ntf.topic.objective);
+        ready.sort_by_key(|h| !h.past.taken_up && now.since(h.taken) + self.median() > h.ntf.topic.objective);
         let enough = self.usual().unwrap_or(self.terms.figures.tip_after.times(OVERDUE_FLOOR));
         let mut call = Vec::new();
         let (mut ends, mut wanted) = (Time::NEVER, Span::ZERO);
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -193,6 +193,28 @@
     .assert_eq(&rig.trace);
 }
 
+/// What an earlier life left untried has waited longest: it goes before what has come since, past its objective too.
+#[test]
+fn what_a_restart_finds_untried_goes_before_what_has_come_since() {
+    let mut rig = Rig::new(1, 1, &[("a", "z")]);
+    for id in [1, 2] {
+        rig.resume(id, "safe", None, Past { taken_up: true, ..Past::default() });
+    }
+    rig.accept(3, "safe", None, 16_000);
+    rig.pass(2_100);
+    rig.accept(4, "safe", None, 16_000);
+    for id in [1, 2, 4] {
+        rig.end(id, Status::Delivered);
+    }
+    expect![[r#"
+        0      subscribe
+        0      push 1 to a for 16000 ms
+        2100   push 2 to a for 13900 ms
+        2100   push 4 to a for 16000 ms
+        2100   push 3 to a for 13900 ms
+    "#]].assert_eq(&rig.trace);
+}
+
 #[test]
 fn waits_are_heeded_for_the_whole_destination() {
     let mut rig = Rig::new(4, 1, &[("a", "z"), ("b", "z")]);
@@ -719,8 +741,13 @@
 fn after_a_restart_what_may_have_run_goes_again_only_where_that_is_safe() {
     let mut rig = Rig::new(4, 1, &[("a", "z"), ("b", "y")]);
     rig.pass(5_000);
-    let out =
-        |rig: &Rig, ms| Past { pushes: 1, ran: Some(rig.ago(ms)), doubt: Some(rig.ago(0).0), ended: false };
+    let out = |rig: &Rig, ms| Past {
+        pushes: 1,
+        ran: Some(rig.ago(ms)),
+        doubt: Some(rig.ago(0).0),
+        ended: false,
+        taken_up: true,
+    };
     for (id, topic, past) in [
         (1, "once", out(&rig, 1_000)),
         (2, "once", Past::default()),
