A wait binds from the head of its answer on, be the rest late, spoilt or never there

By reading, then forced: an endpoint writes 429 with Retry-After and a length, and half of the body or nothing of it. The log said "push ended", status Error, after 0.5 s (or Reset, where it closed), no wait was told, and the next push went to the same destination at once: the rule on waits counts from when the answer is written. Lines at fault: Send::happened took the wait from whole answers alone, and so did what it reads behind a call that is over. Now the head is enough: the wait is told in the turn in which the head is whole (Event::Told, which the core has for waits behind a call), and once for each answer. What became of the push is judged as before. Test: a_wait_told_in_the_head_of_an_answer_that_is_never_whole_binds_at_once (429, 503 and 200; stalled, and cut off), seen failing without the mend. The log's line "a wait was told late" is "a wait was told" now.

--- a/crates/relay/src/http.rs
+++ b/crates/relay/src/http.rs
@@ -199,6 +199,12 @@
     keep: bool,
 }
 
+impl ResponseHead {
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name)
+    }
+}
+
 /// The first response's head in `input`, once it is all there.
 pub fn response_head(input: &[u8]) -> Read<ResponseHead> {
     let mut headers = [httparse::EMPTY_HEADER; HEADERS_MOST];
@@ -239,27 +245,29 @@
     head.code
 }
 
-/// The first final response in `input` and its length, once it is all there; `ended` says that no more will
-/// come.
-pub fn response(input: &[u8], ended: bool) -> Read<(Response, usize)> {
+/// The final response's head in `input`, behind any 1xx ones, once it is all there; its body starts at `start`.
+pub fn final_head(input: &[u8]) -> Read<ResponseHead> {
     let mut at = 0;
     loop {
-        let input = &input[at..];
-        let Some(ResponseHead { status, start, headers, keep }) = response_head(input)? else {
-            return Ok(None);
-        };
-        if (100..200).contains(&status) {
-            at += start;
-            continue;
+        let Some(head) = response_head(&input[at..])? else { return Ok(None) };
+        at += head.start;
+        if !(100..200).contains(&head.status) {
+            return Ok(Some(ResponseHead { start: at, ..head }));
         }
-        let bare = matches!(status, 204 | 304);
-        let framing = if bare { Framing::Length(0) } else { framing(&headers, Framing::End)? };
-        let Some((body, end)) = body(input, start, &framing, ended)? else { return Ok(None) };
-        let keep = keep && !matches!(framing, Framing::End);
-        return Ok(Some((Response { status, headers, body, keep }, at + end)));
     }
 }
 
+/// The first final response in `input` and its length, once it is all there; `ended` says that no more will
+/// come.
+pub fn response(input: &[u8], ended: bool) -> Read<(Response, usize)> {
+    let Some(ResponseHead { status, start, headers, keep }) = final_head(input)? else { return Ok(None) };
+    let bare = matches!(status, 204 | 304);
+    let framing = if bare { Framing::Length(0) } else { framing(&headers, Framing::End)? };
+    let Some((body, end)) = body(input, start, &framing, ended)? else { return Ok(None) };
+    let keep = keep && !matches!(framing, Framing::End);
+    Ok(Some((Response { status, headers, body, keep }, end)))
+}
+
 /// A whole message: first line, headers, the body's length and the body.
 pub fn message(first_line: &str, headers: &[(&str, &str)], body: &[u8]) -> Vec<u8> {
     let mut text = format!("{first_line}\r\n");
--- a/crates/relay/src/send.rs
+++ b/crates/relay/src/send.rs
@@ -63,6 +63,8 @@
     whole_by: Time,
     /// A single push that read 200 in the first line of its answer before its time was up.
     delivered: bool,
+    /// The wait in the head of an answer that is not whole yet has been told.
+    told: bool,
     many: bool,
     /// What goes out once the connection is up; nothing once it has been written.
     unwritten: Option<Unwritten>,
@@ -274,6 +276,7 @@
             connect_by,
             whole_by,
             delivered: false,
+            told: false,
             many,
             unwritten,
             members,
@@ -393,12 +396,12 @@
     pub fn happened(&mut self, net: &mut Net, token: Token, what: Happening, settings: &Settings, now: Time) {
         let Some(call) = self.calls.get(&token) else {
             if let Some(endpoint) = self.leaving.get(&token).filter(|_| what != Happening::Due) {
-                let ended = what == Happening::Ended;
-                match net.input(token).map(|input| http::response(input, ended)) {
-                    Some(Ok(Some((response, _)))) => {
-                        self.told.extend(relay::wait(&response).map(|wait| (endpoint.clone(), wait)));
+                match net.input(token).map(|input| http::final_head(input)) {
+                    Some(Ok(Some(head))) => {
+                        let wait = relay::wait(head.header("Retry-After"));
+                        self.told.extend(wait.map(|wait| (endpoint.clone(), wait)));
                     }
-                    Some(Ok(None)) if !ended => return,
+                    Some(Ok(None)) if what != Happening::Ended => return,
                     _ => {}
                 }
             }
@@ -421,7 +424,17 @@
             Happening::Data | Happening::Ended => {
                 let ended = what == Happening::Ended;
                 let Some(input) = net.input(token) else { return };
-                match http::response(input, ended) {
+                let read = http::response(input, ended);
+                // Guards against an answer whose rest is late, spoilt or never comes: its wait binds from its head on.
+                if !matches!(read, Ok(Some(_)))
+                    && !call.told
+                    && let Ok(Some(head)) = http::final_head(input)
+                {
+                    call.told = true;
+                    let wait = relay::wait(head.header("Retry-After"));
+                    self.told.extend(wait.map(|wait| (call.endpoint.clone(), wait)));
+                }
+                match read {
                     Ok(Some((response, length))) => {
                         let clean = response.keep && length == input.len() && !ended;
                         input.clear();
@@ -477,7 +490,7 @@
         settings: &Settings, now: Time,
     ) {
         let Some(call) = self.calls.remove(&token) else { return };
-        let (wait, limit) = (relay::wait(response), relay::limit(response, settings));
+        let (wait, limit) = (relay::wait(response.header("Retry-After")), relay::limit(response, settings));
         let (endpoint, spent) = (&call.endpoint, now.since(call.sent));
         if call.members.is_empty() {
             let fate = relay::fates(response, &[""], false)[0];
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -340,7 +340,7 @@
     /// Tells the core how pushes and probes ended.
     fn outcomes(&mut self, now: Time) {
         for (endpoint, wait) in self.send.take_told() {
-            debug!(self.log, "a wait was told late"; "endpoint" => &*endpoint.0, "ms" => wait.nanos() / 1_000_000);
+            debug!(self.log, "a wait was told"; "endpoint" => &*endpoint.0, "ms" => wait.nanos() / 1_000_000);
             self.route.tell(Event::Told { endpoint, wait });
         }
         for ended in self.send.take_ended() {
--- a/crates/relay/tests/crossings/mod.rs
+++ b/crates/relay/tests/crossings/mod.rs
@@ -424,3 +424,32 @@
         assert_eq!(rig.endpoint.next().id(), "1", "{path}/{key}");
     }
 }
+
+/// An answer's head tells a wait, and the rest of it is late, spoilt or never comes: the wait binds from the head on.
+#[test]
+fn a_wait_told_in_the_head_of_an_answer_that_is_never_whole_binds_at_once() {
+    for (status, rest, closes) in [
+        ("429 Too Many Requests", "", false),
+        ("429 Too Many Requests", "half", true),
+        ("503 Service Unavailable", "half", false),
+        ("200 OK", "", false),
+    ] {
+        let rig = Rig::start();
+        let mut client = rig.client();
+        assert_eq!(client.hand_in("safe", "1", "", b""), 202);
+        let mut push = rig.endpoint.next();
+        push.write(&format!("HTTP/1.1 {status}\r\nRetry-After: 1.2\r\nContent-Length: 9\r\n\r\n{rest}"));
+        let since = Instant::now();
+        let kept = if closes {
+            push.close();
+            None
+        } else {
+            Some(push)
+        };
+        assert_eq!(rig.logged("a wait was told")["ms"], 1_200);
+        assert_eq!(client.hand_in("safe", "2", "", b""), 202);
+        rig.endpoint.next();
+        assert!(since.elapsed() >= Duration::from_millis(1_150), "{status} {rest}: {:?}", since.elapsed());
+        drop(kept);
+    }
+}
--- a/crates/relay/tests/serve.rs
+++ b/crates/relay/tests/serve.rs
@@ -380,7 +380,7 @@
     assert_eq!(rig.logged("push ended")["status"], "TimedOut");
     assert!(call.is_closed());
     call.answer("429 Too Many Requests", "Retry-After: 9.5\r\n", "");
-    rig.logged("a wait was told late");
+    rig.logged("a wait was told");
     // Its time ends in the wait, so it is answered at once, and told when to come again.
     client.write(&request("safe", "2", "", 300, b""));
     let (status, head) = client.answer();
