1xx answers without end are spoilt once they are longer than a head may be

By reading, then forced: 25 KB of 102 responses and no final one were read on until the push's TTL (the log: TimedOut after 16 s), up to 8 MB of input looked through from the start at each piece. Line at fault: the loop over 1xx heads had no bound. They have that of a head now, 16 KiB together, and the answer is spoilt beyond it (Error: it may have run). Test: interim_answers_without_end_are_spoilt, seen failing without the mend.

--- a/crates/relay/src/http.rs
+++ b/crates/relay/src/http.rs
@@ -249,6 +249,8 @@
 pub fn final_head(input: &[u8]) -> Read<ResponseHead> {
     let mut at = 0;
     loop {
+        // Guards against 1xx responses without end.
+        too_long(&input[..at])?;
         let Some(head) = response_head(&input[at..])? else { return Ok(None) };
         at += head.start;
         if !(100..200).contains(&head.status) {
--- a/crates/relay/tests/crossings/mod.rs
+++ b/crates/relay/tests/crossings/mod.rs
@@ -453,3 +453,17 @@
         drop(kept);
     }
 }
+
+/// 1xx responses without end are no answer: the push ends long before its time to live.
+#[test]
+fn interim_answers_without_end_are_spoilt() {
+    let rig = Rig::start();
+    assert_eq!(rig.client().hand_in("once", "1", "k", b""), 202);
+    let mut push = rig.endpoint.next();
+    let since = Instant::now();
+    for _ in 0..1_000 {
+        push.try_write("HTTP/1.1 102 Processing\r\n\r\n");
+    }
+    assert_eq!(rig.logged("push ended")["status"], "Error");
+    assert!(since.elapsed() < Duration::from_secs(4), "{:?}", since.elapsed());
+}
