A push called off behind the first line of a 200 was delivered

By reading, then forced: a push in order, its answer's first line there and the rest late (0.5 s are given), called off meanwhile for what waits behind it. The log: status Cancelled, and a notice "given_up" for what had been delivered; what may run again would have gone again. Line at fault: Send::end_members gave Cancelled whatever had been read; a time-out looked at it already. Test: what_is_called_off_behind_the_first_line_of_a_200_was_delivered, seen failing without the mend.

--- a/crates/relay/src/send.rs
+++ b/crates/relay/src/send.rs
@@ -379,7 +379,11 @@
         let Some(call) = self.calls.get_mut(&token) else { return };
         // What has not been written never ran, and is left out when the rest is. What waits half sent may still go.
         let unwritten = call.unwritten.is_some();
-        let status = if unwritten { Status::NoConnection } else { status };
+        let status = match status {
+            _ if unwritten => Status::NoConnection,
+            _ if call.delivered => Status::Delivered,
+            status => status,
+        };
         let mut closes = false;
         for member in call.members.iter_mut().filter(|member| which(member)) {
             (member.out, closes) = (false, closes || member.ordered && !unwritten);
--- a/crates/relay/tests/crossings/mod.rs
+++ b/crates/relay/tests/crossings/mod.rs
@@ -467,3 +467,22 @@
     assert_eq!(rig.logged("push ended")["status"], "Error");
     assert!(since.elapsed() < Duration::from_secs(4), "{:?}", since.elapsed());
 }
+
+/// A push is called off while the rest of its answer is late: with the first line of a 200 it was delivered.
+#[test]
+fn what_is_called_off_behind_the_first_line_of_a_200_was_delivered() {
+    let rig = Rig::with(|config| config["settings"]["rules"]["tip-after"] = json!(400_000_000u64));
+    let mut client = rig.client();
+    for id in ["1", "2", "3"] {
+        assert_eq!(client.hand_in("once", id, "k", b""), 202);
+    }
+    let mut push = rig.endpoint.next();
+    let since = Instant::now();
+    // Overdue, with two of its key behind it, 0.8 s after it went; spoilt 0.5 s after its first line.
+    until(since, 550);
+    push.write("HTTP/1.1 200 OK\r\n");
+    let ended = rig.logged("push ended");
+    assert_eq!((&ended["n"], &ended["status"]), (&json!(1), &json!("Delivered")));
+    assert!(since.elapsed() < Duration::from_millis(1_000), "called off, not spoilt: {:?}", since.elapsed());
+    assert_eq!(rig.endpoint.next().id(), "2");
+}
