An id handed in twice in one turn has one answer on both connections

By reading, then forced (SIGSTOP around two requests): the first was taken on, the second found its id on record and had 202 at once, and in the same turn the core refused the notification: 429 on one connection, 202 on the other, and nothing owed, which is lost. Line at fault: Admit::admit answers for what is on record before the core has decided on it. Who hands in what is being decided on now waits for that answer. Test: an_id_handed_in_twice_in_one_turn_has_one_answer (refused, and taken on), seen failing without the mend (429, 202).

--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -61,8 +61,8 @@
     send: Send,
     book: Book,
     store: Store,
-    /// Handed in in this turn and not answered yet.
-    fresh: BTreeMap<NtfId, Token>,
+    /// Handed in in this turn and not answered yet: by whom. One that comes twice has one answer.
+    fresh: BTreeMap<NtfId, Vec<Token>>,
     taken_up: TakenUp,
     log: Logger,
 }
@@ -315,6 +315,14 @@
     }
 
     fn hand_in(&mut self, token: Token, handed_in: HandedIn, now: Time) {
+        // Guards against an id that comes twice in a turn: it is on record, and may be refused all the same.
+        if self.store.holds(&handed_in.words.id) {
+            let held = |ntf: &NtfId| self.store.get(ntf.0).map(|kept| &kept.taken.words.id);
+            let same = |ntf: &NtfId| held(ntf) == Some(&handed_in.words.id);
+            if let Some((_, tokens)) = self.fresh.iter_mut().find(|(ntf, _)| same(ntf)) {
+                return tokens.push(token);
+            }
+        }
         let topic = match self.admit.admit(&handed_in, &self.settings, &self.store, &self.discovery) {
             Ok(topic) => topic,
             Err(answer) => {
@@ -333,7 +341,7 @@
         debug!(self.log, "taken on"; "id" => &kept.taken.words.id, "n" => n,
             "dest" => kept.taken.words.destination, "topic" => &kept.taken.words.topic);
         let notification = self.notification(n, &kept.taken, topic, Past::default());
-        self.fresh.insert(NtfId(n), token);
+        self.fresh.insert(NtfId(n), vec![token]);
         self.route.tell(Event::Accepted(notification));
     }
 
@@ -380,16 +388,16 @@
                 }
                 Command::Cancel { ntf, push } => self.send.cancel(&mut self.net, *ntf, *push, now),
                 Command::Throttle { ntf, retry_in } => {
-                    if let Some(token) = self.fresh.remove(ntf) {
-                        self.answer(token, *ntf, Answer::Throttled(*retry_in));
+                    if let Some(tokens) = self.fresh.remove(ntf) {
+                        self.answer(tokens, *ntf, Answer::Throttled(*retry_in));
                         self.heard(*ntf);
                     } else {
                         self.end(*ntf, End::HandedBack(retry_in.nanos() / 1_000_000), now);
                     }
                 }
                 Command::Expire(ntf) => {
-                    if let Some(token) = self.fresh.remove(ntf) {
-                        self.answer(token, *ntf, Answer::Expired);
+                    if let Some(tokens) = self.fresh.remove(ntf) {
+                        self.answer(tokens, *ntf, Answer::Expired);
                         self.heard(*ntf);
                     } else {
                         self.end(*ntf, End::GivenUp, now);
@@ -409,17 +417,17 @@
                 Command::Log(line) => info!(self.log, "{}", line),
             }
         }
-        for (ntf, token) in std::mem::take(&mut self.fresh) {
-            self.answer(token, ntf, Answer::Accepted);
+        for (ntf, tokens) in std::mem::take(&mut self.fresh) {
+            self.answer(tokens, ntf, Answer::Accepted);
         }
         self.book.write(&mut self.net, &self.store, now);
     }
 
-    fn answer(&mut self, token: Token, ntf: NtfId, answer: Answer) {
+    fn answer(&mut self, tokens: Vec<Token>, ntf: NtfId, answer: Answer) {
         if let Some(kept) = self.store.get(ntf.0) {
             self.admit.answered(&kept.taken.words.id, answer);
         }
-        self.take_in.answer(&mut self.net, token, answer);
+        tokens.into_iter().for_each(|token| self.take_in.answer(&mut self.net, token, answer));
     }
 
     fn push(&mut self, endpoint: &EndpointId, pushes: &[(NtfId, Span, Span)], now: Time) {
--- a/crates/relay/tests/crossings/mod.rs
+++ b/crates/relay/tests/crossings/mod.rs
@@ -486,3 +486,23 @@
     assert!(since.elapsed() < Duration::from_millis(1_000), "called off, not spoilt: {:?}", since.elapsed());
     assert_eq!(rig.endpoint.next().id(), "2");
 }
+
+/// One id on two connections, read in one turn: both have the one answer, be it a refusal.
+#[test]
+fn an_id_handed_in_twice_in_one_turn_has_one_answer() {
+    for (ms, status) in [(1, 429), (16_000, 202)] {
+        let rig = Rig::start();
+        let mut clients = [rig.client(), rig.client()];
+        for client in &mut clients {
+            // Both are known to the relay before it stands still.
+            client.write(b"GET /ready HTTP/1.1\r\n\r\n");
+            assert_eq!(client.answer().0, 200);
+        }
+        rig.signal("-STOP");
+        clients.iter_mut().for_each(|client| client.write(&request("safe", "1", "", ms, b"")));
+        rig.signal("-CONT");
+        assert_eq!(clients.map(|mut client| client.answer().0), [status; 2]);
+        let pushes = usize::from(status == 202);
+        assert_eq!(std::iter::from_fn(|| rig.endpoint.next_soon()).count(), pushes);
+    }
+}
