A list that says it is whole and names no endpoints, not even none, empties nothing

By reading, then forced: {"seq": 42, "whole": true} was read as a whole list without endpoints, so all were gone and their connections closed. Line at fault: hosts had a default. Such a list is unreadable now: the watch is begun anew from the version held. Test: a_whole_list_without_endpoints_empties_nothing, seen failing without the mend. An empty "hosts" is still what it says.

--- a/crates/relay/src/discovery.rs
+++ b/crates/relay/src/discovery.rs
@@ -24,8 +24,7 @@
     seq: u64,
     #[serde(default)]
     whole: bool,
-    #[serde(default)]
-    hosts: Vec<Host>,
+    hosts: Option<Vec<Host>>,
 }
 
 #[derive(Clone, Debug, Deserialize)]
@@ -114,8 +113,9 @@
     pub fn learn(&mut self, list: List, settings: &Settings, now: Time) -> (News, Vec<EndpointId>) {
         self.seq = list.seq;
         let before = if list.whole { std::mem::take(&mut self.places) } else { self.places.clone() };
-        let mut entries = Vec::with_capacity(list.hosts.len());
-        for host in list.hosts {
+        let hosts = list.hosts.unwrap_or_default();
+        let mut entries = Vec::with_capacity(hosts.len());
+        for host in hosts {
             let entry = Entry {
                 endpoint: EndpointId(Arc::from(host.host)),
                 destination: DestinationId(host.block),
@@ -274,6 +274,8 @@
             }
             let mut values = serde_json::Deserializer::from_slice(&self.text).into_iter();
             match values.next() {
+                // Guards against one that would empty the list held: it says that it is whole, and names nothing.
+                Some(Ok(List { whole: true, hosts: None, .. })) => return Err("unreadable"),
                 Some(Ok(list)) => {
                     brought.lists.push(list);
                     brought.heard = true;
--- a/crates/relay/tests/crossings/mod.rs
+++ b/crates/relay/tests/crossings/mod.rs
@@ -506,3 +506,15 @@
         assert_eq!(std::iter::from_fn(|| rig.endpoint.next_soon()).count(), pushes);
     }
 }
+
+/// A list that says it is whole and names no endpoints, not even none, is spoilt: the one held goes on.
+#[test]
+fn a_whole_list_without_endpoints_empties_nothing() {
+    let rig = Rig::start();
+    let mut watch = rig.watch();
+    watch.write(&format!("{HEAD}{}", chunk("{\"seq\": 42, \"whole\": true}\n")));
+    assert_eq!(rig.logged("the watch on the list broke")["why"], "unreadable");
+    assert!(rig.watch().head.contains("index=41 "));
+    assert_eq!(rig.client().hand_in("safe", "1", "", b""), 202);
+    assert_eq!(rig.endpoint.next().id(), "1");
+}
