--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -212,7 +212,8 @@
         2100   push 2 to a for 13900 ms
         2100   push 4 to a for 16000 ms
         2100   push 3 to a for 13900 ms
-    "#]].assert_eq(&rig.trace);
+    "#]]
+    .assert_eq(&rig.trace);
 }
 
 #[test]
