Where the list is pushed, nothing goes by an old one before discovery has spoken

By reading, then forced: with a pushed list, what discovery has counts as told from the first moment of a new process, and the process went by the known list of its configuration, which may be old, until the watch's first list came: what a restart took up went out in the first turn, to an endpoint that had begun to drain meanwhile. The log: push, endpoint e, before the list said that e drains. Lines at fault: Chain::learn told the core the known list as if discovery had; the core could not tell. Where the list is asked for it goes by the known one at once, as before. Test: where_the_list_is_pushed_nothing_goes_by_an_old_one_before_discovery_has_spoken, seen failing with the arm taken out.

--- a/crates/lab/src/adapter.rs
+++ b/crates/lab/src/adapter.rs
@@ -183,6 +183,7 @@
                 News::Broken => ("broken", Vec::new()),
                 News::Changes(entries) => ("patch", entries),
                 News::Whole(entries) => ("whole", entries),
+                News::Held(entries) => ("stale_copy", entries),
             };
             let record = |entry: juniperwing::interface::Entry| {
                 let readiness = match entry.readiness {
--- a/crates/lab/src/baselines.rs
+++ b/crates/lab/src/baselines.rs
@@ -147,7 +147,7 @@
         let entries = match news {
             News::Broken => return commands.push(Command::Subscribe),
             News::Changes(entries) => entries,
-            News::Whole(entries) => {
+            News::Whole(entries) | News::Held(entries) => {
                 self.list.clear();
                 entries
             }
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -106,7 +106,7 @@
         log: log.new(o!("relay" => config.fixed.name.clone())),
         fixed: config.fixed,
     };
-    chain.learn(config.known, clock.now());
+    chain.recollect(config.known, clock.now());
     chain.resume(clock.now());
     let listen = chain.net.local_addr().unwrap_or(chain.fixed.listen).to_string();
     let (owed, untried) = (chain.store.len(), chain.taken_up.untried.len());
@@ -300,6 +300,15 @@
         }
     }
 
+    /// Takes in the list as an earlier process held it.
+    fn recollect(&mut self, list: List, now: Time) {
+        if let (News::Whole(entries) | News::Changes(entries), _) =
+            self.discovery.learn(list, &self.settings, now)
+        {
+            self.route.tell(Event::List(News::Held(entries)));
+        }
+    }
+
     fn learn(&mut self, list: List, now: Time) {
         let (news, left) = self.discovery.learn(list, &self.settings, now);
         if let News::Changes(entries) | News::Whole(entries) = &news {
--- a/crates/relay/tests/crossings/mod.rs
+++ b/crates/relay/tests/crossings/mod.rs
@@ -518,3 +518,31 @@
     assert_eq!(rig.client().hand_in("safe", "1", "", b""), 202);
     assert_eq!(rig.endpoint.next().id(), "1");
 }
+
+/// Pushed, what discovery has counts from a process's first moment: nothing goes by the list of an earlier one before
+/// the first word of a watch, be it that there is none.
+#[test]
+fn where_the_list_is_pushed_nothing_goes_by_an_old_one_before_discovery_has_spoken() {
+    for speaks in [true, false] {
+        let mut rig = Rig::with(|config| config["settings"]["discovery"] = json!("automatic"));
+        rig.watch().write(&format!("{HEAD}{}", chunk("\n")));
+        assert_eq!(rig.client().hand_in("safe", "1", "", b""), 202);
+        assert_eq!(rig.endpoint.next().id(), "1");
+        rig.kill();
+        rig.restart();
+        let mut watch = rig.watch();
+        assert_eq!(rig.client().hand_in("safe", "2", "", b""), 202);
+        rig.logged("taken on");
+        assert!(rig.endpoint.next_soon().is_none());
+        if speaks {
+            let hosts = [("e", "draining", None), ("f", "ready", Some(rig.endpoint.address))];
+            watch.write(&format!("{HEAD}{}", chunk(&format!("{}\n", list(43, true, &hosts)))));
+            assert_eq!(rig.logged("push")["endpoint"], "f");
+        } else {
+            watch.close();
+        }
+        let mut ids = [rig.endpoint.next(), rig.endpoint.next()].map(|push| push.id().to_owned());
+        ids.sort();
+        assert_eq!(ids, ["1", "2"]);
+    }
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -228,6 +228,8 @@
     Changes(Vec<Entry>),
     /// All of it: what is missing is gone.
     Whole(Vec<Entry>),
+    /// All of it as an earlier process held it; it may be old.
+    Held(Vec<Entry>),
     /// A request for it failed or the subscription broke.
     Broken,
 }
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -113,11 +113,6 @@
         Some(fit)
     }
 
-    /// The latency that half of the calls stay under.
-    pub fn median(&self) -> Span {
-        Span::from_secs(self.mu.exp())
-    }
-
     /// The logarithm of the chance that evenly spaced pushes all miss: the chance itself saturates.
     fn ln_miss(&self, left: Span, pushes: u32) -> f64 {
         let z = (((left.secs() / f64::from(pushes)).ln() - self.mu) / self.sigma).min(36.0);
@@ -247,7 +242,7 @@
             Note::Outcome(outcome, _) => self.outcome(outcome, mail),
             Note::Told(wait) => {
                 mail.put(self.lane(), Note::Told(wait));
-                self.recall(mail);
+                mail.put(Part::Destination(self.entry.destination), Note::Recall);
             }
             _ => self.suspect(mail),
         }
@@ -262,11 +257,6 @@
         Part::Lane(self.entry.destination)
     }
 
-    /// Guards against calls whose connections are not up yet: they would go in the wait that was told.
-    fn recall(&self, mail: &mut Mail) {
-        mail.put(Part::Destination(self.entry.destination), Note::Recall);
-    }
-
     fn stale(&self, now: Time) -> Option<Span> {
         self.stale.filter(|(_, told)| now.since(*told) < STALE_MEMORY).map(|(span, _)| span)
     }
@@ -308,7 +298,8 @@
             }
         }
         if first {
-            outcome.wait.iter().for_each(|_| self.recall(mail));
+            // Guards against calls whose connections are not up yet: they would go in the wait that was told.
+            outcome.wait.iter().for_each(|_| mail.put(Part::Destination(to), Note::Recall));
             self.judge(at, outcome.status, outcome.limit, mail);
         }
         mail.put(self.lane(), Note::Outcome(outcome.clone(), first));
@@ -707,11 +698,10 @@
             let (endpoint, zone) = self.ends[order[self.asked % order.len()]].clone();
             let pushes = self.pick(mail.now, &endpoint, &zone);
             if !pushes.is_empty() {
-                let (to, destination) = (Part::Endpoint(endpoint.clone()), self.id);
+                let (to, destination, fresh, rate) = (Part::Endpoint(endpoint.clone()), self.id, false, 0.0);
                 let (usual, overdue, now) = (self.median(), self.overdue_after(), mail.now);
                 let gaps = (self.gap(self.ends.len(), now), self.gap(1, now));
                 let handed = (self.handed.len().max(1) as f64 / self.per_call as f64, self.known(now));
-                let (fresh, rate) = (false, 0.0);
                 let call = Call { destination, endpoint, pushes, usual, overdue, gaps, handed, rate, fresh };
                 return mail.put(to, Note::Call(call));
             }
@@ -754,8 +744,7 @@
         }
         ready.sort_by_key(|h| !h.past.taken_up && now.since(h.taken) + self.median() > h.ntf.topic.objective);
         let enough = self.usual().unwrap_or(self.terms.figures.tip_after.times(OVERDUE_FLOOR));
-        let mut call = Vec::new();
-        let (mut ends, mut wanted) = (Time::NEVER, Span::ZERO);
+        let (mut call, mut ends, mut wanted) = (Vec::new(), Time::NEVER, Span::ZERO);
         let mut ready = ready.into_iter();
         while let Some(held) = ready.next().filter(|_| call.len() < self.per_call) {
             let (first, time_out) = (ends.min(held.ntf.valid_until), self.time_out(now, held));
@@ -800,7 +789,7 @@
     fn median(&self) -> Span {
         let done = self.samples.iter().filter(|s| !s.censored).map(|s| s.ln_secs);
         let longest = Span::from_secs(done.reduce(f64::max).map_or(0.0, f64::exp));
-        self.fit.map_or(Span::ZERO, |fit| fit.median().min(longest))
+        self.fit.map_or(Span::ZERO, |fit| Span::from_secs(fit.mu.exp()).min(longest))
     }
 
     fn time_out(&self, now: Time, held: &Held) -> Span {
@@ -917,6 +906,8 @@
 #[derive(Default)]
 pub(crate) struct Book {
     entries: BTreeMap<EndpointId, Entry>,
+    /// What an earlier process held, until discovery has spoken or is known not to.
+    early: Vec<Entry>,
     /// Requests failed in a row, and whether it will ask again.
     failures: i32,
     pausing: bool,
@@ -924,7 +915,11 @@
 
 impl Book {
     pub(crate) fn take(&mut self, note: Note, ask_every: Span, pushed: bool, mail: &mut Mail) {
+        let early = if let Note::News(_) = note { std::mem::take(&mut self.early) } else { Vec::new() };
+        Some(early).filter(|early| !early.is_empty()).into_iter().for_each(|early| self.merge(early, mail));
         match note {
+            // Guards against drains told while there was no process: pushed, they count from its first moment.
+            Note::News(News::Held(entries)) if pushed => self.early = entries,
             Note::News(News::Broken) if !self.pausing => {
                 // Guards against a list overrun: ask again, never in step; ever later, unless it is pushed.
                 let first = ask_every.times(FIRST_ASK).clamp(LEAST_LEFT, PAUSE.times(BACK_OFF));
@@ -933,7 +928,7 @@
                 (self.pausing, self.failures) = (true, self.failures + i32::from(!pushed));
             }
             Note::News(News::Changes(entries)) => self.merge(entries, mail),
-            Note::News(News::Whole(mut entries)) => {
+            Note::News(News::Whole(mut entries) | News::Held(mut entries)) => {
                 let named: BTreeSet<EndpointId> = entries.iter().map(|e| e.endpoint.clone()).collect();
                 let gone = self.entries.values().filter(|old| !named.contains(&old.endpoint));
                 entries.extend(gone.map(|old| Entry { readiness: Readiness::Deleted, ..old.clone() }));
