An endpoint that goes over to another destination ends what it had for the one before

By reading, then forced: a list gives an endpoint another block, with a call out to it and one whose connection is not up. The second was still written when its connection came up (a message of destination 7 at an endpoint of 8: it voids all); what waited for 7 went on going there, and the outcome of the first was told to destination 8, which does not hold it, so it had no end: lost. Lines at fault: Discovery::learn looked at address and readiness alone; Book::merge told only the new destination; Endpoint::outcome told whichever destination the entry names now. Each call holds its destination now, the old destination hears that the endpoint is gone from it, and what is not out to it ends as not sent. Test: an_endpoint_that_goes_over_to_another_destination_gets_nothing_more_for_the_one_it_had, seen failing without the relay's part (NoConnection for Skipped) and without the core's (no notice).

--- a/crates/relay/src/discovery.rs
+++ b/crates/relay/src/discovery.rs
@@ -135,9 +135,10 @@
             entries.push(entry);
         }
         let left = |id: &EndpointId, old: &Place| {
-            self.places
-                .get(id)
-                .is_none_or(|now| now.dial != old.dial || now.entry.readiness != Readiness::Serving)
+            self.places.get(id).is_none_or(|now| {
+                let moved = now.dial != old.dial || now.entry.destination != old.entry.destination;
+                moved || now.entry.readiness != Readiness::Serving
+            })
         };
         let closing = before.iter().filter(|(id, old)| left(id, old)).map(|(id, _)| id.clone()).collect();
         let forget = now + settings.longest_ttl();
--- a/crates/relay/tests/crossings/mod.rs
+++ b/crates/relay/tests/crossings/mod.rs
@@ -546,3 +546,38 @@
         assert_eq!(ids, ["1", "2"]);
     }
 }
+
+/// An endpoint goes over to another destination, with a call out and one whose connection is not up: the first has its
+/// end, the second does not arrive there, and nothing more goes there for the destination that it had.
+#[test]
+fn an_endpoint_that_goes_over_to_another_destination_gets_nothing_more_for_the_one_it_had() {
+    let (full, dial, _first) = full();
+    let rig = Rig::with(|config| {
+        let mut late = config["known"]["hosts"][0].clone();
+        (late["host"], late["dial"]) = (json!("f"), json!(dial.to_string()));
+        config["known"]["hosts"].as_array_mut().expect("hosts").push(late);
+        config["settings"]["ceilings"]["connect-timeout"] = json!(10_000_000_000u64);
+    });
+    let mut watch = rig.watch();
+    let mut client = rig.client();
+    assert_eq!([client.hand_in("once", "1", "k", b""), client.hand_in("safe", "2", "", b"")], [202; 2]);
+    let mut out = rig.endpoint.next();
+    assert_eq!(out.id(), "1");
+    let mut moved =
+        list(42, false, &[("e", "ready", Some(rig.endpoint.address)), ("f", "ready", Some(dial))]);
+    for host in moved["hosts"].as_array_mut().expect("hosts") {
+        host["block"] = json!(8);
+    }
+    watch.write(HEAD);
+    line(&mut watch, &moved);
+    assert_eq!(rig.logged("push ended")["status"], "Skipped");
+    out.answer("500 No", "", "");
+    assert_eq!(rig.notice().1, json!({"message": "1", "outcome": "given_up"}));
+    let moved = request("safe", "3", "", 16_000, b"").to_vec();
+    let moved = String::from_utf8(moved).expect("plain text").replace("dest=7", "dest=8");
+    client.write(moved.as_bytes());
+    assert_eq!(client.answer().0, 202);
+    assert_eq!(rig.endpoint.next().id(), "3");
+    assert!(rig.endpoint.next_soon().is_none());
+    drop(full);
+}
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -172,6 +172,7 @@
 
 /// A call that is out, or has not all its outcomes.
 struct Out {
+    to: DestinationId,
     at: Time,
     /// For how long nothing had been sent there.
     idle: Span,
@@ -224,24 +225,24 @@
                     return mail.put(Part::Destination(call.destination), Note::Declined(until));
                 }
                 call.fresh = self.stale(mail.now).is_some_and(|span| mail.now.since(self.used) >= span);
-                mail.put(self.lane(), Note::Call(call));
+                mail.put(Part::Lane(call.destination), Note::Call(call));
             }
             Note::Stale(span, _) => {
                 self.stale = Some((self.stale(mail.now).map_or(span, |known| known.min(span)), mail.now));
                 mail.commands.push(Command::CloseIdle(self.entry.endpoint.clone()));
             }
             Note::Sent(call) => {
-                let (at, idle) = (mail.now, mail.now.since(self.used));
+                let (to, at, idle) = (call.destination, mail.now, mail.now.since(self.used));
                 self.used = at;
                 self.aside = self.aside.map(|_| self.next_trial(mail));
                 let overdue_at = at + call.overdue;
                 mail.alarm(Part::Endpoint(call.endpoint), overdue_at);
                 let ntfs = call.pushes.into_iter().map(|push| push.0).collect();
-                self.outs.push(Out { at, idle, overdue_at, ntfs, answered: false });
+                self.outs.push(Out { to, at, idle, overdue_at, ntfs, answered: false });
             }
             Note::Outcome(outcome, _) => self.outcome(outcome, mail),
             Note::Told(wait) => {
-                mail.put(self.lane(), Note::Told(wait));
+                mail.put(Part::Lane(self.entry.destination), Note::Told(wait));
                 mail.put(Part::Destination(self.entry.destination), Note::Recall);
             }
             _ => self.suspect(mail),
@@ -253,10 +254,6 @@
         if self.terms.fleet.rates_listed { self.entry.rate } else { 0.0 }
     }
 
-    fn lane(&self) -> Part {
-        Part::Lane(self.entry.destination)
-    }
-
     fn stale(&self, now: Time) -> Option<Span> {
         self.stale.filter(|(_, told)| now.since(*told) < STALE_MEMORY).map(|(span, _)| span)
     }
@@ -284,13 +281,13 @@
 
     fn outcome(&mut self, outcome: Outcome, mail: &mut Mail) {
         let Some(place) = self.outs.iter().position(|out| out.ntfs.contains(&outcome.ntf)) else { return };
-        let (out, to) = (&mut self.outs[place], self.entry.destination);
+        let out = &mut self.outs[place];
         out.ntfs.retain(|ntf| *ntf != outcome.ntf);
-        let (at, seldom) = (out.at, out.idle > self.terms.allowance.idle);
+        let (to, at, seldom) = (out.to, out.at, out.idle > self.terms.allowance.idle);
         let first = !std::mem::replace(&mut out.answered, true);
         if out.ntfs.is_empty() {
             self.outs.remove(place);
-            mail.put(self.lane(), Note::Ended(to));
+            mail.put(Part::Lane(to), Note::Ended(to));
             mail.put(Part::Slots, Note::Ended(to));
             // Guards against few connections, full of idle ones: where short, or this relay comes too seldom.
             if seldom || self.stale(mail.now) == Some(Span::ZERO) {
@@ -302,7 +299,7 @@
             outcome.wait.iter().for_each(|_| mail.put(Part::Destination(to), Note::Recall));
             self.judge(at, outcome.status, outcome.limit, mail);
         }
-        mail.put(self.lane(), Note::Outcome(outcome.clone(), first));
+        mail.put(Part::Lane(to), Note::Outcome(outcome.clone(), first));
         mail.put(Part::Destination(to), Note::Outcome(outcome, first));
     }
 
@@ -319,7 +316,7 @@
                 let down = refused.is_some_and(|at| now.since(at) >= span.times(BRIEF));
                 if (was_aside || down) && !brief {
                     mail.commands.push(Command::Log(format!("{} is back", self.entry.endpoint.0)));
-                    mail.put(self.lane(), Note::Back(now, was_aside));
+                    mail.put(Part::Lane(self.entry.destination), Note::Back(now, was_aside));
                 }
                 // Guards against connections that die unseen while idle: then all endpoints get fresh ones.
                 let idle = span.times(OVERDUE_FLOOR);
@@ -907,7 +904,7 @@
 pub(crate) struct Book {
     entries: BTreeMap<EndpointId, Entry>,
     /// What an earlier process held, until discovery has spoken or is known not to.
-    early: Vec<Entry>,
+    early: Option<Vec<Entry>>,
     /// Requests failed in a row, and whether it will ask again.
     failures: i32,
     pausing: bool,
@@ -915,11 +912,11 @@
 
 impl Book {
     pub(crate) fn take(&mut self, note: Note, ask_every: Span, pushed: bool, mail: &mut Mail) {
-        let early = if let Note::News(_) = note { std::mem::take(&mut self.early) } else { Vec::new() };
-        Some(early).filter(|early| !early.is_empty()).into_iter().for_each(|early| self.merge(early, mail));
+        let early = self.early.take_if(|_| matches!(note, Note::News(_)));
+        early.into_iter().for_each(|early| self.merge(early, mail));
         match note {
-            // Guards against drains told while there was no process: pushed, they count from its first moment.
-            Note::News(News::Held(entries)) if pushed => self.early = entries,
+            // Guards against drains told while there was no process: pushed, they count from its start.
+            Note::News(News::Held(entries)) if pushed => self.early = Some(entries),
             Note::News(News::Broken) if !self.pausing => {
                 // Guards against a list overrun: ask again, never in step; ever later, unless it is pushed.
                 let first = ask_every.times(FIRST_ASK).clamp(LEAST_LEFT, PAUSE.times(BACK_OFF));
@@ -950,7 +947,11 @@
         self.failures = 0;
         entries.retain(|entry| self.entries.get(&entry.endpoint) != Some(entry));
         for entry in entries {
-            self.entries.insert(entry.endpoint.clone(), entry.clone());
+            // Guards against one that goes over to another destination: it is gone from the one that it had.
+            let old = self.entries.insert(entry.endpoint.clone(), entry.clone());
+            let old = old.filter(|old| old.destination != entry.destination);
+            let gone = old.map(|old| Entry { readiness: Readiness::Deleted, ..old });
+            gone.into_iter().for_each(|old| mail.put(Part::Destination(old.destination), Note::Listed(old)));
             mail.put(Part::Endpoint(entry.endpoint.clone()), Note::Listed(entry.clone()));
             mail.put(Part::Destination(entry.destination), Note::Listed(entry));
         }
