A header that is passed on and cannot be read as text is refused, not left out

By reading, then forced: Idempotency-Key with a byte that is no UTF-8 was read as absent, the notification taken on (202) and pushed without its key, which the protocol calls a message that nobody handed in. Line at fault: Headers::get gives nothing for such a value, and notification() took that as no header. It is 400 now for each header that is passed on or gone by; others (User-Agent) may hold what they like. Values are trimmed of ASCII space alone, so that a key goes on unchanged. Test: what_says_something_that_is_no_text_is_not_taken_on_without_it, seen failing without the mend (202 for 400).

--- a/crates/relay/src/http.rs
+++ b/crates/relay/src/http.rs
@@ -27,7 +27,7 @@
 
     fn get(&self, name: &str) -> Option<&str> {
         let found = self.0.iter().find(|(known, _)| known.eq_ignore_ascii_case(name))?;
-        std::str::from_utf8(&found.1).ok().map(str::trim)
+        std::str::from_utf8(&found.1).ok().map(str::trim_ascii)
     }
 
     fn has(&self, name: &str, word: &str) -> bool {
@@ -58,6 +58,12 @@
     pub fn header(&self, name: &str) -> Option<&str> {
         self.headers.get(name)
     }
+
+    /// Whether a header is there that is no text, which [`Request::header`] does not give.
+    pub fn is_odd(&self, name: &str) -> bool {
+        let found = self.headers.0.iter().find(|(known, _)| known.eq_ignore_ascii_case(name));
+        found.is_some_and(|(_, value)| std::str::from_utf8(value).is_err())
+    }
 }
 
 #[derive(Debug)]
--- a/crates/relay/src/take_in.rs
+++ b/crates/relay/src/take_in.rs
@@ -232,6 +232,8 @@
         let value = request.header(name).filter(|value| !value.is_empty());
         match value {
             Some(value) if value.len() > WORD_MOST => Err(()),
+            // Guards against passing something on without its key, say, because that cannot be read.
+            None if request.is_odd(name) => Err(()),
             value => Ok(value.map(str::to_owned)),
         }
     };
--- a/crates/relay/tests/crossings/mod.rs
+++ b/crates/relay/tests/crossings/mod.rs
@@ -607,3 +607,25 @@
         }
     }
 }
+
+/// A header that the relay passes on, or goes by, is there and is no text: nothing is taken on without it.
+#[test]
+fn what_says_something_that_is_no_text_is_not_taken_on_without_it() {
+    let rig = Rig::start();
+    for (name, status) in [
+        ("Idempotency-Key", 400),
+        ("Tenant", 400),
+        ("Request-Class", 400),
+        ("Request-Id", 400),
+        ("User-Agent", 202),
+    ] {
+        let rest = ["Request-Id: 1\r\n", "Envelope: dest=7\r\nRequest-Timeout-Ms: 9000\r\n\r\n"];
+        let rest = &rest[usize::from(name == "Request-Id")..].concat();
+        let mut client = rig.client();
+        client
+            .write(&[b"POST /safe HTTP/1.1\r\n", name.as_bytes(), b": k\xff\r\n", rest.as_bytes()].concat());
+        assert_eq!(client.answer().0, status, "{name}");
+    }
+    assert_eq!(rig.endpoint.next().id(), "1");
+    assert!(rig.endpoint.next_soon().is_none());
+}
