SIGHUP before discovery has spoken does not make an old pushed list count

What is read anew before any watch has told something is News::Held too, and Held does not release what it replaces.

--- a/crates/relay/src/discovery.rs
+++ b/crates/relay/src/discovery.rs
@@ -77,6 +77,8 @@
     watch: Option<Watch>,
     /// The core has asked for a watch.
     wanted: bool,
+    /// A watch has told something, so that what is held is no longer an earlier process's.
+    spoken: bool,
     places: BTreeMap<EndpointId, Place>,
     /// Destinations that have endpoints on the list, and when one that has none any more may be forgotten.
     destinations: BTreeMap<DestinationId, Time>,
@@ -89,6 +91,7 @@
             seq: 0,
             watch: None,
             wanted: false,
+            spoken: false,
             places: BTreeMap::new(),
             destinations: BTreeMap::new(),
         }
@@ -159,7 +162,8 @@
         for place in self.places.values_mut() {
             place.entry.kind = settings.kind(&place.entry.kind.name);
         }
-        News::Changes(self.places.values().map(|place| place.entry.clone()).collect())
+        let entries = self.places.values().map(|place| place.entry.clone()).collect();
+        if self.spoken { News::Changes(entries) } else { News::Held(entries) }
     }
 
     /// Opens a watch, in place of one that is open. Says whether that could be begun.
@@ -194,6 +198,7 @@
             _ => {
                 let begun = watch.begun;
                 brought = watch.read(net);
+                self.spoken |= brought.heard;
                 // Guards against one that keeps itself alive by pieces of lines, and tells nothing.
                 if brought.heard || watch.begun != begun {
                     net.due(token, now + SILENT);
--- a/crates/relay/tests/crossings/mod.rs
+++ b/crates/relay/tests/crossings/mod.rs
@@ -533,6 +533,9 @@
         let mut watch = rig.watch();
         assert_eq!(rig.client().hand_in("safe", "2", "", b""), 202);
         rig.logged("taken on");
+        // Read anew, the settings make the old list no newer.
+        rig.reload(&rig.config.to_string());
+        rig.logged("configuration read anew");
         assert!(rig.endpoint.next_soon().is_none());
         if speaks {
             let hosts = [("e", "draining", None), ("f", "ready", Some(rig.endpoint.address))];
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -912,7 +912,8 @@
 
 impl Book {
     pub(crate) fn take(&mut self, note: Note, ask_every: Span, pushed: bool, mail: &mut Mail) {
-        let early = self.early.take_if(|_| matches!(note, Note::News(_)));
+        let spoken = matches!(&note, Note::News(news) if !matches!(news, News::Held(_)));
+        let early = self.early.take_if(|_| spoken);
         early.into_iter().for_each(|early| self.merge(early, mail));
         match note {
             // Guards against drains told while there was no process: pushed, they count from its start.
