An endpoint whose address cannot be read is named in the log and uses up no pushes

By reading, then forced: a list with a dial that is no address told the core that the endpoint serves, while the relay had no place for it. Each push there ended at once as one without a connection, until a notification had none left and was given up (with max-attempts 1: the log's push, push ended NoConnection, ended), and nothing in the log said why. Lines at fault: Discovery::learn, which kept no place for it and told the core nothing of that. It counts as gone now, so what is for it is held, or goes elsewhere; the log names it. Test: an_endpoint_with_no_address_that_can_be_read_gets_nothing_until_it_has_one, seen failing without the mend.

--- a/crates/relay/src/discovery.rs
+++ b/crates/relay/src/discovery.rs
@@ -62,6 +62,15 @@
     }
 }
 
+/// What came of a list.
+pub struct Learnt {
+    pub news: News,
+    /// Their idle connections are of no use any more.
+    pub left: Vec<EndpointId>,
+    /// Their addresses cannot be read.
+    pub nowhere: Vec<EndpointId>,
+}
+
 struct Watch {
     token: Token,
     /// Whether the head of the answer has come.
@@ -111,14 +120,14 @@
         self.places.get(endpoint)
     }
 
-    /// Takes in a list. Gives the news of it for the core, and the endpoints whose idle connections are of no
-    /// use any more.
-    pub fn learn(&mut self, list: List, settings: &Settings, now: Time) -> (News, Vec<EndpointId>) {
+    /// Takes in a list.
+    pub fn learn(&mut self, list: List, settings: &Settings, now: Time) -> Learnt {
         self.seq = list.seq;
         let before = if list.whole { std::mem::take(&mut self.places) } else { self.places.clone() };
         let hosts = list.hosts.unwrap_or_default();
-        let mut entries = Vec::with_capacity(hosts.len());
+        let (mut entries, mut nowhere) = (Vec::with_capacity(hosts.len()), Vec::new());
         for host in hosts {
+            let dial = host.dial.parse().ok();
             let entry = Entry {
                 endpoint: EndpointId(Arc::from(host.host)),
                 destination: DestinationId(host.block),
@@ -127,29 +136,34 @@
                 readiness: match host.health.as_str() {
                     "draining" => Readiness::Draining,
                     "gone" => Readiness::Deleted,
+                    // Guards against pushes used up on one that nobody can reach: what it would get is held.
+                    _ if dial.is_none() => Readiness::Deleted,
                     _ => Readiness::Serving,
                 },
                 rate: host.share,
             };
             self.places.remove(&entry.endpoint);
-            if let Some(dial) = host.dial.parse().ok().filter(|_| entry.readiness != Readiness::Deleted) {
+            if dial.is_none() && host.health != "gone" {
+                nowhere.push(entry.endpoint.clone());
+            }
+            if let Some(dial) = dial.filter(|_| entry.readiness != Readiness::Deleted) {
                 self.places.insert(entry.endpoint.clone(), Place { dial, entry: entry.clone() });
             }
             entries.push(entry);
         }
-        let left = |id: &EndpointId, old: &Place| {
+        let has_left = |id: &EndpointId, old: &Place| {
             self.places.get(id).is_none_or(|now| {
                 let moved = now.dial != old.dial || now.entry.destination != old.entry.destination;
                 moved || now.entry.readiness != Readiness::Serving
             })
         };
-        let closing = before.iter().filter(|(id, old)| left(id, old)).map(|(id, _)| id.clone()).collect();
+        let left = before.iter().filter(|(id, old)| has_left(id, old)).map(|(id, _)| id.clone()).collect();
         let forget = now + settings.longest_ttl();
         self.destinations.extend(before.values().map(|place| (place.entry.destination, forget)));
         self.destinations.extend(self.places.values().map(|place| (place.entry.destination, Time::NEVER)));
         self.destinations.retain(|_, until| *until > now);
         let news = if list.whole { News::Whole(entries) } else { News::Changes(entries) };
-        (news, closing)
+        Learnt { news, left, nowhere }
     }
 
     /// The kinds of the endpoints on the list.
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -16,7 +16,7 @@
 use crate::admit::Admit;
 use crate::book::Book;
 use crate::config::{Config, Fixed};
-use crate::discovery::{Discovery, List};
+use crate::discovery::{Discovery, Learnt, List};
 use crate::event_loop::{Clock, Happening, Net, Role, Signals, Token};
 use crate::route::Route;
 use crate::send::{Ended, Push, Send};
@@ -302,15 +302,22 @@
 
     /// Takes in the list as an earlier process held it.
     fn recollect(&mut self, list: List, now: Time) {
-        if let (News::Whole(entries) | News::Changes(entries), _) =
-            self.discovery.learn(list, &self.settings, now)
-        {
+        let learnt = self.discovery.learn(list, &self.settings, now);
+        self.say_nowhere(&learnt.nowhere);
+        if let News::Whole(entries) | News::Changes(entries) = learnt.news {
             self.route.tell(Event::List(News::Held(entries)));
         }
     }
 
+    fn say_nowhere(&self, endpoints: &[EndpointId]) {
+        for endpoint in endpoints {
+            warn!(self.log, "the list has no address that can be read"; "endpoint" => &*endpoint.0);
+        }
+    }
+
     fn learn(&mut self, list: List, now: Time) {
-        let (news, left) = self.discovery.learn(list, &self.settings, now);
+        let Learnt { news, left, nowhere } = self.discovery.learn(list, &self.settings, now);
+        self.say_nowhere(&nowhere);
         if let News::Changes(entries) | News::Whole(entries) = &news {
             debug!(self.log, "the list has news"; "entries" => entries.len(), "left" => left.len());
         }
--- a/crates/relay/tests/crossings/mod.rs
+++ b/crates/relay/tests/crossings/mod.rs
@@ -632,3 +632,19 @@
     assert_eq!(rig.endpoint.next().id(), "1");
     assert!(rig.endpoint.next_soon().is_none());
 }
+
+/// An endpoint whose address cannot be read is said, and uses up no push: what is for it is held until it can be.
+#[test]
+fn an_endpoint_with_no_address_that_can_be_read_gets_nothing_until_it_has_one() {
+    let rig = Rig::with(|config| config["settings"]["ceilings"]["max-attempts"] = json!(1));
+    let mut watch = rig.watch();
+    watch.write(HEAD);
+    let mut odd = list(42, false, &[("e", "ready", None)]);
+    odd["hosts"][0]["dial"] = json!("127.0.0.1:port");
+    line(&mut watch, &odd);
+    assert_eq!(rig.logged("the list has no address that can be read")["endpoint"], "e");
+    assert_eq!(rig.client().hand_in("safe", "1", "", b""), 202);
+    rig.logged("taken on");
+    line(&mut watch, &list(43, false, &[("e", "ready", Some(rig.endpoint.address))]));
+    assert_eq!(rig.endpoint.next().id(), "1");
+}
