--- a/crates/relay/tests/crossings/mod.rs
+++ b/crates/relay/tests/crossings/mod.rs
@@ -424,3 +424,125 @@
         assert_eq!(rig.endpoint.next().id(), "1", "{path}/{key}");
     }
 }
+
+/// An answer's head tells a wait, and the rest of it is late, spoilt or never comes: the wait binds from the head on.
+#[test]
+fn a_wait_told_in_the_head_of_an_answer_that_is_never_whole_binds_at_once() {
+    for (status, rest, closes) in [
+        ("429 Too Many Requests", "", false),
+        ("429 Too Many Requests", "half", true),
+        ("503 Service Unavailable", "half", false),
+        ("200 OK", "", false),
+    ] {
+        let rig = Rig::start();
+        let mut client = rig.client();
+        assert_eq!(client.hand_in("safe", "1", "", b""), 202);
+        let mut push = rig.endpoint.next();
+        push.write(&format!("HTTP/1.1 {status}\r\nRetry-After: 1.2\r\nContent-Length: 9\r\n\r\n{rest}"));
+        let since = Instant::now();
+        let kept = if closes {
+            push.close();
+            None
+        } else {
+            Some(push)
+        };
+        assert_eq!(rig.logged("a wait was told")["ms"], 1_200);
+        assert_eq!(client.hand_in("safe", "2", "", b""), 202);
+        rig.endpoint.next();
+        assert!(since.elapsed() >= Duration::from_millis(1_150), "{status} {rest}: {:?}", since.elapsed());
+        drop(kept);
+    }
+}
+
+/// 1xx responses without end are no answer: the push ends long before its time to live.
+#[test]
+fn interim_answers_without_end_are_spoilt() {
+    let rig = Rig::start();
+    assert_eq!(rig.client().hand_in("once", "1", "k", b""), 202);
+    let mut push = rig.endpoint.next();
+    let since = Instant::now();
+    for _ in 0..1_000 {
+        push.try_write("HTTP/1.1 102 Processing\r\n\r\n");
+    }
+    assert_eq!(rig.logged("push ended")["status"], "Error");
+    assert!(since.elapsed() < Duration::from_secs(4), "{:?}", since.elapsed());
+}
+
+/// A push is called off while the rest of its answer is late: with the first line of a 200 it was delivered.
+#[test]
+fn what_is_called_off_behind_the_first_line_of_a_200_was_delivered() {
+    let rig = Rig::with(|config| config["settings"]["rules"]["tip-after"] = json!(400_000_000u64));
+    let mut client = rig.client();
+    for id in ["1", "2", "3"] {
+        assert_eq!(client.hand_in("once", id, "k", b""), 202);
+    }
+    let mut push = rig.endpoint.next();
+    let since = Instant::now();
+    // Overdue, with two of its key behind it, 0.8 s after it went; spoilt 0.5 s after its first line.
+    until(since, 550);
+    push.write("HTTP/1.1 200 OK\r\n");
+    let ended = rig.logged("push ended");
+    assert_eq!((&ended["n"], &ended["status"]), (&json!(1), &json!("Delivered")));
+    assert!(since.elapsed() < Duration::from_millis(1_000), "called off, not spoilt: {:?}", since.elapsed());
+    assert_eq!(rig.endpoint.next().id(), "2");
+}
+
+/// One id on two connections, read in one turn: both have the one answer, be it a refusal.
+#[test]
+fn an_id_handed_in_twice_in_one_turn_has_one_answer() {
+    for (ms, status) in [(1, 429), (16_000, 202)] {
+        let rig = Rig::start();
+        let mut clients = [rig.client(), rig.client()];
+        for client in &mut clients {
+            // Both are known to the relay before it stands still.
+            client.write(b"GET /ready HTTP/1.1\r\n\r\n");
+            assert_eq!(client.answer().0, 200);
+        }
+        rig.signal("-STOP");
+        clients.iter_mut().for_each(|client| client.write(&request("safe", "1", "", ms, b"")));
+        rig.signal("-CONT");
+        assert_eq!(clients.map(|mut client| client.answer().0), [status; 2]);
+        let pushes = usize::from(status == 202);
+        assert_eq!(std::iter::from_fn(|| rig.endpoint.next_soon()).count(), pushes);
+    }
+}
+
+/// A list that says it is whole and names no endpoints, not even none, is spoilt: the one held goes on.
+#[test]
+fn a_whole_list_without_endpoints_empties_nothing() {
+    let rig = Rig::start();
+    let mut watch = rig.watch();
+    watch.write(&format!("{HEAD}{}", chunk("{\"seq\": 42, \"whole\": true}\n")));
+    assert_eq!(rig.logged("the watch on the list broke")["why"], "unreadable");
+    assert!(rig.watch().head.contains("index=41 "));
+    assert_eq!(rig.client().hand_in("safe", "1", "", b""), 202);
+    assert_eq!(rig.endpoint.next().id(), "1");
+}
+
+/// Pushed, what discovery has counts from a process's first moment: nothing goes by the list of an earlier one before
+/// the first word of a watch, be it that there is none.
+#[test]
+fn where_the_list_is_pushed_nothing_goes_by_an_old_one_before_discovery_has_spoken() {
+    for speaks in [true, false] {
+        let mut rig = Rig::with(|config| config["settings"]["discovery"] = json!("automatic"));
+        rig.watch().write(&format!("{HEAD}{}", chunk("\n")));
+        assert_eq!(rig.client().hand_in("safe", "1", "", b""), 202);
+        assert_eq!(rig.endpoint.next().id(), "1");
+        rig.kill();
+        rig.restart();
+        let mut watch = rig.watch();
+        assert_eq!(rig.client().hand_in("safe", "2", "", b""), 202);
+        rig.logged("taken on");
+        assert!(rig.endpoint.next_soon().is_none());
+        if speaks {
+            let hosts = [("e", "draining", None), ("f", "ready", Some(rig.endpoint.address))];
+            watch.write(&format!("{HEAD}{}", chunk(&format!("{}\n", list(43, true, &hosts)))));
+            assert_eq!(rig.logged("push")["endpoint"], "f");
+        } else {
+            watch.close();
+        }
+        let mut ids = [rig.endpoint.next(), rig.endpoint.next()].map(|push| push.id().to_owned());
+        ids.sort();
+        assert_eq!(ids, ["1", "2"]);
+    }
+}
