--- a/crates/relay/tests/crossings/mod.rs
+++ b/crates/relay/tests/crossings/mod.rs
@@ -14,6 +14,14 @@
     config["known"]["hosts"][0]["dial"] = json!(dial.to_string());
 }
 
+/// Beside the destination's endpoint stands another, `f`, where nothing comes up until it is accepted.
+fn late_beside(config: &mut Value, dial: std::net::SocketAddr) {
+    let mut late = config["known"]["hosts"][0].clone();
+    (late["host"], late["dial"]) = (json!("f"), json!(dial.to_string()));
+    config["known"]["hosts"].as_array_mut().expect("hosts").push(late);
+    config["settings"]["ceilings"]["connect-timeout"] = json!(10_000_000_000u64);
+}
+
 /// Killed while its connection is not up: no byte of the push went out, so even a once-only one is tried.
 #[test]
 fn what_was_decided_on_and_never_written_is_tried_by_the_next_process() {
@@ -318,12 +326,7 @@
 fn what_is_told_in_the_turn_in_which_a_connection_comes_up_holds_for_its_call() {
     for drains in [true, false] {
         let (full, dial, _first) = full();
-        let rig = Rig::with(|config| {
-            let mut late = config["known"]["hosts"][0].clone();
-            (late["host"], late["dial"]) = (json!("f"), json!(dial.to_string()));
-            config["known"]["hosts"].as_array_mut().expect("hosts").push(late);
-            config["settings"]["ceilings"]["connect-timeout"] = json!(10_000_000_000u64);
-        });
+        let rig = Rig::with(|config| late_beside(config, dial));
         let mut watch = rig.watch();
         watch.write(HEAD);
         let mut client = rig.client();
@@ -555,12 +558,7 @@
 #[test]
 fn an_endpoint_that_goes_over_to_another_destination_gets_nothing_more_for_the_one_it_had() {
     let (full, dial, _first) = full();
-    let rig = Rig::with(|config| {
-        let mut late = config["known"]["hosts"][0].clone();
-        (late["host"], late["dial"]) = (json!("f"), json!(dial.to_string()));
-        config["known"]["hosts"].as_array_mut().expect("hosts").push(late);
-        config["settings"]["ceilings"]["connect-timeout"] = json!(10_000_000_000u64);
-    });
+    let rig = Rig::with(|config| late_beside(config, dial));
     let mut watch = rig.watch();
     let mut client = rig.client();
     assert_eq!([client.hand_in("once", "1", "k", b""), client.hand_in("safe", "2", "", b"")], [202; 2]);
