--- a/crates/relay/src/http.rs
+++ b/crates/relay/src/http.rs
@@ -18,16 +18,20 @@
 type Read<T> = Result<Option<T>, Unreadable>;
 
 #[derive(Debug, Default)]
-struct Headers(Vec<(String, Vec<u8>)>);
+pub struct Headers(Vec<(String, Vec<u8>)>);
 
 impl Headers {
     fn of(parsed: &[httparse::Header<'_>]) -> Headers {
         Headers(parsed.iter().map(|h| (h.name.to_ascii_lowercase(), h.value.to_vec())).collect())
     }
 
-    fn get(&self, name: &str) -> Option<&str> {
-        let found = self.0.iter().find(|(known, _)| known.eq_ignore_ascii_case(name))?;
-        std::str::from_utf8(&found.1).ok().map(str::trim_ascii)
+    /// A header's value, be it text or not.
+    fn raw(&self, name: &str) -> Option<&[u8]> {
+        self.0.iter().find(|(known, _)| known.eq_ignore_ascii_case(name)).map(|(_, value)| &**value)
+    }
+
+    pub fn get(&self, name: &str) -> Option<&str> {
+        std::str::from_utf8(self.raw(name)?).ok().map(str::trim_ascii)
     }
 
     fn has(&self, name: &str, word: &str) -> bool {
@@ -61,15 +65,14 @@
 
     /// Whether a header is there that is no text, which [`Request::header`] does not give.
     pub fn is_odd(&self, name: &str) -> bool {
-        let found = self.headers.0.iter().find(|(known, _)| known.eq_ignore_ascii_case(name));
-        found.is_some_and(|(_, value)| std::str::from_utf8(value).is_err())
+        self.headers.raw(name).is_some_and(|value| std::str::from_utf8(value).is_err())
     }
 }
 
 #[derive(Debug)]
 pub struct Response {
     pub status: u16,
-    headers: Headers,
+    pub headers: Headers,
     pub body: Vec<u8>,
     pub keep: bool,
 }
@@ -201,16 +204,10 @@
     pub status: u16,
     /// Where the body starts.
     pub start: usize,
-    headers: Headers,
+    pub headers: Headers,
     keep: bool,
 }
 
-impl ResponseHead {
-    pub fn header(&self, name: &str) -> Option<&str> {
-        self.headers.get(name)
-    }
-}
-
 /// The first response's head in `input`, once it is all there.
 pub fn response_head(input: &[u8]) -> Read<ResponseHead> {
     let mut headers = [httparse::EMPTY_HEADER; HEADERS_MOST];
--- a/crates/relay/src/send.rs
+++ b/crates/relay/src/send.rs
@@ -402,7 +402,7 @@
             if let Some(endpoint) = self.leaving.get(&token).filter(|_| what != Happening::Due) {
                 match net.input(token).map(|input| http::final_head(input)) {
                     Some(Ok(Some(head))) => {
-                        let wait = relay::wait(head.header("Retry-After"));
+                        let wait = relay::wait(&head.headers);
                         self.told.extend(wait.map(|wait| (endpoint.clone(), wait)));
                     }
                     Some(Ok(None)) if what != Happening::Ended => return,
@@ -435,7 +435,7 @@
                     && let Ok(Some(head)) = http::final_head(input)
                 {
                     call.told = true;
-                    let wait = relay::wait(head.header("Retry-After"));
+                    let wait = relay::wait(&head.headers);
                     self.told.extend(wait.map(|wait| (call.endpoint.clone(), wait)));
                 }
                 match read {
@@ -494,7 +494,7 @@
         settings: &Settings, now: Time,
     ) {
         let Some(call) = self.calls.remove(&token) else { return };
-        let (wait, limit) = (relay::wait(response.header("Retry-After")), relay::limit(response, settings));
+        let (wait, limit) = (relay::wait(&response.headers), relay::limit(response, settings));
         let (endpoint, spent) = (&call.endpoint, now.since(call.sent));
         if call.members.is_empty() {
             let fate = relay::fates(response, &[""], false)[0];
