Packages of the serving tier: the clock on its own, the messages between processes

The serving tier is written as packages that know nothing of higher ones. The clock's types leave the core so that every state machine can use them; the core re-exports them as before. The messages between relays, keepers and stores come first, so that the parts can be written side by side.

--- /dev/null
+++ b/crates/protocol/src/identity.rs
@@ -0,0 +1,79 @@
+//! Identifiers, each of a type of its own so that none can stand where another is meant.
+
+use std::fmt;
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+macro_rules! text_identifier {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+        pub struct $name(pub Arc<str>);
+
+        impl From<&str> for $name {
+            fn from(text: &str) -> Self {
+                $name(text.into())
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str(&self.0)
+            }
+        }
+    };
+}
+
+macro_rules! number_identifier {
+    ($(#[$doc:meta])* $name:ident, $number:ty) => {
+        $(#[$doc])*
+        #[derive(
+            Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+        )]
+        pub struct $name(pub $number);
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                self.0.fmt(f)
+            }
+        }
+    };
+}
+
+text_identifier!(
+    /// The name of a machine, from its settings. A machine keeps it when its disk is replaced.
+    NodeName
+);
+text_identifier!(
+    /// One life of an endpoint.
+    InstanceId
+);
+text_identifier!(
+    /// One try of a client's request (`X-Request-Id`); also the name of the turn that it ran.
+    RequestId
+);
+text_identifier!(
+    /// An agent program.
+    ProgramId
+);
+text_identifier!(
+    /// A service of the operator's configuration (a `backend`).
+    ServiceName
+);
+number_identifier!(
+    /// The identity of a data directory, drawn at random when it is first used. A machine whose disk was
+    /// replaced has another one, so what the lost disk promised cannot be mistaken for its own.
+    DiskId,
+    u64
+);
+number_identifier!(
+    /// The number of an epoch; higher ones supersede lower ones. Serves as fencing token.
+    EpochNumber,
+    u64
+);
+number_identifier!(
+    /// A partition of the session store.
+    PartitionId,
+    u16
+);
--- /dev/null
+++ b/crates/protocol/src/lib.rs
@@ -0,0 +1,20 @@
+//! The typed messages that relays, keepers and stores exchange, and their encoding.
+//!
+//! Every message travels in an [`Envelope`], encoded with `postcard` behind a length of four bytes. The
+//! modules follow who talks to whom: [`replication`] between keepers, [`registry`] between keepers,
+//! [`subscription`] from keepers to relays and stores, [`session`] between relays and stores, [`transfer`]
+//! between stores.
+
+pub mod envelope;
+pub mod headers;
+pub mod identity;
+pub mod registry;
+pub mod replication;
+pub mod session;
+pub mod subscription;
+pub mod transfer;
+
+pub use envelope::{CallId, DecodeError, Envelope, Message};
+pub use identity::{
+    DiskId, EpochNumber, InstanceId, NodeName, PartitionId, ProgramId, RequestId, ServiceName,
+};
--- /dev/null
+++ b/crates/protocol/src/replication.rs
@@ -0,0 +1,148 @@
+//! Epochs and replicated writes: what keepers tell each other to agree on who is primary and to copy state.
+
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+use crate::identity::{DiskId, EpochNumber, NodeName};
+
+/// A version of the replicated state: the epoch it was written in, then its place there.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Version {
+    /// The epoch in which it was written.
+    pub epoch: EpochNumber,
+    /// Counts all writes ever, from 1.
+    pub sequence: u64,
+}
+
+/// A keeper that takes part in the choice of epochs.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Voter {
+    /// The identity of its disk, and so its own.
+    pub disk: DiskId,
+    /// Its machine.
+    pub node: NodeName,
+    /// Where it listens for the tier's own messages.
+    pub address: SocketAddr,
+}
+
+/// Who is primary, who holds all that was acknowledged, and who decides on the next epoch.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Epoch {
+    /// Its number.
+    pub number: EpochNumber,
+    /// The keeper that alone takes writes.
+    pub primary: DiskId,
+    /// The keepers whose confirmation every write needs, the primary included.
+    pub in_sync: Vec<DiskId>,
+    /// The keepers of which more than half decide on the next epoch.
+    pub voters: Vec<Voter>,
+    /// The voters of the epoch before, of whom more than half must have accepted this one; empty as soon as
+    /// that is known.
+    pub previous_voters: Vec<Voter>,
+}
+
+/// Between keepers. Every message names the disk that sends it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ReplicationMessage {
+    /// Who sends it.
+    pub from: DiskId,
+    /// What is said.
+    pub body: ReplicationBody,
+}
+
+/// The messages of the epoch protocol and of primary-backup replication.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum ReplicationBody {
+    /// A candidate asks for a promise to accept nothing below `number`.
+    Prepare {
+        /// The epoch that it wants to propose.
+        number: EpochNumber,
+    },
+    /// Promised, with the highest epoch accepted so far.
+    Promise {
+        /// The number promised.
+        number: EpochNumber,
+        /// The highest epoch accepted.
+        accepted: Epoch,
+        /// The version of the state held.
+        version: Version,
+    },
+    /// A candidate asks that its epoch be accepted.
+    Accept {
+        /// The epoch.
+        epoch: Epoch,
+    },
+    /// Accepted and on disk.
+    Accepted {
+        /// The epoch's number.
+        number: EpochNumber,
+    },
+    /// A higher number was promised.
+    Refused {
+        /// That number.
+        promised: EpochNumber,
+    },
+    /// The epoch is chosen: its `previous_voters` count no more.
+    Chosen {
+        /// The epoch's number.
+        number: EpochNumber,
+    },
+    /// The primary writes a change.
+    Write {
+        /// Its epoch.
+        epoch: EpochNumber,
+        /// The version that the change builds on.
+        base: Version,
+        /// The version that it makes.
+        version: Version,
+        /// The change, encoded.
+        change: Vec<u8>,
+    },
+    /// The primary sends the whole state.
+    Snapshot {
+        /// Its epoch.
+        epoch: EpochNumber,
+        /// The version of the state.
+        version: Version,
+        /// The state, encoded.
+        state: Vec<u8>,
+    },
+    /// A replica has this version on disk.
+    Confirm {
+        /// The epoch that it goes by.
+        epoch: EpochNumber,
+        /// The version.
+        version: Version,
+    },
+    /// The primary is there, and this is committed.
+    Heartbeat {
+        /// Its epoch, whole, for those that lack it.
+        epoch: Epoch,
+        /// The newest committed version.
+        committed: Version,
+        /// Pairs the answer with a read that waits for it.
+        round: u64,
+    },
+    /// Answers a heartbeat: no higher epoch was promised.
+    HeartbeatAnswer {
+        /// The heartbeat's epoch.
+        epoch: EpochNumber,
+        /// The heartbeat's round.
+        round: u64,
+        /// The version held on disk.
+        version: Version,
+    },
+    /// A keeper that is no voter asks to be let in.
+    Join {
+        /// It, as a voter.
+        voter: Voter,
+    },
+    /// A voter says that it ends for good or for some time.
+    Leave,
+    /// At the very first start: a seed tells its disk to the founder.
+    Found {
+        /// It, as a voter.
+        voter: Voter,
+    },
+}
--- /dev/null
+++ b/crates/protocol/src/transfer.rs
@@ -0,0 +1,76 @@
+//! What stores tell each other: records as they are written, and digests for repair.
+
+use serde::{Deserialize, Serialize};
+
+use crate::identity::{EpochNumber, PartitionId, ProgramId, RequestId};
+use crate::session::Turn;
+
+/// A record of the session store. Records merge: a settled one supersedes a reserved one, a kept turn stays.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Record {
+    /// The program.
+    pub program: ProgramId,
+    /// The try.
+    pub request: RequestId,
+    /// Tokens that count against the budget.
+    pub tokens: u64,
+    /// Whether `tokens` is what was handed out, not the most that may be.
+    pub settled: bool,
+    /// The turn, if it is kept.
+    pub turn: Option<Turn>,
+    /// When it may be forgotten, in milliseconds of the time of day.
+    pub expires_at_ms: u64,
+}
+
+/// A store asks another store.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum TransferRequest {
+    /// The primary writes records; the answer comes when they are on disk. Without records it only asks
+    /// whether the epoch still holds.
+    Write {
+        /// The partition.
+        partition: PartitionId,
+        /// The primary's epoch.
+        epoch: EpochNumber,
+        /// The records.
+        records: Vec<Record>,
+    },
+    /// The digests of `ranges` equal ranges of the hashes of keys.
+    Digests {
+        /// The partition.
+        partition: PartitionId,
+        /// The primary's epoch.
+        epoch: EpochNumber,
+        /// How many ranges.
+        ranges: u16,
+    },
+    /// All records of some of these ranges.
+    Records {
+        /// The partition.
+        partition: PartitionId,
+        /// The primary's epoch.
+        epoch: EpochNumber,
+        /// How many ranges there are.
+        ranges: u16,
+        /// Those wanted.
+        wanted: Vec<u16>,
+    },
+}
+
+/// A store answers another store.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum TransferReply {
+    /// On disk.
+    Written,
+    /// The digests asked for.
+    Digests(Vec<u64>),
+    /// The records asked for.
+    Records(Vec<Record>),
+    /// The epoch named is not the one that this store goes by.
+    Fenced {
+        /// The epoch that it goes by.
+        epoch: EpochNumber,
+    },
+    /// It could not be done, for instance because the disk is full.
+    Failed,
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,6 @@
 mod mail;
 mod relay;
 pub mod rules;
-pub mod time;
+pub use juniperwing_clock as time;
 
 pub use relay::Relay;
