Links, settings, subscriptions and storage of the tier's processes; three empty roles

The roles relay, keeper and store are subcommands of the one binary. Processes talk over links: postcard envelopes on TCP with pings, time-outs and calls. State goes to disk as versions (aside, sync, rename, folder sync) or as batches (one sync each).

--- /dev/null
+++ b/crates/node/src/command.rs
@@ -0,0 +1,119 @@
+//! The command line of the tier's roles.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use getopts::Options;
+use slog::{Level, Logger, error};
+
+use crate::log::logger;
+use crate::settings::Settings;
+use crate::signals::Signals;
+
+/// A role that a process may have.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Role {
+    /// Carries the traffic between clients and endpoints.
+    Relay,
+    /// Keeps the configuration, the endpoints and the store map.
+    Keeper,
+    /// Keeps turns and budgets.
+    Store,
+}
+
+impl Role {
+    /// The role of this name.
+    pub fn of(name: &str) -> Option<Role> {
+        [Role::Relay, Role::Keeper, Role::Store].into_iter().find(|role| role.name() == name)
+    }
+
+    /// Its name, as on the command line.
+    pub fn name(self) -> &'static str {
+        match self {
+            Role::Relay => "relay",
+            Role::Keeper => "keeper",
+            Role::Store => "store",
+        }
+    }
+}
+
+/// What a role is started with.
+pub struct Process {
+    /// The settings.
+    pub settings: Settings,
+    /// Where they came from, to read them again; `None` if the environment names the file.
+    pub settings_file: Option<PathBuf>,
+    /// The log.
+    pub log: Logger,
+    /// The platform's signals.
+    pub signals: Signals,
+}
+
+/// Runs a role with the arguments behind its name, until it ends.
+pub fn run(role: Role, arguments: &[String]) -> ExitCode {
+    let mut options = Options::new();
+    options.optopt("", "settings", "the settings file [environment: JUNIPERWING_CONFIG]", "FILE");
+    options.optopt("", "log-level", "error, warning, info or debug [default: info]", "LEVEL");
+    options.optflag("", "check", "read the settings, say what is wrong with them, and exit");
+    options.optflag("h", "help", "print this");
+    let usage = options.usage(&format!("Usage: juniperwing {} [OPTIONS]", role.name()));
+    let matches = match options.parse(arguments) {
+        Ok(matches) if matches.free.is_empty() => matches,
+        Ok(matches) => return misused(&format!("unknown argument {:?}", matches.free[0]), &usage),
+        Err(e) => return misused(&e.to_string(), &usage),
+    };
+    if matches.opt_present("help") {
+        print!("{usage}");
+        return ExitCode::SUCCESS;
+    }
+    let Some(level) = level(matches.opt_str("log-level").as_deref()) else {
+        return misused("--log-level: error, warning, info or debug", &usage);
+    };
+    let settings_file = matches.opt_str("settings").map(PathBuf::from);
+    match Settings::read(settings_file.as_deref()) {
+        Err(e) => {
+            eprintln!("juniperwing {}: {e}", role.name());
+            ExitCode::from(2)
+        }
+        Ok(_) if matches.opt_present("check") => ExitCode::SUCCESS,
+        Ok(settings) => serve(role, settings, settings_file, level),
+    }
+}
+
+fn serve(role: Role, settings: Settings, settings_file: Option<PathBuf>, level: Level) -> ExitCode {
+    let log = logger(level, role.name(), &settings.node_name);
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let ended = runtime.and_then(|runtime| {
+        runtime.block_on(async {
+            let signals = Signals::new()?;
+            let process = Process { settings, settings_file, log: log.clone(), signals };
+            match role {
+                Role::Relay => crate::relay::run(process).await,
+                Role::Keeper => crate::keeper::run(process).await,
+                Role::Store => crate::store::run(process).await,
+            }
+        })
+    });
+    match ended {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            error!(log, "cannot go on"; "why" => e.to_string());
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn level(name: Option<&str>) -> Option<Level> {
+    match name {
+        None | Some("info") => Some(Level::Info),
+        Some("error") => Some(Level::Error),
+        Some("warning") => Some(Level::Warning),
+        Some("debug") => Some(Level::Debug),
+        Some(_) => None,
+    }
+}
+
+fn misused(why: &str, usage: &str) -> ExitCode {
+    eprintln!("juniperwing: {why}\n{usage}");
+    ExitCode::from(2)
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,1 +1,14 @@
-//! .
+//! The processes of the serving tier: settings, logs, signals, links between processes, and the roles.
+//!
+//! Every process runs on one thread of `tokio`; only writes to disk go to others.
+
+pub mod clock;
+pub mod command;
+pub mod keeper;
+pub mod link;
+pub mod log;
+pub mod relay;
+pub mod settings;
+pub mod signals;
+pub mod store;
+pub mod subscriber;
--- /dev/null
+++ b/crates/node/src/link/connection.rs
@@ -0,0 +1,289 @@
+//! One link: its reader, its writer and its open calls.
+
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use juniperwing_protocol::{CallId, Envelope, Message};
+use snafu::Snafu;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Notify, oneshot};
+use tokio::time::{Instant, timeout, timeout_at};
+
+use super::{DEAD_AFTER, MAX_WAITING_BYTES, PING_AFTER};
+
+const READ_BYTES: usize = 16 << 10;
+
+/// What a process does with the messages that reach it.
+pub trait Service: Send + Sync + 'static {
+    /// A message came. Where the sender waits for an answer, `reply` takes it, now or later.
+    fn message(&self, link: &Link, message: Message, reply: Reply);
+
+    /// A link is no more.
+    fn closed(&self, link: &Link) {
+        let _ = link;
+    }
+}
+
+/// Tells the links of one process apart.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct LinkId(u64);
+
+/// Why a call has no answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
+pub enum CallError {
+    /// No connection came up: the call was not sent.
+    #[snafu(display("no connection"))]
+    NotConnected,
+    /// The link broke: the call may have been handled.
+    #[snafu(display("the link broke"))]
+    Broken,
+    /// No answer in time: the call may have been handled.
+    #[snafu(display("no answer in time"))]
+    TimedOut,
+}
+
+/// A handle to a link; cheap to clone.
+#[derive(Clone)]
+pub struct Link {
+    shared: Arc<Shared>,
+}
+
+struct Shared {
+    id: LinkId,
+    peer: SocketAddr,
+    next_call: AtomicU64,
+    closed: AtomicBool,
+    ended: Notify,
+    outgoing: Mutex<Vec<u8>>,
+    wake_writer: Notify,
+    calls: Mutex<HashMap<CallId, oneshot::Sender<Message>>>,
+}
+
+/// The place for the answer to a message; without a caller it is dropped silently.
+pub struct Reply {
+    link: Link,
+    call: CallId,
+}
+
+impl Reply {
+    /// Answers.
+    pub fn send(self, message: Message) {
+        if self.call != CallId::default() {
+            self.link.put(&Envelope { call: self.call, answer: true, message });
+        }
+    }
+}
+
+impl Link {
+    /// Runs a link over a connection that has come up. `connecting` is whether this end opened it.
+    pub fn start(stream: TcpStream, connecting: bool, service: Arc<dyn Service>) -> io::Result<Link> {
+        static NEXT: AtomicU64 = AtomicU64::new(1);
+        let peer = stream.peer_addr()?;
+        stream.set_nodelay(true)?;
+        socket2::SockRef::from(&stream).set_tcp_user_timeout(Some(DEAD_AFTER))?;
+        let link = Link {
+            shared: Arc::new(Shared {
+                id: LinkId(NEXT.fetch_add(1, Ordering::Relaxed)),
+                peer,
+                next_call: AtomicU64::new(1),
+                closed: AtomicBool::new(false),
+                ended: Notify::new(),
+                outgoing: Mutex::default(),
+                wake_writer: Notify::new(),
+                calls: Mutex::default(),
+            }),
+        };
+        let (reader, writer) = stream.into_split();
+        tokio::spawn(write(link.clone(), writer));
+        tokio::spawn(read(link.clone(), reader, connecting, service));
+        Ok(link)
+    }
+
+    /// Tells this link from others.
+    pub fn id(&self) -> LinkId {
+        self.shared.id
+    }
+
+    /// The other end.
+    pub fn peer(&self) -> SocketAddr {
+        self.shared.peer
+    }
+
+    /// Whether it is given up.
+    pub fn is_closed(&self) -> bool {
+        self.shared.closed.load(Ordering::Relaxed)
+    }
+
+    /// Waits until it is given up.
+    pub async fn closed(&self) {
+        let ended = self.shared.ended.notified();
+        tokio::pin!(ended);
+        // Registered before the check, so that an end between the two is not missed.
+        ended.as_mut().enable();
+        if !self.is_closed() {
+            ended.await;
+        }
+    }
+
+    /// Gives it up.
+    pub fn close(&self) {
+        if !self.shared.closed.swap(true, Ordering::Relaxed) {
+            lock(&self.shared.calls).clear();
+            self.shared.ended.notify_waiters();
+            self.shared.wake_writer.notify_one();
+        }
+    }
+
+    /// Sends a message that nobody answers. It is lost if the link breaks.
+    pub fn send(&self, message: Message) {
+        self.put(&Envelope { call: CallId::default(), answer: false, message });
+    }
+
+    /// Sends a message and waits for its answer.
+    ///
+    /// # Errors
+    ///
+    /// If the link breaks or the time is over; the message may have been handled all the same.
+    pub async fn call(&self, message: Message, within: Duration) -> Result<Message, CallError> {
+        let call = CallId(self.shared.next_call.fetch_add(1, Ordering::Relaxed));
+        let (sender, receiver) = oneshot::channel();
+        lock(&self.shared.calls).insert(call, sender);
+        if self.is_closed() {
+            lock(&self.shared.calls).remove(&call);
+            return Err(CallError::Broken);
+        }
+        // Also when this future is dropped, the call must not stay in the table.
+        let _guard = OpenCall { link: self, call };
+        self.put(&Envelope { call, answer: false, message });
+        match timeout(within, receiver).await {
+            Ok(Ok(answer)) => Ok(answer),
+            Ok(Err(_)) => Err(CallError::Broken),
+            Err(_) => Err(CallError::TimedOut),
+        }
+    }
+
+    fn put(&self, envelope: &Envelope) {
+        if self.is_closed() {
+            return;
+        }
+        let Ok(bytes) = envelope.encode() else { return self.close() };
+        let waiting = {
+            let mut outgoing = lock(&self.shared.outgoing);
+            outgoing.extend_from_slice(&bytes);
+            outgoing.len()
+        };
+        if waiting > MAX_WAITING_BYTES {
+            return self.close();
+        }
+        self.shared.wake_writer.notify_one();
+    }
+
+    fn take(&self, envelope: Envelope, service: &Arc<dyn Service>) {
+        match envelope.message {
+            Message::Ping => {
+                self.put(&Envelope { call: envelope.call, answer: true, message: Message::Pong })
+            }
+            message if envelope.answer => {
+                if let Some(caller) = lock(&self.shared.calls).remove(&envelope.call) {
+                    // A caller that no longer waits has dropped its end.
+                    let _ = caller.send(message);
+                }
+            }
+            message => service.message(self, message, Reply { link: self.clone(), call: envelope.call }),
+        }
+    }
+}
+
+struct OpenCall<'link> {
+    link: &'link Link,
+    call: CallId,
+}
+
+impl Drop for OpenCall<'_> {
+    fn drop(&mut self) {
+        lock(&self.link.shared.calls).remove(&self.call);
+    }
+}
+
+/// Accepts links until the listener fails.
+pub async fn serve(listener: TcpListener, service: Arc<dyn Service>) {
+    const PAUSE_AFTER_FAILURE: Duration = Duration::from_millis(50);
+    loop {
+        match listener.accept().await {
+            // A connection that is gone already needs no answer.
+            Ok((stream, _)) => drop(Link::start(stream, false, Arc::clone(&service))),
+            Err(_) => tokio::time::sleep(PAUSE_AFTER_FAILURE).await,
+        }
+    }
+}
+
+async fn write(link: Link, mut writer: OwnedWriteHalf) {
+    loop {
+        let bytes = std::mem::take(&mut *lock(&link.shared.outgoing));
+        if link.is_closed() {
+            return;
+        }
+        if bytes.is_empty() {
+            link.shared.wake_writer.notified().await;
+        } else if !matches!(
+            tokio::select! {
+                written = writer.write_all(&bytes) => written,
+                () = link.closed() => return,
+            },
+            Ok(())
+        ) {
+            return link.close();
+        }
+    }
+}
+
+async fn read(link: Link, mut reader: OwnedReadHalf, connecting: bool, service: Arc<dyn Service>) {
+    let mut buffer = Vec::with_capacity(READ_BYTES);
+    let mut heard = Instant::now();
+    loop {
+        // The accepting end only waits; the connecting end wakes up to ping.
+        let wake = if connecting { Instant::now() + PING_AFTER } else { heard + DEAD_AFTER };
+        let received = tokio::select! {
+            received = timeout_at(wake, reader.read_buf(&mut buffer)) => received,
+            () = link.closed() => break,
+        };
+        match received {
+            Ok(Ok(0) | Err(_)) => break,
+            Ok(Ok(_)) => heard = Instant::now(),
+            Err(_) if heard.elapsed() >= DEAD_AFTER => break,
+            Err(_) => link.send(Message::Ping),
+        }
+        if !deliver(&link, &mut buffer, &service) {
+            break;
+        }
+    }
+    link.close();
+    service.closed(&link);
+}
+
+/// Hands on every whole envelope; `false` if the bytes are none.
+fn deliver(link: &Link, buffer: &mut Vec<u8>, service: &Arc<dyn Service>) -> bool {
+    let mut taken = 0;
+    let intact = loop {
+        match Envelope::decode(&buffer[taken..]) {
+            Ok(Some((envelope, bytes))) => {
+                taken += bytes;
+                link.take(envelope, service);
+            }
+            Ok(None) => break true,
+            Err(_) => break false,
+        }
+    };
+    buffer.drain(..taken);
+    intact
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/node/src/subscriber.rs
@@ -0,0 +1,158 @@
+//! Subscriptions of a relay or a store to keepers.
+//!
+//! A subscriber keeps links to several keepers, more than may be lost at once, so that it need not wait for a
+//! time-out when one of them dies. What they tell is handed to a [`Sink`], which merges it by version.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use juniperwing_protocol::Message;
+use juniperwing_protocol::replication::Version;
+use juniperwing_protocol::subscription::{Applied, Subscribe, Update};
+
+use crate::link::{Link, Reply, Service, connect};
+
+/// The pause before the next keeper is tried.
+const RETRY_AFTER: Duration = Duration::from_millis(100);
+
+/// Where updates go.
+pub trait Sink: Send + Sync + 'static {
+    /// Applies an update; it may be older than what is held already.
+    fn apply(&self, update: Update);
+
+    /// What is applied. `instances` is filled in by the subscription.
+    fn applied(&self) -> Applied;
+
+    /// The configuration held; it is not sent again.
+    fn configuration(&self) -> Version;
+}
+
+/// The subscriptions of one process.
+pub struct Subscriber {
+    subscribe: Subscribe,
+    sink: Arc<dyn Sink>,
+    keepers: Mutex<Keepers>,
+}
+
+#[derive(Default)]
+struct Keepers {
+    /// From the settings; they may be out of date.
+    seeds: Vec<SocketAddr>,
+    /// From the keepers themselves.
+    told: Vec<SocketAddr>,
+    links: Vec<(SocketAddr, Option<Link>)>,
+    next: usize,
+}
+
+impl Subscriber {
+    /// Subscribes to `wanted` keepers at a time, found through the seeds, until the process ends.
+    pub fn start(
+        subscribe: Subscribe, seeds: Vec<SocketAddr>, wanted: usize, sink: Arc<dyn Sink>,
+    ) -> Arc<Subscriber> {
+        let next = crate::clock::random() as usize % seeds.len().max(1);
+        let keepers = Mutex::new(Keepers { seeds, next, ..Keepers::default() });
+        let subscriber = Arc::new(Subscriber { subscribe, sink, keepers });
+        for _ in 0..wanted {
+            tokio::spawn(Arc::clone(&subscriber).keep_one());
+        }
+        subscriber
+    }
+
+    /// Takes other seeds, from settings that have changed.
+    pub fn set_seeds(&self, seeds: Vec<SocketAddr>) {
+        self.lock().seeds = seeds;
+    }
+
+    /// Keepers that may be asked, those told by keepers first.
+    pub fn keepers(&self) -> Vec<SocketAddr> {
+        let keepers = self.lock();
+        let mut all = keepers.told.clone();
+        all.extend(keepers.seeds.iter().filter(|seed| !keepers.told.contains(seed)));
+        all
+    }
+
+    /// Tells every keeper subscribed to what is applied now, for instance after an update took some time.
+    pub fn confirm(&self) {
+        let links: Vec<Link> = self.lock().links.iter().filter_map(|(_, link)| link.clone()).collect();
+        let applied = self.sink.applied();
+        for link in links {
+            link.send(Message::Applied(applied.clone()));
+        }
+    }
+
+    /// Whether a subscription stands.
+    pub fn is_connected(&self) -> bool {
+        self.lock().links.iter().any(|(_, link)| link.as_ref().is_some_and(|link| !link.is_closed()))
+    }
+
+    async fn keep_one(self: Arc<Self>) {
+        loop {
+            if let Some(address) = self.reserve() {
+                if let Some(link) = self.connect(address).await {
+                    link.closed().await;
+                }
+                self.lock().links.retain(|(used, _)| *used != address);
+            }
+            tokio::time::sleep(RETRY_AFTER).await;
+        }
+    }
+
+    /// The next keeper in turn to which there is no subscription.
+    fn reserve(&self) -> Option<SocketAddr> {
+        let candidates = self.keepers();
+        let mut keepers = self.lock();
+        let free = |address: &SocketAddr| keepers.links.iter().all(|(used, _)| used != address);
+        let turn = keepers.next;
+        let order = (0..candidates.len()).map(|offset| candidates[(turn + offset) % candidates.len()]);
+        let chosen = order.into_iter().find(free)?;
+        keepers.next = turn.wrapping_add(1);
+        keepers.links.push((chosen, None));
+        Some(chosen)
+    }
+
+    async fn connect(self: &Arc<Self>, address: SocketAddr) -> Option<Link> {
+        let stream = connect(address).await?;
+        let service = Subscription { subscriber: Arc::clone(self), instances: Mutex::new(0) };
+        let link = Link::start(stream, true, Arc::new(service)).ok()?;
+        let mut subscribe = self.subscribe.clone();
+        subscribe.configuration = self.sink.configuration();
+        link.send(Message::Subscribe(subscribe));
+        let mut keepers = self.lock();
+        let held = keepers.links.iter_mut().find(|(used, _)| *used == address)?;
+        held.1 = Some(link.clone());
+        Some(link)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Keepers> {
+        self.keepers.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// One subscription.
+struct Subscription {
+    subscriber: Arc<Subscriber>,
+    /// The highest revision of instances applied from this keeper.
+    instances: Mutex<u64>,
+}
+
+impl Service for Subscription {
+    fn message(&self, link: &Link, message: Message, _: Reply) {
+        let Message::Update(update) = message else { return };
+        match update {
+            Update::Keepers(told) => self.subscriber.lock().told = told,
+            update => {
+                let revision = match &update {
+                    Update::Instances(instances) => Some(instances.revision),
+                    _ => None,
+                };
+                self.subscriber.sink.apply(update);
+                let mut highest = self.instances.lock().unwrap_or_else(PoisonError::into_inner);
+                *highest = (*highest).max(revision.unwrap_or(0));
+                let mut applied = self.subscriber.sink.applied();
+                applied.instances = *highest;
+                link.send(Message::Applied(applied));
+            }
+        }
+    }
+}
--- a/crates/relay/src/main.rs
+++ b/crates/relay/src/main.rs
@@ -21,6 +21,7 @@
 use std::sync::Mutex;
 use std::time::Duration;
 
+use juniperwing_node::command::Role;
 use lexopt::prelude::*;
 use slog::{Drain, Level, Logger, error, o};
 
@@ -34,6 +35,8 @@
 
 Commands:
   serve          Serve until SIGTERM or SIGINT (the default); SIGHUP has the configuration read anew
+  relay, keeper, store
+                 Serve in a role of the serving tier; --help behind it tells its options
   check-config   Read the configuration, say what is in it or what is wrong with it, and exit
   version        Print the version
   help           Print this
@@ -67,6 +70,11 @@
 }
 
 fn main() -> ExitCode {
+    let words: Vec<String> =
+        std::env::args_os().skip(1).map(|word| word.to_string_lossy().into_owned()).collect();
+    if let Some(role) = words.first().and_then(|word| Role::of(word)) {
+        return juniperwing_node::command::run(role, &words[1..]);
+    }
     let args = match arguments(std::env::args_os().skip(1).collect()) {
         Ok(args) => args,
         Err(e) => {
--- /dev/null
+++ b/crates/storage/src/file.rs
@@ -0,0 +1,65 @@
+//! The layout of every file: a magic number, the length of the contents, their checksum, the contents.
+
+use std::fs::{self, File};
+use std::io::Write;
+use std::path::Path;
+
+use snafu::ResultExt;
+
+use crate::error::{StorageError, StorageSnafu};
+
+const MAGIC: [u8; 8] = *b"JNPRWNG1";
+const HEADER_BYTES: usize = MAGIC.len() + 8 + 4;
+
+/// Writes a new file and syncs its contents.
+pub(crate) fn write_synced(path: &Path, contents: &[u8]) -> Result<(), StorageError> {
+    let mut bytes = Vec::with_capacity(HEADER_BYTES + contents.len());
+    bytes.extend_from_slice(&MAGIC);
+    bytes.extend_from_slice(&(contents.len() as u64).to_le_bytes());
+    bytes.extend_from_slice(&crc32fast::hash(contents).to_le_bytes());
+    bytes.extend_from_slice(contents);
+    let mut file = File::create(path).context(StorageSnafu { action: "creating", path })?;
+    file.write_all(&bytes).context(StorageSnafu { action: "writing", path })?;
+    file.sync_all().context(StorageSnafu { action: "syncing", path })
+}
+
+/// The contents of a file; `None` if it is torn or not of this layout.
+pub(crate) fn read_checked(path: &Path) -> Result<Option<Vec<u8>>, StorageError> {
+    let bytes = fs::read(path).context(StorageSnafu { action: "reading", path })?;
+    Ok(contents_of(&bytes).map(<[u8]>::to_vec))
+}
+
+fn contents_of(bytes: &[u8]) -> Option<&[u8]> {
+    let rest = bytes.strip_prefix(&MAGIC)?;
+    let (length, rest) = rest.split_first_chunk::<8>()?;
+    let (checksum, contents) = rest.split_first_chunk::<4>()?;
+    let whole = u64::from_le_bytes(*length) == contents.len() as u64;
+    let intact = u32::from_le_bytes(*checksum) == crc32fast::hash(contents);
+    (whole && intact).then_some(contents)
+}
+
+/// Makes renamed and removed names of a folder last.
+pub(crate) fn sync_folder(folder: &Path) -> Result<(), StorageError> {
+    let opened = File::open(folder).context(StorageSnafu { action: "opening", path: folder })?;
+    opened.sync_all().context(StorageSnafu { action: "syncing", path: folder })
+}
+
+/// The files of a folder whose names are `prefix`, a number in hexadecimal, and nothing else; in the order of
+/// the numbers.
+pub(crate) fn numbered(folder: &Path, prefix: &str) -> Result<Vec<u64>, StorageError> {
+    let entries = fs::read_dir(folder).context(StorageSnafu { action: "listing", path: folder })?;
+    let mut numbers = Vec::new();
+    for entry in entries {
+        let entry = entry.context(StorageSnafu { action: "listing", path: folder })?;
+        let name = entry.file_name();
+        let digits = name.to_str().and_then(|name| name.strip_prefix(prefix));
+        numbers.extend(digits.and_then(|digits| u64::from_str_radix(digits, 16).ok()));
+    }
+    numbers.sort_unstable();
+    Ok(numbers)
+}
+
+/// The name of the file with this number.
+pub(crate) fn name(prefix: &str, number: u64) -> String {
+    format!("{prefix}{number:016x}")
+}
