The operator's configuration: read from JSON, checked whole, routes looked up by prefix

The serving tier needs PUT /config as typed data, and an operator needs to hear of all faults of a configuration at once, with their places.

The package juniperwing-configuration reads the body into prost messages, checks them and gives a model in which every reference holds. A route table looks up by host and then by the lengths that prefixes have.

--- /dev/null
+++ b/crates/configuration/tests/valid.rs
@@ -0,0 +1,203 @@
+//! What is valid, and what it means.
+
+mod common;
+
+use common::{accepted, remove, valid};
+use juniperwing_clock::Span;
+use juniperwing_configuration::{
+    Configuration, DEFAULT_LIMITS, DEFAULT_RETENTION, RouteTable, RouteType, digest,
+};
+use juniperwing_protocol::identity::ServiceName;
+use serde_json::{Value, json};
+
+#[test]
+fn every_field_is_taken() {
+    let configuration = accepted(|_| {});
+    assert_eq!(configuration.generation, 7);
+    assert_eq!(configuration.limits, DEFAULT_LIMITS);
+    let route = &configuration.routes[0];
+    assert_eq!(&*route.name.0, "r-first");
+    assert_eq!(&*route.hostname, "host.example");
+    assert_eq!(&*route.path_prefix, "/first/");
+    assert_eq!(route.route_type, RouteType::Streaming { resumable: false });
+    assert_eq!(route.timeout, Span::from_millis(5000));
+    assert_eq!(route.target_latency, Some(Span::from_millis(250)));
+    assert_eq!(route.priority, 0);
+    assert_eq!(route.max_retries, 2);
+    assert!(route.kept);
+    assert_eq!(route.retention, Span::from_millis(60_000));
+    assert!(route.session_affinity);
+    assert_eq!(route.gap_aim, Some(Span::from_millis(400)));
+    let service = &configuration.services[0];
+    assert_eq!(service.name, ServiceName::from("models"));
+    assert_eq!(service.health_check.as_deref(), Some("/healthz"));
+    assert_eq!(service.max_connections, Some(200));
+    assert_eq!(service.protocol.as_deref(), Some("h1"));
+    assert!(!service.tls);
+    let engine = service.engine.as_ref().expect("an engine");
+    assert_eq!(engine.capacity, Some(16));
+    assert_eq!(engine.kv_tokens, Some(200_000));
+    assert_eq!(engine.kv_bytes, Some(100_000));
+    assert_eq!(engine.link_mbps, Some(10_000.0));
+    assert_eq!(engine.stride, 2);
+    assert_eq!(&*engine.models[0].0, "m");
+    assert!(configuration.services[1].engine.is_none());
+}
+
+#[test]
+fn what_may_repeat() {
+    assert!(RouteType::Idempotent.may_repeat());
+    assert!(RouteType::Streaming { resumable: true }.may_repeat());
+    assert!(!RouteType::Streaming { resumable: false }.may_repeat());
+    assert!(!RouteType::NonIdempotent.may_repeat());
+}
+
+#[test]
+fn only_streams_are_resumable() {
+    let configuration = accepted(|value| {
+        value["routes"][1]["routeType"] = json!("non_idempotent");
+    });
+    assert!(!configuration.routes[1].may_repeat());
+}
+
+#[test]
+fn fields_that_are_not_known_are_passed_over() {
+    let configuration = accepted(|value| {
+        value["future"] = json!({ "a": [1, 2] });
+        value["routes"][0]["future"] = json!(null);
+        value["routes"][1]["weightedBackends"][0]["future"] = json!("b");
+        value["backends"][0]["engine"]["future"] = json!(-1);
+        value["limits"]["future"] = json!([]);
+    });
+    assert_eq!(configuration, accepted(|_| {}));
+}
+
+#[test]
+fn missing_limits_have_defaults() {
+    assert_eq!(accepted(|value| remove(value, "limits")).limits, DEFAULT_LIMITS);
+    assert_eq!(accepted(|value| value["limits"] = Value::Null).limits, DEFAULT_LIMITS);
+    let one = accepted(|value| value["limits"] = json!({ "maxBodyBytes": 10 })).limits;
+    assert_eq!(one.max_body_bytes, 10);
+    assert_eq!(one.idle_timeout, DEFAULT_LIMITS.idle_timeout);
+}
+
+#[test]
+fn missing_fields_of_a_route_have_defaults() {
+    let configuration = accepted(|value| {
+        value["routes"] = json!([
+            { "hostname": "a", "pathPrefix": "/", "timeoutMs": 0.5, "backend": "plain", "maxRetries": 0 }
+        ]);
+    });
+    let route = &configuration.routes[0];
+    assert_eq!(route.timeout, Span::from_nanos(500_000));
+    assert_eq!(route.route_type, RouteType::NonIdempotent);
+    assert_eq!(route.target_latency, None);
+    assert_eq!(route.max_retries, 1);
+    assert_eq!(route.retention, DEFAULT_RETENTION);
+    assert_eq!(route.gap_aim, None);
+    assert!(!route.kept && !route.session_affinity);
+}
+
+#[test]
+fn a_missing_number_of_endpoints_is_one() {
+    let configuration = accepted(|value| remove(&mut value["routes"][0], "maxRetries"));
+    assert_eq!(configuration.routes[0].max_retries, 1);
+}
+
+#[test]
+fn lists_may_be_empty() {
+    let configuration = accepted(|value| {
+        value["routes"] = json!([]);
+        value["backends"] = json!([]);
+    });
+    assert!(configuration.routes.is_empty());
+    assert!(RouteTable::new(&configuration).lookup("host.example", "/first/").is_none());
+}
+
+#[test]
+fn one_prefix_may_stand_under_two_hosts() {
+    accepted(|value| {
+        value["routes"][1]["pathPrefix"] = json!("/first/");
+        value["routes"][1]["hostname"] = json!("other.example");
+    });
+}
+
+#[test]
+fn two_routes_may_have_one_name() {
+    accepted(|value| value["routes"][1]["name"] = json!("r-first"));
+}
+
+#[test]
+fn null_weights_stand_beside_a_service() {
+    for weights in [json!(null), json!([])] {
+        let configuration = accepted(|value| value["routes"][0]["weightedBackends"] = weights);
+        assert_eq!(configuration.routes[0].service_for(0), &ServiceName::from("models"));
+    }
+}
+
+#[test]
+fn white_space_may_surround_a_configuration() {
+    let text = format!("\r\n\t {} \n", valid());
+    Configuration::read(text.as_bytes()).expect("valid");
+}
+
+#[test]
+fn only_a_higher_generation_succeeds() {
+    let configuration = accepted(|_| {});
+    assert!(configuration.check_succeeds(0).is_ok());
+    assert!(configuration.check_succeeds(6).is_ok());
+    for current in [7, 8, u64::MAX] {
+        let findings = configuration.check_succeeds(current).expect_err("too low");
+        assert_eq!(findings.to_string(), format!("generation: 7 is not above {current}, which is in force"));
+    }
+}
+
+#[test]
+fn great_generations_are_exact() {
+    let configuration = accepted(|value| value["generation"] = json!(u64::MAX));
+    assert_eq!(configuration.generation, u64::MAX);
+    assert!(configuration.check_succeeds(u64::MAX - 1).is_ok());
+}
+
+#[test]
+fn weights_share_as_they_say() {
+    let configuration = accepted(|_| {});
+    let route = &configuration.routes[1];
+    let step = u64::MAX / 1000;
+    let picked = (0..1000).map(|index| route.service_for(step * index));
+    let models = picked.filter(|service| &*service.0 == "models").count();
+    assert!((899..=901).contains(&models), "{models}");
+    assert_eq!(route.service_for(u64::MAX), &ServiceName::from("plain"));
+}
+
+#[test]
+fn weight_zero_is_never_picked() {
+    let configuration = accepted(|value| {
+        value["routes"][1]["weightedBackends"] = json!([
+            { "backend": "plain", "weight": 0 },
+            { "backend": "models", "weight": 0.25 },
+            { "backend": "plain", "weight": 0 }
+        ]);
+    });
+    let route = &configuration.routes[1];
+    for random in [0, 1, u64::MAX / 2, u64::MAX - 1, u64::MAX] {
+        assert_eq!(route.service_for(random), &ServiceName::from("models"));
+    }
+    assert_eq!(route.services.iter().count(), 1);
+}
+
+#[test]
+fn an_order_is_recognised() {
+    let order = digest(5, b"body");
+    assert_eq!(order, digest(5, b"body"));
+    assert_ne!(order, digest(6, b"body"));
+    assert_ne!(order, digest(5, b"body "));
+    let encoded = postcard::to_stdvec(&order).expect("encoded");
+    assert_eq!(postcard::from_bytes(&encoded), Ok(order));
+}
+
+/// The first 16 bytes of SHA-256 over the base (eight bytes, little-endian) and the body.
+#[test]
+fn digests_stay_as_they_are() {
+    assert_eq!(digest(5, b"body").to_string(), "5dd5a9d8267a2af58475eeb9fb350117");
+}
