--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,7 @@
 mod mail;
 mod relay;
 pub mod rules;
+mod state;
 pub use juniperwing_clock as time;
 
 pub use relay::Relay;
--- a/src/mail.rs
+++ b/src/mail.rs
@@ -137,11 +137,3 @@
         }
     }
 }
-
-/// Keeps the last few of a kind of sample, `most` of them.
-pub(crate) fn keep<T>(samples: &mut VecDeque<T>, sample: T, most: usize) {
-    samples.push_back(sample);
-    if samples.len() > most {
-        samples.pop_front();
-    }
-}
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -5,7 +5,7 @@
 
 use crate::interface::{Command, DestinationId, EndpointId, Event, LONGEST_WAKE, Terms};
 use crate::mail::{Mail, Note, Part};
-use crate::rules::{Book, Destination, Endpoint, Lane, Slots, Turns};
+use crate::state::{Book, Destination, Endpoint, Lane, Slots, Turns};
 use crate::time::Time;
 
 /// A relay's decisions. It knows only its own events, its clock and its seed.
--- /dev/null
+++ b/src/rules/choice.rs
@@ -0,0 +1,83 @@
+//! What goes to an endpoint next, for how long, and how far apart calls are after an outage.
+
+use std::sync::Arc;
+
+use super::tuning::*;
+use crate::interface::{EndpointId, NtfId};
+use crate::state::{Destination, Held};
+use crate::time::{Span, Time};
+
+impl Destination {
+    /// The gap between calls after an outage, at one of so many parts, by what was handed in.
+    pub(super) fn gap(&self, parts: usize, now: Time) -> Span {
+        let pace = self.handed.len() as f64 / (self.known(now).secs() * parts as f64);
+        let f = &self.terms.figures;
+        let least = LEAST / (f.tip_after.secs() * self.terms.fleet.relays.max(1) as f64);
+        Span::from_secs(1.0 / (f.fall_multiple * pace).max(least / f.cold_from))
+    }
+
+    /// For how long it is known what was handed in: less than it counts in a relay that has just started.
+    pub(super) fn known(&self, now: Time) -> Span {
+        let age = now.since(self.born.unwrap_or(now)) + self.terms.figures.tip_after;
+        age.min(self.terms.figures.cold.times(MEMORY))
+    }
+
+    /// Calls are worth filling: one counts once for the limit and takes one slot. Until when it may wait.
+    pub(super) fn filled(&self, held: &Held) -> Time {
+        let left = held.ntf.valid_until.since(held.taken);
+        let calls = self.latencies.usual().unwrap_or_default().times(USUAL_CALLS);
+        held.taken + (held.ntf.topic.objective.min(left) - calls).times(FILL)
+    }
+
+    /// What goes to an endpoint next: first what can still meet its objective. Rule: a call ends with the
+    /// first TTL in it, so only those join whom this leaves their time-out, or what nine in ten calls last.
+    pub(super) fn pick(&self, now: Time, to: &EndpointId, zone: &Arc<str>) -> Vec<(NtfId, Span, Span)> {
+        let elsewhere = self.asked < self.ends.len();
+        let mut ready: Vec<&Held> = self.held.iter().filter(|h| h.turn).collect();
+        ready.retain(|h| h.may_run(now, Some(zone), self.terms.allowance.pushes));
+        ready.retain(|h| !(elsewhere && (h.last.as_ref() == Some(to) || self.fails(h, to, now))));
+        if ready.len() < self.per_call && ready.iter().all(|h| now < self.filled(h)) {
+            return Vec::new();
+        }
+        ready.sort_by_key(|h| {
+            !h.past.taken_up && now.since(h.taken) + self.latencies.median() > h.ntf.topic.objective
+        });
+        let enough = self.latencies.usual().unwrap_or(self.terms.figures.tip_after.times(OVERDUE_FLOOR));
+        let (mut call, mut ends, mut wanted) = (Vec::new(), Time::NEVER, Span::ZERO);
+        let mut ready = ready.into_iter();
+        while let Some(held) = ready.next().filter(|_| call.len() < self.per_call) {
+            let (first, time_out) = (ends.min(held.ntf.valid_until), self.time_out(now, held));
+            let most = wanted.max(time_out.min(enough));
+            if call.is_empty() || now + most <= first {
+                let by = held.closes().map_or(Time::NEVER, |end| end - ARRIVAL);
+                call.push((held.ntf.id, time_out, by.since(now)));
+                (ends, wanted) = (first, most);
+            }
+        }
+        call.into_iter().map(|(ntf, time_out, by)| (ntf, time_out.min(ends.since(now)), by)).collect()
+    }
+
+    /// Guards against an endpoint that fails one topic type: that goes to others, longer after each loss.
+    pub(super) fn fails(&self, held: &Held, to: &EndpointId, now: Time) -> bool {
+        let same = |h: &&Held| h.last.as_ref() == Some(to) && h.ntf.topic.name == held.ntf.topic.name;
+        let overdue = |h: &Held| h.out.as_ref().is_some_and(|out| now.since(out.0) > self.overdue_after());
+        let lost = self.failing.get(&(to.clone(), held.ntf.topic.name.clone()));
+        lost.is_some_and(|(times, at)| now.since(*at) < LEFT_OUT.times(f64::from(*times)))
+            || self.held.iter().filter(same).any(overdue)
+    }
+
+    /// When a call speaks of silence: well beyond what is delivered, longer after each cut short since.
+    pub(super) fn overdue_after(&self) -> Span {
+        let vain = self.latencies.censored_in_a_row();
+        let usual = self.latencies.usual();
+        let floor = if usual.is_none() { OVERDUE_UNKNOWN } else { OVERDUE_FLOOR };
+        let least = self.terms.figures.tip_after.times(floor);
+        usual.unwrap_or_default().times(OVERDUE).max(least).times(2f64.powi(vain.min(8) as i32 / 2))
+    }
+
+    pub(super) fn time_out(&self, now: Time, held: &Held) -> Span {
+        let left = held.ntf.valid_until.since(now);
+        let pushes = if held.again() { self.terms.allowance.pushes - held.past.pushes } else { 1 };
+        self.latencies.time_out(left, pushes)
+    }
+}
--- /dev/null
+++ b/src/rules/lane.rs
@@ -0,0 +1,141 @@
+//! Lanes: waits, limits, and returns.
+
+use std::sync::Arc;
+
+use super::tuning::*;
+use crate::interface::{Command, LimitReport, Outcome, Status, Terms};
+use crate::mail::{Mail, Note, Part};
+use crate::state::Lane;
+use crate::time::{Span, Time};
+
+/// A pause that grows eightfold with each in a row; chance keeps many from coming back in step.
+pub(super) fn pause(first: Span, times: i32, longest: Span, mail: &mut Mail) -> Span {
+    let longest = longest.max(first.times(GROWTH));
+    first.times(8f64.powi(times.min(8))).min(longest).times(0.5 + mail.chance())
+}
+
+impl LimitReport {
+    /// Whether there is a limit, and next to nothing left of it.
+    pub(super) fn is_used_up(self) -> bool {
+        self.rate > 0.0 && self.left < LOW
+    }
+}
+
+impl Lane {
+    pub(crate) fn new(terms: Arc<Terms>) -> Self {
+        Lane { window: (terms.allowance.slots as f64 / 2.0).max(1.0), terms, ..Lane::default() }
+    }
+
+    pub(crate) fn take(&mut self, note: Note, mail: &mut Mail) {
+        match note {
+            Note::Call(call) => {
+                (self.gap, self.handed) = (call.gaps.1, call.handed);
+                self.rate = if self.told { self.rate } else { call.rate };
+                let until = self.takes_from(mail.now, call.pushes.len());
+                if until > mail.now {
+                    return mail.put(Part::Destination(call.destination), Note::Declined(until));
+                }
+                (self.out, self.last_sent) = (self.out + 1, mail.now);
+                if call.fresh {
+                    mail.commands.push(Command::CloseIdle(call.endpoint.clone()));
+                }
+                for &(ntf, time_out, send_within) in &call.pushes {
+                    let endpoint = call.endpoint.clone();
+                    mail.commands.push(Command::Push { ntf, endpoint, time_out, send_within });
+                }
+                mail.put(Part::Endpoint(call.endpoint.clone()), Note::Sent(call.clone()));
+                mail.put(Part::Slots, Note::Sent(call.clone()));
+                mail.put(Part::Destination(call.destination), Note::Sent(call));
+            }
+            Note::Told(wait) => self.wait_until = self.wait_until.max(mail.now + wait),
+            Note::Ended(_) => self.out = self.out.saturating_sub(1),
+            Note::Back(at, apart) => {
+                let most = if apart { self.part().min(self.terms.figures.cold) } else { Span::ZERO };
+                self.back = Some((at, at + most.times(mail.chance()), 0));
+            }
+            Note::Outcome(outcome, first) => {
+                if let Some(wait) = outcome.wait {
+                    self.wait_until = self.wait_until.max(mail.now + wait);
+                    // Guards against all who were told when it opens: they would come back at the same time.
+                    let limited = outcome.limit.map_or(self.rate, |limit| limit.rate) > 0.0;
+                    if first && !(limited && wait < self.terms.figures.tip_after.times(BRIEF)) {
+                        self.take(Note::Back(self.wait_until, true), mail);
+                    }
+                }
+                if first {
+                    self.learn(&outcome, mail);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// Rules: nothing in a told wait; after an outage, no more than its part. From when a call may go.
+    fn takes_from(&self, now: Time, pushes: usize) -> Time {
+        if self.out as f64 >= self.window {
+            return Time::NEVER;
+        }
+        let f = &self.terms.figures;
+        let next = self.last_sent + self.calls(1.0).max(self.pace);
+        let next = next.max(self.wait_until).max(self.pause_until);
+        let back = self.back.filter(|back| now.since(back.0) < f.cold);
+        let Some((since, from, wins)) = back else { return next };
+        let level = f.cold_from + (1.0 - f.cold_from) * now.since(since).secs() / f.cold.secs();
+        let gap = self.gap.times(1.0 / level).max(f.tip_after.times(0.5f64.powi(wins)));
+        let weight = 1.0 + FURTHER * pushes.saturating_sub(1) as f64;
+        next.max(from).max(self.last_sent + gap.times(weight))
+    }
+
+    fn learn(&mut self, outcome: &Outcome, mail: &mut Mail) {
+        let (status, limit, wait) = (outcome.status, outcome.limit, outcome.wait.unwrap_or_default());
+        (self.rate, self.told) = limit.map_or((self.rate, self.told), |limit| (limit.rate, true));
+        let above = limit.map_or(self.rate > 0.0 && wait > Span::ZERO, LimitReport::is_used_up);
+        match status {
+            // Above the limit: what is refused uses it up too, so all that are must come more rarely.
+            Status::Busy if mail.now >= self.pause_until && above => {
+                let equal = self.calls(self.terms.fleet.relays as f64);
+                // A told wait says by how much: all who were told come back at its end, and use it up again.
+                let (own, grows) = match limit {
+                    Some(_) => ((self.handed.1 + equal).times(1.0 / self.handed.0).min(equal), BACK_OFF),
+                    None => (self.calls(REFUSED).max(wait.times(BACK_OFF)), TOLD_BACK_OFF),
+                };
+                self.pace = self.pace.times(grows).max(own).min(equal.times(MOST).max(own));
+                self.pause_until = mail.now + self.pace.times(0.5 + mail.chance());
+                if limit.is_none() {
+                    self.pause(status, 2, mail);
+                }
+            }
+            Status::Delivered => {
+                if self.rate > 0.0 {
+                    let left = limit.map_or(LEFT_UNTOLD, |limit| limit.left);
+                    self.pace = self.pace.times(2f64.powf(HALF_LEFT - left));
+                }
+                (self.refused, self.window) = (0, self.window + 1.0 / self.window);
+                self.back = self.back.map(|(since, from, wins)| (since, from, wins + 1));
+            }
+            Status::Busy | Status::NoConnection | Status::Crowded if mail.now >= self.pause_until => {
+                // A full table of connections refuses at once, one that cannot be reached does not.
+                let at_once = outcome.spent < self.terms.figures.tip_after.times(OVERDUE_FLOOR);
+                let mild = if status == Status::Busy { limit.is_some_and(|l| l.rate > 0.0) } else { at_once };
+                self.pause(status, if mild { 1 } else { 2 }, mail);
+                self.window = (self.window * 0.6).max(1.0);
+            }
+            Status::TimedOut | Status::Reset => self.window = (self.window * 0.95).max(1.0),
+            _ => {}
+        }
+    }
+
+    /// A relay that sees little cannot tell a limit from an outage, after which all count: ever more rarely.
+    fn pause(&mut self, status: Status, grows: i32, mail: &mut Mail) {
+        let first = PAUSE.max(self.calls(REFUSED));
+        let longest = match status {
+            Status::Crowded => Span::ZERO,
+            // No limit is spoken of, so nothing is lost by keeping to the part in full.
+            Status::NoConnection => self.part(),
+            _ => self.part().min(self.terms.figures.cold),
+        };
+        let until = mail.now + pause(first, grows * self.refused, longest, mail);
+        self.pause_until = self.pause_until.max(until);
+        self.refused += 1;
+    }
+}
