Control state and registry of the keepers, as pure packages

The keepers need something to replicate and a table of endpoints. Both are state machines without I/O; decisions on orders and on the store map are functions.

--- /dev/null
+++ b/crates/control/src/retire.rs
@@ -0,0 +1,85 @@
+//! Decides on orders to empty a store machine.
+
+use juniperwing_protocol::subscription::StoreNode;
+use juniperwing_protocol::{DiskId, NodeName};
+
+use crate::state::{ControlChange, ControlState, Retirement, RetirementState};
+use crate::tracker::StoreView;
+
+/// What becomes of an order to empty a store machine.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum RetireDecision {
+    /// It is under way, or done.
+    AlreadyTaken,
+    /// This change is to be made.
+    Take(ControlChange),
+    /// No store machine has that name.
+    Unknown,
+    /// Too few others would remain.
+    TooFewRemain {
+        /// How many others there are.
+        others: usize,
+    },
+}
+
+/// Decides whether the store machine `node` may be emptied.
+pub fn decide_retire(
+    state: &ControlState, view: &StoreView, node: &NodeName, required_copies: usize,
+) -> RetireDecision {
+    let present = known_stores(state, view).into_iter().rfind(|store| store.node == *node);
+    let Some(store) = present else {
+        let known = retirement_state(state, node).is_some();
+        return if known { RetireDecision::AlreadyTaken } else { RetireDecision::Unknown };
+    };
+    if state.is_retiring(store.disk) {
+        return RetireDecision::AlreadyTaken;
+    }
+    let others = remaining(state, view, node);
+    if others < required_copies {
+        return RetireDecision::TooFewRemain { others };
+    }
+    RetireDecision::Take(ControlChange::BeginRetirement(store.clone()))
+}
+
+/// How far the emptying of a machine has come; `None` if it was never asked for.
+pub fn retirement_state(state: &ControlState, node: &NodeName) -> Option<RetirementState> {
+    let newest = state.retirements.iter().rfind(|retirement| retirement.store.node == *node);
+    newest.map(|retirement| retirement.state)
+}
+
+/// Stores that hold nothing any more and whose retirement is still under way.
+pub fn completed_retirements(state: &ControlState, required_copies: usize) -> Vec<DiskId> {
+    let partitions = &state.stores.partitions;
+    let enough = |disk: DiskId| {
+        partitions.iter().all(|assignment| {
+            let copies = assignment.in_sync.iter().filter(|holder| **holder != disk).count();
+            copies >= required_copies
+        })
+    };
+    let holds = |disk: DiskId| {
+        partitions
+            .iter()
+            .any(|assignment| assignment.in_sync.contains(&disk) || assignment.joining.contains(&disk))
+    };
+    let active =
+        state.retirements.iter().filter(|retirement: &&Retirement| retirement.state == RetirementState::Active);
+    active.map(|retirement| retirement.store.disk).filter(|disk| !holds(*disk) && enough(*disk)).collect()
+}
+
+/// The store machines of which something is known, those alive last.
+fn known_stores<'state>(state: &'state ControlState, view: &'state StoreView) -> Vec<&'state StoreNode> {
+    state.stores.stores.iter().chain(view.alive.values()).collect()
+}
+
+/// How many other store machines may hold replicas.
+fn remaining(state: &ControlState, view: &StoreView, node: &NodeName) -> usize {
+    let mut others: Vec<&NodeName> = known_stores(state, view)
+        .into_iter()
+        .filter(|store| store.node != *node && !state.is_retiring(store.disk))
+        .filter(|store| view.alive.contains_key(&store.disk) || !view.long_lost.contains(&store.disk))
+        .map(|store| &store.node)
+        .collect();
+    others.sort();
+    others.dedup();
+    others.len()
+}
--- /dev/null
+++ b/crates/control/src/tracker.rs
@@ -0,0 +1,133 @@
+//! Which stores are alive, by what the keepers see of them.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use juniperwing_clock::{Span, Time};
+use juniperwing_protocol::DiskId;
+use juniperwing_protocol::subscription::StoreNode;
+
+/// For how long a keeper's report counts.
+const REPORT_LIFE: Span = Span::from_millis(1_200);
+/// A store that no keeper has seen for this long is lost.
+const LOST_AFTER: Span = Span::from_millis(300);
+/// After the start of the process, or a pause of it, nothing counts as lost for this long.
+const GRACE: Span = Span::from_millis(2_000);
+/// Two ticks further apart than this mean that the process was paused.
+const PAUSE: Span = Span::from_millis(1_000);
+/// After the first store was seen, others are waited for this long before the first map is made.
+const WAIT_FOR_OTHERS: Span = Span::from_millis(1_500);
+/// A lost store is waited for this long before another takes its place, where copies are enough without it.
+const REPLACE_AFTER: Span = Span::from_millis(6_000);
+/// Without a loss or return for this long, work may be spread anew.
+const CALM_AFTER: Span = Span::from_millis(5_000);
+/// Stores that are remembered at most.
+const MAX_STORES: usize = 10_000;
+
+#[derive(Clone, Debug)]
+struct Report {
+    at: Time,
+    stores: Vec<StoreNode>,
+}
+
+/// What is known of the stores at one moment.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct StoreView {
+    /// Stores that some keeper sees.
+    pub alive: BTreeMap<DiskId, StoreNode>,
+    /// Stores of the map that have been seen by none for long enough to go on without them.
+    pub lost: BTreeSet<DiskId>,
+    /// Those of them that others should replace.
+    pub long_lost: BTreeSet<DiskId>,
+    /// Whether the stores of the first start have had their time to come.
+    pub gathered: bool,
+    /// Whether nothing was lost and nothing came back for some seconds.
+    pub calm: bool,
+}
+
+/// Collects what the keepers report of the stores, and turns it into a [`StoreView`].
+#[derive(Clone, Debug)]
+pub struct StoreTracker {
+    reports: BTreeMap<DiskId, Report>,
+    unseen_since: BTreeMap<DiskId, Time>,
+    seen: BTreeSet<DiskId>,
+    first_seen: Option<Time>,
+    grace_until: Time,
+    last_tick: Time,
+    changed_at: Time,
+}
+
+impl StoreTracker {
+    /// A tracker of a process that starts now.
+    pub fn new(now: Time) -> Self {
+        StoreTracker {
+            reports: BTreeMap::new(),
+            unseen_since: BTreeMap::new(),
+            seen: BTreeSet::new(),
+            first_seen: None,
+            grace_until: now + GRACE,
+            last_tick: now,
+            changed_at: now,
+        }
+    }
+
+    /// A keeper tells which stores it sees.
+    pub fn report(&mut self, now: Time, keeper: DiskId, mut stores: Vec<StoreNode>) {
+        stores.truncate(MAX_STORES);
+        if !stores.is_empty() {
+            self.first_seen.get_or_insert(now);
+        }
+        self.reports.insert(keeper, Report { at: now, stores });
+    }
+
+    /// Brings everything up to `now`. `placed` are the stores of the map in force.
+    pub fn tick(&mut self, now: Time, placed: &[StoreNode]) -> StoreView {
+        if now.since(self.last_tick) > PAUSE {
+            self.grace_until = now + GRACE;
+            self.unseen_since.clear();
+        }
+        self.last_tick = now;
+        self.reports.retain(|_, report| now.since(report.at) <= REPORT_LIFE);
+        let alive = self.alive();
+        self.note_changes(now, &alive, placed);
+        let unseen_for = |span: Span| -> BTreeSet<DiskId> {
+            let since = self.unseen_since.iter();
+            since.filter(|(_, since)| now.since(**since) >= span).map(|(disk, _)| *disk).collect()
+        };
+        let graced = now < self.grace_until;
+        StoreView {
+            lost: if graced { BTreeSet::new() } else { unseen_for(LOST_AFTER) },
+            long_lost: if graced { BTreeSet::new() } else { unseen_for(REPLACE_AFTER) },
+            gathered: self.first_seen.is_some_and(|first| now.since(first) >= WAIT_FOR_OTHERS),
+            calm: now.since(self.changed_at) >= CALM_AFTER,
+            alive,
+        }
+    }
+
+    /// The earliest moment at which a store that is unseen now counts as lost; [`Time::NEVER`] if all are seen.
+    pub fn next_loss(&self) -> Time {
+        let pending = self.unseen_since.values().map(|since| *since + LOST_AFTER);
+        pending.filter(|at| *at > self.last_tick).min().map_or(Time::NEVER, |at| at.max(self.grace_until))
+    }
+
+    fn alive(&self) -> BTreeMap<DiskId, StoreNode> {
+        let mut by_age: Vec<&Report> = self.reports.values().collect();
+        // Of two addresses of one store, the one that was reported last counts.
+        by_age.sort_by_key(|report| report.at);
+        let stores = by_age.into_iter().flat_map(|report| &report.stores);
+        stores.map(|store| (store.disk, store.clone())).collect()
+    }
+
+    fn note_changes(&mut self, now: Time, alive: &BTreeMap<DiskId, StoreNode>, placed: &[StoreNode]) {
+        let seen: BTreeSet<DiskId> = alive.keys().copied().collect();
+        if seen != self.seen {
+            self.changed_at = now;
+            self.seen = seen;
+        }
+        let unseen: BTreeSet<DiskId> =
+            placed.iter().map(|store| store.disk).filter(|disk| !alive.contains_key(disk)).collect();
+        self.unseen_since.retain(|disk, _| unseen.contains(disk));
+        for disk in unseen {
+            self.unseen_since.entry(disk).or_insert(now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/registry/src/lib.rs
@@ -0,0 +1,13 @@
+//! What a keeper knows of endpoint instances, as a pure state machine.
+//!
+//! Instances are soft state: they come from heartbeats, are merged between keepers by
+//! [`Instance::supersedes`](juniperwing_protocol::registry::Instance::supersedes), and expire when no keeper
+//! hears of them. A drain is final within a life; an end leaves a tombstone for longer than a late call takes.
+
+mod heartbeat;
+mod registry;
+
+pub use heartbeat::{Finding, parse_heartbeat};
+pub use registry::{
+    EXPIRY_HEARTBEATS, HeartbeatOutcome, MAX_INSTANCES, Refresh, Registry, RegistrySettings, TOMBSTONE_LIFE,
+};
