--- a/crates/control/src/placement.rs
+++ b/crates/control/src/placement.rs
@@ -83,9 +83,7 @@
 }
 
 /// The first assignment of all partitions.
-pub(crate) fn first_assignments(
-    eligible: &BTreeMap<DiskId, StoreNode>, replicas: usize,
-) -> Vec<Assignment> {
+pub(crate) fn first_assignments(eligible: &BTreeMap<DiskId, StoreNode>, replicas: usize) -> Vec<Assignment> {
     let mut load = Load::default();
     let share = (usize::from(PARTITIONS) * replicas).div_ceil(eligible.len().max(1));
     let mut assignments = Vec::new();
@@ -93,8 +91,7 @@
         let members = first_members(partition, eligible, replicas, &load, share.saturating_sub(1));
         let by_load = |disk: &&DiskId| (load.primaries(**disk), u64::MAX - weight(partition, **disk));
         let primary = members.iter().min_by_key(by_load).copied().unwrap_or_default();
-        let assignment =
-            Assignment { epoch: EpochNumber(1), primary, in_sync: members, joining: Vec::new() };
+        let assignment = Assignment { epoch: EpochNumber(1), primary, in_sync: members, joining: Vec::new() };
         load.add(&assignment);
         assignments.push(assignment);
     }
--- a/crates/control/src/retire.rs
+++ b/crates/control/src/retire.rs
@@ -61,8 +61,10 @@
             .iter()
             .any(|assignment| assignment.in_sync.contains(&disk) || assignment.joining.contains(&disk))
     };
-    let active =
-        state.retirements.iter().filter(|retirement: &&Retirement| retirement.state == RetirementState::Active);
+    let active = state
+        .retirements
+        .iter()
+        .filter(|retirement: &&Retirement| retirement.state == RetirementState::Active);
     active.map(|retirement| retirement.store.disk).filter(|disk| !holds(*disk) && enough(*disk)).collect()
 }
 
--- a/crates/node/src/keeper.rs
+++ b/crates/node/src/keeper.rs
@@ -1,19 +1,353 @@
 //! The role of a keeper.
+//!
+//! Keepers replicate the control state among themselves (`consensus`), take orders from operators (`orders`) and
+//! heartbeats from endpoints (`discovery`) on the control listener, place partitions on stores (`stores`), and
+//! tell relays and stores what is in force (`subscribers`). All state is behind one lock that is never held
+//! while anything is awaited.
 
+mod consensus;
+mod contact;
+mod control_listener;
+mod discovery;
+mod exchange;
+mod inbox;
+mod orders;
+mod peers;
+mod record_file;
+mod stores;
+mod subscribers;
+
+use std::future::Future;
 use std::io;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
-use slog::info;
+use juniperwing_clock::{Span, Time};
+use juniperwing_control::{ControlState, StoreTracker, StoreView};
+use juniperwing_protocol::replication::{Version, Voter};
+use juniperwing_protocol::subscription::CaughtUp;
+use juniperwing_protocol::{DiskId, NodeName};
+use juniperwing_registry::{MAX_INSTANCES, Registry, RegistrySettings};
+use juniperwing_replication::{Event, Record, Replica, Timings};
+use slog::{Logger, info};
+use tokio::net::TcpListener;
+use tokio::sync::{Notify, mpsc, watch};
+use tokio::time::{Instant, MissedTickBehavior, timeout, timeout_at};
 
+use self::consensus::{Consensus, MAX_WRITES, Write, tick_replica, write_records};
+use self::contact::Contact;
+use self::exchange::Exchange;
+use self::inbox::Inbox;
+use self::peers::Peers;
+use self::record_file::RecordFile;
+use self::subscribers::{Subscribers, Tellable};
+use crate::clock;
 use crate::command::Process;
+use crate::settings::{Port, Settings};
 use crate::signals::Wish;
 
+/// Between two rounds of housekeeping.
+const HOUSEKEEPING: Duration = Duration::from_millis(150);
+/// Rounds between two batches of heartbeats for the other keepers.
+const ROUNDS_PER_BATCH: u64 = 2;
+/// Rounds between two reports of the stores seen.
+const ROUNDS_PER_REPORT: u64 = 3;
+/// Rounds of housekeeping further apart than this mean that the process was paused.
+const PAUSE: Span = Span::from_millis(1_000);
+/// How long calls that are under way may take when the keeper ends.
+const FINISH_WITHIN: Duration = Duration::from_millis(900);
+/// How long a primary has for handing over when it ends.
+const HAND_OVER_WITHIN: Duration = Duration::from_millis(300);
+
+/// What changes while a keeper runs.
+struct State {
+    consensus: Consensus,
+    contact: Contact,
+    registry: Registry,
+    exchange: Exchange,
+    subscribers: Subscribers,
+    tracker: StoreTracker,
+    store_view: StoreView,
+    caught_up: Vec<CaughtUp>,
+    /// Partitions of which no copy is left.
+    unrecoverable: usize,
+    last_round: Time,
+    was_paused: bool,
+    logged_configuration: Version,
+    logged_stores: u64,
+}
+
+/// A keeper.
+struct Keeper {
+    me: Voter,
+    required_copies: usize,
+    log: Logger,
+    state: Mutex<State>,
+    peers: Arc<Peers>,
+    /// Something was confirmed, committed or lost: those that wait look again.
+    progress: Notify,
+    /// There is something to tell subscribers or keepers.
+    wake_push: Notify,
+    /// The store map may have to change.
+    wake_planner: Notify,
+}
+
+/// What a keeper starts from.
+struct Start {
+    replica: Replica<ControlState>,
+    file: RecordFile,
+    me: Voter,
+}
+
 /// Runs until the platform ends the process.
 ///
 /// # Errors
 ///
 /// If a listener or the disk cannot be used.
-pub async fn run(mut process: Process) -> io::Result<()> {
-    info!(process.log, "starting");
-    while process.signals.next().await != Wish::Stop {}
+pub async fn run(process: Process) -> io::Result<()> {
+    let Process { settings, log, mut signals, .. } = process;
+    // Voters come from the replicated state; changed seeds matter only at the next start.
+    let stop = async move { while signals.next().await != Wish::Stop {} };
+    run_until(settings, log, stop).await
+}
+
+/// Runs until `stop` is done.
+///
+/// # Errors
+///
+/// If a listener or the disk cannot be used.
+pub async fn run_until(settings: Settings, log: Logger, stop: impl Future<Output = ()>) -> io::Result<()> {
+    let Some(control) = settings.listeners_map.control_plane else {
+        return Err(unusable("listenersMap.controlPlane is missing"));
+    };
+    let Some(folder) = settings.data_directory.clone() else {
+        return Err(unusable("dataDirectory is missing"));
+    };
+    let internal = TcpListener::bind(settings.own_address(Port::Keeper)).await?;
+    let control = control_listener::bind(control).await?;
+    let for_disk = settings.clone();
+    let opened = tokio::task::spawn_blocking(move || open(&for_disk, &folder));
+    let start = opened.await.map_err(io::Error::other)??;
+    info!(log, "starting"; "disk" => start.me.disk.0, "seeds" => settings.seed_nodes.len());
+
+    let (writes, writes_received) = mpsc::channel(MAX_WRITES);
+    let (wake, wake_received) = watch::channel(Time::default());
+    let Start { replica, file, me } = start;
+    let consensus = Consensus::new(replica, writes, wake);
+    let keeper = Keeper::new(&settings, log, me, consensus);
+    let tasks = keeper.start_tasks(internal, file, writes_received, wake_received);
+
+    let (stopping, stop_received) = watch::channel(false);
+    let (open_calls, mut calls_ended) = mpsc::channel(1);
+    let calls = control_listener::serve(control, Arc::clone(&keeper), stop_received, open_calls);
+    let calls = tokio::spawn(calls);
+    stop.await;
+    info!(keeper.log, "ending");
+    keeper.hand_over().await;
+    // Whoever serves a connection holds a sender; the channel ends with the last of them.
+    stopping.send_replace(true);
+    let _ = timeout(FINISH_WITHIN, calls_ended.recv()).await;
+    calls.abort();
+    tasks.iter().for_each(tokio::task::JoinHandle::abort);
     Ok(())
 }
+
+/// Opens the disk and restores the replica from it. Blocks.
+fn open(settings: &Settings, folder: &Path) -> io::Result<Start> {
+    let (disk, _) = juniperwing_storage::identity::open(folder, clock::random()).map_err(io::Error::other)?;
+    let (file, restored) = RecordFile::open(folder).map_err(io::Error::other)?;
+    let me = Voter {
+        disk: DiskId(disk),
+        node: NodeName::from(settings.node_name.as_str()),
+        address: settings.own_address(Port::Keeper),
+    };
+    let replica = restore(settings, me.clone(), restored)?;
+    Ok(Start { replica, file, me })
+}
+
+fn restore(settings: &Settings, me: Voter, restored: Option<Record>) -> io::Result<Replica<ControlState>> {
+    let settings = juniperwing_replication::Settings {
+        me,
+        seeds: settings.seed_keepers(),
+        bootstrap: settings.bootstrap,
+        required_copies: settings.required_copies(),
+        timings: Timings::default(),
+    };
+    let initial = ControlState::default();
+    Replica::new(clock::now(), settings, restored, initial, clock::random()).map_err(io::Error::other)
+}
+
+fn unusable(why: &str) -> io::Error {
+    io::Error::new(io::ErrorKind::InvalidInput, why)
+}
+
+impl Keeper {
+    fn new(settings: &Settings, log: Logger, me: Voter, consensus: Consensus) -> Arc<Keeper> {
+        let now = clock::now();
+        let heartbeat = Span::from_millis(settings.heartbeat_ms);
+        let registry = Registry::new(now, RegistrySettings { heartbeat, max_instances: MAX_INSTANCES });
+        let state = State {
+            consensus,
+            contact: Contact::new(now),
+            registry,
+            exchange: Exchange::default(),
+            subscribers: Subscribers::default(),
+            tracker: StoreTracker::new(now),
+            store_view: StoreView::default(),
+            caught_up: Vec::new(),
+            unrecoverable: 0,
+            last_round: now,
+            was_paused: false,
+            logged_configuration: Version::default(),
+            logged_stores: 0,
+        };
+        Arc::new_cyclic(|keeper| Keeper {
+            me,
+            required_copies: settings.required_copies(),
+            log,
+            state: Mutex::new(state),
+            peers: Arc::new(Peers::new(Arc::new(Inbox::new(keeper.clone())))),
+            progress: Notify::new(),
+            wake_push: Notify::new(),
+            wake_planner: Notify::new(),
+        })
+    }
+
+    fn start_tasks(
+        self: &Arc<Self>, internal: TcpListener, file: RecordFile, writes: mpsc::Receiver<Write>,
+        wake: watch::Receiver<Time>,
+    ) -> Vec<tokio::task::JoinHandle<()>> {
+        let inbox = Arc::new(Inbox::new(Arc::downgrade(self)));
+        vec![
+            tokio::spawn(write_records(Arc::clone(self), file, writes)),
+            tokio::spawn(tick_replica(Arc::clone(self), wake)),
+            tokio::spawn(crate::link::serve(internal, inbox)),
+            tokio::spawn(Arc::clone(self).push_changes()),
+            tokio::spawn(Arc::clone(self).plan_changes()),
+            tokio::spawn(Arc::clone(self).keep_house()),
+        ]
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Where the other voters listen.
+    fn other_keepers(&self) -> Vec<SocketAddr> {
+        let state = self.lock();
+        let voters = state.consensus.replica.voters().iter();
+        voters.filter(|voter| voter.disk != self.me.disk).map(|voter| voter.address).collect()
+    }
+
+    /// Whether what this keeper hears and tells reaches most of the others.
+    fn is_in_contact(&self, state: &State) -> bool {
+        let replica = &state.consensus.replica;
+        let primary = replica.epoch().primary;
+        state.contact.is_among_most(clock::now(), self.me.disk, replica.voters(), primary)
+    }
+
+    /// Waits until a condition holds, or a time has come. Returns whether it holds.
+    async fn wait_until(&self, until: Instant, condition: impl Fn(&State) -> bool) -> bool {
+        loop {
+            let progress = self.progress.notified();
+            tokio::pin!(progress);
+            // Registered before the check, so that progress between the two is not missed.
+            progress.as_mut().enable();
+            if condition(&self.lock()) {
+                return true;
+            }
+            if timeout_at(until, progress).await.is_err() {
+                return false;
+            }
+        }
+    }
+
+    /// A primary lets another keeper take over before it ends.
+    async fn hand_over(self: &Arc<Self>) {
+        self.replica_event(Event::StepDown);
+        let until = Instant::now() + HAND_OVER_WITHIN;
+        let me = self.me.disk;
+        self.wait_until(until, |state| {
+            let replica = &state.consensus.replica;
+            !replica.is_primary() && (replica.epoch().primary != me || replica.voters().len() < 2)
+        })
+        .await;
+    }
+
+    /// Tells subscribers and keepers of changes; all that came in one turn go together.
+    async fn push_changes(self: Arc<Self>) {
+        loop {
+            self.wake_push.notified().await;
+            self.push();
+            self.send_batches(false);
+        }
+    }
+
+    fn push(&self) {
+        let state = &mut *self.lock();
+        let keepers: Vec<SocketAddr> =
+            state.consensus.replica.voters().iter().map(|voter| voter.address).collect();
+        let complete = state.registry.is_complete(clock::now());
+        let committed = state.consensus.committed().map(|committed| Arc::clone(&committed.state));
+        let tellable = Tellable { committed: committed.as_deref(), keepers: &keepers, complete };
+        state.subscribers.push(&tellable);
+    }
+
+    async fn plan_changes(self: Arc<Self>) {
+        loop {
+            let next_loss = self.lock().tracker.next_loss();
+            let pause = clock::duration(next_loss.since(clock::now()));
+            // Whichever comes first: news of the stores, or the time at which one counts as lost.
+            let _ = timeout(pause, self.wake_planner.notified()).await;
+            self.plan_stores().await;
+        }
+    }
+
+    async fn keep_house(self: Arc<Self>) {
+        let mut rounds = tokio::time::interval(HOUSEKEEPING);
+        rounds.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        for round in 0_u64.. {
+            rounds.tick().await;
+            self.keep_house_once();
+            if round % ROUNDS_PER_REPORT == 0 {
+                self.report_stores();
+            }
+            if round % ROUNDS_PER_BATCH == 0 {
+                self.send_batches(true);
+            }
+        }
+    }
+
+    fn keep_house_once(&self) {
+        let mut state = self.lock();
+        let now = clock::now();
+        state.was_paused = now.since(state.last_round) > PAUSE;
+        state.last_round = now;
+        let others: Vec<Voter> = {
+            let voters = state.consensus.replica.voters().iter();
+            voters.filter(|voter| voter.disk != self.me.disk).cloned().collect()
+        };
+        state.exchange.set_keepers(&others);
+        self.expire_instances(&mut state);
+        drop(state);
+        // Voters and completeness change without an event of their own; what is known already is not told again.
+        self.wake_push.notify_one();
+    }
+
+    fn log_committed(&self) {
+        let mut state = self.lock();
+        let Some(committed) = state.consensus.committed().map(|held| Arc::clone(&held.state)) else { return };
+        let version = committed.configuration_version();
+        if version != state.logged_configuration {
+            state.logged_configuration = version;
+            info!(self.log, "configuration"; "generation" => committed.generation());
+        }
+        if committed.stores.version != state.logged_stores {
+            state.logged_stores = committed.stores.version;
+            info!(self.log, "store map";
+                "version" => committed.stores.version, "stores" => committed.stores.stores.len());
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/keeper/control_listener.rs
@@ -0,0 +1,229 @@
+//! The control listener: HTTP for endpoints and operators.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use axum::Router;
+use axum::body::Body;
+use axum::extract::{Path, Request, State};
+use axum::http::{HeaderMap, HeaderValue, StatusCode, header};
+use axum::response::Response;
+use axum::routing::{post, put};
+use bytes::Bytes;
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::service::TowerToHyperService;
+use juniperwing_protocol::registry::{Order, OrderAnswer};
+use juniperwing_protocol::{InstanceId, NodeName};
+use juniperwing_registry::parse_heartbeat;
+use serde::{Deserialize, Serialize};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, watch};
+use tokio::time::timeout;
+
+use super::Keeper;
+use super::discovery::HeartbeatAnswer;
+use super::orders::json;
+
+/// The largest configuration, in bytes.
+const MAX_CONFIGURATION_BYTES: usize = 8 << 20;
+/// The largest body of any other call, in bytes.
+const MAX_BODY_BYTES: usize = 64 << 10;
+/// How long a body may take.
+const BODY_WITHIN: Duration = Duration::from_secs(10);
+/// How long a connection may rest, or take for the head of a call.
+const IDLE: Duration = Duration::from_secs(30);
+/// Unacknowledged bytes end a connection after this time: the other end is cut off.
+const USER_TIMEOUT: Duration = Duration::from_secs(2);
+/// Connections at a time.
+const MAX_CONNECTIONS: usize = 3_000;
+/// The pause after a connection could not be accepted.
+const PAUSE_AFTER_FAILURE: Duration = Duration::from_millis(50);
+/// `Retry-After` with a 503, in seconds.
+const RETRY_AFTER: HeaderValue = HeaderValue::from_static("0.2");
+const JSON: HeaderValue = HeaderValue::from_static("application/json");
+
+/// What is wrong with a call.
+#[derive(Serialize)]
+struct Findings<T> {
+    findings: T,
+}
+
+/// The body of `POST /retire/NODE`.
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct RetireBody {
+    #[serde(default, rename = "durationS")]
+    duration_s: f64,
+}
+
+/// Serves until `stop` says otherwise, then finishes what is under way. `open` is held while anything is.
+pub(super) async fn serve(
+    listener: TcpListener, keeper: Arc<Keeper>, mut stop: watch::Receiver<bool>, open: mpsc::Sender<()>,
+) {
+    let router = router(keeper);
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = wait_for_stop(&mut stop) => return,
+        };
+        match accepted {
+            // The count includes this loop's own sender.
+            Ok(_) if open.strong_count() > MAX_CONNECTIONS => {}
+            Ok((stream, _)) => {
+                if prepare(&stream).is_ok() {
+                    tokio::spawn(connection(stream, router.clone(), stop.clone(), open.clone()));
+                }
+            }
+            Err(_) => tokio::time::sleep(PAUSE_AFTER_FAILURE).await,
+        }
+    }
+}
+
+/// Binds the listener.
+///
+/// # Errors
+///
+/// If the address cannot be used.
+pub(super) async fn bind(address: SocketAddr) -> io::Result<TcpListener> {
+    TcpListener::bind(address).await
+}
+
+/// Returns when serving is to end.
+async fn wait_for_stop(stop: &mut watch::Receiver<bool>) {
+    // It fails only if the other end is gone, and then serving ends as well.
+    let _ = stop.wait_for(|stop| *stop).await;
+}
+
+fn prepare(stream: &TcpStream) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    socket2::SockRef::from(stream).set_tcp_user_timeout(Some(USER_TIMEOUT))
+}
+
+async fn connection(
+    stream: TcpStream, router: Router, mut stop: watch::Receiver<bool>, open: mpsc::Sender<()>,
+) {
+    let mut builder = hyper::server::conn::http1::Builder::new();
+    builder.timer(TokioTimer::new()).header_read_timeout(IDLE);
+    let serving = builder.serve_connection(TokioIo::new(stream), TowerToHyperService::new(router));
+    tokio::pin!(serving);
+    let stopped = tokio::select! {
+        _ = serving.as_mut() => false,
+        () = wait_for_stop(&mut stop) => true,
+    };
+    if stopped {
+        serving.as_mut().graceful_shutdown();
+        // A caller that broke off needs no answer.
+        let _ = serving.await;
+    }
+    drop(open);
+}
+
+fn router(keeper: Arc<Keeper>) -> Router {
+    Router::new()
+        .route("/instances/{id}", put(put_instance).delete(delete_instance))
+        .route("/config", put(put_configuration).get(get_configuration))
+        .route("/retire/{node}", post(post_retire).get(get_retire))
+        .with_state(keeper)
+}
+
+async fn put_instance(State(keeper): State<Arc<Keeper>>, Path(id): Path<String>, call: Request) -> Response {
+    let body = match read_body(call, MAX_BODY_BYTES).await {
+        Ok(body) => body,
+        Err(refusal) => return respond(refusal),
+    };
+    match parse_heartbeat(&id, &body) {
+        Err(findings) => respond(json(400, &Findings { findings })),
+        Ok(instance) => heartbeat_response(keeper.heartbeat(instance).await),
+    }
+}
+
+async fn delete_instance(State(keeper): State<Arc<Keeper>>, Path(id): Path<String>) -> Response {
+    heartbeat_response(keeper.end_instance(InstanceId::from(id.as_str())).await)
+}
+
+async fn put_configuration(State(keeper): State<Arc<Keeper>>, call: Request) -> Response {
+    let base = match base_of(call.headers()) {
+        Ok(base) => base,
+        Err(refusal) => return respond(refusal),
+    };
+    match read_body(call, MAX_CONFIGURATION_BYTES).await {
+        Ok(body) => respond(keeper.order(Order::PutConfiguration { base, body: body.to_vec() }).await),
+        Err(refusal) => respond(refusal),
+    }
+}
+
+async fn get_configuration(State(keeper): State<Arc<Keeper>>) -> Response {
+    respond(keeper.order(Order::GetConfiguration).await)
+}
+
+async fn post_retire(State(keeper): State<Arc<Keeper>>, Path(node): Path<String>, call: Request) -> Response {
+    let body = match read_body(call, MAX_BODY_BYTES).await {
+        Ok(body) => body,
+        Err(refusal) => return respond(refusal),
+    };
+    match serde_json::from_slice::<RetireBody>(&body) {
+        Err(error) => respond(bad_call("", &error.to_string())),
+        Ok(RetireBody { duration_s }) => {
+            let node = NodeName::from(node.as_str());
+            respond(keeper.order(Order::Retire { node, duration_s }).await)
+        }
+    }
+}
+
+async fn get_retire(State(keeper): State<Arc<Keeper>>, Path(node): Path<String>) -> Response {
+    let node = NodeName::from(node.as_str());
+    respond(keeper.order(Order::RetireState { node }).await)
+}
+
+/// The version that a configuration builds on.
+fn base_of(headers: &HeaderMap) -> Result<u64, OrderAnswer> {
+    let Some(value) = headers.get(header::IF_MATCH) else {
+        return Err(bad_call("If-Match", "missing: the version that the configuration builds on"));
+    };
+    let text = value.to_str().unwrap_or("").trim().trim_matches('"');
+    text.parse().map_err(|_| bad_call("If-Match", "not a version"))
+}
+
+async fn read_body(call: Request, limit: usize) -> Result<Bytes, OrderAnswer> {
+    let body: Body = call.into_body();
+    match timeout(BODY_WITHIN, Limited::new(body, limit).collect()).await {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(too_large(limit)),
+        Ok(Err(error)) => Err(bad_call("body", &error.to_string())),
+        Err(_) => Err(OrderAnswer { status: 408, body: Vec::new() }),
+    }
+}
+
+fn too_large(limit: usize) -> OrderAnswer {
+    let finding = juniperwing_registry::Finding {
+        place: "body".to_owned(),
+        problem: format!("longer than {limit} bytes"),
+    };
+    json(413, &Findings { findings: [finding] })
+}
+
+fn bad_call(place: &str, problem: &str) -> OrderAnswer {
+    let finding = juniperwing_registry::Finding { place: place.to_owned(), problem: problem.to_owned() };
+    json(400, &Findings { findings: [finding] })
+}
+
+fn heartbeat_response(answer: HeartbeatAnswer) -> Response {
+    match answer {
+        HeartbeatAnswer::Accepted => respond(json(200, &serde_json::json!({}))),
+        HeartbeatAnswer::Unavailable => respond(super::orders::unavailable()),
+    }
+}
+
+fn respond(answer: OrderAnswer) -> Response {
+    let mut response = Response::new(Body::from(answer.body));
+    let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    *response.status_mut() = status;
+    response.headers_mut().insert(header::CONTENT_TYPE, JSON);
+    if status == StatusCode::SERVICE_UNAVAILABLE {
+        response.headers_mut().insert(header::RETRY_AFTER, RETRY_AFTER);
+    }
+    response
+}
--- /dev/null
+++ b/crates/node/src/keeper/orders.rs
@@ -0,0 +1,243 @@
+//! Operators' orders: decided by the primary, passed on to it by the others.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use juniperwing_control::{
+    ControlState, PutDecision, RetireDecision, RetirementState, decide_put, decide_retire, retirement_state,
+};
+use juniperwing_protocol::registry::{Order, OrderAnswer, RegistryMessage};
+use juniperwing_protocol::replication::Version;
+use juniperwing_protocol::{Message, NodeName};
+use juniperwing_replication::Versioned;
+use serde::Serialize;
+use slog::info;
+use tokio::task::JoinSet;
+use tokio::time::{Instant, timeout, timeout_at};
+
+use super::Keeper;
+use super::consensus::PrimaryPlace;
+
+/// Callers move on after a second without an answer.
+const PATIENCE: Duration = Duration::from_millis(930);
+/// Callers wait longer for large bodies: so many bytes for each further millisecond.
+const BYTES_PER_MS: u64 = 10_000;
+/// Between two looks for a primary.
+const LOOK_AGAIN: Duration = Duration::from_millis(50);
+/// How long subscribers have for applying a configuration before it is acknowledged all the same.
+const APPLY_WITHIN: Duration = Duration::from_millis(500);
+/// How much sooner a keeper that was passed an order answers.
+const HOP: Duration = Duration::from_millis(30);
+
+/// A JSON body that says what is wrong.
+#[derive(Serialize)]
+struct Refusal<'text> {
+    error: &'text str,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    current: Option<u64>,
+}
+
+/// A JSON body that says how far an order has come.
+#[derive(Serialize)]
+struct StateBody {
+    state: &'static str,
+}
+
+/// What an attempt to carry out an order came to.
+enum Attempt {
+    /// The answer.
+    Answered(OrderAnswer),
+    /// Not here or not now.
+    Again,
+}
+
+impl Keeper {
+    /// Carries out an order that an operator sent to this keeper, here or at the primary.
+    pub(super) async fn order(self: &Arc<Self>, order: Order) -> OrderAnswer {
+        let deadline = Instant::now() + patience_for(&order);
+        loop {
+            let attempt = match self.primary_place() {
+                PrimaryPlace::Here => self.order_here(&order, deadline).await,
+                PrimaryPlace::At(address) => self.pass_on(&order, address, deadline).await,
+                PrimaryPlace::Unknown => Attempt::Again,
+            };
+            if let Attempt::Answered(answer) = attempt {
+                return answer;
+            }
+            if Instant::now() + LOOK_AGAIN >= deadline {
+                return unavailable();
+            }
+            // Either ends the wait: news, or the time.
+            let _ = timeout(LOOK_AGAIN, self.progress.notified()).await;
+        }
+    }
+
+    /// Carries out an order that another keeper passed on; it goes no further.
+    pub(super) async fn order_passed_on(self: &Arc<Self>, order: Order) -> OrderAnswer {
+        let deadline = Instant::now() + patience_for(&order) - HOP;
+        while self.primary_place() == PrimaryPlace::Here {
+            if let Attempt::Answered(answer) = self.order_here(&order, deadline).await {
+                return answer;
+            }
+            if Instant::now() + LOOK_AGAIN >= deadline {
+                break;
+            }
+            let _ = timeout(LOOK_AGAIN, self.progress.notified()).await;
+        }
+        unavailable()
+    }
+
+    async fn pass_on(&self, order: &Order, address: SocketAddr, deadline: Instant) -> Attempt {
+        let within = deadline.saturating_duration_since(Instant::now());
+        let message = Message::Registry(RegistryMessage::Order(order.clone()));
+        match self.peers.call(address, message, within).await {
+            Ok(Message::Registry(RegistryMessage::OrderAnswer(answer))) if answer.status != 503 => {
+                Attempt::Answered(answer)
+            }
+            _ => Attempt::Again,
+        }
+    }
+
+    /// One try as primary. Whatever is decided rests on a state confirmed after the order came.
+    async fn order_here(self: &Arc<Self>, order: &Order, deadline: Instant) -> Attempt {
+        let Ok(Ok(confirmed)) = timeout_at(deadline, self.read_confirmed()).await else {
+            return Attempt::Again;
+        };
+        match order {
+            Order::PutConfiguration { base, body } => self.put(&confirmed, *base, body, deadline).await,
+            Order::GetConfiguration => Attempt::Answered(configuration_of(&confirmed.state)),
+            Order::Retire { node, .. } => self.retire(&confirmed, node, deadline).await,
+            Order::RetireState { node } => Attempt::Answered(self.retire_state(&confirmed.state, node)),
+        }
+    }
+
+    async fn put(
+        self: &Arc<Self>, confirmed: &Versioned<ControlState>, base: u64, body: &[u8], deadline: Instant,
+    ) -> Attempt {
+        let change = match decide_put(&confirmed.state, base, body) {
+            PutDecision::Take(change) => change,
+            PutDecision::AlreadyTaken => {
+                self.distribute(confirmed.state.configuration_version(), deadline).await;
+                return Attempt::Answered(json(200, &serde_json::json!({})));
+            }
+            PutDecision::Stale { current } => {
+                let refusal = Refusal {
+                    error: "builds on another version than the current one",
+                    current: Some(current),
+                };
+                return Attempt::Answered(json(412, &refusal));
+            }
+            PutDecision::Invalid(findings) => return Attempt::Answered(json(400, &findings)),
+        };
+        let Ok(Ok(_)) = timeout_at(deadline, self.propose(confirmed.version, change)).await else {
+            return Attempt::Again;
+        };
+        let taken = Version {
+            sequence: confirmed.state.configuration_version().sequence + 1,
+            ..confirmed.state.configuration_version()
+        };
+        self.distribute(taken, deadline).await;
+        Attempt::Answered(json(200, &serde_json::json!({})))
+    }
+
+    async fn retire(
+        self: &Arc<Self>, confirmed: &Versioned<ControlState>, node: &NodeName, deadline: Instant,
+    ) -> Attempt {
+        let decision = {
+            let state = self.lock();
+            decide_retire(&confirmed.state, &state.store_view, node, self.required_copies)
+        };
+        let change = match decision {
+            RetireDecision::Take(change) => change,
+            RetireDecision::AlreadyTaken => {
+                return Attempt::Answered(self.retire_state(&confirmed.state, node));
+            }
+            RetireDecision::Unknown => return Attempt::Answered(unknown_machine()),
+            RetireDecision::TooFewRemain { others } => {
+                info!(self.log, "retiring refused"; "store" => %node.0, "others" => others);
+                return Attempt::Answered(json(409, &refusal("too few machines would remain")));
+            }
+        };
+        match timeout_at(deadline, self.propose(confirmed.version, change)).await {
+            Ok(Ok(_)) => {
+                info!(self.log, "retiring"; "store" => %node.0);
+                Attempt::Answered(json(200, &StateBody { state: state_name(RetirementState::Active) }))
+            }
+            _ => Attempt::Again,
+        }
+    }
+
+    fn retire_state(&self, state: &ControlState, node: &NodeName) -> OrderAnswer {
+        if let Some(progress) = retirement_state(state, node) {
+            return json(200, &StateBody { state: state_name(progress) });
+        }
+        unknown_machine()
+    }
+
+    /// Brings the configuration to the subscribers of all keepers in reach; returns when all have it, or the
+    /// time for it is over.
+    async fn distribute(self: &Arc<Self>, version: Version, deadline: Instant) {
+        let until = deadline.min(Instant::now() + APPLY_WITHIN);
+        let wait_ms = until.saturating_duration_since(Instant::now()).as_millis() as u32;
+        let mut calls = JoinSet::new();
+        for address in self.other_keepers() {
+            let keeper = Arc::clone(self);
+            let message = Message::Registry(RegistryMessage::Distribute { version, wait_ms });
+            calls.spawn(async move { drop(keeper.peers.call(address, message, APPLY_WITHIN).await) });
+        }
+        self.distribute_here(version, until).await;
+        // Past its time, the calls that are left end with the set.
+        let _ = timeout_at(until, async { while calls.join_next().await.is_some() {} }).await;
+    }
+
+    /// Waits until this keeper's own subscribers have the configuration, until a time.
+    pub(super) async fn distribute_here(&self, version: Version, until: Instant) {
+        self.wait_until(until, |state| {
+            let committed = state.consensus.committed();
+            let here = committed.is_some_and(|held| held.state.configuration_version() >= version);
+            here && state.subscribers.have_configuration(version)
+        })
+        .await;
+    }
+}
+
+fn patience_for(order: &Order) -> Duration {
+    let bytes = match order {
+        Order::PutConfiguration { body, .. } => body.len() as u64,
+        _ => 0,
+    };
+    PATIENCE + Duration::from_millis(bytes / BYTES_PER_MS)
+}
+
+fn configuration_of(state: &ControlState) -> OrderAnswer {
+    match &state.configuration {
+        Some(configuration) => OrderAnswer { status: 200, body: configuration.body.to_vec() },
+        None => json(404, &refusal("no configuration yet")),
+    }
+}
+
+fn state_name(state: RetirementState) -> &'static str {
+    match state {
+        RetirementState::Active => "active",
+        RetirementState::Completed => "completed",
+    }
+}
+
+fn unknown_machine() -> OrderAnswer {
+    json(404, &refusal("no such machine"))
+}
+
+fn refusal(error: &str) -> Refusal<'_> {
+    Refusal { error, current: None }
+}
+
+/// The promise that nothing was decided.
+pub(super) fn unavailable() -> OrderAnswer {
+    json(503, &refusal("no primary can be reached"))
+}
+
+pub(super) fn json(status: u16, body: &impl Serialize) -> OrderAnswer {
+    // Plain structures of numbers and text always have a JSON form.
+    OrderAnswer { status, body: serde_json::to_vec(body).unwrap_or_default() }
+}
--- /dev/null
+++ b/crates/node/src/keeper/stores.rs
@@ -0,0 +1,113 @@
+//! Store machines: who is alive, what has caught up, and the map that follows from it.
+
+use std::sync::Arc;
+
+use juniperwing_control::{ControlChange, PlanInput, completed_retirements, plan, unrecoverable};
+use juniperwing_protocol::registry::RegistryMessage;
+use juniperwing_protocol::subscription::{CaughtUp, StoreNode};
+use juniperwing_protocol::{DiskId, Message};
+use slog::{info, warn};
+
+use super::consensus::PrimaryPlace;
+use super::{Keeper, State};
+use crate::clock;
+
+/// Reports of primaries that wait to be used.
+const MAX_CAUGHT_UP: usize = 1_024;
+
+impl Keeper {
+    /// Another keeper tells which stores it sees.
+    pub(super) fn stores_seen(&self, keeper: DiskId, stores: Vec<StoreNode>) {
+        let mut state = self.lock();
+        let now = clock::now();
+        state.contact.note(now, keeper);
+        state.tracker.report(now, keeper, stores);
+        drop(state);
+        self.wake_planner.notify_one();
+    }
+
+    /// Tells the others which stores this keeper sees.
+    pub(super) fn report_stores(self: &Arc<Self>) {
+        let from = self.me.disk;
+        let stores = {
+            let mut state = self.lock();
+            let stores = state.subscribers.stores();
+            state.tracker.report(clock::now(), from, stores.clone());
+            stores
+        };
+        for address in self.other_keepers() {
+            let message = RegistryMessage::StoresSeen { from, stores: stores.clone() };
+            self.peers.send(address, Message::Registry(message));
+        }
+        self.wake_planner.notify_one();
+    }
+
+    /// Primaries of partitions report replicas that have caught up; `own` if they are subscribed here.
+    pub(super) fn caught_up(self: &Arc<Self>, reports: Vec<CaughtUp>, own: bool) {
+        match self.primary_place() {
+            PrimaryPlace::Here => {
+                let mut state = self.lock();
+                for report in reports {
+                    if state.caught_up.len() < MAX_CAUGHT_UP && !state.caught_up.contains(&report) {
+                        state.caught_up.push(report);
+                    }
+                }
+                drop(state);
+                self.wake_planner.notify_one();
+            }
+            PrimaryPlace::At(address) if own => {
+                self.peers.send(address, Message::Registry(RegistryMessage::CaughtUp(reports)));
+            }
+            // The stores report again.
+            PrimaryPlace::At(_) | PrimaryPlace::Unknown => {}
+        }
+    }
+
+    /// Brings the view of the stores up to date and, as primary, changes the map where it has to change.
+    pub(super) async fn plan_stores(self: &Arc<Self>) {
+        let Some((base, change)) = self.next_store_change() else { return };
+        match self.propose(base, change).await {
+            Ok(_) => self.wake_planner.notify_one(),
+            // The next look at the stores computes it anew.
+            Err(error) => info!(self.log, "the store map stays"; "why" => error.to_string()),
+        }
+    }
+
+    fn next_store_change(&self) -> Option<(juniperwing_protocol::replication::Version, ControlChange)> {
+        let state = &mut *self.lock();
+        let committed = state.consensus.committed()?.clone();
+        state.store_view = state.tracker.tick(clock::now(), &committed.state.stores.stores);
+        let replica = &state.consensus.replica;
+        if !replica.is_primary() || replica.latest().version != committed.version {
+            return None;
+        }
+        let partitions = &committed.state.stores;
+        state.caught_up.retain(|report| {
+            let assignment = partitions.assignment(report.partition);
+            assignment.is_some_and(|assignment| {
+                assignment.epoch == report.epoch && assignment.joining.contains(&report.replica)
+            })
+        });
+        self.warn_unrecoverable(state);
+        let input = PlanInput {
+            state: &committed.state,
+            view: &state.store_view,
+            caught_up: &state.caught_up,
+            required_copies: self.required_copies,
+        };
+        if let Some(map) = plan(input) {
+            return Some((committed.version, ControlChange::SetStores(map)));
+        }
+        let empty = completed_retirements(&committed.state, self.required_copies).into_iter().next()?;
+        Some((committed.version, ControlChange::CompleteRetirement(empty)))
+    }
+
+    fn warn_unrecoverable(&self, state: &mut State) {
+        let Some(committed) = state.consensus.committed() else { return };
+        let lost = unrecoverable(&committed.state, &state.store_view).len();
+        if lost > 0 && lost != state.unrecoverable {
+            warn!(self.log, "every copy of some partitions is gone"; "partitions" => lost);
+        }
+        state.unrecoverable = lost;
+    }
+}
--- /dev/null
+++ b/crates/node/tests/keeper.rs
@@ -0,0 +1,192 @@
+//! Keepers over loopback: one alone, and three of which one may be lost.
+
+mod keepers;
+
+use juniperwing_protocol::DiskId;
+use juniperwing_protocol::registry::InstanceState;
+use juniperwing_protocol::subscription::Subscriber;
+
+use keepers::{Keepers, Observer, configuration, heartbeat};
+
+#[tokio::test]
+async fn one_keeper_takes_a_first_configuration_and_gives_it_back() {
+    let keepers = Keepers::start(1).await;
+    assert_eq!(keepers.put(0, 0, &configuration(3)).await.status, 200);
+    let read = keepers.get(0).await;
+    assert_eq!((read.status, read.body), (200, configuration(3)));
+}
+
+#[tokio::test]
+async fn the_same_order_is_acknowledged_again_whatever_came_after() {
+    let keepers = Keepers::start(1).await;
+    assert_eq!(keepers.put(0, 0, &configuration(3)).await.status, 200);
+    assert_eq!(keepers.put(0, 3, &configuration(7)).await.status, 200);
+    assert_eq!(keepers.put(0, 0, &configuration(3)).await.status, 200);
+    assert_eq!(keepers.get(0).await.body, configuration(7));
+}
+
+#[tokio::test]
+async fn another_base_than_the_current_one_is_stale() {
+    let keepers = Keepers::start(1).await;
+    assert_eq!(keepers.put(0, 0, &configuration(3)).await.status, 200);
+    assert_eq!(keepers.put(0, 0, &configuration(4)).await.status, 412);
+    assert_eq!(keepers.get(0).await.body, configuration(3));
+}
+
+#[tokio::test]
+async fn an_invalid_configuration_is_refused_with_findings_and_is_not_in_force() {
+    let keepers = Keepers::start(1).await;
+    let refused = keepers.put(0, 0, "{\"generation\":0,\"routes\":[]}").await;
+    assert_eq!(refused.status, 400);
+    assert!(refused.body.contains("generation"), "{}", refused.body);
+    assert_eq!(keepers.put(0, 0, "{\"generation\":").await.status, 400);
+    assert_eq!(keepers.get(0).await.status, 404);
+}
+
+#[tokio::test]
+async fn what_was_taken_is_there_after_a_restart() {
+    let mut keepers = Keepers::start(1).await;
+    assert_eq!(keepers.put(0, 0, &configuration(3)).await.status, 200);
+    keepers.stop(0).await;
+    keepers.restart(0);
+    assert_eq!(keepers.get(0).await.body, configuration(3));
+    assert_eq!(keepers.put(0, 0, &configuration(3)).await.status, 200);
+}
+
+#[tokio::test]
+async fn three_keepers_take_orders_at_any_of_them() {
+    let keepers = Keepers::start(3).await;
+    assert_eq!(keepers.put(0, 0, &configuration(3)).await.status, 200);
+    assert_eq!(keepers.put(1, 3, &configuration(4)).await.status, 200);
+    assert_eq!(keepers.put(2, 4, &configuration(5)).await.status, 200);
+    for keeper in 0..3 {
+        assert_eq!(keepers.get(keeper).await.body, configuration(5));
+    }
+}
+
+#[tokio::test]
+async fn of_two_orders_on_one_base_exactly_one_is_taken() {
+    let keepers = Keepers::start(3).await;
+    assert_eq!(keepers.put(0, 0, &configuration(3)).await.status, 200);
+    let (five, six) = (configuration(5), configuration(6));
+    let (one, other) = tokio::join!(keepers.put(1, 3, &five), keepers.put(2, 3, &six));
+    let mut statuses = [one.status, other.status];
+    statuses.sort_unstable();
+    assert_eq!(statuses, [200, 412]);
+    let winner = if one.status == 200 { five } else { six };
+    assert_eq!(keepers.get(0).await.body, winner);
+}
+
+#[tokio::test]
+async fn the_loss_of_any_one_keeper_loses_nothing() {
+    let mut keepers = Keepers::start(3).await;
+    let mut base = 0;
+    for lost in 0..3 {
+        let generation = base + 1;
+        assert_eq!(keepers.put(lost, base, &configuration(generation)).await.status, 200);
+        keepers.kill(lost).await;
+        let other = (lost + 1) % 3;
+        assert_eq!(keepers.get(other).await.body, configuration(generation));
+        assert_eq!(keepers.put(other, base, &configuration(generation)).await.status, 200);
+        keepers.restart(lost);
+        assert_eq!(keepers.get(lost).await.body, configuration(generation));
+        base = generation;
+    }
+}
+
+#[tokio::test]
+async fn a_keeper_in_a_minority_answers_neither_operators_nor_endpoints() {
+    let mut keepers = Keepers::start(3).await;
+    assert_eq!(keepers.put(0, 0, &configuration(3)).await.status, 200);
+    keepers.kill(1).await;
+    keepers.kill(2).await;
+    assert_eq!(keepers.try_get(0).await.map(|answer| answer.status), Some(503));
+    keepers.until_heartbeat_status(0, 503).await;
+}
+
+#[tokio::test]
+async fn a_relay_is_told_what_is_in_force_and_what_changes() {
+    let keepers = Keepers::start(3).await;
+    assert_eq!(keepers.put(0, 0, &configuration(3)).await.status, 200);
+    let mut relay = Observer::subscribe(keepers.internal(1), Subscriber::Relay).await;
+    relay.until_configuration(&configuration(3)).await;
+    assert_eq!(keepers.put(2, 3, &configuration(4)).await.status, 200);
+    // Acknowledged means that the relay has confirmed it.
+    assert!(relay.has_configuration(&configuration(4)));
+}
+
+#[tokio::test]
+async fn a_drain_is_acknowledged_when_relays_of_other_keepers_know() {
+    let keepers = Keepers::start(3).await;
+    assert_eq!(keepers.put(0, 0, &configuration(3)).await.status, 200);
+    let mut relay = Observer::subscribe(keepers.internal(1), Subscriber::Relay).await;
+    keepers.until_heartbeat(0, "i-1", &heartbeat("ready", 1)).await;
+    relay.until_instance("i-1", InstanceState::Ready).await;
+    keepers.until_heartbeat(0, "i-1", &heartbeat("draining", 2)).await;
+    assert_eq!(relay.instance_state("i-1"), Some(InstanceState::Draining));
+    keepers.until_heartbeat(2, "i-1", &heartbeat("ready", 1)).await;
+    assert_eq!(relay.instance_state("i-1"), Some(InstanceState::Draining));
+    keepers.until_deleted(2, "i-1").await;
+    assert_eq!(relay.instance_state("i-1"), Some(InstanceState::Gone));
+}
+
+#[tokio::test]
+async fn bad_heartbeats_are_refused_with_findings() {
+    let keepers = Keepers::start(1).await;
+    assert_eq!(keepers.put(0, 0, &configuration(3)).await.status, 200);
+    let refused = keepers.heartbeat(0, "i-1", "{\"backend\":\"\",\"state\":\"asleep\"}").await.unwrap();
+    assert_eq!(refused.status, 400);
+    for place in ["backend", "address", "state", "sequence"] {
+        assert!(refused.body.contains(place), "{}", refused.body);
+    }
+}
+
+#[tokio::test]
+async fn stores_are_placed_and_a_lost_one_is_taken_out() {
+    let keepers = Keepers::start(3).await;
+    let mut stores = Vec::new();
+    for number in 1..=3 {
+        let subscriber = Subscriber::Store { disk: DiskId(number) };
+        stores.push(Observer::subscribe(keepers.internal(number as usize - 1), subscriber).await);
+    }
+    let first = stores[0].until_stores(|map| !map.partitions.is_empty()).await;
+    assert_eq!(first.partitions.len(), 32);
+    for assignment in &first.partitions {
+        assert_eq!(assignment.in_sync.len(), 3);
+        assert!(assignment.in_sync.contains(&assignment.primary));
+    }
+    let lost = stores.pop().unwrap();
+    lost.close();
+    let next = stores[0]
+        .until_stores(|map| map.partitions.iter().all(|held| !held.in_sync.contains(&DiskId(3))))
+        .await;
+    for (after, before) in next.partitions.iter().zip(&first.partitions) {
+        assert!(after.epoch > before.epoch);
+        assert!(after.in_sync.contains(&after.primary));
+    }
+}
+
+#[tokio::test]
+async fn an_unknown_store_cannot_be_retired() {
+    let keepers = Keepers::start(1).await;
+    assert_eq!(keepers.retire(0, "store-9").await.status, 404);
+    assert_eq!(keepers.retire_state(0, "store-9").await.status, 404);
+}
+
+#[tokio::test]
+async fn a_store_is_emptied_only_while_enough_others_remain() {
+    let keepers = Keepers::start(1).await;
+    let address = keepers.internal(0);
+    let mut first = Observer::subscribe(address, Subscriber::Store { disk: DiskId(1) }).await;
+    first.until_stores(|map| !map.partitions.is_empty()).await;
+    let node = keepers::node_name(&Subscriber::Store { disk: DiskId(1) });
+    assert_eq!(keepers.retire(0, &node).await.status, 409);
+    let _second = Observer::subscribe(address, Subscriber::Store { disk: DiskId(2) }).await;
+    let joining = first.until_stores(|map| map.partitions.iter().all(|held| held.joining == [DiskId(2)])).await;
+    assert_eq!(keepers.retire(0, &node).await.status, 200);
+    assert!(keepers.retire_state(0, &node).await.body.contains("active"));
+    first.report_caught_up(&joining, DiskId(2));
+    first.until_stores(|map| map.partitions.iter().all(|held| held.in_sync == [DiskId(2)])).await;
+    keepers.until_retired(0, &node).await;
+    assert_eq!(keepers.retire(0, &node).await.status, 200);
+}
--- a/crates/protocol/src/registry.rs
+++ b/crates/protocol/src/registry.rs
@@ -7,6 +7,7 @@
 
 use crate::identity::{DiskId, InstanceId, NodeName, ServiceName};
 use crate::replication::Version;
+use crate::subscription::{CaughtUp, StoreNode};
 
 /// Whether an endpoint takes requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -52,6 +53,15 @@
     }
 }
 
+/// An instance that was heard of again and has not changed.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Refresh {
+    /// Which.
+    pub id: InstanceId,
+    /// The number of its newest heartbeat.
+    pub sequence: u64,
+}
+
 /// What keepers tell each other beside replication.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum RegistryMessage {
@@ -62,14 +72,14 @@
         /// New or changed.
         changed: Vec<Instance>,
         /// Heard of, not changed.
-        refreshed: Vec<(InstanceId, u64)>,
+        refreshed: Vec<Refresh>,
     },
     /// Every relay subscribed to the answering keeper has applied these instances, or had its time to.
     InstancesApplied,
     /// The primary asks: bring your subscribers to this configuration and answer when they have it, or after
     /// the time given.
     Distribute {
-        /// The committed version.
+        /// The configuration's version, as in [`crate::subscription::Update::Configuration`].
         version: Version,
         /// Milliseconds to wait for subscribers at the most.
         wait_ms: u32,
@@ -80,8 +90,15 @@
     Order(Order),
     /// Its answer.
     OrderAnswer(OrderAnswer),
-    /// Stores whose links to the telling keeper are alive (told to the primary).
-    StoresAlive(Vec<DiskId>),
+    /// Stores whose links to the telling keeper are alive.
+    StoresSeen {
+        /// Who tells.
+        from: DiskId,
+        /// The stores.
+        stores: Vec<StoreNode>,
+    },
+    /// Reports of partitions' primaries, passed on to the primary keeper.
+    CaughtUp(Vec<CaughtUp>),
 }
 
 /// An operator's order.
--- a/crates/registry/src/lib.rs
+++ b/crates/registry/src/lib.rs
@@ -9,5 +9,5 @@
 
 pub use heartbeat::{Finding, parse_heartbeat};
 pub use registry::{
-    EXPIRY_HEARTBEATS, HeartbeatOutcome, MAX_INSTANCES, Refresh, Registry, RegistrySettings, TOMBSTONE_LIFE,
+    EXPIRY_HEARTBEATS, HeartbeatOutcome, MAX_INSTANCES, Registry, RegistrySettings, TOMBSTONE_LIFE,
 };
--- a/crates/registry/src/registry.rs
+++ b/crates/registry/src/registry.rs
@@ -4,7 +4,7 @@
 use std::net::{Ipv4Addr, SocketAddr};
 
 use juniperwing_clock::{Span, Time};
-use juniperwing_protocol::registry::{Instance, InstanceState};
+use juniperwing_protocol::registry::{Instance, InstanceState, Refresh};
 use juniperwing_protocol::{InstanceId, ServiceName};
 
 /// Heartbeats that may be missing before an instance expires.
@@ -27,15 +27,6 @@
     pub max_instances: usize,
 }
 
-/// An instance that was heard of again and has not changed.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Refresh {
-    /// Which.
-    pub id: InstanceId,
-    /// The number of its newest heartbeat.
-    pub sequence: u64,
-}
-
 /// What became of a heartbeat.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum HeartbeatOutcome {
@@ -194,8 +185,9 @@
     }
 
     fn merge_one(&mut self, now: Time, instance: &Instance) -> bool {
+        let full = self.entries.len() >= self.settings.max_instances;
         match self.entries.get_mut(&instance.id) {
-            None if self.entries.len() >= self.settings.max_instances => false,
+            None if full => false,
             None => {
                 self.insert(now, instance.clone());
                 true
@@ -221,8 +213,8 @@
             return None;
         }
         entry.heard = now;
-        let revived = entry.instance.state == InstanceState::Expired
-            && refresh.sequence > entry.instance.sequence;
+        let revived =
+            entry.instance.state == InstanceState::Expired && refresh.sequence > entry.instance.sequence;
         entry.instance.sequence = refresh.sequence;
         if !revived {
             return None;
@@ -295,13 +287,9 @@
 fn is_late(call: &Instance, known: &Instance) -> bool {
     match known.state {
         InstanceState::Gone => true,
-        InstanceState::Draining => {
-            call.state != InstanceState::Draining || call.sequence < known.sequence
-        }
+        InstanceState::Draining => call.state != InstanceState::Draining || call.sequence < known.sequence,
         InstanceState::Expired => call.sequence <= known.sequence && call.state == InstanceState::Ready,
-        InstanceState::Ready => {
-            call.sequence < known.sequence && call.state != InstanceState::Draining
-        }
+        InstanceState::Ready => call.sequence < known.sequence && call.state != InstanceState::Draining,
     }
 }
 
