--- a/crates/node/tests/keeper.rs
+++ b/crates/node/tests/keeper.rs
@@ -182,7 +182,8 @@
     let node = keepers::node_name(&Subscriber::Store { disk: DiskId(1) });
     assert_eq!(keepers.retire(0, &node).await.status, 409);
     let _second = Observer::subscribe(address, Subscriber::Store { disk: DiskId(2) }).await;
-    let joining = first.until_stores(|map| map.partitions.iter().all(|held| held.joining == [DiskId(2)])).await;
+    let joining =
+        first.until_stores(|map| map.partitions.iter().all(|held| held.joining == [DiskId(2)])).await;
     assert_eq!(keepers.retire(0, &node).await.status, 200);
     assert!(keepers.retire_state(0, &node).await.body.contains("active"));
     first.report_caught_up(&joining, DiskId(2));
--- /dev/null
+++ b/crates/node/tests/keepers/mod.rs
@@ -0,0 +1,241 @@
+//! Keepers for tests, each on a thread and a loopback address of its own, and those that talk to them.
+
+mod http;
+mod observer;
+
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicU8, Ordering};
+use std::time::Duration;
+
+use juniperwing_node::keeper::run_until;
+use juniperwing_node::settings::{Port, Settings};
+use slog::{Discard, Logger, o};
+use tokio::sync::oneshot;
+use tokio::time::timeout;
+
+pub use http::Answer;
+pub use observer::{Observer, node_name};
+
+/// The longest that anything may take, on a machine that does much else.
+pub const PATIENCE: Duration = Duration::from_secs(40);
+
+const CONTROL_PORT: u16 = 8_144;
+
+/// A configuration of one route.
+pub fn configuration(generation: u64) -> String {
+    format!(
+        r#"{{"generation":{generation},"routes":[{{"name":"r","hostname":"h.example","pathPrefix":"/a/","routeType":"idempotent","timeoutMs":1000,"targetLatencyMs":100,"priority":0,"backend":"b","maxRetries":2}}],"backends":[{{"name":"b","healthCheck":"/healthz","maxConnections":10,"protocol":"h1","tls":false}}]}}"#
+    )
+}
+
+/// The body of a heartbeat.
+pub fn heartbeat(state: &str, sequence: u64) -> String {
+    format!(
+        r#"{{"backend":"b","address":"127.0.0.1:9","zone":"a","generation":"v1","capacity":4,"state":"{state}","warmupRemainingMs":0,"sequence":{sequence}}}"#
+    )
+}
+
+/// Keepers of one tier.
+pub struct Keepers {
+    settings: Vec<Settings>,
+    running: Vec<Option<Running>>,
+    folder: PathBuf,
+}
+
+struct Running {
+    stop: oneshot::Sender<End>,
+    thread: std::thread::JoinHandle<()>,
+}
+
+/// How a keeper is brought to its end.
+enum End {
+    Orderly,
+    Kill,
+}
+
+impl Keepers {
+    /// Starts a tier on empty disks that bears the loss of `(count - 1) / 2` keepers.
+    pub async fn start(count: u8) -> Self {
+        static TIERS: AtomicU8 = AtomicU8::new(1);
+        let tier = TIERS.fetch_add(1, Ordering::Relaxed);
+        let process = (std::process::id() % 200) as u8 + 20;
+        let folder = std::env::temp_dir().join(format!("juniperwing-keepers-{}-{tier}", std::process::id()));
+        let machines: Vec<Ipv4Addr> =
+            (1..=count).map(|number| Ipv4Addr::new(127, process, tier, number)).collect();
+        let settings = machines.iter().map(|machine| settings(*machine, &machines, &folder)).collect();
+        let running = (0..count).map(|_| None).collect();
+        let mut keepers = Keepers { settings, running, folder };
+        for keeper in 0..usize::from(count) {
+            keepers.restart(keeper);
+        }
+        keepers
+    }
+
+    /// Starts a keeper that was stopped or killed.
+    pub fn restart(&mut self, keeper: usize) {
+        let settings = self.settings[keeper].clone();
+        let (stop, mut stopped) = oneshot::channel();
+        let thread = std::thread::spawn(move || {
+            let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+            runtime.block_on(async {
+                let (orderly, ended) = oneshot::channel::<()>();
+                let log = Logger::root(Discard, o!());
+                let role = run_until(settings, log, async { drop(ended.await) });
+                tokio::pin!(role);
+                let end = tokio::select! {
+                    ended = role.as_mut() => return ended.unwrap(),
+                    end = &mut stopped => end,
+                };
+                if let Ok(End::Orderly) = end {
+                    drop(orderly);
+                    role.await.unwrap();
+                }
+            });
+        });
+        self.running[keeper] = Some(Running { stop, thread });
+    }
+
+    /// Ends a keeper as the platform does in an orderly way.
+    pub async fn stop(&mut self, keeper: usize) {
+        self.end(keeper, End::Orderly).await;
+    }
+
+    /// Ends a keeper at once.
+    pub async fn kill(&mut self, keeper: usize) {
+        self.end(keeper, End::Kill).await;
+    }
+
+    async fn end(&mut self, keeper: usize, end: End) {
+        let running = self.running[keeper].take().expect("the keeper runs");
+        // One that has ended by itself shows it when it is joined.
+        let _ = running.stop.send(end);
+        tokio::task::spawn_blocking(move || running.thread.join().unwrap()).await.unwrap();
+    }
+
+    /// Where a keeper listens for relays and stores.
+    pub fn internal(&self, keeper: usize) -> SocketAddr {
+        self.settings[keeper].own_address(Port::Keeper)
+    }
+
+    /// Sends a configuration until there is a clear answer.
+    pub async fn put(&self, keeper: usize, base: u64, body: &str) -> Answer {
+        let head = format!("PUT /config HTTP/1.1\r\nIf-Match: {base}\r\n");
+        self.until_clear(keeper, &head, body).await
+    }
+
+    /// Asks for the configuration until there is a clear answer.
+    pub async fn get(&self, keeper: usize) -> Answer {
+        self.until_clear(keeper, "GET /config HTTP/1.1\r\n", "").await
+    }
+
+    /// Asks for the configuration once.
+    pub async fn try_get(&self, keeper: usize) -> Option<Answer> {
+        self.call(keeper, "GET /config HTTP/1.1\r\n", "").await
+    }
+
+    /// Asks for a store to be emptied until there is a clear answer.
+    pub async fn retire(&self, keeper: usize, node: &str) -> Answer {
+        let head = format!("POST /retire/{node} HTTP/1.1\r\n");
+        self.until_clear(keeper, &head, "{\"durationS\":10}").await
+    }
+
+    /// Asks how far the emptying of a store has come until there is a clear answer.
+    pub async fn retire_state(&self, keeper: usize, node: &str) -> Answer {
+        self.until_clear(keeper, &format!("GET /retire/{node} HTTP/1.1\r\n"), "").await
+    }
+
+    /// Waits until a store has been emptied.
+    pub async fn until_retired(&self, keeper: usize, node: &str) {
+        let completed = async { while !self.retire_state(keeper, node).await.body.contains("completed") {} };
+        timeout(PATIENCE, completed).await.expect("the store is emptied");
+    }
+
+    /// Sends a heartbeat once.
+    pub async fn heartbeat(&self, keeper: usize, id: &str, body: &str) -> Option<Answer> {
+        self.call(keeper, &format!("PUT /instances/{id} HTTP/1.1\r\n"), body).await
+    }
+
+    /// Sends a heartbeat until it is acknowledged.
+    pub async fn until_heartbeat(&self, keeper: usize, id: &str, body: &str) {
+        let answer = self.until_clear(keeper, &format!("PUT /instances/{id} HTTP/1.1\r\n"), body).await;
+        assert_eq!(answer.status, 200, "{}", answer.body);
+    }
+
+    /// Says that an instance ends until it is acknowledged.
+    pub async fn until_deleted(&self, keeper: usize, id: &str) {
+        let answer = self.until_clear(keeper, &format!("DELETE /instances/{id} HTTP/1.1\r\n"), "").await;
+        assert_eq!(answer.status, 200, "{}", answer.body);
+    }
+
+    /// Sends heartbeats until the keeper answers with this status.
+    pub async fn until_heartbeat_status(&self, keeper: usize, status: u16) {
+        let answered = async {
+            for sequence in 1.. {
+                let answer = self.heartbeat(keeper, "i-probe", &heartbeat("ready", sequence)).await;
+                if answer.is_some_and(|answer| answer.status == status) {
+                    return;
+                }
+                // Takes as long as the keeper waits for a primary, so that this does not spin.
+                self.try_get(keeper).await;
+            }
+        };
+        timeout(PATIENCE, answered).await.expect("that status");
+    }
+
+    async fn until_clear(&self, keeper: usize, head: &str, body: &str) -> Answer {
+        let answered = async {
+            loop {
+                match self.call(keeper, head, body).await {
+                    Some(answer) if answer.status != 503 => return answer,
+                    // An order waits for a primary before it is refused, so that this does not spin.
+                    Some(_) => drop(self.try_get(keeper).await),
+                    None => tokio::task::yield_now().await,
+                }
+            }
+        };
+        timeout(PATIENCE, answered).await.expect("a clear answer")
+    }
+
+    async fn call(&self, keeper: usize, head: &str, body: &str) -> Option<Answer> {
+        let address = self.settings[keeper].listeners_map.control_plane.unwrap();
+        timeout(PATIENCE, http::call(address, head, body)).await.expect("an answer or an end")
+    }
+}
+
+impl Drop for Keepers {
+    fn drop(&mut self) {
+        for running in self.running.iter_mut().filter_map(Option::take) {
+            let _ = running.stop.send(End::Kill);
+            let _ = running.thread.join();
+        }
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+fn settings(machine: Ipv4Addr, machines: &[Ipv4Addr], folder: &Path) -> Settings {
+    let number = machine.octets()[3];
+    let seeds: Vec<String> = machines.iter().map(|seed| format!("\"{seed}:{CONTROL_PORT}\"")).collect();
+    let text = format!(
+        r#"
+nodeName = "core-{number}"
+ipAddress = "{machine}"
+zone = "a"
+ephemeralPorts = [7380,7395]
+seedNodes = [{seeds}]
+bootstrap = true
+dataDirectory = "{folder}/{number}"
+heartbeatMs = 1200
+[listenersMap]
+controlPlane = "{machine}:{CONTROL_PORT}"
+[faultTolerance]
+machines = {tolerated}
+"#,
+        seeds = seeds.join(","),
+        folder = folder.display(),
+        tolerated = (machines.len() - 1) / 2,
+    );
+    let settings = Settings::parse(Path::new("local.toml"), &text).unwrap();
+    assert_eq!(settings.ip_address, IpAddr::V4(machine));
+    settings
+}
--- /dev/null
+++ b/crates/node/tests/keepers/observer.rs
@@ -0,0 +1,152 @@
+//! A subscriber that records what it is told and confirms it at once.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+
+use juniperwing_node::link::{Link, Reply, Service};
+use juniperwing_protocol::registry::InstanceState;
+use juniperwing_protocol::replication::Version;
+use juniperwing_protocol::subscription::{Applied, CaughtUp, StoreMap, Subscribe, Subscriber, Update};
+use juniperwing_protocol::{DiskId, Message, NodeName, PartitionId};
+use tokio::net::TcpStream;
+use tokio::sync::Notify;
+use tokio::time::timeout;
+
+use super::PATIENCE;
+
+#[derive(Default)]
+struct Seen {
+    configuration: Option<String>,
+    instances: BTreeMap<String, InstanceState>,
+    stores: Arc<StoreMap>,
+    applied: Applied,
+}
+
+#[derive(Default)]
+struct Recorder {
+    seen: Mutex<Seen>,
+    news: Notify,
+}
+
+/// A subscription to one keeper.
+pub struct Observer {
+    link: Link,
+    recorder: Arc<Recorder>,
+}
+
+/// The machine that a subscriber says it is on.
+pub fn node_name(subscriber: &Subscriber) -> String {
+    match subscriber {
+        Subscriber::Relay => "edge-1".to_owned(),
+        Subscriber::Store { disk } => format!("store-{disk}"),
+    }
+}
+
+impl Service for Recorder {
+    fn message(&self, link: &Link, message: Message, _: Reply) {
+        let Message::Update(update) = message else { return };
+        let mut seen = self.seen.lock().unwrap();
+        match update {
+            Update::Keepers(_) => {}
+            Update::Configuration { version, body } => {
+                assert!(version > seen.applied.configuration, "a configuration never goes back");
+                seen.applied.configuration = version;
+                seen.configuration = Some(String::from_utf8(body.to_vec()).unwrap());
+            }
+            Update::Instances(update) => {
+                seen.applied.instances = update.revision;
+                let instances = update.instances.iter();
+                seen.instances.extend(instances.map(|told| (told.id.0.to_string(), told.state)));
+            }
+            Update::Stores(map) => {
+                assert!(map.version > seen.applied.stores, "the store map never goes back");
+                seen.applied.stores = map.version;
+                seen.stores = map;
+            }
+        }
+        link.send(Message::Applied(seen.applied.clone()));
+        drop(seen);
+        self.news.notify_waiters();
+    }
+}
+
+impl Observer {
+    /// Subscribes to the keeper at `address`, as soon as it listens.
+    pub async fn subscribe(address: SocketAddr, subscriber: Subscriber) -> Self {
+        let connected = async {
+            loop {
+                match TcpStream::connect(address).await {
+                    Ok(stream) => return stream,
+                    Err(_) => tokio::task::yield_now().await,
+                }
+            }
+        };
+        let stream = timeout(PATIENCE, connected).await.expect("the keeper listens");
+        let recorder = Arc::new(Recorder::default());
+        let link = Link::start(stream, true, recorder.clone()).unwrap();
+        link.send(Message::Subscribe(Subscribe {
+            node: NodeName::from(node_name(&subscriber).as_str()),
+            zone: "a".into(),
+            address: "127.0.0.1:1".parse().unwrap(),
+            subscriber,
+            configuration: Version::default(),
+        }));
+        Observer { link, recorder }
+    }
+
+    /// Ends the subscription.
+    pub fn close(&self) {
+        self.link.close();
+    }
+
+    /// Whether this configuration was the last that it was told.
+    pub fn has_configuration(&self, body: &str) -> bool {
+        self.recorder.seen.lock().unwrap().configuration.as_deref() == Some(body)
+    }
+
+    /// What it was told last of an instance.
+    pub fn instance_state(&self, id: &str) -> Option<InstanceState> {
+        self.recorder.seen.lock().unwrap().instances.get(id).copied()
+    }
+
+    /// Waits until it is told a configuration.
+    pub async fn until_configuration(&mut self, body: &str) {
+        self.until(|seen| (seen.configuration.as_deref() == Some(body)).then_some(())).await;
+    }
+
+    /// Waits until it is told that an instance is in this state.
+    pub async fn until_instance(&mut self, id: &str, state: InstanceState) {
+        self.until(|seen| (seen.instances.get(id) == Some(&state)).then_some(())).await;
+    }
+
+    /// Waits until it is told a store map that satisfies a condition.
+    pub async fn until_stores(&mut self, condition: impl Fn(&StoreMap) -> bool) -> Arc<StoreMap> {
+        self.until(|seen| condition(&seen.stores).then(|| Arc::clone(&seen.stores))).await
+    }
+
+    /// Reports, as the primary of all partitions, that a joining store has caught up in each of them.
+    pub fn report_caught_up(&self, map: &StoreMap, replica: DiskId) {
+        let mut applied = self.recorder.seen.lock().unwrap().applied.clone();
+        let partitions = (0..).map(PartitionId).zip(&map.partitions);
+        applied.caught_up = partitions
+            .map(|(partition, assignment)| CaughtUp { partition, epoch: assignment.epoch, replica })
+            .collect();
+        self.link.send(Message::Applied(applied));
+    }
+
+    async fn until<T>(&self, condition: impl Fn(&Seen) -> Option<T>) -> T {
+        let met = async {
+            loop {
+                let news = self.recorder.news.notified();
+                tokio::pin!(news);
+                news.as_mut().enable();
+                if let Some(met) = condition(&self.recorder.seen.lock().unwrap()) {
+                    return met;
+                }
+                news.await;
+            }
+        };
+        timeout(PATIENCE, met).await.expect("the keeper tells of it")
+    }
+}
