Store of sessions as a pure state machine: admission, group commit, levelling, fencing

Kept turns and budgets need a replicated home. The package sessions holds the records of a partition, which only merge upward; the primary admits and settles turns, every write is on all in-sync disks before it is acknowledged, and a denial is given only after the other replicas have confirmed the epoch. It compiles; nothing is measured yet.

--- a/crates/protocol/src/session.rs
+++ b/crates/protocol/src/session.rs
@@ -6,6 +6,15 @@
 
 use crate::identity::{EpochNumber, PartitionId, ProgramId, RequestId};
 
+/// A partition in the epoch by which the sender goes.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct PartitionEpoch {
+    /// The partition.
+    pub partition: PartitionId,
+    /// Its epoch.
+    pub epoch: EpochNumber,
+}
+
 /// A question to the primary of a partition.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct SessionRequest {
@@ -28,6 +37,9 @@
     Find {
         /// The turn.
         turn: RequestId,
+        /// The partitions that are asked, all of them led by the store that is asked. They stand instead of
+        /// the one that the request names.
+        partitions: Vec<PartitionEpoch>,
     },
 }
 
@@ -69,8 +81,10 @@
     /// The turn before.
     pub previous: Option<RequestId>,
     /// What the client sent.
+    #[serde(with = "crate::shared_bytes")]
     pub input: Arc<[u8]>,
     /// The data of each event, each with a line feed behind.
+    #[serde(with = "crate::shared_bytes")]
     pub output: Arc<[u8]>,
     /// For how long it is kept from now on, in milliseconds; with it the turns before it.
     pub retention_ms: u64,
@@ -88,7 +102,7 @@
     },
     /// The budget is spent: the turn must not run.
     BudgetSpent,
-    /// The partition does not know `previous`, and it is certain of that.
+    /// The partition does not know the turn, and it is certain of that.
     UnknownTurn,
     /// The turn is settled, and kept if that was asked, on enough disks.
     Finished,
--- a/crates/protocol/src/transfer.rs
+++ b/crates/protocol/src/transfer.rs
@@ -3,9 +3,10 @@
 use serde::{Deserialize, Serialize};
 
 use crate::identity::{EpochNumber, PartitionId, ProgramId, RequestId};
-use crate::session::Turn;
+use crate::session::{PartitionEpoch, Turn};
 
 /// A record of the session store. Records merge: a settled one supersedes a reserved one, a kept turn stays.
+/// All records of a program are forgotten together, when the last of them expires.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Record {
     /// The program.
@@ -22,11 +23,19 @@
     pub expires_at_ms: u64,
 }
 
+/// Names a record within its partition.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct RecordKey {
+    /// The program.
+    pub program: ProgramId,
+    /// The try.
+    pub request: RequestId,
+}
+
 /// A store asks another store.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum TransferRequest {
-    /// The primary writes records; the answer comes when they are on disk. Without records it only asks
-    /// whether the epoch still holds.
+    /// The primary writes records; the answer comes when they are on disk.
     Write {
         /// The partition.
         partition: PartitionId,
@@ -35,6 +44,11 @@
         /// The records.
         records: Vec<Record>,
     },
+    /// The primary asks whether its epochs still hold: answered [`TransferReply::Written`] if all of them do.
+    Confirm {
+        /// The partitions, in the primary's epochs.
+        partitions: Vec<PartitionEpoch>,
+    },
     /// The digests of `ranges` equal ranges of the hashes of keys.
     Digests {
         /// The partition.
@@ -43,8 +57,10 @@
         epoch: EpochNumber,
         /// How many ranges.
         ranges: u16,
+        /// Programs that may be forgotten by this time of day, in milliseconds, are passed over.
+        live_after_ms: u64,
     },
-    /// All records of some of these ranges.
+    /// The records of some of these ranges, page by page.
     Records {
         /// The partition.
         partition: PartitionId,
@@ -54,6 +70,10 @@
         ranges: u16,
         /// Those wanted.
         wanted: Vec<u16>,
+        /// Programs that may be forgotten by this time of day, in milliseconds, are passed over.
+        live_after_ms: u64,
+        /// The last record of the page before.
+        after: Option<RecordKey>,
     },
 }
 
@@ -64,8 +84,13 @@
     Written,
     /// The digests asked for.
     Digests(Vec<u64>),
-    /// The records asked for.
-    Records(Vec<Record>),
+    /// The records asked for, as many as a page takes.
+    Records {
+        /// The records, in the order of their keys.
+        records: Vec<Record>,
+        /// The last of them, if there may be more behind it.
+        next: Option<RecordKey>,
+    },
     /// The epoch named is not the one that this store goes by.
     Fenced {
         /// The epoch that it goes by.
--- /dev/null
+++ b/crates/sessions/src/batch.rs
@@ -0,0 +1,32 @@
+//! The contents of a batch on disk.
+
+use juniperwing_protocol::PartitionId;
+use juniperwing_protocol::transfer::Record;
+use serde::{Deserialize, Serialize};
+
+/// A record with its partition.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StoredRecord {
+    /// The partition.
+    pub partition: PartitionId,
+    /// The record.
+    pub record: Record,
+}
+
+/// The bytes of a batch.
+///
+/// # Errors
+///
+/// If the encoder refuses; it does not for records.
+pub fn encode_batch(records: &[StoredRecord]) -> Result<Vec<u8>, postcard::Error> {
+    postcard::to_stdvec(records)
+}
+
+/// The records of a batch.
+///
+/// # Errors
+///
+/// If the bytes are not a batch.
+pub fn decode_batch(bytes: &[u8]) -> Result<Vec<StoredRecord>, postcard::Error> {
+    postcard::from_bytes(bytes)
+}
--- /dev/null
+++ b/crates/sessions/src/event.rs
@@ -0,0 +1,108 @@
+//! What reaches a store, and what it wants done.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use juniperwing_clock::Time;
+use juniperwing_protocol::session::{SessionReply, SessionRequest};
+use juniperwing_protocol::subscription::StoreMap;
+use juniperwing_protocol::transfer::{TransferReply, TransferRequest};
+
+use crate::batch::StoredRecord;
+
+/// When something happens.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Moment {
+    /// The steady clock.
+    pub now: Time,
+    /// The time of day in milliseconds; it may jump, and differs between machines.
+    pub time_of_day_ms: u64,
+}
+
+/// Names one who waits for an answer; chosen by the process around the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct AskerId(pub u64);
+
+/// Names a call to another store; chosen by the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct TransferCallId(pub u64);
+
+/// What reaches a store.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// A keeper told a map; it may be older than the one held.
+    Map(Arc<StoreMap>),
+    /// A relay asks.
+    Asked {
+        /// Who waits.
+        asker: AskerId,
+        /// The question.
+        request: SessionRequest,
+    },
+    /// Another store asks.
+    Transfer {
+        /// Who waits.
+        asker: AskerId,
+        /// The question.
+        request: TransferRequest,
+    },
+    /// A call has ended.
+    Answered {
+        /// The call.
+        call: TransferCallId,
+        /// The answer; `None` if the link broke or no answer came in time.
+        answer: Option<TransferReply>,
+    },
+    /// The batch under way is on disk.
+    BatchWritten {
+        /// The number under which it can be removed.
+        batch: u64,
+        /// Its size on disk.
+        bytes: u64,
+    },
+    /// The batch under way could not be written.
+    BatchFailed,
+    /// The time that [`crate::Store::next_wake`] named has come.
+    Tick,
+}
+
+/// What a store wants done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Command {
+    /// Answer a relay.
+    Answer {
+        /// Who waits.
+        asker: AskerId,
+        /// The answer.
+        reply: SessionReply,
+    },
+    /// Answer a store.
+    AnswerTransfer {
+        /// Who waits.
+        asker: AskerId,
+        /// The answer.
+        reply: TransferReply,
+    },
+    /// Call a store, once; tell the end by [`Event::Answered`].
+    Call {
+        /// Names the call.
+        call: TransferCallId,
+        /// The store.
+        to: SocketAddr,
+        /// The question.
+        request: TransferRequest,
+    },
+    /// Write a batch and sync it; tell the end by [`Event::BatchWritten`] or [`Event::BatchFailed`]. There is
+    /// one at a time.
+    WriteBatch {
+        /// Its records.
+        records: Vec<StoredRecord>,
+    },
+    /// Remove a batch that nothing needs.
+    RemoveBatch {
+        /// Its number.
+        batch: u64,
+    },
+    /// Tell the keepers what [`crate::Store::caught_up`] returns.
+    Report,
+}
--- /dev/null
+++ b/crates/sessions/src/limits.rs
@@ -0,0 +1,51 @@
+//! Bounds of a store, and the spans that it goes by.
+
+use juniperwing_clock::Span;
+
+/// What a store may use and must hold.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// How many disks must hold what is acknowledged.
+    pub required_copies: usize,
+    /// Bytes of records in memory above which no further turn is admitted.
+    pub memory_bytes: u64,
+    /// Bytes of batches on disk above which no further turn is admitted.
+    pub disk_bytes: u64,
+}
+
+/// For how long a program without kept turns is remembered after its last change, in milliseconds.
+pub(crate) const BUDGET_MEMORY_MS: u64 = 120_000;
+/// For how long a program is remembered at least after a turn was kept, in milliseconds.
+pub(crate) const KEPT_MEMORY_MS: u64 = 60_000;
+/// The longest retention taken, in milliseconds; longer ones count as this.
+pub(crate) const MAX_RETENTION_MS: u64 = 24 * 3_600_000;
+/// How much longer everything is kept, since clocks differ and may step.
+pub(crate) const EXPIRY_SLACK: Span = Span::from_millis(10_000);
+/// The pause between two searches for expired programs.
+pub(crate) const SWEEP_PAUSE: Span = Span::from_millis(10_000);
+/// The pause before a failed step is tried again: a call to a replica, a batch.
+pub(crate) const RETRY_PAUSE: Span = Span::from_millis(100);
+/// How long a relay's question may wait for replicas before it is answered that it cannot be done now.
+pub(crate) const ANSWER_WITHIN: Span = Span::from_millis(1_500);
+/// How long a replica waits for the map in which an epoch that it does not know is named.
+pub(crate) const MAP_WITHIN: Span = Span::from_millis(400);
+/// Writes that may be under way at a time.
+pub(crate) const MAX_WRITES: usize = 4_096;
+/// Questions that may wait at a time: of relays for levelled replicas, of stores for a map.
+pub(crate) const MAX_WAITING: usize = 4_096;
+/// Ranges of the digests that two replicas compare.
+pub(crate) const DIGEST_RANGES: u16 = 16;
+/// Bytes of records in one page, at which it ends.
+pub(crate) const PAGE_BYTES: u64 = 128 << 10;
+/// Joining replicas that are filled at the same time, counted by partition.
+pub(crate) const MAX_FILLING: usize = 16;
+/// Turns of the longest chain.
+pub(crate) const MAX_CHAIN: usize = 10_000;
+/// Batches below this size, in bytes of records that still count, are written together into one.
+pub(crate) const SMALL_BATCH_BYTES: u64 = 64 << 10;
+/// Small batches at which that is done.
+pub(crate) const MAX_SMALL_BATCHES: usize = 256;
+/// Bytes of records that one compaction writes again.
+pub(crate) const COMPACTION_BYTES: u64 = 1 << 20;
+/// The pause between two reports of replicas that have caught up.
+pub(crate) const REPORT_PAUSE: Span = Span::from_millis(500);
--- /dev/null
+++ b/crates/sessions/src/merge.rs
@@ -0,0 +1,42 @@
+//! How two records of one try merge: idempotent, in any order, in any grouping.
+
+use juniperwing_protocol::session::Turn;
+use juniperwing_protocol::transfer::Record;
+
+/// Merges `other` into `record`; `true` if that changed it.
+///
+/// A settled record supersedes a reserved one. Of two alike, the larger number of tokens and the later expiry
+/// count. A turn stays.
+pub fn merge(record: &mut Record, other: &Record) -> bool {
+    let account = merge_account(record, other);
+    let turn = merge_turn(&mut record.turn, other.turn.as_ref());
+    account || turn
+}
+
+fn merge_account(record: &mut Record, other: &Record) -> bool {
+    let before = (record.settled, record.tokens, record.expires_at_ms);
+    if other.settled && !record.settled {
+        record.settled = true;
+        record.tokens = other.tokens;
+        record.expires_at_ms = other.expires_at_ms;
+    } else if other.settled == record.settled {
+        record.tokens = record.tokens.max(other.tokens);
+        record.expires_at_ms = record.expires_at_ms.max(other.expires_at_ms);
+    }
+    before != (record.settled, record.tokens, record.expires_at_ms)
+}
+
+/// One try runs once, so there is one turn of it. Should there be two all the same, every replica must choose
+/// the same one.
+fn merge_turn(held: &mut Option<Turn>, other: Option<&Turn>) -> bool {
+    let Some(other) = other else { return false };
+    let replaces = held.as_ref().is_none_or(|held| order(held) < order(other));
+    if replaces {
+        *held = Some(other.clone());
+    }
+    replaces
+}
+
+fn order(turn: &Turn) -> impl Ord + '_ {
+    (&turn.output, &turn.input, &turn.previous, turn.retention_ms, &turn.endpoint, &turn.request)
+}
--- /dev/null
+++ b/crates/sessions/src/primary.rs
@@ -0,0 +1,296 @@
+//! What the primary of a partition does for relays.
+
+use std::collections::BTreeMap;
+
+use juniperwing_protocol::session::{
+    BeginTurn, FinishTurn, PartitionEpoch, SessionCall, SessionReply, SessionRequest, Turn,
+};
+use juniperwing_protocol::transfer::{Record, TransferReply, TransferRequest};
+use juniperwing_protocol::{DiskId, EpochNumber, PartitionId, RequestId};
+
+use crate::call::Purpose;
+use crate::event::{AskerId, Command};
+use crate::limits::{
+    ANSWER_WITHIN, BUDGET_MEMORY_MS, KEPT_MEMORY_MS, MAX_RETENTION_MS, MAX_WAITING, MAX_WRITES,
+};
+use crate::store::{Store, Timer, Waiting};
+use crate::table::Chain;
+
+/// Names a round in which the other replicas confirm that this store still leads.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub(crate) struct RoundId(u64);
+
+/// A round before a denial. An old primary whose epoch is over never gets it confirmed.
+#[derive(Clone, Debug)]
+pub(crate) struct Round {
+    asker: AskerId,
+    request: SessionRequest,
+    epochs: Vec<PartitionEpoch>,
+    outstanding: usize,
+}
+
+/// Whether the epochs by which a denial is given have been confirmed since the question came.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Certainty {
+    Presumed,
+    Confirmed,
+}
+
+impl Store {
+    /// A relay asks.
+    pub(crate) fn asked(&mut self, asker: AskerId, request: SessionRequest) {
+        self.decide(asker, request, Certainty::Presumed);
+    }
+
+    fn decide(&mut self, asker: AskerId, request: SessionRequest, certainty: Certainty) {
+        if let SessionCall::Find { turn, partitions } = &request.body {
+            let (turn, partitions) = (turn.clone(), partitions.clone());
+            return self.find(asker, request, &turn, partitions, certainty);
+        }
+        let partition = request.partition;
+        let leads = self.leads.get(&partition).is_some_and(|lead| lead.epoch >= request.epoch);
+        if !leads {
+            return self.refuse(asker, partition);
+        }
+        if !self.has_copies(partition) || self.writes.len() >= MAX_WRITES {
+            return self.answer(asker, SessionReply::Unavailable);
+        }
+        match &request.body {
+            SessionCall::Finish(finish) => {
+                let finish = finish.clone();
+                self.finish(asker, partition, finish);
+            }
+            SessionCall::Begin(begin) if begin.budget.is_none() && begin.previous.is_none() => {
+                self.answer(asker, SessionReply::Begun { chain: Vec::new() });
+            }
+            SessionCall::Begin(_) if !self.is_levelled(partition) => self.wait_for_level(asker, request),
+            SessionCall::Begin(begin) => {
+                let begin = begin.clone();
+                self.begin(asker, request, &begin, certainty);
+            }
+            SessionCall::Find { .. } => {}
+        }
+    }
+
+    fn begin(&mut self, asker: AskerId, request: SessionRequest, begin: &BeginTurn, certainty: Certainty) {
+        if self.is_full() {
+            return self.answer(asker, SessionReply::Unavailable);
+        }
+        let partition = request.partition;
+        let chain = match self.chain_for(partition, begin) {
+            Chain::Found(chain) => chain,
+            Chain::Broken => return self.answer(asker, SessionReply::Unavailable),
+            Chain::Unknown => return self.deny(asker, request, SessionReply::UnknownTurn, certainty),
+        };
+        let mut records = self.imports(partition, begin, &chain);
+        if let Some(budget) = begin.budget {
+            match self.admit(partition, begin, budget) {
+                Admission::Admitted(record) => records.push(*record),
+                Admission::Settled => return self.answer(asker, SessionReply::Unavailable),
+                Admission::Spent => return self.deny(asker, request, SessionReply::BudgetSpent, certainty),
+            }
+        }
+        let reply = SessionReply::Begun { chain };
+        if records.is_empty() {
+            self.answer(asker, reply);
+        } else {
+            self.write(partition, records, asker, reply);
+        }
+    }
+
+    fn chain_for(&self, partition: PartitionId, begin: &BeginTurn) -> Chain {
+        let Some(previous) = &begin.previous else { return Chain::Found(Vec::new()) };
+        let held = match self.tables.get(&partition) {
+            Some(table) => table.chain(&begin.program, previous),
+            None => Chain::Unknown,
+        };
+        if matches!(held, Chain::Found(_)) || !is_chain(&begin.imported, previous) {
+            return held;
+        }
+        Chain::Found(begin.imported.clone())
+    }
+
+    /// Records of the turns of other programs that this one continues from: everything that a program needs is
+    /// kept with it, for as long as it.
+    fn imports(&self, partition: PartitionId, begin: &BeginTurn, chain: &[Turn]) -> Vec<Record> {
+        let table = self.tables.get(&partition);
+        let foreign =
+            chain.iter().filter(|turn| !table.is_some_and(|t| t.holds_turn(&begin.program, &turn.request)));
+        let expires_at_ms = self.moment.time_of_day_ms.saturating_add(BUDGET_MEMORY_MS);
+        let record = |turn: &Turn| Record {
+            program: begin.program.clone(),
+            request: turn.request.clone(),
+            tokens: 0,
+            settled: true,
+            turn: Some(turn.clone()),
+            expires_at_ms,
+        };
+        foreign.map(record).collect()
+    }
+
+    /// Counts a turn at its most, if the budget allows it.
+    fn admit(&self, partition: PartitionId, begin: &BeginTurn, budget: u64) -> Admission {
+        let table = self.tables.get(&partition);
+        let known = table.and_then(|table| table.record(&begin.program, &begin.request));
+        if known.is_some_and(|record| record.settled) {
+            return Admission::Settled;
+        }
+        let reserved = known.map_or(0, |record| record.tokens);
+        let spent = table.map_or(0, |table| table.tokens_except(&begin.program, &begin.request));
+        let tokens = begin.most_tokens.max(reserved);
+        if spent.saturating_add(tokens) > budget && (known.is_none() || tokens > reserved) {
+            return Admission::Spent;
+        }
+        Admission::Admitted(Box::new(Record {
+            program: begin.program.clone(),
+            request: begin.request.clone(),
+            tokens,
+            settled: false,
+            turn: None,
+            expires_at_ms: self.moment.time_of_day_ms.saturating_add(BUDGET_MEMORY_MS),
+        }))
+    }
+
+    fn finish(&mut self, asker: AskerId, partition: PartitionId, finish: FinishTurn) {
+        if finish.kept.as_ref().is_some_and(|turn| turn.request != finish.request) {
+            return self.answer(asker, SessionReply::Unavailable);
+        }
+        let memory_ms = match &finish.kept {
+            Some(turn) => turn.retention_ms.clamp(KEPT_MEMORY_MS, MAX_RETENTION_MS),
+            None => BUDGET_MEMORY_MS,
+        };
+        let record = Record {
+            program: finish.program,
+            request: finish.request,
+            tokens: finish.tokens,
+            settled: true,
+            turn: finish.kept,
+            expires_at_ms: self.moment.time_of_day_ms.saturating_add(memory_ms),
+        };
+        self.write(partition, vec![record], asker, SessionReply::Finished);
+    }
+
+    fn find(
+        &mut self, asker: AskerId, request: SessionRequest, turn: &RequestId,
+        partitions: Vec<PartitionEpoch>, certainty: Certainty,
+    ) {
+        // What is held is true, whoever leads the partition.
+        let held = self.tables.values().map(|table| table.chain_of_any(turn));
+        if let Some(Chain::Found(chain)) = held.into_iter().find(|chain| matches!(chain, Chain::Found(_))) {
+            return self.answer(asker, SessionReply::Found { chain });
+        }
+        for named in &partitions {
+            if !self.leads.get(&named.partition).is_some_and(|lead| lead.epoch >= named.epoch) {
+                return self.refuse(asker, named.partition);
+            }
+            if !self.has_copies(named.partition) || !self.is_levelled(named.partition) {
+                return self.answer(asker, SessionReply::Unavailable);
+            }
+        }
+        self.deny_all(asker, request, partitions, SessionReply::UnknownTurn, certainty);
+    }
+
+    fn deny(&mut self, asker: AskerId, request: SessionRequest, reply: SessionReply, certainty: Certainty) {
+        let partitions = vec![PartitionEpoch { partition: request.partition, epoch: request.epoch }];
+        self.deny_all(asker, request, partitions, reply, certainty);
+    }
+
+    /// Denies, if all other replicas have confirmed the epochs; else has them asked first.
+    fn deny_all(
+        &mut self, asker: AskerId, request: SessionRequest, partitions: Vec<PartitionEpoch>,
+        reply: SessionReply, certainty: Certainty,
+    ) {
+        if certainty == Certainty::Confirmed {
+            return self.answer(asker, reply);
+        }
+        let mut asked: BTreeMap<DiskId, Vec<PartitionEpoch>> = BTreeMap::new();
+        let mut epochs = Vec::new();
+        for PartitionEpoch { partition, .. } in partitions {
+            let Some(epoch) = self.leads.get(&partition).map(|lead| lead.epoch) else { continue };
+            epochs.push(PartitionEpoch { partition, epoch });
+            for replica in self.needed(partition) {
+                asked.entry(replica).or_default().push(PartitionEpoch { partition, epoch });
+            }
+        }
+        if asked.is_empty() {
+            return self.answer(asker, reply);
+        }
+        if self.rounds.len() >= MAX_WAITING {
+            return self.answer(asker, SessionReply::Unavailable);
+        }
+        let round = RoundId(self.next_number());
+        self.rounds.insert(round, Round { asker, request, epochs, outstanding: asked.len() });
+        for (replica, partitions) in asked {
+            self.call(replica, TransferRequest::Confirm { partitions }, Purpose::Confirm { round });
+        }
+    }
+
+    /// A replica has confirmed the epochs of a round, or has not.
+    pub(crate) fn confirm_answered(&mut self, id: RoundId, answer: Option<TransferReply>) {
+        let Some(round) = self.rounds.get_mut(&id) else { return };
+        round.outstanding -= 1;
+        let confirmed = answer == Some(TransferReply::Written);
+        if confirmed && round.outstanding > 0 {
+            return;
+        }
+        let Some(round) = self.rounds.remove(&id) else { return };
+        if confirmed && round.epochs.iter().all(|named| self.leads_in(*named)) {
+            // Decided anew: what was missing may have come meanwhile.
+            self.decide(round.asker, round.request, Certainty::Confirmed);
+        } else {
+            self.answer(round.asker, SessionReply::Unavailable);
+        }
+    }
+
+    fn leads_in(&self, named: PartitionEpoch) -> bool {
+        self.leads.get(&named.partition).is_some_and(|lead| lead.epoch == named.epoch)
+    }
+
+    fn wait_for_level(&mut self, asker: AskerId, request: SessionRequest) {
+        if self.waiting.len() >= MAX_WAITING {
+            return self.answer(asker, SessionReply::Unavailable);
+        }
+        let number = self.next_number();
+        self.waiting.insert(number, Waiting::Level { asker, request });
+        self.timers.insert((self.moment.now + ANSWER_WITHIN, Timer::Waiting(number)));
+    }
+
+    /// Whether the map names enough replicas for anything to be acknowledged.
+    fn has_copies(&self, partition: PartitionId) -> bool {
+        let in_sync = self.map.assignment(partition).map_or(0, |assignment| assignment.in_sync.len());
+        in_sync >= self.limits.required_copies
+    }
+
+    /// Whether memory or disk is used up to the point from which on nothing new is admitted.
+    fn is_full(&self) -> bool {
+        let held: u64 = self.tables.values().map(|table| table.bytes()).sum();
+        held > self.limits.memory_bytes
+            || self.ledger.bytes() > self.limits.disk_bytes
+            || self.journal.is_paused()
+    }
+
+    pub(crate) fn answer(&mut self, asker: AskerId, reply: SessionReply) {
+        self.commands.push(Command::Answer { asker, reply });
+    }
+
+    /// Not the primary, or not known to be.
+    pub(crate) fn refuse(&mut self, asker: AskerId, partition: PartitionId) {
+        let epoch = self.map.assignment(partition).map_or(EpochNumber::default(), |held| held.epoch);
+        self.answer(asker, SessionReply::NotPrimary { epoch });
+    }
+}
+
+/// Whether a turn may run, as far as the budget goes.
+enum Admission {
+    Admitted(Box<Record>),
+    /// It has run, or never will.
+    Settled,
+    Spent,
+}
+
+/// Whether turns are a whole chain that ends with `last`.
+fn is_chain(turns: &[Turn], last: &RequestId) -> bool {
+    let linked = turns.windows(2).all(|pair| pair[1].previous.as_ref() == Some(&pair[0].request));
+    let whole = turns.first().is_some_and(|first| first.previous.is_none());
+    linked && whole && turns.last().is_some_and(|turn| turn.request == *last)
+}
