--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod link;
 pub mod log;
 pub mod relay;
+pub mod sessions_client;
 pub mod settings;
 pub mod signals;
 pub mod store;
--- a/crates/node/src/store.rs
+++ b/crates/node/src/store.rs
@@ -1,11 +1,42 @@
-//! The role of a store.
+//! The role of a store: kept turns and budgets of agent programs.
+//!
+//! What a store does is decided by [`juniperwing_sessions::Store`]; this is its process. It subscribes to all
+//! keepers, which place it by their map, and ends when the platform says so.
 
+mod core;
+mod disk;
+
+use std::future::Future;
 use std::io;
+use std::sync::Arc;
+use std::time::Duration;
 
-use slog::info;
+use juniperwing_protocol::replication::Version;
+use juniperwing_protocol::subscription::{self, Subscribe};
+use juniperwing_protocol::{DiskId, NodeName};
+use juniperwing_sessions::Limits;
+use slog::{Logger, info, warn};
+use tokio::net::TcpListener;
+use tokio::time::timeout;
 
+use self::core::{Core, Handle};
+use self::disk::Disk;
+use crate::clock::random;
 use crate::command::Process;
+use crate::link::serve;
+use crate::settings::{Port, Settings};
 use crate::signals::Wish;
+use crate::subscriber::Subscriber;
+
+/// Keepers that a store subscribes to at most; usually there are fewer.
+const MAX_SUBSCRIPTIONS: usize = 9;
+/// How long the end waits for what is under way.
+const END_WITHIN: Duration = Duration::from_millis(800);
+/// The share of memory that records may take; the rest is for messages, batches and the process itself.
+const MEMORY_SHARE: f64 = 0.4;
+/// The share of the disk that batches may take before no further turn is admitted.
+const DISK_SHARE: f64 = 0.6;
+const MEGABYTE: f64 = 1_000_000.0;
 
 /// Runs until the platform ends the process.
 ///
@@ -13,7 +44,88 @@
 ///
 /// If a listener or the disk cannot be used.
 pub async fn run(mut process: Process) -> io::Result<()> {
-    info!(process.log, "starting");
-    while process.signals.next().await != Wish::Stop {}
+    let node = StoreProcess::start(&process.settings, process.log.clone()).await?;
+    loop {
+        match process.signals.next().await {
+            Wish::Stop => break,
+            Wish::Reload => match Settings::read(process.settings_file.as_deref()) {
+                Ok(settings) => node.reload(&settings),
+                Err(e) => warn!(process.log, "settings are not read again"; "why" => e.to_string()),
+            },
+        }
+    }
+    node.stop().await;
+    Ok(())
+}
+
+/// Runs with these settings until `shutdown` is over.
+///
+/// # Errors
+///
+/// If a listener or the disk cannot be used.
+pub async fn run_until(
+    settings: &Settings, log: Logger, shutdown: impl Future<Output = ()>,
+) -> io::Result<()> {
+    let node = StoreProcess::start(settings, log).await?;
+    shutdown.await;
+    node.stop().await;
     Ok(())
 }
+
+/// A store that runs.
+struct StoreProcess {
+    core: Arc<Core>,
+    subscriber: Arc<Subscriber>,
+    listening: tokio::task::JoinHandle<()>,
+    log: Logger,
+}
+
+impl StoreProcess {
+    async fn start(settings: &Settings, log: Logger) -> io::Result<Self> {
+        let folder = settings
+            .data_directory
+            .as_ref()
+            .ok_or_else(|| io::Error::other("dataDirectory: a store needs one"))?;
+        let (disk, is_new) =
+            juniperwing_storage::identity::open(folder, random()).map_err(io::Error::other)?;
+        let disk = DiskId(disk);
+        let (files, store) = Disk::open(folder, disk, limits(settings), &log).map_err(io::Error::other)?;
+        let listener = TcpListener::bind(settings.own_address(Port::Store)).await?;
+        let core = Core::start(store, files, log.clone());
+        let listening = tokio::spawn(serve(listener, Arc::new(Handle(core.clone()))));
+        let subscribe = Subscribe {
+            node: NodeName::from(settings.node_name.as_str()),
+            zone: settings.zone.as_str().into(),
+            address: settings.own_address(Port::Store),
+            subscriber: subscription::Subscriber::Store { disk },
+            configuration: Version::default(),
+        };
+        let seeds = settings.seed_keepers();
+        let sink = Arc::new(Handle(core.clone()));
+        let subscriber = Subscriber::start(subscribe, seeds, MAX_SUBSCRIPTIONS, sink);
+        core.subscribed(&subscriber);
+        info!(log, "serving"; "disk" => disk.0, "new" => is_new);
+        Ok(StoreProcess { core, subscriber, listening, log })
+    }
+
+    fn reload(&self, settings: &Settings) {
+        self.subscriber.set_seeds(settings.seed_keepers());
+        info!(self.log, "settings read again");
+    }
+
+    /// Ends what is under way, if that is soon done.
+    async fn stop(self) {
+        self.listening.abort();
+        if timeout(END_WITHIN, self.core.idle()).await.is_err() {
+            info!(self.log, "ends with questions open");
+        }
+    }
+}
+
+fn limits(settings: &Settings) -> Limits {
+    Limits {
+        required_copies: settings.required_copies(),
+        memory_bytes: (settings.limits.memory_mb as f64 * MEGABYTE * MEMORY_SHARE) as u64,
+        disk_bytes: (settings.limits.disk_mb as f64 * MEGABYTE * DISK_SHARE) as u64,
+    }
+}
--- /dev/null
+++ b/crates/node/src/store/core.rs
@@ -0,0 +1,265 @@
+//! A store's state machine with its surroundings: links, disk, timer, keepers.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
+use std::time::Duration;
+
+use juniperwing_clock::{Span, Time};
+use juniperwing_protocol::Message;
+use juniperwing_protocol::replication::Version;
+use juniperwing_protocol::subscription::{Applied, Update};
+use juniperwing_protocol::transfer::TransferRequest;
+use juniperwing_sessions::{AskerId, Command, Event, Moment, Store, TransferCallId};
+use juniperwing_storage::BatchNumber;
+use slog::{Logger, warn};
+use tokio::sync::{Notify, mpsc};
+
+use super::disk::{Disk, DiskJob};
+use crate::clock::{duration, now, time_of_day_ms};
+use crate::link::{Link, LinkPool, Reply, Service};
+use crate::subscriber::{Sink, Subscriber};
+
+/// How long a call to another store may take.
+const CALL_WITHIN: Duration = Duration::from_millis(1_000);
+/// For how long the disk may fail before the store ends its subscriptions, so that it is taken out.
+const DISK_LOST_AFTER: Span = Span::from_millis(2_000);
+
+/// A running store.
+pub(super) struct Core {
+    state: Mutex<State>,
+    pool: LinkPool,
+    disk: mpsc::UnboundedSender<DiskJob>,
+    /// Told when the timer must ring earlier.
+    rearm: Notify,
+    /// Told after every event while somebody waits for the end.
+    handled: Notify,
+    log: Logger,
+}
+
+struct State {
+    store: Store,
+    askers: HashMap<AskerId, Reply>,
+    last_asker: u64,
+    /// What the timer waits for.
+    armed: Option<Time>,
+    subscriber: Weak<Subscriber>,
+    /// Since when every batch has failed.
+    failing_since: Option<Time>,
+    suspended: bool,
+}
+
+/// Takes no questions: other stores ask over connections of their own.
+struct NoService;
+
+impl Service for NoService {
+    fn message(&self, _: &Link, _: Message, _: Reply) {}
+}
+
+/// Now, on both clocks.
+pub(super) fn moment() -> Moment {
+    Moment { now: now(), time_of_day_ms: time_of_day_ms() }
+}
+
+impl Core {
+    /// Starts the disk and the timer of a store that has been recovered.
+    pub(super) fn start(store: Store, disk: Disk, log: Logger) -> Arc<Core> {
+        let (jobs, waiting) = mpsc::unbounded_channel();
+        let state = State {
+            store,
+            askers: HashMap::new(),
+            last_asker: 0,
+            armed: None,
+            subscriber: Weak::new(),
+            failing_since: None,
+            suspended: false,
+        };
+        let core = Arc::new(Core {
+            state: Mutex::new(state),
+            pool: LinkPool::new(Arc::new(NoService)),
+            disk: jobs,
+            rearm: Notify::new(),
+            handled: Notify::new(),
+            log: log.clone(),
+        });
+        tokio::spawn(disk.run(waiting, core.clone(), log));
+        tokio::spawn(core.clone().keep_time());
+        let commands = core.lock().store.recovered(moment());
+        core.execute(commands);
+        core
+    }
+
+    /// Names the subscriptions, by which reports go to the keepers.
+    pub(super) fn subscribed(&self, subscriber: &Arc<Subscriber>) {
+        self.lock().subscriber = Arc::downgrade(subscriber);
+    }
+
+    /// Hands an event to the store and does what it wants.
+    pub(super) fn handle(self: &Arc<Self>, event: Event) {
+        let watched = self.watch_disk(&event);
+        let (commands, earlier) = {
+            let mut state = self.lock();
+            let commands = state.store.handle(moment(), event);
+            let wake = state.store.next_wake();
+            let earlier = wake.is_some_and(|wake| state.armed.is_none_or(|armed| wake < armed));
+            (commands, earlier)
+        };
+        if earlier {
+            self.rearm.notify_one();
+        }
+        if let Some((subscriber, suspended)) = watched {
+            subscriber.suspend(suspended);
+        }
+        self.execute(commands);
+        self.handled.notify_waiters();
+    }
+
+    /// Waits until nothing is under way.
+    pub(super) async fn idle(&self) {
+        loop {
+            let handled = self.handled.notified();
+            tokio::pin!(handled);
+            handled.as_mut().enable();
+            if self.lock().store.is_idle() {
+                return;
+            }
+            handled.await;
+        }
+    }
+
+    /// Whether the subscriptions are to be ended or begun again, after this end of a batch.
+    fn watch_disk(&self, event: &Event) -> Option<(Arc<Subscriber>, bool)> {
+        let mut state = self.lock();
+        let suspended = match event {
+            Event::BatchWritten { .. } => {
+                state.failing_since = None;
+                false
+            }
+            Event::BatchFailed => {
+                let now = now();
+                let since = *state.failing_since.get_or_insert(now);
+                now.since(since) >= DISK_LOST_AFTER
+            }
+            _ => return None,
+        };
+        if state.suspended == suspended {
+            return None;
+        }
+        state.suspended = suspended;
+        warn!(self.log, "the disk"; "lost" => suspended);
+        Some((state.subscriber.upgrade()?, suspended))
+    }
+
+    fn execute(self: &Arc<Self>, commands: Vec<Command>) {
+        for command in commands {
+            match command {
+                Command::Answer { asker, reply } => self.reply(asker, Message::SessionReply(reply)),
+                Command::AnswerTransfer { asker, reply } => self.reply(asker, Message::TransferReply(reply)),
+                Command::Call { call, to, request } => {
+                    tokio::spawn(self.clone().call(call, to, request));
+                }
+                Command::WriteBatch { records } => self.put(DiskJob::Write(records)),
+                Command::RemoveBatch { batch } => self.put(DiskJob::Remove(BatchNumber(batch))),
+                Command::Report => self.report(),
+            }
+        }
+    }
+
+    async fn call(self: Arc<Self>, call: TransferCallId, to: SocketAddr, request: TransferRequest) {
+        let answer = match self.pool.call(to, Message::TransferRequest(request), CALL_WITHIN).await {
+            Ok(Message::TransferReply(reply)) => Some(reply),
+            _ => None,
+        };
+        self.handle(Event::Answered { call, answer });
+    }
+
+    fn reply(&self, asker: AskerId, message: Message) {
+        let reply = self.lock().askers.remove(&asker);
+        if let Some(reply) = reply {
+            reply.send(message);
+        }
+    }
+
+    fn put(&self, job: DiskJob) {
+        // The disk's task ends with the process only.
+        let _ = self.disk.send(job);
+    }
+
+    fn report(&self) {
+        let subscriber = self.lock().subscriber.upgrade();
+        if let Some(subscriber) = subscriber {
+            subscriber.confirm();
+        }
+    }
+
+    fn expect(&self, reply: Reply) -> AskerId {
+        let mut state = self.lock();
+        state.last_asker += 1;
+        let asker = AskerId(state.last_asker);
+        state.askers.insert(asker, reply);
+        asker
+    }
+
+    /// Rings when the store wants to be woken, and not otherwise.
+    async fn keep_time(self: Arc<Self>) {
+        loop {
+            let wake = {
+                let mut state = self.lock();
+                state.armed = state.store.next_wake();
+                state.armed
+            };
+            match wake {
+                None => self.rearm.notified().await,
+                Some(wake) => tokio::select! {
+                    () = tokio::time::sleep(duration(wake.since(now()))) => self.handle(Event::Tick),
+                    () = self.rearm.notified() => {}
+                },
+            }
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// A store as the links and the subscriptions see it.
+pub(super) struct Handle(pub(super) Arc<Core>);
+
+impl Service for Handle {
+    fn message(&self, link: &Link, message: Message, reply: Reply) {
+        match message {
+            Message::SessionRequest(request) => {
+                let asker = self.0.expect(reply);
+                self.0.handle(Event::Asked { asker, request });
+            }
+            Message::TransferRequest(request) => {
+                let asker = self.0.expect(reply);
+                self.0.handle(Event::Transfer { asker, request });
+            }
+            // Nobody has anything else to say to a store.
+            _ => link.close(),
+        }
+    }
+}
+
+impl Sink for Handle {
+    fn apply(&self, update: Update) {
+        if let Update::Stores(map) = update {
+            self.0.handle(Event::Map(map));
+        }
+    }
+
+    fn applied(&self) -> Applied {
+        let state = self.0.lock();
+        Applied {
+            stores: state.store.map_version(),
+            caught_up: state.store.caught_up(),
+            ..Applied::default()
+        }
+    }
+
+    fn configuration(&self) -> Version {
+        Version::default()
+    }
+}
--- a/crates/node/src/subscriber.rs
+++ b/crates/node/src/subscriber.rs
@@ -10,6 +10,7 @@
 use juniperwing_protocol::Message;
 use juniperwing_protocol::replication::Version;
 use juniperwing_protocol::subscription::{Applied, Subscribe, Update};
+use tokio::sync::Notify;
 
 use crate::link::{Link, Reply, Service, connect};
 
@@ -33,6 +34,8 @@
     subscribe: Subscribe,
     sink: Arc<dyn Sink>,
     keepers: Mutex<Keepers>,
+    /// Told when there may be a keeper to subscribe to where there was none.
+    changed: Notify,
 }
 
 #[derive(Default)]
@@ -43,6 +46,7 @@
     told: Vec<SocketAddr>,
     links: Vec<(SocketAddr, Option<Link>)>,
     next: usize,
+    suspended: bool,
 }
 
 impl Subscriber {
@@ -52,7 +56,7 @@
     ) -> Arc<Subscriber> {
         let next = crate::clock::random() as usize % seeds.len().max(1);
         let keepers = Mutex::new(Keepers { seeds, next, ..Keepers::default() });
-        let subscriber = Arc::new(Subscriber { subscribe, sink, keepers });
+        let subscriber = Arc::new(Subscriber { subscribe, sink, keepers, changed: Notify::new() });
         for _ in 0..wanted {
             tokio::spawn(Arc::clone(&subscriber).keep_one());
         }
@@ -62,6 +66,19 @@
     /// Takes other seeds, from settings that have changed.
     pub fn set_seeds(&self, seeds: Vec<SocketAddr>) {
         self.lock().seeds = seeds;
+        self.changed.notify_waiters();
+    }
+
+    /// Ends all subscriptions and begins none, or begins them again. The keepers take a process that does not
+    /// subscribe for lost.
+    pub fn suspend(&self, suspended: bool) {
+        let mut keepers = self.lock();
+        keepers.suspended = suspended;
+        if suspended {
+            keepers.links.iter().filter_map(|(_, link)| link.as_ref()).for_each(Link::close);
+        }
+        drop(keepers);
+        self.changed.notify_waiters();
     }
 
     /// Keepers that may be asked, those told by keepers first.
@@ -88,12 +105,19 @@
 
     async fn keep_one(self: Arc<Self>) {
         loop {
-            if let Some(address) = self.reserve() {
-                if let Some(link) = self.connect(address).await {
-                    link.closed().await;
-                }
-                self.lock().links.retain(|(used, _)| *used != address);
+            let changed = self.changed.notified();
+            tokio::pin!(changed);
+            // Registered before the search, so that a change between the two is not missed.
+            changed.as_mut().enable();
+            let Some(address) = self.reserve() else {
+                changed.await;
+                continue;
+            };
+            if let Some(link) = self.connect(address).await {
+                link.closed().await;
             }
+            self.lock().links.retain(|(used, _)| *used != address);
+            self.changed.notify_waiters();
             tokio::time::sleep(RETRY_AFTER).await;
         }
     }
@@ -103,6 +127,9 @@
         let candidates = self.keepers();
         let mut keepers = self.lock();
         let free = |address: &SocketAddr| keepers.links.iter().all(|(used, _)| used != address);
+        if keepers.suspended {
+            return None;
+        }
         let turn = keepers.next;
         let order = (0..candidates.len()).map(|offset| candidates[(turn + offset) % candidates.len()]);
         let chosen = order.into_iter().find(free)?;
@@ -119,6 +146,9 @@
         subscribe.configuration = self.sink.configuration();
         link.send(Message::Subscribe(subscribe));
         let mut keepers = self.lock();
+        if keepers.suspended {
+            link.close();
+        }
         let held = keepers.links.iter_mut().find(|(used, _)| *used == address)?;
         held.1 = Some(link.clone());
         Some(link)
@@ -140,7 +170,10 @@
     fn message(&self, link: &Link, message: Message, _: Reply) {
         let Message::Update(update) = message else { return };
         match update {
-            Update::Keepers(told) => self.subscriber.lock().told = told,
+            Update::Keepers(told) => {
+                self.subscriber.lock().told = told;
+                self.subscriber.changed.notify_waiters();
+            }
             update => {
                 let revision = match &update {
                     Update::Instances(instances) => Some(instances.revision),
--- a/crates/sessions/src/primary.rs
+++ b/crates/sessions/src/primary.rs
@@ -180,7 +180,7 @@
             return self.answer(asker, SessionReply::Found { chain });
         }
         for named in &partitions {
-            if !self.leads.get(&named.partition).is_some_and(|lead| lead.epoch >= named.epoch) {
+            if self.leads.get(&named.partition).is_none_or(|lead| lead.epoch < named.epoch) {
                 return self.refuse(asker, named.partition);
             }
             if !self.has_copies(named.partition) || !self.is_levelled(named.partition) {
--- a/crates/storage/src/batch.rs
+++ b/crates/storage/src/batch.rs
@@ -38,19 +38,29 @@
     ///
     /// If the folder cannot be made, listed or read.
     pub fn open(folder: impl Into<PathBuf>) -> Result<(Self, Vec<Batch>), StorageError> {
+        let mut batches = Vec::new();
+        let files = BatchFiles::open_each(folder, |batch| batches.push(batch))?;
+        Ok((files, batches))
+    }
+
+    /// As [`BatchFiles::open`], but hands on one batch after the other, so that only one is in memory.
+    ///
+    /// # Errors
+    ///
+    /// If the folder cannot be made, listed or read.
+    pub fn open_each(folder: impl Into<PathBuf>, mut take: impl FnMut(Batch)) -> Result<Self, StorageError> {
         let folder = folder.into();
         fs::create_dir_all(&folder).context(StorageSnafu { action: "making", path: &folder })?;
         let numbers = file::numbered(&folder, PREFIX)?;
-        let mut batches = Vec::new();
         for number in &numbers {
             let path = folder.join(file::name(PREFIX, *number));
             match file::read_checked(&path)? {
-                Some(contents) => batches.push(Batch { number: BatchNumber(*number), contents }),
+                Some(contents) => take(Batch { number: BatchNumber(*number), contents }),
                 None => drop(fs::remove_file(&path)),
             }
         }
         let next = numbers.last().map_or(1, |last| last + 1);
-        Ok((BatchFiles { folder, next }, batches))
+        Ok(BatchFiles { folder, next })
     }
 
     /// Writes a batch. When this returns, it outlasts a loss of power: a new file lasts with its own sync.
