--- /dev/null
+++ b/crates/balancing/src/endpoint.rs
@@ -0,0 +1,155 @@
+//! One endpoint as a relay sees it.
+
+use juniperwing_clock::{Span, Time};
+
+use crate::prompt::PartMemory;
+
+/// For how long a load that was told counts; it fades over that time.
+const LOAD_VALID: Span = Span::from_millis(1_500);
+/// An endpoint queues a few requests beyond its slots: this share of them is sent ahead.
+const SENT_AHEAD: f64 = 0.25;
+/// The first pause after an endpoint was full.
+const FULL_PAUSE: Span = Span::from_millis(30);
+/// The first pause after an endpoint failed.
+const FAILURE_PAUSE: Span = Span::from_millis(200);
+/// The longest pause.
+const LONGEST_PAUSE: Span = Span::from_millis(4_000);
+/// Doublings of a pause at the most.
+const MOST_DOUBLINGS: u32 = 6;
+
+/// The load that an endpoint tells (`X-Server-Load`).
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ServerLoad {
+    /// Requests running.
+    pub running: u32,
+    /// Requests waiting.
+    pub waiting: u32,
+    /// Requests that it works on at a time.
+    pub slots: u32,
+}
+
+impl ServerLoad {
+    /// Reads `running,waiting,slots`.
+    pub fn read(text: &str) -> Option<ServerLoad> {
+        let mut numbers = text.split(',').map(|number| number.trim().parse().ok());
+        let (running, waiting, slots) = (numbers.next()??, numbers.next()??, numbers.next()??);
+        Some(ServerLoad { running, waiting, slots })
+    }
+}
+
+/// How a call to an endpoint ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ending {
+    /// With an answer.
+    Answered,
+    /// It was told to be full.
+    Full,
+    /// It broke, or never came up.
+    Failed,
+    /// The caller gave it up; that says little of the endpoint.
+    Abandoned,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct ToldLoad {
+    at: Time,
+    load: ServerLoad,
+    /// This relay's own calls at that moment.
+    own: u32,
+}
+
+#[derive(Debug)]
+pub(crate) struct Endpoint {
+    pub(crate) own_zone: bool,
+    pub(crate) parts: PartMemory,
+    capacity: u32,
+    in_flight: u32,
+    told: Option<ToldLoad>,
+    failures: u32,
+    full: u32,
+    full_until: Time,
+    failed_until: Time,
+}
+
+impl Endpoint {
+    pub(crate) fn new(capacity: u32, own_zone: bool) -> Self {
+        Endpoint {
+            own_zone,
+            parts: PartMemory::default(),
+            capacity: capacity.max(1),
+            in_flight: 0,
+            told: None,
+            failures: 0,
+            full: 0,
+            full_until: Time::default(),
+            failed_until: Time::default(),
+        }
+    }
+
+    pub(crate) fn set_capacity(&mut self, capacity: u32) {
+        self.capacity = capacity.max(1);
+    }
+
+    pub(crate) fn begin(&mut self) {
+        self.in_flight += 1;
+    }
+
+    pub(crate) fn end(&mut self, now: Time, ending: Ending) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+        match ending {
+            Ending::Answered => (self.failures, self.full) = (0, 0),
+            Ending::Full => {
+                self.full_until = now + pause(FULL_PAUSE, self.full);
+                self.full = self.full.saturating_add(1);
+            }
+            Ending::Failed => {
+                self.failed_until = now + pause(FAILURE_PAUSE, self.failures);
+                self.failures = self.failures.saturating_add(1);
+            }
+            Ending::Abandoned => {}
+        }
+    }
+
+    pub(crate) fn tell(&mut self, now: Time, load: ServerLoad) {
+        self.told = Some(ToldLoad { at: now, load, own: self.in_flight });
+    }
+
+    /// Whether one more request may be sent to it.
+    pub(crate) fn has_room(&self, now: Time) -> bool {
+        let slots = f64::from(self.slots());
+        now >= self.full_until && self.load(now) < (slots * (1.0 + SENT_AHEAD)).ceil()
+    }
+
+    /// Whether it failed lately.
+    pub(crate) fn is_aside(&self, now: Time) -> bool {
+        now < self.failed_until
+    }
+
+    /// When it may be asked again after being full.
+    pub(crate) fn full_until(&self) -> Time {
+        self.full_until
+    }
+
+    /// The share of its slots that is taken; above 1 if requests wait there.
+    pub(crate) fn fullness(&self, now: Time) -> f64 {
+        self.load(now) / f64::from(self.slots())
+    }
+
+    fn slots(&self) -> u32 {
+        self.told.map_or(self.capacity, |told| told.load.slots.max(1))
+    }
+
+    /// Its requests as far as they are known: this relay's own, and what others had there when it last told.
+    fn load(&self, now: Time) -> f64 {
+        let others = self.told.map_or(0.0, |told| {
+            let all = told.load.running.saturating_add(told.load.waiting);
+            let age = now.since(told.at).secs() / LOAD_VALID.secs();
+            f64::from(all.saturating_sub(told.own)) * (1.0 - age).max(0.0)
+        });
+        f64::from(self.in_flight) + others
+    }
+}
+
+fn pause(first: Span, doublings: u32) -> Span {
+    first.times(f64::from(1_u32 << doublings.min(MOST_DOUBLINGS))).min(LONGEST_PAUSE)
+}
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -1,19 +1,283 @@
-//! The role of a relay.
+//! The role of a relay: the data plane.
+//!
+//! A relay takes requests of clients ([`frontend`]), finds their route in what the keepers told it
+//! ([`snapshot`]), begins their turns at the stores ([`turn`]), and passes them on ([`forward`]) to endpoints over
+//! kept connections ([`upstream`]). Which endpoint, when, and how long a try may last is decided by
+//! `juniperwing-balancing` behind the [`dispatcher`].
 
+pub mod attempt;
+pub mod body;
+pub mod connections;
+pub mod dispatcher;
+pub mod events;
+pub mod exchange;
+pub mod fate;
+pub mod forward;
+pub mod frontend;
+pub mod memory;
+pub mod metrics;
+pub mod readiness;
+pub mod sessions;
+pub mod snapshot;
+pub mod stream;
+pub mod turn;
+pub mod upstream;
+
+use std::future::Future;
 use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
 
-use slog::info;
+use juniperwing_balancing::{Balancer, Bounds};
+use juniperwing_clock::Span;
+use juniperwing_protocol::identity::NodeName;
+use juniperwing_protocol::subscription::{Subscribe, Subscriber as Kind};
+use slog::{Logger, info, warn};
+use tokio::net::TcpListener;
+use tokio::time::{Instant, MissedTickBehavior, interval, sleep, timeout_at};
 
+use crate::clock::random;
 use crate::command::Process;
+use crate::settings::{Port, Settings};
 use crate::signals::Wish;
+use crate::subscriber::{Sink, Subscriber};
+use connections::Connections;
+use dispatcher::Dispatcher;
+use memory::Memory;
+use metrics::{LOG_EVERY, Metrics};
+use sessions::Sessions;
+use snapshot::World;
+use upstream::Pool;
+
+/// How often idle connections are looked through.
+const SWEEP_EVERY: Duration = Duration::from_secs(1);
+/// For how long connections are still accepted after the platform wants an end: its checks come every second.
+const ACCEPT_ON: Duration = Duration::from_millis(1_100);
+/// What is kept of the time that the platform leaves for an end.
+const BEFORE_GRACE_ENDS: Duration = Duration::from_millis(500);
+/// Descriptors that are for neither clients nor endpoints.
+const OTHER_DESCRIPTORS: usize = 264;
+/// The share of descriptors for clients; the rest is for endpoints.
+const CLIENT_SHARE: f64 = 0.5;
+/// What the process takes before it serves, in bytes.
+const OWN_BYTES: usize = 24 << 20;
+/// What a client's connection takes, in bytes.
+const CONNECTION_BYTES: usize = 32 << 10;
+/// The share of the memory for bodies; the rest is for connections.
+const BODY_SHARE: f64 = 0.5;
+
+/// What all parts of a relay share.
+pub struct Core {
+    /// What is known.
+    pub world: Arc<World>,
+    /// Slots at endpoints.
+    pub dispatcher: Arc<Dispatcher>,
+    /// Connections to endpoints.
+    pub pool: Pool,
+    /// Connections of clients.
+    pub connections: Arc<Connections>,
+    /// The stores.
+    pub sessions: Arc<dyn Sessions>,
+    /// Counters.
+    pub metrics: Metrics,
+    /// Room for bodies.
+    pub memory: Arc<Memory>,
+    /// Connections of clients at the most.
+    pub most_connections: usize,
+    /// An end is near.
+    pub stopping: AtomicBool,
+}
+
+/// A relay with its listeners open.
+pub struct Relay {
+    core: Arc<Core>,
+    frontend: TcpListener,
+    readiness: TcpListener,
+    settings: Settings,
+    log: Logger,
+}
 
 /// Runs until the platform ends the process.
 ///
 /// # Errors
 ///
-/// If a listener or the disk cannot be used.
-pub async fn run(mut process: Process) -> io::Result<()> {
-    info!(process.log, "starting");
-    while process.signals.next().await != Wish::Stop {}
-    Ok(())
+/// If a listener cannot be used.
+pub async fn run(process: Process) -> io::Result<()> {
+    let Process { settings, settings_file, log, mut signals } = process;
+    let relay = Relay::open(settings, log.clone(), |_| Arc::new(NoStores)).await?;
+    let subscriber = relay.subscribe();
+    relay
+        .serve(async move {
+            while signals.next().await == Wish::Reload {
+                match Settings::read(settings_file.as_deref()) {
+                    Ok(settings) => subscriber.set_seeds(settings.seed_keepers()),
+                    Err(error) => warn!(log, "settings not read again"; "why" => error.to_string()),
+                }
+            }
+        })
+        .await
+}
+
+impl Relay {
+    /// Opens the listeners. `sessions` makes the client of the stores from what is known of them.
+    ///
+    /// # Errors
+    ///
+    /// If the settings name no listener, or one cannot be opened.
+    pub async fn open(
+        settings: Settings, log: Logger, sessions: impl FnOnce(&World) -> Arc<dyn Sessions>,
+    ) -> io::Result<Relay> {
+        let frontend = listen(settings.listeners_map.frontend, "listenersMap.frontend").await?;
+        let readiness = listen(settings.listeners_map.readiness, "listenersMap.readiness").await?;
+        let zone = Arc::from(settings.zone.as_str());
+        let dispatcher = Dispatcher::new(Balancer::new(zone, random(), Bounds::default()));
+        let heartbeat = Span::from_millis(settings.heartbeat_ms);
+        let world = World::new(Arc::clone(&dispatcher), heartbeat, log.clone());
+        let bounds = RelayBounds::of(&settings);
+        let core = Arc::new(Core {
+            sessions: sessions(&world),
+            world,
+            dispatcher,
+            pool: Pool::new(bounds.upstream_connections),
+            connections: Arc::default(),
+            metrics: Metrics::default(),
+            memory: Memory::new(bounds.body_bytes),
+            most_connections: bounds.client_connections,
+            stopping: AtomicBool::new(false),
+        });
+        Ok(Relay { core, frontend, readiness, settings, log })
+    }
+
+    /// Subscribes to the keepers that the settings name, to more than may be lost at once.
+    pub fn subscribe(&self) -> Arc<Subscriber> {
+        let settings = &self.settings;
+        let subscribe = Subscribe {
+            node: NodeName::from(settings.node_name.as_str()),
+            zone: settings.zone.as_str().into(),
+            address: settings.own_address(Port::Relay),
+            subscriber: Kind::Relay,
+            configuration: self.core.world.configuration(),
+        };
+        let wanted = settings.fault_tolerance.machines + 1;
+        let sink = Arc::clone(&self.core.world) as Arc<dyn Sink>;
+        Subscriber::start(subscribe, settings.seed_keepers(), wanted, sink)
+    }
+
+    /// What is known; updates may be applied to it.
+    pub fn world(&self) -> Arc<World> {
+        Arc::clone(&self.core.world)
+    }
+
+    /// What all parts share.
+    pub fn core(&self) -> Arc<Core> {
+        Arc::clone(&self.core)
+    }
+
+    /// Where clients connect.
+    ///
+    /// # Errors
+    ///
+    /// If the system does not tell.
+    pub fn frontend_address(&self) -> io::Result<SocketAddr> {
+        self.frontend.local_addr()
+    }
+
+    /// Where the platform asks whether the relay is ready.
+    ///
+    /// # Errors
+    ///
+    /// If the system does not tell.
+    pub fn readiness_address(&self) -> io::Result<SocketAddr> {
+        self.readiness.local_addr()
+    }
+
+    /// Serves until `stop` is over, then finishes what has been read.
+    ///
+    /// # Errors
+    ///
+    /// None after the listeners are open; the type leaves room.
+    pub async fn serve(self, stop: impl Future<Output = ()>) -> io::Result<()> {
+        let Relay { core, frontend, readiness, settings, log } = self;
+        info!(log, "serving");
+        let readiness = tokio::spawn(readiness::serve(Arc::clone(&core), readiness));
+        let accepting = tokio::spawn(frontend::accept(Arc::clone(&core), frontend));
+        let upkeep = tokio::spawn(upkeep(Arc::clone(&core), log.clone()));
+        stop.await;
+        info!(log, "stopping");
+        let grace = Duration::try_from_secs_f64(settings.bounds.grace_s).unwrap_or_default();
+        let end = Instant::now() + grace.saturating_sub(BEFORE_GRACE_ENDS);
+        core.stopping.store(true, Ordering::Relaxed);
+        core.connections.finish_all();
+        sleep(ACCEPT_ON.min(grace / 4)).await;
+        accepting.abort();
+        core.connections.finish_all();
+        let finished = timeout_at(end, core.connections.ended()).await.is_ok();
+        upkeep.abort();
+        readiness.abort();
+        core.metrics.log(&log);
+        info!(log, "stopped"; "finished" => finished);
+        Ok(())
+    }
+}
+
+async fn listen(address: Option<SocketAddr>, key: &str) -> io::Result<TcpListener> {
+    let address =
+        address.ok_or_else(|| io::Error::new(io::ErrorKind::InvalidInput, format!("{key}: missing")))?;
+    TcpListener::bind(address).await
+}
+
+/// Closes idle connections whose time is over, and logs counters.
+async fn upkeep(core: Arc<Core>, log: Logger) {
+    let mut ticks = interval(SWEEP_EVERY);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let (mut logged_at, mut logged) = (Instant::now(), 0);
+    loop {
+        ticks.tick().await;
+        core.connections.sweep(&core.world.snapshot().limits());
+        core.pool.sweep(|endpoint| core.dispatcher.is_ready(endpoint));
+        let requests = core.metrics.requests.get();
+        if requests != logged && logged_at.elapsed() >= LOG_EVERY {
+            (logged_at, logged) = (Instant::now(), requests);
+            core.metrics.log(&log);
+        }
+    }
+}
+
+/// How much a relay holds, from its limits.
+struct RelayBounds {
+    client_connections: usize,
+    upstream_connections: usize,
+    body_bytes: usize,
+}
+
+impl RelayBounds {
+    fn of(settings: &Settings) -> RelayBounds {
+        let descriptors = (settings.limits.max_fds as usize).saturating_sub(OTHER_DESCRIPTORS).max(16);
+        let memory = ((settings.limits.memory_mb as usize) << 20).saturating_sub(OWN_BYTES);
+        let body_bytes = (memory as f64 * BODY_SHARE) as usize;
+        let by_memory = (memory - body_bytes) / CONNECTION_BYTES / 2;
+        let by_descriptors = (descriptors as f64 * CLIENT_SHARE) as usize;
+        let client_connections = by_descriptors.min(by_memory).max(8);
+        let upstream_connections = (descriptors - by_descriptors).min(by_memory).max(8);
+        RelayBounds { client_connections, upstream_connections, body_bytes }
+    }
+}
+
+/// Stands in where no stores are known: no turn can be begun.
+struct NoStores;
+
+impl Sessions for NoStores {
+    fn begin(
+        &self, _: juniperwing_protocol::session::BeginTurn, _: Duration,
+    ) -> sessions::SessionCall<Vec<juniperwing_protocol::session::Turn>> {
+        Box::pin(async { Err(sessions::SessionFault::Unavailable) })
+    }
+
+    fn finish(&self, _: juniperwing_protocol::session::FinishTurn, _: Duration) -> sessions::SessionCall<()> {
+        Box::pin(async { Err(sessions::SessionFault::Unavailable) })
+    }
+
+    fn finish_later(&self, _: juniperwing_protocol::session::FinishTurn) {}
 }
--- /dev/null
+++ b/crates/node/src/relay/attempt.rs
@@ -0,0 +1,176 @@
+//! One try of a request at one endpoint.
+
+use std::collections::VecDeque;
+
+use bytes::Bytes;
+use http::header::{CONTENT_ENCODING, CONTENT_LENGTH, TRANSFER_ENCODING};
+use http::{HeaderMap, Method, Request, StatusCode, response};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use juniperwing_balancing::ServerLoad;
+use juniperwing_clock::Time;
+use juniperwing_protocol::headers;
+
+use super::Core;
+use super::dispatcher::Slot;
+use super::exchange::{Exchange, header_text};
+use super::fate::{Cause, Failure};
+use super::upstream::Connection;
+use crate::clock::{duration, now};
+
+/// The largest answer that is read whole before it is passed on.
+pub const MAX_WHOLE_BYTES: usize = 16 << 20;
+
+/// An endpoint's answer whose head is sound, with its body still to come.
+pub struct Answer {
+    /// The head.
+    pub parts: response::Parts,
+    /// The body.
+    pub body: Incoming,
+    /// The connection that it comes over.
+    pub connection: Connection,
+    /// When the request was sent.
+    pub sent_at: Time,
+}
+
+/// A connection to the endpoint of a slot: one that is kept, or a new one.
+///
+/// # Errors
+///
+/// If none comes up in time; nothing was sent.
+pub async fn connect(core: &Core, exchange: &Exchange, slot: &Slot) -> Result<Connection, Failure> {
+    let kept = core.pool.take(slot.endpoint());
+    if let Some(connection) = kept {
+        return Ok(connection);
+    }
+    let address = core.world.snapshot().address(slot.endpoint());
+    let address = address.ok_or(Failure::not_sent(Cause::EndpointLeft))?;
+    core.metrics.connections.add();
+    let connection = core.pool.connect(address, duration(exchange.left())).await;
+    connection.ok_or_else(|| {
+        core.metrics.connections_failed.add();
+        Failure::not_sent(Cause::NoConnection)
+    })
+}
+
+/// Sends the request and waits for the head of its answer.
+///
+/// # Errors
+///
+/// What is known of the try if there is no sound answer.
+pub async fn send(
+    core: &Core, exchange: &Exchange, slot: &Slot, mut connection: Connection,
+) -> Result<Answer, Failure> {
+    loop {
+        // Endpoints may have left while the connection came up.
+        if !core.dispatcher.is_ready(slot.endpoint()) {
+            return Err(Failure::not_sent(Cause::EndpointLeft));
+        }
+        let sent_at = now();
+        match connection.sender.try_send_request(request(exchange, slot)).await {
+            Ok(answer) => {
+                let (parts, body) = answer.into_parts();
+                check_head(core, exchange, slot, &parts, &connection)?;
+                return Ok(Answer { parts, body, connection, sent_at });
+            }
+            Err(mut error) => {
+                if error.take_message().is_none() {
+                    return Err(Failure::may_have_run(Cause::Broken));
+                }
+                if !connection.used {
+                    return Err(Failure::not_sent(Cause::NoConnection));
+                }
+                // The endpoint closed the connection before a byte was written: another one will do.
+                connection = connect(core, exchange, slot).await?;
+            }
+        }
+    }
+}
+
+fn request(exchange: &Exchange, slot: &Slot) -> Request<Full<Bytes>> {
+    let mut request = Request::new(Full::new(exchange.body.clone()));
+    *request.method_mut() = exchange.method.clone();
+    *request.uri_mut() = exchange.uri.clone();
+    *request.headers_mut() = exchange.headers_for(slot.endpoint());
+    request
+}
+
+/// Whether the head is one that may be passed on.
+fn check_head(
+    core: &Core, exchange: &Exchange, slot: &Slot, parts: &response::Parts, connection: &Connection,
+) -> Result<(), Failure> {
+    let declined = parts.headers.contains_key(headers::NOT_EXECUTED);
+    let misdirected = parts.status == StatusCode::MISDIRECTED_REQUEST;
+    let own = match parts.headers.get(headers::REQUEST_ID) {
+        Some(id) => *id == exchange.request,
+        // Nothing of another request can come first on a new connection.
+        None => !connection.used && (declined || misdirected),
+    };
+    if !own {
+        return Err(Failure::may_have_run(Cause::WrongRequest));
+    }
+    if let Some(load) = ServerLoad::read(header_text(&parts.headers, headers::SERVER_LOAD)) {
+        core.dispatcher.tell(slot.endpoint(), load);
+    }
+    if misdirected {
+        if expects_other(parts, slot) {
+            core.world.misdirected(slot.endpoint());
+        }
+        return Err(Failure::declined(Cause::Misdirected));
+    }
+    if declined {
+        return Err(Failure::declined(Cause::Declined));
+    }
+    if parts.status.is_success() && !is_sound(exchange, parts) {
+        return Err(Failure::may_have_run(Cause::Unsound));
+    }
+    Ok(())
+}
+
+/// Whether another instance answered at the address.
+fn expects_other(parts: &response::Parts, slot: &Slot) -> bool {
+    header_text(&parts.headers, headers::INSTANCE_ID) != &*slot.endpoint().0
+}
+
+/// A success counts only with the endpoint's stamp, as plain bytes, and if its end can be told from a break.
+fn is_sound(exchange: &Exchange, parts: &response::Parts) -> bool {
+    let stamped = parts.headers.contains_key(headers::SERVER_SIGNATURE);
+    let plain = !parts.headers.contains_key(CONTENT_ENCODING);
+    stamped && plain && is_framed(exchange, parts)
+}
+
+fn is_framed(exchange: &Exchange, parts: &response::Parts) -> bool {
+    let bodiless = exchange.method == Method::HEAD || parts.status == StatusCode::NO_CONTENT;
+    let chunked = header_text(&parts.headers, TRANSFER_ENCODING.as_str()).ends_with("chunked");
+    bodiless || chunked || parts.headers.contains_key(CONTENT_LENGTH)
+}
+
+/// Reads a body to its end.
+///
+/// # Errors
+///
+/// If it ends early, or is too large to be held.
+pub async fn read_whole(body: &mut Incoming) -> Result<VecDeque<Bytes>, Failure> {
+    let (mut pieces, mut length) = (VecDeque::new(), 0);
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| Failure::may_have_run(Cause::Unsound))?;
+        let Ok(data) = frame.into_data() else { continue };
+        length += data.len();
+        if length > MAX_WHOLE_BYTES {
+            return Err(Failure::may_have_run(Cause::Unsound));
+        }
+        pieces.push_back(data);
+    }
+    Ok(pieces)
+}
+
+/// The seconds for which the endpoint keeps the connection; 0 if it closes it.
+pub fn keep_alive(headers: &HeaderMap) -> Option<u64> {
+    let connection = header_text(headers, "connection");
+    if connection.split(',').any(|option| option.trim().eq_ignore_ascii_case("close")) {
+        return Some(0);
+    }
+    let told = header_text(headers, "keep-alive");
+    let timeout = told.split(',').find_map(|option| option.trim().strip_prefix("timeout="));
+    timeout.unwrap_or(told).trim().parse().ok()
+}
--- /dev/null
+++ b/crates/node/src/relay/body.rs
@@ -0,0 +1,94 @@
+//! The bodies of answers to clients.
+
+use std::collections::VecDeque;
+use std::pin::Pin;
+use std::task::{Context, Poll, ready};
+
+use bytes::Bytes;
+use futures_util::Stream;
+use http_body::{Body, Frame, SizeHint};
+use snafu::Snafu;
+
+use super::connections::RequestGuard;
+
+/// Why an answer breaks off. The client sees a connection that ends before the answer does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
+pub enum BrokenOff {
+    /// The endpoint broke off, and nobody may go on.
+    #[snafu(display("the endpoint broke off"))]
+    Endpoint,
+    /// The time is over.
+    #[snafu(display("the time is over"))]
+    Deadline,
+    /// The turn could not be kept.
+    #[snafu(display("the turn could not be kept"))]
+    NotKept,
+    /// The endpoint sent what is no answer.
+    #[snafu(display("the endpoint sent no proper answer"))]
+    Unsound,
+}
+
+/// Pieces of an answer as they come.
+pub type Pieces = Pin<Box<dyn Stream<Item = Result<Bytes, BrokenOff>> + Send>>;
+
+enum Content {
+    Whole(VecDeque<Bytes>),
+    Pieces(Pieces),
+}
+
+/// The body of an answer.
+pub struct RelayBody {
+    content: Content,
+    /// The request counts as open for as long as its answer lives.
+    open: Option<RequestGuard>,
+}
+
+impl RelayBody {
+    /// A body that is known as a whole.
+    pub fn whole(pieces: VecDeque<Bytes>) -> Self {
+        RelayBody { content: Content::Whole(pieces), open: None }
+    }
+
+    /// A fixed text.
+    pub fn text(text: &'static str) -> Self {
+        Self::whole(VecDeque::from([Bytes::from_static(text.as_bytes())]))
+    }
+
+    /// A body whose pieces are passed on as they come.
+    pub fn pieces(pieces: Pieces) -> Self {
+        RelayBody { content: Content::Pieces(pieces), open: None }
+    }
+
+    /// Ties the request to its answer.
+    pub fn hold(&mut self, open: RequestGuard) {
+        self.open = Some(open);
+    }
+}
+
+impl Body for RelayBody {
+    type Data = Bytes;
+    type Error = BrokenOff;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>, context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BrokenOff>>> {
+        let piece = match &mut self.content {
+            Content::Whole(pieces) => pieces.pop_front().map(Ok),
+            Content::Pieces(pieces) => ready!(pieces.as_mut().poll_next(context)),
+        };
+        Poll::Ready(piece.map(|piece| piece.map(Frame::data)))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        matches!(&self.content, Content::Whole(pieces) if pieces.is_empty())
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match &self.content {
+            Content::Whole(pieces) => {
+                SizeHint::with_exact(pieces.iter().map(|piece| piece.len() as u64).sum())
+            }
+            Content::Pieces(_) => SizeHint::default(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/relay/connections.rs
@@ -0,0 +1,200 @@
+//! The connections of clients: which of them rest, since when, and how they are ended.
+
+use std::collections::HashMap;
+use std::io;
+use std::pin::Pin;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::task::{Context, Poll};
+
+use juniperwing_clock::Time;
+use juniperwing_configuration::Limits;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::sync::Notify;
+
+use crate::clock::now;
+
+/// One connection of a client.
+#[derive(Debug)]
+pub struct ClientConnection {
+    /// A request is open: read, and its answer not at its end.
+    busy: AtomicBool,
+    /// When it began to rest.
+    rests_since: AtomicU64,
+    /// When the first byte of a head came; 0 if none has.
+    head_since: AtomicU64,
+    /// It should end as soon as it rests.
+    pub finish: Notify,
+    /// It should end at once.
+    pub cut: Notify,
+}
+
+impl ClientConnection {
+    fn new() -> Self {
+        ClientConnection {
+            busy: AtomicBool::new(false),
+            rests_since: AtomicU64::new(nanos()),
+            head_since: AtomicU64::new(0),
+            finish: Notify::new(),
+            cut: Notify::new(),
+        }
+    }
+
+    /// Marks the begin of a request; it is open until the guard is dropped.
+    pub fn open_request(self: &Arc<Self>) -> RequestGuard {
+        self.busy.store(true, Ordering::Relaxed);
+        self.head_since.store(0, Ordering::Relaxed);
+        RequestGuard(Arc::clone(self))
+    }
+
+    fn heard(&self) {
+        if !self.busy.load(Ordering::Relaxed) && self.head_since.load(Ordering::Relaxed) == 0 {
+            self.head_since.store(nanos(), Ordering::Relaxed);
+        }
+    }
+
+    /// Ends it if it has rested, or its head has taken, for too long.
+    fn check(&self, now: Time, limits: &Limits) {
+        if self.busy.load(Ordering::Relaxed) {
+            return;
+        }
+        let head_since = self.head_since.load(Ordering::Relaxed);
+        let rests_since = Time::from_nanos(self.rests_since.load(Ordering::Relaxed));
+        if head_since == 0 && now.since(rests_since) > limits.idle_timeout {
+            self.finish.notify_one();
+        } else if head_since > 0 && now.since(Time::from_nanos(head_since)) > limits.header_timeout {
+            self.cut.notify_one();
+        }
+    }
+}
+
+/// A request is open for as long as this lives.
+#[derive(Debug)]
+pub struct RequestGuard(Arc<ClientConnection>);
+
+impl Drop for RequestGuard {
+    fn drop(&mut self) {
+        self.0.rests_since.store(nanos(), Ordering::Relaxed);
+        self.0.busy.store(false, Ordering::Relaxed);
+    }
+}
+
+/// All connections of clients.
+#[derive(Debug, Default)]
+pub struct Connections {
+    open: Mutex<HashMap<u64, Arc<ClientConnection>>>,
+    next: AtomicU64,
+    changed: Notify,
+}
+
+/// A connection is listed for as long as this lives.
+#[derive(Debug)]
+pub struct Listed {
+    connections: Arc<Connections>,
+    number: u64,
+    /// The connection.
+    pub connection: Arc<ClientConnection>,
+}
+
+impl Drop for Listed {
+    fn drop(&mut self) {
+        self.connections.lock().remove(&self.number);
+        self.connections.changed.notify_waiters();
+    }
+}
+
+impl Connections {
+    /// Lists a new connection.
+    pub fn add(self: &Arc<Self>) -> Listed {
+        let number = self.next.fetch_add(1, Ordering::Relaxed);
+        let connection = Arc::new(ClientConnection::new());
+        self.lock().insert(number, Arc::clone(&connection));
+        Listed { connections: Arc::clone(self), number, connection }
+    }
+
+    /// How many there are.
+    pub fn count(&self) -> usize {
+        self.lock().len()
+    }
+
+    /// Ends those that have rested too long.
+    pub fn sweep(&self, limits: &Limits) {
+        let now = now();
+        self.lock().values().for_each(|connection| connection.check(now, limits));
+    }
+
+    /// Ends every connection as soon as it rests.
+    pub fn finish_all(&self) {
+        self.lock().values().for_each(|connection| connection.finish.notify_one());
+    }
+
+    /// Waits until there are none.
+    pub async fn ended(&self) {
+        loop {
+            let changed = self.changed.notified();
+            tokio::pin!(changed);
+            // Registered before the check, so that an end between the two is not missed.
+            changed.as_mut().enable();
+            if self.count() == 0 {
+                return;
+            }
+            changed.await;
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<u64, Arc<ClientConnection>>> {
+        self.open.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// A client's socket that notes when bytes of a head come.
+pub struct Watched {
+    /// The socket.
+    pub stream: TcpStream,
+    /// Where it is noted.
+    pub connection: Arc<ClientConnection>,
+}
+
+impl AsyncRead for Watched {
+    fn poll_read(
+        mut self: Pin<&mut Self>, context: &mut Context<'_>, buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buffer.filled().len();
+        let read = Pin::new(&mut self.stream).poll_read(context, buffer);
+        if buffer.filled().len() > before {
+            self.connection.heard();
+        }
+        read
+    }
+}
+
+impl AsyncWrite for Watched {
+    fn poll_write(
+        mut self: Pin<&mut Self>, context: &mut Context<'_>, bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(context, bytes)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>, context: &mut Context<'_>, bytes: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(context, bytes)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+}
+
+fn nanos() -> u64 {
+    now().since(Time::default()).nanos()
+}
--- /dev/null
+++ b/crates/node/src/relay/exchange.rs
@@ -0,0 +1,139 @@
+//! A client's request as it is passed on, and the headers that concern only one connection.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http::header::{self, HeaderMap, HeaderName, HeaderValue};
+use http::{Method, Uri};
+use juniperwing_balancing::{Ask, Destination, PromptPart};
+use juniperwing_clock::{Span, Time};
+use juniperwing_configuration::Route;
+use juniperwing_protocol::headers;
+use juniperwing_protocol::identity::{InstanceId, ProgramId, RequestId};
+
+use super::fate::header_name;
+use crate::clock::now;
+
+/// Kept back from the time left for the way back to the client.
+const WAY_BACK: Span = Span::from_millis(15);
+/// The least urgent `Priority`.
+const LAST_PRIORITY: u32 = 9;
+/// For how long a request waits for a slot, as a share of its objective.
+const PATIENCE: f64 = 0.25;
+/// The same for requests of programs, whose objective is the program's: a share of the time left.
+const PATIENCE_OF_PROGRAMS: f64 = 0.25;
+
+/// A client's request.
+pub struct Exchange {
+    /// Its route.
+    pub route: Arc<Route>,
+    /// The service chosen for it.
+    pub destination: Destination,
+    /// Its method.
+    pub method: Method,
+    /// Its path and query.
+    pub uri: Uri,
+    /// Its headers, without those that concern only one connection.
+    pub headers: HeaderMap,
+    /// Its body; for kept turns, with the turns before it.
+    pub body: Bytes,
+    /// The try.
+    pub request: HeaderValue,
+    /// The parts of its prompt.
+    pub prompt: Vec<PromptPart>,
+    /// The program.
+    pub program: Option<ProgramId>,
+    /// The endpoint that ran the turn before.
+    pub hint: Option<InstanceId>,
+    /// When the client, or the operator, gives it up.
+    pub deadline: Time,
+}
+
+impl Exchange {
+    /// The time left for tries.
+    pub fn left(&self) -> Span {
+        self.deadline.since(now()) - WAY_BACK
+    }
+
+    /// Whether it may run more than once.
+    pub fn may_repeat(&self) -> bool {
+        self.route.may_repeat()
+    }
+
+    /// The id of the try.
+    pub fn request_id(&self) -> RequestId {
+        RequestId::from(text(&self.request))
+    }
+
+    /// What the balancer is asked for it.
+    pub fn ask(&self, excluded: Vec<InstanceId>) -> Ask {
+        Ask {
+            destination: self.destination.clone(),
+            priority: self.route.priority,
+            excluded,
+            prompt: self.prompt.clone(),
+            hint: self.hint.clone(),
+            program: self.program.clone(),
+        }
+    }
+
+    /// How long it may wait for a slot.
+    pub fn patience(&self) -> Span {
+        let left = self.left();
+        match (&self.program, self.route.target_latency) {
+            (None, Some(objective)) => objective.times(PATIENCE).min(left),
+            _ => left.times(PATIENCE_OF_PROGRAMS),
+        }
+    }
+
+    /// The headers for an endpoint.
+    pub fn headers_for(&self, endpoint: &InstanceId) -> HeaderMap {
+        let mut headers = self.headers.clone();
+        let left = self.deadline.since(now()).nanos() / 1_000_000;
+        headers.insert(header_name(headers::DEADLINE_MS), HeaderValue::from(left));
+        let priority = self.route.priority.min(LAST_PRIORITY);
+        headers.insert(header_name(headers::PRIORITY), HeaderValue::from(priority));
+        if let Ok(id) = HeaderValue::from_str(&endpoint.0) {
+            headers.insert(header_name(headers::EXPECT_INSTANCE), id);
+        }
+        headers
+    }
+}
+
+/// A header as text; empty if it is missing or is none.
+pub fn header_text<'a>(headers: &'a HeaderMap, name: &str) -> &'a str {
+    headers.get(name).map_or("", text)
+}
+
+/// A header as a number.
+pub fn header_number(headers: &HeaderMap, name: &str) -> Option<u64> {
+    header_text(headers, name).trim().parse().ok()
+}
+
+fn text(value: &HeaderValue) -> &str {
+    value.to_str().unwrap_or("")
+}
+
+/// Removes the headers that concern only one connection, and the length: the body's framing is made anew.
+pub fn remove_hop_by_hop(headers: &mut HeaderMap) {
+    const HOP_BY_HOP: [HeaderName; 8] = [
+        header::CONNECTION,
+        HeaderName::from_static("keep-alive"),
+        HeaderName::from_static("proxy-connection"),
+        header::PROXY_AUTHENTICATE,
+        header::TE,
+        header::TRAILER,
+        header::TRANSFER_ENCODING,
+        header::UPGRADE,
+    ];
+    let listed: Vec<HeaderName> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .flat_map(|value| text(value).split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .filter(|name: &HeaderName| !name.as_str().starts_with("x-"))
+        .collect();
+    for name in HOP_BY_HOP.iter().chain(&listed) {
+        headers.remove(name);
+    }
+}
--- /dev/null
+++ b/crates/node/src/relay/forward.rs
@@ -0,0 +1,218 @@
+//! Passes a request on: chooses endpoints, restarts slow tries, and gives up as the design says.
+
+use std::sync::Arc;
+
+use http::Response;
+use juniperwing_balancing::Ending;
+use juniperwing_clock::Span;
+use juniperwing_protocol::identity::InstanceId;
+use tokio::time::timeout;
+
+use super::Core;
+use super::attempt::{self, Answer, keep_alive};
+use super::body::RelayBody;
+use super::dispatcher::{NoSlot, Slot};
+use super::exchange::{Exchange, remove_hop_by_hop};
+use super::fate::{Cause, Failure, Fate, GivenUp};
+use super::stream::{self, LiveStream};
+use super::turn::OpenTurn;
+use crate::clock::{duration, now};
+
+/// Tries of which nothing was sent, beyond those that the route allows.
+const UNSENT_TRIES: u32 = 4;
+
+/// Passes a request on and gives back the final answer.
+pub async fn forward(core: &Arc<Core>, exchange: Exchange, turn: Option<OpenTurn>) -> Response<RelayBody> {
+    let mut tries = Tries::default();
+    loop {
+        match one_try(core, &exchange, &mut tries).await {
+            Ok(Reply::Whole(answer)) => {
+                core.metrics.answered.add();
+                return answer;
+            }
+            Ok(Reply::Live(live)) => {
+                core.metrics.answered.add();
+                return stream::pass_on(core, exchange, turn, *live, tries);
+            }
+            Err(Ended::Again) => core.metrics.resends.add(),
+            Err(Ended::GivenUp(why)) => return tries.final_answer(core, why),
+        }
+    }
+}
+
+/// What a try brought.
+enum Reply {
+    /// An answer, read to its end.
+    Whole(Response<RelayBody>),
+    /// A stream whose first event has come.
+    Live(Box<LiveStream>),
+}
+
+/// How a try without an answer ended.
+enum Ended {
+    /// There may be another.
+    Again,
+    /// There is none.
+    GivenUp(GivenUp),
+}
+
+/// The tries of one request.
+#[derive(Default)]
+pub struct Tries {
+    /// Endpoints that are not asked again.
+    pub excluded: Vec<InstanceId>,
+    /// Endpoints that it was sent to.
+    pub sent: u32,
+    unsent: u32,
+    fate: Option<Fate>,
+    /// The answer of an endpoint that failed, where others might not.
+    failed: Option<Response<RelayBody>>,
+}
+
+impl Tries {
+    /// Endpoints that it may still be sent to.
+    pub fn left(&self, exchange: &Exchange) -> u32 {
+        let may_send = exchange.route.max_retries.saturating_sub(self.sent);
+        if self.unsent < UNSENT_TRIES { may_send } else { 0 }
+    }
+
+    /// Takes in a try that gave no answer.
+    pub fn note(&mut self, core: &Core, endpoint: InstanceId, failure: Failure) {
+        self.excluded.push(endpoint);
+        self.fate = self.fate.max(Some(failure.fate));
+        match failure.fate {
+            Fate::NotSent => self.unsent += 1,
+            Fate::DeclaredNotExecuted | Fate::MayHaveRun => self.sent += 1,
+        }
+        match failure.cause {
+            Cause::Declined | Cause::Misdirected => core.metrics.declined.add(),
+            Cause::WrongRequest | Cause::Unsound => core.metrics.unsound.add(),
+            Cause::Silent => core.metrics.abandoned.add(),
+            Cause::Broken | Cause::EndpointError => core.metrics.broken.add(),
+            Cause::NoConnection | Cause::EndpointLeft => {}
+        }
+    }
+
+    fn fate(&self) -> Fate {
+        self.fate.unwrap_or(Fate::NotSent)
+    }
+
+    fn final_answer(self, core: &Core, why: GivenUp) -> Response<RelayBody> {
+        let fate = self.fate();
+        if let Some(failed) = self.failed {
+            core.metrics.answered.add();
+            return failed;
+        }
+        core.metrics.given_up(why);
+        why.answer(fate)
+    }
+}
+
+async fn one_try(core: &Arc<Core>, exchange: &Exchange, tries: &mut Tries) -> Result<Reply, Ended> {
+    let slot = take_slot(core, exchange, tries).await?;
+    let endpoint = slot.endpoint().clone();
+    let connection = match attempt::connect(core, exchange, &slot).await {
+        Ok(connection) => connection,
+        Err(failure) => return Err(after_failure(core, exchange, tries, slot, failure)),
+    };
+    let may_last = time_out(core, exchange, tries);
+    let begun = now();
+    let run = async {
+        let answer = attempt::send(core, exchange, &slot, connection).await?;
+        read_reply(core, exchange, answer).await
+    };
+    match timeout(duration(may_last), run).await {
+        Ok(Ok(Read::Whole(answer, connection))) => {
+            let failed_there = answer.status().is_server_error();
+            if !failed_there {
+                core.dispatcher.record(&exchange.destination, now().since(begun), false);
+            }
+            if let Some((connection, kept_for)) = connection {
+                core.pool.give_back(&endpoint, connection, kept_for);
+            }
+            if failed_there && exchange.may_repeat() && tries.left(exchange) > 1 {
+                tries.failed = Some(answer);
+                let failure = Failure::may_have_run(Cause::EndpointError);
+                return Err(after_failure(core, exchange, tries, slot, failure));
+            }
+            slot.end(Ending::Answered);
+            Ok(Reply::Whole(answer))
+        }
+        Ok(Ok(Read::Live(mut live))) => {
+            core.dispatcher.record(&exchange.destination, now().since(begun), false);
+            live.slot = Some(slot);
+            Ok(Reply::Live(live))
+        }
+        Ok(Err(failure)) => Err(after_failure(core, exchange, tries, slot, failure)),
+        Err(_) => {
+            core.dispatcher.record(&exchange.destination, now().since(begun), true);
+            Err(after_failure(core, exchange, tries, slot, Failure::may_have_run(Cause::Silent)))
+        }
+    }
+}
+
+/// A slot for the next try, if one is worth making.
+async fn take_slot(core: &Arc<Core>, exchange: &Exchange, tries: &mut Tries) -> Result<Slot, Ended> {
+    if tries.left(exchange) == 0 {
+        return Err(Ended::GivenUp(GivenUp::NoTriesLeft));
+    }
+    let worth_trying = || core.dispatcher.worth_trying(&exchange.destination, exchange.left());
+    if !worth_trying() {
+        return Err(Ended::GivenUp(GivenUp::TooLate));
+    }
+    let ask = exchange.ask(tries.excluded.clone());
+    let slot = core.dispatcher.slot(ask, exchange.patience()).await;
+    let slot = slot.map_err(|why| match why {
+        NoSlot::NoEndpoint => Ended::GivenUp(GivenUp::NoEndpoint),
+        NoSlot::Full => Ended::GivenUp(GivenUp::Full),
+    })?;
+    // The wait for the slot has taken its time.
+    if worth_trying() { Ok(slot) } else { Err(Ended::GivenUp(GivenUp::TooLate)) }
+}
+
+/// How long a try may last: the restart timer's interval, or all the time left where there is no second try.
+fn time_out(core: &Core, exchange: &Exchange, tries: &Tries) -> Span {
+    let left = exchange.left();
+    let tries_left = if exchange.may_repeat() { tries.left(exchange) } else { 1 };
+    core.dispatcher.time_out(&exchange.destination, left, tries_left)
+}
+
+fn after_failure(core: &Core, exchange: &Exchange, tries: &mut Tries, slot: Slot, failure: Failure) -> Ended {
+    tries.note(core, slot.endpoint().clone(), failure);
+    slot.end(ending(failure.cause));
+    if failure.fate == Fate::MayHaveRun && !exchange.may_repeat() {
+        let silent = failure.cause == Cause::Silent;
+        return Ended::GivenUp(if silent { GivenUp::TooLate } else { GivenUp::Broken });
+    }
+    Ended::Again
+}
+
+/// What a failure says of the endpoint.
+pub fn ending(cause: Cause) -> Ending {
+    match cause {
+        Cause::Declined => Ending::Full,
+        Cause::Silent | Cause::EndpointLeft | Cause::Misdirected => Ending::Abandoned,
+        Cause::NoConnection | Cause::Broken | Cause::WrongRequest | Cause::Unsound | Cause::EndpointError => {
+            Ending::Failed
+        }
+    }
+}
+
+/// What was read of an answer.
+enum Read {
+    Whole(Response<RelayBody>, Option<(super::upstream::Connection, Option<u64>)>),
+    Live(Box<LiveStream>),
+}
+
+/// Reads an answer to its end, or, where it is a stream, to its first event.
+async fn read_reply(core: &Core, exchange: &Exchange, answer: Answer) -> Result<Read, Failure> {
+    if exchange.route.route_type.is_streaming() && answer.parts.status.is_success() {
+        return stream::first_event(core, answer).await.map(|live| Read::Live(Box::new(live)));
+    }
+    let Answer { mut parts, mut body, connection, .. } = answer;
+    let kept_for = keep_alive(&parts.headers);
+    let pieces = attempt::read_whole(&mut body).await?;
+    remove_hop_by_hop(&mut parts.headers);
+    let whole = Response::from_parts(parts, RelayBody::whole(pieces));
+    Ok(Read::Whole(whole, Some((connection, kept_for))))
+}
--- /dev/null
+++ b/crates/node/src/relay/frontend.rs
@@ -0,0 +1,259 @@
+//! The listener for clients.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::header::{CONNECTION, CONTENT_LENGTH, EXPECT, HOST};
+use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, Uri};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use juniperwing_balancing::{Destination, PromptPart};
+use juniperwing_clock::{Span, Time};
+use juniperwing_configuration::{Limits, Route};
+use juniperwing_protocol::headers;
+use juniperwing_protocol::identity::ProgramId;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::{sleep, timeout};
+
+use super::Core;
+use super::body::RelayBody;
+use super::connections::{ClientConnection, Watched};
+use super::exchange::{Exchange, header_number, header_text, remove_hop_by_hop};
+use super::fate::{Fate, GivenUp, plain};
+use super::forward::forward;
+use super::memory::Held;
+use super::snapshot::InForce;
+use super::turn::{Denied, OpenTurn};
+use crate::clock::{duration, now, random};
+
+/// The pause after a connection could not be accepted.
+const PAUSE_AFTER_FAILURE: Duration = Duration::from_millis(50);
+/// The least buffer that the HTTP library takes, in bytes.
+const LEAST_BUFFER_BYTES: usize = 8 << 10;
+/// Connections beyond the bound that are still told to come back later; more are closed at once.
+const REFUSED_POLITELY: usize = 64;
+/// Bytes that a header takes beside its name and value.
+const HEADER_OVERHEAD: usize = 4;
+
+/// Accepts connections until it is dropped.
+pub async fn accept(core: Arc<Core>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => take(&core, stream),
+            Err(_) => sleep(PAUSE_AFTER_FAILURE).await,
+        }
+    }
+}
+
+fn take(core: &Arc<Core>, stream: TcpStream) {
+    let count = core.connections.count();
+    if count >= core.most_connections + REFUSED_POLITELY {
+        return;
+    }
+    let has_room = count < core.most_connections;
+    tokio::spawn(serve_connection(Arc::clone(core), stream, has_room));
+}
+
+async fn serve_connection(core: Arc<Core>, stream: TcpStream, has_room: bool) {
+    // Without it answers only come later.
+    let _ = stream.set_nodelay(true);
+    let listed = core.connections.add();
+    let connection = Arc::clone(&listed.connection);
+    let limits = core.world.snapshot().limits();
+    let service = {
+        let (core, connection) = (Arc::clone(&core), Arc::clone(&connection));
+        service_fn(move |request| {
+            serve_request(Arc::clone(&core), Arc::clone(&connection), request, has_room)
+        })
+    };
+    let mut builder = http1::Builder::new();
+    builder.header_read_timeout(None);
+    builder.auto_date_header(false);
+    builder.max_buf_size((limits.max_header_bytes as usize).max(LEAST_BUFFER_BYTES));
+    let watched = Watched { stream, connection: Arc::clone(&connection) };
+    let served = builder.serve_connection(TokioIo::new(watched), service);
+    tokio::pin!(served);
+    loop {
+        tokio::select! {
+            // Clients that break off are no concern of the relay.
+            _ = served.as_mut() => return,
+            () = connection.finish.notified() => served.as_mut().graceful_shutdown(),
+            () = connection.cut.notified() => return,
+        }
+    }
+}
+
+async fn serve_request(
+    core: Arc<Core>, connection: Arc<ClientConnection>, request: Request<Incoming>, has_room: bool,
+) -> Result<Response<RelayBody>, Infallible> {
+    let open = connection.open_request();
+    core.metrics.requests.add();
+    let mut answer = if has_room {
+        respond(&core, request).await.unwrap_or_else(|refused| refused.answer(&core))
+    } else {
+        Refused::GivenUp(GivenUp::NoRoom).answer(&core)
+    };
+    answer.body_mut().hold(open);
+    if core.stopping.load(Ordering::Relaxed) || !has_room {
+        answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    Ok(answer)
+}
+
+/// Why a request is not passed on.
+enum Refused {
+    Finally(StatusCode),
+    GivenUp(GivenUp),
+}
+
+impl Refused {
+    fn answer(self, core: &Core) -> Response<RelayBody> {
+        match self {
+            Refused::Finally(status) => plain(status),
+            Refused::GivenUp(why) => {
+                core.metrics.given_up(why);
+                why.answer(Fate::NotSent)
+            }
+        }
+    }
+}
+
+impl From<Denied> for Refused {
+    fn from(denied: Denied) -> Self {
+        match denied {
+            Denied::Finally(status) => Refused::Finally(status),
+            Denied::GivenUp(why) => Refused::GivenUp(why),
+        }
+    }
+}
+
+async fn respond(core: &Arc<Core>, request: Request<Incoming>) -> Result<Response<RelayBody>, Refused> {
+    let begun = now();
+    let snapshot = core.world.snapshot();
+    let in_force = snapshot.configuration.as_ref().ok_or(Refused::GivenUp(GivenUp::NotConfigured))?;
+    let route = find_route(core, in_force, &request)?;
+    let limits = in_force.table.limits();
+    check_head(&request, limits)?;
+    let (parts, body) = request.into_parts();
+    let deadline = begun + time_allowed(&route, &parts.headers);
+    let (body, mut held) = read_body(core, body, limits, deadline).await?;
+    let mut exchange = exchange(route, parts, body, deadline)?;
+    let turn = OpenTurn::begin(core, &mut exchange, &in_force.table).await;
+    let turn = turn.inspect_err(|denied| {
+        if matches!(denied, Denied::Finally(_)) {
+            core.metrics.turns_denied.add();
+        }
+    })?;
+    if !held.grow(exchange.body.len()) {
+        return Err(Refused::GivenUp(GivenUp::NoRoom));
+    }
+    Ok(forward(core, exchange, turn).await)
+}
+
+fn find_route(core: &Core, in_force: &InForce, request: &Request<Incoming>) -> Result<Arc<Route>, Refused> {
+    let authority = request.uri().authority().map_or("", |authority| authority.as_str());
+    let host = if authority.is_empty() { header_text(request.headers(), HOST.as_str()) } else { authority };
+    let route = in_force.table.lookup(host, request.uri().path());
+    route.cloned().ok_or_else(|| {
+        core.metrics.no_route.add();
+        Refused::Finally(StatusCode::NOT_FOUND)
+    })
+}
+
+fn check_head(request: &Request<Incoming>, limits: &Limits) -> Result<(), Refused> {
+    let lines = request.headers().iter();
+    let bytes: usize = lines.map(|(name, value)| name.as_str().len() + value.len() + HEADER_OVERHEAD).sum();
+    if bytes as u64 > limits.max_header_bytes {
+        return Err(Refused::Finally(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE));
+    }
+    if header_number(request.headers(), CONTENT_LENGTH.as_str()) > Some(limits.max_body_bytes) {
+        return Err(Refused::Finally(StatusCode::PAYLOAD_TOO_LARGE));
+    }
+    if !request.headers().contains_key(headers::REQUEST_ID) {
+        return Err(Refused::Finally(StatusCode::BAD_REQUEST));
+    }
+    Ok(())
+}
+
+/// The shorter of what the client and what the operator allows.
+fn time_allowed(route: &Route, headers: &HeaderMap) -> Span {
+    let deadline = header_number(headers, headers::DEADLINE_MS).map(Span::from_millis);
+    deadline.map_or(route.timeout, |deadline| deadline.min(route.timeout))
+}
+
+/// Reads the body whole, within its bounds.
+async fn read_body(
+    core: &Core, mut body: Incoming, limits: &Limits, deadline: Time,
+) -> Result<(Bytes, Held), Refused> {
+    let mut held = core.memory.take(0).ok_or(Refused::GivenUp(GivenUp::NoRoom))?;
+    let mut pieces: Vec<Bytes> = Vec::new();
+    let mut length = 0;
+    let read = async {
+        while let Some(frame) = body.frame().await {
+            let frame = frame.map_err(|_| Refused::Finally(StatusCode::BAD_REQUEST))?;
+            let Ok(piece) = frame.into_data() else { continue };
+            length += piece.len();
+            if length as u64 > limits.max_body_bytes {
+                return Err(Refused::Finally(StatusCode::PAYLOAD_TOO_LARGE));
+            }
+            if !held.grow(piece.len()) {
+                return Err(Refused::GivenUp(GivenUp::NoRoom));
+            }
+            pieces.push(piece);
+        }
+        Ok(())
+    };
+    let in_time = timeout(duration(deadline.since(now())), read).await;
+    in_time.map_err(|_| Refused::Finally(StatusCode::REQUEST_TIMEOUT))??;
+    let body = match pieces.len() {
+        0 => Bytes::new(),
+        1 => pieces.swap_remove(0),
+        _ => Bytes::from(pieces.concat()),
+    };
+    Ok((body, held))
+}
+
+fn exchange(
+    route: Arc<Route>, parts: http::request::Parts, body: Bytes, deadline: Time,
+) -> Result<Exchange, Refused> {
+    let bad_request = || Refused::Finally(StatusCode::BAD_REQUEST);
+    let mut headers = parts.headers;
+    let request = headers.get(headers::REQUEST_ID).cloned().ok_or_else(bad_request)?;
+    remove_hop_by_hop(&mut headers);
+    // The body is sent anew, whole: its length is set by the HTTP library.
+    headers.remove(CONTENT_LENGTH);
+    headers.remove(EXPECT);
+    let program = Some(header_text(&headers, headers::PROGRAM)).filter(|program| !program.is_empty());
+    let destination = Destination {
+        service: route.service_for(random()).clone(),
+        host: route.hostname.clone(),
+        prefix: route.path_prefix.clone(),
+    };
+    Ok(Exchange {
+        destination,
+        method: parts.method,
+        uri: target(&parts.uri).ok_or_else(bad_request)?,
+        request,
+        prompt: PromptPart::list(header_text(&headers, headers::PROMPT_PREFIX)),
+        program: program.map(ProgramId::from),
+        hint: None,
+        headers,
+        body,
+        deadline,
+        route,
+    })
+}
+
+/// Path and query as they came.
+fn target(uri: &Uri) -> Option<Uri> {
+    if uri.authority().is_none() {
+        return Some(uri.clone());
+    }
+    Uri::builder().path_and_query(uri.path_and_query()?.clone()).build().ok()
+}
--- /dev/null
+++ b/crates/node/src/relay/readiness.rs
@@ -0,0 +1,33 @@
+//! The listener for the platform's readiness checks.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+use axum::Router;
+use axum::extract::State;
+use axum::http::StatusCode;
+use axum::routing::get;
+use tokio::net::TcpListener;
+
+use super::Core;
+
+/// Answers `GET /readyz` until the listener fails.
+///
+/// # Errors
+///
+/// If it fails.
+pub async fn serve(core: Arc<Core>, listener: TcpListener) -> std::io::Result<()> {
+    let routes = Router::new().route("/readyz", get(readyz)).with_state(core);
+    axum::serve(listener, routes).await
+}
+
+async fn readyz(State(core): State<Arc<Core>>) -> StatusCode {
+    if core.is_ready() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }
+}
+
+impl Core {
+    /// Whether new connections of clients are wanted: all that is needed is known, and no end is near.
+    pub fn is_ready(&self) -> bool {
+        !self.stopping.load(Ordering::Relaxed) && self.world.is_complete()
+    }
+}
--- /dev/null
+++ b/crates/node/src/relay/snapshot.rs
@@ -0,0 +1,258 @@
+//! What a relay knows of configuration, endpoints and stores: an immutable snapshot, swapped whole.
+
+use std::collections::HashSet;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use juniperwing_balancing::{Destination, EndpointInfo};
+use juniperwing_clock::{Span, Time};
+use juniperwing_configuration::{Configuration, Limits, RouteTable};
+use juniperwing_protocol::identity::InstanceId;
+use juniperwing_protocol::registry::{Instance, InstanceState};
+use juniperwing_protocol::replication::Version;
+use juniperwing_protocol::subscription::{Applied, InstancesUpdate, StoreMap, Update};
+use rpds::HashTrieMapSync;
+use slog::{Logger, error, info};
+use tokio::sync::watch;
+
+use super::dispatcher::Dispatcher;
+use crate::clock::now;
+use crate::subscriber::Sink;
+
+/// Endpoints that a whole update does not name are dropped if nothing was told of them for so many heartbeats.
+const HEARTBEATS_UNTIL_DROPPED: f64 = 4.0;
+/// Endpoints known only to one young keeper count as all there are after so many heartbeats.
+const HEARTBEATS_UNTIL_KNOWN: f64 = 2.0;
+/// Endpoints remembered as gone at the most, so that late news cannot bring them back.
+const MOST_GONE: usize = 16_384;
+
+/// A configuration in force.
+#[derive(Debug)]
+pub struct InForce {
+    /// Its version.
+    pub version: Version,
+    /// Its routes and limits.
+    pub table: RouteTable,
+    /// Whether a route keeps turns.
+    pub keeps_turns: bool,
+}
+
+/// What is known at one moment.
+#[derive(Clone, Debug, Default)]
+pub struct Snapshot {
+    /// The configuration; `None` until the first comes.
+    pub configuration: Option<Arc<InForce>>,
+    /// Where turns and budgets are.
+    pub stores: Arc<StoreMap>,
+    instances: HashTrieMapSync<InstanceId, Known>,
+    /// When the first endpoints were told in this life, and whether all were.
+    heard: Heard,
+}
+
+#[derive(Clone, Debug)]
+struct Known {
+    instance: Instance,
+    told_at: Time,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Heard {
+    first: Option<Time>,
+    complete: bool,
+}
+
+impl Snapshot {
+    /// The limits in force.
+    pub fn limits(&self) -> Limits {
+        let table = self.configuration.as_ref().map(|configuration| *configuration.table.limits());
+        table.unwrap_or(juniperwing_configuration::DEFAULT_LIMITS)
+    }
+
+    /// Where an endpoint listens, if it is known.
+    pub fn address(&self, endpoint: &InstanceId) -> Option<SocketAddr> {
+        self.instances.get(endpoint).map(|known| known.instance.address)
+    }
+
+    /// Whether all that is needed to serve is known.
+    fn is_complete(&self, now: Time, heartbeat: Span) -> bool {
+        let Some(configuration) = &self.configuration else { return false };
+        let aged = |first| now.since(first) >= heartbeat.times(HEARTBEATS_UNTIL_KNOWN);
+        let endpoints = self.heard.complete || self.heard.first.is_some_and(aged);
+        endpoints && (!configuration.keeps_turns || !self.stores.partitions.is_empty())
+    }
+}
+
+/// Keeps the snapshot, and the dispatcher in step with it.
+pub struct World {
+    snapshot: Mutex<Arc<Snapshot>>,
+    dispatcher: Arc<Dispatcher>,
+    heartbeat: Span,
+    stores: watch::Sender<Arc<StoreMap>>,
+    log: Logger,
+}
+
+impl World {
+    /// A world in which nothing is known. Endpoints send a heartbeat every `heartbeat`.
+    pub fn new(dispatcher: Arc<Dispatcher>, heartbeat: Span, log: Logger) -> Arc<Self> {
+        let (stores, _) = watch::channel(Arc::default());
+        Arc::new(World { snapshot: Mutex::default(), dispatcher, heartbeat, stores, log })
+    }
+
+    /// What is known now.
+    pub fn snapshot(&self) -> Arc<Snapshot> {
+        Arc::clone(&self.lock())
+    }
+
+    /// The store maps as they come.
+    pub fn stores(&self) -> watch::Receiver<Arc<StoreMap>> {
+        self.stores.subscribe()
+    }
+
+    /// Whether all that is needed to serve is known.
+    pub fn is_complete(&self) -> bool {
+        self.snapshot().is_complete(now(), self.heartbeat)
+    }
+
+    /// Another instance has answered at an endpoint's address: it is no more, until something newer is told.
+    pub fn misdirected(&self, endpoint: &InstanceId) {
+        let known = self.snapshot().instances.get(endpoint).cloned();
+        if let Some(Known { mut instance, .. }) = known {
+            instance.state = InstanceState::Expired;
+            let update = InstancesUpdate { instances: vec![instance], ..InstancesUpdate::default() };
+            self.apply_instances(&update);
+        }
+    }
+
+    fn apply_configuration(&self, version: Version, body: &[u8]) {
+        if self.configuration() >= version {
+            return;
+        }
+        let configuration = match Configuration::read(body) {
+            Ok(configuration) => configuration,
+            Err(findings) => {
+                // Keepers check configurations before they take them.
+                error!(self.log, "a configuration cannot be read"; "findings" => findings.to_string());
+                return;
+            }
+        };
+        let keeps_turns = configuration.routes.iter().any(|route| route.kept);
+        let table = RouteTable::new(&configuration);
+        let generation = configuration.generation;
+        let in_force = Arc::new(InForce { version, table, keeps_turns });
+        self.change(|snapshot| snapshot.configuration = Some(in_force));
+        self.forget_destinations(&configuration);
+        info!(self.log, "configuration in force"; "generation" => generation);
+    }
+
+    fn forget_destinations(&self, configuration: &Configuration) {
+        let wanted: HashSet<Destination> = configuration
+            .routes
+            .iter()
+            .flat_map(|route| {
+                route.services.iter().map(|weighted| Destination {
+                    service: weighted.service.clone(),
+                    host: route.hostname.clone(),
+                    prefix: route.path_prefix.clone(),
+                })
+            })
+            .collect();
+        self.dispatcher.retain(|destination| wanted.contains(destination));
+    }
+
+    fn apply_instances(&self, update: &InstancesUpdate) {
+        let now = now();
+        let mut changed = Vec::new();
+        self.change(|snapshot| {
+            for instance in &update.instances {
+                let known = snapshot.instances.get(&instance.id).map(|known| &known.instance);
+                if known.is_none_or(|known| instance.supersedes(known)) {
+                    changed.push(instance.clone());
+                }
+                let newest = match known {
+                    Some(known) if !instance.supersedes(known) => known.clone(),
+                    _ => instance.clone(),
+                };
+                let entry = Known { instance: newest, told_at: now };
+                snapshot.instances.insert_mut(instance.id.clone(), entry);
+            }
+            if update.whole {
+                changed.extend(self.drop_unnamed(snapshot, update, now));
+                snapshot.heard.first.get_or_insert(now);
+                snapshot.heard.complete |= update.complete;
+            }
+        });
+        // In force before this returns: nothing more goes to an endpoint that leaves.
+        for instance in &changed {
+            self.tell_dispatcher(instance);
+        }
+    }
+
+    /// Forgets what a complete update does not name and nobody has told of for long; gives back what was ready.
+    fn drop_unnamed(&self, snapshot: &mut Snapshot, update: &InstancesUpdate, now: Time) -> Vec<Instance> {
+        let named: HashSet<&InstanceId> = update.instances.iter().map(|instance| &instance.id).collect();
+        let patience = self.heartbeat.times(HEARTBEATS_UNTIL_DROPPED);
+        let full = snapshot.instances.size() > MOST_GONE;
+        let is_old = |known: &Known| now.since(known.told_at) > patience;
+        let dropped: Vec<Instance> = snapshot
+            .instances
+            .values()
+            .filter(|known| !named.contains(&known.instance.id) && is_old(known) && (update.complete || full))
+            .map(|known| Instance { state: InstanceState::Expired, ..known.instance.clone() })
+            .collect();
+        for instance in &dropped {
+            snapshot.instances.remove_mut(&instance.id);
+        }
+        dropped
+    }
+
+    fn tell_dispatcher(&self, instance: &Instance) {
+        if instance.state != InstanceState::Ready {
+            return self.dispatcher.remove(&instance.id, &instance.service);
+        }
+        self.dispatcher.insert(&EndpointInfo {
+            id: instance.id.clone(),
+            service: instance.service.clone(),
+            zone: instance.zone.clone(),
+            capacity: instance.capacity,
+        });
+    }
+
+    fn apply_stores(&self, map: Arc<StoreMap>) {
+        if self.snapshot().stores.version < map.version {
+            self.change(|snapshot| snapshot.stores = Arc::clone(&map));
+            self.stores.send_replace(map);
+        }
+    }
+
+    fn change(&self, change: impl FnOnce(&mut Snapshot)) {
+        let mut held = self.lock();
+        let mut next = Snapshot::clone(&held);
+        change(&mut next);
+        *held = Arc::new(next);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Arc<Snapshot>> {
+        self.snapshot.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Sink for World {
+    fn apply(&self, update: Update) {
+        match update {
+            Update::Configuration { version, body } => self.apply_configuration(version, &body),
+            Update::Instances(update) => self.apply_instances(&update),
+            Update::Stores(map) => self.apply_stores(map),
+            Update::Keepers(_) => {}
+        }
+    }
+
+    fn applied(&self) -> Applied {
+        let stores = self.snapshot().stores.version;
+        Applied { configuration: self.configuration(), stores, ..Applied::default() }
+    }
+
+    fn configuration(&self) -> Version {
+        let snapshot = self.snapshot();
+        snapshot.configuration.as_ref().map_or_else(Version::default, |in_force| in_force.version)
+    }
+}
--- /dev/null
+++ b/crates/node/src/relay/stream.rs
@@ -0,0 +1,272 @@
+//! Streams: events are passed on whole as they come; one that breaks off is taken up elsewhere where it may be.
+
+use std::sync::Arc;
+
+use bytes::{Bytes, BytesMut};
+use futures_util::stream::unfold;
+use http::header::CONTENT_LENGTH;
+use http::{HeaderValue, Response, response};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use juniperwing_balancing::Ending;
+use juniperwing_protocol::headers;
+use tokio::time::{Instant, timeout_at};
+
+use super::Core;
+use super::attempt::{self, Answer, keep_alive};
+use super::body::{BrokenOff, RelayBody};
+use super::dispatcher::Slot;
+use super::events::{Event, EventSplitter};
+use super::exchange::{Exchange, remove_hop_by_hop};
+use super::fate::{Cause, Failure, header_name};
+use super::forward::{Tries, ending};
+use super::turn::OpenTurn;
+use super::upstream::Connection;
+use crate::clock::{duration, now};
+
+/// A stream at an endpoint, of which the head and the first events have come.
+pub struct LiveStream {
+    parts: response::Parts,
+    source: Source,
+    first: Vec<Event>,
+    /// The slot that it takes.
+    pub slot: Option<Slot>,
+}
+
+/// Where events come from.
+struct Source {
+    /// `None` once it has ended.
+    body: Option<Incoming>,
+    connection: Option<Connection>,
+    keep_alive: Option<u64>,
+    splitter: EventSplitter,
+}
+
+/// What a source gives next.
+enum Next {
+    Events(Vec<Event>),
+    /// Its proper end, with the bytes behind the last whole event.
+    End(Bytes),
+}
+
+impl Source {
+    fn new(answer: Answer) -> (response::Parts, Source) {
+        let source = Source {
+            body: Some(answer.body),
+            connection: Some(answer.connection),
+            keep_alive: keep_alive(&answer.parts.headers),
+            splitter: EventSplitter::default(),
+        };
+        (answer.parts, source)
+    }
+
+    /// Waits for whole events.
+    async fn next(&mut self) -> Result<Next, Failure> {
+        let broken = Failure::may_have_run(Cause::Broken);
+        loop {
+            let Some(body) = &mut self.body else { return Ok(Next::End(Bytes::new())) };
+            match body.frame().await {
+                None => {
+                    self.body = None;
+                    return Ok(Next::End(self.splitter.rest()));
+                }
+                Some(Err(_)) => return Err(broken),
+                Some(Ok(frame)) => {
+                    let Some(data) = frame.data_ref() else { continue };
+                    let events = self.splitter.push(data);
+                    let events = events.map_err(|_| Failure::may_have_run(Cause::Unsound))?;
+                    if !events.is_empty() {
+                        return Ok(Next::Events(events));
+                    }
+                }
+            }
+        }
+    }
+}
+
+/// Reads a stream up to its first events.
+///
+/// # Errors
+///
+/// If it breaks off before.
+pub async fn first_event(_: &Core, answer: Answer) -> Result<LiveStream, Failure> {
+    let (parts, mut source) = Source::new(answer);
+    let first = match source.next().await? {
+        Next::Events(events) => events,
+        Next::End(rest) if rest.is_empty() => Vec::new(),
+        Next::End(rest) => vec![Event { raw: rest, id: None, data: None }],
+    };
+    Ok(LiveStream { parts, source, first, slot: None })
+}
+
+/// The answer to the client: the head of the stream and its events.
+pub fn pass_on(
+    core: &Arc<Core>, exchange: Exchange, turn: Option<OpenTurn>, live: LiveStream, tries: Tries,
+) -> Response<RelayBody> {
+    let LiveStream { mut parts, source, first, slot } = live;
+    remove_hop_by_hop(&mut parts.headers);
+    // Another endpoint may go on with it: its length is not known.
+    parts.headers.remove(CONTENT_LENGTH);
+    let left = duration(exchange.deadline.since(now()));
+    let passage = Passage {
+        core: Arc::clone(core),
+        exchange,
+        turn,
+        tries,
+        source,
+        slot,
+        first: Some(first),
+        last_id: None,
+        until: Instant::now() + left,
+        ended: false,
+    };
+    let pieces = unfold(passage, async |mut passage| {
+        let piece = passage.next().await?;
+        Some((piece, passage))
+    });
+    Response::from_parts(parts, RelayBody::pieces(Box::pin(pieces)))
+}
+
+/// A stream on its way to the client.
+struct Passage {
+    core: Arc<Core>,
+    exchange: Exchange,
+    turn: Option<OpenTurn>,
+    tries: Tries,
+    source: Source,
+    slot: Option<Slot>,
+    first: Option<Vec<Event>>,
+    /// The id of the last event passed on.
+    last_id: Option<Bytes>,
+    until: Instant,
+    ended: bool,
+}
+
+impl Passage {
+    /// The next bytes for the client; `None` at the end.
+    async fn next(&mut self) -> Option<Result<Bytes, BrokenOff>> {
+        if self.ended {
+            return None;
+        }
+        let next = self.next_bytes().await;
+        self.ended = !matches!(next, Ok(Some(_)));
+        if next.is_err() {
+            self.core.metrics.broken_off.add();
+            self.source.connection = None;
+            self.slot = None;
+            self.turn = None;
+        }
+        next.transpose()
+    }
+
+    async fn next_bytes(&mut self) -> Result<Option<Bytes>, BrokenOff> {
+        loop {
+            if let Some(first) = self.first.take()
+                && let Some(bytes) = self.take_in(first)
+            {
+                return Ok(Some(bytes));
+            }
+            match timeout_at(self.until, self.source.next()).await {
+                Err(_) => return Err(BrokenOff::Deadline),
+                Ok(Ok(Next::Events(events))) => {
+                    if let Some(bytes) = self.take_in(events) {
+                        return Ok(Some(bytes));
+                    }
+                }
+                Ok(Ok(Next::End(rest))) if rest.is_empty() => return self.complete().await.map(|()| None),
+                Ok(Ok(Next::End(rest))) => return Ok(Some(rest)),
+                Ok(Err(failure)) => self.resume(failure).await?,
+            }
+        }
+    }
+
+    /// The bytes of events that the client does not have yet.
+    fn take_in(&mut self, events: Vec<Event>) -> Option<Bytes> {
+        let mut fresh: Vec<Event> = events.into_iter().filter(|event| !self.is_known(event)).collect();
+        for event in &fresh {
+            if let Some(turn) = &mut self.turn {
+                turn.hand_out(event);
+            }
+            if event.id.is_some() {
+                self.last_id.clone_from(&event.id);
+            }
+        }
+        match fresh.len() {
+            0 => None,
+            1 => fresh.pop().map(|event| event.raw),
+            _ => {
+                let mut all = BytesMut::new();
+                fresh.iter().for_each(|event| all.extend_from_slice(&event.raw));
+                Some(all.freeze())
+            }
+        }
+    }
+
+    /// Whether a resumed stream repeats an event. Ids rise.
+    fn is_known(&self, event: &Event) -> bool {
+        let number = |id: &Option<Bytes>| std::str::from_utf8(id.as_ref()?).ok()?.trim().parse::<u64>().ok();
+        match (number(&self.last_id), number(&event.id)) {
+            (Some(last), Some(id)) => id <= last,
+            _ => false,
+        }
+    }
+
+    /// Takes the stream up at another endpoint, behind the last event passed on.
+    async fn resume(&mut self, failure: Failure) -> Result<(), BrokenOff> {
+        let mut failure = failure;
+        loop {
+            self.source.connection = None;
+            let Some(slot) = self.slot.take() else { return Err(BrokenOff::Endpoint) };
+            self.tries.note(&self.core, slot.endpoint().clone(), failure);
+            slot.end(ending(failure.cause));
+            self.ask_for_the_rest()?;
+            let ask = self.exchange.ask(self.tries.excluded.clone());
+            let patience = self.exchange.patience();
+            let slot = self.core.dispatcher.slot(ask, patience).await.map_err(|_| BrokenOff::Endpoint)?;
+            let answer = timeout_at(self.until, open(&self.core, &self.exchange, &slot)).await;
+            self.slot = Some(slot);
+            match answer {
+                Err(_) => return Err(BrokenOff::Deadline),
+                Ok(Err(again)) => failure = again,
+                Ok(Ok(answer)) if answer.parts.status.is_success() => {
+                    self.source = Source::new(answer).1;
+                    self.core.metrics.resumed.add();
+                    return Ok(());
+                }
+                Ok(Ok(_)) => return Err(BrokenOff::Endpoint),
+            }
+        }
+    }
+
+    /// Whether it may be resumed, and from where.
+    fn ask_for_the_rest(&mut self) -> Result<(), BrokenOff> {
+        let last_id = self.last_id.as_ref().and_then(|id| HeaderValue::from_bytes(id).ok());
+        let may_resume = self.exchange.may_repeat() && self.tries.left(&self.exchange) > 0;
+        match last_id.filter(|_| may_resume) {
+            None => Err(BrokenOff::Endpoint),
+            Some(id) => {
+                self.exchange.headers.insert(header_name(headers::LAST_EVENT_ID), id);
+                Ok(())
+            }
+        }
+    }
+
+    /// The stream has come to its end: a kept turn is on disk before the client learns of it.
+    async fn complete(&mut self) -> Result<(), BrokenOff> {
+        let Some(slot) = self.slot.take() else { return Ok(()) };
+        let endpoint = slot.endpoint().clone();
+        slot.end(Ending::Answered);
+        if let Some(connection) = self.source.connection.take() {
+            self.core.pool.give_back(&endpoint, connection, self.source.keep_alive);
+        }
+        match self.turn.take() {
+            Some(turn) => turn.complete(&endpoint).await.map_err(|_| BrokenOff::NotKept),
+            None => Ok(()),
+        }
+    }
+}
+
+async fn open(core: &Core, exchange: &Exchange, slot: &Slot) -> Result<Answer, Failure> {
+    let connection = attempt::connect(core, exchange, slot).await?;
+    attempt::send(core, exchange, slot, connection).await
+}
--- /dev/null
+++ b/crates/node/src/relay/turn.rs
@@ -0,0 +1,198 @@
+//! Turns of agent programs: budgets are reserved before a turn runs, and turns are kept where the route says so.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::{BufMut, Bytes, BytesMut};
+use http::StatusCode;
+use juniperwing_clock::Span;
+use juniperwing_configuration::RouteTable;
+use juniperwing_protocol::headers;
+use juniperwing_protocol::identity::{InstanceId, ProgramId, RequestId};
+use juniperwing_protocol::session::{BeginTurn, FinishTurn, Turn};
+
+use super::Core;
+use super::events::Event;
+use super::exchange::{Exchange, header_number, header_text};
+use super::fate::GivenUp;
+use super::sessions::{SessionFault, Sessions};
+use crate::clock::duration;
+
+/// The end of an answer is held back for so long at the most while its turn is being kept.
+const KEEP_WITHIN: Duration = Duration::from_millis(1_000);
+/// The share of the time left that the stores may take to begin a turn.
+const BEGIN_SHARE: f64 = 0.5;
+
+/// Why a turn does not run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Denied {
+    /// With this status: it is a final answer.
+    Finally(StatusCode),
+    /// For now.
+    GivenUp(GivenUp),
+}
+
+impl From<SessionFault> for Denied {
+    fn from(fault: SessionFault) -> Self {
+        match fault {
+            SessionFault::BudgetSpent => Denied::Finally(StatusCode::PAYMENT_REQUIRED),
+            SessionFault::UnknownTurn => Denied::Finally(StatusCode::NOT_FOUND),
+            SessionFault::Unavailable => Denied::GivenUp(GivenUp::NoSessions),
+        }
+    }
+}
+
+/// A turn that has been begun. Dropped before its end, it is settled at what was handed out.
+pub struct OpenTurn {
+    sessions: Arc<dyn Sessions>,
+    program: ProgramId,
+    request: RequestId,
+    previous: Option<RequestId>,
+    input: Bytes,
+    /// Tokens in an event.
+    stride: u64,
+    /// The most that it may generate; `None` if the client does not say.
+    most: Option<u64>,
+    /// For how long it is kept, where it is.
+    retention: Option<Span>,
+    handed_out: u64,
+    output: Vec<u8>,
+    /// Whether the stores hold a reservation that must be settled.
+    reserved: bool,
+}
+
+impl OpenTurn {
+    /// Begins the turn that a request is, if it is one that the stores must know of. The bodies of the turns
+    /// before are put before its own.
+    ///
+    /// # Errors
+    ///
+    /// If it must not run, or not now.
+    pub async fn begin(
+        core: &Core, exchange: &mut Exchange, table: &RouteTable,
+    ) -> Result<Option<OpenTurn>, Denied> {
+        let kept = exchange.route.kept;
+        let budget = budget(exchange)?;
+        if !exchange.route.route_type.is_streaming() || (budget.is_none() && !kept) {
+            return Ok(None);
+        }
+        let mut turn = OpenTurn::new(core, exchange, table, budget);
+        let begin = BeginTurn {
+            program: turn.program.clone(),
+            request: turn.request.clone(),
+            previous: turn.previous.clone(),
+            budget,
+            most_tokens: turn.most.or(budget).unwrap_or(0),
+            imported: Vec::new(),
+        };
+        let within = exchange.left().times(BEGIN_SHARE);
+        let chain = match core.sessions.begin(begin, duration(within)).await {
+            Ok(chain) => chain,
+            Err(fault) => {
+                // Where the answer is certain there is no reservation.
+                turn.reserved &= fault == SessionFault::Unavailable;
+                return Err(fault.into());
+            }
+        };
+        if kept {
+            exchange.hint = chain.last().and_then(|turn| turn.endpoint.clone()).map(InstanceId);
+            exchange.body = body_of(&chain, &exchange.body);
+        }
+        Ok(Some(turn))
+    }
+
+    fn new(core: &Core, exchange: &Exchange, table: &RouteTable, budget: Option<u64>) -> OpenTurn {
+        let request = exchange.request_id();
+        let program = exchange.program.clone().unwrap_or_else(|| ProgramId(request.0.clone()));
+        let service = table.service(&exchange.destination.service);
+        let stride = service.and_then(|service| service.engine.as_ref()).map_or(1, |engine| engine.stride);
+        let kept = exchange.route.kept;
+        let previous = Some(header_text(&exchange.headers, headers::PREVIOUS)).filter(|id| !id.is_empty());
+        OpenTurn {
+            sessions: Arc::clone(&core.sessions),
+            program,
+            request,
+            previous: previous.filter(|_| kept).map(RequestId::from),
+            input: exchange.body.clone(),
+            stride: u64::from(stride),
+            most: most_tokens(exchange),
+            retention: kept.then_some(exchange.route.retention),
+            handed_out: 0,
+            output: Vec::new(),
+            reserved: budget.is_some(),
+        }
+    }
+
+    /// An event is passed on to the client.
+    pub fn hand_out(&mut self, event: &Event) {
+        let Some(data) = &event.data else { return };
+        self.handed_out = self.handed_out.saturating_add(self.stride);
+        if self.retention.is_some() {
+            self.output.extend_from_slice(data);
+            self.output.push(b'\n');
+        }
+    }
+
+    /// The answer has come to its end at an endpoint: the turn is kept before that end is passed on.
+    ///
+    /// # Errors
+    ///
+    /// If it could not be kept in time: the answer must not look complete.
+    pub async fn complete(mut self, endpoint: &InstanceId) -> Result<(), SessionFault> {
+        let Some(retention) = self.retention else { return Ok(()) };
+        let turn = Turn {
+            request: self.request.clone(),
+            previous: self.previous.clone(),
+            input: Arc::from(&*self.input),
+            output: Arc::from(std::mem::take(&mut self.output)),
+            retention_ms: retention.nanos() / 1_000_000,
+            endpoint: Some(endpoint.0.clone()),
+        };
+        let finish = FinishTurn { kept: Some(turn), ..self.settled() };
+        self.sessions.finish(finish, KEEP_WITHIN).await?;
+        self.reserved = false;
+        Ok(())
+    }
+
+    fn settled(&self) -> FinishTurn {
+        let tokens = self.most.map_or(self.handed_out, |most| self.handed_out.min(most));
+        FinishTurn { program: self.program.clone(), request: self.request.clone(), tokens, kept: None }
+    }
+}
+
+impl Drop for OpenTurn {
+    fn drop(&mut self) {
+        if self.reserved {
+            self.sessions.finish_later(self.settled());
+        }
+    }
+}
+
+fn budget(exchange: &Exchange) -> Result<Option<u64>, Denied> {
+    if !exchange.headers.contains_key(headers::BUDGET) {
+        return Ok(None);
+    }
+    let budget = header_number(&exchange.headers, headers::BUDGET);
+    budget.map(Some).ok_or(Denied::Finally(StatusCode::BAD_REQUEST))
+}
+
+/// The second number of `X-Token-Count`.
+fn most_tokens(exchange: &Exchange) -> Option<u64> {
+    let (_, most) = header_text(&exchange.headers, headers::TOKEN_COUNT).split_once(',')?;
+    most.trim().parse().ok()
+}
+
+/// For each turn its input and its output, then the new input.
+fn body_of(chain: &[Turn], input: &Bytes) -> Bytes {
+    if chain.is_empty() {
+        return input.clone();
+    }
+    let before: usize = chain.iter().map(|turn| turn.input.len() + turn.output.len()).sum();
+    let mut body = BytesMut::with_capacity(before + input.len());
+    for turn in chain {
+        body.put_slice(&turn.input);
+        body.put_slice(&turn.output);
+    }
+    body.put_slice(input);
+    body.freeze()
+}
