--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -32,6 +32,7 @@
 
 use juniperwing_balancing::{Balancer, Bounds};
 use juniperwing_clock::Span;
+use juniperwing_protocol::Message;
 use juniperwing_protocol::identity::NodeName;
 use juniperwing_protocol::subscription::{Subscribe, Subscriber as Kind};
 use slog::{Logger, info, warn};
@@ -40,6 +41,8 @@
 
 use crate::clock::random;
 use crate::command::Process;
+use crate::link::{Link, LinkPool, Reply, Service};
+use crate::sessions_client::SessionsClient;
 use crate::settings::{Port, Settings};
 use crate::signals::Wish;
 use crate::subscriber::{Sink, Subscriber};
@@ -106,7 +109,7 @@
 /// If a listener cannot be used.
 pub async fn run(process: Process) -> io::Result<()> {
     let Process { settings, settings_file, log, mut signals } = process;
-    let relay = Relay::open(settings, log.clone(), |_| Arc::new(NoStores)).await?;
+    let relay = Relay::open(settings, log.clone(), store_client).await?;
     let subscriber = relay.subscribe();
     relay
         .serve(async move {
@@ -265,19 +268,15 @@
     }
 }
 
-/// Stands in where no stores are known: no turn can be begun.
-struct NoStores;
-
-impl Sessions for NoStores {
-    fn begin(
-        &self, _: juniperwing_protocol::session::BeginTurn, _: Duration,
-    ) -> sessions::SessionCall<Vec<juniperwing_protocol::session::Turn>> {
-        Box::pin(async { Err(sessions::SessionFault::Unavailable) })
-    }
+/// The relay's client of the stores that the keepers tell of.
+fn store_client(world: &World) -> Arc<dyn Sessions> {
+    let pool = Arc::new(LinkPool::new(Arc::new(Unasked)));
+    Arc::new(SessionsClient::new(pool, world.stores()))
+}
 
-    fn finish(&self, _: juniperwing_protocol::session::FinishTurn, _: Duration) -> sessions::SessionCall<()> {
-        Box::pin(async { Err(sessions::SessionFault::Unavailable) })
-    }
+/// Stores send a relay nothing but answers.
+struct Unasked;
 
-    fn finish_later(&self, _: juniperwing_protocol::session::FinishTurn) {}
+impl Service for Unasked {
+    fn message(&self, _: &Link, _: Message, _: Reply) {}
 }
--- a/crates/node/src/relay/sessions.rs
+++ b/crates/node/src/relay/sessions.rs
@@ -7,6 +7,8 @@
 use juniperwing_protocol::session::{BeginTurn, FinishTurn, Turn};
 use snafu::Snafu;
 
+use crate::sessions_client::{SessionError, SessionsClient};
+
 /// Why a turn cannot be begun or finished.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
 pub enum SessionFault {
@@ -35,3 +37,33 @@
     /// Settles a turn in the background; tried again for a while.
     fn finish_later(&self, turn: FinishTurn);
 }
+
+impl From<SessionError> for SessionFault {
+    fn from(error: SessionError) -> Self {
+        match error {
+            SessionError::BudgetSpent => SessionFault::BudgetSpent,
+            SessionError::UnknownTurn => SessionFault::UnknownTurn,
+            SessionError::Unavailable => SessionFault::Unavailable,
+        }
+    }
+}
+
+impl Sessions for SessionsClient {
+    fn begin(&self, turn: BeginTurn, within: Duration) -> SessionCall<Vec<Turn>> {
+        let client = self.clone();
+        Box::pin(async move { Ok(SessionsClient::begin(&client, turn, within).await?.chain) })
+    }
+
+    fn finish(&self, turn: FinishTurn, within: Duration) -> SessionCall<()> {
+        let client = self.clone();
+        Box::pin(async move {
+            let settled = SessionsClient::finish(&client, turn, within).await;
+            settled.map_err(|_| SessionFault::Unavailable)
+        })
+    }
+
+    fn finish_later(&self, turn: FinishTurn) {
+        // Too many under way: the turn counts at its most, which denies too much rather than too little.
+        let _ = SessionsClient::finish_later(self, turn);
+    }
+}
