Members of the serving tier find and lose each other by SWIM

The tier needs to know which relays, keepers and stores are there, without a process that all depend on.

A new package, juniperwing-membership, holds SWIM as a state machine without sockets or clock: direct and indirect probes, suspicion, refutation by incarnation, updates on probes and answers, comparison of tables by checksums of 64 ranges, contact with seeds and dead members, lives that tell a restarted process from a frozen one.

--- /dev/null
+++ b/crates/membership/src/digest.rs
@@ -0,0 +1,90 @@
+//! Digests of the table: members are placed by a hash of their name, and each range of hashes has a checksum.
+
+use serde::{Deserialize, Serialize};
+
+use crate::member::{MemberId, Record, Role};
+
+/// The number of ranges that have a checksum of their own.
+pub const BUCKET_COUNT: usize = 64;
+
+const BUCKET_SHIFT: u32 = u64::BITS - BUCKET_COUNT.trailing_zeros();
+const FNV_OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
+const FNV_PRIME: u64 = 0x0000_0100_0000_01b3;
+
+/// The checksums of a table. Only live members count, with their incarnation and life: what is dead is passed
+/// on to those who still hold it as live, and to nobody else, so that it can be forgotten.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Buckets(Vec<[u8; 4]>);
+
+impl Default for Buckets {
+    fn default() -> Self {
+        Buckets(vec![[0; 4]; BUCKET_COUNT])
+    }
+}
+
+impl Buckets {
+    /// Adds `record` to its range, or takes it out again.
+    pub fn toggle(&mut self, record: &Record) {
+        let place = place(&record.member.id);
+        let sum = checksum(place, record);
+        let bucket = &mut self.0[(place >> BUCKET_SHIFT) as usize];
+        *bucket = (u32::from_le_bytes(*bucket) ^ sum).to_le_bytes();
+    }
+
+    /// Whether there are as many checksums as there are ranges.
+    pub fn is_well_formed(&self) -> bool {
+        self.0.len() == BUCKET_COUNT
+    }
+
+    /// The ranges in which `other` differs. Both are well formed.
+    pub fn differing(&self, other: &Buckets) -> Vec<HashRange> {
+        let pairs = self.0.iter().zip(&other.0).enumerate();
+        pairs
+            .filter(|(_, (mine, theirs))| mine != theirs)
+            .map(|(index, _)| HashRange::bucket(index))
+            .collect()
+    }
+}
+
+/// A range of hashes, both ends included.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HashRange {
+    /// The lowest.
+    pub first: u64,
+    /// The highest.
+    pub last: u64,
+}
+
+impl HashRange {
+    fn bucket(index: usize) -> Self {
+        let first = (index as u64) << BUCKET_SHIFT;
+        HashRange { first, last: first | ((1 << BUCKET_SHIFT) - 1) }
+    }
+}
+
+/// Where a member is placed.
+pub fn place(id: &MemberId) -> u64 {
+    let role = match id.role {
+        Role::Relay => 0,
+        Role::Keeper => 1,
+        Role::Store => 2,
+    };
+    let named = id.node.0.bytes().fold(FNV_OFFSET, absorb);
+    finish(absorb(named, role))
+}
+
+fn checksum(place: u64, record: &Record) -> u32 {
+    let numbers = [place, record.incarnation.0, record.member.life.0];
+    let bytes = numbers.into_iter().flat_map(u64::to_le_bytes);
+    finish(bytes.fold(FNV_OFFSET, absorb)) as u32
+}
+
+fn absorb(hash: u64, byte: u8) -> u64 {
+    (hash ^ u64::from(byte)).wrapping_mul(FNV_PRIME)
+}
+
+/// Spreads the last bytes over all bits; names often differ only in their last character.
+fn finish(hash: u64) -> u64 {
+    let mixed = (hash ^ (hash >> 32)).wrapping_mul(0xd6e8_feb8_6659_fd93);
+    mixed ^ (mixed >> 32)
+}
--- /dev/null
+++ b/crates/membership/src/probe.rs
@@ -0,0 +1,264 @@
+//! Failure detection: direct and indirect probes, and suspicion.
+
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+
+use juniperwing_clock::{Span, Time};
+
+use crate::chance::Chance;
+use crate::member::{MemberId, Record, Status};
+use crate::membership::Membership;
+use crate::settings::Timings;
+use crate::table::MAX_MEMBERS;
+use crate::wire::{Message, Sequence};
+
+/// How far the interval between probes varies, so that members do not probe in step.
+const PROBE_JITTER: f64 = 0.1;
+
+/// The most probes for others of which an answer is passed on.
+const MAX_RELAYED: usize = 64;
+
+/// The most suspects that are pinged again in one probe interval.
+const MAX_REPEATED_PINGS: usize = 2;
+
+/// How many picks are tried for each member that is wanted, as some turn out to be of no use.
+const TRIES_PER_PICK: usize = 4;
+
+/// The probe that is under way.
+#[derive(Clone, Debug)]
+struct Probe {
+    /// What was held of the target when it was pinged.
+    target: Record,
+    sequence: Sequence,
+    /// When others are asked to help; `None` once they have been.
+    time_out: Option<Time>,
+}
+
+/// A probe for another member.
+#[derive(Clone, Debug)]
+struct Relayed {
+    sequence: Sequence,
+    target: MemberId,
+    origin: SocketAddr,
+    origin_sequence: Sequence,
+}
+
+/// The state of failure detection.
+#[derive(Clone, Debug)]
+pub struct Prober {
+    probe_interval: Span,
+    next_probe: Time,
+    probe: Option<Probe>,
+    /// The round of probes: members in random order, some of which may be gone by the time they are reached.
+    round: Vec<MemberId>,
+    position: usize,
+    sequence: u32,
+    relayed: VecDeque<Relayed>,
+    /// Members that this one has suspected first hand; they are pinged again until that is settled.
+    suspects: VecDeque<MemberId>,
+}
+
+impl Prober {
+    /// Nothing is under way; the first probe comes within an interval.
+    pub fn new(now: Time, timings: &Timings, chance: &mut Chance) -> Self {
+        let half = timings.probe_interval.times(0.5);
+        Prober {
+            probe_interval: timings.probe_interval,
+            next_probe: now + chance.jitter(half, 1.0),
+            probe: None,
+            round: Vec::new(),
+            position: 0,
+            sequence: 0,
+            relayed: VecDeque::new(),
+            suspects: VecDeque::new(),
+        }
+    }
+
+    /// Puts a member at a random place in the rest of the round.
+    pub fn enlist(&mut self, id: &MemberId, chance: &mut Chance) {
+        if self.round.len() >= 2 * MAX_MEMBERS {
+            return;
+        }
+        let rest = self.round.len() - self.position;
+        let place = self.position + chance.below(rest + 1);
+        self.round.insert(place, id.clone());
+    }
+
+    /// What was under way is void after a standstill.
+    pub fn stood_still(&mut self, now: Time) {
+        self.probe = None;
+        self.next_probe = now + self.probe_interval;
+    }
+
+    fn next_sequence(&mut self) -> Sequence {
+        self.sequence = self.sequence.wrapping_add(1);
+        Sequence(self.sequence)
+    }
+}
+
+impl Membership {
+    pub(crate) fn probe_is_due(&self, now: Time) -> bool {
+        now >= self.prober.next_probe
+    }
+
+    /// When probing has something to do next.
+    pub(crate) fn next_probe_event(&self) -> Time {
+        let time_out = self.prober.probe.as_ref().and_then(|probe| probe.time_out);
+        self.prober.next_probe.min(time_out.unwrap_or(Time::NEVER))
+    }
+
+    /// Asks others to help if the probe has had no answer in time.
+    pub(crate) fn probe_on_time(&mut self, now: Time) {
+        let Some(probe) = &mut self.prober.probe else { return };
+        if probe.time_out.is_none_or(|time| time > now) {
+            return;
+        }
+        probe.time_out = None;
+        let Probe { target, sequence, .. } = probe.clone();
+        let id = target.member.id;
+        let address = target.member.gossip;
+        for helper in self.pick_live(self.timings.indirect_probes, Some(&id)) {
+            let request = Message::PingRequest { sequence, target: id.clone(), address };
+            self.send_to(helper.member.gossip, &helper.member.id, &request);
+        }
+    }
+
+    /// Suspects the target of a probe that has had no answer at all.
+    pub(crate) fn conclude_probe(&mut self, now: Time) {
+        let Some(probe) = self.prober.probe.take() else { return };
+        let id = &probe.target.member.id;
+        let Some(held) = self.table.get(id).cloned() else { return };
+        // Whatever else is held by now is news from after the ping.
+        if held != probe.target || held.status != Status::Alive {
+            return;
+        }
+        let suspect = Record { status: Status::Suspect, ..held.clone() };
+        self.news.announce(id);
+        self.prober.suspects.push_back(id.clone());
+        self.hold(now, suspect, Some(&held));
+    }
+
+    /// Pings the next member of the round, and some of those that are suspected.
+    pub(crate) fn begin_probe(&mut self, now: Time) {
+        let interval = self.chance.jitter(self.timings.probe_interval, PROBE_JITTER);
+        self.prober.next_probe = now + interval;
+        self.repeat_pings();
+        let Some(target) = self.next_in_round() else { return };
+        let sequence = self.prober.next_sequence();
+        let time_out = Some(now + self.timings.probe_time_out);
+        self.send_to(target.member.gossip, &target.member.id, &Message::Ping { sequence });
+        self.prober.probe = Some(Probe { target, sequence, time_out });
+    }
+
+    /// The pings carry the suspicion, and the answers the refutation.
+    fn repeat_pings(&mut self) {
+        let waiting = self.prober.suspects.len();
+        let mut pinged = 0;
+        for _ in 0..waiting {
+            let Some(id) = self.prober.suspects.pop_front() else { return };
+            let held = self.table.get(&id).filter(|held| held.status == Status::Suspect);
+            let Some(address) = held.map(|held| held.member.gossip) else { continue };
+            if pinged < MAX_REPEATED_PINGS {
+                pinged += 1;
+                let sequence = self.prober.next_sequence();
+                self.send_to(address, &id, &Message::Ping { sequence });
+            }
+            self.prober.suspects.push_back(id);
+        }
+    }
+
+    fn next_in_round(&mut self) -> Option<Record> {
+        self.rest_of_round().or_else(|| {
+            self.begin_round();
+            self.rest_of_round()
+        })
+    }
+
+    fn rest_of_round(&mut self) -> Option<Record> {
+        while let Some(id) = self.prober.round.get(self.prober.position) {
+            self.prober.position += 1;
+            if let Some(record) = self.table.get_live(id) {
+                return Some(record.clone());
+            }
+        }
+        None
+    }
+
+    fn begin_round(&mut self) {
+        let live = self.table.records().filter(|record| record.status.is_live());
+        let others = live.map(|record| &record.member.id).filter(|id| **id != self.me);
+        let mut round: Vec<MemberId> = others.cloned().collect();
+        self.chance.shuffle(&mut round);
+        self.prober.round = round;
+        self.prober.position = 0;
+    }
+
+    /// Up to `count` different live members, chosen at random, without `except`.
+    pub(crate) fn pick_live(&mut self, count: usize, except: Option<&MemberId>) -> Vec<Record> {
+        let mut picked: Vec<Record> = Vec::with_capacity(count);
+        for _ in 0..count * TRIES_PER_PICK {
+            if picked.len() == count {
+                break;
+            }
+            let index = self.chance.below(self.prober.round.len());
+            let Some(id) = self.prober.round.get(index) else { break };
+            let taken = picked.iter().any(|record| record.member.id == *id);
+            if taken || except == Some(id) {
+                continue;
+            }
+            picked.extend(self.table.get_live(id).cloned());
+        }
+        picked
+    }
+
+    /// Sends datagrams for nothing but updates, while there are any.
+    pub(crate) fn spread_news(&mut self) {
+        for record in self.pick_live(self.timings.gossip_fanout, None) {
+            if self.news.is_empty() {
+                return;
+            }
+            self.send_to(record.member.gossip, &record.member.id, &Message::Gossip);
+        }
+    }
+
+    pub(crate) fn take_ack(&mut self, sequence: Sequence, sender: &MemberId) {
+        self.settle_probe(sequence, sender);
+        let mut relayed = self.prober.relayed.iter();
+        let found = relayed.position(|relayed| relayed.sequence == sequence && relayed.target == *sender);
+        let Some(Relayed { target, origin, origin_sequence, .. }) =
+            found.and_then(|index| self.prober.relayed.remove(index))
+        else {
+            return;
+        };
+        let answer = Message::IndirectAck { sequence: origin_sequence, target };
+        let news_of_target = self.table.get(sender).cloned();
+        self.send(origin, &answer, Vec::from_iter(news_of_target));
+    }
+
+    pub(crate) fn take_indirect_ack(&mut self, sequence: Sequence, target: &MemberId) {
+        self.settle_probe(sequence, target);
+    }
+
+    /// An answer counts only if it comes from the target: addresses are reused.
+    fn settle_probe(&mut self, sequence: Sequence, id: &MemberId) {
+        let settles = |probe: &Probe| probe.sequence == sequence && probe.target.member.id == *id;
+        if self.prober.probe.as_ref().is_some_and(settles) {
+            self.prober.probe = None;
+        }
+    }
+
+    /// Pings `target` for another member, and remembers whom the answer is for.
+    pub(crate) fn help_probe(
+        &mut self, origin: SocketAddr, origin_sequence: Sequence, target: MemberId, address: SocketAddr,
+    ) {
+        if target == self.me {
+            return;
+        }
+        let sequence = self.prober.next_sequence();
+        self.send_to(address, &target, &Message::Ping { sequence });
+        if self.prober.relayed.len() >= MAX_RELAYED {
+            self.prober.relayed.pop_front();
+        }
+        self.prober.relayed.push_back(Relayed { sequence, target, origin, origin_sequence });
+    }
+}
--- /dev/null
+++ b/crates/membership/tests/datagrams.rs
@@ -0,0 +1,168 @@
+//! Datagrams that members did not expect.
+
+mod virtual_network;
+
+use juniperwing_clock::{Span, Time};
+use juniperwing_membership::{
+    Command, Datagram, DecodeError, Event, Incarnation, Life, MAX_DATAGRAM_BYTES, MAX_INCARNATION,
+    MAX_MEMBERS, Member, MemberId, Membership, Message, Record, Role, Sequence, Settings, SettingsError,
+    Status, Timings, WIRE_VERSION, encode,
+};
+use proptest::prelude::*;
+use virtual_network::Network;
+
+fn record(name: &str) -> Record {
+    let member = Member {
+        id: MemberId { node: name.into(), role: Role::Relay },
+        life: Life(7),
+        zone: "osu-hall".into(),
+        gossip: "10.1.0.38:7380".parse().unwrap(),
+        address: "10.1.0.38:7381".parse().unwrap(),
+        disk: None,
+    };
+    Record { member, incarnation: Incarnation(3), status: Status::Alive }
+}
+
+fn settings(name: &str) -> Settings {
+    Settings { me: record(name).member, seeds: Vec::new(), timings: Timings::default() }
+}
+
+#[test]
+fn what_is_written_is_read() {
+    let records: Vec<Record> = (0..5).map(|number| record(&format!("edge-{number}"))).collect();
+    let message = Message::Ping { sequence: Sequence(9) };
+    let bytes = encode(&record("me"), &message, &records);
+    let datagram = Datagram { sender: record("me"), message, records };
+    assert_eq!(Datagram::decode(&bytes), Ok(datagram));
+}
+
+#[test]
+fn records_that_do_not_fit_are_left_out() {
+    let records: Vec<Record> = (0..100).map(|number| record(&format!("edge-{number}"))).collect();
+    let bytes = encode(&record("me"), &Message::Gossip, &records);
+    assert!(bytes.len() <= MAX_DATAGRAM_BYTES);
+    let fitting = Datagram::decode(&bytes).unwrap().records;
+    assert!(fitting.len() > 10);
+    assert_eq!(fitting, records[..fitting.len()]);
+}
+
+#[test]
+fn bad_datagrams_are_refused_with_the_reason() {
+    let good = encode(&record("me"), &Message::Gossip, &[]);
+    assert_eq!(Datagram::decode(&[]), Err(DecodeError::Empty));
+    let long = vec![WIRE_VERSION; MAX_DATAGRAM_BYTES + 1];
+    assert_eq!(Datagram::decode(&long), Err(DecodeError::TooLarge { bytes: long.len() }));
+    let mut other = good.clone();
+    other[0] = 9;
+    assert_eq!(Datagram::decode(&other), Err(DecodeError::Version { version: 9 }));
+    let cut = Datagram::decode(&good[..good.len() - 1]);
+    assert!(matches!(cut, Err(DecodeError::Malformed { .. })));
+    let nameless = encode(&record(""), &Message::Gossip, &[]);
+    assert_eq!(Datagram::decode(&nameless), Err(DecodeError::Text { bytes: 0 }));
+    let mut far = record("me");
+    far.incarnation = Incarnation(MAX_INCARNATION.0 + 1);
+    let implausible = encode(&far, &Message::Gossip, &[]);
+    assert!(matches!(Datagram::decode(&implausible), Err(DecodeError::Incarnation { .. })));
+}
+
+#[test]
+fn a_bad_datagram_is_reported_and_changes_nothing() {
+    let mut network = Network::settled(3, 1);
+    network.inject(0, "10.9.9.9:1".parse().unwrap(), b"hello");
+    assert_eq!(network.machines[0].refused, 1);
+    assert!(network.converged());
+}
+
+#[test]
+fn unusable_settings_are_refused() {
+    let now = Time::default();
+    let nameless = Membership::new(now, settings(""), 1);
+    assert!(matches!(nameless, Err(SettingsError::Text { field: "node", bytes: 0 })));
+    let mut slow = settings("me");
+    slow.timings.probe_time_out = Span::from_millis(900);
+    assert!(matches!(Membership::new(now, slow, 1), Err(SettingsError::Figure { .. })));
+    let mut many = settings("me");
+    many.seeds = vec!["10.0.0.1:1".parse().unwrap(); 17];
+    assert!(matches!(Membership::new(now, many, 1), Err(SettingsError::TooManySeeds { count: 17 })));
+}
+
+#[test]
+fn the_number_of_members_is_bounded() {
+    let now = Time::default();
+    let mut membership = Membership::new(now, settings("me"), 1).unwrap();
+    let records: Vec<Record> = (0..MAX_MEMBERS + 100).map(|number| record(&format!("m-{number}"))).collect();
+    for chunk in records.chunks(10) {
+        let bytes = encode(&record("other"), &Message::Gossip, chunk);
+        let from = "10.0.0.2:1".parse().unwrap();
+        membership.handle(now, Event::Datagram { from, bytes: &bytes });
+    }
+    assert_eq!(membership.members().count(), MAX_MEMBERS);
+}
+
+/// A member answers a datagram with a bounded number of datagrams, whatever the datagram.
+fn answers(membership: &mut Membership, bytes: &[u8]) -> usize {
+    let from = "10.0.0.2:1".parse().unwrap();
+    let commands = membership.handle(Time::default(), Event::Datagram { from, bytes });
+    commands.iter().filter(|command| matches!(command, Command::Send { .. })).count()
+}
+
+fn any_record() -> impl Strategy<Value = Record> {
+    let status =
+        prop_oneof![Just(Status::Alive), Just(Status::Suspect), Just(Status::Dead), Just(Status::Left)];
+    (0..4u8, 0..4u64, 0..3u64, status).prop_map(|(name, incarnation, life, status)| {
+        let mut record = record(&format!("m-{name}"));
+        record.incarnation = Incarnation(incarnation);
+        record.member.life = Life(life);
+        record.status = status;
+        record
+    })
+}
+
+proptest! {
+    #[test]
+    fn any_bytes_are_read_or_refused(bytes in prop::collection::vec(any::<u8>(), 0..1300)) {
+        let _ = Datagram::decode(&bytes);
+    }
+
+    #[test]
+    fn damaged_datagrams_are_taken_or_refused(
+        records in prop::collection::vec(any_record(), 0..10),
+        damage in prop::collection::vec((any::<prop::sample::Index>(), any::<u8>()), 1..4),
+    ) {
+        let mut bytes = encode(&record("other"), &Message::Answer, &records);
+        for (index, byte) in damage {
+            let place = index.index(bytes.len());
+            bytes[place] = byte;
+        }
+        let mut membership = Membership::new(Time::default(), settings("m-0"), 1).unwrap();
+        prop_assert!(answers(&mut membership, &bytes) <= 20);
+    }
+
+    #[test]
+    fn the_order_in_which_rumors_come_does_not_matter(
+        records in prop::collection::vec(any_record(), 1..12),
+        seed in any::<u64>(),
+    ) {
+        // An unknown member's death is not taken in, so all are known first.
+        let mut oldest: Vec<Record> = (0..4).map(|name| record(&format!("m-{name}"))).collect();
+        for first in &mut oldest {
+            first.incarnation = Incarnation(0);
+            first.member.life = Life(0);
+        }
+        let mut mixed = records.clone();
+        let step = 1 + seed as usize % mixed.len();
+        mixed.rotate_left(step % records.len());
+        mixed.reverse();
+        let views = [records, mixed].map(|records| {
+            let mut membership = Membership::new(Time::default(), settings("me"), 1).unwrap();
+            answers(&mut membership, &encode(&record("other"), &Message::Gossip, &oldest));
+            answers(&mut membership, &encode(&record("other"), &Message::Gossip, &records));
+            let mut view: Vec<(Member, Status)> =
+                membership.members().map(|(member, status)| (member.clone(), status)).collect();
+            view.sort_by(|(one, _), (other, _)| one.id.cmp(&other.id));
+            view
+        });
+        let [one, other] = views;
+        prop_assert_eq!(one, other);
+    }
+}
