Members that start together compare tables until they bring nothing new

Among 200 members that started within 0.3 s, one knew all others only after 6.1 s: after the first comparison the next came 10 s later, and updates alone are slow when all is news.

--- a/crates/membership/src/membership.rs
+++ b/crates/membership/src/membership.rs
@@ -282,7 +282,7 @@
         }
         let was_live = held.as_ref().is_some_and(|held| held.status.is_live());
         if !was_live && record.status.is_live() {
-            self.enlist(&record, ground);
+            self.enlist(now, &record, ground);
         }
         if ground != Ground::Comparison || !self.reconciler.is_catching_up() {
             self.news.announce(&record.member.id);
@@ -307,11 +307,13 @@
     }
 
     /// A member that is there, and was not known or not there before.
-    fn enlist(&mut self, record: &Record, ground: Ground) {
+    fn enlist(&mut self, now: Time, record: &Record, ground: Ground) {
         let id = &record.member.id;
         self.prober.enlist(id, &mut self.chance);
-        if ground == Ground::Itself {
-            self.reconciler.met(id);
+        match ground {
+            Ground::Itself => self.reconciler.met(id),
+            Ground::Comparison => self.reconciler.learned_of_member(now, &self.timings),
+            Ground::Rumor => {}
         }
     }
 
--- a/crates/membership/src/reconcile.rs
+++ b/crates/membership/src/reconcile.rs
@@ -28,6 +28,8 @@
 pub struct Reconciler {
     seeds: Vec<SocketAddr>,
     next_sync: Time,
+    /// From the last comparison to the next: short after one that brought unknown members, then longer.
+    sync_wait: Span,
     /// With whom to compare next, if that is not left to chance.
     partner: Option<MemberId>,
     next_reach: Time,
@@ -44,7 +46,8 @@
         seeds.retain(|seed| *seed != own);
         Reconciler {
             seeds,
-            next_sync: now + chance.jitter(timings.sync_interval, SYNC_JITTER),
+            next_sync: now + chance.jitter(timings.probe_interval, SYNC_JITTER),
+            sync_wait: timings.probe_interval,
             partner: None,
             next_reach: now,
             reach_wait: timings.join_interval,
@@ -63,6 +66,12 @@
         self.sync_soon_with(id.clone());
     }
 
+    /// A comparison has brought a member that was not known or not there; others may well follow.
+    pub fn learned_of_member(&mut self, now: Time, timings: &Timings) {
+        self.sync_wait = timings.probe_interval;
+        self.next_sync = self.next_sync.min(now + timings.probe_interval);
+    }
+
     fn sync_soon_with(&mut self, id: MemberId) {
         self.partner = Some(id);
         self.next_sync = Time::default();
@@ -82,10 +91,12 @@
         if now < self.reconciler.next_sync {
             return;
         }
-        self.reconciler.next_sync = now + self.chance.jitter(self.timings.sync_interval, SYNC_JITTER);
+        let wait = self.reconciler.sync_wait;
+        self.reconciler.next_sync = now + self.chance.jitter(wait, SYNC_JITTER);
+        self.reconciler.sync_wait = (wait + wait).min(self.timings.sync_interval);
         let partner = self.reconciler.partner.take();
-        if partner.is_none() {
-            // It has had a whole interval for that.
+        if partner.is_none() && wait >= self.timings.sync_interval {
+            // It has had long enough for that.
             self.reconciler.catching_up = false;
         }
         let record = partner.and_then(|id| self.table.get_live(&id).cloned());
--- a/crates/membership/tests/failures.rs
+++ b/crates/membership/tests/failures.rs
@@ -180,6 +180,19 @@
     }
 }
 
+#[test]
+fn a_partition_heals_without_seeds() {
+    let mut network = Network::settled(13, 15);
+    for seed in 0..3 {
+        network.kill(seed);
+    }
+    let (one, other): (Vec<usize>, Vec<usize>) = (3..13).partition(|machine| *machine < 7);
+    network.cut(&one, &other);
+    network.run(seconds(60.0));
+    network.cuts.clear();
+    network.run_until_true(seconds(30.0), "whole again", Network::converged);
+}
+
 #[test]
 fn the_members_of_a_healed_partition_do_not_bury_their_own_side() {
     let mut network = Network::settled(30, 13);
