--- /dev/null
+++ b/crates/sessions/tests/common/node.rs
@@ -0,0 +1,134 @@
+//! One store of the cluster with its disk.
+
+use std::collections::BTreeMap;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+
+use juniperwing_clock::Time;
+use juniperwing_protocol::DiskId;
+use juniperwing_sessions::{Command, Event, Limits, Moment, Store, StoredRecord};
+
+use super::Chance;
+
+const LIMITS: Limits = Limits { required_copies: 2, memory_bytes: 1 << 30, disk_bytes: 1 << 30 };
+const BATCH_FILE_BYTES: u64 = 100;
+
+pub struct Node {
+    pub number: usize,
+    pub disk: DiskId,
+    /// `None` while the process is down.
+    pub store: Option<Store>,
+    /// Whether the keepers reach it.
+    pub in_touch: bool,
+    /// How far its time of day is ahead of the steady clock, in milliseconds.
+    pub clock_ms: u64,
+    batches: BTreeMap<u64, Vec<StoredRecord>>,
+    /// Removed without a sync of the folder: they may come back.
+    removed: BTreeMap<u64, Vec<StoredRecord>>,
+    /// The batch that is being written.
+    writing: Option<Vec<StoredRecord>>,
+    last_batch: u64,
+}
+
+impl Node {
+    pub fn new(number: usize, chance: &mut Chance) -> Self {
+        let disk = DiskId(number as u64 + 1);
+        let mut node = Node {
+            number,
+            disk,
+            store: Some(Store::new(disk, LIMITS)),
+            in_touch: true,
+            clock_ms: 0,
+            batches: BTreeMap::new(),
+            removed: BTreeMap::new(),
+            writing: None,
+            last_batch: 0,
+        };
+        node.step_clock(chance);
+        node
+    }
+
+    pub fn address(&self) -> SocketAddr {
+        SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 1_000 + self.number as u16)
+    }
+
+    pub fn moment(&self, now: Time) -> Moment {
+        let elapsed_ms = now.since(Time::default()).nanos() / 1_000_000;
+        Moment { now, time_of_day_ms: self.clock_ms + elapsed_ms }
+    }
+
+    /// Clocks differ by up to three seconds and may step.
+    pub fn step_clock(&mut self, chance: &mut Chance) {
+        self.clock_ms = 1_000_000_000 + chance.below(3_000) as u64;
+    }
+
+    pub fn handle(&mut self, now: Time, event: Event) -> Vec<Command> {
+        let moment = self.moment(now);
+        let commands = self.store.as_mut().map_or(Vec::new(), |store| store.handle(moment, event));
+        self.use_disk(commands)
+    }
+
+    /// Does the commands that concern the disk; returns the others.
+    fn use_disk(&mut self, commands: Vec<Command>) -> Vec<Command> {
+        let mut others = Vec::new();
+        for command in commands {
+            match command {
+                Command::WriteBatch { records } => {
+                    assert!(self.writing.is_none(), "one batch at a time");
+                    self.writing = Some(records);
+                }
+                Command::RemoveBatch { batch } => {
+                    let contents = self.batches.remove(&batch).expect("a batch that is there");
+                    self.removed.insert(batch, contents);
+                }
+                other => others.push(other),
+            }
+        }
+        others
+    }
+
+    /// Whether a sync is under way.
+    pub fn is_writing(&self) -> bool {
+        self.writing.is_some()
+    }
+
+    /// The sync ends, in some cases with an error.
+    pub fn sync_ends(&mut self, now: Time, chance: &mut Chance) -> Vec<Command> {
+        let Some(records) = self.writing.take() else { return Vec::new() };
+        if chance.percent(3) {
+            return self.handle(now, Event::BatchFailed);
+        }
+        self.last_batch += 1;
+        self.batches.insert(self.last_batch, records);
+        self.handle(now, Event::BatchWritten { batch: self.last_batch, bytes: BATCH_FILE_BYTES })
+    }
+
+    /// The process is killed or the machine loses power: the batch under way may be there or not.
+    pub fn kill(&mut self, chance: &mut Chance) {
+        self.store = None;
+        if let Some(records) = self.writing.take().filter(|_| chance.percent(50)) {
+            self.last_batch += 1;
+            self.batches.insert(self.last_batch, records);
+        }
+        for (number, records) in std::mem::take(&mut self.removed) {
+            if chance.percent(30) {
+                self.batches.insert(number, records);
+            }
+        }
+    }
+
+    pub fn wipe(&mut self) {
+        self.batches.clear();
+        self.removed.clear();
+        self.disk = DiskId(self.disk.0 + 100);
+    }
+
+    pub fn start(&mut self, now: Time) -> Vec<Command> {
+        let mut store = Store::new(self.disk, LIMITS);
+        for (number, records) in &self.batches {
+            store.recover(self.moment(now), *number, BATCH_FILE_BYTES, records.clone());
+        }
+        let commands = store.recovered(self.moment(now));
+        self.store = Some(store);
+        self.use_disk(commands)
+    }
+}
