A joining store counts as level only by what is on its disk, and expiries only rise

Plays of the simulated cluster found two faults. A joining replica answered digests from memory, so that it was taken for level while a record still waited for its disk and was then lost with it. And a settled record with an earlier expiry than the reserved one it superseded made a program seem live at one replica and expired at another, so that the two never became level. Digests now count only what is on disk, and the later expiry always counts.

--- a/crates/sessions/src/levelling.rs
+++ b/crates/sessions/src/levelling.rs
@@ -12,7 +12,7 @@
 
 use crate::call::Purpose;
 use crate::event::Command;
-use crate::limits::{DIGEST_RANGES, MAX_FILLING, REPORT_PAUSE, RETRY_PAUSE};
+use crate::limits::{DIGEST_RANGES, MAX_COMPARISONS, MAX_FILLING, REPORT_PAUSE, RETRY_PAUSE};
 use crate::store::{Store, Timer};
 
 /// A partition that this store leads.
@@ -50,6 +50,8 @@
     attempt: u64,
     /// Programs that may be forgotten by this time of day, in milliseconds, are passed over.
     live_after_ms: u64,
+    /// Comparisons since the last pause.
+    comparisons: u32,
 }
 
 impl Lead {
@@ -103,7 +105,7 @@
             self.timers.insert((at, Timer::Level(partition, replica)));
             return;
         }
-        self.compare(partition, replica);
+        self.compare(partition, replica, 1);
     }
 
     /// Joining replicas that are under way.
@@ -117,16 +119,16 @@
         under.filter(|(replica, _)| assignment.joining.contains(replica)).count()
     }
 
-    fn compare(&mut self, partition: PartitionId, replica: DiskId) {
+    fn compare(&mut self, partition: PartitionId, replica: DiskId, comparisons: u32) {
         let live_after_ms = self.moment.time_of_day_ms;
-        let step = LevelStep { partition, replica, attempt: 0, live_after_ms };
+        let step = LevelStep { partition, replica, attempt: 0, live_after_ms, comparisons };
         self.level_step(step, Work::Compare);
     }
 
     /// Takes the next step with a replica.
     fn level_step(&mut self, step: LevelStep, work: Work) {
         let step = LevelStep { attempt: self.next_number(), ..step };
-        let LevelStep { partition, replica, attempt, live_after_ms } = step;
+        let LevelStep { partition, replica, attempt, live_after_ms, .. } = step;
         let Some(lead) = self.leads.get_mut(&partition) else { return };
         let epoch = lead.epoch;
         let ranges = DIGEST_RANGES;
@@ -179,7 +181,7 @@
                 self.level_step(step, Work::Push { wanted, next: Some(next) });
             }
             (Work::Push { next: None, .. }, Some(TransferReply::Written)) => {
-                self.compare(step.partition, step.replica);
+                self.compare(step.partition, step.replica, step.comparisons + 1);
             }
             _ => self.level_failed(step),
         }
@@ -210,6 +212,8 @@
         let wanted: Vec<u16> = (0..DIGEST_RANGES).filter(differs).collect();
         if wanted.is_empty() {
             self.reached(step.partition, step.replica);
+        } else if step.comparisons >= MAX_COMPARISONS {
+            self.level_failed(step);
         } else {
             self.level_step(step, Work::Pull { wanted });
         }
--- a/crates/sessions/src/limits.rs
+++ b/crates/sessions/src/limits.rs
@@ -13,8 +13,10 @@
     pub disk_bytes: u64,
 }
 
-/// For how long a program without kept turns is remembered after its last change, in milliseconds.
+/// For how long a program is remembered after a turn that is not kept, in milliseconds.
 pub(crate) const BUDGET_MEMORY_MS: u64 = 120_000;
+/// For how long a program is remembered at least after a turn was admitted, in milliseconds.
+pub(crate) const RESERVED_MEMORY_MS: u64 = 60_000;
 /// For how long a program is remembered at least after a turn was kept, in milliseconds.
 pub(crate) const KEPT_MEMORY_MS: u64 = 60_000;
 /// The longest retention taken, in milliseconds; longer ones count as this.
@@ -37,6 +39,8 @@
 pub(crate) const DIGEST_RANGES: u16 = 16;
 /// Bytes of records in one page, at which it ends.
 pub(crate) const PAGE_BYTES: u64 = 128 << 10;
+/// Comparisons of two replicas without a pause; each is followed by an exchange of what differs.
+pub(crate) const MAX_COMPARISONS: u32 = 3;
 /// Joining replicas that are filled at the same time, counted by partition.
 pub(crate) const MAX_FILLING: usize = 16;
 /// Turns of the longest chain.
--- a/crates/sessions/src/merge.rs
+++ b/crates/sessions/src/merge.rs
@@ -5,8 +5,8 @@
 
 /// Merges `other` into `record`; `true` if that changed it.
 ///
-/// A settled record supersedes a reserved one. Of two alike, the larger number of tokens and the later expiry
-/// count. A turn stays.
+/// A settled record supersedes a reserved one; of two alike, the larger number of tokens counts. The later
+/// expiry counts. A turn stays.
 pub fn merge(record: &mut Record, other: &Record) -> bool {
     let account = merge_account(record, other);
     let turn = merge_turn(&mut record.turn, other.turn.as_ref());
@@ -18,11 +18,11 @@
     if other.settled && !record.settled {
         record.settled = true;
         record.tokens = other.tokens;
-        record.expires_at_ms = other.expires_at_ms;
     } else if other.settled == record.settled {
         record.tokens = record.tokens.max(other.tokens);
-        record.expires_at_ms = record.expires_at_ms.max(other.expires_at_ms);
     }
+    // Never earlier: a replica that lacks the newer record must not take the program for live for longer.
+    record.expires_at_ms = record.expires_at_ms.max(other.expires_at_ms);
     before != (record.settled, record.tokens, record.expires_at_ms)
 }
 
--- a/crates/sessions/src/primary.rs
+++ b/crates/sessions/src/primary.rs
@@ -12,6 +12,7 @@
 use crate::event::{AskerId, Command};
 use crate::limits::{
     ANSWER_WITHIN, BUDGET_MEMORY_MS, KEPT_MEMORY_MS, MAX_RETENTION_MS, MAX_WAITING, MAX_WRITES,
+    RESERVED_MEMORY_MS,
 };
 use crate::store::{Store, Timer, Waiting};
 use crate::table::Chain;
@@ -116,7 +117,7 @@
         let table = self.tables.get(&partition);
         let foreign =
             chain.iter().filter(|turn| !table.is_some_and(|t| t.holds_turn(&begin.program, &turn.request)));
-        let expires_at_ms = self.moment.time_of_day_ms.saturating_add(BUDGET_MEMORY_MS);
+        let expires_at_ms = self.moment.time_of_day_ms.saturating_add(RESERVED_MEMORY_MS);
         let record = |turn: &Turn| Record {
             program: begin.program.clone(),
             request: turn.request.clone(),
@@ -147,7 +148,7 @@
             tokens,
             settled: false,
             turn: None,
-            expires_at_ms: self.moment.time_of_day_ms.saturating_add(BUDGET_MEMORY_MS),
+            expires_at_ms: self.moment.time_of_day_ms.saturating_add(RESERVED_MEMORY_MS),
         }))
     }
 
--- a/crates/sessions/src/replica.rs
+++ b/crates/sessions/src/replica.rs
@@ -104,7 +104,8 @@
             Waiter::Write(id) => self.write_durable(id),
             Waiter::Replica(asker) => self.answer_transfer(asker, TransferReply::Written),
             Waiter::Digests { asker, partition, ranges, live_after_ms } => {
-                let digests = self.tables.entry(partition).or_default().digests(ranges, live_after_ms);
+                let digests =
+                    self.tables.entry(partition).or_default().digests_on_disk(ranges, live_after_ms);
                 self.answer_transfer(asker, TransferReply::Digests(digests));
             }
         }
--- a/crates/sessions/src/table.rs
+++ b/crates/sessions/src/table.rs
@@ -133,11 +133,21 @@
     /// The digests of `ranges` equal ranges of the hashes of programs, without programs that may be forgotten
     /// by `live_after_ms`.
     pub fn digests(&self, ranges: u16, live_after_ms: u64) -> Vec<u64> {
+        self.sum_digests(ranges, live_after_ms, |held| held.digest)
+    }
+
+    /// The same of what is on disk: a record of which a newer version waits for the disk makes its range differ.
+    pub fn digests_on_disk(&self, ranges: u16, live_after_ms: u64) -> Vec<u64> {
+        let on_disk = |held: &Held| if held.durable == held.version { held.digest } else { !held.digest };
+        self.sum_digests(ranges, live_after_ms, on_disk)
+    }
+
+    fn sum_digests(&self, ranges: u16, live_after_ms: u64, digest: impl Fn(&Held) -> u64) -> Vec<u64> {
         let mut digests = vec![0_u64; usize::from(ranges.max(1))];
         for (name, program) in self.programs.iter().filter(|(_, p)| p.expires_at_ms > live_after_ms) {
             let range = usize::from(range_of(name, ranges));
             for held in program.records.values() {
-                digests[range] = digests[range].wrapping_add(held.digest);
+                digests[range] = digests[range].wrapping_add(digest(held));
             }
         }
         digests
--- a/crates/sessions/tests/common/cluster.rs
+++ b/crates/sessions/tests/common/cluster.rs
@@ -32,7 +32,7 @@
 #[derive(Clone, Debug)]
 enum Asker {
     Client(u64),
-    Store { from: usize, life: u64, call: TransferCallId },
+    Store { from: usize, life: u64, to: usize, call: TransferCallId },
 }
 
 pub struct Cluster {
@@ -206,7 +206,7 @@
             self.packets.push(Packet::Answer { to: from, life, call, answer: None });
             return self.packets.push(Packet::Call { from, life: 0, to, call, request });
         }
-        let asker = self.asker(Asker::Store { from, life, call });
+        let asker = self.asker(Asker::Store { from, life, to, call });
         self.handle(to, Event::Transfer { asker, request });
     }
 
@@ -225,7 +225,7 @@
             match command {
                 Command::Answer { asker, reply } => self.reply(asker, reply),
                 Command::AnswerTransfer { asker, reply } => {
-                    if let Asker::Store { from, life, call } = self.askers[asker.0 as usize].clone() {
+                    if let Asker::Store { from, life, call, .. } = self.askers[asker.0 as usize].clone() {
                         let answer = Some(reply);
                         self.packets.push(Packet::Answer { to: from, life, call, answer });
                     }
@@ -271,7 +271,7 @@
         let present: Vec<DiskId> = self.present().map(|node| node.disk).collect();
         let before = self.map.partitions.clone();
         self.admit_joined();
-        for partition in 0..PARTITIONS {
+        for (partition, old) in before.iter().enumerate() {
             let held = &self.map.partitions[partition];
             let mut next = held.clone();
             next.in_sync.retain(|disk| present.contains(disk));
@@ -283,7 +283,7 @@
                 next.primary = next.in_sync[self.chance.below(next.in_sync.len())];
             }
             if next != *held {
-                next.epoch.0 = before[partition].epoch.0 + 1;
+                next.epoch.0 = old.epoch.0 + 1;
                 self.map.partitions[partition] = next;
             }
         }
@@ -332,7 +332,7 @@
         let number = self.chance.below(self.nodes.len());
         let other = self.chance.below(self.nodes.len());
         match self.chance.below(8) {
-            0 | 1 if self.nodes[number].store.is_some() => self.nodes[number].kill(&mut self.chance),
+            0 | 1 if self.nodes[number].store.is_some() => self.kill(number),
             0..=2 if self.nodes[number].store.is_none() => {
                 if self.chance.percent(40) && self.may_lose(number) {
                     self.nodes[number].wipe();
@@ -347,6 +347,19 @@
         }
     }
 
+    /// Kills a store. Those who wait for it get no answer.
+    fn kill(&mut self, number: usize) {
+        self.nodes[number].kill(&mut self.chance);
+        for asker in &self.askers {
+            if let Asker::Store { from, life, to, call } = *asker
+                && to == number
+                && self.lives[from] == life
+            {
+                self.packets.push(Packet::Answer { to: from, life, call, answer: None });
+            }
+        }
+    }
+
     /// Ends one trouble.
     fn mend(&mut self) {
         self.cuts.clear();
