Three stores on loopback: chains, budgets, failover, filling, restart from disk

The process of the store had no tests. A joining replica waits in a queue while others are filled, instead of in a timer for each partition, and one that cannot be made level is compared again after 250 ms. On SIGTERM a store leaves the keepers first, so that the partitions move while it ends what is under way.

--- a/crates/node/src/store.rs
+++ b/crates/node/src/store.rs
@@ -31,7 +31,7 @@
 /// Keepers that a store subscribes to at most; usually there are fewer.
 const MAX_SUBSCRIPTIONS: usize = 9;
 /// How long the end waits for what is under way.
-const END_WITHIN: Duration = Duration::from_millis(800);
+const END_WITHIN: Duration = Duration::from_millis(500);
 /// The share of memory that records may take; the rest is for messages, batches and the process itself.
 const MEMORY_SHARE: f64 = 0.4;
 /// The share of the disk that batches may take before no further turn is admitted.
@@ -113,8 +113,9 @@
         info!(self.log, "settings read again");
     }
 
-    /// Ends what is under way, if that is soon done.
+    /// Leaves the keepers, so that they move the partitions, and ends what is under way if that is soon done.
     async fn stop(self) {
+        self.subscriber.suspend(true);
         self.listening.abort();
         if timeout(END_WITHIN, self.core.idle()).await.is_err() {
             info!(self.log, "ends with questions open");
--- /dev/null
+++ b/crates/node/tests/store.rs
@@ -0,0 +1,147 @@
+//! Stores on loopback: turns begin, are settled and kept, and outlast the loss of a store.
+
+mod stores;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use juniperwing_node::sessions_client::{Begun, NotSettled, SessionError};
+use juniperwing_protocol::session::{BeginTurn, FinishTurn, Turn};
+use juniperwing_protocol::{ProgramId, RequestId};
+use stores::{COUNT, Stores, WITHIN};
+
+/// How long a call may take that is known to end without success.
+const SHORTLY: Duration = Duration::from_millis(300);
+
+fn begin(program: &str, request: &str, previous: Option<&str>, budget: Option<u64>) -> BeginTurn {
+    BeginTurn {
+        program: ProgramId::from(program),
+        request: RequestId::from(request),
+        previous: previous.map(RequestId::from),
+        budget,
+        most_tokens: 40,
+        imported: Vec::new(),
+    }
+}
+
+fn turn(request: &str, previous: Option<&str>) -> Turn {
+    Turn {
+        request: RequestId::from(request),
+        previous: previous.map(RequestId::from),
+        input: Arc::from(format!("in {request}").into_bytes()),
+        output: Arc::from(format!("out {request}\n").into_bytes()),
+        retention_ms: 60_000,
+        endpoint: Some("i-1".into()),
+    }
+}
+
+fn keep(program: &str, request: &str, previous: Option<&str>) -> FinishTurn {
+    FinishTurn {
+        program: ProgramId::from(program),
+        request: RequestId::from(request),
+        tokens: 10,
+        kept: Some(turn(request, previous)),
+    }
+}
+
+async fn keep_two(stores: &Stores) {
+    for (request, previous) in [("t1", None), ("t2", Some("t1"))] {
+        stores.client.begin(begin("p", request, previous, Some(1_000)), WITHIN).await.unwrap();
+        stores.client.finish(keep("p", request, previous), WITHIN).await.unwrap();
+    }
+}
+
+fn two() -> Begun {
+    Begun { chain: vec![turn("t1", None), turn("t2", Some("t1"))] }
+}
+
+#[tokio::test]
+async fn a_chain_is_kept_and_another_program_may_go_on_from_it() {
+    let stores = Stores::start("chain").await;
+    keep_two(&stores).await;
+    let next = stores.client.begin(begin("p", "t3", Some("t2"), Some(1_000)), WITHIN).await;
+    assert_eq!(next, Ok(two()));
+    // Of these some are in other partitions than the first program.
+    for number in 0..8 {
+        let program = format!("other-{number}");
+        let next = stores.client.begin(begin(&program, &program, Some("t2"), None), WITHIN).await;
+        assert_eq!(next, Ok(two()));
+    }
+    let unknown = stores.client.begin(begin("p", "t4", Some("nobody"), None), WITHIN).await;
+    assert_eq!(unknown, Err(SessionError::UnknownTurn));
+}
+
+#[tokio::test]
+async fn the_budget_is_spent_until_turns_are_settled() {
+    let stores = Stores::start("budget").await;
+    for request in ["a", "b"] {
+        stores.client.begin(begin("p", request, None, Some(100)), WITHIN).await.unwrap();
+    }
+    let third = || stores.client.begin(begin("p", "c", None, Some(100)), WITHIN);
+    assert_eq!(third().await, Err(SessionError::BudgetSpent));
+    let settled = FinishTurn { kept: None, ..keep("p", "a", None) };
+    assert!(stores.client.finish_later(settled));
+    let begun = async {
+        while third().await.is_err() {
+            tokio::task::yield_now().await;
+        }
+    };
+    tokio::time::timeout(WITHIN, begun).await.expect("the turn is settled");
+}
+
+#[tokio::test]
+async fn what_was_kept_outlasts_a_store_and_fills_it_when_it_is_back() {
+    let mut stores = Stores::start("failover").await;
+    keep_two(&stores).await;
+    let disks = stores.keeper.subscribed(COUNT).await;
+    stores.running[0].take().unwrap().kill();
+    let left = stores.keeper.subscribed(COUNT - 1).await;
+    stores.assign(&left, &[]);
+    let next = stores.client.begin(begin("p", "t3", Some("t2"), Some(1_000)), WITHIN).await;
+    assert_eq!(next, Ok(two()));
+    stores.client.finish(keep("p", "t3", Some("t2")), WITHIN).await.unwrap();
+    // An empty disk: the store comes back as another one.
+    std::fs::remove_dir_all(stores.data(0)).unwrap();
+    stores.restart(0);
+    let now = stores.keeper.subscribed(COUNT).await;
+    let empty = *now.iter().find(|disk| !disks.contains(disk)).expect("another identity");
+    let epoch = stores.assign(&left[..1], &[left[1], empty]);
+    let all: Vec<u16> = (0..8).collect();
+    stores.keeper.caught_up(empty, epoch, &all).await;
+    // Now the one that was filled leads, together with one of the others.
+    stores.assign(&[empty, left[1]], &[]);
+    let chain = [two().chain, vec![turn("t3", Some("t2"))]].concat();
+    let next = stores.client.begin(begin("p", "t4", Some("t3"), Some(1_000)), WITHIN).await;
+    assert_eq!(next, Ok(Begun { chain }));
+}
+
+#[tokio::test]
+async fn stores_that_are_all_killed_come_back_with_what_they_had() {
+    let mut stores = Stores::start("restart").await;
+    keep_two(&stores).await;
+    for number in 0..COUNT {
+        stores.running[number].take().unwrap().kill();
+    }
+    let nobody = stores.client.begin(begin("p", "t3", Some("t2"), None), SHORTLY).await;
+    assert_eq!(nobody, Err(SessionError::Unavailable));
+    (0..COUNT).for_each(|number| stores.restart(number));
+    let next = stores.client.begin(begin("p", "t3", Some("t2"), None), WITHIN).await;
+    assert_eq!(next, Ok(two()));
+}
+
+#[tokio::test]
+async fn with_a_replica_missing_nothing_is_certain() {
+    let mut stores = Stores::start("missing").await;
+    keep_two(&stores).await;
+    stores.running[2].take().unwrap().stop();
+    let finished = stores.client.finish(keep("p", "t3", Some("t2")), SHORTLY).await;
+    assert_eq!(finished, Err(NotSettled));
+    let unknown = stores.client.begin(begin("p", "t4", Some("nobody"), None), SHORTLY).await;
+    assert_eq!(unknown, Err(SessionError::Unavailable));
+    // As soon as the keepers have taken it out, all is.
+    let left = stores.keeper.subscribed(COUNT - 1).await;
+    stores.assign(&left, &[]);
+    assert_eq!(stores.client.finish(keep("p", "t3", Some("t2")), WITHIN).await, Ok(()));
+    let unknown = stores.client.begin(begin("p", "t4", Some("nobody"), None), WITHIN).await;
+    assert_eq!(unknown, Err(SessionError::UnknownTurn));
+}
--- a/crates/sessions/src/levelling.rs
+++ b/crates/sessions/src/levelling.rs
@@ -12,7 +12,7 @@
 
 use crate::call::Purpose;
 use crate::event::Command;
-use crate::limits::{DIGEST_RANGES, MAX_COMPARISONS, MAX_FILLING, REPORT_PAUSE, RETRY_PAUSE};
+use crate::limits::{DIGEST_RANGES, LEVEL_RETRY_PAUSE, MAX_COMPARISONS, MAX_FILLING, REPORT_PAUSE};
 use crate::store::{Store, Timer};
 
 /// A partition that this store leads.
@@ -101,13 +101,21 @@
         }
         let joining = self.map.assignment(partition).is_some_and(|held| held.joining.contains(&replica));
         if joining && self.filling() >= MAX_FILLING {
-            let at = self.moment.now + RETRY_PAUSE;
-            self.timers.insert((at, Timer::Level(partition, replica)));
+            self.to_fill.insert((partition, replica));
             return;
         }
         self.compare(partition, replica, 1);
     }
 
+    /// Goes on with the joining replicas that had to wait for others.
+    pub(crate) fn fill_next(&mut self) {
+        while !self.to_fill.is_empty() && self.filling() < MAX_FILLING {
+            if let Some((partition, replica)) = self.to_fill.pop_first() {
+                self.start_levelling(partition, replica);
+            }
+        }
+    }
+
     /// Joining replicas that are under way.
     fn filling(&self) -> usize {
         self.leads.iter().map(|(partition, lead)| self.filling_of(*partition, lead)).sum()
@@ -237,7 +245,7 @@
         if let Some(lead) = self.leads.get_mut(&step.partition) {
             lead.levels.insert(step.replica, Level::Due);
         }
-        let at = self.moment.now + RETRY_PAUSE;
+        let at = self.moment.now + LEVEL_RETRY_PAUSE;
         self.timers.insert((at, Timer::Level(step.partition, step.replica)));
     }
 
--- a/crates/sessions/src/limits.rs
+++ b/crates/sessions/src/limits.rs
@@ -19,6 +19,8 @@
 pub(crate) const RESERVED_MEMORY_MS: u64 = 60_000;
 /// For how long a program is remembered at least after a turn was kept, in milliseconds.
 pub(crate) const KEPT_MEMORY_MS: u64 = 60_000;
+/// The pause before a replica that could not be made level is compared again.
+pub(crate) const LEVEL_RETRY_PAUSE: Span = Span::from_millis(250);
 /// The longest retention taken, in milliseconds; longer ones count as this.
 pub(crate) const MAX_RETENTION_MS: u64 = 24 * 3_600_000;
 /// How much longer everything is kept, since clocks differ and may step.
--- a/crates/sessions/src/store.rs
+++ b/crates/sessions/src/store.rs
@@ -61,6 +61,8 @@
     pub(crate) rounds: BTreeMap<RoundId, Round>,
     pub(crate) calls: BTreeMap<TransferCallId, Purpose>,
     pub(crate) waiting: BTreeMap<u64, Waiting>,
+    /// Joining replicas that wait until fewer are being filled.
+    pub(crate) to_fill: BTreeSet<(PartitionId, DiskId)>,
     pub(crate) journal: Journal,
     pub(crate) ledger: Ledger,
     pub(crate) timers: BTreeSet<(Time, Timer)>,
@@ -84,6 +86,7 @@
             rounds: BTreeMap::new(),
             calls: BTreeMap::new(),
             waiting: BTreeMap::new(),
+            to_fill: BTreeSet::new(),
             journal: Journal::default(),
             ledger: Ledger::default(),
             timers: BTreeSet::new(),
@@ -170,6 +173,7 @@
     /// Does what is due and starts a batch if there is something to write.
     fn settle(&mut self) -> Vec<Command> {
         self.run_timers();
+        self.fill_next();
         self.start_batch();
         std::mem::take(&mut self.commands)
     }
