--- a/crates/sessions/src/primary.rs
+++ b/crates/sessions/src/primary.rs
@@ -139,7 +139,8 @@
         let reserved = known.map_or(0, |record| record.tokens);
         let spent = table.map_or(0, |table| table.tokens_except(&begin.program, &begin.request));
         let tokens = begin.most_tokens.max(reserved);
-        if spent.saturating_add(tokens) > budget && (known.is_none() || tokens > reserved) {
+        // A reservation that is there already proves nothing: an old primary may have left it unacknowledged.
+        if spent.saturating_add(tokens) > budget {
             return Admission::Spent;
         }
         Admission::Admitted(Box::new(Record {
--- a/crates/sessions/tests/traces.rs
+++ b/crates/sessions/tests/traces.rs
@@ -232,6 +232,22 @@
     assert_eq!(trace.decide(5, begin("b", None, Some(50))), BEGUN);
 }
 
+#[test]
+fn a_reservation_that_an_old_primary_left_behind_does_not_admit() {
+    let (mut trace, _) = Trace::new();
+    trace.handle(Event::Map(map(2, 2, OTHER)));
+    let reserved = Record { tokens: 40, settled: false, ..record("a") };
+    let records = vec![reserved, Record { tokens: 40, ..record("b") }];
+    let request = TransferRequest::Write { partition: PARTITION, epoch: EpochNumber(2), records };
+    trace.handle(Event::Transfer { asker: AskerId(1), request });
+    trace.synced();
+    let (call, _) = call_of(&trace.handle(Event::Map(map(3, 3, OWN))));
+    let level = trace.store.table(PARTITION).unwrap().digests(16, trace.moment().time_of_day_ms);
+    trace.answer(call, TransferReply::Digests(level));
+    assert_eq!(trace.decide(2, begin("a", None, Some(79))), SessionReply::BudgetSpent);
+    assert_eq!(trace.decide(3, begin("a", None, Some(80))), BEGUN);
+}
+
 #[test]
 fn settling_again_with_less_does_not_give_tokens_back() {
     let mut trace = Trace::leading();
