--- a/crates/node/tests/store.rs
+++ b/crates/node/tests/store.rs
@@ -145,3 +145,18 @@
     let unknown = stores.client.begin(begin("p", "t4", Some("nobody"), None), WITHIN).await;
     assert_eq!(unknown, Err(SessionError::UnknownTurn));
 }
+
+#[tokio::test]
+async fn a_store_whose_disk_fails_leaves_the_keepers_until_the_disk_is_back() {
+    let stores = Stores::start("disk").await;
+    keep_two(&stores).await;
+    let batches = stores.data(0).join("sessions");
+    let aside = stores.data(0).join("aside");
+    std::fs::rename(&batches, &aside).unwrap();
+    let finished = stores.client.finish(keep("p", "t3", Some("t2")), SHORTLY).await;
+    assert_eq!(finished, Err(NotSettled));
+    stores.keeper.subscribed(COUNT - 1).await;
+    std::fs::rename(&aside, &batches).unwrap();
+    stores.keeper.subscribed(COUNT).await;
+    assert_eq!(stores.client.finish(keep("p", "t3", Some("t2")), WITHIN).await, Ok(()));
+}
