--- /dev/null
+++ b/crates/control/tests/retire.rs
@@ -0,0 +1,101 @@
+//! Emptying a store machine.
+
+mod common;
+
+use common::{REQUIRED, Tier};
+use juniperwing_control::{
+    ControlChange, RetireDecision, RetirementState, completed_retirements, decide_retire, retirement_state,
+};
+use juniperwing_protocol::{DiskId, NodeName};
+use juniperwing_replication::ReplicatedState;
+
+fn node(machine: u64) -> NodeName {
+    NodeName::from(format!("store-{machine}").as_str())
+}
+
+fn decide(tier: &Tier, machine: u64) -> RetireDecision {
+    decide_retire(&tier.state, &tier.view, &node(machine), REQUIRED)
+}
+
+fn begin(tier: &mut Tier, machine: u64) {
+    match decide(tier, machine) {
+        RetireDecision::Take(change) => tier.state.apply(&change),
+        other => panic!("{other:?}"),
+    }
+}
+
+fn complete(tier: &mut Tier) {
+    for disk in completed_retirements(&tier.state, REQUIRED) {
+        tier.state.apply(&ControlChange::CompleteRetirement(disk));
+    }
+}
+
+#[test]
+fn unknown_machines_and_too_few_others_are_refused() {
+    let tier = Tier::of(1..=2);
+    assert_eq!(decide(&tier, 9), RetireDecision::Unknown);
+    assert_eq!(decide(&tier, 1), RetireDecision::TooFewRemain { others: 1 });
+}
+
+#[test]
+fn a_machine_under_way_does_not_count_as_another() {
+    let mut tier = Tier::of(1..=4);
+    begin(&mut tier, 1);
+    begin(&mut tier, 2);
+    assert_eq!(decide(&tier, 3), RetireDecision::TooFewRemain { others: 1 });
+    assert_eq!(decide(&tier, 1), RetireDecision::AlreadyTaken);
+}
+
+#[test]
+fn replicas_move_away_before_it_is_completed() {
+    let mut tier = Tier::of(1..=4);
+    begin(&mut tier, 1);
+    tier.step(&[]).unwrap();
+    let moving: Vec<_> =
+        tier.partitions().iter().filter(|held| held.in_sync.contains(&DiskId(1))).cloned().collect();
+    assert!(!moving.is_empty());
+    assert!(moving.iter().all(|held| held.joining.len() == 1), "another joins first");
+    complete(&mut tier);
+    assert_eq!(retirement_state(&tier.state, &node(1)), Some(RetirementState::Active));
+    tier.settle();
+    assert!(!tier.holders().contains(&DiskId(1)));
+    assert!(tier.partitions().iter().all(|held| held.in_sync.len() == REQUIRED + 1));
+    complete(&mut tier);
+    assert_eq!(retirement_state(&tier.state, &node(1)), Some(RetirementState::Completed));
+    assert_eq!(decide(&tier, 1), RetireDecision::AlreadyTaken);
+}
+
+#[test]
+fn it_is_not_completed_while_a_partition_has_too_few_copies() {
+    let mut tier = Tier::of(1..=3);
+    tier.lose(3);
+    tier.step(&[]).unwrap();
+    begin(&mut tier, 1);
+    tier.step(&[]);
+    complete(&mut tier);
+    assert!(tier.holders().contains(&DiskId(1)));
+    assert_eq!(retirement_state(&tier.state, &node(1)), Some(RetirementState::Active));
+}
+
+#[test]
+fn a_completed_one_that_is_still_there_is_given_nothing() {
+    let mut tier = Tier::of(1..=4);
+    begin(&mut tier, 1);
+    tier.settle();
+    complete(&mut tier);
+    tier.lose_long(2);
+    tier.settle();
+    assert!(!tier.holders().contains(&DiskId(1)));
+}
+
+#[test]
+fn it_stays_completed_when_the_machine_is_gone() {
+    let mut tier = Tier::of(1..=4);
+    begin(&mut tier, 1);
+    tier.settle();
+    complete(&mut tier);
+    tier.lose_long(1);
+    tier.settle();
+    assert_eq!(retirement_state(&tier.state, &node(1)), Some(RetirementState::Completed));
+    assert_eq!(decide(&tier, 1), RetireDecision::AlreadyTaken);
+}
--- /dev/null
+++ b/crates/control/tests/tracker.rs
@@ -0,0 +1,89 @@
+//! Traces of what keepers report of the stores.
+
+mod common;
+
+use common::store;
+use juniperwing_clock::{Span, Time};
+use juniperwing_control::StoreTracker;
+use juniperwing_protocol::DiskId;
+
+const KEEPER: DiskId = DiskId(100);
+const OTHER: DiskId = DiskId(101);
+
+fn at(millis: u64) -> Time {
+    Time::default() + Span::from_millis(millis)
+}
+
+/// A tracker that has run for ten seconds, with reports of two stores every 100 ms.
+fn running() -> StoreTracker {
+    let mut tracker = StoreTracker::new(at(0));
+    for millis in (0..=10_000).step_by(100) {
+        tracker.report(at(millis), KEEPER, vec![store(1), store(2)]);
+        tracker.tick(at(millis), &[store(1), store(2)]);
+    }
+    tracker
+}
+
+#[test]
+fn a_store_is_lost_when_no_keeper_sees_it_for_a_while() {
+    let mut tracker = running();
+    tracker.report(at(10_100), KEEPER, vec![store(1)]);
+    let view = tracker.tick(at(10_100), &[store(1), store(2)]);
+    assert!(!view.alive.contains_key(&DiskId(2)) && view.lost.is_empty());
+    assert_eq!(tracker.next_loss(), at(10_400));
+    let view = tracker.tick(at(10_400), &[store(1), store(2)]);
+    assert_eq!(view.lost.into_iter().collect::<Vec<_>>(), [DiskId(2)]);
+    assert!(view.long_lost.is_empty() && !view.calm);
+}
+
+#[test]
+fn a_store_that_another_keeper_sees_is_alive() {
+    let mut tracker = running();
+    tracker.report(at(10_100), OTHER, vec![store(2)]);
+    tracker.report(at(10_100), KEEPER, vec![store(1)]);
+    tracker.tick(at(10_100), &[store(1), store(2)]);
+    let view = tracker.tick(at(10_600), &[store(1), store(2)]);
+    assert_eq!(view.alive.len(), 2);
+    assert!(view.lost.is_empty());
+}
+
+#[test]
+fn a_keeper_that_says_nothing_does_not_count() {
+    let mut tracker = running();
+    tracker.report(at(10_100), OTHER, vec![store(2)]);
+    for millis in (10_100..=11_800).step_by(100) {
+        tracker.report(at(millis), KEEPER, vec![store(1)]);
+        tracker.tick(at(millis), &[store(1), store(2)]);
+    }
+    let view = tracker.tick(at(11_800), &[store(1), store(2)]);
+    assert!(view.lost.contains(&DiskId(2)));
+}
+
+#[test]
+fn nothing_is_lost_right_after_the_start() {
+    let mut tracker = StoreTracker::new(at(0));
+    for millis in (0..2_000).step_by(100) {
+        let view = tracker.tick(at(millis), &[store(1)]);
+        assert!(view.lost.is_empty());
+    }
+    assert!(tracker.tick(at(2_000), &[store(1)]).lost.contains(&DiskId(1)));
+}
+
+#[test]
+fn nothing_is_lost_right_after_a_pause_of_the_process() {
+    let mut tracker = running();
+    let view = tracker.tick(at(15_000), &[store(1), store(2)]);
+    assert!(view.alive.is_empty() && view.lost.is_empty());
+    let view = tracker.tick(at(15_900), &[store(1), store(2)]);
+    assert!(view.lost.is_empty());
+}
+
+#[test]
+fn others_are_waited_for_before_the_first_map() {
+    let mut tracker = StoreTracker::new(at(0));
+    tracker.report(at(500), KEEPER, Vec::new());
+    assert!(!tracker.tick(at(500), &[]).gathered);
+    tracker.report(at(1_000), KEEPER, vec![store(1)]);
+    assert!(!tracker.tick(at(1_900), &[]).gathered);
+    assert!(tracker.tick(at(2_500), &[]).gathered);
+}
--- a/crates/node/tests/keeper.rs
+++ b/crates/node/tests/keeper.rs
@@ -36,7 +36,7 @@
 #[tokio::test]
 async fn an_invalid_configuration_is_refused_with_findings_and_is_not_in_force() {
     let keepers = Keepers::start(1).await;
-    let refused = keepers.put(0, 0, "{\"generation\":0,\"routes\":[]}").await;
+    let refused = keepers.put(0, 0, &configuration(0)).await;
     assert_eq!(refused.status, 400);
     assert!(refused.body.contains("generation"), "{}", refused.body);
     assert_eq!(keepers.put(0, 0, "{\"generation\":").await.status, 400);
--- /dev/null
+++ b/crates/registry/tests/registry.rs
@@ -0,0 +1,203 @@
+//! Traces of heartbeats, drains, ends and expiry, and of what keepers tell each other.
+
+use juniperwing_clock::{Span, Time};
+use juniperwing_protocol::InstanceId;
+use juniperwing_protocol::registry::{Instance, InstanceState, Refresh};
+use juniperwing_registry::{HeartbeatOutcome, Registry, RegistrySettings, TOMBSTONE_LIFE, parse_heartbeat};
+use proptest::prelude::*;
+
+const HEARTBEAT_MS: u64 = 1_000;
+
+fn at(millis: u64) -> Time {
+    Time::default() + Span::from_millis(millis)
+}
+
+fn registry() -> Registry {
+    let settings = RegistrySettings { heartbeat: Span::from_millis(HEARTBEAT_MS), max_instances: 10 };
+    Registry::new(at(0), settings)
+}
+
+fn instance(id: &str, port: u16, state: InstanceState, sequence: u64) -> Instance {
+    Instance {
+        id: id.into(),
+        service: "s".into(),
+        address: ([10, 0, 0, 1], port).into(),
+        zone: "a".into(),
+        capacity: 4,
+        state,
+        sequence,
+    }
+}
+
+fn ready(id: &str, sequence: u64) -> Instance {
+    instance(id, 80, InstanceState::Ready, sequence)
+}
+
+fn draining(id: &str, sequence: u64) -> Instance {
+    instance(id, 80, InstanceState::Draining, sequence)
+}
+
+fn state_of(registry: &Registry, id: &str) -> Option<InstanceState> {
+    registry.get(&InstanceId::from(id)).map(|instance| instance.state)
+}
+
+fn refresh(id: &str, sequence: u64) -> Refresh {
+    Refresh { id: id.into(), sequence }
+}
+
+#[test]
+fn the_first_heartbeat_is_news_and_the_next_is_not() {
+    let mut registry = registry();
+    assert_eq!(registry.heartbeat(at(0), ready("a", 1)), HeartbeatOutcome::Changed(vec![ready("a", 1)]));
+    assert_eq!(registry.heartbeat(at(1), ready("a", 2)), HeartbeatOutcome::Refreshed(refresh("a", 2)));
+}
+
+#[test]
+fn a_late_heartbeat_changes_nothing() {
+    let mut registry = registry();
+    registry.heartbeat(at(0), ready("a", 5));
+    assert_eq!(registry.heartbeat(at(1), ready("a", 4)), HeartbeatOutcome::Late);
+    assert_eq!(registry.get(&"a".into()).unwrap().sequence, 5);
+}
+
+#[test]
+fn a_drain_is_final_within_a_life() {
+    let mut registry = registry();
+    registry.heartbeat(at(0), ready("a", 1));
+    assert!(matches!(registry.heartbeat(at(1), draining("a", 2)), HeartbeatOutcome::Changed(_)));
+    assert_eq!(registry.heartbeat(at(2), ready("a", 9)), HeartbeatOutcome::Late);
+    assert_eq!(state_of(&registry, "a"), Some(InstanceState::Draining));
+    assert!(registry.merge(at(3), vec![ready("a", 10)], &[refresh("a", 11)]).is_empty());
+    assert_eq!(state_of(&registry, "a"), Some(InstanceState::Draining));
+}
+
+#[test]
+fn an_end_leaves_a_tombstone_for_longer_than_a_late_call_takes() {
+    let mut registry = registry();
+    registry.heartbeat(at(0), ready("a", 1));
+    assert_eq!(registry.remove(at(1), &"a".into()).map(|gone| gone.state), Some(InstanceState::Gone));
+    assert_eq!(registry.remove(at(2), &"a".into()), None);
+    assert_eq!(registry.heartbeat(at(3), ready("a", 2)), HeartbeatOutcome::Late);
+    registry.expire(at(59_000));
+    assert_eq!(state_of(&registry, "a"), Some(InstanceState::Gone));
+    registry.expire(at(1) + TOMBSTONE_LIFE);
+    assert!(registry.is_empty());
+}
+
+#[test]
+fn an_end_before_any_heartbeat_is_remembered_too() {
+    let mut registry = registry();
+    assert!(registry.remove(at(0), &"a".into()).is_some());
+    assert_eq!(registry.heartbeat(at(1), ready("a", 1)), HeartbeatOutcome::Late);
+}
+
+#[test]
+fn silence_expires_and_a_later_heartbeat_brings_back() {
+    let mut registry = registry();
+    registry.heartbeat(at(0), ready("a", 1));
+    assert!(registry.expire(at(2_999)).is_empty());
+    assert_eq!(registry.expire(at(3_000))[0].state, InstanceState::Expired);
+    assert!(registry.expire(at(3_100)).is_empty());
+    assert_eq!(registry.heartbeat(at(3_200), ready("a", 1)), HeartbeatOutcome::Late);
+    assert!(matches!(registry.heartbeat(at(3_300), ready("a", 2)), HeartbeatOutcome::Changed(_)));
+    assert_eq!(state_of(&registry, "a"), Some(InstanceState::Ready));
+}
+
+#[test]
+fn what_another_keeper_hears_keeps_an_instance() {
+    let mut registry = registry();
+    registry.heartbeat(at(0), ready("a", 1));
+    assert!(registry.merge(at(2_000), Vec::new(), &[refresh("a", 3)]).is_empty());
+    assert!(registry.expire(at(4_000)).is_empty());
+    assert_eq!(registry.expire(at(5_000)).len(), 1);
+    let back = registry.merge(at(5_100), Vec::new(), &[refresh("a", 4)]);
+    assert_eq!(back[0].state, InstanceState::Ready);
+}
+
+#[test]
+fn silence_does_not_count_while_cut_off() {
+    let mut registry = registry();
+    registry.heartbeat(at(0), ready("a", 1));
+    registry.restart_silence(at(10_000));
+    assert!(registry.expire(at(12_900)).is_empty());
+    assert_eq!(registry.expire(at(13_000)).len(), 1);
+}
+
+#[test]
+fn an_address_taken_by_a_newer_instance_ends_the_older_one() {
+    let mut registry = registry();
+    registry.heartbeat(at(0), ready("a", 1));
+    registry.heartbeat(at(2_500), ready("b", 1));
+    assert_eq!(state_of(&registry, "a"), Some(InstanceState::Gone));
+    assert_eq!(state_of(&registry, "b"), Some(InstanceState::Ready));
+}
+
+#[test]
+fn a_late_call_of_the_older_one_does_not_end_the_newer_one() {
+    let mut registry = registry();
+    registry.heartbeat(at(0), ready("a", 1));
+    registry.heartbeat(at(2_500), ready("b", 1));
+    assert_eq!(registry.heartbeat(at(2_600), ready("a", 2)), HeartbeatOutcome::Late);
+    assert_eq!(state_of(&registry, "b"), Some(InstanceState::Ready));
+}
+
+#[test]
+fn the_number_of_instances_is_bounded() {
+    let mut registry = registry();
+    for port in 0..10 {
+        let id = format!("i-{port}");
+        registry.heartbeat(at(0), instance(&id, port, InstanceState::Ready, 1));
+    }
+    assert_eq!(registry.heartbeat(at(1), ready("more", 1)), HeartbeatOutcome::Full);
+    assert!(registry.merge(at(1), vec![ready("more", 1)], &[]).is_empty());
+    assert_eq!(registry.len(), 10);
+}
+
+#[test]
+fn it_is_complete_after_two_heartbeats() {
+    let registry = registry();
+    assert!(!registry.is_complete(at(1_999)));
+    assert!(registry.is_complete(at(2_000)));
+}
+
+#[test]
+fn a_heartbeat_is_read_and_all_findings_are_told() {
+    let body = br#"{"backend":"s","address":"10.0.0.1:80","zone":"a","generation":"v1","capacity":4,
+        "state":"ready","warmupRemainingMs":0,"stage":"both","models":[{"name":"m"}],"sequence":7}"#;
+    assert_eq!(parse_heartbeat("a", body), Ok(ready("a", 7)));
+    let findings = parse_heartbeat("a", br#"{"address":"here","state":"asleep","capacity":-1}"#).unwrap_err();
+    let places: Vec<&str> = findings.iter().map(|finding| finding.place.as_str()).collect();
+    assert_eq!(places, ["backend", "zone", "address", "state", "sequence", "capacity"]);
+    assert!(parse_heartbeat("a", b"[").is_err());
+    assert!(parse_heartbeat("a", br#"{"sequence":-1}"#).is_err());
+}
+
+fn call() -> impl Strategy<Value = Instance> {
+    (0_u64..20, prop::bool::weighted(0.1)).prop_map(|(sequence, drains)| {
+        let state = if drains { InstanceState::Draining } else { InstanceState::Ready };
+        instance("a", 80, state, sequence)
+    })
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn two_keepers_agree_once_they_have_told_each_other_all(
+        calls in prop::collection::vec((call(), any::<bool>()), 1..40), ends in any::<bool>(),
+    ) {
+        let (mut one, mut other) = (registry(), registry());
+        for (call, first) in calls {
+            let keeper = if first { &mut one } else { &mut other };
+            keeper.heartbeat(at(1), call);
+        }
+        if ends {
+            one.remove(at(1), &"a".into());
+        }
+        let told: Vec<Instance> = one.instances().cloned().collect();
+        other.merge(at(2), told, &[]);
+        let told: Vec<Instance> = other.instances().cloned().collect();
+        one.merge(at(2), told, &[]);
+        prop_assert_eq!(one.get(&"a".into()), other.get(&"a".into()));
+    }
+}
