Exchange of instances between keepers is a pure part of the registry

A keeper that had just started acknowledged a drain without waiting for the others, since it took those it had never called as out of reach. They count as in reach until a call fails, and whenever they were heard of. The trace fails without it.

--- a/crates/node/src/keeper.rs
+++ b/crates/node/src/keeper.rs
@@ -9,7 +9,6 @@
 mod contact;
 mod control_listener;
 mod discovery;
-mod exchange;
 mod inbox;
 mod orders;
 mod peers;
@@ -29,7 +28,7 @@
 use juniperwing_protocol::replication::{Version, Voter};
 use juniperwing_protocol::subscription::CaughtUp;
 use juniperwing_protocol::{DiskId, NodeName};
-use juniperwing_registry::{MAX_INSTANCES, Registry, RegistrySettings};
+use juniperwing_registry::{Exchange, MAX_INSTANCES, Registry, RegistrySettings};
 use juniperwing_replication::{Event, Record, Replica, Timings};
 use slog::{Logger, info};
 use tokio::net::TcpListener;
@@ -38,13 +37,13 @@
 
 use self::consensus::{Consensus, MAX_WRITES, Write, tick_replica, write_records};
 use self::contact::Contact;
-use self::exchange::Exchange;
 use self::inbox::Inbox;
 use self::peers::Peers;
 use self::record_file::RecordFile;
 use self::subscribers::{Subscribers, Tellable};
 use crate::clock;
 use crate::command::Process;
+use crate::link::LinkId;
 use crate::settings::{Port, Settings};
 use crate::signals::Wish;
 
@@ -66,7 +65,7 @@
     consensus: Consensus,
     contact: Contact,
     registry: Registry,
-    exchange: Exchange,
+    exchange: Exchange<LinkId>,
     subscribers: Subscribers,
     tracker: StoreTracker,
     store_view: StoreView,
@@ -241,6 +240,15 @@
         voters.filter(|voter| voter.disk != self.me.disk).map(|voter| voter.address).collect()
     }
 
+    /// Where those of the other voters listen that were heard of a short while ago.
+    fn keepers_in_reach(&self) -> Vec<SocketAddr> {
+        let state = self.lock();
+        let now = clock::now();
+        let voters = state.consensus.replica.voters().iter();
+        let heard = voters.filter(|voter| state.contact.is_heard(now, voter.disk));
+        heard.filter(|voter| voter.disk != self.me.disk).map(|voter| voter.address).collect()
+    }
+
     /// Whether what this keeper hears and tells reaches most of the others.
     fn is_in_contact(&self, state: &State) -> bool {
         let replica = &state.consensus.replica;
--- a/crates/node/src/keeper/discovery.rs
+++ b/crates/node/src/keeper/discovery.rs
@@ -5,11 +5,10 @@
 
 use juniperwing_protocol::registry::{Instance, InstanceState, Refresh, RegistryMessage};
 use juniperwing_protocol::{InstanceId, Message};
-use juniperwing_registry::HeartbeatOutcome;
+use juniperwing_registry::{Batch, ChangeNumber, HeartbeatOutcome};
 use slog::{debug, info};
 use tokio::time::Instant;
 
-use super::exchange::{Batch, ChangeNumber};
 use super::{Keeper, State};
 use crate::clock;
 use crate::link::Reply;
@@ -166,7 +165,9 @@
     async fn wait_spread(&self, spread: Spread) {
         let until = Instant::now() + SPREAD_WITHIN;
         self.wait_until(until, |state| {
-            state.subscribers.have_instances(spread.revision) && state.exchange.have_confirmed(spread.change)
+            let is_heard = |disk| state.contact.is_heard(clock::now(), disk);
+            state.subscribers.have_instances(spread.revision)
+                && state.exchange.have_confirmed(spread.change, is_heard)
         })
         .await;
     }
--- a/crates/node/src/keeper/orders.rs
+++ b/crates/node/src/keeper/orders.rs
@@ -181,7 +181,7 @@
         let until = deadline.min(Instant::now() + APPLY_WITHIN);
         let wait_ms = until.saturating_duration_since(Instant::now()).as_millis() as u32;
         let mut calls = JoinSet::new();
-        for address in self.other_keepers() {
+        for address in self.keepers_in_reach() {
             let keeper = Arc::clone(self);
             let message = Message::Registry(RegistryMessage::Distribute { version, wait_ms });
             calls.spawn(async move { drop(keeper.peers.call(address, message, APPLY_WITHIN).await) });
--- /dev/null
+++ b/crates/registry/src/exchange.rs
@@ -0,0 +1,179 @@
+//! What each other keeper still has to be told of instances, and what it has confirmed.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use juniperwing_protocol::registry::{Instance, Refresh};
+use juniperwing_protocol::replication::Voter;
+use juniperwing_protocol::{DiskId, InstanceId};
+
+/// Batches on their way to one keeper at a time.
+const MAX_IN_FLIGHT: usize = 4;
+
+/// Counts changes of instances.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct ChangeNumber(u64);
+
+/// A batch to be sent to another keeper.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Batch {
+    /// Who is to be told.
+    pub to: Voter,
+    /// The first change in it; names the batch.
+    pub first: ChangeNumber,
+    /// Instances that are new or have changed.
+    pub changed: Vec<Instance>,
+    /// Instances heard of again.
+    pub refreshed: Vec<Refresh>,
+}
+
+#[derive(Clone, Debug)]
+struct Counterpart<Connection> {
+    voter: Voter,
+    changed: BTreeMap<InstanceId, Instance>,
+    refreshed: BTreeMap<InstanceId, u64>,
+    pending: Option<ChangeNumber>,
+    in_flight: BTreeSet<ChangeNumber>,
+    /// Whether it must be told all instances.
+    needs_whole: bool,
+    /// Whether it answered the last batch; assumed until one fails.
+    is_reachable: bool,
+    connection: Option<Connection>,
+}
+
+/// What all other keepers have to be told. `Connection` tells apart the connections over which they answer.
+#[derive(Clone, Debug)]
+pub struct Exchange<Connection> {
+    newest: ChangeNumber,
+    counterparts: BTreeMap<DiskId, Counterpart<Connection>>,
+}
+
+impl<Connection> Default for Exchange<Connection> {
+    fn default() -> Self {
+        Exchange { newest: ChangeNumber::default(), counterparts: BTreeMap::new() }
+    }
+}
+
+impl<Connection: Copy + PartialEq> Exchange<Connection> {
+    /// Goes by these keepers from now on; a new one is told everything.
+    pub fn set_keepers(&mut self, others: &[Voter]) {
+        self.counterparts.retain(|_, counterpart| others.contains(&counterpart.voter));
+        for voter in others {
+            let known = self.counterparts.entry(voter.disk);
+            known.or_insert_with(|| Counterpart::new(voter.clone()));
+        }
+    }
+
+    /// The number of the newest change.
+    pub fn newest(&self) -> ChangeNumber {
+        self.newest
+    }
+
+    /// Changes that all others have to be told.
+    pub fn note_changed(&mut self, instances: &[Instance]) -> ChangeNumber {
+        if instances.is_empty() {
+            return self.newest;
+        }
+        self.newest.0 += 1;
+        for counterpart in self.counterparts.values_mut() {
+            counterpart.pending.get_or_insert(self.newest);
+            for instance in instances {
+                counterpart.refreshed.remove(&instance.id);
+                counterpart.changed.insert(instance.id.clone(), instance.clone());
+            }
+        }
+        self.newest
+    }
+
+    /// An instance was heard of again.
+    pub fn note_refreshed(&mut self, refresh: &Refresh) {
+        for counterpart in self.counterparts.values_mut() {
+            counterpart.refreshed.insert(refresh.id.clone(), refresh.sequence);
+        }
+    }
+
+    /// Batches to be sent now: changes at once, all else only where `regular`.
+    pub fn batches<'registry>(
+        &mut self, regular: bool, instances: impl Fn() -> Vec<&'registry Instance>,
+    ) -> Vec<Batch> {
+        let newest = self.newest;
+        let mut batches = Vec::new();
+        for counterpart in self.counterparts.values_mut() {
+            if !counterpart.is_due(regular) {
+                continue;
+            }
+            if std::mem::take(&mut counterpart.needs_whole) {
+                counterpart.refreshed.clear();
+                let whole = instances().into_iter();
+                counterpart.changed.extend(whole.map(|instance| (instance.id.clone(), instance.clone())));
+            }
+            let first = counterpart.pending.take().unwrap_or(ChangeNumber(newest.0 + 1));
+            counterpart.in_flight.insert(first);
+            let refreshed = std::mem::take(&mut counterpart.refreshed).into_iter();
+            batches.push(Batch {
+                to: counterpart.voter.clone(),
+                first,
+                changed: std::mem::take(&mut counterpart.changed).into_values().collect(),
+                refreshed: refreshed.map(|(id, sequence)| Refresh { id, sequence }).collect(),
+            });
+        }
+        batches
+    }
+
+    /// A batch was answered over this connection. One not seen before may lead to a keeper that has started
+    /// again and knows nothing.
+    pub fn answered(&mut self, disk: DiskId, first: ChangeNumber, connection: Connection) {
+        let Some(counterpart) = self.counterparts.get_mut(&disk) else { return };
+        counterpart.in_flight.remove(&first);
+        counterpart.is_reachable = true;
+        if counterpart.connection.replace(connection).is_some_and(|before| before != connection) {
+            counterpart.needs_whole = true;
+        }
+    }
+
+    /// A batch was not answered: all it said has to be said again.
+    pub fn failed(&mut self, disk: DiskId, first: ChangeNumber) {
+        let Some(counterpart) = self.counterparts.get_mut(&disk) else { return };
+        counterpart.in_flight.remove(&first);
+        counterpart.pending = Some(counterpart.pending.map_or(first, |pending| pending.min(first)));
+        counterpart.is_reachable = false;
+        counterpart.needs_whole = true;
+    }
+
+    /// Whether every keeper that can be reached has confirmed all changes up to `number`. Besides those that
+    /// answer, those count that were heard of a short while ago.
+    pub fn have_confirmed(&self, number: ChangeNumber, is_heard: impl Fn(DiskId) -> bool) -> bool {
+        self.counterparts
+            .values()
+            .filter(|counterpart| counterpart.is_reachable || is_heard(counterpart.voter.disk))
+            .all(|counterpart| counterpart.has_confirmed(number))
+    }
+}
+
+impl<Connection> Counterpart<Connection> {
+    fn new(voter: Voter) -> Self {
+        Counterpart {
+            voter,
+            changed: BTreeMap::new(),
+            refreshed: BTreeMap::new(),
+            pending: None,
+            in_flight: BTreeSet::new(),
+            needs_whole: true,
+            is_reachable: true,
+            connection: None,
+        }
+    }
+
+    fn has_confirmed(&self, number: ChangeNumber) -> bool {
+        let waits = self.pending.is_some_and(|pending| pending <= number);
+        let unanswered = self.in_flight.first().is_some_and(|first| *first <= number);
+        !waits && !unanswered
+    }
+
+    fn is_due(&self, regular: bool) -> bool {
+        let waits = self.needs_whole || !self.changed.is_empty() || !self.refreshed.is_empty();
+        if !self.is_reachable {
+            return regular && waits && self.in_flight.is_empty();
+        }
+        self.in_flight.len() < MAX_IN_FLIGHT && (!self.changed.is_empty() || (regular && waits))
+    }
+}
--- a/crates/registry/src/lib.rs
+++ b/crates/registry/src/lib.rs
@@ -4,9 +4,11 @@
 //! [`Instance::supersedes`](juniperwing_protocol::registry::Instance::supersedes), and expire when no keeper
 //! hears of them. A drain is final within a life; an end leaves a tombstone for longer than a late call takes.
 
+mod exchange;
 mod heartbeat;
 mod registry;
 
+pub use exchange::{Batch, ChangeNumber, Exchange};
 pub use heartbeat::{Finding, parse_heartbeat};
 pub use registry::{
     EXPIRY_HEARTBEATS, HeartbeatOutcome, MAX_INSTANCES, Registry, RegistrySettings, TOMBSTONE_LIFE,
--- /dev/null
+++ b/crates/registry/tests/exchange.rs
@@ -0,0 +1,141 @@
+//! Traces of what keepers tell each other, and of what counts as confirmed.
+
+use juniperwing_protocol::DiskId;
+use juniperwing_protocol::registry::{Instance, InstanceState, Refresh};
+use juniperwing_protocol::replication::Voter;
+use juniperwing_registry::{Batch, ChangeNumber, Exchange};
+
+const FIRST_CONNECTION: u32 = 1;
+const NOBODY_HEARD: fn(DiskId) -> bool = |_| false;
+
+fn voter(disk: u64) -> Voter {
+    Voter {
+        disk: DiskId(disk),
+        node: format!("core-{disk}").as_str().into(),
+        address: ([10, 0, 0, disk as u8], 7000).into(),
+    }
+}
+
+fn instance(id: &str) -> Instance {
+    Instance {
+        id: id.into(),
+        service: "s".into(),
+        address: ([10, 0, 0, 1], 80).into(),
+        zone: "a".into(),
+        capacity: 4,
+        state: InstanceState::Ready,
+        sequence: 1,
+    }
+}
+
+/// Exchange with one other keeper, and what this keeper knows.
+struct Trace {
+    exchange: Exchange<u32>,
+    known: Vec<Instance>,
+}
+
+impl Trace {
+    fn new() -> Self {
+        let mut exchange = Exchange::default();
+        exchange.set_keepers(&[voter(2)]);
+        Trace { exchange, known: Vec::new() }
+    }
+
+    /// A trace in which the other keeper has answered once.
+    fn in_contact() -> Self {
+        let mut trace = Trace::new();
+        let first = trace.batch(true).unwrap();
+        trace.exchange.answered(DiskId(2), first.first, FIRST_CONNECTION);
+        trace
+    }
+
+    fn change(&mut self, id: &str) -> ChangeNumber {
+        self.known.push(instance(id));
+        self.exchange.note_changed(&[instance(id)])
+    }
+
+    fn batch(&mut self, regular: bool) -> Option<Batch> {
+        let known = &self.known;
+        let batches = self.exchange.batches(regular, || known.iter().collect());
+        assert!(batches.len() <= 1);
+        batches.into_iter().next()
+    }
+}
+
+fn ids(batch: &Batch) -> Vec<&str> {
+    batch.changed.iter().map(|instance| &*instance.id.0).collect()
+}
+
+#[test]
+fn a_keeper_of_which_nothing_is_known_yet_has_not_confirmed() {
+    let mut trace = Trace::new();
+    let change = trace.change("a");
+    assert!(!trace.exchange.have_confirmed(change, NOBODY_HEARD));
+    let batch = trace.batch(false).expect("changes go at once");
+    assert!(!trace.exchange.have_confirmed(change, NOBODY_HEARD));
+    trace.exchange.answered(DiskId(2), batch.first, FIRST_CONNECTION);
+    assert!(trace.exchange.have_confirmed(change, NOBODY_HEARD));
+}
+
+#[test]
+fn changes_go_at_once_and_the_rest_regularly() {
+    let mut trace = Trace::in_contact();
+    trace.exchange.note_refreshed(&Refresh { id: "a".into(), sequence: 2 });
+    assert_eq!(trace.batch(false), None);
+    assert_eq!(trace.batch(true).unwrap().refreshed, [Refresh { id: "a".into(), sequence: 2 }]);
+    trace.change("b");
+    assert_eq!(ids(&trace.batch(false).unwrap()), ["b"]);
+    assert_eq!(trace.batch(true), None);
+}
+
+#[test]
+fn each_of_several_batches_is_confirmed_on_its_own() {
+    let mut trace = Trace::in_contact();
+    let one = trace.change("a");
+    let first = trace.batch(false).unwrap();
+    let two = trace.change("b");
+    let second = trace.batch(false).unwrap();
+    trace.exchange.answered(DiskId(2), second.first, FIRST_CONNECTION);
+    assert!(!trace.exchange.have_confirmed(two, NOBODY_HEARD));
+    trace.exchange.answered(DiskId(2), first.first, FIRST_CONNECTION);
+    assert!(trace.exchange.have_confirmed(one, NOBODY_HEARD));
+    assert!(trace.exchange.have_confirmed(two, NOBODY_HEARD));
+}
+
+#[test]
+fn after_a_failure_everything_is_told_again() {
+    let mut trace = Trace::in_contact();
+    let change = trace.change("a");
+    let lost = trace.batch(false).unwrap();
+    trace.exchange.failed(DiskId(2), lost.first);
+    assert_eq!(trace.batch(false), None, "one that does not answer is tried with the regular ones only");
+    assert!(trace.exchange.have_confirmed(change, NOBODY_HEARD), "nobody waits for one out of reach");
+    assert!(!trace.exchange.have_confirmed(change, |_| true), "but for one that is heard");
+    let again = trace.batch(true).unwrap();
+    assert_eq!(ids(&again), ["a"]);
+    trace.exchange.answered(DiskId(2), again.first, FIRST_CONNECTION);
+    assert!(trace.exchange.have_confirmed(change, |_| true));
+}
+
+#[test]
+fn a_keeper_that_started_again_is_told_everything() {
+    let mut trace = Trace::in_contact();
+    trace.change("a");
+    let batch = trace.batch(false).unwrap();
+    trace.exchange.answered(DiskId(2), batch.first, FIRST_CONNECTION);
+    trace.change("b");
+    let batch = trace.batch(false).unwrap();
+    trace.exchange.answered(DiskId(2), batch.first, FIRST_CONNECTION + 1);
+    assert_eq!(ids(&trace.batch(true).unwrap()), ["a", "b"]);
+}
+
+#[test]
+fn a_keeper_that_is_no_voter_any_more_is_not_waited_for() {
+    let mut trace = Trace::in_contact();
+    let change = trace.change("a");
+    trace.exchange.set_keepers(&[voter(3)]);
+    let batch = trace.batch(true).unwrap();
+    assert_eq!((batch.to.disk, ids(&batch)), (DiskId(3), vec!["a"]));
+    trace.exchange.answered(DiskId(3), batch.first, FIRST_CONNECTION);
+    assert!(trace.exchange.have_confirmed(change, NOBODY_HEARD));
+}
