An answer to an older batch, or an unknown voter, no longer confirms a drain

Batches shared a number with the change after them, so the answer to a regular batch confirmed that change; batches now have numbers of their own, with a trace that fails without. Voters were taken up with housekeeping only, up to 150 ms late; now before every change.

--- a/crates/node/src/keeper.rs
+++ b/crates/node/src/keeper.rs
@@ -333,17 +333,20 @@
         let now = clock::now();
         state.was_paused = now.since(state.last_round) > PAUSE;
         state.last_round = now;
-        let others: Vec<Voter> = {
-            let voters = state.consensus.replica.voters().iter();
-            voters.filter(|voter| voter.disk != self.me.disk).cloned().collect()
-        };
-        state.exchange.set_keepers(&others);
+        self.set_exchange_keepers(&mut state);
         self.expire_instances(&mut state);
         drop(state);
         // Voters and completeness change without an event of their own; what is known already is not told again.
         self.wake_push.notify_one();
     }
 
+    /// Makes the exchange go by the present voters.
+    fn set_exchange_keepers(&self, state: &mut State) {
+        let voters = state.consensus.replica.voters().iter();
+        let others: Vec<Voter> = voters.filter(|voter| voter.disk != self.me.disk).cloned().collect();
+        state.exchange.set_keepers(&others);
+    }
+
     fn log_committed(&self) {
         let mut state = self.lock();
         let Some(committed) = state.consensus.committed().map(|held| Arc::clone(&held.state)) else { return };
--- a/crates/node/src/keeper/discovery.rs
+++ b/crates/node/src/keeper/discovery.rs
@@ -128,7 +128,7 @@
     }
 
     async fn send_batch(self: Arc<Self>, batch: Batch) {
-        let Batch { to, first, changed, refreshed } = batch;
+        let Batch { to, number, changed, refreshed } = batch;
         let from = self.me.disk;
         let message = Message::Registry(RegistryMessage::Instances { from, changed, refreshed });
         let link = self.peers.link(to.address).await.ok();
@@ -141,11 +141,11 @@
             match answered {
                 Some(link) => {
                     state.contact.note(clock::now(), to.disk);
-                    state.exchange.answered(to.disk, first, link);
+                    state.exchange.answered(to.disk, number, link);
                 }
                 None => {
                     debug!(self.log, "a keeper does not answer"; "keeper" => %to.node.0);
-                    state.exchange.failed(to.disk, first);
+                    state.exchange.failed(to.disk, number);
                 }
             }
         }
@@ -158,6 +158,8 @@
             return;
         }
         state.subscribers.note(changed);
+        // A voter of this moment must not be missed by what is acknowledged in it.
+        self.set_exchange_keepers(state);
         state.exchange.note_changed(changed);
         self.wake_push.notify_one();
     }
--- a/crates/registry/src/exchange.rs
+++ b/crates/registry/src/exchange.rs
@@ -1,6 +1,6 @@
 //! What each other keeper still has to be told of instances, and what it has confirmed.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 use juniperwing_protocol::registry::{Instance, Refresh};
 use juniperwing_protocol::replication::Voter;
@@ -13,13 +13,17 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct ChangeNumber(u64);
 
+/// Names a batch.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct BatchNumber(u64);
+
 /// A batch to be sent to another keeper.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Batch {
     /// Who is to be told.
     pub to: Voter,
-    /// The first change in it; names the batch.
-    pub first: ChangeNumber,
+    /// Names it.
+    pub number: BatchNumber,
     /// Instances that are new or have changed.
     pub changed: Vec<Instance>,
     /// Instances heard of again.
@@ -32,7 +36,8 @@
     changed: BTreeMap<InstanceId, Instance>,
     refreshed: BTreeMap<InstanceId, u64>,
     pending: Option<ChangeNumber>,
-    in_flight: BTreeSet<ChangeNumber>,
+    /// Batches without an answer yet, each with the first change in it, if there is one.
+    in_flight: BTreeMap<BatchNumber, Option<ChangeNumber>>,
     /// Whether it must be told all instances.
     needs_whole: bool,
     /// Whether it answered the last batch; assumed until one fails.
@@ -44,12 +49,17 @@
 #[derive(Clone, Debug)]
 pub struct Exchange<Connection> {
     newest: ChangeNumber,
+    newest_batch: BatchNumber,
     counterparts: BTreeMap<DiskId, Counterpart<Connection>>,
 }
 
 impl<Connection> Default for Exchange<Connection> {
     fn default() -> Self {
-        Exchange { newest: ChangeNumber::default(), counterparts: BTreeMap::new() }
+        Exchange {
+            newest: ChangeNumber::default(),
+            newest_batch: BatchNumber::default(),
+            counterparts: BTreeMap::new(),
+        }
     }
 }
 
@@ -95,7 +105,6 @@
     pub fn batches<'registry>(
         &mut self, regular: bool, instances: impl Fn() -> Vec<&'registry Instance>,
     ) -> Vec<Batch> {
-        let newest = self.newest;
         let mut batches = Vec::new();
         for counterpart in self.counterparts.values_mut() {
             if !counterpart.is_due(regular) {
@@ -106,12 +115,13 @@
                 let whole = instances().into_iter();
                 counterpart.changed.extend(whole.map(|instance| (instance.id.clone(), instance.clone())));
             }
-            let first = counterpart.pending.take().unwrap_or(ChangeNumber(newest.0 + 1));
-            counterpart.in_flight.insert(first);
+            self.newest_batch.0 += 1;
+            let number = self.newest_batch;
+            counterpart.in_flight.insert(number, counterpart.pending.take());
             let refreshed = std::mem::take(&mut counterpart.refreshed).into_iter();
             batches.push(Batch {
                 to: counterpart.voter.clone(),
-                first,
+                number,
                 changed: std::mem::take(&mut counterpart.changed).into_values().collect(),
                 refreshed: refreshed.map(|(id, sequence)| Refresh { id, sequence }).collect(),
             });
@@ -121,9 +131,9 @@
 
     /// A batch was answered over this connection. One not seen before may lead to a keeper that has started
     /// again and knows nothing.
-    pub fn answered(&mut self, disk: DiskId, first: ChangeNumber, connection: Connection) {
+    pub fn answered(&mut self, disk: DiskId, number: BatchNumber, connection: Connection) {
         let Some(counterpart) = self.counterparts.get_mut(&disk) else { return };
-        counterpart.in_flight.remove(&first);
+        counterpart.in_flight.remove(&number);
         counterpart.is_reachable = true;
         if counterpart.connection.replace(connection).is_some_and(|before| before != connection) {
             counterpart.needs_whole = true;
@@ -131,10 +141,10 @@
     }
 
     /// A batch was not answered: all it said has to be said again.
-    pub fn failed(&mut self, disk: DiskId, first: ChangeNumber) {
+    pub fn failed(&mut self, disk: DiskId, number: BatchNumber) {
         let Some(counterpart) = self.counterparts.get_mut(&disk) else { return };
-        counterpart.in_flight.remove(&first);
-        counterpart.pending = Some(counterpart.pending.map_or(first, |pending| pending.min(first)));
+        let unconfirmed = counterpart.in_flight.remove(&number).flatten();
+        counterpart.pending = [counterpart.pending, unconfirmed].into_iter().flatten().min();
         counterpart.is_reachable = false;
         counterpart.needs_whole = true;
     }
@@ -156,7 +166,7 @@
             changed: BTreeMap::new(),
             refreshed: BTreeMap::new(),
             pending: None,
-            in_flight: BTreeSet::new(),
+            in_flight: BTreeMap::new(),
             needs_whole: true,
             is_reachable: true,
             connection: None,
@@ -165,7 +175,7 @@
 
     fn has_confirmed(&self, number: ChangeNumber) -> bool {
         let waits = self.pending.is_some_and(|pending| pending <= number);
-        let unanswered = self.in_flight.first().is_some_and(|first| *first <= number);
+        let unanswered = self.in_flight.values().flatten().any(|first| *first <= number);
         !waits && !unanswered
     }
 
--- a/crates/registry/src/lib.rs
+++ b/crates/registry/src/lib.rs
@@ -8,7 +8,7 @@
 mod heartbeat;
 mod registry;
 
-pub use exchange::{Batch, ChangeNumber, Exchange};
+pub use exchange::{Batch, BatchNumber, ChangeNumber, Exchange};
 pub use heartbeat::{Finding, parse_heartbeat};
 pub use registry::{
     EXPIRY_HEARTBEATS, HeartbeatOutcome, MAX_INSTANCES, Registry, RegistrySettings, TOMBSTONE_LIFE,
--- a/crates/registry/tests/exchange.rs
+++ b/crates/registry/tests/exchange.rs
@@ -45,7 +45,7 @@
     fn in_contact() -> Self {
         let mut trace = Trace::new();
         let first = trace.batch(true).unwrap();
-        trace.exchange.answered(DiskId(2), first.first, FIRST_CONNECTION);
+        trace.exchange.answered(DiskId(2), first.number, FIRST_CONNECTION);
         trace
     }
 
@@ -73,7 +73,7 @@
     assert!(!trace.exchange.have_confirmed(change, NOBODY_HEARD));
     let batch = trace.batch(false).expect("changes go at once");
     assert!(!trace.exchange.have_confirmed(change, NOBODY_HEARD));
-    trace.exchange.answered(DiskId(2), batch.first, FIRST_CONNECTION);
+    trace.exchange.answered(DiskId(2), batch.number, FIRST_CONNECTION);
     assert!(trace.exchange.have_confirmed(change, NOBODY_HEARD));
 }
 
@@ -95,25 +95,36 @@
     let first = trace.batch(false).unwrap();
     let two = trace.change("b");
     let second = trace.batch(false).unwrap();
-    trace.exchange.answered(DiskId(2), second.first, FIRST_CONNECTION);
+    trace.exchange.answered(DiskId(2), second.number, FIRST_CONNECTION);
     assert!(!trace.exchange.have_confirmed(two, NOBODY_HEARD));
-    trace.exchange.answered(DiskId(2), first.first, FIRST_CONNECTION);
+    trace.exchange.answered(DiskId(2), first.number, FIRST_CONNECTION);
     assert!(trace.exchange.have_confirmed(one, NOBODY_HEARD));
     assert!(trace.exchange.have_confirmed(two, NOBODY_HEARD));
 }
 
+#[test]
+fn the_answer_to_a_regular_batch_does_not_confirm_a_later_change() {
+    let mut trace = Trace::in_contact();
+    trace.exchange.note_refreshed(&Refresh { id: "a".into(), sequence: 2 });
+    let regular = trace.batch(true).unwrap();
+    let change = trace.change("b");
+    trace.batch(false).unwrap();
+    trace.exchange.answered(DiskId(2), regular.number, FIRST_CONNECTION);
+    assert!(!trace.exchange.have_confirmed(change, NOBODY_HEARD));
+}
+
 #[test]
 fn after_a_failure_everything_is_told_again() {
     let mut trace = Trace::in_contact();
     let change = trace.change("a");
     let lost = trace.batch(false).unwrap();
-    trace.exchange.failed(DiskId(2), lost.first);
+    trace.exchange.failed(DiskId(2), lost.number);
     assert_eq!(trace.batch(false), None, "one that does not answer is tried with the regular ones only");
     assert!(trace.exchange.have_confirmed(change, NOBODY_HEARD), "nobody waits for one out of reach");
     assert!(!trace.exchange.have_confirmed(change, |_| true), "but for one that is heard");
     let again = trace.batch(true).unwrap();
     assert_eq!(ids(&again), ["a"]);
-    trace.exchange.answered(DiskId(2), again.first, FIRST_CONNECTION);
+    trace.exchange.answered(DiskId(2), again.number, FIRST_CONNECTION);
     assert!(trace.exchange.have_confirmed(change, |_| true));
 }
 
@@ -122,10 +133,10 @@
     let mut trace = Trace::in_contact();
     trace.change("a");
     let batch = trace.batch(false).unwrap();
-    trace.exchange.answered(DiskId(2), batch.first, FIRST_CONNECTION);
+    trace.exchange.answered(DiskId(2), batch.number, FIRST_CONNECTION);
     trace.change("b");
     let batch = trace.batch(false).unwrap();
-    trace.exchange.answered(DiskId(2), batch.first, FIRST_CONNECTION + 1);
+    trace.exchange.answered(DiskId(2), batch.number, FIRST_CONNECTION + 1);
     assert_eq!(ids(&trace.batch(true).unwrap()), ["a", "b"]);
 }
 
@@ -136,6 +147,6 @@
     trace.exchange.set_keepers(&[voter(3)]);
     let batch = trace.batch(true).unwrap();
     assert_eq!((batch.to.disk, ids(&batch)), (DiskId(3), vec!["a"]));
-    trace.exchange.answered(DiskId(3), batch.first, FIRST_CONNECTION);
+    trace.exchange.answered(DiskId(3), batch.number, FIRST_CONNECTION);
     assert!(trace.exchange.have_confirmed(change, NOBODY_HEARD));
 }
