--- a/crates/node/src/keeper/inbox.rs
+++ b/crates/node/src/keeper/inbox.rs
@@ -78,7 +78,7 @@
                 });
             }
             RegistryMessage::StoresSeen { from, stores } => self.stores_seen(from, stores),
-            RegistryMessage::CaughtUp(reports) => self.caught_up(reports, false),
+            RegistryMessage::CaughtUp(reports) => self.caught_up(reports),
             // Answers come to those that called.
             RegistryMessage::InstancesApplied
             | RegistryMessage::Distributed
@@ -104,7 +104,8 @@
         self.lock().subscribers.applied(link.id(), &applied);
         self.progress.notify_waiters();
         if !applied.caught_up.is_empty() {
-            self.caught_up(applied.caught_up, true);
+            self.caught_up(applied.caught_up);
+            self.pass_on_caught_up();
         }
     }
 
--- a/crates/node/src/keeper/stores.rs
+++ b/crates/node/src/keeper/stores.rs
@@ -39,27 +39,29 @@
             let message = RegistryMessage::StoresSeen { from, stores: stores.clone() };
             self.peers.send(address, Message::Registry(message));
         }
+        self.pass_on_caught_up();
         self.wake_planner.notify_one();
     }
 
-    /// Primaries of partitions report replicas that have caught up; `own` if they are subscribed here.
-    pub(super) fn caught_up(self: &Arc<Self>, reports: Vec<CaughtUp>, own: bool) {
-        match self.primary_place() {
-            PrimaryPlace::Here => {
-                let mut state = self.lock();
-                for report in reports {
-                    if state.caught_up.len() < MAX_CAUGHT_UP && !state.caught_up.contains(&report) {
-                        state.caught_up.push(report);
-                    }
-                }
-                drop(state);
-                self.wake_planner.notify_one();
-            }
-            PrimaryPlace::At(address) if own => {
-                self.peers.send(address, Message::Registry(RegistryMessage::CaughtUp(reports)));
+    /// Primaries of partitions report replicas that have caught up. Such a report is true until the partition's
+    /// epoch changes, so it is kept until then, whoever is primary keeper meanwhile.
+    pub(super) fn caught_up(self: &Arc<Self>, reports: Vec<CaughtUp>) {
+        let mut state = self.lock();
+        for report in reports {
+            if state.caught_up.len() < MAX_CAUGHT_UP && !state.caught_up.contains(&report) {
+                state.caught_up.push(report);
             }
-            // The stores report again.
-            PrimaryPlace::At(_) | PrimaryPlace::Unknown => {}
+        }
+        drop(state);
+        self.wake_planner.notify_one();
+    }
+
+    /// Passes the reports that still count on to the primary keeper, if that is another one.
+    pub(super) fn pass_on_caught_up(self: &Arc<Self>) {
+        let PrimaryPlace::At(address) = self.primary_place() else { return };
+        let reports = self.lock().caught_up.clone();
+        if !reports.is_empty() {
+            self.peers.send(address, Message::Registry(RegistryMessage::CaughtUp(reports)));
         }
     }
 
@@ -77,17 +79,15 @@
         let state = &mut *self.lock();
         let committed = state.consensus.committed()?.clone();
         state.store_view = state.tracker.tick(clock::now(), &committed.state.stores.stores);
+        let placed = &committed.state.stores;
+        // A report of an epoch that this keeper does not know yet is kept.
+        state.caught_up.retain(|report| {
+            placed.assignment(report.partition).is_some_and(|held| held.epoch <= report.epoch)
+        });
         let replica = &state.consensus.replica;
         if !replica.is_primary() || replica.latest().version != committed.version {
             return None;
         }
-        let partitions = &committed.state.stores;
-        state.caught_up.retain(|report| {
-            let assignment = partitions.assignment(report.partition);
-            assignment.is_some_and(|assignment| {
-                assignment.epoch == report.epoch && assignment.joining.contains(&report.replica)
-            })
-        });
         self.warn_unrecoverable(state);
         let input = PlanInput {
             state: &committed.state,
