--- a/crates/node/src/store/core.rs
+++ b/crates/node/src/store/core.rs
@@ -11,7 +11,7 @@
 use juniperwing_protocol::subscription::{Applied, Update};
 use juniperwing_protocol::transfer::TransferRequest;
 use juniperwing_sessions::{AskerId, Command, Event, Moment, Store, TransferCallId};
-use juniperwing_storage::BatchNumber;
+use juniperwing_storage::SegmentNumber;
 use slog::{Logger, warn};
 use tokio::sync::{Notify, mpsc};
 
@@ -159,7 +159,7 @@
                     tokio::spawn(self.clone().call(call, to, request));
                 }
                 Command::WriteBatch { records } => self.put(DiskJob::Write(records)),
-                Command::RemoveBatch { batch } => self.put(DiskJob::Remove(BatchNumber(batch))),
+                Command::RemoveBatch { batch } => self.put(DiskJob::Remove(SegmentNumber(batch))),
                 Command::Report => self.report(),
             }
         }
--- a/crates/node/src/store/disk.rs
+++ b/crates/node/src/store/disk.rs
@@ -5,7 +5,7 @@
 
 use juniperwing_protocol::DiskId;
 use juniperwing_sessions::{Event, Limits, Store, StoredRecord, decode_batch, encode_batch};
-use juniperwing_storage::{BatchFiles, BatchNumber, StorageError};
+use juniperwing_storage::{SegmentFiles, SegmentNumber, StorageError};
 use slog::{Logger, info, warn};
 use tokio::sync::mpsc;
 
@@ -17,12 +17,12 @@
 /// What is to be done on disk.
 pub(super) enum DiskJob {
     Write(Vec<StoredRecord>),
-    Remove(BatchNumber),
+    Remove(SegmentNumber),
 }
 
 /// The batches of a store.
 pub(super) struct Disk {
-    files: BatchFiles,
+    files: SegmentFiles,
 }
 
 impl Disk {
@@ -33,13 +33,13 @@
         let moment = super::core::moment();
         let mut store = Store::new(disk, limits);
         let mut batches = 0_u64;
-        let files = BatchFiles::open_each(folder.join(FOLDER), |batch| {
+        let files = SegmentFiles::open_each(folder.join(FOLDER), |batch| {
             batches += 1;
             let bytes = batch.contents.len() as u64;
             match decode_batch(&batch.contents) {
-                Ok(records) => store.recover(moment, batch.number.0, bytes, records),
+                Ok(records) => store.recover(moment, batch.segment.0, bytes, records),
                 // Its checksum is right, so it was written by another version of this program.
-                Err(e) => warn!(log, "a batch cannot be read"; "number" => batch.number.0, "why" => %e),
+                Err(e) => warn!(log, "a batch cannot be read"; "number" => batch.segment.0, "why" => %e),
             }
         })?;
         info!(log, "recovered"; "batches" => batches);
@@ -75,7 +75,7 @@
     failures: Vec<StorageError>,
 }
 
-fn work(files: &mut BatchFiles, jobs: Vec<DiskJob>) -> Outcome {
+fn work(files: &mut SegmentFiles, jobs: Vec<DiskJob>) -> Outcome {
     let mut outcome = Outcome::default();
     for job in jobs {
         match job {
@@ -87,15 +87,15 @@
                 }
             },
             // One that stays counts for nothing; it goes after the next start.
-            DiskJob::Remove(batch) => outcome.failures.extend(files.remove(batch).err()),
+            DiskJob::Remove(segment) => outcome.failures.extend(files.remove(segment).err()),
         }
     }
     outcome
 }
 
 /// Writes a batch; the error is `None` if the records cannot be encoded.
-fn write(files: &mut BatchFiles, records: &[StoredRecord]) -> Result<Event, Option<StorageError>> {
+fn write(files: &mut SegmentFiles, records: &[StoredRecord]) -> Result<Event, Option<StorageError>> {
     let contents = encode_batch(records).map_err(|_| None)?;
-    let batch = files.append(&contents).map_err(Some)?;
-    Ok(Event::BatchWritten { batch: batch.0, bytes: contents.len() as u64 })
+    let segment = files.append(&contents).map_err(Some)?;
+    Ok(Event::BatchWritten { batch: segment.0, bytes: contents.len() as u64 })
 }
--- a/crates/sessions/src/journal.rs
+++ b/crates/sessions/src/journal.rs
@@ -107,7 +107,12 @@
         self.paused
     }
 
-    /// Whether all is on disk.
+    /// Whether a batch is being written.
+    pub(crate) fn is_writing(&self) -> bool {
+        self.running.is_some()
+    }
+
+    /// Whether nothing is written and nothing waits to be.
     pub(crate) fn is_idle(&self) -> bool {
         self.running.is_none() && self.dirty.is_empty()
     }
--- a/crates/sessions/src/ledger.rs
+++ b/crates/sessions/src/ledger.rs
@@ -1,4 +1,4 @@
-//! What still counts in each batch on disk.
+//! What still counts in each file on disk. Several batches may lie in one file: they have its number.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -25,7 +25,7 @@
 impl Ledger {
     /// A batch was written or found.
     pub(crate) fn add(&mut self, batch: u64, bytes: u64) {
-        self.batches.insert(batch, Account { bytes, ..Account::default() });
+        self.batches.entry(batch).or_default().bytes += bytes;
         self.bytes += bytes;
     }
 
@@ -58,16 +58,18 @@
     /// The batches whose records are worth writing again: the oldest of many small ones, or else one of which
     /// less than half counts. Empty if there are none.
     pub(crate) fn worth_compacting(&self) -> BTreeSet<u64> {
+        // Survivors may be written into the newest file, which would never get rid of them.
+        let Some(newest) = self.batches.keys().next_back() else { return BTreeSet::new() };
         let small: Vec<(u64, u64)> = self
             .batches
-            .iter()
+            .range(..newest)
             .filter(|(_, account)| account.live_bytes < SMALL_BATCH_BYTES)
             .map(|(batch, account)| (*batch, account.live_bytes))
             .collect();
         if small.len() >= MAX_SMALL_BATCHES {
             return oldest(&small);
         }
-        let wasteful = self.batches.iter().find(|(_, account)| {
+        let wasteful = self.batches.range(..newest).find(|(_, account)| {
             account.bytes >= SMALL_BATCH_BYTES && account.live_bytes.saturating_mul(2) < account.bytes
         });
         wasteful.map(|(batch, _)| *batch).into_iter().collect()
--- a/crates/sessions/src/store.rs
+++ b/crates/sessions/src/store.rs
@@ -341,7 +341,12 @@
         self.remove_empty();
     }
 
+    /// Has files removed in which nothing counts. A batch that is being written may end up in any of them, so
+    /// it is waited for.
     fn remove_empty(&mut self) {
+        if self.journal.is_writing() {
+            return;
+        }
         for batch in self.ledger.take_empty() {
             self.commands.push(Command::RemoveBatch { batch });
         }
--- a/crates/storage/tests/storage.rs
+++ b/crates/storage/tests/storage.rs
@@ -3,7 +3,7 @@
 use std::fs;
 use std::path::PathBuf;
 
-use juniperwing_storage::{BatchFiles, VersionFiles, identity};
+use juniperwing_storage::{Batch, SegmentFiles, VersionFiles, identity};
 
 struct Folder(PathBuf);
 
@@ -73,19 +73,60 @@
 }
 
 #[test]
-fn batches_come_back_in_order_without_torn_and_removed_ones() {
+fn batches_come_back_in_order_without_removed_segments() {
     let folder = Folder::new("batches");
-    let (mut files, found) = BatchFiles::open(&folder.0).unwrap();
+    let (mut files, found) = SegmentFiles::open(&folder.0).unwrap();
     assert!(found.is_empty());
-    let numbers: Vec<_> = ["a", "b", "c", "d"].map(|c| files.append(c.as_bytes()).unwrap()).to_vec();
-    files.remove(numbers[1]).unwrap();
-    let last = folder.files().pop().unwrap();
-    let bytes = fs::read(&last).unwrap();
-    fs::write(&last, &bytes[..bytes.len() - 1]).unwrap();
-    let (mut files, found) = BatchFiles::open(&folder.0).unwrap();
-    let contents: Vec<&[u8]> = found.iter().map(|batch| batch.contents.as_slice()).collect();
-    assert_eq!(contents, [b"a", b"c"]);
-    assert!(files.append(b"e").unwrap() > numbers[3]);
+    let first = files.append(b"a").unwrap();
+    assert_eq!(files.append(b"b").unwrap(), first);
+    files.remove(first).unwrap();
+    let second = files.append(b"c").unwrap();
+    assert!(second > first);
+    files.append(b"d").unwrap();
+    let (mut files, found) = SegmentFiles::open(&folder.0).unwrap();
+    assert_eq!(contents(&found), [b"c", b"d"]);
+    assert!(found.iter().all(|batch| batch.segment == second));
+    assert!(files.append(b"e").unwrap() > second);
+    assert_eq!(contents(&SegmentFiles::open(&folder.0).unwrap().1), [b"c", b"d", b"e"]);
+}
+
+#[test]
+fn a_torn_batch_is_passed_over_and_nothing_is_appended_behind_it() {
+    let folder = Folder::new("torn-batch");
+    let (mut files, _) = SegmentFiles::open(&folder.0).unwrap();
+    for contents in [b"a", b"b", b"c"] {
+        files.append(contents).unwrap();
+    }
+    let segment = folder.files().pop().unwrap();
+    let bytes = fs::read(&segment).unwrap();
+    let frame = bytes.len() / 3;
+    for length in 0..bytes.len() {
+        fs::write(&segment, &bytes[..length]).unwrap();
+        let (mut files, found) = SegmentFiles::open(&folder.0).unwrap();
+        assert_eq!(found.len(), length / frame, "{length} bytes");
+        files.append(b"z").unwrap();
+        let (_, found) = SegmentFiles::open(&folder.0).unwrap();
+        assert_eq!(found.len(), length / frame + 1, "{length} bytes");
+        assert_eq!(found.last().unwrap().contents, b"z");
+        for file in folder.files() {
+            fs::remove_file(file).unwrap();
+        }
+    }
+}
+
+#[test]
+fn segments_are_sealed_when_they_are_large() {
+    let folder = Folder::new("sealed");
+    let (mut files, _) = SegmentFiles::open(&folder.0).unwrap();
+    let contents = vec![7; 100 << 10];
+    let segments: Vec<_> = (0..25).map(|_| files.append(&contents).unwrap()).collect();
+    assert!(segments.is_sorted());
+    assert_eq!(folder.files().len(), 3);
+    assert_eq!(SegmentFiles::open(&folder.0).unwrap().1.len(), 25);
+}
+
+fn contents(batches: &[Batch]) -> Vec<&[u8]> {
+    batches.iter().map(|batch| batch.contents.as_slice()).collect()
 }
 
 #[test]
