Replication between keepers: epochs chosen by promise and accept, one write at a time to all in sync

Cause: the tier's control state needs a primary, backups and a fencing rule that outlive any one keeper. Change: package juniperwing-replication, a pure state machine: founding, canvass, promise, accept, recovery of the state, writes, reads by rounds of heartbeats, newcomers, handing over. The messages gain the canvass, the request to take over, and the sender's address; Chosen and Leave go, a heartbeat tells the first.

--- a/crates/protocol/src/replication.rs
+++ b/crates/protocol/src/replication.rs
@@ -47,6 +47,8 @@
 pub struct ReplicationMessage {
     /// Who sends it.
     pub from: DiskId,
+    /// Where the sender listens, for the answer.
+    pub address: SocketAddr,
     /// What is said.
     pub body: ReplicationBody,
 }
@@ -54,6 +56,25 @@
 /// The messages of the epoch protocol and of primary-backup replication.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum ReplicationBody {
+    /// Asks, before anything is promised, whether a candidate would be let through.
+    Canvass {
+        /// The number that the candidate would propose; pairs the answer with it.
+        number: EpochNumber,
+    },
+    /// Answers [`ReplicationBody::Canvass`]; binds to nothing.
+    CanvassAnswer {
+        /// The number asked about.
+        number: EpochNumber,
+        /// Whether no live primary was heard of late.
+        granted: bool,
+        /// The highest epoch known.
+        epoch: Epoch,
+    },
+    /// The primary steps down and asks a backup to become a candidate at once.
+    TakeOver {
+        /// The primary's epoch.
+        epoch: EpochNumber,
+    },
     /// A candidate asks for a promise to accept nothing below `number`.
     Prepare {
         /// The epoch that it wants to propose.
@@ -83,11 +104,6 @@
         /// That number.
         promised: EpochNumber,
     },
-    /// The epoch is chosen: its `previous_voters` count no more.
-    Chosen {
-        /// The epoch's number.
-        number: EpochNumber,
-    },
     /// The primary writes a change.
     Write {
         /// Its epoch.
@@ -117,7 +133,7 @@
     },
     /// The primary is there, and this is committed.
     Heartbeat {
-        /// Its epoch, whole, for those that lack it.
+        /// Its epoch, whole, for those that lack it. It is chosen, so it has no `previous_voters`.
         epoch: Epoch,
         /// The newest committed version.
         committed: Version,
@@ -130,16 +146,14 @@
         epoch: EpochNumber,
         /// The heartbeat's round.
         round: u64,
-        /// The version held on disk.
-        version: Version,
+        /// The version held on disk; `None` while something newer is on its way there.
+        version: Option<Version>,
     },
     /// A keeper that is no voter asks to be let in.
     Join {
         /// It, as a voter.
         voter: Voter,
     },
-    /// A voter says that it ends for good or for some time.
-    Leave,
     /// At the very first start: a seed tells its disk to the founder.
     Found {
         /// It, as a voter.
--- /dev/null
+++ b/crates/replication/src/primary.rs
@@ -0,0 +1,352 @@
+//! The primary's side: heartbeats, writes, reads, newcomers, handing over.
+
+use std::collections::BTreeSet;
+
+use juniperwing_clock::{Span, Time};
+use juniperwing_protocol::replication::{ReplicationBody, Version, Voter};
+use juniperwing_protocol::{DiskId, EpochNumber};
+
+use crate::ballot::is_majority;
+use crate::error::{ProposeError, ReadError};
+use crate::interface::{Command, ProposeToken, ReadToken};
+use crate::office::{InFlight, MAX_PROPOSALS, MAX_READS, Peer, PendingRead, Proposal};
+use crate::replica::{Replica, Stage};
+use crate::settings::MAX_VOTERS;
+use crate::state::ReplicatedState;
+
+/// The most keepers that are heard at a time, voters and those that ask to be let in.
+const MAX_PEERS: usize = 2 * MAX_VOTERS;
+
+/// How many askings a keeper may miss before it counts as gone.
+const ASKINGS: f64 = 4.0;
+
+impl<S: ReplicatedState> Replica<S> {
+    pub(crate) fn advance_primary(&mut self, now: Time) {
+        if !self.has_majority(now) {
+            self.step_aside(now);
+            return;
+        }
+        self.expire(now);
+        self.commit(now);
+        self.start_writes(now);
+        self.finish_reads();
+        if self.change_epoch(now) {
+            return;
+        }
+        let due = self.office.as_ref().is_some_and(|office| now >= office.heartbeat_at);
+        if due {
+            self.beat(now);
+            self.hand_over(now);
+        }
+        self.catch_up(now);
+    }
+
+    /// Leaves office: what was begun may come into force or not, what was not begun will not.
+    pub(crate) fn resign(&mut self, now: Time) {
+        let Some(office) = self.office.take() else { return };
+        self.election_at = now + self.election_span();
+        if let Some(token) = office.in_flight.and_then(|in_flight| in_flight.token) {
+            self.command(Command::Proposed { token, outcome: Err(ProposeError::Unknown) });
+        }
+        for proposal in office.queue {
+            let outcome = Err(ProposeError::NotPrimary);
+            self.command(Command::Proposed { token: proposal.token, outcome });
+        }
+        for read in office.reads {
+            self.command(Command::ReadDone { token: read.token, outcome: Err(ReadError::NotPrimary) });
+        }
+    }
+
+    pub(crate) fn propose(&mut self, now: Time, token: ProposeToken, base: Version, change: S::Change) {
+        let error = match &mut self.office {
+            Some(office) if office.hands_over || !office.serves => ProposeError::NotPrimary,
+            Some(office) if office.queue.len() >= MAX_PROPOSALS => ProposeError::Busy,
+            Some(office) => {
+                office.queue.push_back(Proposal { token, proposed: now, base, change });
+                return;
+            }
+            None => ProposeError::NotPrimary,
+        };
+        self.command(Command::Proposed { token, outcome: Err(error) });
+    }
+
+    /// A read waits for a round of heartbeats that begins after it. While an earlier read's round is under way,
+    /// the next begins when that one is answered, so many reads share one.
+    pub(crate) fn read(&mut self, now: Time, token: ReadToken) {
+        let error = match &mut self.office {
+            Some(office) if office.reads.len() >= MAX_READS => ReadError::Busy,
+            Some(office) if office.serves => {
+                if office.reads.is_empty() {
+                    office.heartbeat_at = now;
+                }
+                office.reads.push_back(PendingRead { token, asked: now, round: office.round + 1 });
+                return;
+            }
+            _ => ReadError::NotPrimary,
+        };
+        self.command(Command::ReadDone { token, outcome: Err(error) });
+    }
+
+    /// Seeks the office no more, and hands it over if it is held.
+    pub(crate) fn retire(&mut self) {
+        self.retires = true;
+        let Some(office) = &mut self.office else { return };
+        office.hands_over = true;
+        office.heartbeat_at = Time::default();
+        for proposal in std::mem::take(&mut office.queue) {
+            let outcome = Err(ProposeError::NotPrimary);
+            self.command(Command::Proposed { token: proposal.token, outcome });
+        }
+    }
+
+    fn expire(&mut self, now: Time) {
+        let patience = self.settings.timings.patience;
+        let is_old = |since: Time| now.since(since) > patience;
+        let Some(office) = &mut self.office else { return };
+        office.forget_strangers(now, &self.ballot.accepted);
+        let mut outcomes = Vec::new();
+        if let Some(in_flight) = office.in_flight.as_mut().filter(|in_flight| is_old(in_flight.proposed)) {
+            let token = in_flight.token.take();
+            let outcome = Err(ProposeError::Unknown);
+            outcomes.extend(token.map(|token| Command::Proposed { token, outcome }));
+        }
+        while let Some(proposal) = office.queue.front().filter(|proposal| is_old(proposal.proposed)) {
+            let outcome = Err(ProposeError::Unavailable);
+            outcomes.push(Command::Proposed { token: proposal.token, outcome });
+            office.queue.pop_front();
+        }
+        while let Some(read) = office.reads.front().filter(|read| is_old(read.asked)) {
+            outcomes.push(Command::ReadDone { token: read.token, outcome: Err(ReadError::Unavailable) });
+            office.reads.pop_front();
+        }
+        outcomes.into_iter().for_each(|outcome| self.command(outcome));
+    }
+
+    /// Whether every in-sync replica has the latest version on disk, and there are enough of them.
+    fn is_held_by_all(&self) -> bool {
+        let Some(office) = &self.office else { return false };
+        let latest = self.latest.version;
+        let in_sync = &self.ballot.accepted.in_sync;
+        let holds = |disk: &DiskId| {
+            if *disk == self.me() {
+                return self.disk.version() == latest;
+            }
+            office.peers.get(disk).is_some_and(|peer| peer.held == Some(latest))
+        };
+        in_sync.len() >= self.settings.required_copies && in_sync.iter().all(holds)
+    }
+
+    /// Commits the latest version once all hold it, and tells the backups at once.
+    fn commit(&mut self, now: Time) {
+        if !self.is_held_by_all() {
+            return;
+        }
+        let Some(office) = &mut self.office else { return };
+        let is_news = !office.synced || office.in_flight.is_some();
+        if !is_news {
+            return;
+        }
+        office.synced = true;
+        office.serves = true;
+        office.heartbeat_at = now;
+        let in_flight = office.in_flight.take();
+        self.show_latest();
+        let Some(in_flight) = in_flight else { return };
+        if let Some(token) = in_flight.token {
+            self.command(Command::Proposed { token, outcome: Ok(in_flight.version) });
+        }
+    }
+
+    /// Begins the next write, if none is under way.
+    fn start_writes(&mut self, now: Time) {
+        loop {
+            let Some(office) = &mut self.office else { return };
+            if !office.synced || office.in_flight.is_some() || office.hands_over {
+                return;
+            }
+            let Some(proposal) = office.queue.pop_front() else { return };
+            if proposal.base == self.latest.version {
+                self.write(now, proposal);
+            } else {
+                let outcome = Err(ProposeError::Conflict);
+                self.command(Command::Proposed { token: proposal.token, outcome });
+            }
+        }
+    }
+
+    fn write(&mut self, now: Time, proposal: Proposal<S::Change>) {
+        let base = self.latest.version;
+        let epoch = self.ballot.accepted.number;
+        let version = Version { epoch, sequence: base.sequence + 1 };
+        self.latest = self.latest.with(version, &proposal.change);
+        self.disk.mark();
+        let Some(office) = &mut self.office else { return };
+        office.in_flight = Some(InFlight {
+            token: Some(proposal.token),
+            proposed: proposal.proposed,
+            base,
+            version,
+            change: S::encode_change(&proposal.change),
+        });
+        for peer in office.peers.values_mut() {
+            peer.behind_since = Some(now);
+        }
+    }
+
+    /// Sends each keeper that lacks the latest version the write, or the whole state.
+    fn catch_up(&mut self, now: Time) {
+        let latest = self.latest.version;
+        let epoch = self.ballot.accepted.number;
+        let confirm = self.settings.timings.confirm;
+        let resend = confirm.times(0.5);
+        let Some(office) = &mut self.office else { return };
+        let mut sends = Vec::new();
+        for peer in office.peers.values_mut() {
+            let Some(held) = peer.held else { continue };
+            if held == latest {
+                peer.behind_since = None;
+                continue;
+            }
+            peer.behind_since.get_or_insert(now);
+            let is_sent = peer.sent.is_some_and(|(version, at)| version == latest && now.since(at) < resend);
+            let is_gone = now.since(peer.last_answer) > confirm;
+            if is_sent || is_gone {
+                continue;
+            }
+            peer.sent = Some((latest, now));
+            let body = match &office.in_flight {
+                Some(write) if write.base == held && write.version == latest => ReplicationBody::Write {
+                    epoch,
+                    base: held,
+                    version: latest,
+                    change: write.change.clone(),
+                },
+                _ => ReplicationBody::Snapshot {
+                    epoch,
+                    version: latest,
+                    state: self.latest.encoded.as_ref().clone(),
+                },
+            };
+            sends.push((peer.voter.address, body));
+        }
+        sends.into_iter().for_each(|(to, body)| self.send(to, body));
+    }
+
+    /// Begins a round of heartbeats.
+    fn beat(&mut self, now: Time) {
+        let committed = self.committed.as_ref().map(|committed| committed.version).unwrap_or_default();
+        let epoch = self.ballot.accepted.clone();
+        let Some(office) = &mut self.office else { return };
+        office.round += 1;
+        office.heartbeat_at = now + self.settings.timings.heartbeat;
+        let body = ReplicationBody::Heartbeat { epoch, committed, round: office.round };
+        let peers: Vec<Voter> = office.peers.values().map(|peer| peer.voter.clone()).collect();
+        self.send_all(&peers, &body);
+    }
+
+    /// Asks the in-sync replica that answered last to take over, once nothing is under way.
+    fn hand_over(&mut self, now: Time) {
+        let latest = self.latest.version;
+        let epoch = &self.ballot.accepted;
+        let Some(office) = self.office.as_ref().filter(|office| office.hands_over) else { return };
+        let is_stuck = !office.synced || office.in_flight.is_some();
+        let peers = office.peers.values();
+        let fit = peers.filter(|peer| epoch.in_sync.contains(&peer.voter.disk) && peer.held == Some(latest));
+        let Some(successor) = fit.max_by_key(|peer| peer.last_answer) else { return };
+        if !is_stuck && now.since(successor.last_answer) < self.settings.timings.election {
+            let (to, epoch) = (successor.voter.address, epoch.number);
+            self.send(to, ReplicationBody::TakeOver { epoch });
+        }
+    }
+
+    pub(crate) fn confirmed(&mut self, now: Time, from: DiskId, epoch: EpochNumber, version: Version) {
+        let is_primary = matches!(self.stage, Stage::Primary) && epoch == self.ballot.accepted.number;
+        let Some(office) = self.office.as_mut().filter(|_| is_primary) else { return };
+        let Some(peer) = office.peers.get_mut(&from) else { return };
+        peer.last_answer = now;
+        peer.held = Some(version);
+    }
+
+    pub(crate) fn heartbeat_answered(
+        &mut self, now: Time, from: DiskId, epoch: EpochNumber, round: u64, version: Option<Version>,
+    ) {
+        let is_primary = matches!(self.stage, Stage::Primary) && epoch == self.ballot.accepted.number;
+        let Some(office) = self.office.as_mut().filter(|_| is_primary) else { return };
+        let Some(peer) = office.peers.get_mut(&from) else { return };
+        peer.last_answer = now;
+        peer.answered_round = peer.answered_round.max(round);
+        peer.held = version.or(peer.held);
+    }
+
+    /// Confirms the reads whose round a majority answered; begins the round of the next ones.
+    fn finish_reads(&mut self) {
+        let me = self.me();
+        let Some(office) = self.office.as_mut().filter(|office| office.synced) else { return };
+        let mut done = Vec::new();
+        while let Some(read) = office.reads.front() {
+            let answered = office.peers.iter().filter(|(_, peer)| peer.answered_round >= read.round);
+            let mut present: BTreeSet<DiskId> = answered.map(|(disk, _)| *disk).collect();
+            present.insert(me);
+            let begun = read.round <= office.round;
+            if !begun || !is_majority(&self.ballot.accepted.voters, &present) {
+                break;
+            }
+            done.push(read.token);
+            office.reads.pop_front();
+        }
+        let waits = office.reads.front().is_some_and(|read| read.round > office.round);
+        if waits {
+            office.heartbeat_at = Time::default();
+        }
+        for token in done {
+            self.command(Command::ReadDone { token, outcome: Ok(()) });
+        }
+    }
+
+    /// A voter promised a number above this epoch's. If nobody takes office under it, this primary seeks an
+    /// epoch above it, so that the voter can follow again.
+    pub(crate) fn outbid(&mut self, now: Time) {
+        let patience = self.settings.timings.election.times(0.5) + self.jitter.up_to(Span::from_millis(100));
+        let Some(office) = &mut self.office else { return };
+        office.outbid_at.get_or_insert(now + patience);
+    }
+
+    /// Seeks a new epoch if the present one is not as it should be.
+    fn change_epoch(&mut self, now: Time) -> bool {
+        let Some(office) = &self.office else { return false };
+        let plan = self.plan(now, office);
+        let is_outbid = office.outbid_at.is_some_and(|at| now >= at);
+        if office.hands_over || !(is_outbid || self.is_change(&plan)) {
+            return false;
+        }
+        self.start_election(now, Some(plan));
+        true
+    }
+
+    /// A keeper asks to be let in, or another passes its wish on.
+    pub(crate) fn asked_in(&mut self, now: Time, from: DiskId, voter: Voter) {
+        if voter.disk == self.me() {
+            return;
+        }
+        let asks_until = now + self.settings.timings.ask.times(ASKINGS);
+        if let Some(office) = &mut self.office {
+            if self.ballot.accepted.voters.contains(&voter) {
+                return;
+            }
+            if office.peers.len() >= MAX_PEERS && !office.peers.contains_key(&voter.disk) {
+                return;
+            }
+            let peer = office.peers.entry(voter.disk).or_insert_with(|| Peer::new(now, voter.clone()));
+            peer.voter = voter;
+            peer.asks_until = asks_until;
+            return;
+        }
+        // Passed on once only.
+        if from == voter.disk
+            && let Some(primary) = self.primary_address()
+            && primary != voter.address
+        {
+            self.send(primary, ReplicationBody::Join { voter });
+        }
+    }
+}
--- /dev/null
+++ b/crates/replication/src/settings.rs
@@ -0,0 +1,64 @@
+//! Settings of a replica.
+
+use std::net::SocketAddr;
+
+use juniperwing_clock::Span;
+use juniperwing_protocol::replication::Voter;
+
+/// The most voters that an epoch has.
+pub const MAX_VOTERS: usize = 9;
+
+/// What a replica is told when it starts.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// This keeper.
+    pub me: Voter,
+    /// Addresses where keepers may be found, in any order; at the first start those of the founding keepers.
+    pub seeds: Vec<SocketAddr>,
+    /// Whether this is the first start of the whole tier, on empty disks.
+    pub bootstrap: bool,
+    /// On how many disks a write must be before it is acknowledged, this keeper's included; at least 1.
+    pub required_copies: usize,
+    /// Spans of time.
+    pub timings: Timings,
+}
+
+/// The spans that a replica goes by.
+#[derive(Clone, Copy, Debug)]
+pub struct Timings {
+    /// Between two heartbeats of the primary.
+    pub heartbeat: Span,
+    /// Without a heartbeat for so long (and up to half as long again), a backup seeks to become primary; without
+    /// a majority of answers for so long, a primary steps down.
+    pub election: Span,
+    /// A backup that confirms nothing for so long leaves the in-sync set.
+    pub confirm: Span,
+    /// A voter that answers nothing for so long may be replaced by a keeper that asks to be let in.
+    pub silence: Span,
+    /// Between two requests to be let in.
+    pub ask: Span,
+    /// How long a canvass, and an election, may take before it is given up.
+    pub attempt: Span,
+    /// How long a candidate with a majority waits for the remaining in-sync replicas.
+    pub stragglers: Span,
+    /// Before a promise or acceptance is asked for again.
+    pub resend: Span,
+    /// The longest that a proposal or a read waits.
+    pub patience: Span,
+}
+
+impl Default for Timings {
+    fn default() -> Self {
+        Timings {
+            heartbeat: Span::from_millis(150),
+            election: Span::from_millis(500),
+            confirm: Span::from_millis(400),
+            silence: Span::from_millis(1_000),
+            ask: Span::from_millis(300),
+            attempt: Span::from_millis(400),
+            stragglers: Span::from_millis(80),
+            resend: Span::from_millis(120),
+            patience: Span::from_millis(2_000),
+        }
+    }
+}
