--- /dev/null
+++ b/crates/replication/tests/common/mod.rs
@@ -0,0 +1,461 @@
+//! A simulated network of keepers in virtual time: delay, loss, duplication and reordering of messages, cuts,
+//! kills, losses of power and of disks, freezes, replaced machines. Everything follows from a seed.
+
+#![allow(dead_code)]
+
+pub mod judge;
+pub mod log;
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+use std::net::SocketAddr;
+
+use juniperwing_clock::{Span, Time};
+use juniperwing_protocol::DiskId;
+use juniperwing_protocol::replication::{ReplicationMessage, Voter};
+use juniperwing_replication::{
+    Command, Event, PersistToken, ProposeToken, ReadToken, Record, Replica, Settings, Timings,
+};
+
+use judge::Judge;
+use log::Log;
+
+/// splitmix64.
+#[derive(Clone, Debug)]
+pub struct Random(pub u64);
+
+impl Random {
+    pub fn next(&mut self) -> u64 {
+        self.0 = self.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        let mut mixed = self.0;
+        mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        mixed ^ (mixed >> 31)
+    }
+
+    pub fn below(&mut self, limit: u64) -> u64 {
+        self.next() % limit.max(1)
+    }
+
+    pub fn one_in(&mut self, count: u64) -> bool {
+        self.below(count) == 0
+    }
+
+    pub fn millis(&mut self, from: u64, to: u64) -> Span {
+        Span::from_nanos(from * 1_000_000 + self.below((to - from) * 1_000_000))
+    }
+}
+
+/// How well the network works.
+#[derive(Clone, Copy, Debug)]
+pub struct Weather {
+    /// One in so many messages is lost; 0 for none.
+    pub loss: u64,
+    /// One in so many comes twice; 0 for none.
+    pub double: u64,
+    /// One in so many takes up to 400 ms; 0 for none.
+    pub late: u64,
+}
+
+pub const CALM: Weather = Weather { loss: 0, double: 0, late: 0 };
+pub const ROUGH: Weather = Weather { loss: 30, double: 20, late: 20 };
+
+#[derive(Clone, Debug)]
+enum Action {
+    Deliver { to: SocketAddr, message: ReplicationMessage },
+    Written { machine: usize, life: u64, token: PersistToken },
+    Tick { machine: usize, life: u64 },
+    Start { machine: usize },
+    Work,
+}
+
+pub struct Machine {
+    pub voter: Voter,
+    pub replica: Option<Replica<Log>>,
+    pub record: Option<Record>,
+    pub gone: bool,
+    pending: Option<(PersistToken, Record)>,
+    life: u64,
+    frozen_until: Time,
+    bootstrap: bool,
+}
+
+pub struct World {
+    pub now: Time,
+    pub random: Random,
+    pub machines: Vec<Machine>,
+    pub cuts: BTreeSet<(SocketAddr, SocketAddr)>,
+    pub weather: Weather,
+    pub judge: Judge,
+    /// Whether writes to disk fail at times.
+    pub ill_disks: bool,
+    required: usize,
+    seeds: Vec<SocketAddr>,
+    actions: BinaryHeap<Reverse<(Time, u64)>>,
+    bodies: BTreeMap<u64, Action>,
+    count: u64,
+    next_token: u64,
+}
+
+pub fn address(index: usize) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, index as u8 + 1], 7400))
+}
+
+impl World {
+    /// `seeds` keepers that found the tier, started within 0.3 s in any order.
+    pub fn new(seed: u64, seeds: usize, required: usize) -> World {
+        let mut world = World {
+            now: Time::from_nanos(1_000_000_000),
+            random: Random(seed),
+            machines: Vec::new(),
+            cuts: BTreeSet::new(),
+            weather: CALM,
+            judge: Judge::default(),
+            ill_disks: false,
+            required,
+            seeds: (0..seeds).map(address).collect(),
+            actions: BinaryHeap::new(),
+            bodies: BTreeMap::new(),
+            count: 0,
+            next_token: 0,
+        };
+        for index in 0..seeds {
+            world.add(&format!("core-{index}"), true);
+        }
+        world.after(Span::from_millis(50), Action::Work);
+        world
+    }
+
+    /// Adds a machine with an empty disk at a new address.
+    pub fn add(&mut self, node: &str, bootstrap: bool) -> usize {
+        let index = self.machines.len();
+        let disk = DiskId(self.random.next());
+        let voter = Voter { disk, node: node.into(), address: address(index) };
+        self.machines.push(Machine {
+            voter,
+            replica: None,
+            record: None,
+            gone: false,
+            pending: None,
+            life: 0,
+            frozen_until: Time::default(),
+            bootstrap,
+        });
+        let delay = self.random.millis(0, 300);
+        self.after(delay, Action::Start { machine: index });
+        index
+    }
+
+    fn after(&mut self, span: Span, action: Action) {
+        self.at(self.now + span, action);
+    }
+
+    fn at(&mut self, time: Time, action: Action) {
+        self.count += 1;
+        self.actions.push(Reverse((time, self.count)));
+        self.bodies.insert(self.count, action);
+    }
+
+    /// Plays on for `span`.
+    pub fn run(&mut self, span: Span) {
+        let end = self.now + span;
+        while let Some(Reverse((time, _))) = self.actions.peek().copied()
+            && time <= end
+        {
+            self.step();
+        }
+        self.now = end;
+    }
+
+    /// Plays on until `reached`, for `limit` at most.
+    pub fn run_until(&mut self, limit: Span, reached: impl Fn(&World) -> bool) -> bool {
+        let end = self.now + limit;
+        while !reached(self) {
+            let Some(Reverse((time, _))) = self.actions.peek().copied() else { return false };
+            if time > end {
+                self.now = end;
+                return false;
+            }
+            self.step();
+        }
+        true
+    }
+
+    fn step(&mut self) {
+        let Some(Reverse((time, id))) = self.actions.pop() else { return };
+        self.now = self.now.max(time);
+        let action = self.bodies.remove(&id).expect("scheduled");
+        if let Some(machine) = self.machine_of(&action)
+            && self.machines[machine].frozen_until > self.now
+        {
+            let thaw = self.machines[machine].frozen_until;
+            self.at(thaw, action);
+            return;
+        }
+        self.play(action);
+    }
+
+    fn machine_of(&self, action: &Action) -> Option<usize> {
+        match action {
+            Action::Deliver { to, .. } => self.index_at(*to),
+            Action::Written { machine, .. } | Action::Tick { machine, .. } => Some(*machine),
+            Action::Start { .. } | Action::Work => None,
+        }
+    }
+
+    fn index_at(&self, address: SocketAddr) -> Option<usize> {
+        self.machines.iter().position(|machine| machine.voter.address == address)
+    }
+
+    fn play(&mut self, action: Action) {
+        match action {
+            Action::Deliver { to, message } => {
+                if let Some(machine) = self.index_at(to) {
+                    self.hand(machine, Event::Message(message));
+                }
+            }
+            Action::Written { machine, life, token } => self.written(machine, life, token),
+            Action::Tick { machine, life } => {
+                if self.machines[machine].life == life {
+                    self.hand(machine, Event::Tick);
+                }
+            }
+            Action::Start { machine } => self.start(machine),
+            Action::Work => self.work(),
+        }
+    }
+
+    fn written(&mut self, machine: usize, life: u64, token: PersistToken) {
+        if self.machines[machine].life != life {
+            return;
+        }
+        let Some((_, record)) = self.machines[machine].pending.take() else { return };
+        if self.ill_disks && self.random.one_in(20) {
+            self.hand(machine, Event::PersistFailed(token));
+            return;
+        }
+        self.machines[machine].record = Some(record);
+        self.hand(machine, Event::Persisted(token));
+    }
+
+    fn start(&mut self, index: usize) {
+        let seed = self.random.next();
+        let settings = Settings {
+            me: self.machines[index].voter.clone(),
+            seeds: self.seeds.clone(),
+            bootstrap: self.machines[index].bootstrap,
+            required_copies: self.required,
+            timings: Timings::default(),
+        };
+        let machine = &mut self.machines[index];
+        if machine.gone || machine.replica.is_some() {
+            return;
+        }
+        let record = machine.record.clone();
+        let replica = Replica::new(self.now, settings, record, Log::default(), seed).expect("a readable disk");
+        machine.replica = Some(replica);
+        self.judge.begin_life(index);
+        self.hand(index, Event::Tick);
+    }
+
+    /// Hands an event to a keeper and does what it says.
+    pub fn hand(&mut self, index: usize, event: Event<Log>) {
+        let now = self.now;
+        let Some(replica) = self.machines[index].replica.as_mut() else { return };
+        let commands = replica.handle(now, event);
+        for command in commands {
+            self.obey(index, command);
+        }
+    }
+
+    fn obey(&mut self, index: usize, command: Command) {
+        let life = self.machines[index].life;
+        match command {
+            Command::Send { to, message } => self.carry(index, to, message),
+            Command::Persist { token, record } => {
+                assert!(self.machines[index].pending.is_none(), "one write at a time");
+                self.machines[index].pending = Some((token, record));
+                let delay = self.random.millis(2, 14);
+                self.after(delay, Action::Written { machine: index, life, token });
+            }
+            Command::WakeAt(time) => self.at(time.max(self.now), Action::Tick { machine: index, life }),
+            Command::Committed(version) => {
+                let replica = self.machines[index].replica.as_ref().expect("it runs");
+                let shown = replica.committed().expect("it says so");
+                assert_eq!(shown.version, version);
+                self.judge.show(index, version, &shown.state);
+            }
+            Command::Proposed { token, outcome } => self.judge.proposed(token, outcome),
+            Command::ReadDone { token, outcome } => {
+                let replica = self.machines[index].replica.as_ref().expect("it runs");
+                let shown = replica.committed().map(|committed| committed.version);
+                self.judge.read_done(token, outcome, shown);
+            }
+            Command::Role(_) => {}
+        }
+    }
+
+    fn carry(&mut self, from: usize, to: SocketAddr, message: ReplicationMessage) {
+        let Weather { loss, double, late } = self.weather;
+        let is_cut = self.cuts.contains(&(self.machines[from].voter.address, to));
+        if is_cut || (loss > 0 && self.random.one_in(loss)) {
+            return;
+        }
+        if double > 0 && self.random.one_in(double) {
+            let delay = self.random.millis(1, 400);
+            self.after(delay, Action::Deliver { to, message: message.clone() });
+        }
+        let slow = late > 0 && self.random.one_in(late);
+        let delay = if slow { self.random.millis(1, 400) } else { self.random.millis(1, 4) };
+        self.after(delay, Action::Deliver { to, message });
+    }
+
+    /// Proposals and reads on all sides.
+    fn work(&mut self) {
+        let next = self.random.millis(5, 40);
+        self.after(next, Action::Work);
+        let index = self.random.below(self.machines.len() as u64) as usize;
+        let frozen = self.machines[index].frozen_until > self.now;
+        let Some(replica) = self.machines[index].replica.as_ref().filter(|_| !frozen) else { return };
+        self.next_token += 1;
+        let token = self.next_token;
+        if self.random.one_in(3) {
+            self.judge.read_begins(ReadToken(token));
+            self.hand(index, Event::Read { token: ReadToken(token) });
+            return;
+        }
+        let committed = replica.committed().map(|committed| committed.version);
+        let base = if self.random.one_in(4) {
+            committed.unwrap_or_default()
+        } else {
+            replica.latest().version
+        };
+        self.judge.proposal_begins(ProposeToken(token));
+        self.hand(index, Event::Propose { token: ProposeToken(token), base, change: token });
+    }
+
+    /// Ends a keeper's process; what it was writing is there or not.
+    pub fn kill(&mut self, index: usize) {
+        let reaches_disk = self.random.one_in(2);
+        let machine = &mut self.machines[index];
+        machine.life += 1;
+        machine.replica = None;
+        machine.frozen_until = Time::default();
+        let pending = machine.pending.take();
+        if let Some((_, record)) = pending.filter(|_| reaches_disk) {
+            machine.record = Some(record);
+        }
+        machine.bootstrap &= self.random.one_in(2);
+        self.judge.ends_life(index);
+    }
+
+    pub fn start_after(&mut self, index: usize, delay: Span) {
+        self.after(delay, Action::Start { machine: index });
+    }
+
+    /// Ends a keeper and takes its disk; it comes back as somebody else.
+    pub fn wipe(&mut self, index: usize) {
+        self.kill(index);
+        let disk = DiskId(self.random.next());
+        let machine = &mut self.machines[index];
+        machine.record = None;
+        machine.bootstrap = false;
+        machine.voter.disk = disk;
+    }
+
+    /// Takes a machine away for good.
+    pub fn remove(&mut self, index: usize) {
+        self.kill(index);
+        self.machines[index].gone = true;
+    }
+
+    pub fn freeze(&mut self, index: usize, span: Span) {
+        self.machines[index].frozen_until = self.now + span;
+    }
+
+    pub fn cut(&mut self, from: usize, to: usize) {
+        self.cuts.insert((self.machines[from].voter.address, self.machines[to].voter.address));
+    }
+
+    pub fn isolate(&mut self, index: usize) {
+        for other in 0..self.machines.len() {
+            if other != index {
+                self.cut(index, other);
+                self.cut(other, index);
+            }
+        }
+    }
+
+    /// All machines run, nothing is cut or frozen.
+    pub fn heal(&mut self) {
+        self.cuts.clear();
+        self.weather = CALM;
+        self.ill_disks = false;
+        for index in 0..self.machines.len() {
+            self.machines[index].frozen_until = self.now;
+            if self.machines[index].replica.is_none() {
+                let delay = self.random.millis(0, 300);
+                self.start_after(index, delay);
+            }
+        }
+    }
+
+    pub fn primary(&self) -> Option<usize> {
+        let serves = |machine: &Machine| machine.replica.as_ref().is_some_and(Replica::is_primary);
+        let epoch = |index: usize| {
+            self.machines[index].replica.as_ref().map(|replica| replica.epoch().number).unwrap_or_default()
+        };
+        let mut primaries: Vec<usize> =
+            (0..self.machines.len()).filter(|index| serves(&self.machines[*index])).collect();
+        primaries.sort_by_key(|index| epoch(*index));
+        primaries.pop()
+    }
+
+    /// Whether a primary serves, and exactly the machines that are not gone are voters and in sync.
+    pub fn is_whole(&self) -> bool {
+        let Some(primary) = self.primary() else { return false };
+        let Some(replica) = &self.machines[primary].replica else { return false };
+        let mut wanted: Vec<DiskId> = Vec::new();
+        for machine in self.machines.iter().filter(|machine| !machine.gone) {
+            wanted.push(machine.voter.disk);
+        }
+        wanted.sort_unstable();
+        let mut in_sync = replica.epoch().in_sync.clone();
+        in_sync.sort_unstable();
+        let mut voters: Vec<DiskId> = replica.voters().iter().map(|voter| voter.disk).collect();
+        voters.sort_unstable();
+        in_sync == wanted && voters == wanted
+    }
+
+    /// What every keeper thinks, for the report of a failure.
+    pub fn picture(&self) -> String {
+        let mut lines = vec![format!("at {} ms", self.now.since(Time::default()).nanos() / 1_000_000)];
+        for (index, machine) in self.machines.iter().enumerate() {
+            let line = match &machine.replica {
+                Some(replica) => format!(
+                    "{index} disk {} {:?} latest {:?} {:?}",
+                    machine.voter.disk,
+                    replica.role(),
+                    replica.latest().version,
+                    replica.epoch()
+                ),
+                None => format!("{index} disk {} down, gone: {}", machine.voter.disk, machine.gone),
+            };
+            lines.push(line);
+        }
+        lines.join("\n")
+    }
+
+    /// Plays until a change that was begun after now is acknowledged.
+    pub fn expect_progress(&mut self, limit: Span, what: &str) {
+        let before = self.judge.acknowledged();
+        let reached = self.run_until(limit, |world| world.judge.acknowledged() > before);
+        assert!(reached, "no progress after {what}\n{}", self.picture());
+    }
+
+    /// Plays until all machines are in sync again.
+    pub fn expect_whole(&mut self, limit: Span, what: &str) {
+        let reached = self.run_until(limit, World::is_whole);
+        assert!(reached, "not whole after {what}\n{}", self.picture());
+    }
+}
