--- a/crates/replication/src/disk.rs
+++ b/crates/replication/src/disk.rs
@@ -76,9 +76,9 @@
         self.retry_at.is_some()
     }
 
-    /// When a failed write is tried again.
+    /// When a failed write is tried again, unless it is being tried now.
     pub(crate) fn retry_at(&self) -> Time {
-        self.retry_at.unwrap_or(Time::NEVER)
+        self.retry_at.filter(|_| self.writing.is_none()).unwrap_or(Time::NEVER)
     }
 
     /// Holds `deferred` back until all changes up to now are on disk.
--- a/crates/replication/src/membership.rs
+++ b/crates/replication/src/membership.rs
@@ -96,13 +96,18 @@
         }
     }
 
-    /// An even number of voters bears no more losses than one fewer: a silent one goes, down to as many as
-    /// founded the tier.
+    /// Silent voters go, down to as many as founded the tier or are needed for the copies. An odd number stays:
+    /// an even one bears no more losses than one fewer.
     fn drop_silent(&self, voters: &mut Vec<Voter>) {
         let least = self.settings.seeds.len().max(2 * self.settings.required_copies - 1);
-        if voters.len() > least && voters.len().is_multiple_of(2) {
-            let silent = voters.iter().position(|voter| self.is_silent(voter.disk));
-            silent.map(|index| voters.remove(index));
+        let silent = voters.iter().filter(|voter| self.is_silent(voter.disk)).count();
+        let mut surplus = silent.min(voters.len().saturating_sub(least));
+        if (voters.len() - surplus).is_multiple_of(2) {
+            surplus = surplus.saturating_sub(1);
+        }
+        for _ in 0..surplus {
+            let dropped = voters.iter().position(|voter| self.is_silent(voter.disk));
+            dropped.map(|index| voters.remove(index));
         }
     }
 
