--- a/crates/replication/src/replica.rs
+++ b/crates/replication/src/replica.rs
@@ -15,7 +15,7 @@
 use crate::interface::{Command, Event, PersistToken, Record, Role};
 use crate::jitter::Jitter;
 use crate::office::Office;
-use crate::settings::Settings;
+use crate::settings::{Settings, Timings};
 use crate::state::{ReplicatedState, Versioned};
 
 /// After a start, the primary of the last epoch seeks office again this soon.
@@ -86,7 +86,7 @@
         let mut jitter = Jitter::new(seed);
         let was_primary = ballot.accepted.primary == settings.me.disk;
         let patience = if was_primary { RETURN } else { settings.timings.election };
-        let election_at = now + patience + jitter.up_to(patience);
+        let election_at = now + patience + jitter.up_to(patience.times(0.5));
         Ok(Replica {
             settings,
             jitter,
@@ -191,9 +191,13 @@
         number_above(seen, self.me())
     }
 
+    /// How long to wait for a primary: the in-sync replicas one after the other, lest they stand against each
+    /// other.
     pub(crate) fn election_span(&mut self) -> Span {
-        let election = self.settings.timings.election;
-        election + self.jitter.up_to(election.times(0.5))
+        let Timings { election, stagger, .. } = self.settings.timings;
+        let place = self.known.in_sync.iter().position(|disk| *disk == self.settings.me.disk);
+        let rank = place.unwrap_or_default().saturating_sub(1);
+        election + stagger.times(rank as f64) + self.jitter.up_to(stagger.times(0.5))
     }
 
     pub(crate) fn command(&mut self, command: Command) {
--- a/crates/replication/src/settings.rs
+++ b/crates/replication/src/settings.rs
@@ -28,9 +28,11 @@
 pub struct Timings {
     /// Between two heartbeats of the primary.
     pub heartbeat: Span,
-    /// Without a heartbeat for so long (and up to half as long again), a backup seeks to become primary; without
-    /// a majority of answers for so long, a primary steps down.
+    /// Without a heartbeat for so long, the first of the backups seeks to become primary; without a majority of
+    /// answers for so long, a primary steps down.
     pub election: Span,
+    /// How much longer than the one before it each further backup waits.
+    pub stagger: Span,
     /// A backup that confirms nothing for so long leaves the in-sync set.
     pub confirm: Span,
     /// A voter that answers nothing for so long may be replaced by a keeper that asks to be let in.
@@ -52,6 +54,7 @@
         Timings {
             heartbeat: Span::from_millis(150),
             election: Span::from_millis(500),
+            stagger: Span::from_millis(120),
             confirm: Span::from_millis(400),
             silence: Span::from_millis(1_000),
             ask: Span::from_millis(300),
--- a/crates/replication/tests/common/mod.rs
+++ b/crates/replication/tests/common/mod.rs
@@ -246,11 +246,20 @@
         self.hand(machine, Event::Persisted(token));
     }
 
+    /// The founders at the first start; later, machines of the present.
+    fn seeds_of(&self, index: usize) -> Vec<SocketAddr> {
+        if self.machines[index].bootstrap {
+            return self.seeds.clone();
+        }
+        let present = self.machines.iter().filter(|machine| !machine.gone);
+        present.map(|machine| machine.voter.address).take(self.seeds.len()).collect()
+    }
+
     fn start(&mut self, index: usize) {
         let seed = self.random.next();
         let settings = Settings {
             me: self.machines[index].voter.clone(),
-            seeds: self.seeds.clone(),
+            seeds: self.seeds_of(index),
             bootstrap: self.machines[index].bootstrap,
             required_copies: self.required,
             timings: Timings::default(),
@@ -430,7 +439,8 @@
         in_sync.sort_unstable();
         let mut voters: Vec<DiskId> = replica.voters().iter().map(|voter| voter.disk).collect();
         voters.sort_unstable();
-        in_sync == wanted && voters == wanted
+        let settled = replica.epoch().previous_voters.is_empty();
+        settled && in_sync == wanted && voters == wanted
     }
 
     /// What every keeper thinks, for the report of a failure.
--- a/crates/replication/tests/simulation.rs
+++ b/crates/replication/tests/simulation.rs
@@ -2,10 +2,13 @@
 
 mod common;
 
+use std::collections::BTreeSet;
+
 use common::{ROUGH, Random, World};
 use juniperwing_clock::Span;
+use juniperwing_replication::Event;
 
-const SEEDS: u64 = 40;
+const SEEDS: u64 = 1_500;
 
 /// How soon a change is acknowledged once all is well again.
 const RECOVERY: Span = Span::from_millis(4_000);
@@ -24,7 +27,7 @@
     let count = world.machines.len();
     let mut random = Random(world.random.next());
     let (first, second) = random_pair(&mut random, count);
-    match random.below(9) {
+    match random.below(10) {
         0 | 1 => {
             world.kill(first);
             world.start_after(first, random.millis(10, 1_500));
@@ -43,6 +46,13 @@
         }
         6 => world.freeze(first, random.millis(50, 2_000)),
         7 => world.cuts.clear(),
+        8 => {
+            world.hand(first, Event::StepDown);
+            let span = random.millis(0, 200);
+            world.run(span);
+            world.kill(first);
+            world.start_after(first, random.millis(10, 500));
+        }
         _ => {
             if let Some(primary) = world.primary() {
                 world.kill(primary);
@@ -67,7 +77,7 @@
 fn disaster(world: &mut World, tolerance: usize) {
     let alive: Vec<usize> = (0..world.machines.len()).filter(|index| !world.machines[*index].gone).collect();
     let all = world.random.one_in(2);
-    let mut victims = BTreeSetOfIndices::default();
+    let mut victims = BTreeSet::new();
     while victims.len() < tolerance {
         let victim = world.random.below(alive.len() as u64) as usize;
         victims.insert(alive[victim]);
@@ -90,8 +100,6 @@
     }
 }
 
-type BTreeSetOfIndices = std::collections::BTreeSet<usize>;
-
 fn play(seed: u64, seeds: usize, machines: usize, required: usize) -> World {
     let mut world = World::new(seed, seeds, required);
     for index in seeds..machines {
@@ -103,7 +111,8 @@
         storm(&mut world);
         world.expect_progress(RECOVERY, "a storm");
         world.expect_whole(WHOLE, "a storm");
-        let span = world.random.millis(0, 300);
+        // A machine counts as lost until its successor has been in touch for a while.
+        let span = world.random.millis(1_000, 1_300);
         world.run(span);
         disaster(&mut world, required - 1);
         world.expect_progress(RECOVERY, "a loss of disks");
