--- a/crates/replication/tests/scenarios.rs
+++ b/crates/replication/tests/scenarios.rs
@@ -4,7 +4,7 @@
 
 use common::World;
 use juniperwing_clock::Span;
-use juniperwing_replication::{Event, ProposeToken, Role};
+use juniperwing_replication::{Event, ProposeToken, ReadToken, Role};
 
 fn started(seed: u64) -> (World, usize) {
     let mut world = World::new(seed, 3, 2);
@@ -72,6 +72,7 @@
     assert_ne!(replica.role(), Role::Primary);
     let base = replica.latest().version;
     let token = ProposeToken(u64::MAX);
+    world.judge.proposal_begins(token, base);
     // The judge holds it against everybody if a refused change comes into force.
     world.hand(primary, Event::Propose { token, base, change: token.0 });
     world.heal();
@@ -89,6 +90,21 @@
     }
 }
 
+#[test]
+fn a_primary_whose_clock_stood_still_answers_no_read_out_of_date() {
+    for seed in 0..200 {
+        let (mut world, primary) = started(seed);
+        world.freeze_with_clock(primary, Span::from_millis(2_500));
+        world.expect_progress(Span::from_millis(2_000), "the freeze of the primary");
+        world.run(Span::from_millis(400));
+        world.judge.read_begins(ReadToken(u64::MAX));
+        // It waits for the thaw, and what was sent before the freeze comes first.
+        world.hand_later(primary, Event::Read { token: ReadToken(u64::MAX) });
+        world.run(Span::from_millis(3_000));
+        world.expect_whole(Span::from_millis(3_000), "the thaw");
+    }
+}
+
 #[test]
 fn a_wiped_keeper_comes_back_as_somebody_else() {
     for seed in 0..50 {
