--- a/crates/node/src/relay/sessions.rs
+++ b/crates/node/src/relay/sessions.rs
@@ -7,6 +7,8 @@
 use juniperwing_protocol::session::{BeginTurn, FinishTurn, Turn};
 use snafu::Snafu;
 
+use crate::sessions_client::{SessionError, SessionsClient};
+
 /// Why a turn cannot be begun or finished.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
 pub enum SessionFault {
@@ -35,3 +37,28 @@
     /// Settles a turn in the background; tried again for a while.
     fn finish_later(&self, turn: FinishTurn);
 }
+
+/// The stores behind their client.
+impl Sessions for SessionsClient {
+    fn begin(&self, turn: BeginTurn, within: Duration) -> SessionCall<Vec<Turn>> {
+        let client = self.clone();
+        Box::pin(async move {
+            let begun = client.begin(turn, within).await.map_err(|error| match error {
+                SessionError::BudgetSpent => SessionFault::BudgetSpent,
+                SessionError::UnknownTurn => SessionFault::UnknownTurn,
+                SessionError::Unavailable => SessionFault::Unavailable,
+            })?;
+            Ok(begun.chain)
+        })
+    }
+
+    fn finish(&self, turn: FinishTurn, within: Duration) -> SessionCall<()> {
+        let client = self.clone();
+        Box::pin(async move { client.finish(turn, within).await.map_err(|_| SessionFault::Unavailable) })
+    }
+
+    fn finish_later(&self, turn: FinishTurn) {
+        // Where too many are under way already, the turn counts at its most.
+        SessionsClient::finish_later(self, turn);
+    }
+}
