Balancing is tried: spread, aside, affinity, release order, bounds, restart timer

Cause: the choice of endpoints had no test of its own. Change: ten traces and a property over arbitrary arrivals and endings.

--- /dev/null
+++ b/crates/balancing/tests/balancing.rs
@@ -0,0 +1,214 @@
+//! Choice of endpoints, admission and release of slots.
+
+use juniperwing_balancing::{
+    Admission, Ask, Balancer, Bounds, Destination, Ending, EndpointInfo, Latencies, PromptPart, Refusal,
+    ServerLoad,
+};
+use juniperwing_clock::{Span, Time};
+use juniperwing_protocol::identity::{InstanceId, ProgramId, ServiceName};
+use proptest::prelude::*;
+
+const USUAL: Span = Span::from_millis(20);
+
+fn at(millis: u64) -> Time {
+    Time::default() + Span::from_millis(100_000 + millis)
+}
+
+fn balancer(endpoints: &[(&str, &str, u32)]) -> Balancer {
+    let mut balancer = Balancer::new("a".into(), 7, Bounds { waiting: 4 });
+    for (id, zone, capacity) in endpoints {
+        balancer.insert(&EndpointInfo {
+            id: InstanceId::from(*id),
+            service: ServiceName::from("s"),
+            zone: (*zone).into(),
+            capacity: *capacity,
+        });
+    }
+    balancer
+}
+
+fn destination(prefix: &str) -> Destination {
+    Destination { service: ServiceName::from("s"), host: "h".into(), prefix: prefix.into() }
+}
+
+fn ask(prefix: &str, priority: u32) -> Ask {
+    Ask {
+        destination: destination(prefix),
+        priority,
+        excluded: Vec::new(),
+        prompt: Vec::new(),
+        hint: None,
+        program: None,
+    }
+}
+
+fn goes_to(balancer: &mut Balancer, now: Time, ask: Ask) -> InstanceId {
+    match balancer.admit(now, ask, USUAL) {
+        Admission::Go(id) => id,
+        other => panic!("{other:?}"),
+    }
+}
+
+/// Takes every slot of the balancer's endpoints.
+fn fill(balancer: &mut Balancer, prefix: &str) -> Vec<InstanceId> {
+    let mut taken = Vec::new();
+    loop {
+        match balancer.admit(at(0), ask(prefix, 1), USUAL) {
+            Admission::Go(id) => taken.push(id),
+            Admission::Wait(ticket) => {
+                balancer.cancel(&"s".into(), ticket);
+                return taken;
+            }
+            Admission::Refuse(why) => panic!("{why:?}"),
+        }
+    }
+}
+
+#[test]
+fn load_is_spread_and_the_own_zone_comes_first_on_equal_terms() {
+    let mut balancer = balancer(&[("far", "b", 4), ("near", "a", 4)]);
+    let chosen: Vec<_> = (0..4).map(|_| goes_to(&mut balancer, at(0), ask("/", 0))).collect();
+    assert_eq!(chosen[0], InstanceId::from("near"));
+    assert_eq!(chosen.iter().filter(|id| **id == chosen[0]).count(), 2);
+}
+
+#[test]
+fn a_told_load_counts_and_fades() {
+    let mut balancer = balancer(&[("far", "b", 4), ("near", "a", 4)]);
+    balancer.tell(at(0), &"near".into(), ServerLoad { running: 4, waiting: 1, slots: 4 });
+    assert_eq!(goes_to(&mut balancer, at(1), ask("/", 0)), "far".into());
+    balancer.end(at(2), &destination("/"), &"far".into(), Ending::Answered);
+    assert_eq!(goes_to(&mut balancer, at(5_000), ask("/", 0)), "near".into());
+}
+
+#[test]
+fn an_endpoint_that_failed_is_set_aside_and_used_where_there_is_no_other() {
+    let mut balancer = balancer(&[("far", "b", 4), ("near", "a", 4)]);
+    let near = goes_to(&mut balancer, at(0), ask("/", 0));
+    balancer.end(at(1), &destination("/"), &near, Ending::Failed);
+    assert_eq!(goes_to(&mut balancer, at(2), ask("/", 0)), "far".into());
+    balancer.remove(&"far".into());
+    assert_eq!(goes_to(&mut balancer, at(3), ask("/", 0)), near);
+}
+
+#[test]
+fn removed_and_excluded_endpoints_are_not_chosen() {
+    let mut balancer = balancer(&[("one", "a", 4), ("two", "a", 4)]);
+    let asked = Ask { excluded: vec!["one".into()], ..ask("/", 0) };
+    assert_eq!(goes_to(&mut balancer, at(0), asked.clone()), "two".into());
+    balancer.remove(&"two".into());
+    assert_eq!(balancer.admit(at(0), asked, USUAL), Admission::Refuse(Refusal::NoEndpoint));
+    assert!(!balancer.is_ready(&"two".into()));
+}
+
+#[test]
+fn a_freed_slot_goes_to_the_most_urgent_and_then_to_the_least_served() {
+    let mut balancer = balancer(&[("one", "a", 2)]);
+    let taken = fill(&mut balancer, "/busy/");
+    let Admission::Wait(busy) = balancer.admit(at(1), ask("/busy/", 1), USUAL) else { panic!() };
+    let Admission::Wait(idle) = balancer.admit(at(2), ask("/idle/", 1), USUAL) else { panic!() };
+    let Admission::Wait(urgent) = balancer.admit(at(3), ask("/urgent/", 0), USUAL) else { panic!() };
+    assert!(balancer.release(at(4), &"s".into()).is_empty());
+    let mut order = Vec::new();
+    for step in 0..3 {
+        balancer.end(at(10 + step), &destination("/busy/"), &taken[0], Ending::Answered);
+        order.extend(balancer.release(at(10 + step), &"s".into()).into_iter().map(|grant| grant.ticket));
+    }
+    assert_eq!(order, [urgent, idle, busy]);
+}
+
+#[test]
+fn the_queue_is_bounded_and_a_request_can_leave_it() {
+    let mut balancer = balancer(&[("one", "a", 1)]);
+    fill(&mut balancer, "/");
+    let waiting: Vec<_> = (0..4).map(|_| balancer.admit(at(0), ask("/", 0), USUAL)).collect();
+    let Admission::Wait(last) = waiting[3] else { panic!("{waiting:?}") };
+    assert_eq!(balancer.admit(at(0), ask("/", 0), USUAL), Admission::Refuse(Refusal::QueueFull));
+    balancer.cancel(&"s".into(), last);
+    assert!(matches!(balancer.admit(at(0), ask("/", 0), USUAL), Admission::Wait(_)));
+}
+
+#[test]
+fn who_waits_for_endpoints_that_all_leave_is_told() {
+    let mut balancer = balancer(&[("one", "a", 1)]);
+    fill(&mut balancer, "/");
+    assert!(matches!(balancer.admit(at(0), ask("/", 0), USUAL), Admission::Wait(_)));
+    balancer.remove(&"one".into());
+    let grants = balancer.release(at(1), &"s".into());
+    assert_eq!((grants.len(), grants[0].endpoint.clone()), (1, None));
+}
+
+#[test]
+fn turns_follow_their_program_and_their_prompt_unless_load_speaks_against_it() {
+    let ids: Vec<String> = (0..6).map(|number| format!("i-{number}")).collect();
+    let endpoints: Vec<_> = ids.iter().map(|id| (id.as_str(), "a", 10)).collect();
+    let mut balancer = balancer(&endpoints);
+    let turn = |program: &str, prompt: &str| Ask {
+        program: Some(ProgramId::from(program)),
+        prompt: PromptPart::list(prompt),
+        ..ask("/", 0)
+    };
+    let first = goes_to(&mut balancer, at(0), turn("p", "aa:100,bb:50"));
+    assert_eq!(goes_to(&mut balancer, at(1), turn("p", "aa:100,bb:50,cc:20")), first);
+    let loaded = ServerLoad { running: 10, waiting: 0, slots: 10 };
+    balancer.tell(at(2), &first, loaded);
+    assert_ne!(goes_to(&mut balancer, at(3), turn("p", "aa:100,bb:50,cc:20")), first);
+    let hint = InstanceId::from("i-5");
+    let hinted = Ask { hint: Some(hint.clone()), ..turn("q", "dd:10") };
+    assert_eq!(goes_to(&mut balancer, at(4), hinted), hint);
+}
+
+#[test]
+fn the_restart_timer_warms_up_restarts_and_cuts_off() {
+    let mut latencies = Latencies::default();
+    let left = Span::from_millis(1_000);
+    assert_eq!(latencies.time_out(&destination("/"), left, 3), left);
+    assert!(latencies.worth_trying(&destination("/"), Span::from_millis(1)));
+    for step in 0..10 {
+        latencies.record(at(step), &destination("/"), Span::from_millis(50), false);
+    }
+    assert!(latencies.time_out(&destination("/"), left, 3) < left);
+    assert_eq!(latencies.time_out(&destination("/"), left, 1), left);
+    assert!(!latencies.worth_trying(&destination("/"), Span::from_millis(20)));
+    assert!(latencies.worth_trying(&destination("/"), Span::from_millis(200)));
+    latencies.retain(|_| false);
+    assert_eq!(latencies.median(&destination("/")), Span::ZERO);
+}
+
+#[test]
+fn parts_and_loads_are_read_or_passed_over() {
+    assert_eq!(PromptPart::list("5c1e07a2:800,91:41").len(), 2);
+    assert_eq!(PromptPart::list("5c:8,rubbish,7:7").len(), 1);
+    assert_eq!(ServerLoad::read("3,0,8"), Some(ServerLoad { running: 3, waiting: 0, slots: 8 }));
+    assert_eq!(ServerLoad::read("3,0"), None);
+}
+
+proptest! {
+    /// Whatever comes and goes, no endpoint gets more than its slots and what is sent ahead, and all that
+    /// waits is served once slots are free.
+    #[test]
+    fn slots_are_never_overrun_and_never_lost(steps in prop::collection::vec((0_u8..3, 0_u32..3), 1..200)) {
+        let mut balancer = balancer(&[("one", "a", 4), ("two", "b", 4)]);
+        let (mut open, mut waiting): (Vec<InstanceId>, usize) = (Vec::new(), 0);
+        for (time, (action, priority)) in steps.into_iter().enumerate() {
+            let now = at(time as u64);
+            if action < 2 {
+                match balancer.admit(now, ask("/", priority), USUAL) {
+                    Admission::Go(id) => open.push(id),
+                    Admission::Wait(_) => waiting += 1,
+                    Admission::Refuse(_) => {}
+                }
+            } else if let Some(id) = open.pop() {
+                balancer.end(now, &destination("/"), &id, Ending::Answered);
+            }
+            for grant in balancer.release(now, &"s".into()) {
+                waiting -= 1;
+                open.extend(grant.endpoint);
+            }
+            for id in ["one", "two"] {
+                prop_assert!(open.iter().filter(|held| **held == id.into()).count() <= 5);
+            }
+            prop_assert!(waiting == 0 || open.len() == 10);
+        }
+    }
+}
