--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -109,7 +109,7 @@
 /// If a listener cannot be used.
 pub async fn run(process: Process) -> io::Result<()> {
     let Process { settings, settings_file, log, mut signals } = process;
-    let relay = Relay::open(settings, log.clone(), store_client).await?;
+    let relay = Relay::open(settings, log.clone(), stores).await?;
     let subscriber = relay.subscribe();
     relay
         .serve(async move {
@@ -268,15 +268,14 @@
     }
 }
 
-/// The relay's client of the stores that the keepers tell of.
-fn store_client(world: &World) -> Arc<dyn Sessions> {
-    let pool = Arc::new(LinkPool::new(Arc::new(Unasked)));
-    Arc::new(SessionsClient::new(pool, world.stores()))
-}
-
-/// Stores send a relay nothing but answers.
+/// Stores only answer a relay: what they send unasked is passed over.
 struct Unasked;
 
 impl Service for Unasked {
     fn message(&self, _: &Link, _: Message, _: Reply) {}
 }
+
+fn stores(world: &World) -> Arc<dyn Sessions> {
+    let pool = Arc::new(LinkPool::new(Arc::new(Unasked)));
+    Arc::new(SessionsClient::new(pool, world.stores()))
+}
--- a/crates/node/src/relay/sessions.rs
+++ b/crates/node/src/relay/sessions.rs
@@ -38,32 +38,27 @@
     fn finish_later(&self, turn: FinishTurn);
 }
 
-impl From<SessionError> for SessionFault {
-    fn from(error: SessionError) -> Self {
-        match error {
-            SessionError::BudgetSpent => SessionFault::BudgetSpent,
-            SessionError::UnknownTurn => SessionFault::UnknownTurn,
-            SessionError::Unavailable => SessionFault::Unavailable,
-        }
-    }
-}
-
+/// The stores behind their client.
 impl Sessions for SessionsClient {
     fn begin(&self, turn: BeginTurn, within: Duration) -> SessionCall<Vec<Turn>> {
         let client = self.clone();
-        Box::pin(async move { Ok(SessionsClient::begin(&client, turn, within).await?.chain) })
+        Box::pin(async move {
+            let begun = client.begin(turn, within).await.map_err(|error| match error {
+                SessionError::BudgetSpent => SessionFault::BudgetSpent,
+                SessionError::UnknownTurn => SessionFault::UnknownTurn,
+                SessionError::Unavailable => SessionFault::Unavailable,
+            })?;
+            Ok(begun.chain)
+        })
     }
 
     fn finish(&self, turn: FinishTurn, within: Duration) -> SessionCall<()> {
         let client = self.clone();
-        Box::pin(async move {
-            let settled = SessionsClient::finish(&client, turn, within).await;
-            settled.map_err(|_| SessionFault::Unavailable)
-        })
+        Box::pin(async move { client.finish(turn, within).await.map_err(|_| SessionFault::Unavailable) })
     }
 
     fn finish_later(&self, turn: FinishTurn) {
-        // Too many under way: the turn counts at its most, which denies too much rather than too little.
-        let _ = SessionsClient::finish_later(self, turn);
+        // Where too many are under way already, the turn counts at its most.
+        SessionsClient::finish_later(self, turn);
     }
 }
