The test of a failing disk fills the open segment first

Cause: since batches are appended to segments, renaming the folder no longer fails the next write: the segment is open. The check is as strict: the store must refuse, leave the keepers, and come back.

--- a/crates/node/tests/store.rs
+++ b/crates/node/tests/store.rs
@@ -150,6 +150,10 @@
 async fn a_store_whose_disk_fails_leaves_the_keepers_until_the_disk_is_back() {
     let stores = Stores::start("disk").await;
     keep_two(&stores).await;
+    // An open segment outlives the name of its folder: a turn that fills it has the next batch open another.
+    let mut filling = keep("p", "filling", Some("t2"));
+    filling.kept.as_mut().unwrap().output = Arc::from(vec![b'x'; 1 << 20]);
+    assert_eq!(stores.client.finish(filling, WITHIN).await, Ok(()));
     let batches = stores.data(0).join("sessions");
     let aside = stores.data(0).join("aside");
     std::fs::rename(&batches, &aside).unwrap();
