--- /dev/null
+++ b/crates/node/src/check_configuration.rs
@@ -0,0 +1,81 @@
+//! The command `juniperwing check-configuration`: what is wrong with an operator's configuration.
+
+use std::fmt::Write;
+use std::process::ExitCode;
+
+use juniperwing_configuration::{Configuration, Findings, Route, RouteType};
+
+/// The text of the help.
+const USAGE: &str = "\
+Usage: juniperwing check-configuration FILE
+
+Reads an operator's configuration, as it is sent by PUT /config, and prints what is in it, or all that is wrong with
+it, a line for each finding with its place. Exits with 0 if it can be used, 1 if not, 2 if it cannot be read.
+";
+
+/// Runs with the arguments behind `check-configuration`.
+pub fn run(arguments: &[String]) -> ExitCode {
+    let [file] = arguments else {
+        eprint!("juniperwing check-configuration: name one file\n{USAGE}");
+        return ExitCode::from(2);
+    };
+    if file == "--help" || file == "-h" {
+        print!("{USAGE}");
+        return ExitCode::SUCCESS;
+    }
+    let bytes = match std::fs::read(file) {
+        Ok(bytes) => bytes,
+        Err(e) => {
+            eprintln!("juniperwing check-configuration: reading {file}: {e}");
+            return ExitCode::from(2);
+        }
+    };
+    match Configuration::read(&bytes) {
+        Ok(configuration) => {
+            print!("{}", describe(&configuration));
+            ExitCode::SUCCESS
+        }
+        Err(findings) => {
+            print!("{}", list(file, &findings));
+            ExitCode::FAILURE
+        }
+    }
+}
+
+/// What a configuration says, a line for each route and service.
+pub fn describe(configuration: &Configuration) -> String {
+    let mut text = format!("generation {}\n", configuration.generation);
+    for route in &configuration.routes {
+        // Writing to a string cannot fail.
+        let _ = writeln!(text, "route {}", describe_route(route));
+    }
+    for service in &configuration.services {
+        let _ = writeln!(text, "service {}", service.name.0);
+    }
+    text
+}
+
+fn describe_route(route: &Route) -> String {
+    let kind = match route.route_type {
+        RouteType::Streaming { resumable: true } => "streaming, resumable",
+        RouteType::Streaming { resumable: false } => "streaming",
+        RouteType::Idempotent => "idempotent",
+        RouteType::NonIdempotent => "non_idempotent",
+    };
+    let kept = if route.kept { ", kept" } else { "" };
+    let (host, prefix, most) = (&route.hostname, &route.path_prefix, route.max_retries);
+    let seconds = route.timeout.secs();
+    format!("{host}{prefix}: {kind}{kept}, up to {seconds} s, up to {most} endpoints")
+}
+
+fn list(file: &str, findings: &Findings) -> String {
+    let mut text = String::new();
+    for finding in findings.listed() {
+        // Writing to a string cannot fail.
+        let _ = writeln!(text, "{file}: {}: {}", finding.place, finding.problem);
+    }
+    if findings.omitted() > 0 {
+        let _ = writeln!(text, "{file}: and {} more", findings.omitted());
+    }
+    text
+}
--- a/crates/node/src/command.rs
+++ b/crates/node/src/command.rs
@@ -54,7 +54,11 @@
     let mut options = Options::new();
     options.optopt("", "settings", "the settings file [environment: JUNIPERWING_CONFIG]", "FILE");
     options.optopt("", "log-level", "error, warning, info or debug [default: info]", "LEVEL");
-    options.optflag("", "check", "read the settings, say what is wrong with them, and exit");
+    options.optflag(
+        "",
+        "check",
+        "read the settings, say what is in them or what is wrong with them, and exit",
+    );
     options.optflag("h", "help", "print this");
     let usage = options.usage(&format!("Usage: juniperwing {} [OPTIONS]", role.name()));
     let matches = match options.parse(arguments) {
@@ -75,11 +79,24 @@
             eprintln!("juniperwing {}: {e}", role.name());
             ExitCode::from(2)
         }
-        Ok(_) if matches.opt_present("check") => ExitCode::SUCCESS,
+        Ok(settings) if matches.opt_present("check") => check(role, &settings),
         Ok(settings) => serve(role, settings, settings_file, level),
     }
 }
 
+/// Prints what was understood, or what the role lacks.
+fn check(role: Role, settings: &Settings) -> ExitCode {
+    let missing = settings.missing_for(role);
+    if missing.is_empty() {
+        print!("{}", settings.describe(role));
+        return ExitCode::SUCCESS;
+    }
+    for key in missing {
+        eprintln!("juniperwing {}: {key}: missing", role.name());
+    }
+    ExitCode::from(2)
+}
+
 fn serve(role: Role, settings: Settings, settings_file: Option<PathBuf>, level: Level) -> ExitCode {
     let log = logger(level, role.name(), &settings.node_name);
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -2,10 +2,12 @@
 //!
 //! Every process runs on one thread of `tokio`; only writes to disk go to others.
 
+pub mod check_configuration;
 pub mod clock;
 pub mod command;
 pub mod keeper;
 pub mod link;
+pub mod local;
 pub mod log;
 pub mod relay;
 pub mod sessions_client;
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -1,5 +1,7 @@
 //! The settings of a process: a TOML file that the platform writes. Unknown fields are skipped.
 
+mod describe;
+
 use std::collections::BTreeMap;
 use std::net::{IpAddr, SocketAddr};
 use std::path::{Path, PathBuf};
--- /dev/null
+++ b/crates/node/src/settings/describe.rs
@@ -0,0 +1,72 @@
+//! What was understood of settings, in words, for `--check`.
+
+use std::net::SocketAddr;
+
+use super::{Port, Settings};
+use crate::command::Role;
+
+impl Settings {
+    /// The keys that a role needs and that are not given.
+    pub fn missing_for(&self, role: Role) -> Vec<&'static str> {
+        let listeners = &self.listeners_map;
+        let needed = match role {
+            Role::Relay => vec![
+                ("listenersMap.frontend", listeners.frontend.is_some()),
+                ("listenersMap.readiness", listeners.readiness.is_some()),
+            ],
+            Role::Keeper => vec![
+                ("listenersMap.controlPlane", listeners.control_plane.is_some()),
+                ("dataDirectory", self.data_directory.is_some()),
+            ],
+            Role::Store => vec![("dataDirectory", self.data_directory.is_some())],
+        };
+        needed.into_iter().filter(|(_, is_given)| !is_given).map(|(key, _)| key).collect()
+    }
+
+    /// What a role goes by, a line for each matter.
+    pub fn describe(&self, role: Role) -> String {
+        let mut lines = vec![format!("{} {} in zone {}", role.name(), self.node_name, self.zone)];
+        lines.extend(self.describe_listeners(role));
+        lines.push(format!("seed keepers: {}", join(&self.seed_keepers())));
+        if let (Role::Keeper | Role::Store, Some(folder)) = (role, &self.data_directory) {
+            lines.push(format!("keeps its data in {}", folder.display()));
+        }
+        if role == Role::Keeper {
+            let start = if self.bootstrap { "founds a tier if its folder is empty" } else { "joins a tier" };
+            lines.push(start.to_owned());
+        }
+        let (machines, copies) = (self.fault_tolerance.machines, self.required_copies());
+        lines.push(format!("bears the loss of {machines} machines: {copies} copies of what is acknowledged"));
+        let limits = &self.limits;
+        lines.push(format!(
+            "may use {} MB of memory, {} descriptors, {} MB of disk",
+            limits.memory_mb, limits.max_fds, limits.disk_mb
+        ));
+        lines.join("\n") + "\n"
+    }
+
+    fn describe_listeners(&self, role: Role) -> Vec<String> {
+        let listeners = &self.listeners_map;
+        let line = |what: &str, address: Option<SocketAddr>| {
+            address.map(|address| format!("listens on {address} for {what}"))
+        };
+        let lines = match role {
+            Role::Relay => {
+                vec![line("clients", listeners.frontend), line("readiness checks", listeners.readiness)]
+            }
+            Role::Keeper => vec![
+                line("endpoints and operators", listeners.control_plane),
+                line("the tier", Some(self.own_address(Port::Keeper))),
+            ],
+            Role::Store => vec![line("the tier", Some(self.own_address(Port::Store)))],
+        };
+        lines.into_iter().flatten().collect()
+    }
+}
+
+fn join(addresses: &[SocketAddr]) -> String {
+    if addresses.is_empty() {
+        return "none".to_owned();
+    }
+    addresses.iter().map(ToString::to_string).collect::<Vec<_>>().join(", ")
+}
--- a/crates/relay/src/main.rs
+++ b/crates/relay/src/main.rs
@@ -29,19 +29,29 @@
 use crate::event_loop::Signals;
 
 const USAGE: &str = "\
-juniperwing takes notifications on over HTTP and pushes them to their destinations.
+juniperwing takes notifications on over HTTP and pushes them to their destinations. It is also a serving tier for agent
+programs, of three roles.
 
 Usage: juniperwing [COMMAND] [OPTIONS]
 
-Commands:
+Commands of the relay for notifications:
   serve          Serve until SIGTERM or SIGINT (the default); SIGHUP has the configuration read anew
-  relay, keeper, store
-                 Serve in a role of the serving tier; --help behind it tells its options
   check-config   Read the configuration, say what is in it or what is wrong with it, and exit
+
+Commands of the serving tier; --help behind one tells its options:
+  relay          Carry requests of clients to endpoints
+  keeper         Keep the configuration, the endpoints and the store map
+  store          Keep turns and budgets of programs
+  check-configuration FILE
+                 Read an operator's configuration and print what is in it, or all that is wrong with it
+  local FOLDER   Start the roles of a folder of settings on this machine, for trying the tier out
+  endpoint       Start a stand-in for an endpoint, for trying the tier out
+
+Other commands:
   version        Print the version
   help           Print this
 
-Options:
+Options of serve and check-config:
   --config FILE       The configuration, in JSON [environment: ROUTER_CONFIG]
   --log-level LEVEL   error, warning, info or debug [default: info; environment: JUNIPERWING_LOG]
   -h, --help          Print this
@@ -72,8 +82,8 @@
 fn main() -> ExitCode {
     let words: Vec<String> =
         std::env::args_os().skip(1).map(|word| word.to_string_lossy().into_owned()).collect();
-    if let Some(role) = words.first().and_then(|word| Role::of(word)) {
-        return juniperwing_node::command::run(role, &words[1..]);
+    if let Some(code) = serving_tier(&words) {
+        return code;
     }
     let args = match arguments(std::env::args_os().skip(1).collect()) {
         Ok(args) => args,
@@ -117,6 +127,20 @@
     ExitCode::SUCCESS
 }
 
+/// Runs a command of the serving tier, if the first word is one.
+fn serving_tier(words: &[String]) -> Option<ExitCode> {
+    let (command, arguments) = words.split_first()?;
+    if let Some(role) = Role::of(command) {
+        return Some(juniperwing_node::command::run(role, arguments));
+    }
+    match command.as_str() {
+        "local" => Some(juniperwing_node::local::run(arguments)),
+        "endpoint" => Some(juniperwing_stand_in::command::run(arguments)),
+        "check-configuration" => Some(juniperwing_node::check_configuration::run(arguments)),
+        _ => None,
+    }
+}
+
 fn arguments(given: Vec<OsString>) -> Result<Args, lexopt::Error> {
     let named = std::env::var("JUNIPERWING_LOG").ok().filter(|level| !level.is_empty());
     let mut args = Args { order: Order::Serve, config: None, level: Level::Info };
