--- a/crates/node/src/local.rs
+++ b/crates/node/src/local.rs
@@ -18,7 +18,7 @@
 use crate::command::Role;
 use crate::signals::{Signals, Wish};
 
-/// A role that ends sooner than this after its first start has settings that cannot be used.
+/// A role that ends by itself sooner than this after its first start has settings that cannot be used.
 const TRIAL: Duration = Duration::from_secs(2);
 /// The pause before a role that has ended is started again.
 const PAUSE: Duration = Duration::from_secs(1);
@@ -224,7 +224,8 @@
                 return;
             }
             report(&self.name, &ended);
-            if is_first && begun.elapsed() < TRIAL {
+            let was_killed = matches!(&ended, Ok(status) if status.code().is_none());
+            if is_first && !was_killed && begun.elapsed() < TRIAL {
                 // Whoever listens ends when the first has told.
                 let _ = failed.blocking_send(());
                 return;
--- a/crates/node/tests/settings.rs
+++ b/crates/node/tests/settings.rs
@@ -76,3 +76,62 @@
 fn a_torn_file_is_refused() {
     assert!(parse(&CORE[..40]).is_err());
 }
+
+/// The keys that the structures of the settings have, by what reads them.
+fn keys_read() -> Vec<String> {
+    let source = include_str!("../src/settings.rs");
+    let mut keys = Vec::new();
+    let mut prefix = None;
+    let mut renamed = None;
+    let mut is_camel = false;
+    for line in source.lines().map(str::trim) {
+        if line.starts_with("#[serde(") && !line.contains("rename = ") {
+            is_camel |= line.contains("rename_all = \"camelCase\"");
+        } else if let Some(name) = line.strip_prefix("pub struct ") {
+            prefix = prefix_of(name.trim_end_matches(" {"));
+        } else if let Some(rename) = line.strip_prefix("#[serde(rename = \"") {
+            renamed = rename.strip_suffix("\")]").map(str::to_owned);
+        } else if line == "}" {
+            (prefix, is_camel) = (None, false);
+        } else if let (Some(prefix), Some((name, _))) =
+            (prefix, line.strip_prefix("pub ").and_then(|field| field.split_once(": ")))
+        {
+            let plain = if is_camel { camel(name) } else { name.to_owned() };
+            keys.push(format!("{prefix}{}", renamed.take().unwrap_or(plain)));
+        }
+    }
+    // The tables stand in the list by their own keys.
+    keys.retain(|key| !["listenersMap", "limits", "faultTolerance", "bounds"].contains(&key.as_str()));
+    keys
+}
+
+fn prefix_of(structure: &str) -> Option<&'static str> {
+    match structure {
+        "Settings" => Some(""),
+        "Listeners" => Some("listenersMap."),
+        "Limits" => Some("limits."),
+        "FaultTolerance" => Some("faultTolerance."),
+        "Bounds" => Some("bounds."),
+        _ => None,
+    }
+}
+
+fn camel(name: &str) -> String {
+    let mut words = name.split('_');
+    let first = words.next().unwrap_or_default().to_owned();
+    words.fold(first, |name, word| {
+        let (head, tail) = word.split_at(1);
+        name + &head.to_uppercase() + tail
+    })
+}
+
+#[test]
+fn the_page_lists_exactly_the_keys_that_are_read() {
+    let page = include_str!("../../../docs/settings-system.md");
+    let rows = page.lines().filter_map(|line| line.strip_prefix("| `"));
+    let mut listed: Vec<&str> = rows.filter_map(|row| row.split('`').next()).collect();
+    let mut read = keys_read();
+    listed.sort_unstable();
+    read.sort_unstable();
+    assert_eq!(listed, read);
+}
