The stand-in tells how much it was sent, so a continued turn shows its chain

Cause: a user could not see that a turn that continues from another one reaches the endpoint whole. Change: events of the stand-in tell the length of the body; the test of README's way compares it with the chain, and starts the tier again over its folders.

--- a/crates/relay/tests/tier/local.rs
+++ b/crates/relay/tests/tier/local.rs
@@ -52,10 +52,18 @@
 
     /// A request that is answered at last; its body.
     fn request(&self, path: &str, headers: &str, body: &str) -> String {
-        call_until(200, |number| {
-            let headers = format!("Host: demo.example\r\nX-Request-Id: {path}-{number}\r\n{headers}");
+        self.request_and_id(path, headers, body).1
+    }
+
+    /// A request that is answered at last; the id that was answered, and the body.
+    fn request_and_id(&self, path: &str, headers: &str, body: &str) -> (String, String) {
+        let mut id = String::new();
+        let answer = call_until(200, |number| {
+            id = format!("{path}-{number}");
+            let headers = format!("Host: demo.example\r\nX-Request-Id: {id}\r\n{headers}");
             call(self.address(1, 8_080), &format!("POST {path}"), &headers, body)
-        })
+        });
+        (id, answer)
     }
 }
 
@@ -76,13 +84,22 @@
     let stream = copy.request("/stream/a", "", "");
     assert!((1..=5).all(|number| stream.contains(&format!("id: {number}\n"))), "{stream}");
     let turn = "Program: p\r\nSession: s\r\nBudget: 100\r\nX-Token-Count: 3,5\r\n";
-    let answer = copy.request("/stream/turns/a", turn, "first");
+    let (id, answer) = copy.request_and_id("/stream/turns/a", turn, "first");
     assert!(answer.contains("id: 5\n"), "{answer}");
+    let kept: usize =
+        answer.lines().filter_map(|line| line.strip_prefix("data: ")).map(|data| data.len() + 1).sum();
+    let next = copy.request("/stream/turns/b", &format!("{turn}Previous: {id}\r\n"), "second");
+    let whole = "first".len() + kept + "second".len();
+    assert!(next.contains(&format!("was sent {whole} bytes")), "{whole}\n{next}");
     let unknown = format!("Host: demo.example\r\nX-Request-Id: u\r\n{turn}Previous: nobody\r\n");
     let (status, _) = call(copy.address(1, 8_080), "POST /stream/turns/a", &unknown, "x").unwrap();
     assert_eq!(status, 404);
     assert_eq!(endpoint.stop(), Some(0));
     assert_eq!(tier.stop(), Some(0));
+    let again = copy.start();
+    let held = call_until(200, |_| call(copy.address(1, 8_144), "GET /config", "Host: k\r\n", ""));
+    assert!(held.contains("\"generation\": 1"), "{held}");
+    assert_eq!(again.stop(), Some(0));
 }
 
 #[test]
--- a/crates/stand-in/src/answers.rs
+++ b/crates/stand-in/src/answers.rs
@@ -118,7 +118,7 @@
     let answering = Arc::clone(&slot.0);
     let stamp = answering.stamp();
     let mut response = if request.uri().path().starts_with(&answering.options.stream_prefix) {
-        stream_of_events(slot, request.headers())
+        stream_of_events(slot, request).await
     } else {
         echo(&answering, request).await
     };
@@ -139,11 +139,14 @@
 }
 
 /// A series of events, from the one behind `Last-Event-Id` on.
-fn stream_of_events(slot: Slot, headers: &HeaderMap) -> Response {
-    let text = |name| headers.get(name).and_then(|value: &HeaderValue| value.to_str().ok()).unwrap_or("");
-    let first = text(headers::LAST_EVENT_ID).trim().parse::<u64>().map_or(1, |last| last.saturating_add(1));
-    let most: Option<u64> =
-        text(headers::TOKEN_COUNT).split(',').nth(1).and_then(|most| most.trim().parse().ok());
+async fn stream_of_events(slot: Slot, request: Request) -> Response {
+    let (parts, body) = request.into_parts();
+    let Ok(body) = Limited::new(body, MAX_BODY_BYTES).collect().await else {
+        return plain(StatusCode::BAD_REQUEST, Body::empty());
+    };
+    let sent = body.to_bytes().len();
+    let first = number(text(&parts.headers, headers::LAST_EVENT_ID)).map_or(1, |last| last.saturating_add(1));
+    let most = text(&parts.headers, headers::TOKEN_COUNT).split(',').nth(1).and_then(number);
     let last = slot.0.options.events.min(most.unwrap_or(u64::MAX));
     let pause = slot.0.options.pause;
     let events = stream::unfold((slot, first), move |(slot, number)| async move {
@@ -153,15 +156,25 @@
         if number > first {
             sleep(pause).await;
         }
-        Some((Ok::<_, Infallible>(event(&slot, number)), (slot, number + 1)))
+        Some((Ok::<_, Infallible>(event(&slot, number, sent)), (slot, number + 1)))
     });
     let mut response = plain(StatusCode::OK, Body::from_stream(events));
     set(&mut response, header::CONTENT_TYPE.as_str(), "text/event-stream");
     response
 }
 
-fn event(slot: &Slot, number: u64) -> Bytes {
-    Bytes::from(format!("id: {number}\ndata: part {number} of {}\n\n", slot.0.options.instance))
+fn text<'a>(headers: &'a HeaderMap, name: &str) -> &'a str {
+    headers.get(name).and_then(|value| value.to_str().ok()).unwrap_or("")
+}
+
+fn number(text: &str) -> Option<u64> {
+    text.trim().parse().ok()
+}
+
+/// An event tells how long the body was, so that a turn that continues from another one shows it.
+fn event(slot: &Slot, number: u64, sent: usize) -> Bytes {
+    let instance = &slot.0.options.instance;
+    Bytes::from(format!("id: {number}\ndata: part {number} of {instance}, was sent {sent} bytes\n\n"))
 }
 
 /// The promise that a request was not run.
--- a/crates/stand-in/tests/endpoint.rs
+++ b/crates/stand-in/tests/endpoint.rs
@@ -101,7 +101,10 @@
     let headers = [("x-request-id", "r1"), ("last-event-id", "2"), ("x-token-count", "9,4")];
     let answer = get(endpoint, "/stream/a", &headers).await;
     assert_eq!(answer.header("content-type"), Some("text/event-stream"));
-    assert_eq!(answer.body, "id: 3\ndata: part 3 of i-1\n\nid: 4\ndata: part 4 of i-1\n\n");
+    assert_eq!(
+        answer.body,
+        "id: 3\ndata: part 3 of i-1, was sent 5 bytes\n\nid: 4\ndata: part 4 of i-1, was sent 5 bytes\n\n"
+    );
 }
 
 #[tokio::test]
