--- a/crates/hollow/src/change.rs
+++ b/crates/hollow/src/change.rs
@@ -27,16 +27,16 @@
         let body = configuration(generation, load.routes);
         let bytes = body.len();
         let begun = Instant::now();
-        while begun < until {
-            match caller.put("/config", Some(base), body.clone(), ACKNOWLEDGED_WITHIN).await {
-                Some(200) => {
-                    base = generation;
-                    tally.done(begun.elapsed(), bytes);
-                    break;
-                }
-                _ if Instant::now() < until => tally.failed(),
-                _ => return,
+        loop {
+            if let Some(200) = caller.put("/config", Some(base), body.clone(), ACKNOWLEDGED_WITHIN).await {
+                base = generation;
+                tally.done(begun.elapsed(), bytes);
+                break;
             }
+            if Instant::now() >= until {
+                return;
+            }
+            tally.failed();
             // Sent again, unchanged, after the pause of one tick.
             ticks.tick().await;
         }
--- a/crates/hollow/src/plan.rs
+++ b/crates/hollow/src/plan.rs
@@ -100,7 +100,8 @@
         endpoints,
         ..base
     });
-    let heartbeats = [4_000, 2_000, 1_000].map(|heartbeat_ms| {
+    // Shorter than the warm-up, so that no endpoint registers while the run is measured.
+    let heartbeats = [2_000, 1_000, 500].map(|heartbeat_ms| {
         let x = 2_000.0 * 1_000.0 / heartbeat_ms as f64;
         Run { series: HEARTBEATS, x, endpoints: 2_000, heartbeat_ms, ..base }
     });
--- a/crates/hollow/src/program.rs
+++ b/crates/hollow/src/program.rs
@@ -88,7 +88,7 @@
 async fn one_turn(number: u64, turn: u64, shared: &Shared) {
     let program = ProgramId::from(format!("p-{number}-{}", turn / shared.depth).as_str());
     let name = |turn: u64| RequestId::from(format!("t-{number}-{turn}").as_str());
-    let previous = (turn % shared.depth > 0).then(|| name(turn - 1));
+    let previous = (!turn.is_multiple_of(shared.depth)).then(|| name(turn - 1));
     let begin = BeginTurn {
         program: program.clone(),
         request: name(turn),
