Endpoints that fail part of their calls are avoided

Cause: an endpoint that passes its health checks but declines, errs or is silent for a share of its calls was forgotten as soon as it answered one; a 500 to a request that may not repeat even counted as an answer, so fast errors drew traffic. Change: the share of late calls that went badly, fading with time, is part of the cost of an endpoint; a failed connection also closes the idle ones to that endpoint.

--- a/crates/balancing/src/balancer.rs
+++ b/crates/balancing/src/balancer.rs
@@ -21,6 +21,8 @@
 const OWN_ZONE: f64 = 0.02;
 /// What it costs to go to an endpoint that failed lately: any other with room is taken first.
 const FAILED_LATELY: f64 = 100.0;
+/// What it costs to go to an endpoint all of whose late calls went badly, in shares of its slots.
+const TROUBLE: f64 = 3.0;
 /// Programs whose last endpoint is remembered.
 const PROGRAMS_REMEMBERED: usize = 4_096;
 
@@ -217,6 +219,7 @@
             cost -= if agreed == Some(id) { AGREED_PLACE } else { 0.0 };
             cost -= if endpoint.own_zone { OWN_ZONE } else { 0.0 };
             cost += if endpoint.is_aside(now) { FAILED_LATELY } else { 0.0 };
+            cost += TROUBLE * endpoint.trouble(now);
             (cost, hash_of(&(self.seed, id)), id)
         });
         let least = costs.min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
--- a/crates/balancing/src/endpoint.rs
+++ b/crates/balancing/src/endpoint.rs
@@ -14,6 +14,10 @@
 const FAILURE_PAUSE: Span = Span::from_millis(200);
 /// The longest pause.
 const LONGEST_PAUSE: Span = Span::from_millis(4_000);
+/// What the last call counts in the share of calls that went badly.
+const LAST_CALL: f64 = 0.2;
+/// That share halves in this time without calls, so that an endpoint is tried again.
+const TROUBLE_HALVES: Span = Span::from_millis(1_000);
 /// Doublings of a pause at the most.
 const MOST_DOUBLINGS: u32 = 6;
 
@@ -42,6 +46,10 @@
 pub enum Ending {
     /// With an answer.
     Answered,
+    /// With an answer that says that the endpoint failed.
+    Erred,
+    /// Nothing came within the time-out.
+    Silent,
     /// It was told to be full.
     Full,
     /// It broke, or never came up.
@@ -69,6 +77,9 @@
     full: u32,
     full_until: Time,
     failed_until: Time,
+    /// The share of late calls that went badly, as of `trouble_at`.
+    trouble: f64,
+    trouble_at: Time,
 }
 
 impl Endpoint {
@@ -83,6 +94,8 @@
             full: 0,
             full_until: Time::default(),
             failed_until: Time::default(),
+            trouble: 0.0,
+            trouble_at: Time::default(),
         }
     }
 
@@ -96,6 +109,9 @@
 
     pub(crate) fn end(&mut self, now: Time, ending: Ending) {
         self.in_flight = self.in_flight.saturating_sub(1);
+        if ending != Ending::Abandoned {
+            self.note_trouble(now, ending != Ending::Answered);
+        }
         match ending {
             Ending::Answered => (self.failures, self.full) = (0, 0),
             Ending::Full => {
@@ -106,10 +122,24 @@
                 self.failed_until = now + pause(FAILURE_PAUSE, self.failures);
                 self.failures = self.failures.saturating_add(1);
             }
-            Ending::Abandoned => {}
+            Ending::Erred | Ending::Silent | Ending::Abandoned => {}
         }
     }
 
+    fn note_trouble(&mut self, now: Time, went_badly: bool) {
+        let last = if went_badly { 1.0 } else { 0.0 };
+        let before = self.trouble(now);
+        self.trouble = before + LAST_CALL * (last - before);
+        self.trouble_at = now;
+    }
+
+    /// The share of its late calls that went badly: declined, failed, in error or silent. An endpoint may pass its
+    /// health checks and answer some requests while it fails others.
+    pub(crate) fn trouble(&self, now: Time) -> f64 {
+        let halvings = now.since(self.trouble_at).secs() / TROUBLE_HALVES.secs();
+        self.trouble * 0.5_f64.powf(halvings)
+    }
+
     pub(crate) fn tell(&mut self, now: Time, load: ServerLoad) {
         self.told = Some(ToldLoad { at: now, load, own: self.in_flight });
     }
--- a/crates/balancing/tests/balancing.rs
+++ b/crates/balancing/tests/balancing.rs
@@ -212,3 +212,30 @@
         }
     }
 }
+
+#[test]
+fn an_endpoint_that_fails_part_of_its_calls_is_avoided_though_it_answers_others() {
+    for bad in [Ending::Full, Ending::Erred, Ending::Silent] {
+        let mut balancer = balancer(&[("grey", "a", 4), ("sound", "b", 4)]);
+        let mut to_grey = 0;
+        for step in 0..40 {
+            let now = at(100 * step);
+            let id = goes_to(&mut balancer, now, ask("/", 0));
+            let grey = id == InstanceId::from("grey");
+            to_grey += u32::from(grey);
+            let fails = grey && to_grey % 2 == 1;
+            balancer.end(now, &destination("/"), &id, if fails { bad } else { Ending::Answered });
+        }
+        assert!(to_grey < 10, "{bad:?}: {to_grey} of 40 calls");
+    }
+}
+
+#[test]
+fn an_endpoint_that_failed_is_tried_again_after_a_while() {
+    let mut balancer = balancer(&[("near", "a", 4), ("far", "b", 4)]);
+    let first = goes_to(&mut balancer, at(0), ask("/", 0));
+    balancer.end(at(0), &destination("/"), &first, Ending::Erred);
+    assert_eq!(goes_to(&mut balancer, at(100), ask("/", 0)), "far".into());
+    balancer.end(at(100), &destination("/"), &"far".into(), Ending::Answered);
+    assert_eq!(goes_to(&mut balancer, at(10_000), ask("/", 0)), first);
+}
--- a/crates/node/src/relay/attempt.rs
+++ b/crates/node/src/relay/attempt.rs
@@ -46,6 +46,7 @@
     let connection = core.pool.connect(address, duration(exchange.left())).await;
     connection.ok_or_else(|| {
         core.metrics.connections_failed.add();
+        core.pool.forget(slot.endpoint());
         Failure::not_sent(Cause::NoConnection)
     })
 }
--- a/crates/node/src/relay/forward.rs
+++ b/crates/node/src/relay/forward.rs
@@ -142,12 +142,16 @@
 ) -> Result<Reply, Ended> {
     if !answer.status().is_server_error() {
         core.dispatcher.record(&exchange.destination, now().since(begun), false);
-    } else if exchange.may_repeat() && tries.left(exchange) > 1 {
+        slot.end(Ending::Answered);
+        return Ok(Reply::Whole(answer));
+    }
+    if exchange.may_repeat() && tries.left(exchange) > 1 {
         tries.failed = Some(answer);
         let failure = Failure::may_have_run(Cause::EndpointError);
         return Err(after_failure(core, exchange, tries, slot, failure));
     }
-    slot.end(Ending::Answered);
+    // Errors come fast: an endpoint that gives them must not look free and sound.
+    slot.end(Ending::Erred);
     Ok(Reply::Whole(answer))
 }
 
@@ -191,7 +195,8 @@
 pub fn ending(cause: Cause) -> Ending {
     match cause {
         Cause::Declined => Ending::Full,
-        Cause::Silent | Cause::EndpointLeft | Cause::Misdirected => Ending::Abandoned,
+        Cause::Silent => Ending::Silent,
+        Cause::EndpointLeft | Cause::Misdirected => Ending::Abandoned,
         Cause::NoConnection | Cause::Broken | Cause::WrongRequest | Cause::Unsound | Cause::EndpointError => {
             Ending::Failed
         }
--- a/crates/node/src/relay/upstream.rs
+++ b/crates/node/src/relay/upstream.rs
@@ -137,6 +137,11 @@
         });
     }
 
+    /// Closes the idle connections to an endpoint that takes no new ones: a request on them could not be taken back.
+    pub fn forget(&self, endpoint: &InstanceId) {
+        self.lock().remove(endpoint);
+    }
+
     /// Whether connections are kept.
     pub fn has_idle(&self) -> bool {
         !self.lock().is_empty()
--- a/crates/node/tests/relay/unary.rs
+++ b/crates/node/tests/relay/unary.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
 
 use http::StatusCode;
 use juniperwing_clock::Span;
@@ -312,3 +313,31 @@
     }
     assert_eq!(*endpoint.connections.lock().unwrap(), 1);
 }
+
+#[tokio::test]
+async fn an_endpoint_that_errs_does_not_draw_what_may_not_repeat() {
+    let erring =
+        Endpoint::start("i-1", |request| vec![answer(request, "500 Internal Server Error", "", "oh")]).await;
+    let sound = Endpoint::start("i-2", |request| ok(request, "")).await;
+    let bench = Bench::with(&[&erring]).await;
+    // Of two that are equally free, the one in the relay's own zone is chosen.
+    let mut elsewhere = instance(&sound, InstanceState::Ready, 1);
+    elsewhere.zone = "b".into();
+    bench.tell(false, vec![elsewhere]);
+    for (id, status) in [("first", StatusCode::INTERNAL_SERVER_ERROR), ("second", StatusCode::OK)] {
+        let answer = read(bench.send(request("POST", "/n/x", id, "")).await).await;
+        assert_eq!(answer.status, status, "{id}");
+    }
+}
+
+#[tokio::test]
+async fn kept_connections_go_when_their_endpoint_takes_no_new_ones() {
+    let endpoint = Endpoint::start("i-1", |request| ok(request, "")).await;
+    let bench = Bench::empty().await;
+    let (pool, id) = (&bench.core.pool, "i-1".into());
+    let connection = pool.connect(endpoint.address, Duration::from_secs(1)).await.unwrap();
+    pool.give_back(&id, connection, None);
+    assert!(pool.has_idle());
+    pool.forget(&id);
+    assert!(pool.take(&id).is_none());
+}
