The emulator's world and scenario are split by concern

Change: world.rs keeps the run itself; what it holds (state), how it is made (build), clients (hand_in), relays, calls, their ends, troubles and the truth for oracles are modules. scenario.rs keeps the scenario; figures (range), layout (plan), topic types, kinds and accounts (service), troubles, defaults, the check and the draw are modules. Code was moved, not rewritten; paths from outside are as before.

--- /dev/null
+++ b/crates/model/src/scenario/range.rs
@@ -0,0 +1,67 @@
+//! Figures of a scenario: a number or a range of numbers.
+
+use rand_chacha::ChaCha8Rng;
+use serde::{Deserialize, Serialize};
+
+use crate::chance::between;
+
+/// A number or a range of numbers, written `3` or `[2, 5]`.
+#[derive(Clone, Copy, Debug, PartialEq, Deserialize, Serialize)]
+#[serde(from = "Written", into = "Written")]
+pub struct Range {
+    /// The least it can be.
+    pub least: f64,
+    /// The most it can be.
+    pub most: f64,
+}
+
+#[derive(Clone, Copy, Deserialize, Serialize)]
+#[serde(untagged, expecting = "expected a number, or a range of two numbers such as [2, 5]")]
+enum Written {
+    One(f64),
+    Two([f64; 2]),
+}
+
+impl From<Written> for Range {
+    fn from(written: Written) -> Range {
+        match written {
+            Written::One(value) => Range { least: value, most: value },
+            Written::Two([least, most]) => Range { least, most },
+        }
+    }
+}
+
+impl From<Range> for Written {
+    fn from(range: Range) -> Written {
+        if range.least == range.most {
+            Written::One(range.least)
+        } else {
+            Written::Two([range.least, range.most])
+        }
+    }
+}
+
+impl From<f64> for Range {
+    fn from(value: f64) -> Range {
+        Range { least: value, most: value }
+    }
+}
+
+impl Default for Range {
+    fn default() -> Range {
+        Range::from(0.0)
+    }
+}
+
+impl Range {
+    /// A number from the range.
+    pub fn draw(&self, chance: &mut ChaCha8Rng) -> f64 {
+        between(chance, self.least, self.most)
+    }
+}
+
+/// A range that is drawn once for a run; in a resolved scenario it is one number.
+pub type Once = Range;
+
+/// A range that is drawn for each thing it speaks of; a resolved scenario keeps it.
+pub type Each = Range;
--- /dev/null
+++ b/crates/model/src/scenario/resolve.rs
@@ -0,0 +1,52 @@
+//! The draw of the ranges of a scenario that are drawn once for a run.
+
+use super::{Range, Scenario};
+use crate::chance::{Chance, Concern};
+
+impl Scenario {
+    /// The scenario with all that is drawn once drawn; with the same seed it resolves to itself.
+    #[must_use]
+    pub fn resolve(&self, seed: u64) -> Scenario {
+        let mut chance = Chance::new(seed).stream(Concern::Scenario, 0);
+        let mut drawn = self.clone();
+        let mut fix = |range: &mut Range| {
+            // Drawn even where it is one number, so that a fixed figure shifts no other.
+            let value = range.draw(&mut chance);
+            *range = Range::from(if range.least == range.most { range.least } else { value });
+        };
+        fix(&mut drawn.span_s);
+        fix(&mut drawn.relays.count);
+        fix(&mut drawn.relays.zipf);
+        let traffic = &mut drawn.traffic;
+        fix(&mut traffic.rate);
+        fix(&mut traffic.load);
+        fix(&mut traffic.swing);
+        fix(&mut traffic.swing_s);
+        fix(&mut traffic.clumps);
+        fix(&mut drawn.destinations.count);
+        fix(&mut drawn.destinations.endpoints);
+        fix(&mut drawn.destinations.zipf);
+        for topic in &mut drawn.topic {
+            fix(&mut topic.share);
+            fix(&mut topic.work_ms);
+            fix(&mut topic.work_cv);
+        }
+        // Each has a stream of its own: a trouble more or less leaves the others as they were.
+        for (n, trouble) in drawn.trouble.iter_mut().enumerate() {
+            let mut chance = Chance::new(seed).stream(Concern::Trouble, n << 1);
+            for range in [
+                &mut trouble.start_s,
+                &mut trouble.span_s,
+                &mut trouble.ramp_s,
+                &mut trouble.size,
+                &mut trouble.extent,
+            ] {
+                let value = range.draw(&mut chance);
+                *range = Range::from(if range.least == range.most { range.least } else { value });
+            }
+        }
+        drawn.relays.count = Range::from(drawn.relays.count.least.round().max(1.0));
+        drawn.destinations.count = Range::from(drawn.destinations.count.least.round().max(1.0));
+        drawn
+    }
+}
