--- /dev/null
+++ b/tests/rules/main.rs
@@ -0,0 +1,11 @@
+//! Short traces of decisions, compared with kept ones.
+
+mod calls;
+mod connections;
+mod effects;
+mod helper;
+mod limits;
+mod list;
+mod outages;
+mod restarts;
+mod time;
