The tests of the relay as a process are split by subject

Change: a folder tests/serve with a module for each subject (hand_over, requests, connections, settings, restarts) and crossings (discovery, exchanges, lives), and what they share in support.rs. The tests were moved as they are; the same test target, `serve`, runs them.

--- /dev/null
+++ b/crates/relay/tests/serve/crossings/mod.rs
@@ -0,0 +1,6 @@
+//! What happens when a request, an answer or a signal comes between two lines: each crossing is forced.
+
+mod discovery;
+mod exchanges;
+mod lives;
+mod support;
--- /dev/null
+++ b/crates/relay/tests/serve/main.rs
@@ -0,0 +1,10 @@
+//! The relay as a process, spoken to over sockets.
+
+mod connections;
+mod crossings;
+mod hand_over;
+mod requests;
+mod restarts;
+mod settings;
+mod stand_in;
+mod support;
