Sessions call a segment a segment

Cause: since batches are appended to segment files, several to one, the number that crates/sessions kept as "batch" has named the segment that a batch lies in. Change: Held.place with Place.segment, Command::RemoveSegment, the segment in Event::BatchWritten, the ledger's and limits' names and comments. What is one batch (WriteBatch, BatchWritten, BatchFailed) keeps its name. Tests follow the names; no assertion differs otherwise.

--- a/crates/node/src/store/core.rs
+++ b/crates/node/src/store/core.rs
@@ -159,7 +159,7 @@
                     tokio::spawn(self.clone().call(call, to, request));
                 }
                 Command::WriteBatch { records } => self.put(DiskJob::Write(records)),
-                Command::RemoveBatch { batch } => self.put(DiskJob::Remove(SegmentNumber(batch))),
+                Command::RemoveSegment { segment } => self.put(DiskJob::Remove(SegmentNumber(segment))),
                 Command::Report => self.report(),
             }
         }
--- a/crates/node/src/store/disk.rs
+++ b/crates/node/src/store/disk.rs
@@ -97,5 +97,5 @@
 fn write(files: &mut SegmentFiles, records: &[StoredRecord]) -> Result<Event, Option<StorageError>> {
     let contents = encode_batch(records).map_err(|_| None)?;
     let segment = files.append(&contents).map_err(Some)?;
-    Ok(Event::BatchWritten { batch: segment.0, bytes: contents.len() as u64 })
+    Ok(Event::BatchWritten { segment: segment.0, bytes: contents.len() as u64 })
 }
--- a/crates/sessions/src/event.rs
+++ b/crates/sessions/src/event.rs
@@ -55,9 +55,9 @@
     },
     /// The batch under way is on disk.
     BatchWritten {
-        /// The number under which it can be removed.
-        batch: u64,
-        /// Its size on disk.
+        /// The segment that it lies in.
+        segment: u64,
+        /// The size of the batch on disk.
         bytes: u64,
     },
     /// The batch under way could not be written.
@@ -98,10 +98,10 @@
         /// Its records.
         records: Vec<StoredRecord>,
     },
-    /// Remove a batch that nothing needs.
-    RemoveBatch {
+    /// Remove a segment that nothing needs.
+    RemoveSegment {
         /// Its number.
-        batch: u64,
+        segment: u64,
     },
     /// Tell the keepers what [`crate::Store::caught_up`] returns.
     Report,
--- a/crates/sessions/src/ledger.rs
+++ b/crates/sessions/src/ledger.rs
@@ -1,13 +1,13 @@
-//! What still counts in each file on disk. Several batches may lie in one file: they have its number.
+//! What still counts in each segment on disk. Several batches may lie in one segment.
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use crate::limits::{COMPACTION_BYTES, MAX_SMALL_BATCHES, SMALL_BATCH_BYTES};
+use crate::limits::{COMPACTION_BYTES, MAX_SMALL_SEGMENTS, SMALL_SEGMENT_BYTES};
 use crate::program::Place;
 
 #[derive(Clone, Copy, Debug, Default)]
 struct Account {
-    /// The size of the file.
+    /// The size of the segment.
     bytes: u64,
     /// Bytes of records that no later batch holds.
     live_bytes: u64,
@@ -15,23 +15,23 @@
     live: u64,
 }
 
-/// The batches on disk.
+/// The segments on disk.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Ledger {
-    batches: BTreeMap<u64, Account>,
+    segments: BTreeMap<u64, Account>,
     bytes: u64,
 }
 
 impl Ledger {
-    /// A batch was written or found.
-    pub(crate) fn add(&mut self, batch: u64, bytes: u64) {
-        self.batches.entry(batch).or_default().bytes += bytes;
+    /// A batch in this segment was written or found.
+    pub(crate) fn add(&mut self, segment: u64, bytes: u64) {
+        self.segments.entry(segment).or_default().bytes += bytes;
         self.bytes += bytes;
     }
 
     /// A record's newest version lies here.
     pub(crate) fn place(&mut self, place: Place) {
-        if let Some(account) = self.batches.get_mut(&place.batch) {
+        if let Some(account) = self.segments.get_mut(&place.segment) {
             account.live += 1;
             account.live_bytes += place.bytes;
         }
@@ -39,43 +39,47 @@
 
     /// What lies here counts no more.
     pub(crate) fn release(&mut self, place: Place) {
-        if let Some(account) = self.batches.get_mut(&place.batch) {
+        if let Some(account) = self.segments.get_mut(&place.segment) {
             account.live = account.live.saturating_sub(1);
             account.live_bytes = account.live_bytes.saturating_sub(place.bytes);
         }
     }
 
-    /// Takes out the batches in which nothing counts; they are to be removed.
+    /// Takes out the segments in which nothing counts; they are to be removed.
     pub(crate) fn take_empty(&mut self) -> Vec<u64> {
-        let empty: Vec<u64> =
-            self.batches.iter().filter(|(_, account)| account.live == 0).map(|(batch, _)| *batch).collect();
-        for batch in &empty {
-            self.bytes -= self.batches.remove(batch).map_or(0, |account| account.bytes);
+        let empty: Vec<u64> = self
+            .segments
+            .iter()
+            .filter(|(_, account)| account.live == 0)
+            .map(|(segment, _)| *segment)
+            .collect();
+        for segment in &empty {
+            self.bytes -= self.segments.remove(segment).map_or(0, |account| account.bytes);
         }
         empty
     }
 
-    /// The batches whose records are worth writing again: the oldest of many small ones, or else one of which
+    /// The segments whose records are worth writing again: the oldest of many small ones, or else one of which
     /// less than half counts. Empty if there are none.
     pub(crate) fn worth_compacting(&self) -> BTreeSet<u64> {
-        // Survivors may be written into the newest file, which would never get rid of them.
-        let Some(newest) = self.batches.keys().next_back() else { return BTreeSet::new() };
+        // Survivors may be written into the newest segment, which would never get rid of them.
+        let Some(newest) = self.segments.keys().next_back() else { return BTreeSet::new() };
         let small: Vec<(u64, u64)> = self
-            .batches
+            .segments
             .range(..newest)
-            .filter(|(_, account)| account.live_bytes < SMALL_BATCH_BYTES)
-            .map(|(batch, account)| (*batch, account.live_bytes))
+            .filter(|(_, account)| account.live_bytes < SMALL_SEGMENT_BYTES)
+            .map(|(segment, account)| (*segment, account.live_bytes))
             .collect();
-        if small.len() >= MAX_SMALL_BATCHES {
+        if small.len() >= MAX_SMALL_SEGMENTS {
             return oldest(&small);
         }
-        let wasteful = self.batches.range(..newest).find(|(_, account)| {
-            account.bytes >= SMALL_BATCH_BYTES && account.live_bytes.saturating_mul(2) < account.bytes
+        let wasteful = self.segments.range(..newest).find(|(_, account)| {
+            account.bytes >= SMALL_SEGMENT_BYTES && account.live_bytes.saturating_mul(2) < account.bytes
         });
-        wasteful.map(|(batch, _)| *batch).into_iter().collect()
+        wasteful.map(|(segment, _)| *segment).into_iter().collect()
     }
 
-    /// Bytes of all batches.
+    /// Bytes of all segments.
     pub(crate) fn bytes(&self) -> u64 {
         self.bytes
     }
@@ -87,5 +91,5 @@
         bytes += live;
         bytes <= COMPACTION_BYTES
     });
-    within.map(|(batch, _)| *batch).collect()
+    within.map(|(segment, _)| *segment).collect()
 }
--- a/crates/sessions/src/limits.rs
+++ b/crates/sessions/src/limits.rs
@@ -9,7 +9,7 @@
     pub required_copies: usize,
     /// Bytes of records in memory above which no further turn is admitted.
     pub memory_bytes: u64,
-    /// Bytes of batches on disk above which no further turn is admitted.
+    /// Bytes of segments on disk above which no further turn is admitted.
     pub disk_bytes: u64,
 }
 
@@ -47,10 +47,10 @@
 pub(crate) const MAX_FILLING: usize = 16;
 /// Turns of the longest chain.
 pub(crate) const MAX_CHAIN: usize = 10_000;
-/// Batches below this size, in bytes of records that still count, are written together into one.
-pub(crate) const SMALL_BATCH_BYTES: u64 = 64 << 10;
-/// Small batches at which that is done.
-pub(crate) const MAX_SMALL_BATCHES: usize = 256;
+/// Segments below this size, in bytes of records that still count, are written together into one.
+pub(crate) const SMALL_SEGMENT_BYTES: u64 = 64 << 10;
+/// Small segments at which that is done.
+pub(crate) const MAX_SMALL_SEGMENTS: usize = 256;
 /// Bytes of records that one compaction writes again.
 pub(crate) const COMPACTION_BYTES: u64 = 1 << 20;
 /// The pause between two reports of replicas that have caught up.
--- a/crates/sessions/src/program.rs
+++ b/crates/sessions/src/program.rs
@@ -17,15 +17,15 @@
     pub(crate) version: u64,
     /// The version on disk; 0 for none.
     pub(crate) durable: u64,
-    /// The batch that holds it, and the bytes that it takes there.
-    pub(crate) batch: Option<Place>,
+    /// The segment that holds it, and the bytes that it takes there; `None` if it was never written.
+    pub(crate) place: Option<Place>,
     pub(crate) digest: u64,
 }
 
 /// Where a record lies on disk.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct Place {
-    pub(crate) batch: u64,
+    pub(crate) segment: u64,
     pub(crate) bytes: u64,
 }
 
--- a/crates/sessions/src/store.rs
+++ b/crates/sessions/src/store.rs
@@ -98,24 +98,24 @@
         }
     }
 
-    /// Takes a batch that was found on disk at the start; batches come in the order in which they were written.
-    pub fn recover(&mut self, moment: Moment, batch: u64, bytes: u64, records: Vec<StoredRecord>) {
+    /// Takes a batch that was found in a segment at the start; batches come in the order in which they were written.
+    pub fn recover(&mut self, moment: Moment, segment: u64, bytes: u64, records: Vec<StoredRecord>) {
         self.moment = moment;
-        self.ledger.add(batch, bytes);
+        self.ledger.add(segment, bytes);
         for stored in records {
-            self.recover_record(batch, stored);
+            self.recover_record(segment, stored);
         }
     }
 
-    fn recover_record(&mut self, batch: u64, stored: StoredRecord) {
+    fn recover_record(&mut self, segment: u64, stored: StoredRecord) {
         let StoredRecord { partition, record } = stored;
         let table = self.tables.entry(partition).or_default();
         let changed = table.merge(&record, self.moment);
         let key = RecordKey { program: record.program.clone(), request: record.request.clone() };
         let Some(held) = table.held_mut(&key).filter(|_| changed) else { return };
-        let place = Place { batch, bytes: record_bytes(&held.record) };
+        let place = Place { segment, bytes: record_bytes(&held.record) };
         let whole = held.record == record;
-        let before = held.batch.replace(place);
+        let before = held.place.replace(place);
         held.durable = if whole { held.version } else { 0 };
         self.ledger.place(place);
         if let Some(before) = before {
@@ -142,7 +142,7 @@
             Event::Asked { asker, request } => self.asked(asker, request),
             Event::Transfer { asker, request } => self.transfer(asker, request, false),
             Event::Answered { call, answer } => self.answered(call, answer),
-            Event::BatchWritten { batch, bytes } => self.batch_written(batch, bytes),
+            Event::BatchWritten { segment, bytes } => self.batch_written(segment, bytes),
             Event::BatchFailed => self.batch_failed(),
             Event::Tick => {}
         }
@@ -272,11 +272,11 @@
         self.commands.push(Command::WriteBatch { records });
     }
 
-    fn batch_written(&mut self, batch: u64, bytes: u64) {
+    fn batch_written(&mut self, segment: u64, bytes: u64) {
         let running = self.journal.succeed();
-        self.ledger.add(batch, bytes);
+        self.ledger.add(segment, bytes);
         for written in running.written {
-            self.record_written(batch, &written);
+            self.record_written(segment, &written);
         }
         self.remove_empty();
         self.compact();
@@ -285,12 +285,12 @@
         }
     }
 
-    fn record_written(&mut self, batch: u64, written: &Written) {
+    fn record_written(&mut self, segment: u64, written: &Written) {
         let table = self.tables.get_mut(&written.key.partition);
         let Some(held) = table.and_then(|table| table.held_mut(&written.key.key)) else { return };
-        let place = Place { batch, bytes: written.bytes };
+        let place = Place { segment, bytes: written.bytes };
         held.durable = written.version;
-        let before = held.batch.replace(place);
+        let before = held.place.replace(place);
         self.ledger.place(place);
         if let Some(before) = before {
             self.ledger.release(before);
@@ -305,14 +305,14 @@
         }
     }
 
-    /// Has the survivors of batches that are mostly superseded written again; the batches go when that is done.
+    /// Has the survivors of segments that are mostly superseded written again; the segments go when that is done.
     fn compact(&mut self) {
         let chosen = self.ledger.worth_compacting();
         if chosen.is_empty() {
             return;
         }
         for (partition, table) in &self.tables {
-            for key in table.keys_in(|batch| chosen.contains(&batch)) {
+            for key in table.keys_in(|segment| chosen.contains(&segment)) {
                 self.journal.mark(StoredKey { partition: *partition, key });
             }
         }
@@ -341,14 +341,14 @@
         self.remove_empty();
     }
 
-    /// Has files removed in which nothing counts. A batch that is being written may end up in any of them, so
+    /// Has segments removed in which nothing counts. A batch that is being written may end up in any of them, so
     /// it is waited for.
     fn remove_empty(&mut self) {
         if self.journal.is_writing() {
             return;
         }
-        for batch in self.ledger.take_empty() {
-            self.commands.push(Command::RemoveBatch { batch });
+        for segment in self.ledger.take_empty() {
+            self.commands.push(Command::RemoveSegment { segment });
         }
     }
 
--- a/crates/sessions/src/table.rs
+++ b/crates/sessions/src/table.rs
@@ -61,7 +61,7 @@
                 record: record.clone(),
                 version: 0,
                 durable: 0,
-                batch: None,
+                place: None,
                 digest: 0,
             }),
         };
@@ -196,12 +196,12 @@
         self.programs.get_mut(&key.program)?.records.get_mut(&key.request)
     }
 
-    /// The keys of the records that lie in batches that `chosen` picks.
+    /// The keys of the records that lie in segments that `chosen` picks.
     pub(crate) fn keys_in(&self, chosen: impl Fn(u64) -> bool) -> Vec<RecordKey> {
         let mut keys = Vec::new();
         for (name, program) in &self.programs {
             for (request, held) in &program.records {
-                if held.batch.is_some_and(|place| chosen(place.batch)) {
+                if held.place.is_some_and(|place| chosen(place.segment)) {
                     keys.push(RecordKey { program: name.clone(), request: request.clone() });
                 }
             }
@@ -223,7 +223,7 @@
             for (request, held) in program.records {
                 self.bytes -= record_bytes(&held.record);
                 self.turns.remove(&(request, name.clone()));
-                places.extend(held.batch);
+                places.extend(held.place);
             }
         }
         places
--- a/crates/sessions/tests/common/cluster.rs
+++ b/crates/sessions/tests/common/cluster.rs
@@ -235,7 +235,7 @@
                     let life = self.lives[from];
                     self.packets.push(Packet::Call { from, life, to, call, request });
                 }
-                Command::Report | Command::WriteBatch { .. } | Command::RemoveBatch { .. } => {}
+                Command::Report | Command::WriteBatch { .. } | Command::RemoveSegment { .. } => {}
             }
         }
     }
--- a/crates/sessions/tests/common/node.rs
+++ b/crates/sessions/tests/common/node.rs
@@ -21,12 +21,12 @@
     pub in_touch: bool,
     /// How far its time of day is ahead of the steady clock, in milliseconds.
     pub clock_ms: u64,
-    batches: BTreeMap<u64, Vec<StoredRecord>>,
+    segments: BTreeMap<u64, Vec<StoredRecord>>,
     /// Removed without a sync of the folder: they may come back.
     removed: BTreeMap<u64, Vec<StoredRecord>>,
     /// The batch that is being written.
     writing: Option<Vec<StoredRecord>>,
-    last_batch: u64,
+    last_segment: u64,
 }
 
 impl Node {
@@ -38,10 +38,10 @@
             store: Some(Store::new(disk, LIMITS)),
             in_touch: true,
             clock_ms: 0,
-            batches: BTreeMap::new(),
+            segments: BTreeMap::new(),
             removed: BTreeMap::new(),
             writing: None,
-            last_batch: 0,
+            last_segment: 0,
         };
         node.step_clock(chance);
         node
@@ -76,9 +76,9 @@
                     assert!(self.writing.is_none(), "one batch at a time");
                     self.writing = Some(records);
                 }
-                Command::RemoveBatch { batch } => {
-                    let contents = self.batches.remove(&batch).expect("a batch that is there");
-                    self.removed.insert(batch, contents);
+                Command::RemoveSegment { segment } => {
+                    let contents = self.segments.remove(&segment).expect("a segment that is there");
+                    self.removed.insert(segment, contents);
                 }
                 other => others.push(other),
             }
@@ -97,34 +97,34 @@
         if chance.percent(3) {
             return self.handle(now, Event::BatchFailed);
         }
-        self.last_batch += 1;
-        self.batches.insert(self.last_batch, records);
-        self.handle(now, Event::BatchWritten { batch: self.last_batch, bytes: BATCH_FILE_BYTES })
+        self.last_segment += 1;
+        self.segments.insert(self.last_segment, records);
+        self.handle(now, Event::BatchWritten { segment: self.last_segment, bytes: BATCH_FILE_BYTES })
     }
 
     /// The process is killed or the machine loses power: the batch under way may be there or not.
     pub fn kill(&mut self, chance: &mut Chance) {
         self.store = None;
         if let Some(records) = self.writing.take().filter(|_| chance.percent(50)) {
-            self.last_batch += 1;
-            self.batches.insert(self.last_batch, records);
+            self.last_segment += 1;
+            self.segments.insert(self.last_segment, records);
         }
         for (number, records) in std::mem::take(&mut self.removed) {
             if chance.percent(30) {
-                self.batches.insert(number, records);
+                self.segments.insert(number, records);
             }
         }
     }
 
     pub fn wipe(&mut self) {
-        self.batches.clear();
+        self.segments.clear();
         self.removed.clear();
         self.disk = DiskId(self.disk.0 + 100);
     }
 
     pub fn start(&mut self, now: Time) -> Vec<Command> {
         let mut store = Store::new(self.disk, LIMITS);
-        for (number, records) in &self.batches {
+        for (number, records) in &self.segments {
             store.recover(self.moment(now), *number, BATCH_FILE_BYTES, records.clone());
         }
         let commands = store.recovered(self.moment(now));
--- a/crates/sessions/tests/traces.rs
+++ b/crates/sessions/tests/traces.rs
@@ -21,7 +21,7 @@
 struct Trace {
     store: Store,
     now: Time,
-    batch: u64,
+    segment: u64,
 }
 
 fn map(version: u64, epoch: u64, primary: DiskId) -> Arc<StoreMap> {
@@ -43,7 +43,7 @@
     }
 
     fn with(limits: Limits) -> (Self, Vec<Command>) {
-        let mut trace = Trace { store: Store::new(OWN, limits), now: Time::from_nanos(1), batch: 0 };
+        let mut trace = Trace { store: Store::new(OWN, limits), now: Time::from_nanos(1), segment: 0 };
         let commands = trace.handle(Event::Map(map(1, 1, OWN)));
         (trace, commands)
     }
@@ -75,8 +75,8 @@
     }
 
     fn synced(&mut self) -> Vec<Command> {
-        self.batch += 1;
-        self.handle(Event::BatchWritten { batch: self.batch, bytes: 100 })
+        self.segment += 1;
+        self.handle(Event::BatchWritten { segment: self.segment, bytes: 100 })
     }
 
     fn later(&mut self, span: Span) -> Vec<Command> {
@@ -432,7 +432,7 @@
     trace.now = trace.now + Span::from_millis(200_000);
     let mut late = Store::new(OWN, LIMITS);
     late.recover(trace.moment(), 4, 100, records);
-    assert_eq!(late.recovered(trace.moment()), [Command::RemoveBatch { batch: 4 }]);
+    assert_eq!(late.recovered(trace.moment()), [Command::RemoveSegment { segment: 4 }]);
     assert!(late.table(PARTITION).unwrap().is_empty());
 }
 
@@ -461,7 +461,7 @@
                 .filter(|c| matches!(c, Command::WriteBatch { records } if records.len() > 100))
                 .count();
             commands = trace.synced();
-            let goes = commands.iter().filter(|c| matches!(c, Command::RemoveBatch { .. })).count();
+            let goes = commands.iter().filter(|c| matches!(c, Command::RemoveSegment { .. })).count();
             assert!(goes == 0 || rewritten > 0);
             removed += goes;
         }
