A store is emptied without waiting for another that was lost a short while ago

Cause: a partition keeps the place of a store lost within the last 6 s, so it let only two others join, while the store that is emptied leaves only when three hold everything.

Change: partitions that a store being emptied still holds keep no place for one that was lost.

Test: it_does_not_wait_for_a_store_that_was_lost_a_short_while_ago fails without the change; the package's tests pass.

--- a/crates/control/src/plan.rs
+++ b/crates/control/src/plan.rs
@@ -178,7 +178,7 @@
     }
 
     /// Whether another replica should join. While enough copies are left, the place of a store that was lost
-    /// only now is kept for it.
+    /// only now is kept for it, except where a store is being emptied: the operator set a time for that.
     fn lacks_replicas(&self, planned: &Assignment) -> bool {
         let members = planned.in_sync.iter().chain(&planned.joining);
         let staying = members.filter(|disk| self.eligible.contains_key(disk)).count();
@@ -186,7 +186,8 @@
         if staying + unseen >= self.replicas {
             return false;
         }
-        let returning = self.returning(planned);
+        let emptied = planned.in_sync.iter().any(|disk| self.input.state.is_retiring(*disk));
+        let returning = if emptied { 0 } else { self.returning(planned) };
         staying < self.input.required_copies || staying + unseen + returning < self.replicas
     }
 
--- a/crates/control/tests/retire.rs
+++ b/crates/control/tests/retire.rs
@@ -77,6 +77,19 @@
     assert_eq!(retirement_state(&tier.state, &node(1)), Some(RetirementState::Active));
 }
 
+#[test]
+fn it_does_not_wait_for_a_store_that_was_lost_a_short_while_ago() {
+    let mut tier = Tier::of(1..=5);
+    let before = tier.partitions().to_vec();
+    tier.lose(2);
+    begin(&mut tier, 1);
+    tier.settle();
+    complete(&mut tier);
+    assert_eq!(retirement_state(&tier.state, &node(1)), Some(RetirementState::Completed));
+    let left = before.iter().zip(tier.partitions()).filter(|(old, _)| old.in_sync.contains(&DiskId(1)));
+    assert!(left.map(|(_, new)| new.in_sync.len()).all(|copies| copies == REQUIRED + 1));
+}
+
 #[test]
 fn a_completed_one_that_is_still_there_is_given_nothing() {
     let mut tier = Tier::of(1..=4);
