Membership: seeds can change, two processes of one name stop contradicting each other

Two processes of one name (a replaced machine that wakes up) raised their incarnations against each other without end. A life that insists is contradicted three times at the most while it is held to be alive, and reported once. New seeds are taken by an event.

--- a/crates/membership/src/membership.rs
+++ b/crates/membership/src/membership.rs
@@ -6,13 +6,16 @@
 
 use crate::chance::Chance;
 use crate::dissemination::{self, Dissemination};
-use crate::member::{Incarnation, Member, MemberId, Record, Status};
+use crate::member::{Incarnation, Life, Member, MemberId, Record, Status};
 use crate::probe::Prober;
 use crate::reconcile::Reconciler;
 use crate::settings::{Settings, SettingsError, Timings};
 use crate::table::Table;
 use crate::wire::{Datagram, DecodeError, MAX_INCARNATION, Message, Outgoing};
 
+/// How often another life under the own name is contradicted before its process counts as running still.
+const MAX_CONTRADICTIONS: u32 = 3;
+
 /// How many members are told directly that this one leaves.
 const LEAVE_FANOUT: usize = 8;
 
@@ -31,6 +34,8 @@
     Tick,
     /// The process is about to end. The others are told; nothing but pings is answered from then on.
     Leave,
+    /// Other seeds, from settings that have changed.
+    Seeds(Vec<SocketAddr>),
 }
 
 /// What is to be done, in this order.
@@ -59,6 +64,12 @@
         /// What is wrong with it.
         reason: DecodeError,
     },
+    /// Another process lives under the name of this one (a replaced machine that woke up, say). It has insisted, and
+    /// is contradicted no more while it is held to be alive. Reported once for each of its lives.
+    Conflict {
+        /// What the other process tells of itself.
+        rival: Member,
+    },
 }
 
 /// On what ground a record is believed.
@@ -88,6 +99,8 @@
     commands: Vec<Command>,
     wake_at: Time,
     left: bool,
+    /// Another life under the own name, and how often it was contradicted.
+    rival: Option<(Life, u32)>,
 }
 
 impl Membership {
@@ -119,11 +132,13 @@
             commands: Vec::new(),
             wake_at: now,
             left: false,
+            rival: None,
         })
     }
 
     /// Takes in an event.
     pub fn handle(&mut self, now: Time, event: Event<'_>) -> Vec<Command> {
+        let is_tick = matches!(event, Event::Tick);
         if !self.left {
             self.notice_standstill(now);
         }
@@ -132,9 +147,10 @@
             Event::Tick if self.left => {}
             Event::Tick => self.tick(now),
             Event::Leave => self.leave(),
+            Event::Seeds(seeds) => self.reconciler.set_seeds(now, seeds, self.own.member.gossip),
         }
         if !self.left {
-            self.set_alarm(matches!(event, Event::Tick));
+            self.set_alarm(is_tick);
         }
         std::mem::take(&mut self.commands)
     }
@@ -319,7 +335,7 @@
 
     /// Contradicts a statement about this member that supersedes its own.
     fn refute(&mut self, said: &Record) {
-        if self.left || !said.supersedes(&self.own) {
+        if self.left || !said.supersedes(&self.own) || self.yields_to(said) {
             return;
         }
         self.own.incarnation = Incarnation(said.incarnation.0 + 1).min(MAX_INCARNATION);
@@ -327,6 +343,21 @@
         self.news.announce(&self.me);
     }
 
+    /// Whether `said` tells of another process that lives under the same name. That of the life before a restart
+    /// is contradicted once and is heard of no more; a process that runs contradicts in turn, without end.
+    fn yields_to(&mut self, said: &Record) -> bool {
+        let life = said.member.life;
+        if life == self.own.member.life || said.status != Status::Alive {
+            return false;
+        }
+        let before = self.rival.filter(|(rival, _)| *rival == life).map_or(0, |(_, count)| count);
+        self.rival = Some((life, before.saturating_add(1)));
+        if before == MAX_CONTRADICTIONS {
+            self.commands.push(Command::Conflict { rival: said.member.clone() });
+        }
+        before >= MAX_CONTRADICTIONS
+    }
+
     /// Suspicions that were not refuted, and members that have been remembered long enough.
     fn expire(&mut self, now: Time) {
         while let Some(record) = self.table.expire(now) {
--- a/crates/membership/src/reconcile.rs
+++ b/crates/membership/src/reconcile.rs
@@ -8,7 +8,7 @@
 use crate::digest::{Buckets, HashRange};
 use crate::member::{MemberId, Record, Status};
 use crate::membership::Membership;
-use crate::settings::Timings;
+use crate::settings::{MAX_SEEDS, Timings};
 use crate::wire::{MAX_DATAGRAM_BYTES, Message, Outgoing};
 
 /// The most pages that answer one digest.
@@ -56,6 +56,14 @@
         }
     }
 
+    /// Takes other seeds and asks them at the next tick.
+    pub fn set_seeds(&mut self, now: Time, mut seeds: Vec<SocketAddr>, own: SocketAddr) {
+        seeds.retain(|seed| *seed != own);
+        seeds.truncate(MAX_SEEDS);
+        self.seeds = seeds;
+        self.next_reach = now;
+    }
+
     /// Whether this member still takes in what the others have long known, so that it is no news to them.
     pub fn is_catching_up(&self) -> bool {
         self.catching_up
--- a/crates/membership/tests/virtual_network/mod.rs
+++ b/crates/membership/tests/virtual_network/mod.rs
@@ -33,6 +33,8 @@
     pub changes: Vec<(Member, Status)>,
     /// Datagrams refused.
     pub refused: usize,
+    /// Processes under its own name that it has reported.
+    pub conflicts: Vec<Member>,
     socket: VecDeque<(SocketAddr, Vec<u8>)>,
     wake_at: Time,
     run: u64,
@@ -122,6 +124,7 @@
                 deaths: Vec::new(),
                 changes: Vec::new(),
                 refused: 0,
+                conflicts: Vec::new(),
                 socket: VecDeque::new(),
                 wake_at: Time::NEVER,
                 run: 0,
@@ -364,6 +367,7 @@
                     self.schedule_wake(machine);
                 }
                 Command::Refused { .. } => self.machines[machine].refused += 1,
+                Command::Conflict { rival } => self.machines[machine].conflicts.push(rival),
             }
         }
     }
