All three roles join the membership and find keepers that no seed names

A process whose seeds are gone found no keeper, and SIGHUP did not change a keeper's seeds. Each role now runs SWIM over UDP on its own port: subscribers ask found keepers while no subscription stands, keepers that ask to be let in ask found ones and changed seeds, SIGTERM tells the others.

--- /dev/null
+++ b/crates/node/src/gossip.rs
@@ -0,0 +1,228 @@
+//! SWIM membership among all processes of the tier, over UDP.
+//!
+//! Every role runs one [`Gossip`] on the number of its port for the tier's own messages. It learns which processes
+//! live and where keepers listen, beyond the seeds of the settings. The protocol is `juniperwing-membership`; this is
+//! its socket and its timer. Whether a store is lost is decided by its links, not here.
+
+mod view;
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use juniperwing_clock::{Span, Time};
+use juniperwing_membership::{
+    Command, Event, Life, MAX_DATAGRAM_BYTES, MAX_SEEDS, Member, MemberId, Membership, Role, Timings,
+};
+use juniperwing_protocol::{DiskId, NodeName};
+use slog::{Logger, debug, warn};
+use tokio::net::UdpSocket;
+use tokio::sync::Notify;
+use tokio::task::JoinHandle;
+
+use self::view::View;
+use crate::clock::{duration, now, random};
+use crate::settings::{Port, Settings};
+
+/// From one probe to the next. Losses that matter at once show on links, so that this can be rare.
+const PROBE_INTERVAL: Span = Span::from_millis(1_000);
+/// How long a probe may take before other members are asked to help.
+const PROBE_TIME_OUT: Span = Span::from_millis(300);
+/// Datagrams that are read before the timer has its turn.
+const MAX_BATCH: usize = 64;
+/// The pause after the socket has failed.
+const PAUSE_AFTER_FAILURE: Duration = Duration::from_millis(100);
+
+/// Is told where live keepers listen, whenever that changes.
+pub type KeepersObserver = Box<dyn Fn(Vec<SocketAddr>) + Send + Sync>;
+
+/// What a process tells of itself.
+#[derive(Clone, Copy, Debug)]
+pub struct Myself {
+    /// Its role.
+    pub role: Role,
+    /// The identity of its data folder, if it has one.
+    pub disk: Option<DiskId>,
+}
+
+/// This process as a member; it ends when dropped.
+pub struct Gossip {
+    shared: Arc<Shared>,
+    task: JoinHandle<()>,
+}
+
+struct Shared {
+    socket: UdpSocket,
+    state: Mutex<State>,
+    /// The time of the next tick is another one.
+    rearm: Notify,
+    observer: KeepersObserver,
+    log: Logger,
+}
+
+struct State {
+    membership: Membership,
+    wake_at: Time,
+    view: View,
+}
+
+impl Gossip {
+    /// Opens the socket and looks for the other members through the seeds.
+    ///
+    /// # Errors
+    ///
+    /// If the socket cannot be opened or the settings name no usable member.
+    pub async fn start(
+        settings: &Settings, myself: Myself, log: Logger, observer: KeepersObserver,
+    ) -> io::Result<Gossip> {
+        let me = member(settings, myself);
+        let socket = UdpSocket::bind(me.gossip).await?;
+        let view = View::new(&me.id);
+        let membership_settings =
+            juniperwing_membership::Settings { me, seeds: seeds(settings), timings: timings() };
+        let membership = Membership::new(now(), membership_settings, random()).map_err(io::Error::other)?;
+        let state = Mutex::new(State { membership, wake_at: now(), view });
+        let shared = Arc::new(Shared { socket, state, rearm: Notify::new(), observer, log });
+        let task = tokio::spawn(Arc::clone(&shared).run());
+        Ok(Gossip { shared, task })
+    }
+
+    /// Takes the seeds of settings that have changed.
+    pub fn reload(&self, settings: &Settings) {
+        self.shared.handle(Event::Seeds(seeds(settings)));
+    }
+
+    /// Tells the others that this process ends.
+    pub fn leave(&self) {
+        self.shared.handle(Event::Leave);
+        self.shared.lock().wake_at = Time::NEVER;
+    }
+
+    /// Where live keepers listen, this process not counted.
+    pub fn keepers(&self) -> Vec<SocketAddr> {
+        self.shared.lock().view.keepers().to_vec()
+    }
+
+    /// The live relays of a zone, this process not counted.
+    pub fn live_relays(&self, zone: &str) -> Vec<Member> {
+        let state = self.shared.lock();
+        view::live(&state.membership, Role::Relay).filter(|member| &*member.zone == zone).cloned().collect()
+    }
+}
+
+impl Drop for Gossip {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+impl Shared {
+    async fn run(self: Arc<Self>) {
+        // One byte more than allowed, so that what is too long shows.
+        let mut buffer = vec![0; MAX_DATAGRAM_BYTES + 1];
+        loop {
+            let pause = duration(self.lock().wake_at.since(now()));
+            let readable = tokio::select! {
+                readable = self.socket.readable() => readable,
+                () = tokio::time::sleep(pause) => Ok(()),
+                () = self.rearm.notified() => continue,
+            };
+            // What waits in the socket is heard before anything counts as missing.
+            if readable.and_then(|()| self.read_datagrams(&mut buffer)).is_err() {
+                tokio::time::sleep(PAUSE_AFTER_FAILURE).await;
+            }
+            let due = self.lock().wake_at <= now();
+            if due {
+                self.handle(Event::Tick);
+            }
+        }
+    }
+
+    fn read_datagrams(&self, buffer: &mut [u8]) -> io::Result<()> {
+        for _ in 0..MAX_BATCH {
+            match self.socket.try_recv_from(buffer) {
+                Ok((length, from)) => self.handle(Event::Datagram { from, bytes: &buffer[..length] }),
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(()),
+                Err(error) => return Err(error),
+            }
+        }
+        Ok(())
+    }
+
+    fn handle(&self, event: Event<'_>) {
+        let keepers = {
+            let mut state = self.lock();
+            let commands = state.membership.handle(now(), event);
+            let mut changed = false;
+            for command in commands {
+                changed |= self.carry_out(&mut state, command);
+            }
+            let State { membership, view, .. } = &mut *state;
+            if changed && view.find_keepers(membership) { Some(view.keepers().to_vec()) } else { None }
+        };
+        if let Some(keepers) = keepers {
+            (self.observer)(keepers);
+        }
+    }
+
+    /// Returns whether a member has changed.
+    fn carry_out(&self, state: &mut State, command: Command) -> bool {
+        match command {
+            Command::Send { to, bytes } => {
+                // A datagram may be lost, here as well as under way.
+                let _ = self.socket.try_send_to(&bytes, to);
+            }
+            Command::Changed { member, status } => {
+                state.view.log(&self.log, &member, status);
+                return true;
+            }
+            Command::WakeAt(at) => {
+                state.wake_at = at;
+                self.rearm.notify_one();
+            }
+            Command::Refused { from, reason } => {
+                debug!(self.log, "datagram refused"; "from" => %from, "why" => %reason);
+            }
+            Command::Conflict { rival } => {
+                warn!(self.log, "another process has this one's name";
+                    "node" => %rival.id.node, "role" => ?rival.id.role, "address" => %rival.address);
+            }
+        }
+        false
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn member(settings: &Settings, myself: Myself) -> Member {
+    let address = settings.own_address(port(myself.role));
+    Member {
+        id: MemberId { node: NodeName::from(settings.node_name.as_str()), role: myself.role },
+        life: Life(random()),
+        zone: settings.zone.as_str().into(),
+        gossip: address,
+        address,
+        disk: myself.disk,
+    }
+}
+
+fn port(role: Role) -> Port {
+    match role {
+        Role::Relay => Port::Relay,
+        Role::Keeper => Port::Keeper,
+        Role::Store => Port::Store,
+    }
+}
+
+fn seeds(settings: &Settings) -> Vec<SocketAddr> {
+    let mut seeds = settings.seed_keepers();
+    seeds.truncate(MAX_SEEDS);
+    seeds
+}
+
+fn timings() -> Timings {
+    Timings { probe_interval: PROBE_INTERVAL, probe_time_out: PROBE_TIME_OUT, ..Timings::default() }
+}
--- a/crates/node/src/keeper.rs
+++ b/crates/node/src/keeper.rs
@@ -7,6 +7,7 @@
 
 mod consensus;
 mod contact;
+mod contacts;
 mod control_listener;
 mod discovery;
 mod inbox;
@@ -30,13 +31,14 @@
 use juniperwing_protocol::{DiskId, NodeName};
 use juniperwing_registry::{Exchange, MAX_INSTANCES, Registry, RegistrySettings};
 use juniperwing_replication::{Event, Record, Replica, Timings};
-use slog::{Logger, info};
+use slog::{Logger, info, warn};
 use tokio::net::TcpListener;
 use tokio::sync::{Notify, mpsc, watch};
 use tokio::time::{Instant, MissedTickBehavior, timeout, timeout_at};
 
 use self::consensus::{Consensus, MAX_WRITES, Write, tick_replica, write_records};
 use self::contact::Contact;
+use self::contacts::Contacts;
 use self::inbox::Inbox;
 use self::peers::Peers;
 use self::record_file::RecordFile;
@@ -106,10 +108,18 @@
 ///
 /// If a listener or the disk cannot be used.
 pub async fn run(process: Process) -> io::Result<()> {
-    let Process { settings, log, mut signals, .. } = process;
-    // Voters come from the replicated state; changed seeds matter only at the next start.
-    let stop = async move { while signals.next().await != Wish::Stop {} };
-    run_until(settings, log, stop).await
+    let Process { settings, settings_file, log, mut signals } = process;
+    let (changed, changes) = watch::channel(settings.clone());
+    let reload_log = log.clone();
+    let stop = async move {
+        while signals.next().await == Wish::Reload {
+            match Settings::read(settings_file.as_deref()) {
+                Ok(settings) => drop(changed.send_replace(settings)),
+                Err(error) => warn!(reload_log, "settings not read again"; "why" => error.to_string()),
+            }
+        }
+    };
+    run_with(settings, changes, log, stop).await
 }
 
 /// Runs until `stop` is done.
@@ -118,6 +128,18 @@
 ///
 /// If a listener or the disk cannot be used.
 pub async fn run_until(settings: Settings, log: Logger, stop: impl Future<Output = ()>) -> io::Result<()> {
+    let (_changed, changes) = watch::channel(settings.clone());
+    run_with(settings, changes, log, stop).await
+}
+
+/// Runs until `stop` is done, and takes the seeds of settings that `changes` brings.
+///
+/// # Errors
+///
+/// If a listener or the disk cannot be used.
+pub async fn run_with(
+    settings: Settings, changes: watch::Receiver<Settings>, log: Logger, stop: impl Future<Output = ()>,
+) -> io::Result<()> {
     let Some(control) = settings.listeners_map.control_plane else {
         return Err(unusable("listenersMap.controlPlane is missing"));
     };
@@ -136,7 +158,9 @@
     let Start { replica, file, me } = start;
     let consensus = Consensus::new(replica, writes, wake);
     let keeper = Keeper::new(&settings, log, me, consensus);
-    let tasks = keeper.start_tasks(internal, file, writes_received, wake_received);
+    let mut tasks = keeper.start_tasks(internal, file, writes_received, wake_received);
+    let contacts = Contacts::start(&settings, &keeper).await?;
+    tasks.push(tokio::spawn(Arc::clone(&contacts).follow(changes)));
 
     let (stopping, stop_received) = watch::channel(false);
     let (open_calls, mut calls_ended) = mpsc::channel(1);
@@ -144,6 +168,7 @@
     let calls = tokio::spawn(calls);
     stop.await;
     info!(keeper.log, "ending");
+    contacts.leave();
     keeper.hand_over().await;
     // Whoever serves a connection holds a sender; the channel ends with the last of them.
     stopping.send_replace(true);
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod clock;
 pub mod command;
+pub mod gossip;
 pub mod keeper;
 pub mod link;
 pub mod log;
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -32,6 +32,7 @@
 
 use juniperwing_balancing::{Balancer, Bounds};
 use juniperwing_clock::Span;
+use juniperwing_membership::Role;
 use juniperwing_protocol::Message;
 use juniperwing_protocol::identity::NodeName;
 use juniperwing_protocol::subscription::{Subscribe, Subscriber as Kind};
@@ -41,6 +42,7 @@
 
 use crate::clock::random;
 use crate::command::Process;
+use crate::gossip::{Gossip, Myself};
 use crate::link::{Link, LinkPool, Reply, Service};
 use crate::sessions_client::SessionsClient;
 use crate::settings::{Port, Settings};
@@ -111,14 +113,22 @@
     let Process { settings, settings_file, log, mut signals } = process;
     let relay = Relay::open(settings, log.clone(), stores).await?;
     let subscriber = relay.subscribe();
+    let found = Arc::clone(&subscriber);
+    let observer = Box::new(move |keepers| found.set_found(keepers));
+    let myself = Myself { role: Role::Relay, disk: None };
+    let gossip = Gossip::start(&relay.settings, myself, log.clone(), observer).await?;
     relay
         .serve(async move {
             while signals.next().await == Wish::Reload {
                 match Settings::read(settings_file.as_deref()) {
-                    Ok(settings) => subscriber.set_seeds(settings.seed_keepers()),
+                    Ok(settings) => {
+                        subscriber.set_seeds(settings.seed_keepers());
+                        gossip.reload(&settings);
+                    }
                     Err(error) => warn!(log, "settings not read again"; "why" => error.to_string()),
                 }
             }
+            gossip.leave();
         })
         .await
 }
--- a/crates/node/src/store.rs
+++ b/crates/node/src/store.rs
@@ -11,6 +11,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use juniperwing_membership::Role;
 use juniperwing_protocol::replication::Version;
 use juniperwing_protocol::subscription::{self, Subscribe};
 use juniperwing_protocol::{DiskId, NodeName};
@@ -23,6 +24,7 @@
 use self::disk::Disk;
 use crate::clock::random;
 use crate::command::Process;
+use crate::gossip::{Gossip, Myself};
 use crate::link::serve;
 use crate::settings::{Port, Settings};
 use crate::signals::Wish;
@@ -76,6 +78,7 @@
 struct StoreProcess {
     core: Arc<Core>,
     subscriber: Arc<Subscriber>,
+    gossip: Gossip,
     listening: tokio::task::JoinHandle<()>,
     log: Logger,
 }
@@ -104,17 +107,23 @@
         let sink = Arc::new(Handle(core.clone()));
         let subscriber = Subscriber::start(subscribe, seeds, MAX_SUBSCRIPTIONS, sink);
         core.subscribed(&subscriber);
+        let found = Arc::clone(&subscriber);
+        let observer = Box::new(move |keepers| found.set_found(keepers));
+        let myself = Myself { role: Role::Store, disk: Some(disk) };
+        let gossip = Gossip::start(settings, myself, log.clone(), observer).await?;
         info!(log, "serving"; "disk" => disk.0, "new" => is_new);
-        Ok(StoreProcess { core, subscriber, listening, log })
+        Ok(StoreProcess { core, subscriber, gossip, listening, log })
     }
 
     fn reload(&self, settings: &Settings) {
         self.subscriber.set_seeds(settings.seed_keepers());
+        self.gossip.reload(settings);
         info!(self.log, "settings read again");
     }
 
     /// Leaves the keepers, so that they move the partitions, and ends what is under way if that is soon done.
     async fn stop(self) {
+        self.gossip.leave();
         self.subscriber.suspend(true);
         self.listening.abort();
         if timeout(END_WITHIN, self.core.idle()).await.is_err() {
--- a/crates/node/src/subscriber.rs
+++ b/crates/node/src/subscriber.rs
@@ -44,6 +44,8 @@
     seeds: Vec<SocketAddr>,
     /// From the keepers themselves.
     told: Vec<SocketAddr>,
+    /// From the membership. They need not be voters, so they are asked only while there is no subscription.
+    found: Vec<SocketAddr>,
     links: Vec<(SocketAddr, Option<Link>)>,
     next: usize,
     suspended: bool,
@@ -69,6 +71,12 @@
         self.changed.notify_waiters();
     }
 
+    /// Takes the keepers that the membership holds to be alive. They are asked while no subscription stands.
+    pub fn set_found(&self, found: Vec<SocketAddr>) {
+        self.lock().found = found;
+        self.changed.notify_waiters();
+    }
+
     /// Ends all subscriptions and begins none, or begins them again. The keepers take a process that does not
     /// subscribe for lost.
     pub fn suspend(&self, suspended: bool) {
@@ -124,8 +132,13 @@
 
     /// The next keeper in turn to which there is no subscription.
     fn reserve(&self) -> Option<SocketAddr> {
-        let candidates = self.keepers();
+        let mut candidates = self.keepers();
         let mut keepers = self.lock();
+        if !keepers.links.iter().any(|(_, link)| link.is_some()) {
+            let unknown = keepers.found.iter().filter(|found| !candidates.contains(found));
+            let unknown: Vec<SocketAddr> = unknown.copied().collect();
+            candidates.extend(unknown);
+        }
         let free = |address: &SocketAddr| keepers.links.iter().all(|(used, _)| used != address);
         if keepers.suspended {
             return None;
--- /dev/null
+++ b/crates/node/tests/gossip.rs
@@ -0,0 +1,192 @@
+//! Membership over loopback: processes find keepers that their settings do not name.
+
+mod keepers;
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::Path;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU8, Ordering};
+
+use juniperwing_membership::Role;
+use juniperwing_node::gossip::{Gossip, Myself};
+use juniperwing_node::keeper::run_with;
+use juniperwing_node::settings::{Port, Settings};
+use juniperwing_node::subscriber::{Sink, Subscriber};
+use juniperwing_protocol::NodeName;
+use juniperwing_protocol::replication::Version;
+use juniperwing_protocol::subscription::{Applied, Subscribe, Subscriber as Kind, Update};
+use slog::{Discard, Logger, o};
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio::time::timeout;
+
+use keepers::{Keepers, Observer, PATIENCE, configuration};
+
+/// Nobody listens there.
+const DEAD: u8 = 250;
+
+/// Machines of one test, on loopback addresses of its own.
+struct Machines(Ipv4Addr);
+
+impl Machines {
+    fn new() -> Self {
+        static TESTS: AtomicU8 = AtomicU8::new(1);
+        let process = (std::process::id() % 200) as u8 + 20;
+        Machines(Ipv4Addr::new(127, process, 200 + TESTS.fetch_add(1, Ordering::Relaxed), 0))
+    }
+
+    fn address(&self, machine: u8) -> Ipv4Addr {
+        let [first, second, third, _] = self.0.octets();
+        Ipv4Addr::new(first, second, third, machine)
+    }
+
+    fn settings(&self, machine: u8, seeds: &[u8]) -> Settings {
+        let address = self.address(machine);
+        let seeds: Vec<String> =
+            seeds.iter().map(|seed| format!("\"{}:8144\"", self.address(*seed))).collect();
+        let text = format!(
+            "nodeName = \"machine-{machine}\"\nipAddress = \"{address}\"\nzone = \"a\"\n\
+             ephemeralPorts = [7380,7395]\nseedNodes = [{}]\n",
+            seeds.join(",")
+        );
+        Settings::parse(Path::new("local.toml"), &text).unwrap()
+    }
+
+    fn keeper(&self, machine: u8) -> SocketAddr {
+        self.settings(machine, &[]).own_address(Port::Keeper)
+    }
+}
+
+/// A member and the keepers that it was told last.
+struct Node {
+    gossip: Gossip,
+    keepers: watch::Receiver<Vec<SocketAddr>>,
+}
+
+impl Node {
+    async fn start(settings: &Settings, role: Role) -> Node {
+        let (sender, keepers) = watch::channel(Vec::new());
+        let observer = Box::new(move |found| drop(sender.send_replace(found)));
+        let log = Logger::root(Discard, o!());
+        let gossip = Gossip::start(settings, Myself { role, disk: None }, log, observer).await.unwrap();
+        Node { gossip, keepers }
+    }
+
+    async fn until_keepers(&mut self, wanted: &[SocketAddr]) {
+        let found = self.keepers.wait_for(|found| found == wanted);
+        timeout(PATIENCE, found).await.expect("in time").expect("the member runs");
+    }
+}
+
+#[tokio::test]
+async fn a_process_with_a_dead_seed_finds_all_keepers_through_the_other() {
+    let machines = Machines::new();
+    let mut first = Node::start(&machines.settings(1, &[1, 2]), Role::Keeper).await;
+    let _second = Node::start(&machines.settings(2, &[1, 2]), Role::Keeper).await;
+    first.until_keepers(&[machines.keeper(2)]).await;
+    let mut relay = Node::start(&machines.settings(3, &[DEAD, 1]), Role::Relay).await;
+    relay.until_keepers(&[machines.keeper(1), machines.keeper(2)]).await;
+    assert_eq!(relay.gossip.keepers(), [machines.keeper(1), machines.keeper(2)]);
+}
+
+#[tokio::test]
+async fn a_restarted_process_whose_seeds_are_dead_is_found_by_those_that_knew_it() {
+    let machines = Machines::new();
+    let _keeper = Node::start(&machines.settings(1, &[1]), Role::Keeper).await;
+    let mut relay = Node::start(&machines.settings(2, &[1]), Role::Relay).await;
+    relay.until_keepers(&[machines.keeper(1)]).await;
+    drop(relay);
+    // The socket is closed when the task has been dropped.
+    let settings = machines.settings(2, &[DEAD]);
+    let address = settings.own_address(Port::Relay);
+    while tokio::net::UdpSocket::bind(address).await.is_err() {
+        tokio::task::yield_now().await;
+    }
+    let mut relay = Node::start(&settings, Role::Relay).await;
+    relay.until_keepers(&[machines.keeper(1)]).await;
+}
+
+#[tokio::test]
+async fn changed_seeds_are_asked_and_a_zone_lists_its_live_relays() {
+    let machines = Machines::new();
+    let keeper = Node::start(&machines.settings(1, &[1]), Role::Keeper).await;
+    let mut relay = Node::start(&machines.settings(2, &[DEAD]), Role::Relay).await;
+    relay.gossip.reload(&machines.settings(2, &[1]));
+    relay.until_keepers(&[machines.keeper(1)]).await;
+    let relays = keeper.gossip.live_relays("a");
+    assert_eq!(relays.iter().map(|relay| &*relay.id.node.0).collect::<Vec<_>>(), ["machine-2"]);
+    assert!(keeper.gossip.live_relays("b").is_empty());
+}
+
+#[tokio::test]
+async fn a_keeper_that_leaves_is_a_keeper_no_more() {
+    let machines = Machines::new();
+    let keeper = Node::start(&machines.settings(1, &[1]), Role::Keeper).await;
+    let mut relay = Node::start(&machines.settings(2, &[1]), Role::Relay).await;
+    relay.until_keepers(&[machines.keeper(1)]).await;
+    keeper.gossip.leave();
+    relay.until_keepers(&[]).await;
+}
+
+/// Holds nothing.
+struct Nothing;
+
+impl Sink for Nothing {
+    fn apply(&self, _: Update) {}
+
+    fn applied(&self) -> Applied {
+        Applied::default()
+    }
+
+    fn configuration(&self) -> Version {
+        Version::default()
+    }
+}
+
+#[tokio::test]
+async fn a_subscriber_whose_seeds_are_dead_subscribes_to_a_keeper_that_was_found() {
+    let machines = Machines::new();
+    let keeper = TcpListener::bind(machines.keeper(1)).await.unwrap();
+    let settings = machines.settings(2, &[DEAD]);
+    let subscribe = Subscribe {
+        node: NodeName::from("machine-2"),
+        zone: "a".into(),
+        address: settings.own_address(Port::Relay),
+        subscriber: Kind::Relay,
+        configuration: Version::default(),
+    };
+    let subscriber = Subscriber::start(subscribe, settings.seed_keepers(), 1, Arc::new(Nothing));
+    subscriber.set_found(vec![machines.keeper(1)]);
+    timeout(PATIENCE, keeper.accept()).await.expect("in time").unwrap();
+}
+
+#[tokio::test]
+async fn a_keeper_with_stale_seeds_joins_when_its_settings_change() {
+    let keepers = Keepers::start(3).await;
+    assert_eq!(keepers.put(0, 0, &configuration(3)).await.status, 200);
+    let (fresh, stale) = joining(&keepers);
+    let address = fresh.own_address(Port::Keeper);
+    let (changed, changes) = watch::channel(stale.clone());
+    let log = Logger::root(Discard, o!());
+    let running = tokio::spawn(run_with(stale, changes, log, std::future::pending()));
+    changed.send_replace(fresh);
+    let mut relay = Observer::subscribe(address, Kind::Relay);
+    relay.until_configuration(&configuration(3)).await;
+    running.abort();
+}
+
+/// The settings of a further keeper, with seeds that live and with one that does not.
+fn joining(keepers: &Keepers) -> (Settings, Settings) {
+    let mut fresh = keepers.settings(0).clone();
+    let SocketAddr::V4(first) = fresh.own_address(Port::Keeper) else { unreachable!("loopback is IPv4") };
+    let [one, two, three, _] = first.ip().octets();
+    let at = |machine| Ipv4Addr::new(one, two, three, machine);
+    fresh.node_name = "core-9".to_owned();
+    fresh.ip_address = at(9).into();
+    fresh.listeners_map.control_plane = Some(SocketAddr::new(at(9).into(), 8_144));
+    fresh.data_directory = fresh.data_directory.map(|folder| folder.with_file_name("9"));
+    fresh.bootstrap = false;
+    let mut stale = fresh.clone();
+    stale.seed_nodes = vec![SocketAddr::new(at(DEAD).into(), 8_144)];
+    (fresh, stale)
+}
--- a/crates/node/tests/keepers/mod.rs
+++ b/crates/node/tests/keepers/mod.rs
@@ -1,5 +1,8 @@
 //! Keepers for tests, each on a thread and a loopback address of its own, and those that talk to them.
 
+// Each test file uses a part of this.
+#![allow(dead_code)]
+
 mod http;
 mod observer;
 
@@ -14,7 +17,9 @@
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 
+#[allow(unused_imports)]
 pub use http::Answer;
+#[allow(unused_imports)]
 pub use observer::{Observer, node_name};
 
 /// The longest that anything may take, on a machine that does much else.
@@ -120,6 +125,11 @@
         tokio::task::spawn_blocking(move || running.thread.join().unwrap()).await.unwrap();
     }
 
+    /// The settings of a keeper.
+    pub fn settings(&self, keeper: usize) -> &Settings {
+        &self.settings[keeper]
+    }
+
     /// Where a keeper listens for relays and stores.
     pub fn internal(&self, keeper: usize) -> SocketAddr {
         self.settings[keeper].own_address(Port::Keeper)
--- a/crates/replication/src/follower.rs
+++ b/crates/replication/src/follower.rs
@@ -11,6 +11,9 @@
 use crate::replica::{Replica, Stage};
 use crate::state::{ReplicatedState, Versioned};
 
+/// The most contacts that are asked beside seeds and voters.
+const MAX_CONTACTS: usize = 16;
+
 impl<S: ReplicatedState> Replica<S> {
     /// Seeks office when no primary was heard for long; asks to be let in where that is of use.
     pub(crate) fn advance_following(&mut self, now: Time) {
@@ -40,9 +43,20 @@
         !self.is_voter() || (!self.is_eligible() && !self.hears_primary(now))
     }
 
+    /// Takes other contacts; a keeper that has to ask does so at once if there are new ones.
+    pub(crate) fn set_contacts(&mut self, now: Time, mut contacts: Vec<SocketAddr>) {
+        contacts.truncate(MAX_CONTACTS);
+        let has_new = contacts.iter().any(|contact| !self.contacts.contains(contact));
+        self.contacts = contacts;
+        if has_new {
+            self.ask_at = self.ask_at.min(now);
+        }
+    }
+
     /// Asks all keepers known to be let in.
     fn ask_in(&mut self) {
         let mut addresses = self.settings.seeds.clone();
+        addresses.extend(&self.contacts);
         addresses.extend(self.known.voters.iter().map(|voter| voter.address));
         addresses.sort_unstable();
         addresses.dedup();
--- a/crates/replication/src/interface.rs
+++ b/crates/replication/src/interface.rs
@@ -60,6 +60,8 @@
     },
     /// The process is about to end: a primary hands over, and seeks the office no more.
     StepDown,
+    /// Where other keepers may listen, beside the seeds of the start; replaces those given before.
+    Contacts(Vec<SocketAddr>),
 }
 
 /// What to do, in this order.
--- a/crates/replication/src/replica.rs
+++ b/crates/replication/src/replica.rs
@@ -55,6 +55,8 @@
     /// Attempts at an election since the last primary was heard.
     pub(crate) attempts: u32,
     pub(crate) ask_at: Time,
+    /// Where keepers may listen, beside the seeds.
+    pub(crate) contacts: Vec<SocketAddr>,
     /// Set before the process ends: it seeks the office no more.
     pub(crate) retires: bool,
     /// Keepers that are ready to found the tier, by address; used by the founder only.
@@ -102,6 +104,7 @@
             election_at,
             attempts: 0,
             ask_at: now,
+            contacts: Vec::new(),
             retires: false,
             founders: BTreeMap::new(),
             commands: Vec::new(),
@@ -120,6 +123,7 @@
             Event::Propose { token, base, change } => self.propose(now, token, base, change),
             Event::Read { token } => self.read(now, token),
             Event::StepDown => self.retire(),
+            Event::Contacts(contacts) => self.set_contacts(now, contacts),
         }
         self.release();
         self.advance(now);
