--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod check_configuration;
 pub mod clock;
 pub mod command;
+pub mod gossip;
 pub mod keeper;
 pub mod link;
 pub mod local;
