One SplitMix64 for membership and replication

Cause: crates/membership/src/chance.rs and crates/replication/src/jitter.rs each had the same generator. Change: it stands once, in the new package juniperwing-random; each keeps what it draws. The same seeds give the same streams.

--- a/crates/membership/src/chance.rs
+++ b/crates/membership/src/chance.rs
@@ -1,24 +1,21 @@
-//! A small deterministic generator (SplitMix64), seeded by the caller.
+//! What is drawn by chance, from a seed that the caller gives.
 
 use juniperwing_clock::Span;
+use juniperwing_random::SplitMix64;
 
 /// A stream of pseudo-random numbers.
 #[derive(Clone, Debug)]
-pub struct Chance(u64);
+pub struct Chance(SplitMix64);
 
 impl Chance {
     /// The stream that belongs to `seed`.
     pub fn new(seed: u64) -> Self {
-        Chance(seed)
+        Chance(SplitMix64::new(seed))
     }
 
     /// The next 64 bits.
     pub fn bits(&mut self) -> u64 {
-        self.0 = self.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
-        let mut mixed = self.0;
-        mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-        mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-        mixed ^ (mixed >> 31)
+        self.0.bits()
     }
 
     /// A number below `bound`; 0 if `bound` is 0.
