--- a/crates/relay/src/main.rs
+++ b/crates/relay/src/main.rs
@@ -37,6 +37,7 @@
   serve          Serve until SIGTERM or SIGINT (the default); SIGHUP has the configuration read anew
   relay, keeper, store
                  Serve in a role of the serving tier; --help behind it tells its options
+  hollow         Play many hollow relays, endpoints or programs, or measure the tier with them
   check-config   Read the configuration, say what is in it or what is wrong with it, and exit
   version        Print the version
   help           Print this
@@ -75,6 +76,9 @@
     if let Some(role) = words.first().and_then(|word| Role::of(word)) {
         return juniperwing_node::command::run(role, &words[1..]);
     }
+    if words.first().is_some_and(|word| word == "hollow") {
+        return juniperwing_hollow::command::run(&words[1..]);
+    }
     let args = match arguments(std::env::args_os().skip(1).collect()) {
         Ok(args) => args,
         Err(e) => {
