Times of the keepers in one place, from the bounds of the settings

The waits of keepers were constants while contactMs, drainMs, configApplyMs and ackMs were read, or not read, and not used. ControlTimes derives them; bounds that no keeper can meet are found with their key. The unused spread_limit and its assertion give way to assertions on the bounds and on the derived times.

--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -1,15 +1,17 @@
 //! The settings of a process: a TOML file that the platform writes. Unknown fields are skipped.
 
+mod control_times;
 mod describe;
 
 use std::collections::BTreeMap;
 use std::net::{IpAddr, SocketAddr};
 use std::path::{Path, PathBuf};
-use std::time::Duration;
 
 use serde::Deserialize;
 use snafu::{ResultExt, Snafu, ensure};
 
+pub use control_times::{CALLER_PATIENCE, ControlTimes};
+
 /// The variable that names the file.
 pub const SETTINGS_VARIABLE: &str = "JUNIPERWING_CONFIG";
 
@@ -151,6 +153,9 @@
     /// How soon an operator expects an answer, in milliseconds.
     #[serde(rename = "ackMs")]
     pub ack_ms: u64,
+    /// After a disturbance of the core, how soon machines must be in contact again, in milliseconds.
+    #[serde(rename = "contactMs")]
+    pub contact_ms: u64,
     /// How soon an event of a stream is passed on, in milliseconds.
     pub pass_ms: u64,
     /// How soon an ended turn must count at what it generated, in milliseconds.
@@ -165,6 +170,7 @@
             drain_ms: 2_000,
             grace_s: 8.0,
             ack_ms: 4_000,
+            contact_ms: 3_000,
             pass_ms: 120,
             settle_ms: 1_000,
         }
@@ -226,6 +232,7 @@
         if !(self.bounds.grace_s.is_finite() && self.bounds.grace_s >= 0.0) {
             findings.push("bounds.graceS: must be a number from 0 upward".to_owned());
         }
+        findings.extend(self.bounds.control_findings());
         findings
     }
 
@@ -249,8 +256,8 @@
         self.fault_tolerance.machines + 1
     }
 
-    /// The time within which drains and configurations must have spread.
-    pub fn spread_limit(&self) -> Duration {
-        Duration::from_millis(self.bounds.config_apply_ms.min(self.bounds.drain_ms))
+    /// The times that keepers go by.
+    pub fn control_times(&self) -> ControlTimes {
+        ControlTimes::of(&self.bounds)
     }
 }
--- a/crates/node/tests/settings.rs
+++ b/crates/node/tests/settings.rs
@@ -2,7 +2,9 @@
 
 use std::path::Path;
 
-use juniperwing_node::settings::{Port, Settings};
+use juniperwing_clock::Span;
+use juniperwing_node::link::DEAD_AFTER;
+use juniperwing_node::settings::{CALLER_PATIENCE, Port, Settings};
 
 const CORE: &str = r#"
 nodeName = "core-a-1"
@@ -51,7 +53,8 @@
     let seeds: Vec<String> = settings.seed_keepers().iter().map(ToString::to_string).collect();
     assert_eq!(seeds, ["10.1.0.41:7381", "10.2.0.43:7381"]);
     assert_eq!(settings.required_copies(), 2);
-    assert_eq!(settings.spread_limit().as_millis(), 1_500);
+    assert_eq!((settings.bounds.drain_ms, settings.bounds.config_apply_ms), (2_000, 1_500));
+    assert_eq!(settings.bounds.contact_ms, 3_000);
     assert_eq!(settings.listeners_map.control_plane.unwrap().port(), 8_144);
     assert_eq!(settings.bounds.settle_ms, 1_000);
 }
@@ -72,6 +75,51 @@
     }
 }
 
+#[test]
+fn a_keeper_s_times_follow_from_the_bounds() {
+    let times = parse(CORE).unwrap().control_times();
+    assert_eq!(times.contact_window, Span::from_millis(1_200));
+    assert_eq!(times.configuration_applies_within.as_millis(), 375);
+    let longer = CORE.replace("contactMs = 3000", "contactMs = 4000").replace("Ms = 1500", "Ms = 9000");
+    let times = parse(&longer).unwrap().control_times();
+    assert_eq!(times.contact_window, Span::from_millis(1_600));
+    // The rest of the caller's second is for committing, whatever the bounds allow.
+    assert_eq!(times.configuration_applies_within.as_millis(), 500);
+}
+
+/// Guard: each wait ends before the one that contains it, and the outermost before the caller's second.
+#[test]
+fn nested_waits_end_in_time_for_the_caller_whatever_the_bounds() {
+    for bound in [1_200, 2_000, 4_000, 60_000] {
+        let text = ["contactMs = 3000", "drainMs = 2000", "configApplyMs = 1500", "ackMs = 4000"]
+            .iter()
+            .fold(CORE.to_owned(), |text, line| {
+                text.replace(line, &format!("{}= {bound}", line.split('=').next().unwrap()))
+            });
+        let times = parse(&text).unwrap().control_times();
+        assert!(times.subscribers_apply_within < times.peer_answers_within);
+        assert!(times.peer_answers_within < times.spread_within);
+        assert!(times.spread_within < CALLER_PATIENCE);
+        assert!(times.configuration_applies_within < CALLER_PATIENCE / 2 + CALLER_PATIENCE / 10);
+        assert!(times.contact_window < Span::from_millis(bound));
+        // At a dead link's time-out the subscriber is known dead, so that it cannot refuse ends for long.
+        assert!(times.spread_within >= DEAD_AFTER);
+    }
+}
+
+#[test]
+fn bounds_that_no_keeper_can_meet_are_found() {
+    let text = CORE
+        .replace("contactMs = 3000", "contactMs = 1199")
+        .replace("ackMs = 4000", "ackMs = 999")
+        .replace("drainMs = 2000", "drainMs = 699")
+        .replace("configApplyMs = 1500", "configApplyMs = 0");
+    let told = parse(&text).unwrap_err();
+    for key in ["bounds.contactMs", "bounds.ackMs", "bounds.drainMs", "bounds.configApplyMs"] {
+        assert!(told.contains(key), "{told}");
+    }
+}
+
 #[test]
 fn a_torn_file_is_refused() {
     assert!(parse(&CORE[..40]).is_err());
