A subscriber leaves a keeper that does not answer its subscription

A subscription that was connected and never answered held its place for as long as the link lived. A keeper now has 1.2 s for its first update, then another keeper is tried; members found by the membership are asked while no subscription was answered. The tests of the node pass as before.

--- a/crates/node/src/subscriber.rs
+++ b/crates/node/src/subscriber.rs
@@ -2,6 +2,9 @@
 //!
 //! A subscriber keeps links to several keepers, more than may be lost at once, so that it need not wait for a
 //! time-out when one of them dies. What they tell is handed to a [`Sink`], which merges it by version.
+//!
+//! A keeper answers a subscription with its first update, once a majority of the keepers has confirmed that it is
+//! current. One that does not answer in time is left for another; what was told before stays.
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -10,12 +13,15 @@
 use juniperwing_protocol::Message;
 use juniperwing_protocol::replication::Version;
 use juniperwing_protocol::subscription::{Applied, Subscribe, Update};
-use tokio::sync::Notify;
+use tokio::sync::{Notify, oneshot};
+use tokio::time::timeout;
 
 use crate::link::{Link, Reply, Service, connect};
 
 /// The pause before the next keeper is tried.
 const RETRY_AFTER: Duration = Duration::from_millis(100);
+/// How long a keeper may take for the first update. Keepers that choose a new primary need up to a second.
+const ANSWER_WITHIN: Duration = Duration::from_millis(1_200);
 
 /// Where updates go.
 pub trait Sink: Send + Sync + 'static {
@@ -46,11 +52,25 @@
     told: Vec<SocketAddr>,
     /// From the membership. They need not be voters, so they are asked only while there is no subscription.
     found: Vec<SocketAddr>,
-    links: Vec<(SocketAddr, Option<Link>)>,
+    links: Vec<Place>,
     next: usize,
     suspended: bool,
 }
 
+/// A keeper that is subscribed to, or about to be.
+struct Place {
+    keeper: SocketAddr,
+    link: Option<Link>,
+    /// Whether the keeper has answered.
+    answered: bool,
+}
+
+impl Place {
+    fn is_live(&self) -> bool {
+        self.answered && self.link.as_ref().is_some_and(|link| !link.is_closed())
+    }
+}
+
 impl Subscriber {
     /// Subscribes to `wanted` keepers at a time, found through the seeds, until the process ends.
     pub fn start(
@@ -83,7 +103,7 @@
         let mut keepers = self.lock();
         keepers.suspended = suspended;
         if suspended {
-            keepers.links.iter().filter_map(|(_, link)| link.as_ref()).for_each(Link::close);
+            keepers.links.iter().filter_map(|place| place.link.as_ref()).for_each(Link::close);
         }
         drop(keepers);
         self.changed.notify_waiters();
@@ -99,16 +119,16 @@
 
     /// Tells every keeper subscribed to what is applied now, for instance after an update took some time.
     pub fn confirm(&self) {
-        let links: Vec<Link> = self.lock().links.iter().filter_map(|(_, link)| link.clone()).collect();
+        let links: Vec<Link> = self.lock().links.iter().filter_map(|place| place.link.clone()).collect();
         let applied = self.sink.applied();
         for link in links {
             link.send(Message::Applied(applied.clone()));
         }
     }
 
-    /// Whether a subscription stands.
+    /// Whether a keeper has answered a subscription that stands.
     pub fn is_connected(&self) -> bool {
-        self.lock().links.iter().any(|(_, link)| link.as_ref().is_some_and(|link| !link.is_closed()))
+        self.lock().links.iter().any(Place::is_live)
     }
 
     async fn keep_one(self: Arc<Self>) {
@@ -121,10 +141,10 @@
                 changed.await;
                 continue;
             };
-            if let Some(link) = self.connect(address).await {
-                link.closed().await;
+            if let Some((link, answered)) = self.connect(address).await {
+                self.hold(address, &link, answered).await;
             }
-            self.lock().links.retain(|(used, _)| *used != address);
+            self.lock().links.retain(|place| place.keeper != address);
             self.changed.notify_waiters();
             tokio::time::sleep(RETRY_AFTER).await;
         }
@@ -134,12 +154,12 @@
     fn reserve(&self) -> Option<SocketAddr> {
         let mut candidates = self.keepers();
         let mut keepers = self.lock();
-        if !keepers.links.iter().any(|(_, link)| link.is_some()) {
+        if !keepers.links.iter().any(Place::is_live) {
             let unknown = keepers.found.iter().filter(|found| !candidates.contains(found));
             let unknown: Vec<SocketAddr> = unknown.copied().collect();
             candidates.extend(unknown);
         }
-        let free = |address: &SocketAddr| keepers.links.iter().all(|(used, _)| used != address);
+        let free = |address: &SocketAddr| keepers.links.iter().all(|place| place.keeper != *address);
         if keepers.suspended {
             return None;
         }
@@ -147,13 +167,29 @@
         let order = (0..candidates.len()).map(|offset| candidates[(turn + offset) % candidates.len()]);
         let chosen = order.into_iter().find(free)?;
         keepers.next = turn.wrapping_add(1);
-        keepers.links.push((chosen, None));
+        keepers.links.push(Place { keeper: chosen, link: None, answered: false });
         Some(chosen)
     }
 
-    async fn connect(self: &Arc<Self>, address: SocketAddr) -> Option<Link> {
+    /// Waits for the keeper's answer, and then for the end of the link.
+    async fn hold(&self, address: SocketAddr, link: &Link, answered: oneshot::Receiver<()>) {
+        if !matches!(timeout(ANSWER_WITHIN, answered).await, Ok(Ok(()))) {
+            return link.close();
+        }
+        if let Some(place) = self.lock().links.iter_mut().find(|place| place.keeper == address) {
+            place.answered = true;
+        }
+        link.closed().await;
+    }
+
+    async fn connect(self: &Arc<Self>, address: SocketAddr) -> Option<(Link, oneshot::Receiver<()>)> {
         let stream = connect(address).await?;
-        let service = Subscription { subscriber: Arc::clone(self), instances: Mutex::new(0) };
+        let (first_update, answered) = oneshot::channel();
+        let service = Subscription {
+            subscriber: Arc::clone(self),
+            first_update: Mutex::new(Some(first_update)),
+            instances: Mutex::new(0),
+        };
         let link = Link::start(stream, true, Arc::new(service)).ok()?;
         let mut subscribe = self.subscribe.clone();
         subscribe.configuration = self.sink.configuration();
@@ -162,9 +198,9 @@
         if keepers.suspended {
             link.close();
         }
-        let held = keepers.links.iter_mut().find(|(used, _)| *used == address)?;
-        held.1 = Some(link.clone());
-        Some(link)
+        let place = keepers.links.iter_mut().find(|place| place.keeper == address)?;
+        place.link = Some(link.clone());
+        Some((link, answered))
     }
 
     fn lock(&self) -> MutexGuard<'_, Keepers> {
@@ -175,6 +211,8 @@
 /// One subscription.
 struct Subscription {
     subscriber: Arc<Subscriber>,
+    /// Told by the first update.
+    first_update: Mutex<Option<oneshot::Sender<()>>>,
     /// The highest revision of instances applied from this keeper.
     instances: Mutex<u64>,
 }
@@ -182,6 +220,11 @@
 impl Service for Subscription {
     fn message(&self, link: &Link, message: Message, _: Reply) {
         let Message::Update(update) = message else { return };
+        let first_update = self.first_update.lock().unwrap_or_else(PoisonError::into_inner).take();
+        if let Some(first_update) = first_update {
+            // Nobody waits any more where the answer came too late.
+            let _ = first_update.send(());
+        }
         match update {
             Update::Keepers(told) => {
                 self.subscriber.lock().told = told;
