Keepers: contact by round trips, confirmed subscriptions, ends acknowledged by a majority

A keeper counted as in contact by what it heard, or for 3 s after its start by one primary, told new subscribers its committed state whether it was current or not, and acknowledged drains and ends after 700 ms whoever knew of them. A registry counts as complete two heartbeats after the last pause or cut.

--- a/crates/node/src/keeper.rs
+++ b/crates/node/src/keeper.rs
@@ -5,8 +5,8 @@
 //! tell relays and stores what is in force (`subscribers`). All state is behind one lock that is never held
 //! while anything is awaited.
 
+mod confirmation;
 mod consensus;
-mod contact;
 mod contacts;
 mod control_listener;
 mod discovery;
@@ -29,7 +29,7 @@
 use juniperwing_protocol::replication::{Version, Voter};
 use juniperwing_protocol::subscription::CaughtUp;
 use juniperwing_protocol::{DiskId, NodeName};
-use juniperwing_registry::{Exchange, MAX_INSTANCES, Registry, RegistrySettings};
+use juniperwing_registry::{Contact, Exchange, MAX_INSTANCES, Registry, RegistrySettings};
 use juniperwing_replication::{Event, Record, Replica, Timings};
 use slog::{Logger, info, warn};
 use tokio::net::TcpListener;
@@ -37,7 +37,6 @@
 use tokio::time::{Instant, MissedTickBehavior, timeout, timeout_at};
 
 use self::consensus::{Consensus, MAX_WRITES, Write, tick_replica, write_records};
-use self::contact::Contact;
 use self::contacts::Contacts;
 use self::inbox::Inbox;
 use self::peers::Peers;
@@ -46,14 +45,15 @@
 use crate::clock;
 use crate::command::Process;
 use crate::link::LinkId;
-use crate::settings::{Port, Settings};
+use crate::settings::{ControlTimes, Port, Settings};
 use crate::signals::Wish;
 
 /// Between two rounds of housekeeping.
 const HOUSEKEEPING: Duration = Duration::from_millis(150);
 /// Rounds between two batches of heartbeats for the other keepers.
 const ROUNDS_PER_BATCH: u64 = 2;
-/// Rounds between two reports of the stores seen.
+/// Rounds between two reports of the stores seen, whose answers are also evidence of contact; every round while
+/// this keeper has no contact.
 const ROUNDS_PER_REPORT: u64 = 3;
 /// Rounds of housekeeping further apart than this mean that the process was paused.
 const PAUSE: Span = Span::from_millis(1_000);
@@ -84,6 +84,7 @@
 struct Keeper {
     me: Voter,
     required_copies: usize,
+    times: ControlTimes,
     log: Logger,
     state: Mutex<State>,
     peers: Arc<Peers>,
@@ -91,6 +92,8 @@
     progress: Notify,
     /// There is something to tell subscribers or keepers.
     wake_push: Notify,
+    /// A subscription waits to be confirmed.
+    wake_confirmation: Notify,
     /// The store map may have to change.
     wake_planner: Notify,
 }
@@ -211,10 +214,11 @@
     fn new(settings: &Settings, log: Logger, me: Voter, consensus: Consensus) -> Arc<Keeper> {
         let now = clock::now();
         let heartbeat = Span::from_millis(settings.heartbeat_ms);
+        let times = settings.control_times();
         let registry = Registry::new(now, RegistrySettings { heartbeat, max_instances: MAX_INSTANCES });
         let state = State {
             consensus,
-            contact: Contact::new(now),
+            contact: Contact::new(times.contact_window),
             registry,
             exchange: Exchange::default(),
             subscribers: Subscribers::default(),
@@ -230,11 +234,13 @@
         Arc::new_cyclic(|keeper| Keeper {
             me,
             required_copies: settings.required_copies(),
+            times,
             log,
             state: Mutex::new(state),
             peers: Arc::new(Peers::new(Arc::new(Inbox::new(keeper.clone())))),
             progress: Notify::new(),
             wake_push: Notify::new(),
+            wake_confirmation: Notify::new(),
             wake_planner: Notify::new(),
         })
     }
@@ -249,6 +255,7 @@
             tokio::spawn(tick_replica(Arc::clone(self), wake)),
             tokio::spawn(crate::link::serve(internal, inbox)),
             tokio::spawn(Arc::clone(self).push_changes()),
+            tokio::spawn(Arc::clone(self).confirm_subscriptions()),
             tokio::spawn(Arc::clone(self).plan_changes()),
             tokio::spawn(Arc::clone(self).keep_house()),
         ]
@@ -258,11 +265,11 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Where the other voters listen.
-    fn other_keepers(&self) -> Vec<SocketAddr> {
+    /// The other voters.
+    fn other_voters(&self) -> Vec<Voter> {
         let state = self.lock();
         let voters = state.consensus.replica.voters().iter();
-        voters.filter(|voter| voter.disk != self.me.disk).map(|voter| voter.address).collect()
+        voters.filter(|voter| voter.disk != self.me.disk).cloned().collect()
     }
 
     /// Where those of the other voters listen that were heard of a short while ago.
@@ -274,11 +281,9 @@
         heard.filter(|voter| voter.disk != self.me.disk).map(|voter| voter.address).collect()
     }
 
-    /// Whether what this keeper hears and tells reaches most of the others.
+    /// Whether a majority of the keepers has answered this one a short while ago.
     fn is_in_contact(&self, state: &State) -> bool {
-        let replica = &state.consensus.replica;
-        let primary = replica.epoch().primary;
-        state.contact.is_among_most(clock::now(), self.me.disk, replica.voters(), primary)
+        state.contact.has_majority(clock::now(), self.me.disk, state.consensus.replica.epoch())
     }
 
     /// Waits until a condition holds, or a time has come. Returns whether it holds.
@@ -325,7 +330,7 @@
         let complete = state.registry.is_complete(clock::now());
         let committed = state.consensus.committed().map(|committed| Arc::clone(&committed.state));
         let tellable = Tellable { committed: committed.as_deref(), keepers: &keepers, complete };
-        state.subscribers.push(&tellable);
+        state.subscribers.push(&tellable, || state.registry.instances().cloned().collect());
     }
 
     async fn plan_changes(self: Arc<Self>) {
@@ -344,7 +349,8 @@
         for round in 0_u64.. {
             rounds.tick().await;
             self.keep_house_once();
-            if round % ROUNDS_PER_REPORT == 0 {
+            let has_contact = self.is_in_contact(&self.lock());
+            if round % ROUNDS_PER_REPORT == 0 || !has_contact {
                 self.report_stores();
             }
             if round % ROUNDS_PER_BATCH == 0 {
--- /dev/null
+++ b/crates/node/src/keeper/confirmation.rs
@@ -0,0 +1,74 @@
+//! Confirms new subscriptions: a subscriber is told nothing before a majority of the keepers, asked after the
+//! subscription came, has shown that the committed state of this keeper is current.
+//!
+//! The primary confirms its committed version by a round of heartbeats; a backup asks the primary and waits
+//! until it has reached that version itself. All subscriptions that wait at one moment share one question, and
+//! nothing is asked while none waits.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use juniperwing_protocol::Message;
+use juniperwing_protocol::registry::RegistryMessage;
+use juniperwing_protocol::replication::Version;
+use tokio::time::{Instant, sleep, timeout};
+
+use super::Keeper;
+use super::consensus::PrimaryPlace;
+
+/// Between two questions while no majority confirms.
+const RETRY_AFTER: Duration = Duration::from_millis(50);
+
+impl Keeper {
+    /// Confirms subscriptions, for as long as the keeper lives.
+    pub(super) async fn confirm_subscriptions(self: Arc<Self>) {
+        loop {
+            self.wake_confirmation.notified().await;
+            while let Some(newest) = self.newest_unconfirmed() {
+                if self.is_current().await {
+                    self.lock().subscribers.confirm(newest);
+                    self.wake_push.notify_one();
+                } else {
+                    sleep(RETRY_AFTER).await;
+                }
+            }
+        }
+    }
+
+    /// The newest subscription that waits; all before it wait too or are confirmed.
+    fn newest_unconfirmed(&self) -> Option<super::subscribers::SubscriptionNumber> {
+        self.lock().subscribers.newest_unconfirmed()
+    }
+
+    /// Whether the committed state here has every change that was committed before this was called. `false`
+    /// if it is not known within the time for it.
+    async fn is_current(self: &Arc<Self>) -> bool {
+        let until = Instant::now() + self.times.confirmed_within;
+        let Some(version) = self.current_version().await else { return false };
+        let has_reached = |state: &super::State| {
+            state.consensus.committed().is_some_and(|committed| committed.version >= version)
+        };
+        self.wait_until(until, has_reached).await
+    }
+
+    /// The newest committed version, confirmed by a majority after this was called.
+    async fn current_version(self: &Arc<Self>) -> Option<Version> {
+        match self.primary_place() {
+            PrimaryPlace::Here => self.own_current_version().await,
+            PrimaryPlace::At(address) => {
+                let question = Message::Registry(RegistryMessage::ReadCommitted);
+                match self.peers.call(address, question, self.times.confirmed_within).await {
+                    Ok(Message::Registry(RegistryMessage::Committed { version })) => version,
+                    _ => None,
+                }
+            }
+            PrimaryPlace::Unknown => None,
+        }
+    }
+
+    /// As primary: the committed version, confirmed by a majority after this was called.
+    pub(super) async fn own_current_version(self: &Arc<Self>) -> Option<Version> {
+        let confirmed = timeout(self.times.confirmed_within, self.read_confirmed()).await.ok()?;
+        confirmed.ok().map(|committed| committed.version)
+    }
+}
--- a/crates/node/src/keeper/discovery.rs
+++ b/crates/node/src/keeper/discovery.rs
@@ -1,31 +1,26 @@
 //! Endpoints: their heartbeats, and what keepers tell each other of them.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
 
 use juniperwing_protocol::registry::{Instance, InstanceState, Refresh, RegistryMessage};
-use juniperwing_protocol::{InstanceId, Message};
+use juniperwing_protocol::replication::Voter;
+use juniperwing_protocol::{DiskId, InstanceId, Message};
 use juniperwing_registry::{Batch, ChangeNumber, HeartbeatOutcome};
 use slog::{debug, info};
 use tokio::time::Instant;
 
 use super::{Keeper, State};
 use crate::clock;
-use crate::link::Reply;
-
-/// How long a drain or end may take to spread before it is acknowledged; endpoints wait for a second.
-const SPREAD_WITHIN: Duration = Duration::from_millis(700);
-/// How long a keeper takes for its own subscribers before it answers another keeper.
-const APPLY_WITHIN: Duration = Duration::from_millis(400);
-/// When another keeper's answer is given up.
-const PEER_ANSWERS_WITHIN: Duration = Duration::from_millis(600);
+use crate::link::{LinkId, Reply};
 
 /// The answer to an endpoint.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum HeartbeatAnswer {
-    /// Heard; where the endpoint leaves, everyone in reach knows.
+    /// Heard, by a keeper that a majority of the keepers answers. Where the endpoint leaves, a majority has taken
+    /// it and the relays subscribed to that majority have applied it.
     Accepted,
-    /// This keeper is cut off or full: another one should be called.
+    /// This keeper is cut off or full, or could not spread an end in time: another one should be called.
     Unavailable,
 }
 
@@ -41,47 +36,46 @@
         let leaves = instance.state != InstanceState::Ready;
         let id = instance.id.clone();
         let spread = {
-            let mut state = self.lock();
+            let state = &mut *self.lock();
             let now = clock::now();
-            if !self.is_in_contact(&state) {
+            if !self.is_in_contact(state) {
                 return HeartbeatAnswer::Unavailable;
             }
             match state.registry.heartbeat(now, instance) {
                 HeartbeatOutcome::Full => return HeartbeatAnswer::Unavailable,
                 HeartbeatOutcome::Late => {}
                 HeartbeatOutcome::Refreshed(refresh) => state.exchange.note_refreshed(&refresh),
-                HeartbeatOutcome::Changed(changed) => self.publish(&mut state, &changed),
+                HeartbeatOutcome::Changed(changed) => self.publish(state, &changed),
+            }
+            if !leaves {
+                return HeartbeatAnswer::Accepted;
             }
-            state.spread()
+            self.spread(state, &id)
         };
-        if leaves {
-            info!(self.log, "endpoint drains"; "endpoint" => %id.0);
-            self.wait_spread(spread).await;
-        }
-        HeartbeatAnswer::Accepted
+        info!(self.log, "endpoint drains"; "endpoint" => %id.0);
+        self.wait_spread(spread).await
     }
 
     /// An endpoint says that it ends.
     pub(super) async fn end_instance(self: &Arc<Self>, id: InstanceId) -> HeartbeatAnswer {
         let spread = {
-            let mut state = self.lock();
-            if !self.is_in_contact(&state) {
+            let state = &mut *self.lock();
+            if !self.is_in_contact(state) {
                 return HeartbeatAnswer::Unavailable;
             }
             let gone = state.registry.remove(clock::now(), &id);
-            self.publish(&mut state, gone.as_slice());
-            state.spread()
+            self.publish(state, gone.as_slice());
+            self.spread(state, &id)
         };
         info!(self.log, "endpoint ends"; "endpoint" => %id.0);
-        self.wait_spread(spread).await;
-        HeartbeatAnswer::Accepted
+        self.wait_spread(spread).await
     }
 
-    /// Another keeper tells of instances. It is answered when the subscribers here have applied them.
+    /// Another keeper tells of instances. If it wants them confirmed, it is answered when the subscribers here
+    /// have applied them.
     pub(super) fn merge_instances(
-        self: &Arc<Self>, changed: Vec<Instance>, refreshed: &[Refresh], reply: Reply,
+        self: &Arc<Self>, changed: Vec<Instance>, refreshed: &[Refresh], confirm: bool, reply: Reply,
     ) {
-        let must_apply = !changed.is_empty();
         let revision = {
             let mut state = self.lock();
             let news = state.registry.merge(clock::now(), changed, refreshed);
@@ -90,18 +84,22 @@
             }
             state.subscribers.note(&news)
         };
-        let answer = Message::Registry(RegistryMessage::InstancesApplied);
-        if !must_apply {
-            return reply.send(answer);
-        }
         let keeper = Arc::clone(self);
+        if !confirm {
+            return reply.send(keeper.instances_taken(false));
+        }
         tokio::spawn(async move {
-            let until = Instant::now() + APPLY_WITHIN;
-            keeper.wait_until(until, |state| state.subscribers.have_instances(revision)).await;
-            reply.send(answer);
+            let until = Instant::now() + keeper.times.subscribers_apply_within;
+            let applied = keeper.wait_until(until, |state| state.subscribers.have_instances(revision)).await;
+            reply.send(keeper.instances_taken(applied));
         });
     }
 
+    fn instances_taken(&self, applied: bool) -> Message {
+        let epoch = self.lock().consensus.replica.epoch().number;
+        Message::Registry(RegistryMessage::InstancesTaken { epoch, applied })
+    }
+
     /// Expires endpoints that nobody hears of, while this keeper hears what the others hear.
     pub(super) fn expire_instances(&self, state: &mut State) {
         let now = clock::now();
@@ -128,22 +126,23 @@
     }
 
     async fn send_batch(self: Arc<Self>, batch: Batch) {
-        let Batch { to, number, changed, refreshed } = batch;
+        let Batch { to, number, changed, refreshed, confirm } = batch;
         let from = self.me.disk;
-        let message = Message::Registry(RegistryMessage::Instances { from, changed, refreshed });
-        let link = self.peers.link(to.address).await.ok();
-        let answered = match &link {
-            Some(link) => link.call(message, PEER_ANSWERS_WITHIN).await.ok().map(|_| link.id()),
-            None => None,
-        };
+        let message = Message::Registry(RegistryMessage::Instances { from, changed, refreshed, confirm });
+        let asked_at = clock::now();
+        let answer = self.call_peer(to.address, message).await;
         {
-            let mut state = self.lock();
-            match answered {
-                Some(link) => {
-                    state.contact.note(clock::now(), to.disk);
-                    state.exchange.answered(to.disk, number, link);
+            let state = &mut *self.lock();
+            match answer {
+                Some((link, RegistryMessage::InstancesTaken { epoch, applied })) => {
+                    state.contact.answered(clock::now(), to.disk, asked_at, epoch);
+                    if applied || !confirm {
+                        state.exchange.answered(to.disk, number, link);
+                    } else {
+                        state.exchange.not_applied(to.disk, number, link);
+                    }
                 }
-                None => {
+                _ => {
                     debug!(self.log, "a keeper does not answer"; "keeper" => %to.node.0);
                     state.exchange.failed(to.disk, number);
                 }
@@ -152,6 +151,15 @@
         self.progress.notify_waiters();
     }
 
+    /// Another keeper's answer, with the link over which it came.
+    async fn call_peer(&self, address: SocketAddr, message: Message) -> Option<(LinkId, RegistryMessage)> {
+        let link = self.peers.link(address).await.ok()?;
+        match link.call(message, self.times.peer_answers_within).await {
+            Ok(Message::Registry(answer)) => Some((link.id(), answer)),
+            _ => None,
+        }
+    }
+
     /// Tells subscribers and keepers of changes, with the next push.
     fn publish(&self, state: &mut State, changed: &[Instance]) {
         if changed.is_empty() {
@@ -164,20 +172,45 @@
         self.wake_push.notify_one();
     }
 
-    async fn wait_spread(&self, spread: Spread) {
-        let until = Instant::now() + SPREAD_WITHIN;
+    /// Has an end that was taken here confirmed by the other keepers, also if they or this keeper knew of it: an
+    /// earlier call may have been refused because it did not reach a majority.
+    fn spread(&self, state: &mut State, id: &InstanceId) -> Spread {
+        self.set_exchange_keepers(state);
+        if let Some(instance) = state.registry.get(id).cloned() {
+            state.exchange.note_changed(&[instance]);
+            self.wake_push.notify_one();
+        }
+        Spread { revision: state.subscribers.pending_revision(), change: state.exchange.newest() }
+    }
+
+    /// Waits until every keeper in reach has confirmed, for a limited time. A majority has to have confirmed in
+    /// any case, so that every relay has a subscription to one that has.
+    async fn wait_spread(&self, spread: Spread) -> HeartbeatAnswer {
+        let until = Instant::now() + self.times.spread_within;
         self.wait_until(until, |state| {
-            let is_heard = |disk| state.contact.is_heard(clock::now(), disk);
-            state.subscribers.have_instances(spread.revision)
-                && state.exchange.have_confirmed(spread.change, is_heard)
+            self.has_majority_for(state, &spread) && state.is_known_in_reach(&spread)
         })
         .await;
+        if self.has_majority_for(&self.lock(), &spread) {
+            return HeartbeatAnswer::Accepted;
+        }
+        HeartbeatAnswer::Unavailable
+    }
+
+    /// Whether the relays subscribed here and a majority of the keepers have confirmed.
+    fn has_majority_for(&self, state: &State, spread: &Spread) -> bool {
+        let epoch = state.consensus.replica.epoch();
+        let confirmed: Vec<DiskId> = state.exchange.confirmed_by(spread.change).collect();
+        let has = |voter: &&Voter| voter.disk == self.me.disk || confirmed.contains(&voter.disk);
+        let is_majority = 2 * epoch.voters.iter().filter(has).count() > epoch.voters.len();
+        is_majority && state.subscribers.have_instances(spread.revision)
     }
 }
 
 impl State {
-    /// What stands for everything that was noted so far.
-    fn spread(&self) -> Spread {
-        Spread { revision: self.subscribers.pending_revision(), change: self.exchange.newest() }
+    /// Whether every keeper that answers, or was heard of a short while ago, has confirmed.
+    fn is_known_in_reach(&self, spread: &Spread) -> bool {
+        let now = clock::now();
+        self.exchange.have_confirmed(spread.change, |disk| self.contact.is_heard(now, disk))
     }
 }
--- a/crates/node/src/keeper/inbox.rs
+++ b/crates/node/src/keeper/inbox.rs
@@ -52,15 +52,15 @@
 
 impl Keeper {
     fn replication_message(self: &Arc<Self>, message: ReplicationMessage) {
-        self.lock().contact.note(clock::now(), message.from);
+        self.lock().contact.heard(clock::now(), message.from);
         self.replica_event(Event::Message(message));
     }
 
     fn registry_message(self: &Arc<Self>, message: RegistryMessage, reply: Reply) {
         match message {
-            RegistryMessage::Instances { from, changed, refreshed } => {
-                self.lock().contact.note(clock::now(), from);
-                self.merge_instances(changed, &refreshed, reply);
+            RegistryMessage::Instances { from, changed, refreshed, confirm } => {
+                self.lock().contact.heard(clock::now(), from);
+                self.merge_instances(changed, &refreshed, confirm, reply);
             }
             RegistryMessage::Distribute { version, wait_ms } => {
                 let keeper = Arc::clone(self);
@@ -77,23 +77,31 @@
                     reply.send(Message::Registry(RegistryMessage::OrderAnswer(answer)));
                 });
             }
-            RegistryMessage::StoresSeen { from, stores } => self.stores_seen(from, stores),
+            RegistryMessage::ReadCommitted => {
+                let keeper = Arc::clone(self);
+                tokio::spawn(async move {
+                    let version = keeper.own_current_version().await;
+                    reply.send(Message::Registry(RegistryMessage::Committed { version }));
+                });
+            }
+            RegistryMessage::StoresSeen { from, stores } => {
+                let epoch = self.stores_seen(from, stores);
+                reply.send(Message::Registry(RegistryMessage::Seen { epoch }));
+            }
             RegistryMessage::CaughtUp(reports) => self.caught_up(reports),
             // Answers come to those that called.
-            RegistryMessage::InstancesApplied
+            RegistryMessage::InstancesTaken { .. }
             | RegistryMessage::Distributed
+            | RegistryMessage::Committed { .. }
+            | RegistryMessage::Seen { .. }
             | RegistryMessage::OrderAnswer(_) => {}
         }
     }
 
     fn subscribe(self: &Arc<Self>, link: &Link, subscribe: Subscribe) {
         let store = store_of(&subscribe);
-        {
-            let state = &mut *self.lock();
-            let complete = state.registry.is_complete(clock::now());
-            state.subscribers.add(link, subscribe, state.registry.instances(), complete);
-        }
-        self.wake_push.notify_one();
+        self.lock().subscribers.add(link, subscribe);
+        self.wake_confirmation.notify_one();
         if let Some(store) = store {
             info!(self.log, "store seen"; "store" => %store.node.0, "disk" => store.disk.0);
             self.report_stores();
--- a/crates/node/src/keeper/orders.rs
+++ b/crates/node/src/keeper/orders.rs
@@ -25,8 +25,6 @@
 const BYTES_PER_MS: u64 = 10_000;
 /// Between two looks for a primary.
 const LOOK_AGAIN: Duration = Duration::from_millis(50);
-/// How long subscribers have for applying a configuration before it is acknowledged all the same.
-const APPLY_WITHIN: Duration = Duration::from_millis(500);
 /// How much sooner a keeper that was passed an order answers.
 const HOP: Duration = Duration::from_millis(30);
 
@@ -178,13 +176,14 @@
     /// Brings the configuration to the subscribers of all keepers in reach; returns when all have it, or the
     /// time for it is over.
     async fn distribute(self: &Arc<Self>, version: Version, deadline: Instant) {
-        let until = deadline.min(Instant::now() + APPLY_WITHIN);
+        let apply_within = self.times.configuration_applies_within;
+        let until = deadline.min(Instant::now() + apply_within);
         let wait_ms = until.saturating_duration_since(Instant::now()).as_millis() as u32;
         let mut calls = JoinSet::new();
         for address in self.keepers_in_reach() {
             let keeper = Arc::clone(self);
             let message = Message::Registry(RegistryMessage::Distribute { version, wait_ms });
-            calls.spawn(async move { drop(keeper.peers.call(address, message, APPLY_WITHIN).await) });
+            calls.spawn(async move { drop(keeper.peers.call(address, message, apply_within).await) });
         }
         self.distribute_here(version, until).await;
         // Past its time, the calls that are left end with the set.
--- a/crates/node/src/keeper/stores.rs
+++ b/crates/node/src/keeper/stores.rs
@@ -4,8 +4,9 @@
 
 use juniperwing_control::{ControlChange, PlanInput, completed_retirements, plan, unrecoverable};
 use juniperwing_protocol::registry::RegistryMessage;
+use juniperwing_protocol::replication::Voter;
 use juniperwing_protocol::subscription::{CaughtUp, StoreNode};
-use juniperwing_protocol::{DiskId, Message};
+use juniperwing_protocol::{DiskId, EpochNumber, Message};
 use slog::{info, warn};
 
 use super::consensus::PrimaryPlace;
@@ -16,17 +17,19 @@
 const MAX_CAUGHT_UP: usize = 1_024;
 
 impl Keeper {
-    /// Another keeper tells which stores it sees.
-    pub(super) fn stores_seen(&self, keeper: DiskId, stores: Vec<StoreNode>) {
+    /// Another keeper tells which stores it sees. Returns the highest epoch known here, for the answer.
+    pub(super) fn stores_seen(&self, keeper: DiskId, stores: Vec<StoreNode>) -> EpochNumber {
         let mut state = self.lock();
         let now = clock::now();
-        state.contact.note(now, keeper);
+        state.contact.heard(now, keeper);
         state.tracker.report(now, keeper, stores);
+        let epoch = state.consensus.replica.epoch().number;
         drop(state);
         self.wake_planner.notify_one();
+        epoch
     }
 
-    /// Tells the others which stores this keeper sees.
+    /// Tells the others which stores this keeper sees. Their answers are evidence of contact.
     pub(super) fn report_stores(self: &Arc<Self>) {
         let from = self.me.disk;
         let stores = {
@@ -35,14 +38,23 @@
             state.tracker.report(clock::now(), from, stores.clone());
             stores
         };
-        for address in self.other_keepers() {
+        for voter in self.other_voters() {
             let message = RegistryMessage::StoresSeen { from, stores: stores.clone() };
-            self.peers.send(address, Message::Registry(message));
+            tokio::spawn(Arc::clone(self).report_stores_to(voter, message));
         }
         self.pass_on_caught_up();
         self.wake_planner.notify_one();
     }
 
+    async fn report_stores_to(self: Arc<Self>, voter: Voter, report: RegistryMessage) {
+        let asked_at = clock::now();
+        let within = self.times.peer_answers_within;
+        let answer = self.peers.call(voter.address, Message::Registry(report), within).await;
+        if let Ok(Message::Registry(RegistryMessage::Seen { epoch })) = answer {
+            self.lock().contact.answered(clock::now(), voter.disk, asked_at, epoch);
+        }
+    }
+
     /// Primaries of partitions report replicas that have caught up. Such a report is true until the partition's
     /// epoch changes, so it is kept until then, whoever is primary keeper meanwhile.
     pub(super) fn caught_up(self: &Arc<Self>, reports: Vec<CaughtUp>) {
--- a/crates/node/src/keeper/subscribers.rs
+++ b/crates/node/src/keeper/subscribers.rs
@@ -1,4 +1,8 @@
 //! The subscribers of a keeper: what each was told and what it has applied.
+//!
+//! A new subscription waits until this keeper is confirmed to be current, and is told nothing before that: the
+//! first update tells the subscriber that what follows was in force when it asked. Later changes are newer than
+//! that, so they are told at once.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -27,8 +31,24 @@
     pub(super) complete: bool,
 }
 
+/// Counts subscriptions in the order in which they came.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct SubscriptionNumber(u64);
+
+/// Whether a subscriber may be told anything.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Stage {
+    /// This keeper is not confirmed to be current since the subscription came.
+    Unconfirmed(SubscriptionNumber),
+    /// Confirmed; the first updates go with the next push.
+    Confirmed,
+    /// Told everything; changes follow.
+    Told,
+}
+
 struct Subscription {
     link: Link,
+    stage: Stage,
     subscribe: Subscribe,
     applied: Applied,
     told_keepers: Vec<SocketAddr>,
@@ -45,40 +65,46 @@
     changed: BTreeMap<InstanceId, Instance>,
     /// Counts pushes of instances.
     revision: u64,
+    newest: SubscriptionNumber,
 }
 
 impl Subscribers {
-    /// Takes a subscriber in, or updates it. It is told all instances at once, the rest with the next push.
-    pub(super) fn add<'registry>(
-        &mut self, link: &Link, subscribe: Subscribe, instances: impl Iterator<Item = &'registry Instance>,
-        complete: bool,
-    ) {
+    /// Takes a subscriber in. It is told nothing until it is confirmed.
+    pub(super) fn add(&mut self, link: &Link, subscribe: Subscribe) {
         if self.subscriptions.len() >= MAX_SUBSCRIPTIONS {
             return link.close();
         }
-        if is_relay(&subscribe) {
-            let update = InstancesUpdate {
-                revision: self.revision,
-                whole: true,
-                complete,
-                instances: instances.cloned().collect(),
-            };
-            link.send(Message::Update(Update::Instances(update)));
-        }
+        self.newest.0 += 1;
         let told_configuration = subscribe.configuration;
         let applied = Applied { configuration: told_configuration, ..Applied::default() };
         let subscription = Subscription {
             link: link.clone(),
+            stage: Stage::Unconfirmed(self.newest),
             subscribe,
             applied,
             told_keepers: Vec::new(),
             told_configuration,
             told_stores: 0,
-            told_complete: complete,
+            told_complete: false,
         };
         self.subscriptions.insert(link.id(), subscription);
     }
 
+    /// The newest subscription that waits to be confirmed.
+    pub(super) fn newest_unconfirmed(&self) -> Option<SubscriptionNumber> {
+        let open = self.subscriptions.values().filter(|subscription| !subscription.link.is_closed());
+        open.filter_map(Subscription::unconfirmed).max()
+    }
+
+    /// This keeper is current: all subscriptions up to `newest` may be told so with the next push.
+    pub(super) fn confirm(&mut self, newest: SubscriptionNumber) {
+        for subscription in self.subscriptions.values_mut() {
+            if subscription.unconfirmed().is_some_and(|number| number <= newest) {
+                subscription.stage = Stage::Confirmed;
+            }
+        }
+    }
+
     /// A subscriber is gone. Returns its node's subscription, if it was one.
     pub(super) fn remove(&mut self, link: LinkId) -> Option<Subscribe> {
         self.subscriptions.remove(&link).map(|subscription| subscription.subscribe)
@@ -106,23 +132,33 @@
         if self.changed.is_empty() { self.revision } else { self.revision + 1 }
     }
 
-    /// Tells every subscriber what it does not know yet.
-    pub(super) fn push(&mut self, tellable: &Tellable) {
+    /// Tells every confirmed subscriber what it does not know yet. `all` gives all instances.
+    pub(super) fn push(&mut self, tellable: &Tellable, all: impl Fn() -> Vec<Instance>) {
         let changed: Vec<Instance> = std::mem::take(&mut self.changed).into_values().collect();
         if !changed.is_empty() {
             self.revision += 1;
         }
         for subscription in self.subscriptions.values_mut() {
+            match subscription.stage {
+                Stage::Unconfirmed(_) => continue,
+                Stage::Confirmed => {
+                    subscription.stage = Stage::Told;
+                    subscription.tell_all_instances(all(), self.revision, tellable.complete);
+                }
+                Stage::Told => subscription.tell_instances(&changed, self.revision, tellable.complete),
+            }
             subscription.tell_keepers(tellable);
             subscription.tell_configuration(tellable);
-            subscription.tell_instances(&changed, self.revision, tellable.complete);
             subscription.tell_stores(tellable);
         }
     }
 
-    /// Whether all relays subscribed have applied the instances up to a revision.
+    /// Whether all relays subscribed have applied the instances up to a revision. One that waits to be
+    /// confirmed has not.
     pub(super) fn have_instances(&self, revision: u64) -> bool {
-        self.revision >= revision && self.relays().all(|relay| relay.applied.instances >= revision)
+        let has_applied =
+            |relay: &Subscription| relay.stage == Stage::Told && relay.applied.instances >= revision;
+        self.revision >= revision && self.relays().all(has_applied)
     }
 
     /// Whether all relays subscribed have applied the configuration.
@@ -130,7 +166,7 @@
         self.relays().all(|relay| relay.applied.configuration >= version)
     }
 
-    /// The stores that are subscribed.
+    /// The stores that are subscribed, those included that wait to be confirmed: their links are alive.
     pub(super) fn stores(&self) -> Vec<StoreNode> {
         let subscriptions = self.subscriptions.values().filter(|subscription| !subscription.link.is_closed());
         subscriptions.filter_map(|subscription| store_of(&subscription.subscribe)).collect()
@@ -144,6 +180,13 @@
 }
 
 impl Subscription {
+    fn unconfirmed(&self) -> Option<SubscriptionNumber> {
+        match self.stage {
+            Stage::Unconfirmed(number) => Some(number),
+            Stage::Confirmed | Stage::Told => None,
+        }
+    }
+
     fn tell(&self, update: Update) {
         self.link.send(Message::Update(update));
     }
@@ -167,6 +210,14 @@
         self.tell(Update::Configuration { version, body: Arc::clone(&configuration.body) });
     }
 
+    fn tell_all_instances(&mut self, instances: Vec<Instance>, revision: u64, complete: bool) {
+        if is_relay(&self.subscribe) {
+            self.told_complete = complete;
+            let update = InstancesUpdate { revision, whole: true, complete, instances };
+            self.tell(Update::Instances(update));
+        }
+    }
+
     fn tell_instances(&mut self, changed: &[Instance], revision: u64, complete: bool) {
         let newly_complete = complete && !self.told_complete;
         if !is_relay(&self.subscribe) || (changed.is_empty() && !newly_complete) {
--- a/crates/protocol/src/registry.rs
+++ b/crates/protocol/src/registry.rs
@@ -5,7 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::identity::{DiskId, InstanceId, NodeName, ServiceName};
+use crate::identity::{DiskId, EpochNumber, InstanceId, NodeName, ServiceName};
 use crate::replication::Version;
 use crate::subscription::{CaughtUp, StoreNode};
 
@@ -73,9 +73,17 @@
         changed: Vec<Instance>,
         /// Heard of, not changed.
         refreshed: Vec<Refresh>,
+        /// Whether the answer has to wait until the subscribed relays have applied everything told so far.
+        confirm: bool,
+    },
+    /// Answers [`RegistryMessage::Instances`].
+    InstancesTaken {
+        /// The highest epoch that the answering keeper knows.
+        epoch: EpochNumber,
+        /// Whether every relay subscribed to the answering keeper has applied all instances told so far, this
+        /// message's included; `false` if one has not within the time for it.
+        applied: bool,
     },
-    /// Every relay subscribed to the answering keeper has applied these instances, or had its time to.
-    InstancesApplied,
     /// The primary asks: bring your subscribers to this configuration and answer when they have it, or after
     /// the time given.
     Distribute {
@@ -90,6 +98,13 @@
     Order(Order),
     /// Its answer.
     OrderAnswer(OrderAnswer),
+    /// Asks the primary for the newest committed version, confirmed by a majority after this was received.
+    ReadCommitted,
+    /// Answers [`RegistryMessage::ReadCommitted`].
+    Committed {
+        /// The version; `None` if it could not be confirmed here.
+        version: Option<Version>,
+    },
     /// Stores whose links to the telling keeper are alive.
     StoresSeen {
         /// Who tells.
@@ -97,6 +112,11 @@
         /// The stores.
         stores: Vec<StoreNode>,
     },
+    /// Answers [`RegistryMessage::StoresSeen`]: shows the asker that it reaches this keeper.
+    Seen {
+        /// The highest epoch that the answering keeper knows.
+        epoch: EpochNumber,
+    },
     /// Reports of partitions' primaries, passed on to the primary keeper.
     CaughtUp(Vec<CaughtUp>),
 }
--- /dev/null
+++ b/crates/registry/src/contact.rs
@@ -0,0 +1,93 @@
+//! Which other keepers this one exchanges messages with, judged by round trips.
+//!
+//! A keeper whose messages are lost may still hear the others, so hearing proves nothing about being heard.
+//! Contact therefore rests on answers: an answer shows that the other keeper was reached after the question was
+//! sent. The time that counts is that of the question, so answers that were delayed (by a frozen process or a
+//! queue) prove nothing about the present.
+
+use std::collections::HashMap;
+
+use juniperwing_clock::{Span, Time};
+use juniperwing_protocol::replication::{Epoch, Voter};
+use juniperwing_protocol::{DiskId, EpochNumber};
+
+/// Keepers that are remembered; more than ever take part.
+const MAX_KEEPERS: usize = 256;
+
+/// An answered question.
+#[derive(Clone, Copy, Debug)]
+struct RoundTrip {
+    asked_at: Time,
+    /// The highest epoch that the other keeper knew when it answered.
+    epoch: EpochNumber,
+}
+
+/// When each keeper was heard last, and when the newest question was sent that it has answered.
+#[derive(Clone, Debug)]
+pub struct Contact {
+    window: Span,
+    heard: HashMap<DiskId, Time>,
+    round_trips: HashMap<DiskId, RoundTrip>,
+}
+
+impl Contact {
+    /// No contact yet. Evidence older than `window` does not count.
+    pub fn new(window: Span) -> Self {
+        Contact { window, heard: HashMap::new(), round_trips: HashMap::new() }
+    }
+
+    /// A message came from a keeper.
+    pub fn heard(&mut self, now: Time, keeper: DiskId) {
+        self.forget_old(now);
+        self.heard.insert(keeper, now);
+    }
+
+    /// A keeper that knows `epoch` has answered a question that was sent at `asked_at`.
+    pub fn answered(&mut self, now: Time, keeper: DiskId, asked_at: Time, epoch: EpochNumber) {
+        self.heard(now, keeper);
+        let newest = self.round_trips.entry(keeper).or_insert(RoundTrip { asked_at, epoch });
+        if asked_at >= newest.asked_at {
+            *newest = RoundTrip { asked_at, epoch };
+        }
+    }
+
+    /// Whether a keeper was heard within the window. Says nothing about whether it hears this one.
+    pub fn is_heard(&self, now: Time, keeper: DiskId) -> bool {
+        self.heard.get(&keeper).is_some_and(|at| now.since(*at) <= self.window)
+    }
+
+    /// Whether a majority of the voters of `epoch`, `me` included where it votes, has answered a question that
+    /// was sent within the window. Where the epoch still depends on the voters before it, a majority of those
+    /// counts as well.
+    pub fn has_majority(&self, now: Time, me: DiskId, epoch: &Epoch) -> bool {
+        let reached = |voter: &&Voter| voter.disk == me || self.is_reached(now, voter.disk, epoch.number);
+        let is_majority = |voters: &[Voter]| 2 * voters.iter().filter(reached).count() > voters.len();
+        is_majority(&epoch.voters)
+            && (epoch.previous_voters.is_empty() || is_majority(&epoch.previous_voters))
+    }
+
+    /// One that knows a higher epoch than this keeper may belong to another set of voters.
+    fn is_reached(&self, now: Time, keeper: DiskId, epoch: EpochNumber) -> bool {
+        let round_trip = self.round_trips.get(&keeper);
+        round_trip.is_some_and(|known| now.since(known.asked_at) <= self.window && known.epoch <= epoch)
+    }
+
+    /// How many keepers are remembered.
+    pub fn len(&self) -> usize {
+        self.heard.len().max(self.round_trips.len())
+    }
+
+    /// Whether no keeper is remembered.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    fn forget_old(&mut self, now: Time) {
+        if self.len() < MAX_KEEPERS {
+            return;
+        }
+        let window = self.window;
+        self.heard.retain(|_, at| now.since(*at) <= window);
+        self.round_trips.retain(|_, known| now.since(known.asked_at) <= window);
+    }
+}
--- a/crates/registry/src/exchange.rs
+++ b/crates/registry/src/exchange.rs
@@ -28,6 +28,8 @@
     pub changed: Vec<Instance>,
     /// Instances heard of again.
     pub refreshed: Vec<Refresh>,
+    /// Whether the answer has to say that the relays there have applied all that was told.
+    pub confirm: bool,
 }
 
 #[derive(Clone, Debug)]
@@ -35,6 +37,7 @@
     voter: Voter,
     changed: BTreeMap<InstanceId, Instance>,
     refreshed: BTreeMap<InstanceId, u64>,
+    /// The first change that it has not confirmed and that no batch on its way to it asks about.
     pending: Option<ChangeNumber>,
     /// Batches without an answer yet, each with the first change in it, if there is one.
     in_flight: BTreeMap<BatchNumber, Option<ChangeNumber>>,
@@ -117,6 +120,7 @@
             }
             self.newest_batch.0 += 1;
             let number = self.newest_batch;
+            let confirm = counterpart.pending.is_some();
             counterpart.in_flight.insert(number, counterpart.pending.take());
             let refreshed = std::mem::take(&mut counterpart.refreshed).into_iter();
             batches.push(Batch {
@@ -124,22 +128,34 @@
                 number,
                 changed: std::mem::take(&mut counterpart.changed).into_values().collect(),
                 refreshed: refreshed.map(|(id, sequence)| Refresh { id, sequence }).collect(),
+                confirm,
             });
         }
         batches
     }
 
-    /// A batch was answered over this connection. One not seen before may lead to a keeper that has started
-    /// again and knows nothing.
+    /// A batch was answered over this connection, and the relays there have applied what was told. A connection
+    /// not seen before may lead to a keeper that has started again and knows nothing: what it confirmed is void.
     pub fn answered(&mut self, disk: DiskId, number: BatchNumber, connection: Connection) {
         let Some(counterpart) = self.counterparts.get_mut(&disk) else { return };
         counterpart.in_flight.remove(&number);
         counterpart.is_reachable = true;
         if counterpart.connection.replace(connection).is_some_and(|before| before != connection) {
             counterpart.needs_whole = true;
+            counterpart.pending = Some(ChangeNumber::default());
         }
     }
 
+    /// A batch was answered over this connection, but some relay there has not applied what was told. It need
+    /// not be told again; whether it is applied is asked again with the next regular batch.
+    pub fn not_applied(&mut self, disk: DiskId, number: BatchNumber, connection: Connection) {
+        let Some(counterpart) = self.counterparts.get_mut(&disk) else { return };
+        let unconfirmed = counterpart.in_flight.get(&number).copied().flatten();
+        self.answered(disk, number, connection);
+        let Some(counterpart) = self.counterparts.get_mut(&disk) else { return };
+        counterpart.pending = [counterpart.pending, unconfirmed].into_iter().flatten().min();
+    }
+
     /// A batch was not answered: all it said has to be said again.
     pub fn failed(&mut self, disk: DiskId, number: BatchNumber) {
         let Some(counterpart) = self.counterparts.get_mut(&disk) else { return };
@@ -157,6 +173,12 @@
             .filter(|counterpart| counterpart.is_reachable || is_heard(counterpart.voter.disk))
             .all(|counterpart| counterpart.has_confirmed(number))
     }
+
+    /// The keepers that have confirmed all changes up to `number`.
+    pub fn confirmed_by(&self, number: ChangeNumber) -> impl Iterator<Item = DiskId> {
+        let confirmed = self.counterparts.values().filter(move |known| known.has_confirmed(number));
+        confirmed.map(|counterpart| counterpart.voter.disk)
+    }
 }
 
 impl<Connection> Counterpart<Connection> {
@@ -165,7 +187,8 @@
             voter,
             changed: BTreeMap::new(),
             refreshed: BTreeMap::new(),
-            pending: None,
+            // It has confirmed nothing, not even what was noted before it came.
+            pending: Some(ChangeNumber::default()),
             in_flight: BTreeMap::new(),
             needs_whole: true,
             is_reachable: true,
@@ -180,7 +203,8 @@
     }
 
     fn is_due(&self, regular: bool) -> bool {
-        let waits = self.needs_whole || !self.changed.is_empty() || !self.refreshed.is_empty();
+        let has_news = self.needs_whole || !self.changed.is_empty() || !self.refreshed.is_empty();
+        let waits = has_news || self.pending.is_some();
         if !self.is_reachable {
             return regular && waits && self.in_flight.is_empty();
         }
--- a/crates/registry/src/lib.rs
+++ b/crates/registry/src/lib.rs
@@ -1,13 +1,15 @@
-//! What a keeper knows of endpoint instances, as a pure state machine.
+//! What a keeper knows of endpoint instances, and of its contact with the other keepers, as pure state machines.
 //!
 //! Instances are soft state: they come from heartbeats, are merged between keepers by
 //! [`Instance::supersedes`](juniperwing_protocol::registry::Instance::supersedes), and expire when no keeper
 //! hears of them. A drain is final within a life; an end leaves a tombstone for longer than a late call takes.
 
+mod contact;
 mod exchange;
 mod heartbeat;
 mod registry;
 
+pub use contact::Contact;
 pub use exchange::{Batch, BatchNumber, ChangeNumber, Exchange};
 pub use heartbeat::{Finding, parse_heartbeat};
 pub use registry::{
--- a/crates/registry/src/registry.rs
+++ b/crates/registry/src/registry.rs
@@ -51,7 +51,6 @@
 #[derive(Clone, Debug)]
 pub struct Registry {
     settings: RegistrySettings,
-    started: Time,
     /// Silence counts only from here on.
     silence_from: Time,
     entries: BTreeMap<InstanceId, Entry>,
@@ -61,18 +60,13 @@
 impl Registry {
     /// An empty registry of a process that starts now.
     pub fn new(now: Time, settings: RegistrySettings) -> Self {
-        Registry {
-            settings,
-            started: now,
-            silence_from: now,
-            entries: BTreeMap::new(),
-            by_address: HashMap::new(),
-        }
+        Registry { settings, silence_from: now, entries: BTreeMap::new(), by_address: HashMap::new() }
     }
 
-    /// Whether it has run for long enough to have heard of every live endpoint.
+    /// Whether it has run, in contact with the other keepers, for long enough to have heard of every live
+    /// endpoint and of every end.
     pub fn is_complete(&self, now: Time) -> bool {
-        now.since(self.started) >= self.settings.heartbeat.times(COMPLETE_HEARTBEATS)
+        now.since(self.silence_from) >= self.settings.heartbeat.times(COMPLETE_HEARTBEATS)
     }
 
     /// All instances, those that have ended included.
@@ -179,7 +173,8 @@
         expired
     }
 
-    /// Silence counts anew from now on: the keeper was paused, or cut off from the others.
+    /// Silence counts anew from now on: the keeper was paused, or cut off from the others. What it missed
+    /// meanwhile comes with the next heartbeats, so it is not complete until then.
     pub fn restart_silence(&mut self, now: Time) {
         self.silence_from = now;
     }
--- a/crates/registry/tests/exchange.rs
+++ b/crates/registry/tests/exchange.rs
@@ -150,3 +150,63 @@
     trace.exchange.answered(DiskId(3), batch.number, FIRST_CONNECTION);
     assert!(trace.exchange.have_confirmed(change, NOBODY_HEARD));
 }
+
+fn confirmed_by(exchange: &Exchange<u32>, change: ChangeNumber) -> Vec<DiskId> {
+    exchange.confirmed_by(change).collect()
+}
+
+/// Guard: a counterpart starts with everything unconfirmed.
+#[test]
+fn a_keeper_that_came_after_a_change_has_not_confirmed_it() {
+    let mut trace = Trace::in_contact();
+    let change = trace.change("a");
+    trace.exchange.set_keepers(&[voter(3)]);
+    assert_eq!(confirmed_by(&trace.exchange, change), []);
+    let batch = trace.batch(true).unwrap();
+    assert!(batch.confirm);
+    trace.exchange.answered(DiskId(3), batch.number, FIRST_CONNECTION);
+    assert_eq!(confirmed_by(&trace.exchange, change), [DiskId(3)]);
+}
+
+#[test]
+fn a_keeper_out_of_reach_is_not_waited_for_but_has_not_confirmed() {
+    let mut trace = Trace::in_contact();
+    let change = trace.change("a");
+    let lost = trace.batch(false).unwrap();
+    trace.exchange.failed(DiskId(2), lost.number);
+    assert!(trace.exchange.have_confirmed(change, NOBODY_HEARD));
+    assert_eq!(confirmed_by(&trace.exchange, change), []);
+}
+
+/// Guard: an answer that says that a relay has not applied a change leaves it unconfirmed, and it is asked
+/// about again without being told again.
+#[test]
+fn a_change_that_relays_have_not_applied_is_asked_about_again() {
+    let mut trace = Trace::in_contact();
+    let change = trace.change("a");
+    let batch = trace.batch(false).unwrap();
+    assert!(batch.confirm);
+    trace.exchange.not_applied(DiskId(2), batch.number, FIRST_CONNECTION);
+    assert_eq!(confirmed_by(&trace.exchange, change), []);
+    assert!(!trace.exchange.have_confirmed(change, NOBODY_HEARD));
+    assert_eq!(trace.batch(false), None);
+    let again = trace.batch(true).expect("asked about again");
+    assert_eq!((ids(&again), again.confirm), (vec![], true));
+    trace.exchange.answered(DiskId(2), again.number, FIRST_CONNECTION);
+    assert_eq!(confirmed_by(&trace.exchange, change), [DiskId(2)]);
+}
+
+/// Guard: what a keeper confirmed before it started again is void.
+#[test]
+fn a_keeper_that_started_again_has_confirmed_nothing() {
+    let mut trace = Trace::in_contact();
+    let change = trace.change("a");
+    let batch = trace.batch(false).unwrap();
+    trace.exchange.answered(DiskId(2), batch.number, FIRST_CONNECTION);
+    assert_eq!(confirmed_by(&trace.exchange, change), [DiskId(2)]);
+    trace.exchange.note_refreshed(&Refresh { id: "a".into(), sequence: 2 });
+    let regular = trace.batch(true).unwrap();
+    assert!(!regular.confirm, "refreshes alone need no confirmation");
+    trace.exchange.answered(DiskId(2), regular.number, FIRST_CONNECTION + 1);
+    assert_eq!(confirmed_by(&trace.exchange, change), []);
+}
--- a/crates/registry/tests/registry.rs
+++ b/crates/registry/tests/registry.rs
@@ -160,6 +160,15 @@
     assert!(registry.is_complete(at(2_000)));
 }
 
+/// Guard: completeness counts from the end of a pause or cut, not from the start of the process.
+#[test]
+fn it_is_not_complete_until_two_heartbeats_after_it_was_cut_off() {
+    let mut registry = registry();
+    registry.restart_silence(at(20_000));
+    assert!(!registry.is_complete(at(21_999)));
+    assert!(registry.is_complete(at(22_000)));
+}
+
 #[test]
 fn a_heartbeat_is_read_and_all_findings_are_told() {
     let body = br#"{"backend":"s","address":"10.0.0.1:80","zone":"a","generation":"v1","capacity":4,
