Tests of keepers that are cut off in one direction, and of subscribers that nobody answers

Two keepers of three are played by the test with replicas of their own, so that messages between them and the real one can be held back in either direction, or instances left untaken.

--- a/crates/node/tests/keepers/mod.rs
+++ b/crates/node/tests/keepers/mod.rs
@@ -5,6 +5,7 @@
 
 mod http;
 mod observer;
+mod peer;
 
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
@@ -21,6 +22,8 @@
 pub use http::Answer;
 #[allow(unused_imports)]
 pub use observer::{Observer, node_name};
+#[allow(unused_imports)]
+pub use peer::{Gate, Peer};
 
 /// The longest that anything may take, on a machine that does much else.
 pub const PATIENCE: Duration = Duration::from_secs(40);
@@ -62,6 +65,15 @@
 impl Keepers {
     /// Starts a tier on empty disks that bears the loss of `(count - 1) / 2` keepers.
     pub async fn start(count: u8) -> Self {
+        let mut keepers = Self::prepare(count);
+        for keeper in 0..usize::from(count) {
+            keepers.restart(keeper).await;
+        }
+        keepers
+    }
+
+    /// Prepares a tier as [`Keepers::start`] does, of which the test starts the keepers.
+    pub fn prepare(count: u8) -> Self {
         static TIERS: AtomicU8 = AtomicU8::new(1);
         let tier = TIERS.fetch_add(1, Ordering::Relaxed);
         let process = (std::process::id() % 200) as u8 + 20;
@@ -70,11 +82,20 @@
             (1..=count).map(|number| Ipv4Addr::new(127, process, tier, number)).collect();
         let settings = machines.iter().map(|machine| settings(*machine, &machines, &folder)).collect();
         let running = (0..count).map(|_| None).collect();
-        let mut keepers = Keepers { settings, running, folder };
-        for keeper in 0..usize::from(count) {
-            keepers.restart(keeper).await;
+        Keepers { settings, running, folder }
+    }
+
+    /// Starts a tier of three of which the keepers but `real` are played by the test.
+    pub async fn start_among_peers(real: usize) -> (Self, Vec<Peer>) {
+        let mut keepers = Self::prepare(3);
+        let played: Vec<usize> = (0..3).filter(|keeper| *keeper != real).collect();
+        let addresses: Vec<SocketAddr> = played.iter().map(|keeper| keepers.internal(*keeper)).collect();
+        let mut peers = Vec::new();
+        for keeper in played {
+            peers.push(Peer::start(keepers.settings(keeper), &addresses).await);
         }
-        keepers
+        keepers.restart(real).await;
+        (keepers, peers)
     }
 
     /// Starts a keeper, also one that was stopped or killed. Returns when it listens.
@@ -185,6 +206,11 @@
         assert_eq!(answer.status, 200, "{}", answer.body);
     }
 
+    /// Says once that an instance ends.
+    pub async fn delete(&self, keeper: usize, id: &str) -> Option<Answer> {
+        self.call(keeper, &format!("DELETE /instances/{id} HTTP/1.1\r\n"), "").await
+    }
+
     /// Sends heartbeats until the keeper answers with this status.
     pub async fn until_heartbeat_status(&self, keeper: usize, status: u16) {
         let answered = async {
--- a/crates/node/tests/keepers/observer.rs
+++ b/crates/node/tests/keepers/observer.rs
@@ -18,6 +18,10 @@
 #[derive(Default)]
 struct Seen {
     configuration: Option<String>,
+    /// All updates ever told.
+    updates: usize,
+    /// All configurations ever told.
+    configurations: Vec<String>,
     instances: BTreeMap<String, InstanceState>,
     stores: Arc<StoreMap>,
     applied: Applied,
@@ -26,6 +30,8 @@
 
 #[derive(Default)]
 struct Recorder {
+    /// Whether it confirms nothing.
+    is_stuck: bool,
     seen: Mutex<Seen>,
     news: Notify,
 }
@@ -48,12 +54,15 @@
     fn message(&self, link: &Link, message: Message, _: Reply) {
         let Message::Update(update) = message else { return };
         let mut seen = self.seen.lock().unwrap();
+        seen.updates += 1;
         match update {
             Update::Keepers(_) => {}
             Update::Configuration { version, body } => {
                 assert!(version >= seen.applied.configuration, "a configuration never goes back");
                 seen.applied.configuration = version;
-                seen.configuration = Some(String::from_utf8(body.to_vec()).unwrap());
+                let told = String::from_utf8(body.to_vec()).unwrap();
+                seen.configurations.push(told.clone());
+                seen.configuration = Some(told);
             }
             Update::Instances(update) => {
                 seen.applied.instances = update.revision;
@@ -66,7 +75,9 @@
                 seen.stores = map;
             }
         }
-        link.send(Message::Applied(seen.applied.clone()));
+        if !self.is_stuck {
+            link.send(Message::Applied(seen.applied.clone()));
+        }
         drop(seen);
         self.news.notify_waiters();
     }
@@ -88,7 +99,16 @@
 impl Observer {
     /// Subscribes to the keeper at `address`.
     pub fn subscribe(address: SocketAddr, subscriber: Subscriber) -> Self {
-        let recorder = Arc::new(Recorder::default());
+        Self::start(address, subscriber, Recorder::default())
+    }
+
+    /// Subscribes as a relay that takes updates and never says that it has applied one.
+    pub fn subscribe_stuck(address: SocketAddr) -> Self {
+        Self::start(address, Subscriber::Relay, Recorder { is_stuck: true, ..Recorder::default() })
+    }
+
+    fn start(address: SocketAddr, subscriber: Subscriber, recorder: Recorder) -> Self {
+        let recorder = Arc::new(recorder);
         let subscribe = Subscribe {
             node: NodeName::from(node_name(&subscriber).as_str()),
             zone: "a".into(),
@@ -113,6 +133,21 @@
         self.recorder.seen.lock().unwrap().configuration.as_deref() == Some(body)
     }
 
+    /// How many updates it was told.
+    pub fn updates(&self) -> usize {
+        self.recorder.seen.lock().unwrap().updates
+    }
+
+    /// All configurations that it was told, in their order.
+    pub fn configurations(&self) -> Vec<String> {
+        self.recorder.seen.lock().unwrap().configurations.clone()
+    }
+
+    /// Waits until it is told anything.
+    pub async fn until_told(&self) {
+        self.until(|seen| (seen.updates > 0).then_some(())).await;
+    }
+
     /// What it was told last of an instance.
     pub fn instance_state(&self, id: &str) -> Option<InstanceState> {
         self.recorder.seen.lock().unwrap().instances.get(id).copied()
--- /dev/null
+++ b/crates/node/tests/keepers/peer.rs
@@ -0,0 +1,308 @@
+//! A keeper played by the test beside real ones, whose messages to and from them can be held back.
+//!
+//! It takes part in the replication with a replica of its own, and answers what keepers ask each other.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::{Duration, Instant};
+
+use juniperwing_clock::{Span, Time};
+use juniperwing_control::{ControlState, PutDecision, decide_put};
+use juniperwing_node::link::{Link, LinkPool, Reply, Service, serve};
+use juniperwing_node::settings::{Port, Settings};
+use juniperwing_protocol::registry::{Instance, InstanceState, RegistryMessage};
+use juniperwing_protocol::replication::{ReplicationMessage, Voter};
+use juniperwing_protocol::{DiskId, InstanceId, Message, NodeName};
+use juniperwing_replication::{Command, Event, ProposeToken, ReadToken, Replica, Timings};
+use tokio::net::TcpListener;
+use tokio::sync::Notify;
+use tokio::time::timeout;
+
+use super::PATIENCE;
+
+/// What a peer lets through between itself and the real keepers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Gate {
+    /// Whether what they send reaches it.
+    pub hears: bool,
+    /// Whether what it sends reaches them.
+    pub tells: bool,
+    /// Whether it takes instances; where not, it leaves them unanswered.
+    pub takes_instances: bool,
+    /// Whether it says that its relays have applied them.
+    pub applies_instances: bool,
+}
+
+impl Gate {
+    /// Everything gets through.
+    pub const OPEN: Gate = Gate { hears: true, tells: true, takes_instances: true, applies_instances: true };
+    /// The real keepers hear it and are not heard.
+    pub const DEAF: Gate = Gate { hears: false, ..Gate::OPEN };
+    /// The real keepers are heard and do not hear it.
+    pub const MUTE: Gate = Gate { tells: false, ..Gate::OPEN };
+    /// Nothing gets through.
+    pub const CLOSED: Gate = Gate { hears: false, tells: false, ..Gate::OPEN };
+}
+
+/// A keeper that the test plays.
+pub struct Peer {
+    shared: Arc<Shared>,
+    tasks: Vec<tokio::task::JoinHandle<()>>,
+}
+
+struct Shared {
+    me: Voter,
+    started: Instant,
+    /// The addresses of the peers; all others belong to real keepers.
+    peers: Vec<SocketAddr>,
+    state: Mutex<State>,
+    pool: Arc<LinkPool>,
+    news: Notify,
+    wake: Notify,
+}
+
+struct State {
+    replica: Replica<ControlState>,
+    gate: Gate,
+    wake_at: Time,
+    reads: HashMap<ReadToken, Reply>,
+    next_token: u64,
+    instances: BTreeMap<InstanceId, InstanceState>,
+}
+
+struct Inbox(Arc<Shared>);
+
+/// Answers come to those that called; nothing else comes over a link that a peer opened.
+struct Unasked;
+
+impl Service for Unasked {
+    fn message(&self, _: &Link, _: Message, _: Reply) {}
+}
+
+impl Service for Inbox {
+    fn message(&self, _: &Link, message: Message, reply: Reply) {
+        match message {
+            Message::Replication(message) => self.0.replication(message),
+            Message::Registry(message) if self.0.lock().gate.hears => self.0.registry(message, reply),
+            _ => {}
+        }
+    }
+}
+
+impl Peer {
+    /// Starts the keeper of these settings with an empty disk. `peers` are the addresses of all that are played.
+    pub async fn start(settings: &Settings, peers: &[SocketAddr]) -> Peer {
+        let address = settings.own_address(Port::Keeper);
+        let node = NodeName::from(settings.node_name.as_str());
+        let me = Voter { disk: DiskId(1_000 + last(address)), node, address };
+        let replica_settings = juniperwing_replication::Settings {
+            me: me.clone(),
+            seeds: settings.seed_keepers(),
+            bootstrap: settings.bootstrap,
+            required_copies: settings.required_copies(),
+            timings: Timings::default(),
+        };
+        let initial = ControlState::default();
+        let replica = Replica::new(Time::default(), replica_settings, None, initial, last(address)).unwrap();
+        let state = State {
+            replica,
+            gate: Gate::OPEN,
+            wake_at: Time::default(),
+            reads: HashMap::new(),
+            next_token: 0,
+            instances: BTreeMap::new(),
+        };
+        let shared = Arc::new(Shared {
+            me,
+            started: Instant::now(),
+            peers: peers.to_vec(),
+            state: Mutex::new(state),
+            pool: Arc::new(LinkPool::new(Arc::new(Unasked))),
+            news: Notify::new(),
+            wake: Notify::new(),
+        });
+        let listener = TcpListener::bind(address).await.unwrap();
+        let serving = tokio::spawn(serve(listener, Arc::new(Inbox(Arc::clone(&shared)))));
+        let ticking = tokio::spawn(Arc::clone(&shared).tick());
+        Peer { shared, tasks: vec![serving, ticking] }
+    }
+
+    /// Lets other things through from now on.
+    pub fn set_gate(&self, gate: Gate) {
+        self.shared.lock().gate = gate;
+    }
+
+    /// What it was told last of an instance.
+    pub fn instance_state(&self, id: &str) -> Option<InstanceState> {
+        self.shared.lock().instances.get(&InstanceId::from(id)).copied()
+    }
+
+    /// Waits until it is primary.
+    pub async fn until_primary(&self) {
+        self.until(|state| state.replica.is_primary().then_some(())).await;
+    }
+
+    /// Waits until this configuration is committed, as far as it knows.
+    pub async fn until_configuration(&self, generation: u64) {
+        self.until(|state| {
+            let committed = state.replica.committed()?;
+            (committed.state.generation() == generation).then_some(())
+        })
+        .await;
+    }
+
+    /// Takes a configuration as primary; it is committed when [`Peer::until_configuration`] says so.
+    pub fn propose(&self, base: u64, body: &str) {
+        let event = {
+            let mut state = self.shared.lock();
+            let latest = state.replica.latest().clone();
+            let PutDecision::Take(change) = decide_put(&latest.state, base, body.as_bytes()) else {
+                panic!("a configuration that can be taken");
+            };
+            Event::Propose { token: ProposeToken(state.token()), base: latest.version, change }
+        };
+        self.shared.handle(event);
+    }
+
+    /// Tells a real keeper of an instance, as if an endpoint had called here.
+    pub async fn tell(&self, keeper: SocketAddr, instance: Instance) {
+        let message = RegistryMessage::Instances {
+            from: self.shared.me.disk,
+            changed: vec![instance],
+            refreshed: Vec::new(),
+            confirm: true,
+        };
+        self.shared.pool.call(keeper, Message::Registry(message), PATIENCE).await.expect("an answer");
+    }
+
+    async fn until<T>(&self, condition: impl Fn(&State) -> Option<T>) -> T {
+        let met = async {
+            loop {
+                let news = self.shared.news.notified();
+                tokio::pin!(news);
+                news.as_mut().enable();
+                if let Some(met) = condition(&self.shared.lock()) {
+                    return met;
+                }
+                news.await;
+            }
+        };
+        timeout(PATIENCE, met).await.expect("the peer gets there")
+    }
+}
+
+impl Drop for Peer {
+    fn drop(&mut self) {
+        self.tasks.iter().for_each(tokio::task::JoinHandle::abort);
+    }
+}
+
+impl State {
+    fn token(&mut self) -> u64 {
+        self.next_token += 1;
+        self.next_token
+    }
+}
+
+impl Shared {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap()
+    }
+
+    fn now(&self) -> Time {
+        Time::default() + Span::from_nanos(self.started.elapsed().as_nanos() as u64)
+    }
+
+    fn replication(self: &Arc<Self>, message: ReplicationMessage) {
+        let is_heard = self.peers.contains(&message.address) || self.lock().gate.hears;
+        if is_heard {
+            self.handle(Event::Message(message));
+        }
+    }
+
+    fn registry(self: &Arc<Self>, message: RegistryMessage, reply: Reply) {
+        let (gate, epoch) = {
+            let state = self.lock();
+            (state.gate, state.replica.epoch().number)
+        };
+        let answer = match message {
+            RegistryMessage::Instances { changed, confirm, .. } => {
+                if !gate.takes_instances {
+                    return;
+                }
+                let told = changed.into_iter().map(|instance| (instance.id, instance.state));
+                self.lock().instances.extend(told);
+                self.news.notify_waiters();
+                RegistryMessage::InstancesTaken { epoch, applied: confirm && gate.applies_instances }
+            }
+            RegistryMessage::StoresSeen { .. } => RegistryMessage::Seen { epoch },
+            RegistryMessage::ReadCommitted => {
+                let token = {
+                    let mut state = self.lock();
+                    let token = ReadToken(state.token());
+                    state.reads.insert(token, reply);
+                    token
+                };
+                return self.handle(Event::Read { token });
+            }
+            _ => return,
+        };
+        if gate.tells {
+            reply.send(Message::Registry(answer));
+        }
+    }
+
+    fn handle(self: &Arc<Self>, event: Event<ControlState>) {
+        let commands = self.lock().replica.handle(self.now(), event);
+        for command in commands {
+            match command {
+                Command::Send { to, message } => self.send(to, message),
+                Command::Persist { token, .. } => self.handle(Event::Persisted(token)),
+                Command::WakeAt(at) => {
+                    self.lock().wake_at = at;
+                    self.wake.notify_one();
+                }
+                Command::ReadDone { token, outcome } => self.answer_read(token, outcome.is_ok()),
+                Command::Committed(_) | Command::Proposed { .. } | Command::Role(_) => {}
+            }
+        }
+        self.news.notify_waiters();
+    }
+
+    fn answer_read(&self, token: ReadToken, is_confirmed: bool) {
+        let mut state = self.lock();
+        let version = state.replica.committed().map(|committed| committed.version).filter(|_| is_confirmed);
+        let Some(reply) = state.reads.remove(&token).filter(|_| state.gate.tells) else { return };
+        reply.send(Message::Registry(RegistryMessage::Committed { version }));
+    }
+
+    fn send(self: &Arc<Self>, to: SocketAddr, message: ReplicationMessage) {
+        if self.peers.contains(&to) || self.lock().gate.tells {
+            let pool = Arc::clone(&self.pool);
+            tokio::spawn(async move {
+                // A keeper that does not listen yet is sent the next message.
+                let _ = pool.send(to, Message::Replication(message)).await;
+            });
+        }
+    }
+
+    async fn tick(self: Arc<Self>) {
+        loop {
+            let pause = self.lock().wake_at.since(self.now());
+            let pause = Duration::from_nanos(pause.nanos());
+            if timeout(pause, self.wake.notified()).await.is_err() {
+                self.lock().wake_at = Time::NEVER;
+                self.handle(Event::Tick);
+            }
+        }
+    }
+}
+
+/// The number of a machine, which tells the machines of a test apart.
+fn last(address: SocketAddr) -> u64 {
+    match address.ip() {
+        std::net::IpAddr::V4(ip) => u64::from(ip.octets()[3]),
+        std::net::IpAddr::V6(_) => 0,
+    }
+}
--- /dev/null
+++ b/crates/node/tests/subscriber.rs
@@ -0,0 +1,123 @@
+//! Subscriptions of a relay or store where keepers answer late or not at all.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use juniperwing_node::link::{Link, Reply, Service, serve};
+use juniperwing_node::subscriber::{Sink, Subscriber};
+use juniperwing_protocol::replication::Version;
+use juniperwing_protocol::subscription::{self, Applied, InstancesUpdate, Subscribe, Update};
+use juniperwing_protocol::{Message, NodeName};
+use tokio::net::TcpListener;
+use tokio::sync::Notify;
+use tokio::time::timeout;
+
+const PATIENCE: Duration = Duration::from_secs(40);
+
+/// A keeper that takes subscriptions and answers them, or does not.
+#[derive(Default)]
+struct Keeper {
+    answers: bool,
+    subscriptions: Mutex<usize>,
+    news: Notify,
+}
+
+impl Service for Keeper {
+    fn message(&self, link: &Link, message: Message, _: Reply) {
+        if !matches!(message, Message::Subscribe(_)) {
+            return;
+        }
+        *self.subscriptions.lock().unwrap() += 1;
+        self.news.notify_waiters();
+        if self.answers {
+            let update = InstancesUpdate { whole: true, complete: true, ..InstancesUpdate::default() };
+            link.send(Message::Update(Update::Instances(update)));
+        }
+    }
+}
+
+impl Keeper {
+    async fn start(answers: bool) -> (SocketAddr, Arc<Keeper>) {
+        let keeper = Arc::new(Keeper { answers, ..Keeper::default() });
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        tokio::spawn(serve(listener, keeper.clone()));
+        (address, keeper)
+    }
+
+    async fn until_subscriptions(&self, count: usize) {
+        let met = async {
+            loop {
+                let news = self.news.notified();
+                tokio::pin!(news);
+                news.as_mut().enable();
+                if *self.subscriptions.lock().unwrap() >= count {
+                    return;
+                }
+                news.await;
+            }
+        };
+        timeout(PATIENCE, met).await.expect("subscriptions");
+    }
+}
+
+/// Counts the updates that it is told.
+#[derive(Default)]
+struct Counter {
+    updates: Mutex<usize>,
+    told: Notify,
+}
+
+impl Sink for Counter {
+    fn apply(&self, _: Update) {
+        *self.updates.lock().unwrap() += 1;
+        self.told.notify_one();
+    }
+
+    fn applied(&self) -> Applied {
+        Applied::default()
+    }
+
+    fn configuration(&self) -> Version {
+        Version::default()
+    }
+}
+
+fn subscribe() -> Subscribe {
+    Subscribe {
+        node: NodeName::from("edge-1"),
+        zone: "a".into(),
+        address: "127.0.0.1:1".parse().unwrap(),
+        subscriber: subscription::Subscriber::Relay,
+        configuration: Version::default(),
+    }
+}
+
+/// Guard: `ANSWER_WITHIN`. Without it the only place is held by the keeper that never answers.
+#[tokio::test]
+async fn a_keeper_that_does_not_answer_is_left_for_another() {
+    let (silent, silent_keeper) = Keeper::start(false).await;
+    let (answering, answering_keeper) = Keeper::start(true).await;
+    let sink = Arc::new(Counter::default());
+    let subscriber = Subscriber::start(subscribe(), vec![silent], 1, sink.clone());
+    silent_keeper.until_subscriptions(1).await;
+    assert!(!subscriber.is_connected());
+    subscriber.set_seeds(vec![silent, answering]);
+    answering_keeper.until_subscriptions(1).await;
+    timeout(PATIENCE, sink.told.notified()).await.expect("an update");
+    assert_eq!(*sink.updates.lock().unwrap(), 1);
+}
+
+/// Guard: members found are asked while no subscription was answered, not only while no link stands.
+#[tokio::test]
+async fn while_no_keeper_answers_those_are_asked_that_the_membership_found() {
+    let (silent, silent_keeper) = Keeper::start(false).await;
+    let (found, found_keeper) = Keeper::start(true).await;
+    let sink = Arc::new(Counter::default());
+    let subscriber = Subscriber::start(subscribe(), vec![silent], 2, sink.clone());
+    silent_keeper.until_subscriptions(1).await;
+    subscriber.set_found(vec![found]);
+    found_keeper.until_subscriptions(1).await;
+    timeout(PATIENCE, sink.told.notified()).await.expect("an update");
+}
