Orders refused ahead of their base stay refused, and are known for good

A 412 for an order on a base that was not in force yet was no lasting answer: another copy of it, still on its way or held up at a frozen member, was taken once that base came, so a refused configuration came into force. Such refusals are now changes of the replicated state (1,000 are remembered) and are answered once committed; all other answers rest on what no later state changes. Questions answered after their time are given 503. Order digests are one run of bytes, and the configuration's body is encoded as one.

--- a/crates/configuration/src/digest.rs
+++ b/crates/configuration/src/digest.rs
@@ -6,12 +6,24 @@
 use sha2::{Digest, Sha256};
 
 /// Bytes in an [`OrderDigest`].
-const DIGEST_BYTES: usize = 16;
+pub const DIGEST_BYTES: usize = 16;
 
 /// Identifies a configuration together with the version that it builds on.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct OrderDigest([u8; DIGEST_BYTES]);
 
+impl OrderDigest {
+    /// The digest with these bytes.
+    pub const fn from_bytes(bytes: [u8; DIGEST_BYTES]) -> Self {
+        OrderDigest(bytes)
+    }
+
+    /// Its bytes.
+    pub const fn to_bytes(self) -> [u8; DIGEST_BYTES] {
+        self.0
+    }
+}
+
 impl fmt::Display for OrderDigest {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         self.0.iter().try_for_each(|byte| write!(f, "{byte:02x}"))
--- a/crates/configuration/src/lib.rs
+++ b/crates/configuration/src/lib.rs
@@ -13,7 +13,7 @@
 mod read;
 mod table;
 
-pub use digest::{OrderDigest, digest};
+pub use digest::{DIGEST_BYTES, OrderDigest, digest};
 pub use findings::{Finding, Findings, MAX_FINDINGS, Place, Position, Problem};
 pub use model::{
     Configuration, DEFAULT_LIMITS, DEFAULT_RETENTION, Engine, Limits, ModelName, Route, RouteName, RouteType,
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -6,6 +6,7 @@
 //! from those that are only being waited for, and [`plan`] computes the store map that should follow.
 
 mod order;
+mod order_history;
 mod placement;
 mod plan;
 mod retire;
@@ -13,11 +14,12 @@
 mod tracker;
 
 pub use order::{PutDecision, decide_put};
+pub use order_history::OrderHistory;
 pub use placement::{PARTITIONS, REPLICAS_BEYOND_REQUIRED};
 pub use plan::{PlanInput, plan, unrecoverable};
 pub use retire::{RetireDecision, completed_retirements, decide_retire, retirement_state};
 pub use state::{
-    ConfigurationInForce, ControlChange, ControlState, MAX_ORDERS_REMEMBERED, MAX_RETIREMENTS, Retirement,
-    RetirementState,
+    ConfigurationInForce, ControlChange, ControlState, MAX_ORDERS_REMEMBERED, MAX_REFUSALS_REMEMBERED,
+    MAX_RETIREMENTS, Retirement, RetirementState,
 };
 pub use tracker::{StoreTracker, StoreView};
--- a/crates/control/src/order.rs
+++ b/crates/control/src/order.rs
@@ -1,4 +1,9 @@
 //! Decides on a configuration that an operator sent.
+//!
+//! An order is answered from a state that was confirmed after it came, but other copies of it may still be under
+//! way to other keepers, to be decided on later. So every answer is given only on what no later state can
+//! change: generations only climb, so a base below the one in force never comes back; whether an order is valid
+//! depends on its own base and body; what was taken or refused is remembered.
 
 use juniperwing_configuration::{Configuration, Findings, digest};
 
@@ -11,12 +16,20 @@
     AlreadyTaken,
     /// It is valid and builds on the configuration in force: this change is to be made.
     Take(ControlChange),
-    /// It builds on another configuration than the one in force.
+    /// It builds on a configuration that is not in force, and never comes into force itself.
     Stale {
         /// The generation in force.
         current: u64,
     },
-    /// It is not valid.
+    /// It builds on a generation above the one in force, which may yet come. It may be answered as stale only
+    /// once this change is made: a copy of the order that comes later must not be taken.
+    Refuse {
+        /// The generation in force.
+        current: u64,
+        /// Makes the refusal last.
+        change: ControlChange,
+    },
+    /// It is not valid, whatever comes into force.
     Invalid(Findings),
 }
 
@@ -27,15 +40,18 @@
         return PutDecision::AlreadyTaken;
     }
     let current = state.generation();
-    if base != current {
+    if base < current || state.has_refused(digest) {
         return PutDecision::Stale { current };
     }
     let checked = Configuration::read(body).and_then(|configuration| {
-        configuration.check_succeeds(current)?;
+        configuration.check_succeeds(base)?;
         Ok(configuration.generation)
     });
     match checked {
         Err(findings) => PutDecision::Invalid(findings),
+        Ok(_) if base > current => {
+            PutDecision::Refuse { current, change: ControlChange::RefuseConfiguration(digest) }
+        }
         Ok(generation) => {
             let configuration = ConfigurationInForce { generation, body: body.into() };
             PutDecision::Take(ControlChange::TakeConfiguration { digest, configuration })
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -9,9 +9,14 @@
 use juniperwing_replication::{MalformedState, ReplicatedState};
 use serde::{Deserialize, Serialize};
 
-/// Orders whose digests are remembered; the oldest give way.
+use crate::order_history::OrderHistory;
+
+/// Orders taken whose digests are remembered; the oldest give way.
 pub const MAX_ORDERS_REMEMBERED: usize = 100_000;
 
+/// Refusals that are remembered; the oldest give way.
+pub const MAX_REFUSALS_REMEMBERED: usize = 1_000;
+
 /// Retirements that are remembered; the oldest completed ones give way.
 pub const MAX_RETIREMENTS: usize = 1_000;
 
@@ -21,6 +26,7 @@
     /// The number that the operator gave it.
     pub generation: u64,
     /// The configuration as the operator sent it (JSON).
+    #[serde(with = "juniperwing_protocol::shared_bytes")]
     pub body: Arc<[u8]>,
 }
 
@@ -49,12 +55,14 @@
     pub configuration: Option<ConfigurationInForce>,
     /// Counts the configurations ever taken.
     pub configurations_taken: u64,
-    /// The digests of the orders taken, oldest first.
-    orders: Vec<OrderDigest>,
     /// Which store holds which partition.
     pub stores: Arc<StoreMap>,
     /// Store machines that are being emptied, or were.
     pub retirements: Vec<Retirement>,
+    /// The orders that were refused although they could have been taken later.
+    refused: OrderHistory,
+    /// The orders that were taken.
+    taken: OrderHistory,
 }
 
 /// A change of the control state.
@@ -67,6 +75,8 @@
         /// The configuration.
         configuration: ConfigurationInForce,
     },
+    /// An operator's configuration is refused for good, though the version that it builds on may yet come.
+    RefuseConfiguration(OrderDigest),
     /// Another store map comes into force.
     SetStores(Arc<StoreMap>),
     /// A store machine is to be emptied.
@@ -89,7 +99,12 @@
 
     /// Whether this very order was ever taken.
     pub fn has_taken(&self, digest: OrderDigest) -> bool {
-        self.orders.contains(&digest)
+        self.taken.contains(digest)
+    }
+
+    /// Whether this very order was refused and must never come into force.
+    pub fn has_refused(&self, digest: OrderDigest) -> bool {
+        self.refused.contains(digest)
     }
 
     /// Whether the store is being emptied, or was: it is given nothing new.
@@ -98,10 +113,7 @@
     }
 
     fn take_configuration(&mut self, digest: OrderDigest, configuration: ConfigurationInForce) {
-        self.orders.push(digest);
-        if self.orders.len() > MAX_ORDERS_REMEMBERED {
-            self.orders.remove(0);
-        }
+        self.taken.remember(digest, MAX_ORDERS_REMEMBERED);
         self.configurations_taken += 1;
         self.configuration = Some(configuration);
     }
@@ -134,6 +146,9 @@
             ControlChange::TakeConfiguration { digest, configuration } => {
                 self.take_configuration(digest, configuration);
             }
+            ControlChange::RefuseConfiguration(digest) => {
+                self.refused.remember(digest, MAX_REFUSALS_REMEMBERED);
+            }
             ControlChange::SetStores(stores) => self.stores = stores,
             ControlChange::BeginRetirement(store) => self.begin_retirement(store),
             ControlChange::CompleteRetirement(disk) => self.complete_retirement(disk),
--- a/crates/node/src/keeper/orders.rs
+++ b/crates/node/src/keeper/orders.rs
@@ -63,7 +63,7 @@
                 PrimaryPlace::Unknown => Attempt::Again,
             };
             if let Attempt::Answered(answer) = attempt {
-                return answer;
+                return in_time(&order, answer, deadline);
             }
             if Instant::now() + LOOK_AGAIN >= deadline {
                 return unavailable();
@@ -122,17 +122,20 @@
                 return Attempt::Answered(json(200, &serde_json::json!({})));
             }
             PutDecision::Stale { current } => {
-                let refusal = Refusal {
-                    error: "builds on another version than the current one",
-                    current: Some(current),
+                return Attempt::Answered(stale(current));
+            }
+            PutDecision::Refuse { current, change } => {
+                return match timeout_at(deadline, self.propose(confirmed.version, change)).await {
+                    Ok(Ok(_)) => Attempt::Answered(stale(current)),
+                    _ => Attempt::Again,
                 };
-                return Attempt::Answered(json(412, &refusal));
             }
             PutDecision::Invalid(findings) => return Attempt::Answered(json(400, &findings)),
         };
         let Ok(Ok(_)) = timeout_at(deadline, self.propose(confirmed.version, change)).await else {
             return Attempt::Again;
         };
+        // The change was made on the very state that was confirmed, so this is its number.
         let taken = Version {
             sequence: confirmed.state.configuration_version().sequence + 1,
             ..confirmed.state.configuration_version()
@@ -210,6 +213,14 @@
     PATIENCE + Duration::from_millis(bytes / BYTES_PER_MS)
 }
 
+/// What a question was answered in time. A process that was frozen may have its answer only long after the
+/// state that it tells of was confirmed; then it is no longer given out as the newest. Orders are answered
+/// only by what no later state changes, and their answers are given at any time.
+fn in_time(order: &Order, answer: OrderAnswer, deadline: Instant) -> OrderAnswer {
+    let is_question = matches!(order, Order::GetConfiguration | Order::RetireState { .. });
+    if is_question && Instant::now() > deadline { unavailable() } else { answer }
+}
+
 fn configuration_of(state: &ControlState) -> OrderAnswer {
     match &state.configuration {
         Some(configuration) => OrderAnswer { status: 200, body: configuration.body.to_vec() },
@@ -228,11 +239,16 @@
     json(404, &refusal("no such machine"))
 }
 
+fn stale(current: u64) -> OrderAnswer {
+    let error = "builds on another version than the current one";
+    json(412, &Refusal { error, current: Some(current) })
+}
+
 fn refusal(error: &str) -> Refusal<'_> {
     Refusal { error, current: None }
 }
 
-/// The promise that nothing was decided.
+/// No answer: the order may come into force or not, and is to be sent again.
 pub(super) fn unavailable() -> OrderAnswer {
     json(503, &refusal("no primary can be reached"))
 }
--- a/crates/node/tests/keepers/mod.rs
+++ b/crates/node/tests/keepers/mod.rs
@@ -15,6 +15,7 @@
 use juniperwing_node::settings::{Port, Settings};
 use slog::{Discard, Logger, o};
 use tokio::sync::oneshot;
+use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
 #[allow(unused_imports)]
@@ -141,6 +142,19 @@
         self.until_clear(keeper, &head, body).await
     }
 
+    /// Sends a configuration once, with header lines of the caller's choice.
+    pub async fn put_with(&self, keeper: usize, headers: &str, body: &str) -> Option<Answer> {
+        self.call(keeper, &format!("PUT /config HTTP/1.1\r\n{headers}"), body).await
+    }
+
+    /// Begins to send a configuration, once; the keeper may end meanwhile.
+    pub fn start_put(&self, keeper: usize, base: u64, body: &str) -> JoinHandle<Option<Answer>> {
+        let address = self.settings[keeper].listeners_map.control_plane.unwrap();
+        let head = format!("PUT /config HTTP/1.1\r\nIf-Match: {base}\r\n");
+        let body = body.to_owned();
+        tokio::spawn(async move { http::call(address, &head, &body).await })
+    }
+
     /// Asks for the configuration until there is a clear answer.
     pub async fn get(&self, keeper: usize) -> Answer {
         self.until_clear(keeper, "GET /config HTTP/1.1\r\n", "").await
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -11,7 +11,7 @@
 pub mod registry;
 pub mod replication;
 pub mod session;
-mod shared_bytes;
+pub mod shared_bytes;
 pub mod subscription;
 pub mod transfer;
 
--- a/crates/protocol/src/shared_bytes.rs
+++ b/crates/protocol/src/shared_bytes.rs
@@ -1,4 +1,5 @@
-//! Shared bytes, encoded as one run instead of byte after byte. The encoding is the same; it is faster.
+//! Shared bytes, encoded as one run instead of byte after byte. The encoding is the same; it is faster. For
+//! `#[serde(with = "...")]`.
 
 use std::fmt;
 use std::sync::Arc;
@@ -6,11 +7,21 @@
 use serde::de::{Error, Visitor};
 use serde::{Deserializer, Serializer};
 
-pub(crate) fn serialize<S: Serializer>(bytes: &Arc<[u8]>, serializer: S) -> Result<S::Ok, S::Error> {
+/// Writes the bytes.
+///
+/// # Errors
+///
+/// Those of the serializer.
+pub fn serialize<S: Serializer>(bytes: &Arc<[u8]>, serializer: S) -> Result<S::Ok, S::Error> {
     serializer.serialize_bytes(bytes)
 }
 
-pub(crate) fn deserialize<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Arc<[u8]>, D::Error> {
+/// Reads bytes.
+///
+/// # Errors
+///
+/// Those of the deserializer.
+pub fn deserialize<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Arc<[u8]>, D::Error> {
     deserializer.deserialize_bytes(SharedBytes)
 }
 
