Clocks, sockets and disk of a process may be those of a simulated machine

Keepers and stores could only run on real sockets, clocks and disks, so that cuts of one direction, freezes and losses of power at a given moment couldn't be played. They now reach these through crates/node/src/host.rs and crates/storage/src/disk.rs, which hand on to tokio and std::fs unless the thread has entered a simulated machine. Where a select! had no order its branches now have one, since a random choice would make runs differ. Tests of juniperwing-storage and juniperwing-node passed as before.

--- a/crates/node/src/gossip.rs
+++ b/crates/node/src/gossip.rs
@@ -17,12 +17,12 @@
 };
 use juniperwing_protocol::{DiskId, NodeName};
 use slog::{Logger, debug, warn};
-use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 use tokio::task::JoinHandle;
 
 use self::view::View;
 use crate::clock::{duration, now, random};
+use crate::host::Datagrams;
 use crate::settings::{Port, Settings};
 
 /// From one probe to the next. Losses that matter at once show on links, so that this can be rare.
@@ -53,7 +53,7 @@
 }
 
 struct Shared {
-    socket: UdpSocket,
+    socket: Datagrams,
     state: Mutex<State>,
     /// The time of the next tick is another one.
     rearm: Notify,
@@ -77,7 +77,7 @@
         settings: &Settings, myself: Myself, log: Logger, observer: KeepersObserver,
     ) -> io::Result<Gossip> {
         let me = member(settings, myself);
-        let socket = UdpSocket::bind(me.gossip).await?;
+        let socket = Datagrams::bind(me.gossip).await?;
         let view = View::new(&me.id);
         let membership_settings =
             juniperwing_membership::Settings { me, seeds: seeds(settings), timings: timings() };
@@ -124,6 +124,7 @@
         loop {
             let pause = duration(self.lock().wake_at.since(now()));
             let readable = tokio::select! {
+                biased;
                 readable = self.socket.readable() => readable,
                 () = tokio::time::sleep(pause) => Ok(()),
                 () = self.rearm.notified() => continue,
--- /dev/null
+++ b/crates/node/src/host.rs
@@ -0,0 +1,148 @@
+//! The machine that a process runs on: its clocks, its randomness, its sockets and its disk.
+//!
+//! A process uses those of the operating system. On a thread that has entered a simulated [`Host`] it uses that
+//! one's instead: the same code then runs in virtual time, and the same seed gives the same run.
+
+mod datagrams;
+mod listener;
+mod stream;
+
+use std::cell::RefCell;
+use std::fmt::Debug;
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::time::Duration;
+
+use juniperwing_clock::Time;
+use juniperwing_storage::disk::Disk;
+use tokio::task::JoinError;
+
+pub use self::datagrams::Datagrams;
+pub use self::listener::Listener;
+pub use self::stream::{ReadHalf, Stream, WriteHalf};
+
+/// What a simulated call will come to.
+pub type Pending<'call, T> = Pin<Box<dyn Future<Output = io::Result<T>> + Send + 'call>>;
+
+/// A simulated machine.
+pub trait Host: Debug + Send + Sync {
+    /// Now on the steady clock.
+    fn now(&self) -> Time;
+
+    /// The time of day in milliseconds since 1970.
+    fn time_of_day_ms(&self) -> u64;
+
+    /// The next number of the machine's own sequence.
+    fn random(&self) -> u64;
+
+    /// Opens a socket for connections.
+    ///
+    /// # Errors
+    ///
+    /// If the address is in use.
+    fn listen(&self, address: SocketAddr) -> io::Result<Arc<dyn SimulatedListener>>;
+
+    /// Opens a connection.
+    fn connect(&self, address: SocketAddr) -> Pending<'static, SimulatedStream>;
+
+    /// Opens a socket for datagrams.
+    ///
+    /// # Errors
+    ///
+    /// If the address is in use.
+    fn bind(&self, address: SocketAddr) -> io::Result<Arc<dyn SimulatedDatagrams>>;
+
+    /// Its disk.
+    fn disk(&self) -> Arc<dyn Disk>;
+
+    /// How long the calls to the disk took that were made since this was last asked.
+    fn take_disk_time(&self) -> Duration;
+}
+
+/// A simulated socket that accepts connections.
+pub trait SimulatedListener: Debug + Send + Sync {
+    /// The next connection.
+    fn accept(&self) -> Pending<'_, SimulatedStream>;
+}
+
+/// A simulated socket for datagrams.
+pub trait SimulatedDatagrams: Debug + Send + Sync {
+    /// Returns when there is a datagram to receive.
+    fn readable(&self) -> Pending<'_, ()>;
+
+    /// See [`tokio::net::UdpSocket::try_recv_from`].
+    ///
+    /// # Errors
+    ///
+    /// `WouldBlock` if there is none.
+    fn try_recv_from(&self, buffer: &mut [u8]) -> io::Result<(usize, SocketAddr)>;
+
+    /// See [`tokio::net::UdpSocket::try_send_to`].
+    ///
+    /// # Errors
+    ///
+    /// If it cannot be sent.
+    fn try_send_to(&self, bytes: &[u8], to: SocketAddr) -> io::Result<usize>;
+}
+
+/// One end of a simulated connection.
+pub struct SimulatedStream {
+    /// The other end.
+    pub peer: SocketAddr,
+    /// Where bytes come from.
+    pub reader: Box<dyn tokio::io::AsyncRead + Send + Unpin>,
+    /// Where bytes go.
+    pub writer: Box<dyn SimulatedWriter>,
+}
+
+/// The writing half of a simulated connection.
+pub trait SimulatedWriter: tokio::io::AsyncWrite + Send + Unpin {
+    /// The connection breaks when bytes stay unacknowledged for this long.
+    fn set_user_timeout(&mut self, time_out: Duration);
+}
+
+thread_local! {
+    static SIMULATED: RefCell<Option<Arc<dyn Host>>> = const { RefCell::new(None) };
+}
+
+/// As long as it lives, this thread is a simulated machine; it is used by simulations only.
+#[derive(Debug)]
+pub struct Entered {
+    before: Option<Arc<dyn Host>>,
+    _disk: juniperwing_storage::disk::Entered,
+}
+
+/// Makes this thread a simulated machine until the guard is dropped.
+#[must_use]
+pub fn enter(host: Arc<dyn Host>) -> Entered {
+    let disk = juniperwing_storage::disk::enter(host.disk());
+    Entered { before: SIMULATED.replace(Some(host)), _disk: disk }
+}
+
+impl Drop for Entered {
+    fn drop(&mut self) {
+        SIMULATED.set(self.before.take());
+    }
+}
+
+/// The simulated machine that this thread is, if it is one.
+pub(crate) fn simulated() -> Option<Arc<dyn Host>> {
+    SIMULATED.with_borrow(Clone::clone)
+}
+
+/// Does work that waits for the disk without holding up the process.
+///
+/// # Errors
+///
+/// If the work panicked.
+pub(crate) async fn wait_for_disk<T: Send + 'static>(
+    work: impl FnOnce() -> T + Send + 'static,
+) -> Result<T, JoinError> {
+    let Some(host) = simulated() else { return tokio::task::spawn_blocking(work).await };
+    let done = work();
+    tokio::time::sleep(host.take_disk_time()).await;
+    Ok(done)
+}
--- /dev/null
+++ b/crates/node/src/host/datagrams.rs
@@ -0,0 +1,68 @@
+//! Sockets for datagrams.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use tokio::net::UdpSocket;
+
+use super::{SimulatedDatagrams, simulated};
+
+/// A socket for datagrams.
+#[derive(Debug)]
+pub enum Datagrams {
+    /// Of the operating system.
+    Udp(UdpSocket),
+    /// Of a simulated network.
+    Simulated(Arc<dyn SimulatedDatagrams>),
+}
+
+impl Datagrams {
+    /// Opens the socket.
+    ///
+    /// # Errors
+    ///
+    /// If the address cannot be used.
+    pub async fn bind(address: SocketAddr) -> io::Result<Datagrams> {
+        match simulated() {
+            None => UdpSocket::bind(address).await.map(Datagrams::Udp),
+            Some(host) => host.bind(address).map(Datagrams::Simulated),
+        }
+    }
+
+    /// Returns when there may be a datagram to receive.
+    ///
+    /// # Errors
+    ///
+    /// If the socket has failed.
+    pub async fn readable(&self) -> io::Result<()> {
+        match self {
+            Datagrams::Udp(socket) => socket.readable().await,
+            Datagrams::Simulated(socket) => socket.readable().await,
+        }
+    }
+
+    /// Receives a datagram that is there.
+    ///
+    /// # Errors
+    ///
+    /// `WouldBlock` if there is none.
+    pub fn try_recv_from(&self, buffer: &mut [u8]) -> io::Result<(usize, SocketAddr)> {
+        match self {
+            Datagrams::Udp(socket) => socket.try_recv_from(buffer),
+            Datagrams::Simulated(socket) => socket.try_recv_from(buffer),
+        }
+    }
+
+    /// Sends a datagram.
+    ///
+    /// # Errors
+    ///
+    /// If it cannot be sent now.
+    pub fn try_send_to(&self, bytes: &[u8], to: SocketAddr) -> io::Result<usize> {
+        match self {
+            Datagrams::Udp(socket) => socket.try_send_to(bytes, to),
+            Datagrams::Simulated(socket) => socket.try_send_to(bytes, to),
+        }
+    }
+}
--- a/crates/node/src/keeper.rs
+++ b/crates/node/src/keeper.rs
@@ -32,7 +32,6 @@
 use juniperwing_registry::{Exchange, MAX_INSTANCES, Registry, RegistrySettings};
 use juniperwing_replication::{Event, Record, Replica, Timings};
 use slog::{Logger, info, warn};
-use tokio::net::TcpListener;
 use tokio::sync::{Notify, mpsc, watch};
 use tokio::time::{Instant, MissedTickBehavior, timeout, timeout_at};
 
@@ -45,6 +44,7 @@
 use self::subscribers::{Subscribers, Tellable};
 use crate::clock;
 use crate::command::Process;
+use crate::host::{Listener, wait_for_disk};
 use crate::link::LinkId;
 use crate::settings::{Port, Settings};
 use crate::signals::Wish;
@@ -146,10 +146,10 @@
     let Some(folder) = settings.data_directory.clone() else {
         return Err(unusable("dataDirectory is missing"));
     };
-    let internal = TcpListener::bind(settings.own_address(Port::Keeper)).await?;
+    let internal = Listener::bind(settings.own_address(Port::Keeper)).await?;
     let control = control_listener::bind(control).await?;
     let for_disk = settings.clone();
-    let opened = tokio::task::spawn_blocking(move || open(&for_disk, &folder));
+    let opened = wait_for_disk(move || open(&for_disk, &folder));
     let start = opened.await.map_err(io::Error::other)??;
     info!(log, "starting"; "disk" => start.me.disk.0, "seeds" => settings.seed_nodes.len());
 
@@ -240,7 +240,7 @@
     }
 
     fn start_tasks(
-        self: &Arc<Self>, internal: TcpListener, file: RecordFile, writes: mpsc::Receiver<Write>,
+        self: &Arc<Self>, internal: Listener, file: RecordFile, writes: mpsc::Receiver<Write>,
         wake: watch::Receiver<Time>,
     ) -> Vec<tokio::task::JoinHandle<()>> {
         let inbox = Arc::new(Inbox::new(Arc::downgrade(self)));
--- a/crates/node/src/keeper/consensus.rs
+++ b/crates/node/src/keeper/consensus.rs
@@ -18,6 +18,7 @@
 
 use super::Keeper;
 use crate::clock;
+use crate::host::wait_for_disk;
 
 /// Records on their way to the disk; the replica hands out one at a time.
 pub(super) const MAX_WRITES: usize = 4;
@@ -187,7 +188,7 @@
     keeper: Arc<Keeper>, mut file: super::record_file::RecordFile, mut writes: mpsc::Receiver<Write>,
 ) {
     while let Some(Write { token, record }) = writes.recv().await {
-        let written = tokio::task::spawn_blocking(move || {
+        let written = wait_for_disk(move || {
             let outcome = file.write(&record);
             (file, outcome)
         });
@@ -210,6 +211,7 @@
         let at = *wake.borrow_and_update();
         let pause = clock::duration(at.since(clock::now()));
         tokio::select! {
+            biased;
             () = tokio::time::sleep(pause) => {
                 // The next time to wake is set before anything is awaited.
                 keeper.lock().consensus.wake.send_replace(Time::NEVER);
--- a/crates/node/src/keeper/control_listener.rs
+++ b/crates/node/src/keeper/control_listener.rs
@@ -19,13 +19,13 @@
 use juniperwing_protocol::{InstanceId, NodeName};
 use juniperwing_registry::parse_heartbeat;
 use serde::{Deserialize, Serialize};
-use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, watch};
 use tokio::time::timeout;
 
 use super::Keeper;
 use super::discovery::HeartbeatAnswer;
 use super::orders::json;
+use crate::host::{Listener, Stream};
 
 /// The largest configuration, in bytes.
 const MAX_CONFIGURATION_BYTES: usize = 8 << 20;
@@ -61,19 +61,20 @@
 
 /// Serves until `stop` says otherwise, then finishes what is under way. `open` is held while anything is.
 pub(super) async fn serve(
-    listener: TcpListener, keeper: Arc<Keeper>, mut stop: watch::Receiver<bool>, open: mpsc::Sender<()>,
+    listener: Listener, keeper: Arc<Keeper>, mut stop: watch::Receiver<bool>, open: mpsc::Sender<()>,
 ) {
     let router = router(keeper);
     loop {
         let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
+            biased;
             () = wait_for_stop(&mut stop) => return,
+            accepted = listener.accept() => accepted,
         };
         match accepted {
             // The count includes this loop's own sender.
             Ok(_) if open.strong_count() > MAX_CONNECTIONS => {}
-            Ok((stream, _)) => {
-                if prepare(&stream).is_ok() {
+            Ok(mut stream) => {
+                if stream.prepare(USER_TIMEOUT).is_ok() {
                     tokio::spawn(connection(stream, router.clone(), stop.clone(), open.clone()));
                 }
             }
@@ -87,8 +88,8 @@
 /// # Errors
 ///
 /// If the address cannot be used.
-pub(super) async fn bind(address: SocketAddr) -> io::Result<TcpListener> {
-    TcpListener::bind(address).await
+pub(super) async fn bind(address: SocketAddr) -> io::Result<Listener> {
+    Listener::bind(address).await
 }
 
 /// Returns when serving is to end.
@@ -97,19 +98,13 @@
     let _ = stop.wait_for(|stop| *stop).await;
 }
 
-fn prepare(stream: &TcpStream) -> io::Result<()> {
-    stream.set_nodelay(true)?;
-    socket2::SockRef::from(stream).set_tcp_user_timeout(Some(USER_TIMEOUT))
-}
-
-async fn connection(
-    stream: TcpStream, router: Router, mut stop: watch::Receiver<bool>, open: mpsc::Sender<()>,
-) {
+async fn connection(stream: Stream, router: Router, mut stop: watch::Receiver<bool>, open: mpsc::Sender<()>) {
     let mut builder = hyper::server::conn::http1::Builder::new();
     builder.timer(TokioTimer::new()).header_read_timeout(IDLE);
     let serving = builder.serve_connection(TokioIo::new(stream), TowerToHyperService::new(router));
     tokio::pin!(serving);
     let stopped = tokio::select! {
+        biased;
         _ = serving.as_mut() => false,
         () = wait_for_stop(&mut stop) => true,
     };
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod clock;
 pub mod command;
 pub mod gossip;
+pub mod host;
 pub mod keeper;
 pub mod link;
 pub mod local;
--- a/crates/node/src/link/connection.rs
+++ b/crates/node/src/link/connection.rs
@@ -10,12 +10,11 @@
 use juniperwing_protocol::{CallId, Envelope, Message};
 use snafu::Snafu;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
-use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, oneshot};
 use tokio::time::{Instant, timeout, timeout_at};
 
 use super::{DEAD_AFTER, MAX_WAITING_BYTES, PING_AFTER};
+use crate::host::{Listener, ReadHalf, Stream, WriteHalf};
 
 const READ_BYTES: usize = 16 << 10;
 
@@ -82,11 +81,15 @@
 
 impl Link {
     /// Runs a link over a connection that has come up. `connecting` is whether this end opened it.
-    pub fn start(stream: TcpStream, connecting: bool, service: Arc<dyn Service>) -> io::Result<Link> {
+    ///
+    /// # Errors
+    ///
+    /// If the connection is gone already.
+    pub fn start(stream: impl Into<Stream>, connecting: bool, service: Arc<dyn Service>) -> io::Result<Link> {
         static NEXT: AtomicU64 = AtomicU64::new(1);
+        let mut stream = stream.into();
         let peer = stream.peer_addr()?;
-        stream.set_nodelay(true)?;
-        socket2::SockRef::from(&stream).set_tcp_user_timeout(Some(DEAD_AFTER))?;
+        stream.prepare(DEAD_AFTER)?;
         let link = Link {
             shared: Arc::new(Shared {
                 id: LinkId(NEXT.fetch_add(1, Ordering::Relaxed)),
@@ -212,18 +215,19 @@
 }
 
 /// Accepts links until the listener fails.
-pub async fn serve(listener: TcpListener, service: Arc<dyn Service>) {
+pub async fn serve(listener: impl Into<Listener>, service: Arc<dyn Service>) {
     const PAUSE_AFTER_FAILURE: Duration = Duration::from_millis(50);
+    let listener = listener.into();
     loop {
         match listener.accept().await {
             // A connection that is gone already needs no answer.
-            Ok((stream, _)) => drop(Link::start(stream, false, Arc::clone(&service))),
+            Ok(stream) => drop(Link::start(stream, false, Arc::clone(&service))),
             Err(_) => tokio::time::sleep(PAUSE_AFTER_FAILURE).await,
         }
     }
 }
 
-async fn write(link: Link, mut writer: OwnedWriteHalf) {
+async fn write(link: Link, mut writer: WriteHalf) {
     loop {
         let bytes = std::mem::take(&mut *lock(&link.shared.outgoing));
         if link.is_closed() {
@@ -233,6 +237,7 @@
             link.shared.wake_writer.notified().await;
         } else if !matches!(
             tokio::select! {
+                biased;
                 written = writer.write_all(&bytes) => written,
                 () = link.closed() => return,
             },
@@ -243,15 +248,16 @@
     }
 }
 
-async fn read(link: Link, mut reader: OwnedReadHalf, connecting: bool, service: Arc<dyn Service>) {
+async fn read(link: Link, mut reader: ReadHalf, connecting: bool, service: Arc<dyn Service>) {
     let mut buffer = Vec::with_capacity(READ_BYTES);
     let mut heard = Instant::now();
     loop {
         // The accepting end only waits; the connecting end wakes up to ping.
         let wake = if connecting { Instant::now() + PING_AFTER } else { heard + DEAD_AFTER };
         let received = tokio::select! {
-            received = timeout_at(wake, reader.read_buf(&mut buffer)) => received,
+            biased;
             () = link.closed() => break,
+            received = timeout_at(wake, reader.read_buf(&mut buffer)) => received,
         };
         match received {
             Ok(Ok(0) | Err(_)) => break,
--- a/crates/node/src/link/pool.rs
+++ b/crates/node/src/link/pool.rs
@@ -6,11 +6,11 @@
 use std::time::Duration;
 
 use juniperwing_protocol::Message;
-use tokio::net::{TcpSocket, TcpStream};
 use tokio::time::timeout;
 
 use super::connection::{CallError, Link, Service};
 use super::{CONNECT_WITHIN, DEAD_AFTER};
+use crate::host::Stream;
 
 type Slot = Arc<tokio::sync::Mutex<Option<Link>>>;
 
@@ -82,8 +82,6 @@
 }
 
 /// Opens a connection; `None` if it does not come up in time.
-pub(crate) async fn connect(address: SocketAddr) -> Option<TcpStream> {
-    let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }.ok()?;
-    socket2::SockRef::from(&socket).set_tcp_user_timeout(Some(DEAD_AFTER)).ok()?;
-    timeout(CONNECT_WITHIN, socket.connect(address)).await.ok()?.ok()
+pub(crate) async fn connect(address: SocketAddr) -> Option<Stream> {
+    timeout(CONNECT_WITHIN, Stream::connect(address, DEAD_AFTER)).await.ok()?.ok()
 }
--- a/crates/node/src/store.rs
+++ b/crates/node/src/store.rs
@@ -17,7 +17,6 @@
 use juniperwing_protocol::{DiskId, NodeName};
 use juniperwing_sessions::Limits;
 use slog::{Logger, info, warn};
-use tokio::net::TcpListener;
 use tokio::time::timeout;
 
 use self::core::{Core, Handle};
@@ -25,6 +24,7 @@
 use crate::clock::random;
 use crate::command::Process;
 use crate::gossip::{Gossip, Myself};
+use crate::host::Listener;
 use crate::link::serve;
 use crate::settings::{Port, Settings};
 use crate::signals::Wish;
@@ -93,7 +93,7 @@
             juniperwing_storage::identity::open(folder, random()).map_err(io::Error::other)?;
         let disk = DiskId(disk);
         let (files, store) = Disk::open(folder, disk, limits(settings), &log).map_err(io::Error::other)?;
-        let listener = TcpListener::bind(settings.own_address(Port::Store)).await?;
+        let listener = Listener::bind(settings.own_address(Port::Store)).await?;
         let core = Core::start(store, files, log.clone());
         let listening = tokio::spawn(serve(listener, Arc::new(Handle(core.clone()))));
         let subscribe = Subscribe {
--- a/crates/node/src/store/core.rs
+++ b/crates/node/src/store/core.rs
@@ -211,6 +211,7 @@
             match wake {
                 None => self.rearm.notified().await,
                 Some(wake) => tokio::select! {
+                    biased;
                     () = tokio::time::sleep(duration(wake.since(now()))) => self.handle(Event::Tick),
                     () = self.rearm.notified() => {}
                 },
--- a/crates/node/src/store/disk.rs
+++ b/crates/node/src/store/disk.rs
@@ -10,6 +10,7 @@
 use tokio::sync::mpsc;
 
 use super::core::Core;
+use crate::host::wait_for_disk;
 
 /// The folder of the batches within the data folder.
 const FOLDER: &str = "sessions";
@@ -52,7 +53,7 @@
         let mut waiting = Vec::new();
         while jobs.recv_many(&mut waiting, usize::MAX).await > 0 {
             let taken = std::mem::take(&mut waiting);
-            let done = tokio::task::spawn_blocking(move || {
+            let done = wait_for_disk(move || {
                 let outcome = work(&mut files, taken);
                 (files, outcome)
             });
--- a/crates/storage/src/file.rs
+++ b/crates/storage/src/file.rs
@@ -1,11 +1,11 @@
 //! The layout of files: frames, each a magic number, the length of the contents, their checksum, the contents.
 
-use std::fs::{self, File};
 use std::io::Write;
 use std::path::Path;
 
 use snafu::ResultExt;
 
+use crate::disk::{self, File};
 use crate::error::{StorageError, StorageSnafu};
 
 const MAGIC: [u8; 8] = *b"JNPRWNG1";
@@ -41,7 +41,7 @@
 
 /// The contents of a file of one frame; `None` if it is torn or not of this layout.
 pub(crate) fn read_checked(path: &Path) -> Result<Option<Vec<u8>>, StorageError> {
-    let bytes = fs::read(path).context(StorageSnafu { action: "reading", path })?;
+    let bytes = disk::read(path).context(StorageSnafu { action: "reading", path })?;
     let only = first_frame(&bytes).filter(|(_, behind)| behind.is_empty());
     Ok(only.map(|(contents, _)| contents.to_vec()))
 }
@@ -55,11 +55,9 @@
 /// The files of a folder whose names are `prefix`, a number in hexadecimal, and nothing else; in the order of
 /// the numbers.
 pub(crate) fn numbered(folder: &Path, prefix: &str) -> Result<Vec<u64>, StorageError> {
-    let entries = fs::read_dir(folder).context(StorageSnafu { action: "listing", path: folder })?;
+    let names = disk::list(folder).context(StorageSnafu { action: "listing", path: folder })?;
     let mut numbers = Vec::new();
-    for entry in entries {
-        let entry = entry.context(StorageSnafu { action: "listing", path: folder })?;
-        let name = entry.file_name();
+    for name in names {
         let digits = name.to_str().and_then(|name| name.strip_prefix(prefix));
         numbers.extend(digits.and_then(|digits| u64::from_str_radix(digits, 16).ok()));
     }
--- a/crates/storage/src/lib.rs
+++ b/crates/storage/src/lib.rs
@@ -7,6 +7,7 @@
 //!
 //! All calls block on the disk; call them from a thread that may wait.
 
+pub mod disk;
 mod error;
 mod file;
 pub mod identity;
--- a/crates/storage/src/segment.rs
+++ b/crates/storage/src/segment.rs
@@ -4,12 +4,12 @@
 //! with its own sync. A segment is sealed when it is large enough, when a write to it fails, and at every
 //! start, so nothing is ever appended behind what may be torn.
 
-use std::fs::{self, File};
 use std::io::Write;
 use std::path::{Path, PathBuf};
 
 use snafu::ResultExt;
 
+use crate::disk::{self, File};
 use crate::error::{StorageError, StorageSnafu};
 use crate::file;
 
@@ -66,11 +66,11 @@
     /// If the folder cannot be made, listed or read.
     pub fn open_each(folder: impl Into<PathBuf>, mut take: impl FnMut(Batch)) -> Result<Self, StorageError> {
         let folder = folder.into();
-        fs::create_dir_all(&folder).context(StorageSnafu { action: "making", path: &folder })?;
+        disk::create_dir_all(&folder).context(StorageSnafu { action: "making", path: &folder })?;
         let numbers = file::numbered(&folder, PREFIX)?;
         for number in &numbers {
             let path = folder.join(file::name(PREFIX, *number));
-            let bytes = fs::read(&path).context(StorageSnafu { action: "reading", path: &path })?;
+            let bytes = disk::read(&path).context(StorageSnafu { action: "reading", path: &path })?;
             let segment = SegmentNumber(*number);
             let mut rest = bytes.as_slice();
             while let Some((contents, behind)) = file::first_frame(rest) {
@@ -79,7 +79,7 @@
             }
             if rest.len() == bytes.len() {
                 // What cannot be removed now is looked at again after the next start.
-                let _ = fs::remove_file(&path);
+                let _ = disk::remove_file(&path);
             }
         }
         let next = numbers.last().map_or(1, |last| last + 1);
@@ -115,7 +115,7 @@
     pub fn remove(&mut self, number: SegmentNumber) -> Result<(), StorageError> {
         self.open.take_if(|open| open.number == number);
         let path = self.path(number);
-        fs::remove_file(&path).context(StorageSnafu { action: "removing", path: &path })
+        disk::remove_file(&path).context(StorageSnafu { action: "removing", path: &path })
     }
 
     fn create(&mut self) -> Result<OpenSegment, StorageError> {
--- a/crates/storage/src/version.rs
+++ b/crates/storage/src/version.rs
@@ -1,10 +1,10 @@
 //! The newest version of a state, one file for each version.
 
-use std::fs;
 use std::path::PathBuf;
 
 use snafu::ResultExt;
 
+use crate::disk;
 use crate::error::{StorageError, StorageSnafu};
 use crate::file;
 
@@ -28,7 +28,7 @@
     /// If the folder cannot be made, listed or read.
     pub fn open(folder: impl Into<PathBuf>, name: &str) -> Result<(Self, Option<Vec<u8>>), StorageError> {
         let folder = folder.into();
-        fs::create_dir_all(&folder).context(StorageSnafu { action: "making", path: &folder })?;
+        disk::create_dir_all(&folder).context(StorageSnafu { action: "making", path: &folder })?;
         let prefix = format!("{name}-");
         let kept = file::numbered(&folder, &prefix)?;
         let mut newest = None;
@@ -52,7 +52,7 @@
         let path = self.folder.join(&name);
         let aside = self.folder.join(format!("{ASIDE}{name}"));
         file::write_synced(&aside, contents)?;
-        fs::rename(&aside, &path).context(StorageSnafu { action: "renaming", path: &aside })?;
+        disk::rename(&aside, &path).context(StorageSnafu { action: "renaming", path: &aside })?;
         file::sync_folder(&self.folder)?;
         self.kept.push(number);
         self.remove_old();
@@ -62,7 +62,7 @@
     /// An old version that stays by a failure does no harm; it is tried again with the next.
     fn remove_old(&mut self) {
         while self.kept.len() > 1 + KEPT {
-            if fs::remove_file(self.folder.join(file::name(&self.prefix, self.kept[0]))).is_err() {
+            if disk::remove_file(self.folder.join(file::name(&self.prefix, self.kept[0]))).is_err() {
                 return;
             }
             self.kept.remove(0);
