Answers without a length are whole unless reset; their framing is made anew for clients

A length beside chunks was passed on and split the answer for the client (surplus bytes on a kept connection), a 101 was passed on, gzip was taken off as if it were chunks, and an answer that bore a second id counted as the request's own. An HTTP/1.0 stream was passed on without an end that could be told from a break. Change: the framing is judged in one place and made anew; a stream without length that ends within an event is broken off or resumed.

--- a/crates/node/src/relay/attempt.rs
+++ b/crates/node/src/relay/attempt.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use http::header::{CONTENT_ENCODING, CONTENT_LENGTH, TRANSFER_ENCODING};
-use http::{HeaderMap, Method, Request, StatusCode, response};
+use http::{HeaderMap, Method, Request, StatusCode, Version, response};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use juniperwing_balancing::ServerLoad;
@@ -28,6 +28,8 @@
     pub body: Incoming,
     /// The connection that it comes over.
     pub connection: Connection,
+    /// Whether only the end of the connection ends the body. A reset is an error, not an end.
+    pub ends_with_connection: bool,
 }
 
 /// A connection to the endpoint of a slot: one that is kept, or a new one.
@@ -68,7 +70,7 @@
             Ok(answer) => {
                 let (parts, body) = answer.into_parts();
                 check_head(core, exchange, slot, &parts, &connection)?;
-                return Ok(Answer { parts, body, connection });
+                return Ok(accept(exchange, parts, body, connection));
             }
             Err(mut error) => {
                 if error.take_message().is_none() {
@@ -84,6 +86,18 @@
     }
 }
 
+/// An answer as it is passed on: framed anew, so that what the endpoint told of its framing must not stay.
+fn accept(exchange: &Exchange, mut parts: response::Parts, body: Incoming, connection: Connection) -> Answer {
+    let ends_with_connection = !is_delimited(exchange, &parts);
+    // The client's side of an HTTP/1.0 answer would end with the connection too, also if it breaks off.
+    parts.version = Version::HTTP_11;
+    if parts.headers.contains_key(TRANSFER_ENCODING) {
+        // The chunks count: another length would split the answer in two for the client.
+        parts.headers.remove(CONTENT_LENGTH);
+    }
+    Answer { parts, body, connection, ends_with_connection }
+}
+
 fn request(exchange: &Exchange, slot: &Slot) -> Request<Full<Bytes>> {
     let mut request = Request::new(Full::new(exchange.body.clone()));
     *request.method_mut() = exchange.method.clone();
@@ -98,8 +112,9 @@
 ) -> Result<(), Failure> {
     let declined = parts.headers.contains_key(headers::NOT_EXECUTED);
     let misdirected = parts.status == StatusCode::MISDIRECTED_REQUEST;
-    let own = match parts.headers.get(headers::REQUEST_ID) {
-        Some(id) => *id == exchange.request,
+    let mut ids = parts.headers.get_all(headers::REQUEST_ID).iter().peekable();
+    let own = match ids.peek() {
+        Some(_) => ids.all(|id| *id == exchange.request),
         // Nothing of another request can come first on a new connection.
         None => !connection.used && (declined || misdirected),
     };
@@ -118,7 +133,7 @@
     if declined {
         return Err(Failure::declined(Cause::Declined));
     }
-    if parts.status.is_success() && !is_sound(exchange, parts) {
+    if !is_sound(parts) {
         return Err(Failure::may_have_run(Cause::Unsound));
     }
     Ok(())
@@ -129,17 +144,30 @@
     header_text(&parts.headers, headers::INSTANCE_ID) != &*slot.endpoint().0
 }
 
-/// A success counts only with the endpoint's stamp, as plain bytes, and if its end can be told from a break.
-fn is_sound(exchange: &Exchange, parts: &response::Parts) -> bool {
+/// Whether an answer may be passed on. A success counts only with the endpoint's stamp and as plain bytes.
+fn is_sound(parts: &response::Parts) -> bool {
+    // No upgrade is ever asked for: 101 is no answer.
+    if parts.status.is_informational() || has_other_transfer_coding(&parts.headers) {
+        return false;
+    }
     let stamped = parts.headers.contains_key(headers::SERVER_SIGNATURE);
     let plain = !parts.headers.contains_key(CONTENT_ENCODING);
-    stamped && plain && is_framed(exchange, parts)
+    !parts.status.is_success() || stamped && plain
+}
+
+/// Whether the body is coded in another way than in chunks; the codes would reach the client as its bytes.
+fn has_other_transfer_coding(headers: &HeaderMap) -> bool {
+    let mut codings = headers.get_all(TRANSFER_ENCODING).iter();
+    codings.next().is_some_and(|first| !first.as_bytes().eq_ignore_ascii_case(b"chunked"))
+        || codings.next().is_some()
 }
 
-fn is_framed(exchange: &Exchange, parts: &response::Parts) -> bool {
-    let bodiless = exchange.method == Method::HEAD || parts.status == StatusCode::NO_CONTENT;
-    let chunked = header_text(&parts.headers, TRANSFER_ENCODING.as_str()).ends_with("chunked");
-    bodiless || chunked || parts.headers.contains_key(CONTENT_LENGTH)
+/// Whether the end of the body is told otherwise than by the end of the connection.
+fn is_delimited(exchange: &Exchange, parts: &response::Parts) -> bool {
+    let bodiless = exchange.method == Method::HEAD
+        || matches!(parts.status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
+    let framed = parts.headers.contains_key(TRANSFER_ENCODING) || parts.headers.contains_key(CONTENT_LENGTH);
+    bodiless || framed
 }
 
 /// Reads a body to its end.
--- a/crates/node/src/relay/forward.rs
+++ b/crates/node/src/relay/forward.rs
@@ -210,7 +210,7 @@
     if exchange.route.route_type.is_streaming() && answer.parts.status.is_success() {
         return stream::first_event(answer).await.map(|live| Reply::Live(Box::new(live)));
     }
-    let Answer { mut parts, mut body, connection } = answer;
+    let Answer { mut parts, mut body, connection, .. } = answer;
     let kept_for = keep_alive(&parts.headers);
     let pieces = attempt::read_whole(&mut body).await?;
     core.pool.give_back(endpoint, connection, kept_for);
--- a/crates/node/src/relay/stream.rs
+++ b/crates/node/src/relay/stream.rs
@@ -39,6 +39,8 @@
     body: Option<Incoming>,
     connection: Option<Connection>,
     keep_alive: Option<u64>,
+    /// Whether only the end of the connection ends the stream.
+    ends_with_connection: bool,
     splitter: EventSplitter,
 }
 
@@ -55,6 +57,7 @@
             body: Some(answer.body),
             connection: Some(answer.connection),
             keep_alive: keep_alive(&answer.parts.headers),
+            ends_with_connection: answer.ends_with_connection,
             splitter: EventSplitter::default(),
         };
         (answer.parts, source)
@@ -68,7 +71,10 @@
             match body.frame().await {
                 None => {
                     self.body = None;
-                    return Ok(Next::End(self.splitter.rest()));
+                    let rest = self.splitter.rest();
+                    // A connection that ends within an event was broken off.
+                    let whole = rest.is_empty() || !self.ends_with_connection;
+                    return if whole { Ok(Next::End(rest)) } else { Err(broken) };
                 }
                 Some(Err(_)) => return Err(broken),
                 Some(Ok(frame)) => {
--- /dev/null
+++ b/crates/node/tests/relay/hostile/wire.rs
@@ -0,0 +1,76 @@
+//! HTTP/1.1 as bytes: heads, and bodies with a length or in chunks, read strictly.
+
+/// A head: its first line and its headers.
+#[derive(Clone, Debug)]
+pub struct Head {
+    pub line: String,
+    pub headers: Vec<(String, String)>,
+}
+
+impl Head {
+    /// The first header of a name.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        let mut named = self.headers.iter().filter(|(key, _)| key.eq_ignore_ascii_case(name));
+        named.next().map(|(_, value)| value.as_str())
+    }
+
+    /// All headers of a name.
+    pub fn all<'a>(&'a self, name: &'a str) -> impl Iterator<Item = &'a str> {
+        let named = self.headers.iter().filter(move |(key, _)| key.eq_ignore_ascii_case(name));
+        named.map(|(_, value)| value.as_str())
+    }
+}
+
+/// Splits a head off; `None` if it has not come whole.
+pub fn split_head(bytes: &[u8]) -> Option<Result<(Head, &[u8]), String>> {
+    let end = bytes.windows(4).position(|four| four == b"\r\n\r\n")?;
+    let read = |text: &str| -> Option<Head> {
+        let mut lines = text.split("\r\n");
+        let line = lines.next()?.to_owned();
+        let pair =
+            |line: &str| line.split_once(':').map(|(name, value)| (name.to_owned(), value.trim().to_owned()));
+        Some(Head { line, headers: lines.map(pair).collect::<Option<_>>()? })
+    };
+    let head = std::str::from_utf8(&bytes[..end]).ok().and_then(read);
+    let no_head = || format!("no head: {:?}", String::from_utf8_lossy(&bytes[..end]));
+    Some(head.map(|head| (head, &bytes[end + 4..])).ok_or_else(no_head))
+}
+
+/// A body taken off the front of bytes.
+#[derive(Debug, PartialEq, Eq)]
+pub struct Body<'a> {
+    pub data: Vec<u8>,
+    /// Whether its end has come.
+    pub is_whole: bool,
+    /// What follows.
+    pub rest: &'a [u8],
+}
+
+/// Splits a body with a length off.
+pub fn split_length(bytes: &[u8], length: usize) -> Body<'_> {
+    let (data, rest) = bytes.split_at(length.min(bytes.len()));
+    Body { data: data.to_vec(), is_whole: data.len() == length, rest }
+}
+
+/// Splits a body in chunks off, which must have neither extensions nor trailers.
+pub fn split_chunks(bytes: &[u8]) -> Result<Body<'_>, String> {
+    let (mut data, mut rest) = (Vec::new(), bytes);
+    loop {
+        let Some(line_end) = rest.windows(2).position(|two| two == b"\r\n") else {
+            return Ok(Body { data, is_whole: false, rest: &[] });
+        };
+        let line = std::str::from_utf8(&rest[..line_end]).map_err(|error| error.to_string())?;
+        let length = usize::from_str_radix(line, 16).map_err(|_| format!("no chunk length: {line:?}"))?;
+        rest = &rest[line_end + 2..];
+        let piece = &rest[..length.min(rest.len())];
+        data.extend_from_slice(piece);
+        rest = &rest[piece.len()..];
+        if rest.len() < 2 {
+            return Ok(Body { data, is_whole: false, rest: &[] });
+        }
+        rest = rest.strip_prefix(b"\r\n").ok_or("no line end behind a chunk")?;
+        if length == 0 {
+            return Ok(Body { data, is_whole: true, rest });
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/tests/relay/hostile_answers.rs
@@ -0,0 +1,123 @@
+//! Whatever endpoints answer and whenever clients leave, nothing reaches another caller, nothing broken looks
+//! whole, and what may run once is sent once.
+
+use std::collections::HashMap;
+use std::env;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::thread::JoinHandle;
+
+use juniperwing_protocol::identity::{InstanceId, ServiceName};
+use juniperwing_protocol::registry::{Instance, InstanceState};
+use proptest::test_runner::{Config, RngAlgorithm, TestCaseError, TestRng, TestRunner};
+use tokio::runtime::Builder;
+use tokio::sync::oneshot;
+use tokio::task::JoinSet;
+
+use crate::hostile::client::{Outcome, play};
+use crate::hostile::endpoint::{HostileEndpoint, Stage};
+use crate::hostile::oracle::judge;
+use crate::hostile::script::{ClientPlan, RequestPlan, client_plans, request_id};
+use crate::support::{Bench, soon};
+
+/// Cases for each seed.
+const CASES: u32 = 40;
+/// The seeds that are always played. `HOSTILE_SEEDS=200` plays the first 200 instead.
+const SEEDS: u8 = 3;
+
+#[test]
+fn no_answer_event_or_byte_reaches_another_caller_and_what_may_run_once_is_sent_once() {
+    let seeds = env::var("HOSTILE_SEEDS").ok().and_then(|count| count.parse().ok()).unwrap_or(SEEDS);
+    for seed in 0..seeds {
+        let config = Config { cases: CASES, failure_persistence: None, ..Config::default() };
+        let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[seed; 32]);
+        let played = TestRunner::new_with_rng(config, rng)
+            .run(&client_plans(), |clients| play_case(clients).map_err(TestCaseError::fail));
+        if let Err(error) = played {
+            panic!("seed {seed}: {error}");
+        }
+    }
+}
+
+fn play_case(clients: Vec<ClientPlan>) -> Result<(), String> {
+    let runtime = Builder::new_current_thread().enable_all().build().unwrap();
+    runtime.block_on(soon(converse(clients)))
+}
+
+async fn converse(clients: Vec<ClientPlan>) -> Result<(), String> {
+    let plans = by_id(&clients);
+    let stage = Stage::new(plans.clone());
+    let endpoints = [HostileEndpoint::start(&stage), HostileEndpoint::start(&stage)];
+    let instances =
+        endpoints.iter().enumerate().map(|(number, endpoint)| instance(number, endpoint)).collect();
+    let relay = RelayThread::start(instances).await;
+    let mut playing = JoinSet::new();
+    for (number, client) in clients.into_iter().enumerate() {
+        playing.spawn(play(number, client, relay.frontend, Arc::clone(&stage)));
+    }
+    let mut outcomes: Vec<Outcome> = Vec::new();
+    while let Some(played) = playing.join_next().await {
+        outcomes.extend(played.unwrap()?);
+    }
+    // Once the relay is gone, nothing more can come to the endpoints.
+    relay.end();
+    for endpoint in endpoints {
+        endpoint.finish().await;
+    }
+    judge(&plans, &outcomes, &stage)
+}
+
+/// A relay on a thread and runtime of its own, so that all its sockets can be closed.
+struct RelayThread {
+    frontend: SocketAddr,
+    stop: oneshot::Sender<()>,
+    thread: JoinHandle<()>,
+}
+
+impl RelayThread {
+    async fn start(instances: Vec<Instance>) -> RelayThread {
+        let (started, starting) = oneshot::channel();
+        let (stop, stopped) = oneshot::channel();
+        let thread = std::thread::spawn(move || {
+            let runtime = Builder::new_current_thread().enable_all().build().unwrap();
+            runtime.block_on(async {
+                let bench = Bench::empty().await;
+                bench.configure_all(1);
+                bench.stores_known();
+                bench.tell(true, instances);
+                started.send(bench.frontend).unwrap();
+                let _ = stopped.await;
+            });
+        });
+        RelayThread { frontend: starting.await.unwrap(), stop, thread }
+    }
+
+    /// Closes all its connections at once.
+    fn end(self) {
+        let _ = self.stop.send(());
+        self.thread.join().unwrap();
+    }
+}
+
+fn by_id(clients: &[ClientPlan]) -> HashMap<String, RequestPlan> {
+    let numbered = clients.iter().enumerate();
+    let requests = numbered.flat_map(|(client, plan)| {
+        plan.requests
+            .iter()
+            .enumerate()
+            .map(move |(request, plan)| (request_id(client, request), plan.clone()))
+    });
+    requests.collect()
+}
+
+fn instance(number: usize, endpoint: &HostileEndpoint) -> Instance {
+    Instance {
+        id: InstanceId(format!("i-{number}").into()),
+        service: ServiceName::from("s"),
+        address: endpoint.address,
+        zone: "a".into(),
+        capacity: 8,
+        state: InstanceState::Ready,
+        sequence: 1,
+    }
+}
--- a/crates/node/tests/relay/main.rs
+++ b/crates/node/tests/relay/main.rs
@@ -2,6 +2,9 @@
 
 mod endpoint;
 mod events;
+mod framing;
+mod hostile;
+mod hostile_answers;
 mod lifecycle;
 mod streams;
 mod support;
