Tests: nothing is sent for a client that has left, whatever its request waits for

Cause: only a stream under way had a test. The HTTP library ends a half-closed connection, and the request's future with it, so slots, queue places, reservations and connections to endpoints go at once.

--- a/crates/node/tests/relay/support.rs
+++ b/crates/node/tests/relay/support.rs
@@ -46,8 +46,12 @@
     pub later: Mutex<Vec<FinishTurn>>,
     /// What `begin` answers.
     pub chain: Mutex<Option<Result<Vec<Turn>, SessionFault>>>,
+    /// What `begin` waits for, if for anything.
+    pub hold_begin: Mutex<Option<Arc<Notify>>>,
     /// What `finish` waits for, if for anything.
     pub hold: Mutex<Option<Arc<Notify>>>,
+    /// How long each `finish` was given.
+    pub finish_within: Mutex<Vec<Duration>>,
     pub fail_finish: Mutex<bool>,
     pub told: Notify,
 }
@@ -56,10 +60,17 @@
     fn begin(&self, turn: BeginTurn, _: Duration) -> SessionCall<Vec<Turn>> {
         self.begun.lock().unwrap().push(turn);
         let answer = self.chain.lock().unwrap().clone().unwrap_or(Ok(Vec::new()));
-        Box::pin(async { answer })
+        let hold = self.hold_begin.lock().unwrap().clone();
+        Box::pin(async move {
+            if let Some(hold) = hold {
+                hold.notified().await;
+            }
+            answer
+        })
     }
 
-    fn finish(&self, turn: FinishTurn, _: Duration) -> SessionCall<()> {
+    fn finish(&self, turn: FinishTurn, within: Duration) -> SessionCall<()> {
+        self.finish_within.lock().unwrap().push(within);
         self.finished.lock().unwrap().push(turn);
         self.told.notify_one();
         let hold = self.hold.lock().unwrap().clone();
