--- a/crates/node/tests/relay/main.rs
+++ b/crates/node/tests/relay/main.rs
@@ -1,7 +1,11 @@
 //! A relay in this process, between clients and stand-ins for endpoints and stores on loopback.
 
+mod client_left;
 mod endpoint;
 mod events;
+mod framing;
+mod hostile;
+mod hostile_answers;
 mod lifecycle;
 mod streams;
 mod support;
