With all other stores lost, the one left goes on with its copy alone

Cause: two copies were asked for while one store was there, so after a retirement from three stores to two the loss of one more stopped all turns until it was back. The planner now allows for lost copies, in an epoch of its own, once every other store is lost for a second, and takes it back as soon as one is seen; the full number is asked for while that one is filled. A store tells the keepers of a replica that has caught up only when the version of the map is on disk, so that after a restart no older map lets it decide alone.

--- a/crates/control/src/placement.rs
+++ b/crates/control/src/placement.rs
@@ -91,7 +91,13 @@
         let members = first_members(partition, eligible, replicas, &load, share.saturating_sub(1));
         let by_load = |disk: &&DiskId| (load.primaries(**disk), u64::MAX - weight(partition, **disk));
         let primary = members.iter().min_by_key(by_load).copied().unwrap_or_default();
-        let assignment = Assignment { epoch: EpochNumber(1), primary, in_sync: members, joining: Vec::new() };
+        let assignment = Assignment {
+            epoch: EpochNumber(1),
+            primary,
+            in_sync: members,
+            joining: Vec::new(),
+            lost_copies: 0,
+        };
         load.add(&assignment);
         assignments.push(assignment);
     }
--- a/crates/control/src/plan.rs
+++ b/crates/control/src/plan.rs
@@ -4,6 +4,10 @@
 //! reported that it has caught up. From that report on, the primary must wait for the store's confirmation of
 //! every further write, also before the map says so: the map that lets it in may come into force at any time,
 //! and make it primary next. A store leaves `in_sync` when it is lost; the last one never does.
+//!
+//! Fewer copies than required are enough (`lost_copies`) only while no other store could hold one, because all
+//! others are lost beyond doubt: the fault model allows no further loss of a disk until they have been back for
+//! the catch-up time. From the moment at which one of them is back, the full number is asked for again.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -97,6 +101,7 @@
             self.drop_retiring(&mut planned);
             self.choose_primary(&mut planned, &mut load);
             self.add_joining(partition, &mut planned, &mut load);
+            planned.lost_copies = self.lost_copies(&planned, assignment.lost_copies);
             next.push(planned);
         }
         if self.input.view.calm && next == *present {
@@ -177,6 +182,28 @@
         }
     }
 
+    /// How many of the required copies may be missing: none while another store could hold one. Once this is
+    /// allowed it stays so until another store is seen, also at a keeper that has seen nothing yet.
+    fn lost_copies(&self, planned: &Assignment, before: u16) -> u16 {
+        let missing = self.input.required_copies.saturating_sub(planned.in_sync.len());
+        let missing = u16::try_from(missing).unwrap_or(u16::MAX);
+        let others_seen = self.eligible.keys().any(|disk| !planned.in_sync.contains(disk));
+        if others_seen || !planned.joining.is_empty() {
+            return 0;
+        }
+        if missing <= before || self.others_are_lost(planned) { missing } else { 0 }
+    }
+
+    /// Whether every store beside those in sync is lost beyond doubt, gone or being emptied.
+    fn others_are_lost(&self, planned: &Assignment) -> bool {
+        let view = self.input.view;
+        let known = self.input.state.stores.stores.iter().map(|store| &store.disk).chain(view.alive.keys());
+        let mut others = known.filter(|disk| !planned.in_sync.contains(disk));
+        others.all(|disk| {
+            view.surely_lost.contains(disk) || self.gone.contains(disk) || self.input.state.is_retiring(*disk)
+        })
+    }
+
     /// Whether another replica should join. While enough copies are left, the place of a store that was lost
     /// only now is kept for it, except where a store is being emptied: the operator set a time for that.
     fn lacks_replicas(&self, planned: &Assignment) -> bool {
--- a/crates/control/src/tracker.rs
+++ b/crates/control/src/tracker.rs
@@ -10,6 +10,9 @@
 const REPORT_LIFE: Span = Span::from_millis(1_200);
 /// A store that no keeper has seen for this long is lost.
 const LOST_AFTER: Span = Span::from_millis(300);
+/// A store that no keeper has seen for this long is lost beyond doubt: copies that only it could hold are not
+/// asked for until it is back. Longer than a hiccup of a machine that no one would count as lost.
+const SURELY_LOST_AFTER: Span = Span::from_millis(1_000);
 /// After the start of the process, or a pause of it, nothing counts as lost for this long.
 const GRACE: Span = Span::from_millis(2_000);
 /// Two ticks further apart than this mean that the process was paused.
@@ -36,6 +39,8 @@
     pub alive: BTreeMap<DiskId, StoreNode>,
     /// Stores of the map that have been seen by none for long enough to go on without them.
     pub lost: BTreeSet<DiskId>,
+    /// Those of them that are lost beyond doubt.
+    pub surely_lost: BTreeSet<DiskId>,
     /// Those of them that others should replace.
     pub long_lost: BTreeSet<DiskId>,
     /// Whether the stores of the first start have had their time to come.
@@ -94,18 +99,22 @@
             since.filter(|(_, since)| now.since(**since) >= span).map(|(disk, _)| *disk).collect()
         };
         let graced = now < self.grace_until;
+        let lost_after = |span: Span| if graced { BTreeSet::new() } else { unseen_for(span) };
         StoreView {
-            lost: if graced { BTreeSet::new() } else { unseen_for(LOST_AFTER) },
-            long_lost: if graced { BTreeSet::new() } else { unseen_for(REPLACE_AFTER) },
+            lost: lost_after(LOST_AFTER),
+            surely_lost: lost_after(SURELY_LOST_AFTER),
+            long_lost: lost_after(REPLACE_AFTER),
             gathered: self.first_seen.is_some_and(|first| now.since(first) >= WAIT_FOR_OTHERS),
             calm: now.since(self.changed_at) >= CALM_AFTER,
             alive,
         }
     }
 
-    /// The earliest moment at which a store that is unseen now counts as lost; [`Time::NEVER`] if all are seen.
+    /// The earliest moment at which a store that is unseen now counts as lost, or as lost beyond doubt;
+    /// [`Time::NEVER`] if there is none.
     pub fn next_loss(&self) -> Time {
-        let pending = self.unseen_since.values().map(|since| *since + LOST_AFTER);
+        let unseen = self.unseen_since.values();
+        let pending = unseen.flat_map(|since| [*since + LOST_AFTER, *since + SURELY_LOST_AFTER]);
         pending.filter(|at| *at > self.last_tick).min().map_or(Time::NEVER, |at| at.max(self.grace_until))
     }
 
--- a/crates/control/tests/common/mod.rs
+++ b/crates/control/tests/common/mod.rs
@@ -83,15 +83,22 @@
         self.view.lost.insert(DiskId(disk));
     }
 
+    /// A store has been lost for long enough that nobody doubts it.
+    pub fn lose_surely(&mut self, disk: u64) {
+        self.lose(disk);
+        self.view.surely_lost.insert(DiskId(disk));
+    }
+
     /// A lost store has been lost for long.
     pub fn lose_long(&mut self, disk: u64) {
-        self.lose(disk);
+        self.lose_surely(disk);
         self.view.long_lost.insert(DiskId(disk));
     }
 
     /// A store is there, whether it was before or not.
     pub fn bring(&mut self, node: StoreNode) {
         self.view.lost.remove(&node.disk);
+        self.view.surely_lost.remove(&node.disk);
         self.view.long_lost.remove(&node.disk);
         self.view.alive.insert(node.disk, node);
     }
@@ -126,6 +133,13 @@
             assert_eq!(new.primary, old.primary, "a report counts only with the primary that gave it");
         }
         assert!(new.joining.iter().all(|joining| !new.in_sync.contains(joining)));
+        if new.lost_copies > 0 {
+            assert!(
+                new.joining.is_empty(),
+                "nothing is acknowledged on fewer copies while one is being made"
+            );
+            assert!(new.in_sync.len() + usize::from(new.lost_copies) <= REQUIRED, "no more than are missing");
+        }
         let members: BTreeSet<_> = new.in_sync.iter().chain(&new.joining).collect();
         assert_eq!(members.len(), new.in_sync.len() + new.joining.len(), "nobody twice");
     }
--- a/crates/control/tests/plan.rs
+++ b/crates/control/tests/plan.rs
@@ -96,6 +96,55 @@
     assert!(tier.partitions().iter().all(|held| held.primary == DiskId(2) && held.in_sync == [DiskId(2)]));
 }
 
+#[test]
+fn fewer_copies_are_enough_only_while_the_others_are_lost_beyond_doubt() {
+    // Guards: `others_are_lost` and `others_seen` in `lost_copies`.
+    let mut tier = Tier::of(1..=2);
+    let allowed = |tier: &Tier, copies: u16| tier.partitions().iter().all(|held| held.lost_copies == copies);
+    tier.lose(1);
+    tier.step(&[]).unwrap();
+    assert!(allowed(&tier, 0), "it may only have hiccuped");
+    tier.lose_surely(1);
+    let before = tier.state.stores.clone();
+    let after = tier.step(&[]).unwrap();
+    check_successor(&before, &after, &[]);
+    assert!(allowed(&tier, 1), "in an epoch of its own");
+    // Long lost, and no longer named by the map: it stays so.
+    tier.lose_long(1);
+    tier.settle();
+    assert!(allowed(&tier, 1) && tier.state.stores.store(DiskId(1)).is_none());
+    tier.bring(store(1));
+    tier.step(&[]).unwrap();
+    assert!(allowed(&tier, 0) && tier.partitions().iter().all(|held| held.joining == [DiskId(1)]));
+    tier.settle();
+    assert!(allowed(&tier, 0) && tier.partitions().iter().all(|held| held.in_sync.len() == 2));
+}
+
+#[test]
+fn fewer_copies_are_not_enough_while_another_store_can_hold_one() {
+    let mut tier = Tier::of(1..=4);
+    tier.lose_surely(1);
+    tier.lose_surely(2);
+    tier.step(&[]).unwrap();
+    assert!(tier.partitions().iter().all(|held| held.lost_copies == 0));
+    assert!(tier.partitions().iter().all(|held| held.in_sync.len() + held.joining.len() >= REQUIRED));
+}
+
+#[test]
+fn a_keeper_that_has_seen_nothing_yet_allows_nothing_and_takes_nothing_back() {
+    // Guard: `missing <= before` in `lost_copies`.
+    let mut tier = Tier::of(1..=2);
+    tier.lose(1);
+    tier.step(&[]).unwrap();
+    tier.view.lost.clear();
+    assert_eq!(tier.step(&[]), None);
+    tier.lose_surely(1);
+    tier.step(&[]).unwrap();
+    tier.view.lost.clear();
+    tier.view.surely_lost.clear();
+    assert_eq!(tier.step(&[]), None);
+}
+
 #[test]
 fn a_store_that_was_taken_out_joins_again_and_is_let_in_by_report() {
     let mut tier = Tier::of(1..=3);
@@ -209,6 +258,7 @@
 #[derive(Clone, Debug)]
 enum Happening {
     Lose(u64),
+    LoseSurely(u64),
     Return(u64),
     Wipe(u64),
     CatchUp { share: usize },
@@ -218,6 +268,7 @@
 fn happening() -> impl Strategy<Value = Happening> {
     prop_oneof![
         (1_u64..=5).prop_map(Happening::Lose),
+        (1_u64..=5).prop_map(Happening::LoseSurely),
         (1_u64..=5).prop_map(Happening::Return),
         (1_u64..=5).prop_map(Happening::Wipe),
         (1_usize..4).prop_map(|share| Happening::CatchUp { share }),
@@ -238,6 +289,7 @@
             let mut reports = Vec::new();
             match happening {
                 Happening::Lose(machine) => tier.lose(disks[&machine]),
+                Happening::LoseSurely(machine) => tier.lose_surely(disks[&machine]),
                 Happening::Return(machine) => tier.bring(store_on(disks[&machine], machine)),
                 Happening::Wipe(machine) => {
                     tier.view.alive.remove(&DiskId(disks[&machine]));
--- a/crates/control/tests/tracker.rs
+++ b/crates/control/tests/tracker.rs
@@ -33,7 +33,11 @@
     assert_eq!(tracker.next_loss(), at(10_400));
     let view = tracker.tick(at(10_400), &[store(1), store(2)]);
     assert_eq!(view.lost.into_iter().collect::<Vec<_>>(), [DiskId(2)]);
-    assert!(view.long_lost.is_empty() && !view.calm);
+    assert!(view.surely_lost.is_empty() && view.long_lost.is_empty() && !view.calm);
+    assert_eq!(tracker.next_loss(), at(11_100));
+    tracker.report(at(11_000), KEEPER, vec![store(1)]);
+    let view = tracker.tick(at(11_100), &[store(1), store(2)]);
+    assert_eq!(view.surely_lost.into_iter().collect::<Vec<_>>(), [DiskId(2)]);
 }
 
 #[test]
--- a/crates/node/src/store/core.rs
+++ b/crates/node/src/store/core.rs
@@ -160,6 +160,7 @@
                 }
                 Command::WriteBatch { records } => self.put(DiskJob::Write(records)),
                 Command::RemoveSegment { segment } => self.put(DiskJob::Remove(SegmentNumber(segment))),
+                Command::WriteMapVersion { version } => self.put(DiskJob::WriteMapVersion(version)),
                 Command::Report => self.report(),
             }
         }
--- a/crates/node/src/store/disk.rs
+++ b/crates/node/src/store/disk.rs
@@ -5,7 +5,7 @@
 
 use juniperwing_protocol::DiskId;
 use juniperwing_sessions::{Event, Limits, Store, StoredRecord, decode_batch, encode_batch};
-use juniperwing_storage::{SegmentFiles, SegmentNumber, StorageError};
+use juniperwing_storage::{SegmentFiles, SegmentNumber, StorageError, VersionFiles};
 use slog::{Logger, info, warn};
 use tokio::sync::mpsc;
 
@@ -13,16 +13,20 @@
 
 /// The folder of the batches within the data folder.
 const FOLDER: &str = "sessions";
+/// The name of the state with the map version.
+const MAP_VERSION: &str = "map-version";
 
 /// What is to be done on disk.
 pub(super) enum DiskJob {
     Write(Vec<StoredRecord>),
     Remove(SegmentNumber),
+    WriteMapVersion(u64),
 }
 
-/// The batches of a store.
+/// The batches of a store, and the map version that it must not fall behind.
 pub(super) struct Disk {
     files: SegmentFiles,
+    map_version: VersionFiles,
 }
 
 impl Disk {
@@ -42,57 +46,68 @@
                 Err(e) => warn!(log, "a batch cannot be read"; "number" => batch.segment.0, "why" => %e),
             }
         })?;
+        let (map_version, newest) = VersionFiles::open(folder, MAP_VERSION)?;
+        if let Some(version) = newest.and_then(|bytes| bytes.try_into().ok()).map(u64::from_le_bytes) {
+            store.recover_map_version(version);
+        }
         info!(log, "recovered"; "batches" => batches);
-        Ok((Disk { files }, store))
+        Ok((Disk { files, map_version }, store))
     }
 
     /// Does the jobs that come, until no more can.
     pub(super) async fn run(self, mut jobs: mpsc::UnboundedReceiver<DiskJob>, core: Arc<Core>, log: Logger) {
-        let mut files = self.files;
+        let mut disk = self;
         let mut waiting = Vec::new();
         while jobs.recv_many(&mut waiting, usize::MAX).await > 0 {
             let taken = std::mem::take(&mut waiting);
             let done = tokio::task::spawn_blocking(move || {
-                let outcome = work(&mut files, taken);
-                (files, outcome)
+                let outcome = disk.work(taken);
+                (disk, outcome)
             });
             let Ok((returned, outcome)) = done.await else { return };
-            files = returned;
+            disk = returned;
             for failure in outcome.failures {
                 warn!(log, "the disk refuses"; "why" => failure.to_string());
             }
-            if let Some(event) = outcome.written {
+            for event in outcome.events {
                 core.handle(event);
             }
         }
     }
+
+    fn work(&mut self, jobs: Vec<DiskJob>) -> Outcome {
+        let mut outcome = Outcome::default();
+        for job in jobs {
+            match job {
+                DiskJob::Write(records) => match write(&mut self.files, &records) {
+                    Ok(event) => outcome.events.push(event),
+                    Err(failure) => {
+                        outcome.events.push(Event::BatchFailed);
+                        outcome.failures.extend(failure);
+                    }
+                },
+                // One that stays counts for nothing; it goes after the next start.
+                DiskJob::Remove(segment) => outcome.failures.extend(self.files.remove(segment).err()),
+                DiskJob::WriteMapVersion(version) => match self.map_version.write(&version.to_le_bytes()) {
+                    Ok(()) => outcome.events.push(Event::MapVersionWritten { version }),
+                    Err(failure) => {
+                        outcome.events.push(Event::MapVersionFailed);
+                        outcome.failures.push(failure);
+                    }
+                },
+            }
+        }
+        outcome
+    }
 }
 
 #[derive(Default)]
 struct Outcome {
-    /// The end of the batch; there is one at a time.
-    written: Option<Event>,
+    /// The ends of what was written.
+    events: Vec<Event>,
     failures: Vec<StorageError>,
 }
 
-fn work(files: &mut SegmentFiles, jobs: Vec<DiskJob>) -> Outcome {
-    let mut outcome = Outcome::default();
-    for job in jobs {
-        match job {
-            DiskJob::Write(records) => match write(files, &records) {
-                Ok(event) => outcome.written = Some(event),
-                Err(failure) => {
-                    outcome.written = Some(Event::BatchFailed);
-                    outcome.failures.extend(failure);
-                }
-            },
-            // One that stays counts for nothing; it goes after the next start.
-            DiskJob::Remove(segment) => outcome.failures.extend(files.remove(segment).err()),
-        }
-    }
-    outcome
-}
-
 /// Writes a batch; the error is `None` if the records cannot be encoded.
 fn write(files: &mut SegmentFiles, records: &[StoredRecord]) -> Result<Event, Option<StorageError>> {
     let contents = encode_batch(records).map_err(|_| None)?;
--- a/crates/node/tests/stores/mod.rs
+++ b/crates/node/tests/stores/mod.rs
@@ -110,6 +110,7 @@
             primary: in_sync[partition % in_sync.len()],
             in_sync: in_sync.to_vec(),
             joining: joining.to_vec(),
+            lost_copies: 0,
         });
         let stores = state.stores.values().map(|(store, _)| store.clone()).collect();
         state.map = Arc::new(StoreMap { version, stores, partitions: partitions.collect() });
--- a/crates/protocol/src/subscription.rs
+++ b/crates/protocol/src/subscription.rs
@@ -126,6 +126,9 @@
     pub in_sync: Vec<DiskId>,
     /// Stores that are being filled and are sent every write, but whose confirmation is not waited for.
     pub joining: Vec<DiskId>,
+    /// How many of the required copies may be missing while the machines that should hold them are lost. It is 0
+    /// as soon as any other store can hold one.
+    pub lost_copies: u16,
 }
 
 impl StoreMap {
--- a/crates/sessions/src/event.rs
+++ b/crates/sessions/src/event.rs
@@ -62,6 +62,13 @@
     },
     /// The batch under way could not be written.
     BatchFailed,
+    /// The map version is on disk.
+    MapVersionWritten {
+        /// The version.
+        version: u64,
+    },
+    /// The map version could not be written.
+    MapVersionFailed,
     /// The time that [`crate::Store::next_wake`] named has come.
     Tick,
 }
@@ -103,6 +110,12 @@
         /// Its number.
         segment: u64,
     },
+    /// Write the map version and sync it; tell the end by [`Event::MapVersionWritten`] or
+    /// [`Event::MapVersionFailed`]. There is one at a time.
+    WriteMapVersion {
+        /// The version.
+        version: u64,
+    },
     /// Tell the keepers what [`crate::Store::caught_up`] returns.
     Report,
 }
--- a/crates/sessions/src/levelling.rs
+++ b/crates/sessions/src/levelling.rs
@@ -19,6 +19,8 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Lead {
     pub(crate) epoch: EpochNumber,
+    /// The version of the first map with this epoch.
+    since_version: u64,
     levels: BTreeMap<DiskId, Level>,
 }
 
@@ -83,6 +85,7 @@
         members.retain(|replica| *replica != self.disk);
         let lead = self.leads.entry(partition).or_default();
         lead.epoch = assignment.epoch;
+        lead.since_version = self.map.version;
         lead.levels.retain(|replica, _| members.contains(replica));
         let now = self.moment.now;
         for replica in members {
@@ -235,9 +238,7 @@
         if self.is_levelled(partition) {
             self.resume_waiting(partition);
         }
-        if !self.caught_up().is_empty() {
-            self.report();
-        }
+        self.report();
     }
 
     /// Tries again after a pause, from the comparison.
@@ -249,10 +250,16 @@
         self.timers.insert((at, Timer::Level(step.partition, step.replica)));
     }
 
-    /// The joining replicas that hold all that this store holds, of all partitions that it leads.
+    /// The joining replicas that hold all that this store holds, of all partitions that it leads, as far as the
+    /// keepers may be told: the map that made them join is on disk.
     pub fn caught_up(&self) -> Vec<CaughtUp> {
+        self.caught_up_since(self.map_version.on_disk())
+    }
+
+    /// Those of the maps up to a version.
+    fn caught_up_since(&self, newest: u64) -> Vec<CaughtUp> {
         let mut all = Vec::new();
-        for (partition, lead) in &self.leads {
+        for (partition, lead) in self.leads.iter().filter(|(_, lead)| lead.since_version <= newest) {
             let Some(assignment) = self.map.assignment(*partition) else { continue };
             let joined = assignment.joining.iter().filter(|replica| lead.has_reached(**replica));
             all.extend(joined.map(|replica| CaughtUp {
@@ -264,20 +271,34 @@
         all
     }
 
-    /// Has the keepers told, now and again until their map shows it.
+    /// Has the keepers told of the replicas that have caught up, now and again until their map shows it. What
+    /// may not be told yet is told as soon as the version of the map is on disk.
     pub(crate) fn report(&mut self) {
-        if !self.report_due {
-            self.report_due = true;
+        let version = self.map.version;
+        if self.report_due || self.caught_up_since(version).is_empty() {
+            return;
+        }
+        if self.caught_up().len() < self.caught_up_since(version).len() && self.map_version.request(version) {
+            self.commands.push(Command::WriteMapVersion { version });
+        }
+        if !self.caught_up().is_empty() {
+            self.commands.push(Command::Report);
+        }
+        self.report_due = true;
+        self.timers.insert((self.moment.now + REPORT_PAUSE, Timer::Report));
+    }
+
+    /// The version of the map is on disk: what it held up is told.
+    pub(crate) fn map_version_written(&mut self, version: u64) {
+        self.map_version.succeed(version);
+        if !self.caught_up().is_empty() {
             self.commands.push(Command::Report);
-            self.timers.insert((self.moment.now + REPORT_PAUSE, Timer::Report));
         }
     }
 
     /// The pause between two reports is over.
     pub(crate) fn report_again(&mut self) {
         self.report_due = false;
-        if !self.caught_up().is_empty() {
-            self.report();
-        }
+        self.report();
     }
 }
--- a/crates/sessions/src/lib.rs
+++ b/crates/sessions/src/lib.rs
@@ -13,6 +13,7 @@
 mod ledger;
 mod levelling;
 mod limits;
+mod map_version;
 mod merge;
 mod primary;
 mod program;
--- a/crates/sessions/src/primary.rs
+++ b/crates/sessions/src/primary.rs
@@ -257,10 +257,16 @@
         self.timers.insert((self.moment.now + ANSWER_WITHIN, Timer::Waiting(number)));
     }
 
-    /// Whether the map names enough replicas for anything to be acknowledged.
+    /// Whether the map names enough replicas for anything to be acknowledged: as many as required, but for those
+    /// that the keepers know to be lost.
     fn has_copies(&self, partition: PartitionId) -> bool {
         let in_sync = self.map.assignment(partition).map_or(0, |assignment| assignment.in_sync.len());
-        in_sync >= self.limits.required_copies
+        in_sync > 0 && in_sync + self.lost_copies(partition) >= self.limits.required_copies
+    }
+
+    /// How many of the required copies are on lost machines and not asked for.
+    pub(crate) fn lost_copies(&self, partition: PartitionId) -> usize {
+        self.map.assignment(partition).map_or(0, |assignment| usize::from(assignment.lost_copies))
     }
 
     /// Whether memory or disk is used up to the point from which on nothing new is admitted.
--- a/crates/sessions/src/store.rs
+++ b/crates/sessions/src/store.rs
@@ -16,6 +16,7 @@
 use crate::ledger::Ledger;
 use crate::levelling::Lead;
 use crate::limits::{Limits, RETRY_PAUSE, SWEEP_PAUSE};
+use crate::map_version::DurableMapVersion;
 use crate::primary::{Round, RoundId};
 use crate::program::{Place, record_bytes};
 use crate::table::Table;
@@ -67,6 +68,7 @@
     pub(crate) ledger: Ledger,
     pub(crate) timers: BTreeSet<(Time, Timer)>,
     pub(crate) report_due: bool,
+    pub(crate) map_version: DurableMapVersion,
     pub(crate) moment: Moment,
     pub(crate) commands: Vec<Command>,
     sweep_due: bool,
@@ -91,6 +93,7 @@
             ledger: Ledger::default(),
             timers: BTreeSet::new(),
             report_due: false,
+            map_version: DurableMapVersion::default(),
             moment: Moment::default(),
             commands: Vec::new(),
             sweep_due: false,
@@ -126,6 +129,11 @@
         }
     }
 
+    /// Takes the map version that was found on disk at the start. Older maps count for nothing from now on.
+    pub fn recover_map_version(&mut self, version: u64) {
+        self.map_version.recover(version);
+    }
+
     /// All batches have been taken: forgets what has expired, and returns what is to be done.
     pub fn recovered(&mut self, moment: Moment) -> Vec<Command> {
         self.moment = moment;
@@ -144,6 +152,8 @@
             Event::Answered { call, answer } => self.answered(call, answer),
             Event::BatchWritten { segment, bytes } => self.batch_written(segment, bytes),
             Event::BatchFailed => self.batch_failed(),
+            Event::MapVersionWritten { version } => self.map_version_written(version),
+            Event::MapVersionFailed => self.map_version.fail(),
             Event::Tick => {}
         }
         self.settle()
@@ -179,7 +189,7 @@
     }
 
     fn take_map(&mut self, map: Arc<StoreMap>) {
-        if map.version <= self.map.version {
+        if map.version <= self.map.version || map.version < self.map_version.on_disk() {
             return;
         }
         let before = std::mem::replace(&mut self.map, map);
--- a/crates/sessions/src/write.rs
+++ b/crates/sessions/src/write.rs
@@ -135,7 +135,7 @@
             return;
         }
         // Fewer copies than required: it stays until a map with more of them, or another primary.
-        if needed.len() + 1 < self.limits.required_copies {
+        if needed.len() + 1 + self.lost_copies(write.partition) < self.limits.required_copies {
             return;
         }
         if let Some(answer) = self.writes.remove(&id).and_then(|write| write.answer) {
--- a/crates/sessions/tests/common/cluster.rs
+++ b/crates/sessions/tests/common/cluster.rs
@@ -12,7 +12,7 @@
 
 use super::Chance;
 use super::clients::Clients;
-use super::node::Node;
+use super::node::{Node, REQUIRED};
 
 const PARTITIONS: usize = 4;
 /// Packets delivered in one step.
@@ -45,19 +45,22 @@
     packets: Vec<Packet>,
     askers: Vec<Asker>,
     map: StoreMap,
+    /// All maps there ever were: a keeper that lags behind may tell any of them.
+    history: Vec<Arc<StoreMap>>,
     cuts: BTreeSet<(usize, usize)>,
 }
 
 impl Cluster {
     pub fn new(seed: u64) -> Self {
         let mut chance = Chance::new(seed);
-        let nodes: Vec<Node> = (0..3 + seed as usize % 2).map(|n| Node::new(n, &mut chance)).collect();
+        let nodes: Vec<Node> = (0..2 + seed as usize % 3).map(|n| Node::new(n, &mut chance)).collect();
         let disks: Vec<DiskId> = nodes.iter().map(|node| node.disk).collect();
         let partitions = (0..PARTITIONS).map(|partition| Assignment {
             epoch: EpochNumber(1),
             primary: disks[partition % disks.len()],
             in_sync: disks.clone(),
             joining: Vec::new(),
+            lost_copies: 0,
         });
         let map = StoreMap { version: 1, stores: Vec::new(), partitions: partitions.collect() };
         let lives = vec![0; nodes.len()];
@@ -70,6 +73,7 @@
             packets: Vec::new(),
             askers: Vec::new(),
             map,
+            history: Vec::new(),
             cuts: BTreeSet::new(),
         };
         cluster.publish();
@@ -235,7 +239,10 @@
                     let life = self.lives[from];
                     self.packets.push(Packet::Call { from, life, to, call, request });
                 }
-                Command::Report | Command::WriteBatch { .. } | Command::RemoveSegment { .. } => {}
+                Command::Report
+                | Command::WriteBatch { .. }
+                | Command::RemoveSegment { .. }
+                | Command::WriteMapVersion { .. } => {}
             }
         }
     }
@@ -279,6 +286,7 @@
                 continue;
             }
             next.joining = present.iter().filter(|disk| !next.in_sync.contains(disk)).copied().collect();
+            next.lost_copies = if next.joining.is_empty() { lost_copies(next.in_sync.len()) } else { 0 };
             if !next.in_sync.contains(&next.primary) || self.chance.percent(5) {
                 next.primary = next.in_sync[self.chance.below(next.in_sync.len())];
             }
@@ -323,6 +331,7 @@
             })
             .collect();
         let map = Arc::new(self.map.clone());
+        self.history.push(map.clone());
         for to in 0..self.nodes.len() {
             self.packets.push(Packet::Map { to, map: map.clone() });
         }
@@ -383,5 +392,14 @@
         self.execute(number, commands);
         let map = Arc::new(self.map.clone());
         self.packets.push(Packet::Map { to: number, map });
+        if self.chance.percent(40) {
+            let map = self.history[self.chance.below(self.history.len())].clone();
+            self.packets.push(Packet::Map { to: number, map });
+        }
     }
 }
+
+/// The copies that may be missing while only so many stores are there.
+fn lost_copies(in_sync: usize) -> u16 {
+    REQUIRED.saturating_sub(in_sync) as u16
+}
--- a/crates/sessions/tests/common/node.rs
+++ b/crates/sessions/tests/common/node.rs
@@ -9,7 +9,9 @@
 
 use super::Chance;
 
-const LIMITS: Limits = Limits { required_copies: 2, memory_bytes: 1 << 30, disk_bytes: 1 << 30 };
+/// Copies required: the loss of one store is borne.
+pub const REQUIRED: usize = 2;
+const LIMITS: Limits = Limits { required_copies: REQUIRED, memory_bytes: 1 << 30, disk_bytes: 1 << 30 };
 const BATCH_FILE_BYTES: u64 = 100;
 
 pub struct Node {
@@ -26,6 +28,10 @@
     removed: BTreeMap<u64, Vec<StoredRecord>>,
     /// The batch that is being written.
     writing: Option<Vec<StoredRecord>>,
+    /// The map version on disk.
+    map_version: u64,
+    /// The map version that is being written.
+    writing_map_version: Option<u64>,
     last_segment: u64,
 }
 
@@ -41,6 +47,8 @@
             segments: BTreeMap::new(),
             removed: BTreeMap::new(),
             writing: None,
+            map_version: 0,
+            writing_map_version: None,
             last_segment: 0,
         };
         node.step_clock(chance);
@@ -76,6 +84,10 @@
                     assert!(self.writing.is_none(), "one batch at a time");
                     self.writing = Some(records);
                 }
+                Command::WriteMapVersion { version } => {
+                    assert!(self.writing_map_version.is_none(), "one map version at a time");
+                    self.writing_map_version = Some(version);
+                }
                 Command::RemoveSegment { segment } => {
                     let contents = self.segments.remove(&segment).expect("a segment that is there");
                     self.removed.insert(segment, contents);
@@ -88,11 +100,14 @@
 
     /// Whether a sync is under way.
     pub fn is_writing(&self) -> bool {
-        self.writing.is_some()
+        self.writing.is_some() || self.writing_map_version.is_some()
     }
 
     /// The sync ends, in some cases with an error.
     pub fn sync_ends(&mut self, now: Time, chance: &mut Chance) -> Vec<Command> {
+        if let Some(version) = self.writing_map_version.take() {
+            return self.map_version_ends(now, version, chance);
+        }
         let Some(records) = self.writing.take() else { return Vec::new() };
         if chance.percent(3) {
             return self.handle(now, Event::BatchFailed);
@@ -102,9 +117,20 @@
         self.handle(now, Event::BatchWritten { segment: self.last_segment, bytes: BATCH_FILE_BYTES })
     }
 
+    fn map_version_ends(&mut self, now: Time, version: u64, chance: &mut Chance) -> Vec<Command> {
+        if chance.percent(3) {
+            return self.handle(now, Event::MapVersionFailed);
+        }
+        self.map_version = version;
+        self.handle(now, Event::MapVersionWritten { version })
+    }
+
     /// The process is killed or the machine loses power: the batch under way may be there or not.
     pub fn kill(&mut self, chance: &mut Chance) {
         self.store = None;
+        if let Some(version) = self.writing_map_version.take().filter(|_| chance.percent(50)) {
+            self.map_version = version;
+        }
         if let Some(records) = self.writing.take().filter(|_| chance.percent(50)) {
             self.last_segment += 1;
             self.segments.insert(self.last_segment, records);
@@ -119,6 +145,7 @@
     pub fn wipe(&mut self) {
         self.segments.clear();
         self.removed.clear();
+        self.map_version = 0;
         self.disk = DiskId(self.disk.0 + 100);
     }
 
@@ -127,6 +154,7 @@
         for (number, records) in &self.segments {
             store.recover(self.moment(now), *number, BATCH_FILE_BYTES, records.clone());
         }
+        store.recover_map_version(self.map_version);
         let commands = store.recovered(self.moment(now));
         self.store = Some(store);
         self.use_disk(commands)
--- a/crates/sessions/tests/filling.rs
+++ b/crates/sessions/tests/filling.rs
@@ -26,6 +26,7 @@
         primary: DiskId(1),
         in_sync: vec![DiskId(1)],
         joining: vec![DiskId(2)],
+        lost_copies: 0,
     };
     let partitions = vec![assignment; PARTITIONS];
     Arc::new(StoreMap { version: 1, stores: vec![store(1), store(2)], partitions })
@@ -54,6 +55,9 @@
         open.extend(calls(store.handle(moment, Event::Answered { call, answer })));
     }
     assert!(most <= AT_ONCE, "{most} at once");
+    // Guard: `DurableMapVersion`. Nothing is told before the version of the map is on disk.
+    assert_eq!(store.caught_up().len(), 0);
+    store.handle(moment, Event::MapVersionWritten { version: 1 });
     assert_eq!(store.caught_up().len(), PARTITIONS - 1);
     let later = Moment { now: moment.now + Span::from_millis(1_000), ..moment };
     for call in calls(store.handle(later, Event::Tick)).collect::<Vec<_>>() {
--- a/crates/sessions/tests/traces.rs
+++ b/crates/sessions/tests/traces.rs
@@ -31,8 +31,13 @@
         zone: "zone".into(),
         address: SocketAddr::from(([127, 0, 0, 1], disk.0 as u16)),
     };
-    let assignment =
-        Assignment { epoch: EpochNumber(epoch), primary, in_sync: vec![OWN, OTHER], joining: Vec::new() };
+    let assignment = Assignment {
+        epoch: EpochNumber(epoch),
+        primary,
+        in_sync: vec![OWN, OTHER],
+        joining: Vec::new(),
+        lost_copies: 0,
+    };
     Arc::new(StoreMap { version, stores: vec![store(OWN), store(OTHER)], partitions: vec![assignment] })
 }
 
