A connection with a request half written goes at once instead of resting unread

Cause: an endpoint may answer a long request before it has read it. The HTTP library writes the rest of that body on, whole, and calls the connection ready only then, so no other bytes ever came in its place; but the connection rested among the idle ones for up to 4 s and held the body beyond the memory bound. Change: the pool takes back only connections that are ready for a request. The test of forgotten connections waits until its own is ready, as requests do.

--- a/crates/node/src/relay/upstream.rs
+++ b/crates/node/src/relay/upstream.rs
@@ -117,7 +117,8 @@
         let told =
             keep_alive.map(|seconds| Span::from_millis(seconds.saturating_mul(1_000)) - BEFORE_ITS_END);
         let keep = told.map_or(KEEP_IDLE, |told| told.min(KEEP_IDLE));
-        if keep == Span::ZERO || connection.sender.is_closed() {
+        // Not ready: the endpoint answered before it had read the request. Its rest must not hold up another.
+        if keep == Span::ZERO || connection.sender.is_closed() || !connection.sender.is_ready() {
             return;
         }
         let mut idle = self.lock();
--- a/crates/node/tests/relay/hostile/endpoint.rs
+++ b/crates/node/tests/relay/hostile/endpoint.rs
@@ -5,6 +5,8 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 
+use juniperwing_protocol::identity::{InstanceId, ServiceName};
+use juniperwing_protocol::registry::{Instance, InstanceState};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::{Notify, watch};
@@ -101,6 +103,19 @@
         HostileEndpoint { address, over, listening }
     }
 
+    /// What the relay is told of it.
+    pub fn instance(&self, number: usize) -> Instance {
+        Instance {
+            id: InstanceId(format!("i-{number}").into()),
+            service: ServiceName::from("s"),
+            address: self.address,
+            zone: "a".into(),
+            capacity: 8,
+            state: InstanceState::Ready,
+            sequence: 1,
+        }
+    }
+
     /// Ends the case: connections read on to their end. The relay must be gone.
     pub async fn finish(self) {
         self.over.send_replace(true);
--- a/crates/node/tests/relay/hostile/mod.rs
+++ b/crates/node/tests/relay/hostile/mod.rs
@@ -6,5 +6,6 @@
 pub mod client;
 pub mod endpoint;
 pub mod oracle;
+pub mod relay_thread;
 pub mod script;
 pub mod wire;
--- a/crates/node/tests/relay/hostile/script.rs
+++ b/crates/node/tests/relay/hostile/script.rs
@@ -5,6 +5,9 @@
 /// The events of a whole stream.
 pub const EVENTS: usize = 4;
 
+/// More than the buffers of two sockets hold.
+pub const LONG_BODY_BYTES: usize = 7 << 20;
+
 /// The route of a request; the prefixes are those of the routes in `support`.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Kind {
@@ -184,7 +187,7 @@
         Kind::Stream,
         Kind::ResumableStream,
     ]);
-    let body = prop_oneof![1 => Just(0), 3 => 1_usize..200, 1 => 20_000_usize..60_000];
+    let body = prop_oneof![10 => Just(0), 36 => 1_usize..200, 10 => 20_000_usize..60_000, 1 => Just(LONG_BODY_BYTES)];
     let replies = prop::collection::vec(reply(), 1..3);
     (kind, body, any::<bool>(), replies).prop_map(|(kind, body, in_chunks, replies)| RequestPlan {
         kind,
--- a/crates/node/tests/relay/hostile_answers.rs
+++ b/crates/node/tests/relay/hostile_answers.rs
@@ -3,22 +3,18 @@
 
 use std::collections::HashMap;
 use std::env;
-use std::net::SocketAddr;
 use std::sync::Arc;
-use std::thread::JoinHandle;
 
-use juniperwing_protocol::identity::{InstanceId, ServiceName};
-use juniperwing_protocol::registry::{Instance, InstanceState};
 use proptest::test_runner::{Config, RngAlgorithm, TestCaseError, TestRng, TestRunner};
 use tokio::runtime::Builder;
-use tokio::sync::oneshot;
 use tokio::task::JoinSet;
 
 use crate::hostile::client::{Outcome, play};
 use crate::hostile::endpoint::{HostileEndpoint, Stage};
 use crate::hostile::oracle::judge;
+use crate::hostile::relay_thread::RelayThread;
 use crate::hostile::script::{ClientPlan, RequestPlan, client_plans, request_id};
-use crate::support::{Bench, soon};
+use crate::support::soon;
 
 /// Cases for each seed.
 const CASES: u32 = 40;
@@ -49,7 +45,7 @@
     let stage = Stage::new(plans.clone());
     let endpoints = [HostileEndpoint::start(&stage), HostileEndpoint::start(&stage)];
     let instances =
-        endpoints.iter().enumerate().map(|(number, endpoint)| instance(number, endpoint)).collect();
+        endpoints.iter().enumerate().map(|(number, endpoint)| endpoint.instance(number)).collect();
     let relay = RelayThread::start(instances).await;
     let mut playing = JoinSet::new();
     for (number, client) in clients.into_iter().enumerate() {
@@ -67,38 +63,6 @@
     judge(&plans, &outcomes, &stage)
 }
 
-/// A relay on a thread and runtime of its own, so that all its sockets can be closed.
-struct RelayThread {
-    frontend: SocketAddr,
-    stop: oneshot::Sender<()>,
-    thread: JoinHandle<()>,
-}
-
-impl RelayThread {
-    async fn start(instances: Vec<Instance>) -> RelayThread {
-        let (started, starting) = oneshot::channel();
-        let (stop, stopped) = oneshot::channel();
-        let thread = std::thread::spawn(move || {
-            let runtime = Builder::new_current_thread().enable_all().build().unwrap();
-            runtime.block_on(async {
-                let bench = Bench::empty().await;
-                bench.configure_all(1);
-                bench.stores_known();
-                bench.tell(true, instances);
-                started.send(bench.frontend).unwrap();
-                let _ = stopped.await;
-            });
-        });
-        RelayThread { frontend: starting.await.unwrap(), stop, thread }
-    }
-
-    /// Closes all its connections at once.
-    fn end(self) {
-        let _ = self.stop.send(());
-        self.thread.join().unwrap();
-    }
-}
-
 fn by_id(clients: &[ClientPlan]) -> HashMap<String, RequestPlan> {
     let numbered = clients.iter().enumerate();
     let requests = numbered.flat_map(|(client, plan)| {
@@ -109,15 +73,3 @@
     });
     requests.collect()
 }
-
-fn instance(number: usize, endpoint: &HostileEndpoint) -> Instance {
-    Instance {
-        id: InstanceId(format!("i-{number}").into()),
-        service: ServiceName::from("s"),
-        address: endpoint.address,
-        zone: "a".into(),
-        capacity: 8,
-        state: InstanceState::Ready,
-        sequence: 1,
-    }
-}
--- a/crates/node/tests/relay/main.rs
+++ b/crates/node/tests/relay/main.rs
@@ -1,5 +1,6 @@
 //! A relay in this process, between clients and stand-ins for endpoints and stores on loopback.
 
+mod early;
 mod endpoint;
 mod events;
 mod framing;
--- a/crates/node/tests/relay/support.rs
+++ b/crates/node/tests/relay/support.rs
@@ -105,8 +105,8 @@
     graceS = 4
 "#;
 
-/// Routes of every kind. `KINDS` names their prefixes.
-const CONFIGURATION: &str = r#"{"generation":1,"routes":[
+/// Routes of every kind.
+pub const CONFIGURATION: &str = r#"{"generation":1,"routes":[
     {"name":"i","hostname":"h.example","pathPrefix":"/i/","routeType":"idempotent","timeoutMs":10000,"targetLatencyMs":4000,"priority":1,"backend":"s","maxRetries":2},
     {"name":"n","hostname":"h.example","pathPrefix":"/n/","routeType":"non_idempotent","timeoutMs":10000,"targetLatencyMs":4000,"priority":2,"backend":"s","maxRetries":2},
     {"name":"e","hostname":"h.example","pathPrefix":"/e/","routeType":"streaming","timeoutMs":10000,"targetLatencyMs":4000,"priority":0,"backend":"s","maxRetries":2,"resumable":false},
--- a/crates/node/tests/relay/unary.rs
+++ b/crates/node/tests/relay/unary.rs
@@ -342,7 +342,8 @@
     let endpoint = Endpoint::start("i-1", |request| ok(request, "")).await;
     let bench = Bench::empty().await;
     let (pool, id) = (&bench.core.pool, "i-1".into());
-    let connection = pool.connect(endpoint.address, Duration::from_secs(1)).await.unwrap();
+    let mut connection = pool.connect(endpoint.address, Duration::from_secs(1)).await.unwrap();
+    connection.sender.ready().await.unwrap();
     pool.give_back(&id, connection, None);
     assert!(pool.has_idle());
     pool.forget(&id);
