Requests that two readers could take apart differently are refused with 400

Cause: a request with two X-Request-Id or two Host lines was passed on with both, so an endpoint might run it under the other id; gzip before chunked was taken off unseen and the coded bytes passed on as the body; an HTTP/1.0 client got a stream whose end it could not tell from a break. Change: the front end refuses the first three with 400 and the last with 505; the rest of what may be smuggled is refused by the HTTP library, which the new tests show on the wire.

--- a/crates/node/src/relay/attempt.rs
+++ b/crates/node/src/relay/attempt.rs
@@ -12,7 +12,7 @@
 
 use super::Core;
 use super::dispatcher::Slot;
-use super::exchange::{Exchange, header_text};
+use super::exchange::{Exchange, has_other_transfer_coding, header_text};
 use super::fate::{Cause, Failure};
 use super::upstream::Connection;
 use crate::clock::duration;
@@ -155,13 +155,6 @@
     !parts.status.is_success() || stamped && plain
 }
 
-/// Whether the body is coded in another way than in chunks; the codes would reach the client as its bytes.
-fn has_other_transfer_coding(headers: &HeaderMap) -> bool {
-    let mut codings = headers.get_all(TRANSFER_ENCODING).iter();
-    codings.next().is_some_and(|first| !first.as_bytes().eq_ignore_ascii_case(b"chunked"))
-        || codings.next().is_some()
-}
-
 /// Whether the end of the body is told otherwise than by the end of the connection.
 fn is_delimited(exchange: &Exchange, parts: &response::Parts) -> bool {
     let bodiless = exchange.method == Method::HEAD
--- a/crates/node/src/relay/exchange.rs
+++ b/crates/node/src/relay/exchange.rs
@@ -114,7 +114,14 @@
     value.to_str().unwrap_or("")
 }
 
-/// Removes the headers that concern only one connection, and the length: the body's framing is made anew.
+/// Whether a body is coded in another way than in chunks; the codes would be passed on as its bytes.
+pub fn has_other_transfer_coding(headers: &HeaderMap) -> bool {
+    let mut codings = headers.get_all(header::TRANSFER_ENCODING).iter();
+    codings.next().is_some_and(|first| !first.as_bytes().eq_ignore_ascii_case(b"chunked"))
+        || codings.next().is_some()
+}
+
+/// Removes the headers that concern only one connection.
 pub fn remove_hop_by_hop(headers: &mut HeaderMap) {
     const HOP_BY_HOP: [HeaderName; 8] = [
         header::CONNECTION,
--- a/crates/node/src/relay/frontend.rs
+++ b/crates/node/src/relay/frontend.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use http::header::{CONNECTION, CONTENT_LENGTH, EXPECT, HOST};
-use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, Uri};
+use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, Uri, Version};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -24,7 +24,7 @@
 use super::Core;
 use super::body::RelayBody;
 use super::connections::{ClientConnection, Watched};
-use super::exchange::{Exchange, header_number, header_text, remove_hop_by_hop};
+use super::exchange::{Exchange, has_other_transfer_coding, header_number, header_text, remove_hop_by_hop};
 use super::fate::{Fate, GivenUp, plain};
 use super::forward::forward;
 use super::memory::Held;
@@ -140,6 +140,10 @@
     let route = find_route(core, in_force, &request)?;
     let limits = in_force.table.limits();
     check_head(&request, limits)?;
+    // An HTTP/1.0 client could not tell a stream's end from a break.
+    if request.version() < Version::HTTP_11 && route.route_type.is_streaming() {
+        return Err(Refused::Finally(StatusCode::HTTP_VERSION_NOT_SUPPORTED));
+    }
     let (parts, body) = request.into_parts();
     let deadline = begun + time_allowed(&route, &parts.headers);
     let (body, mut held) = read_body(core, body, limits, deadline).await?;
@@ -175,7 +179,13 @@
     if header_number(request.headers(), CONTENT_LENGTH.as_str()) > Some(limits.max_body_bytes) {
         return Err(Refused::Finally(StatusCode::PAYLOAD_TOO_LARGE));
     }
-    if !request.headers().contains_key(headers::REQUEST_ID) {
+    check_unambiguous(request.headers())
+}
+
+/// Whether an endpoint can only read the request as it is read here.
+fn check_unambiguous(lines: &HeaderMap) -> Result<(), Refused> {
+    let count = |name: &str| lines.get_all(name).iter().count();
+    if count(headers::REQUEST_ID) != 1 || count(HOST.as_str()) > 1 || has_other_transfer_coding(lines) {
         return Err(Refused::Finally(StatusCode::BAD_REQUEST));
     }
     Ok(())
--- a/crates/node/tests/relay/main.rs
+++ b/crates/node/tests/relay/main.rs
@@ -7,6 +7,7 @@
 mod hostile;
 mod hostile_answers;
 mod lifecycle;
+mod smuggling;
 mod streams;
 mod support;
 mod turns;
