Proper requests are not refused for many header lines or a limit that has risen

Cause: the HTTP library takes 100 header lines at most, counted the first line of a request into the bytes allowed for its headers, and kept the bound of a connection's first configuration, so proper requests got its 431. Now 512 lines, 8 KiB beside the headers, and connections that cannot read what is allowed now end as they rest. Before a configuration is known every request gets 503, with a test.

--- a/crates/node/src/relay/connections.rs
+++ b/crates/node/src/relay/connections.rs
@@ -24,6 +24,8 @@
     rests_since: AtomicU64,
     /// When the first byte of a head came; 0 if none has.
     head_since: AtomicU64,
+    /// The largest head that this connection can read, in bytes.
+    most_head_bytes: u64,
     /// It should end as soon as it rests.
     pub finish: Notify,
     /// It should end at once.
@@ -31,11 +33,12 @@
 }
 
 impl ClientConnection {
-    fn new() -> Self {
+    fn new(most_head_bytes: u64) -> Self {
         ClientConnection {
             busy: AtomicBool::new(false),
             rests_since: AtomicU64::new(nanos()),
             head_since: AtomicU64::new(0),
+            most_head_bytes,
             finish: Notify::new(),
             cut: Notify::new(),
         }
@@ -54,8 +57,12 @@
         }
     }
 
-    /// Ends it if it has rested, or its head has taken, for too long.
+    /// Ends it if it has rested, or its head has taken, for too long, or if larger heads are allowed now than it can
+    /// read.
     fn check(&self, now: Time, limits: &Limits) {
+        if limits.max_header_bytes > self.most_head_bytes {
+            self.finish.notify_one();
+        }
         if self.busy.load(Ordering::Relaxed) {
             return;
         }
@@ -105,10 +112,10 @@
 }
 
 impl Connections {
-    /// Lists a new connection.
-    pub fn add(self: &Arc<Self>) -> Listed {
+    /// Lists a new connection, which reads heads of up to `most_head_bytes`.
+    pub fn add(self: &Arc<Self>, most_head_bytes: u64) -> Listed {
         let number = self.next.fetch_add(1, Ordering::Relaxed);
-        let connection = Arc::new(ClientConnection::new());
+        let connection = Arc::new(ClientConnection::new(most_head_bytes));
         self.lock().insert(number, Arc::clone(&connection));
         Listed { connections: Arc::clone(self), number, connection }
     }
--- a/crates/node/src/relay/frontend.rs
+++ b/crates/node/src/relay/frontend.rs
@@ -34,10 +34,12 @@
 
 /// The pause after a connection could not be accepted.
 const PAUSE_AFTER_FAILURE: Duration = Duration::from_millis(50);
-/// The least buffer that the HTTP library takes, in bytes.
-const LEAST_BUFFER_BYTES: usize = 8 << 10;
+/// Room for the first line of a request beside its headers, in bytes. The HTTP library's least buffer is as large.
+const REQUEST_LINE_BYTES: usize = 8 << 10;
 /// Connections beyond the bound that are still told to come back later; more are closed at once.
 const REFUSED_POLITELY: usize = 64;
+/// Header lines of a request at the most; the bytes that they may take together are the operator's to bound.
+const MOST_HEADERS: usize = 512;
 /// Bytes that a header takes beside its name and value.
 const HEADER_OVERHEAD: usize = 4;
 
@@ -63,9 +65,9 @@
 async fn serve_connection(core: Arc<Core>, stream: TcpStream, has_room: bool) {
     // Without it answers only come later.
     let _ = stream.set_nodelay(true);
-    let listed = core.connections.add();
-    let connection = Arc::clone(&listed.connection);
     let limits = core.world.snapshot().limits();
+    let listed = core.connections.add(limits.max_header_bytes);
+    let connection = Arc::clone(&listed.connection);
     let service = {
         let (core, connection) = (Arc::clone(&core), Arc::clone(&connection));
         service_fn(move |request| {
@@ -75,7 +77,8 @@
     let mut builder = http1::Builder::new();
     builder.header_read_timeout(None);
     builder.auto_date_header(false);
-    builder.max_buf_size((limits.max_header_bytes as usize).max(LEAST_BUFFER_BYTES));
+    builder.max_headers(MOST_HEADERS);
+    builder.max_buf_size((limits.max_header_bytes as usize).saturating_add(REQUEST_LINE_BYTES));
     let watched = Watched { stream, connection: Arc::clone(&connection) };
     let served = builder.serve_connection(TokioIo::new(watched), service);
     tokio::pin!(served);
--- a/crates/node/tests/relay/main.rs
+++ b/crates/node/tests/relay/main.rs
@@ -4,6 +4,7 @@
 mod endpoint;
 mod events;
 mod lifecycle;
+mod refusals;
 mod streams;
 mod support;
 mod turns;
--- /dev/null
+++ b/crates/node/tests/relay/refusals.rs
@@ -0,0 +1,73 @@
+//! Which requests a relay refuses by itself: none that is proper, and none for good before it has a configuration.
+
+use http::{HeaderName, StatusCode};
+use tokio::io::AsyncReadExt;
+use tokio::net::TcpStream;
+
+use crate::endpoint::{Endpoint, ok};
+use crate::support::{Bench, read, request, soon, with_headers};
+
+/// One route, with these limits.
+fn limited(header_bytes: u64) -> String {
+    format!(
+        r#"{{"generation":2,"routes":[{{"name":"i","hostname":"h.example","pathPrefix":"/i/","routeType":"idempotent",
+        "timeoutMs":10000,"targetLatencyMs":4000,"priority":1,"backend":"s","maxRetries":2}}],
+        "backends":[{{"name":"s","healthCheck":"/healthz","maxConnections":100,"protocol":"h1","tls":false}}],
+        "limits":{{"maxHeaderBytes":{header_bytes},"maxBodyBytes":65536,"headerTimeoutMs":3000,"idleTimeoutMs":100000}}}}"#
+    )
+}
+
+// Guard: `respond` asks for the configuration before it looks at the request.
+#[tokio::test]
+async fn before_a_configuration_is_known_every_request_may_come_again() {
+    let bench = Bench::empty().await;
+    let long = "x".repeat(20_000);
+    let requests = [
+        request("GET", "/i/x", "a1", ""),
+        request("GET", "/nowhere", "a2", ""),
+        request("POST", "/n/x", "a3", &"x".repeat(70_000)),
+        with_headers(request("GET", "/i/x", "a4", ""), &[("x-long", &long)]),
+        with_headers(request("POST", "/k/x", "a5", "in"), &[("previous", "t1"), ("budget", "10")]),
+        with_headers(request("GET", "/i/x", "a6", ""), &[("authorization", "Bearer x")]),
+    ];
+    for sent in requests {
+        let line = format!("{} {}", sent.method(), sent.uri());
+        let answer = read(bench.send(sent).await).await;
+        assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE, "{line}");
+        assert!(answer.header("retry-after").parse::<f64>().unwrap() > 0.0, "{line}");
+    }
+}
+
+// Guards: `MOST_HEADERS`, and `REQUEST_LINE_BYTES` in the bound of the read buffer.
+#[tokio::test]
+async fn a_request_within_the_limits_is_not_refused_for_its_form() {
+    let endpoint = Endpoint::start("i-1", |request| ok(request, "")).await;
+    let bench = Bench::with(&[&endpoint]).await;
+    let mut many = request("GET", "/i/x", "a1", "");
+    for number in 0..300 {
+        let name = HeaderName::try_from(format!("x-{number}")).unwrap();
+        many.headers_mut().insert(name, "1".parse().unwrap());
+    }
+    assert_eq!(read(bench.send(many).await).await.status, StatusCode::OK, "many header lines");
+    let path = format!("/i/{}", "y".repeat(4_000));
+    let long = "x".repeat(15_900);
+    let long = with_headers(request("GET", &path, "a2", ""), &[("x-long", &long)]);
+    assert_eq!(read(bench.send(long).await).await.status, StatusCode::OK, "a long first line");
+    let full = request("POST", "/n/x", "a3", &"x".repeat(65_536));
+    assert_eq!(read(bench.send(full).await).await.status, StatusCode::OK, "the largest body");
+}
+
+// Guard: `ClientConnection::check` ends connections that cannot read the heads allowed now.
+#[tokio::test]
+async fn heads_are_bounded_by_the_configuration_in_force_on_kept_connections_too() {
+    let endpoint = Endpoint::start("i-1", |request| ok(request, "")).await;
+    let bench = Bench::with(&[&endpoint]).await;
+    let mut kept = soon(TcpStream::connect(bench.frontend)).await.unwrap();
+    assert_eq!(bench.get("/i/x").await.status, StatusCode::OK);
+    bench.configure(2, &limited(60_000));
+    // It would refuse a larger head, so it is ended while it rests.
+    assert_eq!(soon(kept.read(&mut [0; 8])).await.unwrap(), 0);
+    let long = "x".repeat(50_000);
+    let sent = with_headers(request("GET", "/i/x", "a1", ""), &[("x-long", &long)]);
+    assert_eq!(read(bench.send(sent).await).await.status, StatusCode::OK);
+}
