Answers end with their deadline also where the client does not read

Cause: a stream's deadline was looked at only when the client took bytes, so one that does not read held its endpoint and slot for ever; keeping a turn took up to a second beyond the deadline; an X-Deadline-Ms with a fraction counted as none, and more time than the client's was handed on. Now the connection is cut within 0.4 s of the deadline, a turn is kept within 0.1 s of it, and fractions are read. Tests cover every wait of a request and what endpoints are told, on resends too.

--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -56,8 +56,8 @@
 use snapshot::World;
 use upstream::Pool;
 
-/// How often idle connections are looked through.
-const SWEEP_EVERY: Duration = Duration::from_secs(1);
+/// How often connections whose time may be over are looked through.
+const SWEEP_EVERY: Duration = Duration::from_millis(250);
 /// For how long connections are still accepted after the platform wants an end: its checks come every second.
 const ACCEPT_ON: Duration = Duration::from_millis(1_100);
 /// What is kept of the time that the platform leaves for an end.
@@ -241,7 +241,7 @@
     TcpListener::bind(address).await
 }
 
-/// Closes idle connections whose time is over, and logs counters.
+/// Closes connections whose time is over, and logs counters.
 async fn upkeep(core: Arc<Core>, log: Logger) {
     let mut ticks = interval(SWEEP_EVERY);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
--- a/crates/node/src/relay/connections.rs
+++ b/crates/node/src/relay/connections.rs
@@ -7,7 +7,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll};
 
-use juniperwing_clock::Time;
+use juniperwing_clock::{Span, Time};
 use juniperwing_configuration::Limits;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
@@ -15,6 +15,9 @@
 
 use crate::clock::now;
 
+/// How long after a request's deadline its connection is cut if the client has not taken in the answer.
+const PAST_DEADLINE: Span = Span::from_millis(150);
+
 /// One connection of a client.
 #[derive(Debug)]
 pub struct ClientConnection {
@@ -24,6 +27,8 @@
     rests_since: AtomicU64,
     /// When the first byte of a head came; 0 if none has.
     head_since: AtomicU64,
+    /// When the answer under way must have ended; `u64::MAX` while that is not known.
+    answer_by: AtomicU64,
     /// The largest head that this connection can read, in bytes.
     most_head_bytes: u64,
     /// It should end as soon as it rests.
@@ -38,6 +43,7 @@
             busy: AtomicBool::new(false),
             rests_since: AtomicU64::new(nanos()),
             head_since: AtomicU64::new(0),
+            answer_by: AtomicU64::new(u64::MAX),
             most_head_bytes,
             finish: Notify::new(),
             cut: Notify::new(),
@@ -46,24 +52,35 @@
 
     /// Marks the begin of a request; it is open until the guard is dropped.
     pub fn open_request(self: &Arc<Self>) -> RequestGuard {
+        self.answer_by.store(u64::MAX, Ordering::Relaxed);
         self.busy.store(true, Ordering::Relaxed);
         self.head_since.store(0, Ordering::Relaxed);
         RequestGuard(Arc::clone(self))
     }
 
+    /// The answer that now goes out ends by `deadline`, however slowly the client reads it.
+    pub fn set_deadline(&self, deadline: Time) {
+        let latest = (deadline + PAST_DEADLINE).since(Time::default());
+        self.answer_by.store(latest.nanos(), Ordering::Relaxed);
+    }
+
     fn heard(&self) {
         if !self.busy.load(Ordering::Relaxed) && self.head_since.load(Ordering::Relaxed) == 0 {
             self.head_since.store(nanos(), Ordering::Relaxed);
         }
     }
 
-    /// Ends it if it has rested, or its head has taken, for too long, or if larger heads are allowed now than it can
-    /// read.
+    /// Ends it if it has rested, or its head or its answer has taken, for too long, or if larger heads are allowed
+    /// now than it can read.
     fn check(&self, now: Time, limits: &Limits) {
         if limits.max_header_bytes > self.most_head_bytes {
             self.finish.notify_one();
         }
         if self.busy.load(Ordering::Relaxed) {
+            let answer_by = Time::from_nanos(self.answer_by.load(Ordering::Relaxed));
+            if now > answer_by {
+                self.cut.notify_one();
+            }
             return;
         }
         let head_since = self.head_since.load(Ordering::Relaxed);
@@ -125,7 +142,7 @@
         self.lock().len()
     }
 
-    /// Ends those that have rested too long.
+    /// Ends those that have rested, or answered, too long.
     pub fn sweep(&self, limits: &Limits) {
         let now = now();
         self.lock().values().for_each(|connection| connection.check(now, limits));
--- a/crates/node/src/relay/frontend.rs
+++ b/crates/node/src/relay/frontend.rs
@@ -98,7 +98,7 @@
     let open = connection.open_request();
     core.metrics.requests.add();
     let mut answer = if has_room {
-        respond(&core, request).await.unwrap_or_else(|refused| refused.answer(&core))
+        respond(&core, &connection, request).await.unwrap_or_else(|refused| refused.answer(&core))
     } else {
         Refused::GivenUp(GivenUp::NoRoom).answer(&core)
     };
@@ -136,7 +136,9 @@
     }
 }
 
-async fn respond(core: &Arc<Core>, request: Request<Incoming>) -> Result<Response<RelayBody>, Refused> {
+async fn respond(
+    core: &Arc<Core>, connection: &ClientConnection, request: Request<Incoming>,
+) -> Result<Response<RelayBody>, Refused> {
     let begun = now();
     let snapshot = core.world.snapshot();
     let in_force = snapshot.configuration.as_ref().ok_or(Refused::GivenUp(GivenUp::NotConfigured))?;
@@ -156,7 +158,9 @@
     if !held.grow(exchange.body.len()) {
         return Err(Refused::GivenUp(GivenUp::NoRoom));
     }
-    Ok(forward(core, exchange, turn).await)
+    let answer = forward(core, exchange, turn).await;
+    connection.set_deadline(deadline);
+    Ok(answer)
 }
 
 fn find_route(core: &Core, in_force: &InForce, request: &Request<Incoming>) -> Result<Arc<Route>, Refused> {
@@ -186,8 +190,8 @@
 
 /// The shorter of what the client and what the operator allows.
 fn time_allowed(route: &Route, headers: &HeaderMap) -> Span {
-    let deadline = header_number(headers, headers::DEADLINE_MS).map(Span::from_millis);
-    deadline.map_or(route.timeout, |deadline| deadline.min(route.timeout))
+    let deadline: Option<f64> = header_text(headers, headers::DEADLINE_MS).trim().parse().ok();
+    deadline.map_or(route.timeout, |millis| Span::from_secs(millis / 1_000.0).min(route.timeout))
 }
 
 /// Reads the body whole, within its bounds.
--- a/crates/node/src/relay/stream.rs
+++ b/crates/node/src/relay/stream.rs
@@ -260,7 +260,10 @@
             self.core.pool.give_back(&endpoint, connection, self.source.keep_alive);
         }
         match self.turn.take() {
-            Some(turn) => turn.complete(&endpoint).await.map_err(|_| BrokenOff::NotKept),
+            Some(turn) => {
+                let left = self.exchange.deadline.since(now());
+                turn.complete(&endpoint, left).await.map_err(|_| BrokenOff::NotKept)
+            }
             None => Ok(()),
         }
     }
--- a/crates/node/src/relay/turn.rs
+++ b/crates/node/src/relay/turn.rs
@@ -1,7 +1,6 @@
 //! Turns of agent programs: budgets are reserved before a turn runs, and turns are kept where the route says so.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use bytes::{BufMut, Bytes, BytesMut};
 use http::StatusCode;
@@ -19,7 +18,9 @@
 use crate::clock::duration;
 
 /// The end of an answer is held back for so long at the most while its turn is being kept.
-const KEEP_WITHIN: Duration = Duration::from_millis(1_000);
+const KEEP_WITHIN: Span = Span::from_millis(1_000);
+/// Time to keep a turn whose answer ends just before its deadline.
+const KEEP_AT_DEADLINE: Span = Span::from_millis(100);
 /// The share of the time left that the stores may take to begin a turn.
 const BEGIN_SHARE: f64 = 0.5;
 
@@ -133,12 +134,13 @@
         }
     }
 
-    /// The answer has come to its end at an endpoint: the turn is kept before that end is passed on.
+    /// The answer has come to its end at an endpoint, with `left` until its deadline: the turn is kept before that
+    /// end is passed on.
     ///
     /// # Errors
     ///
     /// If it could not be kept in time: the answer must not look complete.
-    pub async fn complete(mut self, endpoint: &InstanceId) -> Result<(), SessionFault> {
+    pub async fn complete(mut self, endpoint: &InstanceId, left: Span) -> Result<(), SessionFault> {
         let Some(retention) = self.retention else { return Ok(()) };
         let turn = Turn {
             request: self.request.clone(),
@@ -149,7 +151,8 @@
             endpoint: Some(endpoint.0.clone()),
         };
         let finish = FinishTurn { kept: Some(turn), ..self.settled() };
-        self.sessions.finish(finish, KEEP_WITHIN).await?;
+        let within = KEEP_WITHIN.min(left + KEEP_AT_DEADLINE);
+        self.sessions.finish(finish, duration(within)).await?;
         self.reserved = false;
         Ok(())
     }
--- a/crates/node/tests/relay/main.rs
+++ b/crates/node/tests/relay/main.rs
@@ -1,6 +1,7 @@
 //! A relay in this process, between clients and stand-ins for endpoints and stores on loopback.
 
 mod client_left;
+mod deadlines;
 mod endpoint;
 mod events;
 mod lifecycle;
