A stream that a client takes up goes on behind the client's event

Cause: the relay knew only events that it had passed on itself, so an endpoint that repeats what the client named in Last-Event-Id had it repeated to the client. The client's id is now where the relay's own count begins, on routes that may be resumed. Tests: resumed by the client and then by the relay after a cut event, a resend before the first event, events with another version in any pieces, and no end before the endpoint's.

--- a/crates/node/src/relay/exchange.rs
+++ b/crates/node/src/relay/exchange.rs
@@ -65,6 +65,12 @@
         RequestId::from(text(&self.request))
     }
 
+    /// The event behind which the client wants its stream to go on, where it may be taken up so.
+    pub fn last_event_id(&self) -> Option<Bytes> {
+        let id = self.headers.get(headers::LAST_EVENT_ID).filter(|_| self.may_repeat());
+        id.map(|id| Bytes::copy_from_slice(id.as_bytes()))
+    }
+
     /// What the balancer is asked for it.
     pub fn ask(&self, excluded: Vec<InstanceId>) -> Ask {
         Ask {
--- a/crates/node/src/relay/stream.rs
+++ b/crates/node/src/relay/stream.rs
@@ -108,6 +108,7 @@
     // Another endpoint may go on with it: its length is not known.
     parts.headers.remove(CONTENT_LENGTH);
     let left = duration(exchange.deadline.since(now()));
+    let last_id = exchange.last_event_id();
     let passage = Passage {
         core: Arc::clone(core),
         exchange,
@@ -116,7 +117,7 @@
         source,
         slot,
         first: Some(first),
-        last_id: None,
+        last_id,
         until: Instant::now() + left,
         ended: false,
     };
@@ -136,7 +137,7 @@
     source: Source,
     slot: Option<Slot>,
     first: Option<Vec<Event>>,
-    /// The id of the last event passed on.
+    /// The id of the last event that the client has: passed on, or named by it.
     last_id: Option<Bytes>,
     until: Instant,
     ended: bool,
--- a/crates/node/tests/relay/main.rs
+++ b/crates/node/tests/relay/main.rs
@@ -6,6 +6,7 @@
 mod events;
 mod lifecycle;
 mod refusals;
+mod resumption;
 mod streams;
 mod support;
 mod turns;
