Tests: planned work cuts nothing that was read

Cause: only a stream during a stop had a test. Now also an endpoint that ends without draining, a configuration without the route of requests under way, and a stop while requests wait for slots, stores and endpoints. No change to the code.

--- a/crates/node/tests/relay/main.rs
+++ b/crates/node/tests/relay/main.rs
@@ -5,6 +5,7 @@
 mod endpoint;
 mod events;
 mod lifecycle;
+mod planned_work;
 mod refusals;
 mod resumption;
 mod streams;
