Tests: a spent budget outlasts all stores, and a line of turns goes through any relay

Cause: no test had a budget denied again after every store was killed, with a reservation that was never settled, nor turns of one line begun at two relays by turns. Both hold; no change to the code.

--- a/crates/node/tests/store.rs
+++ b/crates/node/tests/store.rs
@@ -164,3 +164,49 @@
     stores.keeper.subscribed(COUNT).await;
     assert_eq!(stores.client.finish(keep("p", "t3", Some("t2")), WITHIN).await, Ok(()));
 }
+
+// Guard: reservations and settled turns are records on disk like any other, kept turn or not.
+#[tokio::test]
+async fn a_spent_budget_stays_spent_through_the_loss_of_all_stores() {
+    let mut stores = Stores::start("spent").await;
+    stores.client.begin(begin("p", "settled", None, Some(100)), WITHIN).await.unwrap();
+    let settled = FinishTurn { kept: None, tokens: 40, ..keep("p", "settled", None) };
+    stores.client.finish(settled, WITHIN).await.unwrap();
+    // Begun and never settled: it counts at its most.
+    stores.client.begin(begin("p", "open", None, Some(100)), WITHIN).await.unwrap();
+    let next = |request: &str| begin("p", request, None, Some(100));
+    assert_eq!(stores.client.begin(next("before"), WITHIN).await, Err(SessionError::BudgetSpent));
+    for number in 0..COUNT {
+        stores.running[number].take().unwrap().kill();
+    }
+    assert_eq!(stores.client.begin(next("meanwhile"), SHORTLY).await, Err(SessionError::Unavailable));
+    (0..COUNT).for_each(|number| stores.restart(number));
+    // A program that loops asks again and again.
+    for request in ["after", "again", "before"] {
+        assert_eq!(stores.client.begin(next(request), WITHIN).await, Err(SessionError::BudgetSpent));
+    }
+    let other = stores.client.begin(begin("q", "first", None, Some(100)), WITHIN).await;
+    assert_eq!(other, Ok(Begun::default()));
+}
+
+// Guard: what a turn needs is at the stores, not at the relay that served the turn before.
+#[tokio::test]
+async fn a_line_of_turns_goes_on_through_another_relay_at_every_turn() {
+    let stores = Stores::start("zones").await;
+    let relays = [stores.client.clone(), stores.another_client()];
+    let mut before: Vec<Turn> = Vec::new();
+    for number in 0..6 {
+        let (relay, request) = (&relays[number % 2], format!("t{number}"));
+        let previous = before.last().map(|turn| turn.request.clone());
+        let previous = previous.as_ref().map(|previous| &*previous.0);
+        let begun = relay.begin(begin("p", &request, previous, Some(80)), WITHIN).await;
+        if number == 5 {
+            // Five turns of 10 tokens and the most of a sixth are more than the budget, through either relay.
+            assert_eq!(begun, Err(SessionError::BudgetSpent));
+            continue;
+        }
+        assert_eq!(begun, Ok(Begun { chain: before.clone() }));
+        relay.finish(keep("p", &request, previous), WITHIN).await.unwrap();
+        before.push(turn(&request, previous));
+    }
+}
--- a/crates/node/tests/stores/mod.rs
+++ b/crates/node/tests/stores/mod.rs
@@ -191,6 +191,11 @@
         stores
     }
 
+    /// The client of another relay.
+    pub fn another_client(&self) -> SessionsClient {
+        SessionsClient::new(Arc::new(LinkPool::new(Arc::new(Keeper::default()))), self.map.subscribe())
+    }
+
     /// Has the keeper and the client go by another map.
     pub fn assign(&self, in_sync: &[DiskId], joining: &[DiskId]) -> EpochNumber {
         let map = self.keeper.assign(in_sync, joining);
