--- a/crates/node/src/relay/stream.rs
+++ b/crates/node/src/relay/stream.rs
@@ -114,6 +114,7 @@
     // Another endpoint may go on with it: its length is not known.
     parts.headers.remove(CONTENT_LENGTH);
     let left = duration(exchange.deadline.since(now()));
+    let last_id = exchange.last_event_id();
     let passage = Passage {
         core: Arc::clone(core),
         exchange,
@@ -122,7 +123,7 @@
         source,
         slot,
         first: Some(first),
-        last_id: None,
+        last_id,
         until: Instant::now() + left,
         ended: false,
     };
@@ -142,7 +143,7 @@
     source: Source,
     slot: Option<Slot>,
     first: Option<Vec<Event>>,
-    /// The id of the last event passed on.
+    /// The id of the last event that the client has: passed on, or named by it.
     last_id: Option<Bytes>,
     until: Instant,
     ended: bool,
@@ -266,7 +267,10 @@
             self.core.pool.give_back(&endpoint, connection, self.source.keep_alive);
         }
         match self.turn.take() {
-            Some(turn) => turn.complete(&endpoint).await.map_err(|_| BrokenOff::NotKept),
+            Some(turn) => {
+                let left = self.exchange.deadline.since(now());
+                turn.complete(&endpoint, left).await.map_err(|_| BrokenOff::NotKept)
+            }
             None => Ok(()),
         }
     }
