Test: an endpoint may end without a drain, and its end is acknowledged when relays know

Cause: only ends after a drain had a test at three keepers. A heartbeat that was sent before the end and comes later does not bring the endpoint back. No change to the code.

--- a/crates/node/tests/keeper.rs
+++ b/crates/node/tests/keeper.rs
@@ -130,6 +130,21 @@
     assert_eq!(relay.instance_state("i-1"), Some(InstanceState::Gone));
 }
 
+// Guard: `end_instance` waits until what it changed has spread.
+#[tokio::test]
+async fn an_end_without_a_drain_is_acknowledged_when_relays_of_other_keepers_know() {
+    let keepers = Keepers::start(3).await;
+    assert_eq!(keepers.put(0, 0, &configuration(3)).await.status, 200);
+    let mut relay = Observer::subscribe(keepers.internal(1), Subscriber::Relay);
+    keepers.until_heartbeat(0, "i-1", &heartbeat("ready", 1)).await;
+    relay.until_instance("i-1", InstanceState::Ready).await;
+    keepers.until_deleted(2, "i-1").await;
+    assert_eq!(relay.instance_state("i-1"), Some(InstanceState::Gone));
+    // It serves on for a while, and a heartbeat that it sent before may come seconds late.
+    keepers.until_heartbeat(0, "i-1", &heartbeat("ready", 2)).await;
+    assert_eq!(relay.instance_state("i-1"), Some(InstanceState::Gone));
+}
+
 #[tokio::test]
 async fn bad_heartbeats_are_refused_with_findings() {
     let keepers = Keepers::start(1).await;
