--- a/crates/node/src/store/core.rs
+++ b/crates/node/src/store/core.rs
@@ -160,6 +160,7 @@
                 }
                 Command::WriteBatch { records } => self.put(DiskJob::Write(records)),
                 Command::RemoveSegment { segment } => self.put(DiskJob::Remove(SegmentNumber(segment))),
+                Command::WriteMapVersion { version } => self.put(DiskJob::WriteMapVersion(version)),
                 Command::Report => self.report(),
             }
         }
@@ -211,6 +212,7 @@
             match wake {
                 None => self.rearm.notified().await,
                 Some(wake) => tokio::select! {
+                    biased;
                     () = tokio::time::sleep(duration(wake.since(now()))) => self.handle(Event::Tick),
                     () = self.rearm.notified() => {}
                 },
