A relay that has lost all keepers denies no route

It answered 404 for a route that its configuration lacks, though a newer configuration may have it: without a keeper that answers, what is missing proves nothing, so it answers 503 and serves on what it holds. Stores need no change: 404 and 402 for turns are given only when the other replicas have confirmed the epoch after the question (a_primary_that_is_fenced_denies_nothing).

--- a/crates/node/src/relay/fate.rs
+++ b/crates/node/src/relay/fate.rs
@@ -82,6 +82,8 @@
     NoSessions,
     /// The relay has no configuration yet.
     NotConfigured,
+    /// No route is known, and all keepers are lost: a newer configuration may have one.
+    OutOfTouch,
     /// The relay has no room.
     NoRoom,
 }
@@ -94,7 +96,7 @@
             GivenUp::Full => 150,
             GivenUp::NoSessions => 200,
             GivenUp::NoEndpoint | GivenUp::NoRoom => 300,
-            GivenUp::NotConfigured => 500,
+            GivenUp::NotConfigured | GivenUp::OutOfTouch => 500,
         };
         Span::from_millis(millis)
     }
--- a/crates/node/src/relay/frontend.rs
+++ b/crates/node/src/relay/frontend.rs
@@ -172,6 +172,9 @@
     let host = if authority.is_empty() { header_text(request.headers(), HOST.as_str()) } else { authority };
     let route = in_force.table.lookup(host, request.uri().path());
     route.cloned().ok_or_else(|| {
+        if core.world.is_out_of_touch() {
+            return Refused::GivenUp(GivenUp::OutOfTouch);
+        }
         core.metrics.no_route.add();
         Refused::Finally(StatusCode::NOT_FOUND)
     })
--- a/crates/node/src/relay/metrics.rs
+++ b/crates/node/src/relay/metrics.rs
@@ -74,9 +74,11 @@
             GivenUp::NoEndpoint => self.no_endpoint.add(),
             GivenUp::Full => self.full.add(),
             GivenUp::NoSessions => self.no_sessions.add(),
-            GivenUp::NoTriesLeft | GivenUp::Broken | GivenUp::NotConfigured | GivenUp::NoRoom => {
-                self.other.add();
-            }
+            GivenUp::NoTriesLeft
+            | GivenUp::Broken
+            | GivenUp::NotConfigured
+            | GivenUp::OutOfTouch
+            | GivenUp::NoRoom => self.other.add(),
         }
     }
 
--- a/crates/node/src/relay/snapshot.rs
+++ b/crates/node/src/relay/snapshot.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashSet;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use juniperwing_balancing::{Destination, EndpointInfo};
@@ -88,6 +89,8 @@
     dispatcher: Arc<Dispatcher>,
     heartbeat: Span,
     stores: watch::Sender<Arc<StoreMap>>,
+    /// Whether all subscriptions to keepers are lost.
+    out_of_touch: AtomicBool,
     log: Logger,
 }
 
@@ -95,7 +98,8 @@
     /// A world in which nothing is known. Endpoints send a heartbeat every `heartbeat`.
     pub fn new(dispatcher: Arc<Dispatcher>, heartbeat: Span, log: Logger) -> Arc<Self> {
         let (stores, _) = watch::channel(Arc::default());
-        Arc::new(World { snapshot: Mutex::default(), dispatcher, heartbeat, stores, log })
+        let out_of_touch = AtomicBool::new(false);
+        Arc::new(World { snapshot: Mutex::default(), dispatcher, heartbeat, stores, out_of_touch, log })
     }
 
     /// What is known now.
@@ -113,6 +117,12 @@
         self.snapshot().is_complete(now(), self.heartbeat)
     }
 
+    /// Whether what is known may be out of date, because all subscriptions to keepers are lost. It still holds, but
+    /// that something is not in it proves nothing.
+    pub fn is_out_of_touch(&self) -> bool {
+        self.out_of_touch.load(Ordering::Relaxed)
+    }
+
     /// Another instance has answered at an endpoint's address: it is no more, until something newer is told.
     pub fn misdirected(&self, endpoint: &InstanceId) {
         let known = self.snapshot().instances.get(endpoint).cloned();
@@ -255,4 +265,8 @@
         let snapshot = self.snapshot();
         snapshot.configuration.as_ref().map_or_else(Version::default, |in_force| in_force.version)
     }
+
+    fn connected(&self, is_connected: bool) {
+        self.out_of_touch.store(!is_connected, Ordering::Relaxed);
+    }
 }
--- a/crates/node/src/subscriber.rs
+++ b/crates/node/src/subscriber.rs
@@ -33,6 +33,12 @@
 
     /// The configuration held; it is not sent again.
     fn configuration(&self) -> Version;
+
+    /// Whether a keeper that has answered is subscribed to, after that may have changed. What was told may be out
+    /// of date while none is.
+    fn connected(&self, is_connected: bool) {
+        let _ = is_connected;
+    }
 }
 
 /// The subscriptions of one process.
@@ -145,6 +151,7 @@
                 self.hold(address, &link, answered).await;
             }
             self.lock().links.retain(|place| place.keeper != address);
+            self.sink.connected(self.is_connected());
             self.changed.notify_waiters();
             tokio::time::sleep(RETRY_AFTER).await;
         }
@@ -179,6 +186,7 @@
         if let Some(place) = self.lock().links.iter_mut().find(|place| place.keeper == address) {
             place.answered = true;
         }
+        self.sink.connected(self.is_connected());
         link.closed().await;
     }
 
--- a/crates/node/tests/keeper_contact.rs
+++ b/crates/node/tests/keeper_contact.rs
@@ -178,7 +178,8 @@
 #[tokio::test]
 async fn an_end_that_is_known_here_is_refused_until_a_majority_has_it() {
     let (keepers, peers) = Keepers::start_among_peers(BACKUP).await;
-    keepers.until_heartbeat(BACKUP, "i-1", &heartbeat("ready", 1)).await;
+    // Acknowledged, so nothing is left that the others have not confirmed.
+    keepers.until_heartbeat(BACKUP, "i-0", &heartbeat("draining", 1)).await;
     set_gates(&peers, Gate { takes_instances: false, ..Gate::OPEN });
     peers[0].tell(keepers.internal(BACKUP), draining("i-1", 2)).await;
     assert_eq!(status_of_drain(&keepers, BACKUP, "i-1", 2).await, 503);
--- a/crates/node/tests/keepers/peer.rs
+++ b/crates/node/tests/keepers/peer.rs
@@ -2,7 +2,7 @@
 //!
 //! It takes part in the replication with a replica of its own, and answers what keepers ask each other.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
@@ -254,22 +254,31 @@
     }
 
     fn handle(self: &Arc<Self>, event: Event<ControlState>) {
-        let commands = self.lock().replica.handle(self.now(), event);
-        for command in commands {
-            match command {
-                Command::Send { to, message } => self.send(to, message),
-                Command::Persist { token, .. } => self.handle(Event::Persisted(token)),
-                Command::WakeAt(at) => {
-                    self.lock().wake_at = at;
-                    self.wake.notify_one();
-                }
-                Command::ReadDone { token, outcome } => self.answer_read(token, outcome.is_ok()),
-                Command::Committed(_) | Command::Proposed { .. } | Command::Role(_) => {}
-            }
+        // An event that follows from a command waits until all commands before it are carried out: an older
+        // time to wake must not replace a newer one.
+        let mut events = VecDeque::from([event]);
+        while let Some(event) = events.pop_front() {
+            let commands = self.lock().replica.handle(self.now(), event);
+            events.extend(commands.into_iter().filter_map(|command| self.carry_out(command)));
         }
         self.news.notify_waiters();
     }
 
+    /// Returns the event that follows at once.
+    fn carry_out(self: &Arc<Self>, command: Command) -> Option<Event<ControlState>> {
+        match command {
+            Command::Send { to, message } => self.send(to, message),
+            Command::Persist { token, .. } => return Some(Event::Persisted(token)),
+            Command::WakeAt(at) => {
+                self.lock().wake_at = at;
+                self.wake.notify_one();
+            }
+            Command::ReadDone { token, outcome } => self.answer_read(token, outcome.is_ok()),
+            Command::Committed(_) | Command::Proposed { .. } | Command::Role(_) => {}
+        }
+        None
+    }
+
     fn answer_read(&self, token: ReadToken, is_confirmed: bool) {
         let mut state = self.lock();
         let version = state.replica.committed().map(|committed| committed.version).filter(|_| is_confirmed);
--- a/crates/node/tests/relay/lifecycle.rs
+++ b/crates/node/tests/relay/lifecycle.rs
@@ -7,6 +7,7 @@
 
 use crate::endpoint::{Endpoint, Step, chunk, last_chunk, ok, stream_head};
 use crate::support::{Bench, connect, instance, next_piece, read, request, soon};
+use juniperwing_node::subscriber::Sink;
 use juniperwing_protocol::registry::InstanceState;
 
 async fn readiness(bench: &Bench) -> StatusCode {
@@ -39,6 +40,28 @@
     assert_eq!(bench.get("/i/x").await.status, StatusCode::NOT_FOUND);
 }
 
+/// Guard: `World::is_out_of_touch`. What a relay holds serves on; that it lacks a route proves nothing then.
+#[tokio::test]
+async fn a_relay_that_has_lost_all_keepers_serves_on_and_denies_no_route() {
+    let endpoint = Endpoint::start("i-1", |request| ok(request, "")).await;
+    let bench = Bench::with(&[&endpoint]).await;
+    assert_eq!(bench.get("/nowhere").await.status, StatusCode::NOT_FOUND);
+    bench.world.connected(false);
+    assert_eq!(bench.get("/nowhere").await.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(bench.get("/i/x").await.status, StatusCode::OK);
+    bench.world.connected(true);
+    assert_eq!(bench.get("/nowhere").await.status, StatusCode::NOT_FOUND);
+}
+
+/// Guard: a relay without a configuration gives requests up before it looks for a route.
+#[tokio::test]
+async fn a_relay_that_knows_no_configuration_denies_nothing() {
+    let bench = Bench::empty().await;
+    for path in ["/i/x", "/nowhere"] {
+        assert_eq!(bench.get(path).await.status, StatusCode::SERVICE_UNAVAILABLE);
+    }
+}
+
 #[tokio::test]
 async fn what_was_read_before_a_stop_is_finished() {
     let go_on = Arc::new(Notify::new());
--- a/crates/node/tests/subscriber.rs
+++ b/crates/node/tests/subscriber.rs
@@ -67,6 +67,8 @@
 struct Counter {
     updates: Mutex<usize>,
     told: Notify,
+    connected: Mutex<Vec<bool>>,
+    connection: Notify,
 }
 
 impl Sink for Counter {
@@ -82,6 +84,11 @@
     fn configuration(&self) -> Version {
         Version::default()
     }
+
+    fn connected(&self, is_connected: bool) {
+        self.connected.lock().unwrap().push(is_connected);
+        self.connection.notify_one();
+    }
 }
 
 fn subscribe() -> Subscribe {
@@ -109,7 +116,7 @@
     assert_eq!(*sink.updates.lock().unwrap(), 1);
 }
 
-/// Guard: members found are asked while no subscription was answered, not only while no link stands.
+/// At the latest when the silent keeper is left; at once in fact, which is not asserted: it is a matter of time.
 #[tokio::test]
 async fn while_no_keeper_answers_those_are_asked_that_the_membership_found() {
     let (silent, silent_keeper) = Keeper::start(false).await;
@@ -121,3 +128,28 @@
     found_keeper.until_subscriptions(1).await;
     timeout(PATIENCE, sink.told.notified()).await.expect("an update");
 }
+
+/// Guard: the sink is told when the last answered subscription ends. Links that nobody answers do not count.
+#[tokio::test]
+async fn the_sink_is_told_whether_any_keeper_answers() {
+    let (answering, keeper) = Keeper::start(true).await;
+    let (silent, silent_keeper) = Keeper::start(false).await;
+    let sink = Arc::new(Counter::default());
+    let subscriber = Subscriber::start(subscribe(), vec![answering, silent], 2, sink.clone());
+    keeper.until_subscriptions(1).await;
+    silent_keeper.until_subscriptions(1).await;
+    let answered = async {
+        while !subscriber.is_connected() {
+            sink.connection.notified().await
+        }
+    };
+    timeout(PATIENCE, answered).await.expect("an answer");
+    subscriber.suspend(true);
+    let lost = async {
+        while sink.connected.lock().unwrap().last() != Some(&false) {
+            sink.connection.notified().await
+        }
+    };
+    timeout(PATIENCE, lost).await.expect("the end");
+    assert!(sink.connected.lock().unwrap().contains(&true));
+}
