Tests of keepers that stand still while others take a configuration

A keeper's only thread is blocked, a relay subscribes meanwhile, and the first configuration that it is told must be the newer one, at a primary as at a backup.

--- a/crates/node/tests/keeper_contact.rs
+++ b/crates/node/tests/keeper_contact.rs
@@ -200,3 +200,31 @@
     relay.close();
     keepers.until_deleted(0, "i-1").await;
 }
+
+/// Has a keeper stand still while the others take another configuration and a relay subscribes to it. Once it goes
+/// on, the relay must not be told the older configuration, which the keeper still takes for current.
+async fn a_relay_subscribes_to_a_frozen_keeper(frozen: usize) {
+    let keepers = Keepers::start(3).await;
+    let other = (frozen + 1) % 3;
+    assert_eq!(keepers.put(other, 0, &configuration(3)).await.status, 200);
+    let mut before = Observer::subscribe(keepers.internal(frozen), Subscriber::Relay);
+    before.until_configuration(&configuration(3)).await;
+    let stands_still = keepers.freeze(frozen).await;
+    assert_eq!(keepers.put(other, 3, &configuration(4)).await.status, 200);
+    let mut relay = Observer::subscribe(keepers.internal(frozen), Subscriber::Relay);
+    relay.until_subscribed().await;
+    drop(stands_still);
+    relay.until_configuration(&configuration(4)).await;
+    assert_eq!(relay.configurations(), [configuration(4)]);
+}
+
+/// Guard: a read of the primary is confirmed by answers to heartbeats that were sent after the question.
+#[tokio::test]
+async fn a_primary_that_stood_still_tells_a_new_relay_nothing_old() {
+    a_relay_subscribes_to_a_frozen_keeper(PRIMARY).await;
+}
+
+#[tokio::test]
+async fn a_backup_that_stood_still_tells_a_new_relay_nothing_old() {
+    a_relay_subscribes_to_a_frozen_keeper(BACKUP).await;
+}
--- a/crates/node/tests/keepers/mod.rs
+++ b/crates/node/tests/keepers/mod.rs
@@ -15,7 +15,7 @@
 use juniperwing_node::keeper::run_until;
 use juniperwing_node::settings::{Port, Settings};
 use slog::{Discard, Logger, o};
-use tokio::sync::oneshot;
+use tokio::sync::{mpsc, oneshot};
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
@@ -54,9 +54,21 @@
 
 struct Running {
     stop: oneshot::Sender<End>,
+    freezes: mpsc::UnboundedSender<Freeze>,
     thread: std::thread::JoinHandle<()>,
 }
 
+/// Has a keeper stand still until the other end is dropped.
+struct Freeze {
+    stands_still: oneshot::Sender<()>,
+    until: std::sync::mpsc::Receiver<()>,
+}
+
+/// A keeper stands still for as long as this is held.
+pub struct Frozen {
+    _until: std::sync::mpsc::Sender<()>,
+}
+
 /// How a keeper is brought to its end.
 enum End {
     Orderly,
@@ -104,6 +116,7 @@
         let settings = self.settings[keeper].clone();
         let (listens, listening) = oneshot::channel();
         let (stop, mut stopped) = oneshot::channel();
+        let (freezes, mut frozen) = mpsc::unbounded_channel::<Freeze>();
         let thread = std::thread::spawn(move || {
             let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
             runtime.block_on(async {
@@ -114,6 +127,13 @@
                     let _ = listens.send(());
                     let _ = ended.await;
                 };
+                // Blocks the only thread of the keeper, so that nothing runs meanwhile.
+                tokio::spawn(async move {
+                    while let Some(Freeze { stands_still, until }) = frozen.recv().await {
+                        let _ = stands_still.send(());
+                        let _ = until.recv();
+                    }
+                });
                 let role = run_until(settings, log, stop);
                 tokio::pin!(role);
                 let end = tokio::select! {
@@ -126,10 +146,20 @@
                 }
             });
         });
-        self.running[keeper] = Some(Running { stop, thread });
+        self.running[keeper] = Some(Running { stop, freezes, thread });
         timeout(PATIENCE, listening).await.expect("in time").expect("the keeper listens");
     }
 
+    /// Has a keeper stand still, as by SIGSTOP: its sockets take connections and bytes, and nobody reads them.
+    pub async fn freeze(&self, keeper: usize) -> Frozen {
+        let (stands_still, frozen) = oneshot::channel();
+        let (sender, until) = std::sync::mpsc::channel();
+        let running = self.running[keeper].as_ref().expect("the keeper runs");
+        assert!(running.freezes.send(Freeze { stands_still, until }).is_ok());
+        timeout(PATIENCE, frozen).await.expect("in time").expect("the keeper stands still");
+        Frozen { _until: sender }
+    }
+
     /// Ends a keeper as the platform does in an orderly way.
     pub async fn stop(&mut self, keeper: usize) {
         self.end(keeper, End::Orderly).await;
--- a/crates/node/tests/keepers/observer.rs
+++ b/crates/node/tests/keepers/observer.rs
@@ -90,8 +90,9 @@
             continue;
         };
         let link = Link::start(stream, true, recorder.clone()).unwrap();
-        recorder.seen.lock().unwrap().link = Some(link.clone());
         link.send(Message::Subscribe(subscribe.clone()));
+        recorder.seen.lock().unwrap().link = Some(link.clone());
+        recorder.news.notify_waiters();
         link.closed().await;
     }
 }
@@ -143,6 +144,11 @@
         self.recorder.seen.lock().unwrap().configurations.clone()
     }
 
+    /// Waits until it has a link to the keeper, over which it subscribes.
+    pub async fn until_subscribed(&self) {
+        self.until(|seen| seen.link.as_ref().map(|_| ())).await;
+    }
+
     /// Waits until it is told anything.
     pub async fn until_told(&self) {
         self.until(|seen| (seen.updates > 0).then_some(())).await;
