--- a/crates/node/tests/keeper_contact.rs
+++ b/crates/node/tests/keeper_contact.rs
@@ -218,7 +218,7 @@
     assert_eq!(relay.configurations(), [configuration(4)]);
 }
 
-/// Guard: a read of the primary is confirmed by answers to heartbeats that were sent after the question.
+/// Guard: subscriptions wait for a confirmation (`Stage::Unconfirmed`).
 #[tokio::test]
 async fn a_primary_that_stood_still_tells_a_new_relay_nothing_old() {
     a_relay_subscribes_to_a_frozen_keeper(PRIMARY).await;
