What is read from disk at a start outlasts the next loss of power; damage is found

A process killed between writing and syncing (a rename before the folder's sync, a batch before its segment's) read it back at its next start as if it were durable and confirmed it to others; a loss of power then undid it. Opening syncs the folder, or the newest segment, first; a new segment's name is synced with its first batch. The two tests that asked for the silent fallback now ask for the damage, at every length and every garbled byte.

--- a/crates/storage/src/file.rs
+++ b/crates/storage/src/file.rs
@@ -1,4 +1,5 @@
 //! The layout of files: frames, each a magic number, the length of the contents, their checksum, the contents.
+//! A file of one version is one frame, whose contents begin with the number of the version.
 
 use std::io::Write;
 use std::path::Path;
@@ -6,24 +7,38 @@
 use snafu::ResultExt;
 
 use crate::disk::{self, File};
-use crate::error::{StorageError, StorageSnafu};
+use crate::error::{DamagedSnafu, OtherLayoutSnafu, RefusedSnafu, StorageError};
 
-const MAGIC: [u8; 8] = *b"JNPRWNG1";
-const HEADER_BYTES: usize = MAGIC.len() + 8 + 4;
+/// Begins a frame.
+type Magic = [u8; 8];
 
-/// Contents behind their header.
-pub(crate) fn frame(contents: &[u8]) -> Vec<u8> {
+/// Begins a batch of a segment; versions without their numbers began with it, too.
+const BATCH: Magic = *b"JNPRWNG1";
+/// Begins a version.
+const VERSION: Magic = *b"JNPRWNG2";
+const HEADER_BYTES: usize = size_of::<Magic>() + 8 + 4;
+
+/// A batch behind its header.
+pub(crate) fn batch_frame(contents: &[u8]) -> Vec<u8> {
+    frame(BATCH, contents)
+}
+
+fn frame(magic: Magic, contents: &[u8]) -> Vec<u8> {
     let mut bytes = Vec::with_capacity(HEADER_BYTES + contents.len());
-    bytes.extend_from_slice(&MAGIC);
+    bytes.extend_from_slice(&magic);
     bytes.extend_from_slice(&(contents.len() as u64).to_le_bytes());
     bytes.extend_from_slice(&crc32fast::hash(contents).to_le_bytes());
     bytes.extend_from_slice(contents);
     bytes
 }
 
-/// The contents of the first frame and the bytes behind it; `None` if it is torn or none.
-pub(crate) fn first_frame(bytes: &[u8]) -> Option<(&[u8], &[u8])> {
-    let rest = bytes.strip_prefix(&MAGIC)?;
+/// The contents of the first batch and the bytes behind it; `None` if it is torn or none.
+pub(crate) fn first_batch(bytes: &[u8]) -> Option<(&[u8], &[u8])> {
+    first_frame(BATCH, bytes)
+}
+
+fn first_frame(magic: Magic, bytes: &[u8]) -> Option<(&[u8], &[u8])> {
+    let rest = bytes.strip_prefix(&magic)?;
     let (length, rest) = rest.split_first_chunk::<8>()?;
     let (checksum, rest) = rest.split_first_chunk::<4>()?;
     let length = usize::try_from(u64::from_le_bytes(*length)).ok()?;
@@ -32,30 +47,49 @@
     intact.then_some((contents, behind))
 }
 
-/// Writes a new file of one frame and syncs it.
-pub(crate) fn write_synced(path: &Path, contents: &[u8]) -> Result<(), StorageError> {
-    let mut file = File::create(path).context(StorageSnafu { action: "creating", path })?;
-    file.write_all(&frame(contents)).context(StorageSnafu { action: "writing", path })?;
-    file.sync_all().context(StorageSnafu { action: "syncing", path })
+fn only_frame(magic: Magic, bytes: &[u8]) -> Option<&[u8]> {
+    first_frame(magic, bytes).filter(|(_, behind)| behind.is_empty()).map(|(contents, _)| contents)
+}
+
+/// Writes a new file of one version and syncs it.
+pub(crate) fn write_version(path: &Path, number: u64, contents: &[u8]) -> Result<(), StorageError> {
+    let numbered = [&number.to_le_bytes(), contents].concat();
+    let mut file = File::create(path).context(RefusedSnafu { action: "creating", path })?;
+    file.write_all(&frame(VERSION, &numbered)).context(RefusedSnafu { action: "writing", path })?;
+    file.sync_all().context(RefusedSnafu { action: "syncing", path })
+}
+
+/// The contents of the version that has this number.
+pub(crate) fn read_version(path: &Path, number: u64) -> Result<Vec<u8>, StorageError> {
+    let bytes = disk::read(path).context(RefusedSnafu { action: "reading", path })?;
+    if only_frame(BATCH, &bytes).is_some() {
+        return OtherLayoutSnafu { path }.fail();
+    }
+    let numbered = only_frame(VERSION, &bytes).and_then(<[u8]>::split_first_chunk::<8>);
+    let Some((held, contents)) = numbered else {
+        return DamagedSnafu { path, found: "a torn version" }.fail();
+    };
+    if u64::from_le_bytes(*held) != number {
+        return DamagedSnafu { path, found: "another version" }.fail();
+    }
+    Ok(contents.to_vec())
 }
 
-/// The contents of a file of one frame; `None` if it is torn or not of this layout.
-pub(crate) fn read_checked(path: &Path) -> Result<Option<Vec<u8>>, StorageError> {
-    let bytes = disk::read(path).context(StorageSnafu { action: "reading", path })?;
-    let only = first_frame(&bytes).filter(|(_, behind)| behind.is_empty());
-    Ok(only.map(|(contents, _)| contents.to_vec()))
+/// Makes what a file holds last, also what a process that was killed wrote to it.
+pub(crate) fn sync_file(path: &Path) -> Result<(), StorageError> {
+    let opened = File::open(path).context(RefusedSnafu { action: "opening", path })?;
+    opened.sync_all().context(RefusedSnafu { action: "syncing", path })
 }
 
-/// Makes renamed and removed names of a folder last.
+/// Makes the names in a folder last as they are.
 pub(crate) fn sync_folder(folder: &Path) -> Result<(), StorageError> {
-    let opened = File::open(folder).context(StorageSnafu { action: "opening", path: folder })?;
-    opened.sync_all().context(StorageSnafu { action: "syncing", path: folder })
+    sync_file(folder)
 }
 
 /// The files of a folder whose names are `prefix`, a number in hexadecimal, and nothing else; in the order of
 /// the numbers.
 pub(crate) fn numbered(folder: &Path, prefix: &str) -> Result<Vec<u64>, StorageError> {
-    let names = disk::list(folder).context(StorageSnafu { action: "listing", path: folder })?;
+    let names = disk::list(folder).context(RefusedSnafu { action: "listing", path: folder })?;
     let mut numbers = Vec::new();
     for name in names {
         let digits = name.to_str().and_then(|name| name.strip_prefix(prefix));
--- a/crates/storage/src/segment.rs
+++ b/crates/storage/src/segment.rs
@@ -1,7 +1,7 @@
 //! A sequence of batches, appended to segment files.
 //!
-//! A batch counts when the segment is synced behind it: one sync, and none of a folder, since a new file lasts
-//! with its own sync. A segment is sealed when it is large enough, when a write to it fails, and at every
+//! A batch counts when the segment is synced behind it: one sync, and none of the folder but for the first batch
+//! of a segment. A segment is sealed when it is large enough, when a write to it fails, and at every
 //! start, so nothing is ever appended behind what may be torn.
 
 use std::io::Write;
@@ -10,7 +10,7 @@
 use snafu::ResultExt;
 
 use crate::disk::{self, File};
-use crate::error::{StorageError, StorageSnafu};
+use crate::error::{RefusedSnafu, StorageError};
 use crate::file;
 
 const PREFIX: &str = "segment-";
@@ -66,14 +66,18 @@
     /// If the folder cannot be made, listed or read.
     pub fn open_each(folder: impl Into<PathBuf>, mut take: impl FnMut(Batch)) -> Result<Self, StorageError> {
         let folder = folder.into();
-        disk::create_dir_all(&folder).context(StorageSnafu { action: "making", path: &folder })?;
+        disk::create_dir_all(&folder).context(RefusedSnafu { action: "making", path: &folder })?;
         let numbers = file::numbered(&folder, PREFIX)?;
+        if let Some(newest) = numbers.last() {
+            // A process that was killed may have left a batch that a loss of power would still undo.
+            file::sync_file(&folder.join(file::name(PREFIX, *newest)))?;
+        }
         for number in &numbers {
             let path = folder.join(file::name(PREFIX, *number));
-            let bytes = disk::read(&path).context(StorageSnafu { action: "reading", path: &path })?;
+            let bytes = disk::read(&path).context(RefusedSnafu { action: "reading", path: &path })?;
             let segment = SegmentNumber(*number);
             let mut rest = bytes.as_slice();
-            while let Some((contents, behind)) = file::first_frame(rest) {
+            while let Some((contents, behind)) = file::first_batch(rest) {
                 take(Batch { segment, contents: contents.to_vec() });
                 rest = behind;
             }
@@ -97,10 +101,10 @@
             None => self.create()?,
         };
         let path = self.path(segment.number);
-        let frame = file::frame(contents);
+        let frame = file::batch_frame(contents);
         // Dropped, and so sealed, if one of the two fails.
-        segment.file.write_all(&frame).context(StorageSnafu { action: "writing", path: &path })?;
-        segment.file.sync_data().context(StorageSnafu { action: "syncing", path: &path })?;
+        segment.file.write_all(&frame).context(RefusedSnafu { action: "writing", path: &path })?;
+        segment.file.sync_data().context(RefusedSnafu { action: "syncing", path: &path })?;
         let number = segment.number;
         segment.bytes += frame.len() as u64;
         self.open = Some(segment).filter(|segment| segment.bytes < SEALED_BYTES);
@@ -115,14 +119,15 @@
     pub fn remove(&mut self, number: SegmentNumber) -> Result<(), StorageError> {
         self.open.take_if(|open| open.number == number);
         let path = self.path(number);
-        disk::remove_file(&path).context(StorageSnafu { action: "removing", path: &path })
+        disk::remove_file(&path).context(RefusedSnafu { action: "removing", path: &path })
     }
 
     fn create(&mut self) -> Result<OpenSegment, StorageError> {
         let number = SegmentNumber(self.next);
         self.next += 1;
         let path = self.path(number);
-        let file = File::create(&path).context(StorageSnafu { action: "creating", path: &path })?;
+        let file = File::create(&path).context(RefusedSnafu { action: "creating", path: &path })?;
+        file::sync_folder(&self.folder)?;
         Ok(OpenSegment { number, file, bytes: 0 })
     }
 
--- a/crates/storage/src/version.rs
+++ b/crates/storage/src/version.rs
@@ -1,11 +1,12 @@
 //! The newest version of a state, one file for each version.
 
-use std::path::PathBuf;
+use std::io;
+use std::path::{Path, PathBuf};
 
 use snafu::ResultExt;
 
 use crate::disk;
-use crate::error::{StorageError, StorageSnafu};
+use crate::error::{RefusedSnafu, StorageError};
 use crate::file;
 
 /// Versions kept beside the newest.
@@ -13,6 +14,9 @@
 const ASIDE: &str = "aside-";
 
 /// Keeps the newest version of one state in a folder.
+///
+/// A version gets its name only when its contents are synced, so whatever power losses leave, a name stands for
+/// a whole version, and it counts only when the folder is synced behind it.
 #[derive(Debug)]
 pub struct VersionFiles {
     folder: PathBuf,
@@ -21,40 +25,55 @@
 }
 
 impl VersionFiles {
-    /// Opens the state named `name` in `folder` (made if missing) and reads its newest whole version.
+    /// Opens the state named `name` in `folder` (made if missing) and reads its newest version, which outlasts a
+    /// loss of power from then on.
     ///
     /// # Errors
     ///
-    /// If the folder cannot be made, listed or read.
+    /// If the folder cannot be made, listed, synced or read, or the newest version is not what was written: an
+    /// older one is not read in its place, since the newest may have been confirmed.
     pub fn open(folder: impl Into<PathBuf>, name: &str) -> Result<(Self, Option<Vec<u8>>), StorageError> {
         let folder = folder.into();
-        disk::create_dir_all(&folder).context(StorageSnafu { action: "making", path: &folder })?;
+        disk::create_dir_all(&folder).context(RefusedSnafu { action: "making", path: &folder })?;
         let prefix = format!("{name}-");
+        remove_all(&folder, &format!("{ASIDE}{prefix}"))?;
         let kept = file::numbered(&folder, &prefix)?;
-        let mut newest = None;
-        for number in kept.iter().rev() {
-            newest = file::read_checked(&folder.join(file::name(&prefix, *number)))?;
-            if newest.is_some() {
-                break;
-            }
-        }
+        // A process that was killed may have left a name that a loss of power would still undo.
+        file::sync_folder(&folder)?;
+        let newest = match kept.last() {
+            Some(number) => Some(file::read_version(&folder.join(file::name(&prefix, *number)), *number)?),
+            None => None,
+        };
         Ok((VersionFiles { folder, prefix, kept }, newest))
     }
 
+    /// Removes all versions of a state, for good, and opens it empty.
+    ///
+    /// # Errors
+    ///
+    /// If the disk refuses.
+    pub fn clear(folder: impl Into<PathBuf>, name: &str) -> Result<Self, StorageError> {
+        let folder = folder.into();
+        remove_all(&folder, &format!("{name}-"))?;
+        file::sync_folder(&folder)?;
+        VersionFiles::open(folder, name).map(|(files, _)| files)
+    }
+
     /// Writes the next version. When this returns, the version outlasts a loss of power.
     ///
     /// # Errors
     ///
-    /// If the disk refuses; the version before is untouched then.
+    /// If the disk refuses; the version before is untouched then. The new one may come back after a start.
     pub fn write(&mut self, contents: &[u8]) -> Result<(), StorageError> {
         let number = self.kept.last().map_or(1, |newest| newest + 1);
         let name = file::name(&self.prefix, number);
         let path = self.folder.join(&name);
         let aside = self.folder.join(format!("{ASIDE}{name}"));
-        file::write_synced(&aside, contents)?;
-        disk::rename(&aside, &path).context(StorageSnafu { action: "renaming", path: &aside })?;
-        file::sync_folder(&self.folder)?;
+        file::write_version(&aside, number, contents)?;
+        disk::rename(&aside, &path).context(RefusedSnafu { action: "renaming", path: &aside })?;
+        // From here on the name may be seen, so it is not given to anything else.
         self.kept.push(number);
+        file::sync_folder(&self.folder)?;
         self.remove_old();
         Ok(())
     }
@@ -62,10 +81,27 @@
     /// An old version that stays by a failure does no harm; it is tried again with the next.
     fn remove_old(&mut self) {
         while self.kept.len() > 1 + KEPT {
-            if disk::remove_file(self.folder.join(file::name(&self.prefix, self.kept[0]))).is_err() {
+            if remove(&self.folder.join(file::name(&self.prefix, self.kept[0]))).is_err() {
                 return;
             }
             self.kept.remove(0);
         }
     }
 }
+
+fn remove_all(folder: &Path, prefix: &str) -> Result<(), StorageError> {
+    for number in file::numbered(folder, prefix)? {
+        remove(&folder.join(file::name(prefix, number)))?;
+    }
+    Ok(())
+}
+
+/// Removes a file, or finds it gone.
+fn remove(path: &Path) -> Result<(), StorageError> {
+    match disk::remove_file(path) {
+        Err(error) if error.kind() != io::ErrorKind::NotFound => {
+            Err(error).context(RefusedSnafu { action: "removing", path })
+        }
+        _ => Ok(()),
+    }
+}
--- a/crates/storage/tests/storage.rs
+++ b/crates/storage/tests/storage.rs
@@ -40,8 +40,9 @@
     assert_eq!(VersionFiles::open(&folder.0, "other").unwrap().1, None);
 }
 
+/// Fails if `open` looks for an older version behind one that is torn.
 #[test]
-fn a_torn_version_and_one_still_aside_are_passed_over() {
+fn a_torn_version_is_never_replaced_by_an_older_one() {
     let folder = Folder::new("torn");
     let (mut files, _) = VersionFiles::open(&folder.0, "state").unwrap();
     files.write(b"one").unwrap();
@@ -50,28 +51,72 @@
     let bytes = fs::read(&newest).unwrap();
     for length in 0..bytes.len() {
         fs::write(&newest, &bytes[..length]).unwrap();
-        assert_eq!(
-            VersionFiles::open(&folder.0, "state").unwrap().1.as_deref(),
-            Some(&b"one"[..]),
-            "{length}"
-        );
+        assert!(open_damaged(&folder).contains("a torn version"), "{length}");
     }
-    fs::rename(&newest, folder.0.join("aside-state-0000000000000009")).unwrap();
+    for place in 0..bytes.len() {
+        let mut garbled = bytes.clone();
+        garbled[place] ^= 1;
+        fs::write(&newest, &garbled).unwrap();
+        assert!(open_damaged(&folder).contains("a torn version"), "{place}");
+    }
+    fs::write(&newest, [&bytes[..], b"x"].concat()).unwrap();
+    assert!(open_damaged(&folder).contains("a torn version"));
+}
+
+/// Fails without the comparison of numbers in `read_version`.
+#[test]
+fn an_older_version_under_the_newest_name_is_found() {
+    let folder = Folder::new("older");
+    let (mut files, _) = VersionFiles::open(&folder.0, "state").unwrap();
+    files.write(b"one").unwrap();
+    files.write(b"two").unwrap();
+    let paths = folder.files();
+    fs::copy(&paths[0], &paths[1]).unwrap();
+    assert!(open_damaged(&folder).contains("another version"));
+}
+
+#[test]
+fn a_version_still_aside_was_never_confirmed() {
+    let folder = Folder::new("aside");
+    let (mut files, _) = VersionFiles::open(&folder.0, "state").unwrap();
+    files.write(b"one").unwrap();
+    files.write(b"two").unwrap();
+    fs::rename(folder.files().pop().unwrap(), folder.0.join("aside-state-0000000000000009")).unwrap();
     assert_eq!(VersionFiles::open(&folder.0, "state").unwrap().1.as_deref(), Some(&b"one"[..]));
+    assert_eq!(folder.files().len(), 1, "what is aside does not pile up");
 }
 
 #[test]
-fn a_version_written_after_a_torn_one_is_the_newest() {
-    let folder = Folder::new("after-torn");
+fn a_state_that_was_cleared_is_empty_and_a_version_written_then_is_the_newest() {
+    let folder = Folder::new("cleared");
     let (mut files, _) = VersionFiles::open(&folder.0, "state").unwrap();
     files.write(b"one").unwrap();
     files.write(b"two").unwrap();
     fs::write(folder.files().pop().unwrap(), b"torn").unwrap();
-    let (mut files, _) = VersionFiles::open(&folder.0, "state").unwrap();
+    let mut files = VersionFiles::clear(&folder.0, "state").unwrap();
+    assert_eq!(VersionFiles::open(&folder.0, "state").unwrap().1, None);
     files.write(b"three").unwrap();
     assert_eq!(VersionFiles::open(&folder.0, "state").unwrap().1.as_deref(), Some(&b"three"[..]));
 }
 
+/// A layout that is not known must not make a folder count as lost.
+#[test]
+fn a_version_of_another_release_is_no_damage() {
+    let folder = Folder::new("release");
+    let (mut segments, _) = SegmentFiles::open(&folder.0).unwrap();
+    segments.append(b"one").unwrap();
+    fs::rename(folder.files().pop().unwrap(), folder.0.join("state-0000000000000001")).unwrap();
+    let error = VersionFiles::open(&folder.0, "state").unwrap_err();
+    assert!(!error.is_damage() && error.to_string().contains("another release"), "{error}");
+}
+
+/// Opens the state of a folder, which must be found damaged, and tells what is said of it.
+fn open_damaged(folder: &Folder) -> String {
+    let error = VersionFiles::open(&folder.0, "state").unwrap_err();
+    assert!(error.is_damage(), "{error}");
+    error.to_string()
+}
+
 #[test]
 fn batches_come_back_in_order_without_removed_segments() {
     let folder = Folder::new("batches");
@@ -134,6 +179,11 @@
     let folder = Folder::new("identity");
     assert_eq!(identity::open(&folder.0, 7).unwrap(), (7, true));
     assert_eq!(identity::open(&folder.0, 8).unwrap(), (7, false));
+    identity::renew(&folder.0, 5).unwrap();
+    assert_eq!(identity::open(&folder.0, 8).unwrap(), (5, false));
+    fs::write(folder.files().pop().unwrap(), b"torn").unwrap();
+    assert_eq!(identity::open(&folder.0, 6).unwrap(), (6, true));
+    assert_eq!(identity::open(&folder.0, 8).unwrap(), (6, false));
     fs::remove_dir_all(&folder.0).unwrap();
     assert_eq!(identity::open(&folder.0, 9).unwrap(), (9, true));
 }
