A keeper whose record is torn, older or another's comes back as a new one

The record told neither its folder nor was a torn one more than passed over, so a keeper could lead or vote on less than it had promised or confirmed. The record now carries the identity of its folder; damage or a foreign record makes the keeper draw a new identity, give up what is there, and start as after the loss of its disk, never founding the tier again.

--- a/crates/node/src/keeper.rs
+++ b/crates/node/src/keeper.rs
@@ -26,11 +26,11 @@
 
 use juniperwing_clock::{Span, Time};
 use juniperwing_control::{ControlState, StoreTracker, StoreView};
+use juniperwing_protocol::NodeName;
 use juniperwing_protocol::replication::{Version, Voter};
 use juniperwing_protocol::subscription::CaughtUp;
-use juniperwing_protocol::{DiskId, NodeName};
 use juniperwing_registry::{Contact, Exchange, MAX_INSTANCES, Registry, RegistrySettings};
-use juniperwing_replication::{Event, Record, Replica, Timings};
+use juniperwing_replication::{Event, Replica, Timings};
 use slog::{Logger, info, warn};
 use tokio::sync::{Notify, mpsc, watch};
 use tokio::time::{Instant, MissedTickBehavior, timeout, timeout_at};
@@ -39,7 +39,7 @@
 use self::contacts::Contacts;
 use self::inbox::Inbox;
 use self::peers::Peers;
-use self::record_file::RecordFile;
+use self::record_file::{Opened, RecordFile};
 use self::subscribers::{Subscribers, Tellable};
 use crate::clock;
 use crate::command::Process;
@@ -151,8 +151,8 @@
     };
     let internal = Listener::bind(settings.own_address(Port::Keeper)).await?;
     let control = control_listener::bind(control).await?;
-    let for_disk = settings.clone();
-    let opened = wait_for_disk(move || open(&for_disk, &folder));
+    let (for_disk, disk_log) = (settings.clone(), log.clone());
+    let opened = wait_for_disk(move || open(&for_disk, &folder, &disk_log));
     let start = opened.await.map_err(io::Error::other)??;
     info!(log, "starting"; "disk" => start.me.disk.0, "seeds" => settings.seed_nodes.len());
 
@@ -182,28 +182,28 @@
 }
 
 /// Opens the disk and restores the replica from it. Blocks.
-fn open(settings: &Settings, folder: &Path) -> io::Result<Start> {
-    let (disk, _) = juniperwing_storage::identity::open(folder, clock::random()).map_err(io::Error::other)?;
-    let (file, restored) = RecordFile::open(folder).map_err(io::Error::other)?;
+fn open(settings: &Settings, folder: &Path, log: &Logger) -> io::Result<Start> {
+    let Opened { disk, file, record, loss } =
+        record_file::open(folder, clock::random).map_err(io::Error::other)?;
+    if let Some(loss) = &loss {
+        warn!(log, "the disk counts as lost"; "why" => loss.to_string());
+    }
     let me = Voter {
-        disk: DiskId(disk),
+        disk,
         node: NodeName::from(settings.node_name.as_str()),
         address: settings.own_address(Port::Keeper),
     };
-    let replica = restore(settings, me.clone(), restored)?;
-    Ok(Start { replica, file, me })
-}
-
-fn restore(settings: &Settings, me: Voter, restored: Option<Record>) -> io::Result<Replica<ControlState>> {
     let settings = juniperwing_replication::Settings {
-        me,
+        me: me.clone(),
         seeds: settings.seed_keepers(),
-        bootstrap: settings.bootstrap,
+        // Who has lost a disk does not found the tier once more.
+        bootstrap: settings.bootstrap && loss.is_none(),
         required_copies: settings.required_copies(),
         timings: Timings::default(),
     };
     let initial = ControlState::default();
-    Replica::new(clock::now(), settings, restored, initial, clock::random()).map_err(io::Error::other)
+    let replica = Replica::new(clock::now(), settings, record, initial, clock::random());
+    Ok(Start { replica: replica.map_err(io::Error::other)?, file, me })
 }
 
 fn unusable(why: &str) -> io::Error {
