--- /dev/null
+++ b/crates/emulator/src/host.rs
@@ -0,0 +1,99 @@
+//! A simulated machine as the processes on it see it.
+
+use std::io;
+use std::net::{IpAddr, SocketAddr};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use juniperwing_clock::Time;
+use juniperwing_node::host::{Host, Pending, SimulatedDatagrams, SimulatedListener, SimulatedStream};
+use juniperwing_storage::disk::Disk;
+
+use crate::chance::Chance;
+use crate::clock::{MachineClock, WorldTime};
+use crate::disk::SimulatedDisk;
+use crate::network::{Network, Opened};
+use crate::stream::{Datagrams, Listener, Ports, sleep_until, stream};
+
+/// When the opening packet of a connection is sent again.
+const OPEN_AGAIN: Duration = Duration::from_secs(1);
+/// The time of day at the beginning of a simulation, in milliseconds.
+const DAYBREAK_MS: u64 = 1_700_000_000_000;
+
+/// A simulated machine.
+#[derive(Debug)]
+pub struct SimulatedHost {
+    /// Its address.
+    pub address: IpAddr,
+    /// Its clock.
+    pub clock: Arc<MachineClock>,
+    /// Its disk.
+    pub disk: Arc<SimulatedDisk>,
+    ports: Ports,
+    chance: Mutex<Chance>,
+}
+
+impl SimulatedHost {
+    /// A machine with an empty disk. `purpose` tells its random numbers from those of others.
+    pub fn new(
+        address: IpAddr, network: Arc<Network>, world: WorldTime, seed: u64, purpose: u64,
+    ) -> Arc<SimulatedHost> {
+        let clock = Arc::new(MachineClock::new(world));
+        let disk = SimulatedDisk::new(Arc::clone(&clock), Chance::new(seed, purpose.wrapping_add(1 << 32)));
+        let ports = Ports { network, clock: Arc::clone(&clock) };
+        let chance = Mutex::new(Chance::new(seed, purpose));
+        Arc::new(SimulatedHost { address, clock, disk: Arc::new(disk), ports, chance })
+    }
+}
+
+impl Host for SimulatedHost {
+    fn now(&self) -> Time {
+        self.clock.now()
+    }
+
+    fn time_of_day_ms(&self) -> u64 {
+        DAYBREAK_MS + self.clock.now().since(Time::default()).nanos() / 1_000_000
+    }
+
+    fn random(&self) -> u64 {
+        self.chance.lock().unwrap_or_else(PoisonError::into_inner).bits()
+    }
+
+    fn listen(&self, address: SocketAddr) -> io::Result<Arc<dyn SimulatedListener>> {
+        let accepting = self.ports.network.listen(address)?;
+        Ok(Arc::new(Listener { ports: self.ports.clone(), address, accepting }))
+    }
+
+    fn connect(&self, address: SocketAddr) -> Pending<'static, SimulatedStream> {
+        let (ports, from) = (self.ports.clone(), self.address);
+        Box::pin(async move {
+            loop {
+                match ports.network.open(ports.clock.now(), from, address) {
+                    Opened::Up(at, connection) => {
+                        let stream = stream(&ports, connection);
+                        sleep_until(&ports.clock, at).await;
+                        return Ok(stream);
+                    }
+                    Opened::Refused(at) => {
+                        sleep_until(&ports.clock, at).await;
+                        return Err(io::ErrorKind::ConnectionRefused.into());
+                    }
+                    Opened::Silent => tokio::time::sleep(OPEN_AGAIN).await,
+                }
+            }
+        })
+    }
+
+    fn bind(&self, address: SocketAddr) -> io::Result<Arc<dyn SimulatedDatagrams>> {
+        let mailbox = self.ports.network.bind(address)?;
+        Ok(Arc::new(Datagrams { ports: self.ports.clone(), address, mailbox }))
+    }
+
+    fn disk(&self) -> Arc<dyn Disk> {
+        Arc::<SimulatedDisk>::clone(&self.disk)
+    }
+
+    fn take_disk_time(&self) -> Duration {
+        self.disk.take_time()
+    }
+}
