--- a/crates/node/tests/stores/mod.rs
+++ b/crates/node/tests/stores/mod.rs
@@ -110,6 +110,7 @@
             primary: in_sync[partition % in_sync.len()],
             in_sync: in_sync.to_vec(),
             joining: joining.to_vec(),
+            lost_copies: 0,
         });
         let stores = state.stores.values().map(|(store, _)| store.clone()).collect();
         state.map = Arc::new(StoreMap { version, stores, partitions: partitions.collect() });
@@ -191,6 +192,11 @@
         stores
     }
 
+    /// The client of another relay.
+    pub fn another_client(&self) -> SessionsClient {
+        SessionsClient::new(Arc::new(LinkPool::new(Arc::new(Keeper::default()))), self.map.subscribe())
+    }
+
     /// Has the keeper and the client go by another map.
     pub fn assign(&self, in_sync: &[DiskId], joining: &[DiskId]) -> EpochNumber {
         let map = self.keeper.assign(in_sync, joining);
