A relay that stops ends every connection that it has accepted

Cause: a connection was listed by its own task, which may run only after the last pass over the list, so one accepted at that moment was never told to end and held the process to the end of its grace, where it was cut. It is listed before its task starts. Found by reading; the window is one turn of the scheduler, so there is no test of its own.

--- a/crates/node/src/relay/frontend.rs
+++ b/crates/node/src/relay/frontend.rs
@@ -23,7 +23,7 @@
 
 use super::Core;
 use super::body::RelayBody;
-use super::connections::{ClientConnection, Watched};
+use super::connections::{ClientConnection, Listed, Watched};
 use super::exchange::{Exchange, header_number, header_text, remove_hop_by_hop};
 use super::fate::{Fate, GivenUp, plain};
 use super::forward::forward;
@@ -59,14 +59,17 @@
         return;
     }
     let has_room = count < core.most_connections;
-    tokio::spawn(serve_connection(Arc::clone(core), stream, has_room));
+    let limits = core.world.snapshot().limits();
+    // Listed at once: a relay that stops ends all that it has accepted.
+    let listed = core.connections.add(limits.max_header_bytes);
+    tokio::spawn(serve_connection(Arc::clone(core), stream, listed, limits, has_room));
 }
 
-async fn serve_connection(core: Arc<Core>, stream: TcpStream, has_room: bool) {
+async fn serve_connection(
+    core: Arc<Core>, stream: TcpStream, listed: Listed, limits: Limits, has_room: bool,
+) {
     // Without it answers only come later.
     let _ = stream.set_nodelay(true);
-    let limits = core.world.snapshot().limits();
-    let listed = core.connections.add(limits.max_header_bytes);
     let connection = Arc::clone(&listed.connection);
     let service = {
         let (core, connection) = (Arc::clone(&core), Arc::clone(&connection));
