What is not done when the grace is over is answered, not cut

Cause: half a second before the platform kills the process, requests that still waited for stores, slots or endpoints were dropped with their connections, with no answer at all. They get a 502 now, which promises nothing, and 0.2 s for it to go out. The test of a stream's deadline now tells that the stream ended itself, since a cut connection covers it as well.

--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -38,7 +38,8 @@
 use juniperwing_protocol::subscription::{Subscribe, Subscriber as Kind};
 use slog::{Logger, info, warn};
 use tokio::net::TcpListener;
-use tokio::time::{Instant, MissedTickBehavior, interval, sleep, timeout_at};
+use tokio::sync::watch;
+use tokio::time::{Instant, MissedTickBehavior, interval, sleep, timeout, timeout_at};
 
 use crate::clock::random;
 use crate::command::Process;
@@ -62,6 +63,8 @@
 const ACCEPT_ON: Duration = Duration::from_millis(1_100);
 /// What is kept of the time that the platform leaves for an end.
 const BEFORE_GRACE_ENDS: Duration = Duration::from_millis(500);
+/// For how long the answers that are given at the very end may go out.
+const LAST_ANSWERS: Duration = Duration::from_millis(200);
 /// Descriptors that are for neither clients nor endpoints.
 const OTHER_DESCRIPTORS: usize = 264;
 /// The share of descriptors for clients; the rest is for endpoints.
@@ -93,6 +96,16 @@
     pub most_connections: usize,
     /// An end is near.
     pub stopping: AtomicBool,
+    /// The process ends at once: `true` from then on.
+    ends: watch::Sender<bool>,
+}
+
+impl Core {
+    /// Waits until the process ends at once.
+    pub async fn ending(&self) {
+        // The sender lives as long as this does.
+        let _ = self.ends.subscribe().wait_for(|ends| *ends).await;
+    }
 }
 
 /// A relay with its listeners open.
@@ -159,6 +172,7 @@
             memory: Memory::new(bounds.body_bytes),
             most_connections: bounds.client_connections,
             stopping: AtomicBool::new(false),
+            ends: watch::Sender::new(false),
         });
         Ok(Relay { core, frontend, readiness, settings, log })
     }
@@ -227,6 +241,9 @@
         accepting.abort();
         core.connections.finish_all();
         let finished = timeout_at(end, core.connections.ended()).await.is_ok();
+        // What is not done by now is answered all the same, not cut.
+        core.ends.send_replace(true);
+        let _ = timeout(LAST_ANSWERS, core.connections.ended()).await;
         upkeep.abort();
         readiness.abort();
         core.metrics.log(&log);
--- a/crates/node/src/relay/frontend.rs
+++ b/crates/node/src/relay/frontend.rs
@@ -101,7 +101,7 @@
     let open = connection.open_request();
     core.metrics.requests.add();
     let mut answer = if has_room {
-        respond(&core, &connection, request).await.unwrap_or_else(|refused| refused.answer(&core))
+        respond_before_end(&core, &connection, request).await
     } else {
         Refused::GivenUp(GivenUp::NoRoom).answer(&core)
     };
@@ -112,6 +112,20 @@
     Ok(answer)
 }
 
+/// Answers a request; without a promise if the process ends before it is done.
+async fn respond_before_end(
+    core: &Arc<Core>, connection: &ClientConnection, request: Request<Incoming>,
+) -> Response<RelayBody> {
+    tokio::select! {
+        biased;
+        answer = respond(core, connection, request) => answer.unwrap_or_else(|refused| refused.answer(core)),
+        () = core.ending() => {
+            core.metrics.given_up(GivenUp::Broken);
+            GivenUp::Broken.answer(Fate::MayHaveRun)
+        }
+    }
+}
+
 /// Why a request is not passed on.
 enum Refused {
     Finally(StatusCode),
--- a/crates/node/tests/relay/deadlines.rs
+++ b/crates/node/tests/relay/deadlines.rs
@@ -131,6 +131,11 @@
     assert!(next_piece(&mut body).await.unwrap().is_err(), "it must not look complete");
     assert!(begun.elapsed() < ENDED_BY);
     soon(endpoint.left.notified()).await;
+    assert_eq!(
+        bench.core.metrics.broken_off.get(),
+        1,
+        "the stream ended itself, before its connection was cut"
+    );
 }
 
 // Guard: `timeout` around `read_body`.
--- a/crates/node/tests/relay/planned_work.rs
+++ b/crates/node/tests/relay/planned_work.rs
@@ -7,10 +7,15 @@
 use tokio::sync::Notify;
 
 use crate::endpoint::{Endpoint, Step, answer, chunk, last_chunk, ok, stream_head};
-use crate::support::{Bench, connect, instance, next_piece, read, request, soon};
+use crate::support::{Bench, connect, instance, next_piece, read, request, soon, with_headers};
 
 /// Requests that an endpoint of the capacity in `instance` takes from one relay.
 const TAKEN: usize = 10;
+/// Routes whose time is far longer than that for an end.
+const PATIENT: &str = r#"{"generation":2,"routes":[
+    {"name":"n","hostname":"h.example","pathPrefix":"/n/","routeType":"non_idempotent","timeoutMs":60000,"targetLatencyMs":4000,"priority":2,"backend":"s","maxRetries":2},
+    {"name":"k","hostname":"h.example","pathPrefix":"/k/","routeType":"streaming","timeoutMs":60000,"targetLatencyMs":4000,"priority":0,"backend":"s","maxRetries":2,"resumable":false,"kept":true,"retentionS":60}],
+    "backends":[{"name":"s","healthCheck":"/healthz","maxConnections":100,"protocol":"h1","tls":false}]}"#;
 const NO_ROUTES: &str = r#"{"generation":2,"routes":[],"backends":[]}"#;
 
 /// An endpoint that holds its answers back until it is told to go on.
@@ -144,3 +149,29 @@
     let served = bench.served.lock().unwrap().take().unwrap();
     soon(served).await.unwrap().unwrap();
 }
+
+// Guard: `respond_before_end`.
+#[tokio::test]
+async fn what_is_not_done_at_the_end_is_answered_without_a_promise() {
+    let (endpoint, _go_on) = holding("i-1").await;
+    let bench = Bench::with(&[&endpoint]).await;
+    bench.configure(2, PATIENT);
+    *bench.stores.hold_begin.lock().unwrap() = Some(Arc::default());
+    let patient = |path: &str| with_headers(request("POST", path, "9c41", ""), &[("x-deadline-ms", "60000")]);
+    let at_endpoint = bench.try_send(patient("/n/x"));
+    let at_stores = bench.try_send(patient("/k/x"));
+    let stop = async {
+        soon(endpoint.arrival()).await;
+        while bench.stores.begun.lock().unwrap().is_empty() {
+            tokio::task::yield_now().await;
+        }
+        bench.stop();
+    };
+    let (at_endpoint, at_stores, ()) = tokio::join!(at_endpoint, at_stores, stop);
+    for answer in [at_endpoint, at_stores] {
+        let answer = read(answer.expect("an answer, not a cut")).await;
+        assert_eq!((answer.status, answer.header("connection")), (StatusCode::BAD_GATEWAY, "close"));
+    }
+    let served = bench.served.lock().unwrap().take().unwrap();
+    soon(served).await.unwrap().unwrap();
+}
