Test: a client that does not read really leaves bytes unread

Cause: all events of the test's endpoint had one id, so the relay passed on only the first, and the stream ended by itself; the test passed with the guard taken out. The ids rise now, and the client's buffer is small. A comment named a guard that another one stands behind.

--- a/crates/node/tests/relay/client_left.rs
+++ b/crates/node/tests/relay/client_left.rs
@@ -103,7 +103,7 @@
     assert_eq!(endpoint.received().len(), 3, "nothing was sent again");
 }
 
-// Guards: as above, and `Waiting`, which takes a request out of the queue when it is dropped.
+// Guard: as above: a slot that is given to a request that is gone goes to the next.
 #[tokio::test]
 async fn a_request_that_waits_for_a_slot_is_not_sent() {
     let go_on = Arc::new(Notify::new());
--- a/crates/node/tests/relay/deadlines.rs
+++ b/crates/node/tests/relay/deadlines.rs
@@ -8,7 +8,7 @@
 use juniperwing_clock::Span;
 use juniperwing_protocol::registry::InstanceState;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 
 use crate::endpoint::{Endpoint, Received, Step, chunk, last_chunk, ok, stream_head};
 use crate::support::{Bench, instance, next_piece, read, request, soon, with_headers};
@@ -156,15 +156,18 @@
 // Guard: `ClientConnection::check` cuts an answer whose time is over.
 #[tokio::test]
 async fn a_client_that_does_not_read_holds_no_endpoint_beyond_its_time() {
-    let event = format!("id: 1\ndata: {}\n\n", "x".repeat(60_000));
+    let text = "x".repeat(60_000);
     let endpoint = Endpoint::start("i-1", move |request| {
-        let events = (0..400).map(|_| chunk(&event));
+        let events = (0..400).map(|number| chunk(&format!("id: {number}\ndata: {text}\n\n")));
         [stream_head(request, "s")].into_iter().chain(events).chain([last_chunk()]).collect()
     })
     .await;
     let bench = Bench::with(&[&endpoint]).await;
     bench.configure(2, &short());
-    let mut client = soon(TcpStream::connect(bench.frontend)).await.unwrap();
+    // Little may lie between the two.
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.set_recv_buffer_size(8 << 10).unwrap();
+    let mut client = soon(socket.connect(bench.frontend)).await.unwrap();
     let head = "POST /e/x HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: 9c41\r\nX-Deadline-Ms: 60000\r\n";
     client.write_all(format!("{head}Budget: 1080\r\nContent-Length: 0\r\n\r\n").as_bytes()).await.unwrap();
     soon(endpoint.arrival()).await;
