--- a/crates/node/src/relay/frontend.rs
+++ b/crates/node/src/relay/frontend.rs
@@ -23,7 +23,7 @@
 
 use super::Core;
 use super::body::RelayBody;
-use super::connections::{ClientConnection, Watched};
+use super::connections::{ClientConnection, Listed, Watched};
 use super::exchange::{Exchange, has_other_transfer_coding, header_number, header_text, remove_hop_by_hop};
 use super::fate::{Fate, GivenUp, plain};
 use super::forward::forward;
@@ -59,14 +59,17 @@
         return;
     }
     let has_room = count < core.most_connections;
-    tokio::spawn(serve_connection(Arc::clone(core), stream, has_room));
+    let limits = core.world.snapshot().limits();
+    // Listed at once: a relay that stops ends all that it has accepted.
+    let listed = core.connections.add(limits.max_header_bytes);
+    tokio::spawn(serve_connection(Arc::clone(core), stream, listed, limits, has_room));
 }
 
-async fn serve_connection(core: Arc<Core>, stream: TcpStream, has_room: bool) {
+async fn serve_connection(
+    core: Arc<Core>, stream: TcpStream, listed: Listed, limits: Limits, has_room: bool,
+) {
     // Without it answers only come later.
     let _ = stream.set_nodelay(true);
-    let limits = core.world.snapshot().limits();
-    let listed = core.connections.add(limits.max_header_bytes);
     let connection = Arc::clone(&listed.connection);
     let service = {
         let (core, connection) = (Arc::clone(&core), Arc::clone(&connection));
@@ -98,7 +101,7 @@
     let open = connection.open_request();
     core.metrics.requests.add();
     let mut answer = if has_room {
-        respond(&core, &connection, request).await.unwrap_or_else(|refused| refused.answer(&core))
+        respond_before_end(&core, &connection, request).await
     } else {
         Refused::GivenUp(GivenUp::NoRoom).answer(&core)
     };
@@ -109,6 +112,20 @@
     Ok(answer)
 }
 
+/// Answers a request; without a promise if the process ends before it is done.
+async fn respond_before_end(
+    core: &Arc<Core>, connection: &ClientConnection, request: Request<Incoming>,
+) -> Response<RelayBody> {
+    tokio::select! {
+        biased;
+        answer = respond(core, connection, request) => answer.unwrap_or_else(|refused| refused.answer(core)),
+        () = core.ending() => {
+            core.metrics.given_up(GivenUp::Broken);
+            GivenUp::Broken.answer(Fate::MayHaveRun)
+        }
+    }
+}
+
 /// Why a request is not passed on.
 enum Refused {
     Finally(StatusCode),
