An end needs as many confirmations as every relay's subscriptions require

Relays subscribe to one keeper more than the losses that are tolerated. With five voters and one tolerated loss a majority could miss both keepers of a relay, so all but the tolerated losses must confirm; with three voters nothing changes. The test over all numbers of voters fails with the majority alone.

--- a/crates/node/src/keeper/discovery.rs
+++ b/crates/node/src/keeper/discovery.rs
@@ -6,7 +6,7 @@
 use juniperwing_protocol::registry::{Instance, InstanceState, Refresh, RegistryMessage};
 use juniperwing_protocol::replication::Voter;
 use juniperwing_protocol::{DiskId, InstanceId, Message};
-use juniperwing_registry::{Batch, ChangeNumber, HeartbeatOutcome};
+use juniperwing_registry::{Batch, ChangeNumber, HeartbeatOutcome, needed_confirmations};
 use slog::{debug, info};
 use tokio::time::Instant;
 
@@ -17,8 +17,8 @@
 /// The answer to an endpoint.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum HeartbeatAnswer {
-    /// Heard, by a keeper that a majority of the keepers answers. Where the endpoint leaves, a majority has taken
-    /// it and the relays subscribed to that majority have applied it.
+    /// Heard, by a keeper that a majority of the keepers answers. Where the endpoint leaves, enough keepers for
+    /// every relay to hear of it have taken it, a majority at least, and the relays subscribed there applied it.
     Accepted,
     /// This keeper is cut off or full, or could not spread an end in time: another one should be called.
     Unavailable,
@@ -183,27 +183,28 @@
         Spread { revision: state.subscribers.pending_revision(), change: state.exchange.newest() }
     }
 
-    /// Waits until every keeper in reach has confirmed, for a limited time. A majority has to have confirmed in
-    /// any case, so that every relay has a subscription to one that has.
+    /// Waits until every keeper in reach has confirmed, for a limited time. Enough have to have confirmed in any
+    /// case, so that every relay has a subscription to one that has.
     async fn wait_spread(&self, spread: Spread) -> HeartbeatAnswer {
         let until = Instant::now() + self.times.spread_within;
         self.wait_until(until, |state| {
-            self.has_majority_for(state, &spread) && state.is_known_in_reach(&spread)
+            self.is_known_to_enough(state, &spread) && state.is_known_in_reach(&spread)
         })
         .await;
-        if self.has_majority_for(&self.lock(), &spread) {
+        if self.is_known_to_enough(&self.lock(), &spread) {
             return HeartbeatAnswer::Accepted;
         }
         HeartbeatAnswer::Unavailable
     }
 
-    /// Whether the relays subscribed here and a majority of the keepers have confirmed.
-    fn has_majority_for(&self, state: &State, spread: &Spread) -> bool {
+    /// Whether the relays subscribed here have confirmed, and enough keepers for every relay to hear of it.
+    fn is_known_to_enough(&self, state: &State, spread: &Spread) -> bool {
         let epoch = state.consensus.replica.epoch();
         let confirmed: Vec<DiskId> = state.exchange.confirmed_by(spread.change).collect();
         let has = |voter: &&Voter| voter.disk == self.me.disk || confirmed.contains(&voter.disk);
-        let is_majority = 2 * epoch.voters.iter().filter(has).count() > epoch.voters.len();
-        is_majority && state.subscribers.have_instances(spread.revision)
+        let needed = needed_confirmations(epoch.voters.len(), self.required_copies - 1);
+        let is_enough = epoch.voters.iter().filter(has).count() >= needed;
+        is_enough && state.subscribers.have_instances(spread.revision)
     }
 }
 
--- a/crates/registry/src/contact.rs
+++ b/crates/registry/src/contact.rs
@@ -14,6 +14,13 @@
 /// Keepers that are remembered; more than ever take part.
 const MAX_KEEPERS: usize = 256;
 
+/// How many of `voters` keepers must have taken an end of an endpoint before it is acknowledged: a majority, and so
+/// many that no relay misses it. Relays subscribe to one keeper more than the `tolerated` losses.
+pub fn needed_confirmations(voters: usize, tolerated: usize) -> usize {
+    let majority = voters / 2 + 1;
+    majority.max(voters.saturating_sub(tolerated))
+}
+
 /// An answered question.
 #[derive(Clone, Copy, Debug)]
 struct RoundTrip {
--- a/crates/registry/src/lib.rs
+++ b/crates/registry/src/lib.rs
@@ -9,7 +9,7 @@
 mod heartbeat;
 mod registry;
 
-pub use contact::Contact;
+pub use contact::{Contact, needed_confirmations};
 pub use exchange::{Batch, BatchNumber, ChangeNumber, Exchange};
 pub use heartbeat::{Finding, parse_heartbeat};
 pub use registry::{
--- a/crates/registry/tests/contact.rs
+++ b/crates/registry/tests/contact.rs
@@ -3,7 +3,7 @@
 use juniperwing_clock::{Span, Time};
 use juniperwing_protocol::replication::{Epoch, Voter};
 use juniperwing_protocol::{DiskId, EpochNumber};
-use juniperwing_registry::Contact;
+use juniperwing_registry::{Contact, needed_confirmations};
 
 const ME: DiskId = DiskId(1);
 const WINDOW_MS: u64 = 1_200;
@@ -135,3 +135,22 @@
     }
     assert!(contact.len() <= 257);
 }
+
+/// Guard: with more voters than the tolerated losses need, a majority alone could miss all keepers that a relay is
+/// subscribed to.
+#[test]
+fn any_keepers_that_a_relay_subscribes_to_meet_those_that_confirm() {
+    for tolerated in 0..=4 {
+        for voters in 1..=9 {
+            let needed = needed_confirmations(voters, tolerated);
+            let subscriptions = (tolerated + 1).min(voters);
+            assert!(needed + subscriptions > voters, "{voters} voters, {tolerated} losses");
+            assert!(2 * needed > voters && needed <= voters);
+        }
+    }
+    // The losses that are tolerated do not keep an end from being acknowledged.
+    assert_eq!(
+        [(3, 1), (5, 2), (4, 1), (5, 1)].map(|(voters, lost)| needed_confirmations(voters, lost)),
+        [2, 3, 3, 4]
+    );
+}
