Only voters confirm subscriptions, and subscribers leave keepers that are none any more

A keeper that joins, or was replaced, is answered by the others and may hold the current state, but is told of endpoints by nobody: a relay that found it became ready on the endpoints that happened to call there. One that was replaced while cut off kept its subscribers.

--- a/crates/node/src/keeper.rs
+++ b/crates/node/src/keeper.rs
@@ -281,6 +281,11 @@
         heard.filter(|voter| voter.disk != self.me.disk).map(|voter| voter.address).collect()
     }
 
+    /// Whether this keeper is a voter, as far as it knows.
+    fn is_voter(&self, state: &State) -> bool {
+        state.consensus.replica.voters().iter().any(|voter| voter.disk == self.me.disk)
+    }
+
     /// Whether a majority of the keepers has answered this one a short while ago.
     fn is_in_contact(&self, state: &State) -> bool {
         state.contact.has_majority(clock::now(), self.me.disk, state.consensus.replica.epoch())
--- a/crates/node/src/keeper/confirmation.rs
+++ b/crates/node/src/keeper/confirmation.rs
@@ -2,7 +2,8 @@
 //! subscription came, has shown that the committed state of this keeper is current.
 //!
 //! The primary confirms its committed version by a round of heartbeats; a backup asks the primary and waits
-//! until it has reached that version itself. All subscriptions that wait at one moment share one question, and
+//! until it has reached that version itself. A keeper that is no voter confirms nothing: the others do not tell it
+//! of endpoints. All subscriptions that wait at one moment share one question, and
 //! nothing is asked while none waits.
 
 use std::sync::Arc;
@@ -44,6 +45,9 @@
     /// if it is not known within the time for it.
     async fn is_current(self: &Arc<Self>) -> bool {
         let until = Instant::now() + self.times.confirmed_within;
+        if !self.is_voter(&self.lock()) {
+            return false;
+        }
         let Some(version) = self.current_version().await else { return false };
         let has_reached = |state: &super::State| {
             state.consensus.committed().is_some_and(|committed| committed.version >= version)
--- a/crates/node/src/subscriber.rs
+++ b/crates/node/src/subscriber.rs
@@ -77,6 +77,17 @@
     }
 }
 
+impl Keepers {
+    /// Takes the list that was told over `link`. Keepers that are not in it hear of no change any more; one that is
+    /// cut off does not know that, so its subscription is ended here.
+    fn take_keepers(&mut self, told: Vec<SocketAddr>, link: &Link) {
+        let others = self.links.iter().filter(|place| !told.contains(&place.keeper));
+        let dropped = others.filter_map(|place| place.link.as_ref()).filter(|held| held.id() != link.id());
+        dropped.for_each(Link::close);
+        self.told = told;
+    }
+}
+
 impl Subscriber {
     /// Subscribes to `wanted` keepers at a time, found through the seeds, until the process ends.
     pub fn start(
@@ -235,7 +246,7 @@
         }
         match update {
             Update::Keepers(told) => {
-                self.subscriber.lock().told = told;
+                self.subscriber.lock().take_keepers(told, link);
                 self.subscriber.changed.notify_waiters();
             }
             update => {
--- a/crates/node/tests/keeper_contact.rs
+++ b/crates/node/tests/keeper_contact.rs
@@ -140,7 +140,7 @@
     store.until_told().await;
 }
 
-/// Guard: an end is acknowledged only with a majority (`has_majority_for`). Here the others answer all but that.
+/// Guard: an end is acknowledged only with a majority (`is_known_to_enough`). Here the others answer all but that.
 #[tokio::test]
 async fn a_drain_that_no_other_keeper_takes_is_refused() {
     let (keepers, peers) = Keepers::start_among_peers(BACKUP).await;
@@ -228,3 +228,23 @@
 async fn a_backup_that_stood_still_tells_a_new_relay_nothing_old() {
     a_relay_subscribes_to_a_frozen_keeper(BACKUP).await;
 }
+
+/// Guard: `Keeper::is_current` asks whether this keeper votes. The others answer one that does not, and its committed
+/// state may be current, but nobody tells it of endpoints.
+#[tokio::test]
+async fn a_keeper_that_is_no_voter_tells_a_new_relay_nothing() {
+    let (mut keepers, peers) = Keepers::start_among_peers(BACKUP).await;
+    keepers.until_heartbeat(BACKUP, "i-1", &heartbeat("ready", 1)).await;
+    keepers.kill(BACKUP).await;
+    keepers.wipe(BACKUP);
+    set_gates(&peers, Gate { admits: false, ..Gate::OPEN });
+    keepers.restart(BACKUP).await;
+    // The others answer it, so what it hears is passed on.
+    keepers.until_heartbeat(BACKUP, "i-2", &heartbeat("ready", 1)).await;
+    let relay = Observer::subscribe(keepers.internal(BACKUP), Subscriber::Relay);
+    relay.until_subscribed().await;
+    assert_eq!(keepers.try_get(BACKUP).await.unwrap().status, 503);
+    assert_eq!(relay.updates(), 0);
+    set_gates(&peers, Gate::OPEN);
+    relay.until_told().await;
+}
--- a/crates/node/tests/keepers/mod.rs
+++ b/crates/node/tests/keepers/mod.rs
@@ -170,6 +170,12 @@
         self.end(keeper, End::Kill).await;
     }
 
+    /// Replaces the disk of a keeper that does not run by an empty one.
+    pub fn wipe(&self, keeper: usize) {
+        assert!(self.running[keeper].is_none());
+        std::fs::remove_dir_all(self.settings[keeper].data_directory.as_ref().unwrap()).unwrap();
+    }
+
     async fn end(&mut self, keeper: usize, end: End) {
         let running = self.running[keeper].take().expect("the keeper runs");
         // One that has ended by itself shows it when it is joined.
--- a/crates/node/tests/keepers/peer.rs
+++ b/crates/node/tests/keepers/peer.rs
@@ -12,7 +12,7 @@
 use juniperwing_node::link::{Link, LinkPool, Reply, Service, serve};
 use juniperwing_node::settings::{Port, Settings};
 use juniperwing_protocol::registry::{Instance, InstanceState, RegistryMessage};
-use juniperwing_protocol::replication::{ReplicationMessage, Voter};
+use juniperwing_protocol::replication::{ReplicationBody, ReplicationMessage, Voter};
 use juniperwing_protocol::{DiskId, InstanceId, Message, NodeName};
 use juniperwing_replication::{Command, Event, ProposeToken, ReadToken, Replica, Timings};
 use tokio::net::TcpListener;
@@ -32,11 +32,14 @@
     pub takes_instances: bool,
     /// Whether it says that its relays have applied them.
     pub applies_instances: bool,
+    /// Whether keepers may ask it to be let in.
+    pub admits: bool,
 }
 
 impl Gate {
     /// Everything gets through.
-    pub const OPEN: Gate = Gate { hears: true, tells: true, takes_instances: true, applies_instances: true };
+    pub const OPEN: Gate =
+        Gate { hears: true, tells: true, takes_instances: true, applies_instances: true, admits: true };
     /// The real keepers hear it and are not heard.
     pub const DEAF: Gate = Gate { hears: false, ..Gate::OPEN };
     /// The real keepers are heard and do not hear it.
@@ -215,8 +218,10 @@
     }
 
     fn replication(self: &Arc<Self>, message: ReplicationMessage) {
-        let is_heard = self.peers.contains(&message.address) || self.lock().gate.hears;
-        if is_heard {
+        let gate = self.lock().gate;
+        let is_peer = self.peers.contains(&message.address);
+        let asks_in = matches!(message.body, ReplicationBody::Join { .. });
+        if is_peer || (gate.hears && (gate.admits || !asks_in)) {
             self.handle(Event::Message(message));
         }
     }
--- a/crates/node/tests/subscriber.rs
+++ b/crates/node/tests/subscriber.rs
@@ -20,6 +20,8 @@
 struct Keeper {
     answers: bool,
     subscriptions: Mutex<usize>,
+    /// The link of the newest subscription.
+    link: Mutex<Option<Link>>,
     news: Notify,
 }
 
@@ -29,6 +31,7 @@
             return;
         }
         *self.subscriptions.lock().unwrap() += 1;
+        *self.link.lock().unwrap() = Some(link.clone());
         self.news.notify_waiters();
         if self.answers {
             let update = InstancesUpdate { whole: true, complete: true, ..InstancesUpdate::default() };
@@ -153,3 +156,19 @@
     timeout(PATIENCE, lost).await.expect("the end");
     assert!(sink.connected.lock().unwrap().contains(&true));
 }
+
+/// Guard: `Keepers::take_keepers`. A keeper that was replaced while it was cut off does not end its subscriptions.
+#[tokio::test]
+async fn a_keeper_that_is_no_voter_any_more_is_left() {
+    let (replaced, replaced_keeper) = Keeper::start(true).await;
+    let (voter, voter_keeper) = Keeper::start(true).await;
+    let subscriber = Subscriber::start(subscribe(), vec![replaced, voter], 2, Arc::new(Counter::default()));
+    replaced_keeper.until_subscriptions(1).await;
+    voter_keeper.until_subscriptions(1).await;
+    let link_to_voter = voter_keeper.link.lock().unwrap().clone().unwrap();
+    let link_to_replaced = replaced_keeper.link.lock().unwrap().clone().unwrap();
+    link_to_voter.send(Message::Update(Update::Keepers(vec![voter])));
+    timeout(PATIENCE, link_to_replaced.closed()).await.expect("the end of the subscription");
+    assert!(!link_to_voter.is_closed());
+    assert!(subscriber.keepers().contains(&voter));
+}
