--- a/crates/protocol/src/replication.rs
+++ b/crates/protocol/src/replication.rs
@@ -53,6 +53,15 @@
     pub body: ReplicationBody,
 }
 
+/// A change with the version that it makes.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct NumberedChange {
+    /// The version that it makes.
+    pub version: Version,
+    /// The change, encoded.
+    pub change: Vec<u8>,
+}
+
 /// The messages of the epoch protocol and of primary-backup replication.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum ReplicationBody {
@@ -159,4 +168,13 @@
         /// It, as a voter.
         voter: Voter,
     },
+    /// The primary sends a replica that lags the changes it lacks, in a row.
+    Changes {
+        /// Its epoch.
+        epoch: EpochNumber,
+        /// The version that the first change builds on; each of the others builds on the one before.
+        base: Version,
+        /// The changes, oldest first.
+        changes: Vec<NumberedChange>,
+    },
 }
--- a/crates/replication/src/follower.rs
+++ b/crates/replication/src/follower.rs
@@ -4,7 +4,7 @@
 
 use juniperwing_clock::Time;
 use juniperwing_protocol::EpochNumber;
-use juniperwing_protocol::replication::{Epoch, ReplicationBody, Version};
+use juniperwing_protocol::replication::{Epoch, NumberedChange, ReplicationBody, Version};
 
 use crate::ballot::is_founding;
 use crate::interface::Command;
@@ -174,6 +174,23 @@
         self.confirm(to, epoch);
     }
 
+    /// Takes changes in that this keeper lacks. They are answered as writes are.
+    pub(crate) fn take_changes(
+        &mut self, now: Time, to: SocketAddr, epoch: EpochNumber, base: Version, changes: &[NumberedChange],
+    ) {
+        if !self.obeys(now, to, epoch) {
+            return;
+        }
+        if base == self.latest.version {
+            let Ok(latest) = self.latest.with_all(changes) else { return };
+            // The primary began to write the first only when what it builds on was committed.
+            self.show_latest();
+            self.latest = latest;
+            self.disk.mark();
+        }
+        self.confirm(to, epoch);
+    }
+
     /// Takes the whole state in, unless it is older than what this epoch has written here already.
     pub(crate) fn take_snapshot(
         &mut self, now: Time, to: SocketAddr, epoch: EpochNumber, version: Version, state: Vec<u8>,
--- a/crates/replication/src/lib.rs
+++ b/crates/replication/src/lib.rs
@@ -11,7 +11,7 @@
 //!    Its own promise fences the old primary, whose writes need its confirmation.
 //! 2. **State.** The primary writes one change at a time to all in-sync replicas and acknowledges it when
 //!    each has it on disk and there are at least [`Settings::required_copies`] of them. There is no log:
-//!    a replica that is not at the change's base is sent the whole state.
+//!    a replica that lags is sent the changes it lacks, or the whole state.
 //!
 //! A primary that takes office first brings all in-sync replicas to its own version, which completes whatever
 //! was written and not acknowledged, and shows nothing until that is done. A process that starts again is
@@ -22,6 +22,7 @@
 
 mod ballot;
 mod candidacy;
+mod catch_up;
 mod disk;
 mod error;
 mod follower;
--- a/crates/replication/src/office.rs
+++ b/crates/replication/src/office.rs
@@ -6,6 +6,7 @@
 use juniperwing_protocol::DiskId;
 use juniperwing_protocol::replication::{Epoch, Version, Voter};
 
+use crate::catch_up::{Changes, Shipment};
 use crate::interface::{ProposeToken, ReadToken};
 
 /// The most proposals that wait.
@@ -25,8 +26,8 @@
     pub(crate) held: Option<Version>,
     /// Since when it has lacked the primary's version.
     pub(crate) behind_since: Option<Time>,
-    /// The version that was last sent to it, and when.
-    pub(crate) sent: Option<(Version, Time)>,
+    /// What was last sent to it.
+    pub(crate) sent: Option<Shipment>,
     /// The newest round of heartbeats that it answered in this epoch.
     pub(crate) answered_round: u64,
     /// Until when it asks to be let in.
@@ -55,12 +56,8 @@
     pub(crate) token: Option<ProposeToken>,
     /// When it was proposed.
     pub(crate) proposed: Time,
-    /// The version that it builds on.
-    pub(crate) base: Version,
     /// The version that it makes.
     pub(crate) version: Version,
-    /// The change, encoded.
-    pub(crate) change: Vec<u8>,
 }
 
 /// A change that waits for its turn.
@@ -99,6 +96,8 @@
     pub(crate) hands_over: bool,
     /// The change that is being written.
     pub(crate) in_flight: Option<InFlight>,
+    /// The newest changes made in this office.
+    pub(crate) changes: Changes,
     /// The changes that wait.
     pub(crate) queue: VecDeque<Proposal<C>>,
     /// The reads that wait, oldest first.
@@ -117,6 +116,7 @@
             outbid_at: None,
             hands_over: false,
             in_flight: None,
+            changes: Changes::default(),
             queue: VecDeque::new(),
             reads: VecDeque::new(),
         }
--- a/crates/replication/src/primary.rs
+++ b/crates/replication/src/primary.rs
@@ -7,6 +7,7 @@
 use juniperwing_protocol::{DiskId, EpochNumber};
 
 use crate::ballot::is_majority;
+use crate::catch_up::Made;
 use crate::error::{ProposeError, ReadError};
 use crate::interface::{Command, ProposeToken, ReadToken};
 use crate::office::{InFlight, MAX_PROPOSALS, MAX_READS, Peer, PendingRead, Proposal};
@@ -181,57 +182,15 @@
         self.latest = self.latest.with(version, &proposal.change);
         self.disk.mark();
         let Some(office) = &mut self.office else { return };
-        office.in_flight = Some(InFlight {
-            token: Some(proposal.token),
-            proposed: proposal.proposed,
-            base,
-            version,
-            change: S::encode_change(&proposal.change),
-        });
+        office.in_flight =
+            Some(InFlight { token: Some(proposal.token), proposed: proposal.proposed, version });
+        let change = S::encode_change(&proposal.change);
+        office.changes.push(Made { base, version, change }, self.latest.encoded.len());
         for peer in office.peers.values_mut() {
             peer.behind_since = Some(now);
         }
     }
 
-    /// Sends each keeper that lacks the latest version the write, or the whole state.
-    fn catch_up(&mut self, now: Time) {
-        let latest = self.latest.version;
-        let epoch = self.ballot.accepted.number;
-        let confirm = self.settings.timings.confirm;
-        let resend = confirm.times(0.5);
-        let Some(office) = &mut self.office else { return };
-        let mut sends = Vec::new();
-        for peer in office.peers.values_mut() {
-            let Some(held) = peer.held else { continue };
-            if held == latest {
-                peer.behind_since = None;
-                continue;
-            }
-            peer.behind_since.get_or_insert(now);
-            let is_sent = peer.sent.is_some_and(|(version, at)| version == latest && now.since(at) < resend);
-            let is_gone = now.since(peer.last_answer) > confirm;
-            if is_sent || is_gone {
-                continue;
-            }
-            peer.sent = Some((latest, now));
-            let body = match &office.in_flight {
-                Some(write) if write.base == held && write.version == latest => ReplicationBody::Write {
-                    epoch,
-                    base: held,
-                    version: latest,
-                    change: write.change.clone(),
-                },
-                _ => ReplicationBody::Snapshot {
-                    epoch,
-                    version: latest,
-                    state: self.latest.encoded.as_ref().clone(),
-                },
-            };
-            sends.push((peer.voter.address, body));
-        }
-        sends.into_iter().for_each(|(to, body)| self.send(to, body));
-    }
-
     /// Begins a round of heartbeats.
     fn beat(&mut self, now: Time) {
         let committed = self.committed.as_ref().map(|committed| committed.version).unwrap_or_default();
--- a/crates/replication/src/replica.rs
+++ b/crates/replication/src/replica.rs
@@ -247,6 +247,9 @@
             ReplicationBody::Write { epoch, base, version, change } => {
                 self.take_write(now, address, epoch, (base, version), &change);
             }
+            ReplicationBody::Changes { epoch, base, changes } => {
+                self.take_changes(now, address, epoch, base, &changes);
+            }
             ReplicationBody::Snapshot { epoch, version, state } => {
                 self.take_snapshot(now, address, epoch, version, state);
             }
--- a/crates/replication/src/settings.rs
+++ b/crates/replication/src/settings.rs
@@ -47,6 +47,9 @@
     pub resend: Span,
     /// The longest that a proposal or a read waits.
     pub patience: Span,
+    /// Bytes in a millisecond on the slowest link that a whole state must get over: what is on its way for
+    /// longer than that takes counts as lost.
+    pub slowest_bytes_per_ms: f64,
 }
 
 impl Default for Timings {
@@ -62,6 +65,7 @@
             stragglers: Span::from_millis(80),
             resend: Span::from_millis(120),
             patience: Span::from_millis(2_000),
+            slowest_bytes_per_ms: 1_000.0,
         }
     }
 }
--- a/crates/replication/src/state.rs
+++ b/crates/replication/src/state.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use juniperwing_protocol::replication::Version;
+use juniperwing_protocol::replication::{NumberedChange, Version};
 
 use crate::error::MalformedState;
 
@@ -67,4 +67,15 @@
         state.apply(change);
         Versioned::new(version, state)
     }
+
+    /// This state with all the changes made.
+    pub(crate) fn with_all(&self, changes: &[NumberedChange]) -> Result<Self, MalformedState> {
+        let mut state = (*self.state).clone();
+        let mut version = self.version;
+        for numbered in changes {
+            state.apply(&S::decode_change(&numbered.change)?);
+            version = numbered.version;
+        }
+        Ok(Versioned::new(version, state))
+    }
 }
--- a/crates/replication/tests/common/mod.rs
+++ b/crates/replication/tests/common/mod.rs
@@ -12,7 +12,7 @@
 
 use juniperwing_clock::{Span, Time};
 use juniperwing_protocol::DiskId;
-use juniperwing_protocol::replication::{ReplicationMessage, Voter};
+use juniperwing_protocol::replication::{ReplicationBody, ReplicationMessage, Voter};
 use juniperwing_replication::{
     Command, Event, PersistToken, ProposeToken, ReadToken, Record, Replica, Settings, Timings,
 };
@@ -96,6 +96,13 @@
     pub ill_disks: bool,
     /// Whether writes to disk take long at times.
     pub slow_disks: bool,
+    /// Bytes of changes and states that a link carries in a millisecond, where it is slow.
+    pub link_bytes_per_ms: Option<u64>,
+    /// Bytes of changes and states that were sent.
+    pub bytes_sent: u64,
+    /// When each slow link has carried all that it was given.
+    busy_until: BTreeMap<(usize, SocketAddr), Time>,
+    pub timings: Timings,
     required: usize,
     seeds: Vec<SocketAddr>,
     actions: BinaryHeap<Reverse<(Time, u64)>>,
@@ -125,6 +132,10 @@
             judge: Judge::default(),
             ill_disks: false,
             slow_disks: false,
+            link_bytes_per_ms: None,
+            bytes_sent: 0,
+            busy_until: BTreeMap::new(),
+            timings: Timings::default(),
             required,
             seeds: (0..seeds).map(address).collect(),
             actions: BinaryHeap::new(),
@@ -275,7 +286,7 @@
             seeds: self.seeds_of(index),
             bootstrap: self.machines[index].bootstrap,
             required_copies: self.required,
-            timings: Timings::default(),
+            timings: self.timings,
         };
         let machine = &mut self.machines[index];
         if machine.gone || machine.replica.is_some() {
@@ -347,7 +358,23 @@
         }
         let slow = late > 0 && self.random.one_in(late);
         let delay = if slow { self.random.millis(1, 400) } else { self.random.millis(1, 4) };
-        self.after(delay, Action::Deliver { to, message });
+        let carried = self.carried_at(from, to, &message);
+        self.at(carried + delay, Action::Deliver { to, message });
+    }
+
+    /// When a slow link has carried a change or a state, which wait for each other there.
+    fn carried_at(&mut self, from: usize, to: SocketAddr, message: &ReplicationMessage) -> Time {
+        let bytes = match &message.body {
+            ReplicationBody::Write { change, .. } => change.len(),
+            ReplicationBody::Changes { changes, .. } => changes.iter().map(|made| made.change.len()).sum(),
+            ReplicationBody::Snapshot { state, .. } => state.len(),
+            _ => return self.now,
+        };
+        self.bytes_sent += bytes as u64;
+        let Some(bytes_per_ms) = self.link_bytes_per_ms else { return self.now };
+        let free_at = self.busy_until.entry((from, to)).or_default();
+        *free_at = self.now.max(*free_at) + Span::from_millis(bytes as u64 / bytes_per_ms);
+        *free_at
     }
 
     /// Proposals and reads on all sides, half of them at the primary, that none lacks work by chance.
