A link on which a large envelope is under way is not given up

The end that sends one hears nothing until it has been read whole: answers to its pings wait behind it, and the other end pings only when it hears nothing. So any envelope that takes longer than 700 ms, 2.6 MB at 30 Mbit/s or a configuration for ten relays at once, broke its link and was sent anew for ever. An end that has read only a part of an envelope now pings every 200 ms. The test drips an envelope of 8 MB and hears nothing without it.

--- a/crates/node/src/link.rs
+++ b/crates/node/src/link.rs
@@ -1,7 +1,8 @@
 //! Links: TCP connections between processes of the tier that carry envelopes both ways.
 //!
-//! The connecting end sends a ping when it has heard nothing for [`PING_AFTER`]; either end gives the link up
-//! when it has heard nothing for [`DEAD_AFTER`]. A link that is given up fails all its open calls.
+//! The connecting end sends a ping when it has heard nothing for [`PING_AFTER`], and either end does while it has
+//! read only a part of an envelope for so long; either end gives the link up when it has heard nothing for
+//! [`DEAD_AFTER`]. A link that is given up fails all its open calls.
 
 mod connection;
 mod pool;
--- a/crates/node/src/link/connection.rs
+++ b/crates/node/src/link/connection.rs
@@ -251,6 +251,7 @@
 async fn read(link: Link, mut reader: ReadHalf, connecting: bool, service: Arc<dyn Service>) {
     let mut buffer = Vec::with_capacity(READ_BYTES);
     let mut heard = Instant::now();
+    let mut pinged = Instant::now();
     loop {
         // The accepting end only waits; the connecting end wakes up to ping.
         let wake = if connecting { Instant::now() + PING_AFTER } else { heard + DEAD_AFTER };
@@ -268,6 +269,11 @@
         if !deliver(&link, &mut buffer, &service) {
             break;
         }
+        // Whoever sends a large envelope over a slow link hears for as long that it is being read.
+        if !buffer.is_empty() && pinged.elapsed() >= PING_AFTER {
+            link.send(Message::Ping);
+            pinged = Instant::now();
+        }
     }
     link.close();
     service.closed(&link);
--- a/crates/node/tests/link.rs
+++ b/crates/node/tests/link.rs
@@ -5,9 +5,10 @@
 use std::time::Duration;
 
 use juniperwing_node::link::{CallError, Link, LinkPool, Reply, Service, serve};
-use juniperwing_protocol::Message;
-use juniperwing_protocol::registry::RegistryMessage;
+use juniperwing_protocol::registry::{Order, RegistryMessage};
+use juniperwing_protocol::{CallId, Envelope, Message};
 use tokio::net::TcpListener;
+use tokio::time::timeout;
 
 const WITHIN: Duration = Duration::from_secs(10);
 
@@ -99,3 +100,40 @@
     assert!(rest.is_empty());
     assert!(recorder.messages.lock().unwrap().is_empty());
 }
+
+/// An envelope that takes longer than a link's patience, in as many parts as it has bytes. Fails without the ping
+/// for a part of an envelope in `read`: the sender hears nothing and gives the link up.
+#[tokio::test]
+async fn whoever_sends_a_large_envelope_slowly_hears_that_it_is_read() {
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    const BYTES: usize = 8 << 20;
+    let (address, recorder) = server().await;
+    let body = vec![0; BYTES];
+    let message = Message::Registry(RegistryMessage::Order(Order::PutConfiguration { base: 0, body }));
+    let envelope = Envelope { call: CallId::default(), answer: false, message: message.clone() };
+    let bytes = envelope.encode().unwrap();
+    let mut stream = tokio::net::TcpStream::connect(address).await.unwrap();
+    let (mut reader, mut writer) = stream.split();
+    let mut sign = [0; 4];
+    let mut sent = 0;
+    let hears = async {
+        loop {
+            tokio::select! {
+                biased;
+                heard = reader.read(&mut sign) => return assert!(heard.unwrap() > 0),
+                written = writer.write_all(&bytes[sent..=sent]) => written.unwrap(),
+            }
+            sent += 1;
+            tokio::task::yield_now().await;
+        }
+    };
+    timeout(WITHIN, hears).await.expect("a sign of life");
+    assert!(sent < bytes.len(), "heard before all was sent");
+    writer.write_all(&bytes[sent..]).await.unwrap();
+    let arrived = async {
+        while recorder.messages.lock().unwrap().first() != Some(&message) {
+            tokio::task::yield_now().await;
+        }
+    };
+    timeout(WITHIN, arrived).await.expect("the whole envelope");
+}
