--- /dev/null
+++ b/crates/control/tests/growth.rs
@@ -0,0 +1,67 @@
+//! What the control state and its changes come to, in bytes, after many changes of large configurations.
+
+use juniperwing_configuration::digest;
+use juniperwing_control::{ConfigurationInForce, ControlChange, ControlState, MAX_ORDERS_REMEMBERED};
+use juniperwing_replication::ReplicatedState;
+
+/// Bytes of an order that is remembered.
+const PER_ORDER: usize = 16;
+/// Bytes for all else: numbers, lengths, empty lists.
+const OVERHEAD: usize = 128;
+
+fn change(generation: u64, routes: usize) -> ControlChange {
+    let route = |number: usize| {
+        format!(
+            r#"{{"name":"r-{number}","hostname":"h-{number}.example","pathPrefix":"/a/","routeType":"streaming","timeoutMs":5000,"targetLatencyMs":250,"priority":0,"backend":"b","maxRetries":2,"kept":true,"retentionS":60.0,"sessionAffinity":true,"resumable":false,"gap_aim_ms":400}}"#
+        )
+    };
+    let routes: Vec<String> = (0..routes).map(route).collect();
+    let body = format!(
+        r#"{{"generation":{generation},"routes":[{}],"backends":[{{"name":"b"}}]}}"#,
+        routes.join(",")
+    );
+    let configuration = ConfigurationInForce { generation, body: body.as_bytes().into() };
+    ControlChange::TakeConfiguration { digest: digest(generation - 1, body.as_bytes()), configuration }
+}
+
+fn body_bytes(state: &ControlState) -> usize {
+    state.configuration.as_ref().map_or(0, |configuration| configuration.body.len())
+}
+
+/// Fails if older configurations, or more than the digest of an order, stay in the state.
+#[test]
+fn the_state_holds_one_configuration_and_a_digest_for_each_order() {
+    for routes in [10, 1_000, 3_000] {
+        let mut state = ControlState::default();
+        for generation in 1..=1_000 {
+            // The digests differ with the number; most need not be those of large bodies.
+            let is_measured = [1, 100, 1_000].contains(&generation);
+            let change = change(generation, if is_measured { routes } else { 1 });
+            state.apply(&change);
+            if is_measured {
+                let body = body_bytes(&state);
+                let encoded = state.encode().len();
+                let bound = body + PER_ORDER * generation as usize + OVERHEAD;
+                assert!(encoded <= bound, "{encoded} bytes for a body of {body} after {generation} changes");
+                let sent = ControlState::encode_change(&change).len();
+                assert!(sent <= body + OVERHEAD, "{sent} bytes for a change of {body}");
+                println!(
+                    "{routes} routes, {generation} changes: body {body}, state {encoded}, change {sent}"
+                );
+            }
+        }
+        assert_eq!(ControlState::decode(&state.encode()).expect("its own encoding"), state);
+    }
+}
+
+/// Fails without the limit in `OrderHistory::remember`.
+#[test]
+fn the_state_grows_no_further_than_the_orders_that_are_remembered() {
+    let mut state = ControlState::default();
+    for generation in 1..=MAX_ORDERS_REMEMBERED as u64 + 1_000 {
+        state.apply(&change(generation, 0));
+    }
+    let encoded = state.encode().len();
+    assert!(encoded <= PER_ORDER * MAX_ORDERS_REMEMBERED + body_bytes(&state) + OVERHEAD, "{encoded}");
+    assert_eq!(ControlState::decode(&state.encode()).expect("its own encoding"), state);
+}
