Retiring under a new primary keeper, and of a machine that changes its disk

Cause: a keeper new in office that had seen no store answered 404 or 409 to a proper order; a machine that lost its disk while being emptied was refused when the order was sent again, was given copies, and could be told completed; a machine that came anew under an old name was told completed by the earlier order. A refusal now waits for a settled view (503 until then), a taken order is never refused, the new disk is emptied in the old one's place. Four tests in retire.rs; each of the guards was taken out and its test failed.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -15,7 +15,9 @@
 pub use order::{PutDecision, decide_put};
 pub use placement::{PARTITIONS, REPLICAS_BEYOND_REQUIRED};
 pub use plan::{PlanInput, plan, unrecoverable};
-pub use retire::{RetireDecision, completed_retirements, decide_retire, retirement_state};
+pub use retire::{
+    RetireDecision, completed_retirements, decide_retire, retirement_state, retirement_to_renew,
+};
 pub use state::{
     ConfigurationInForce, ControlChange, ControlState, MAX_ORDERS_REMEMBERED, MAX_RETIREMENTS, Retirement,
     RetirementState,
--- a/crates/control/src/retire.rs
+++ b/crates/control/src/retire.rs
@@ -13,6 +13,8 @@
     AlreadyTaken,
     /// This change is to be made.
     Take(ControlChange),
+    /// This keeper has not seen the stores for long enough to refuse anything.
+    NotCertain,
     /// No store machine has that name.
     Unknown,
     /// Too few others would remain.
@@ -28,23 +30,47 @@
 ) -> RetireDecision {
     let present = known_stores(state, view).into_iter().rfind(|store| store.node == *node);
     let Some(store) = present else {
-        let known = retirement_state(state, node).is_some();
-        return if known { RetireDecision::AlreadyTaken } else { RetireDecision::Unknown };
+        return match newest_retirement(state, node) {
+            Some(_) => RetireDecision::AlreadyTaken,
+            None if view.settled => RetireDecision::Unknown,
+            None => RetireDecision::NotCertain,
+        };
     };
-    if state.is_retiring(store.disk) {
+    if state.is_retiring(store.disk) || is_under_way(state, node) {
         return RetireDecision::AlreadyTaken;
     }
     let others = remaining(state, view, node);
-    if others < required_copies {
-        return RetireDecision::TooFewRemain { others };
+    if others >= required_copies {
+        RetireDecision::Take(ControlChange::BeginRetirement(store.clone()))
+    } else if view.settled {
+        RetireDecision::TooFewRemain { others }
+    } else {
+        RetireDecision::NotCertain
     }
-    RetireDecision::Take(ControlChange::BeginRetirement(store.clone()))
 }
 
-/// How far the emptying of a machine has come; `None` if it was never asked for.
-pub fn retirement_state(state: &ControlState, node: &NodeName) -> Option<RetirementState> {
-    let newest = state.retirements.iter().rfind(|retirement| retirement.store.node == *node);
-    newest.map(|retirement| retirement.state)
+/// How far the emptying of a machine has come; `None` if it was never asked for, or only for an earlier machine
+/// of that name.
+pub fn retirement_state(state: &ControlState, view: &StoreView, node: &NodeName) -> Option<RetirementState> {
+    let newest = newest_retirement(state, node)?;
+    let another = |store: &&StoreNode| store.node == *node && !state.is_retiring(store.disk);
+    let came_anew = newest.state == RetirementState::Completed && view.alive.values().any(|s| another(&s));
+    (!came_anew).then_some(newest.state)
+}
+
+/// A machine that is being emptied and has come back with another disk: that disk is to be given nothing either.
+pub fn retirement_to_renew(state: &ControlState, view: &StoreView) -> Option<ControlChange> {
+    let renewed = |store: &&StoreNode| !state.is_retiring(store.disk) && is_under_way(state, &store.node);
+    let store = view.alive.values().find(renewed)?;
+    Some(ControlChange::BeginRetirement(store.clone()))
+}
+
+fn newest_retirement<'state>(state: &'state ControlState, node: &NodeName) -> Option<&'state Retirement> {
+    state.retirements.iter().rfind(|retirement| retirement.store.node == *node)
+}
+
+fn is_under_way(state: &ControlState, node: &NodeName) -> bool {
+    newest_retirement(state, node).is_some_and(|newest| newest.state == RetirementState::Active)
 }
 
 /// Stores that hold nothing any more and whose retirement is still under way.
--- a/crates/control/src/tracker.rs
+++ b/crates/control/src/tracker.rs
@@ -43,6 +43,8 @@
     pub surely_lost: BTreeSet<DiskId>,
     /// Those of them that others should replace.
     pub long_lost: BTreeSet<DiskId>,
+    /// Whether this keeper has run for long enough to have heard of every store that is alive.
+    pub settled: bool,
     /// Whether the stores of the first start have had their time to come.
     pub gathered: bool,
     /// Whether nothing was lost and nothing came back for some seconds.
@@ -104,6 +106,7 @@
             lost: lost_after(LOST_AFTER),
             surely_lost: lost_after(SURELY_LOST_AFTER),
             long_lost: lost_after(REPLACE_AFTER),
+            settled: !graced,
             gathered: self.first_seen.is_some_and(|first| now.since(first) >= WAIT_FOR_OTHERS),
             calm: now.since(self.changed_at) >= CALM_AFTER,
             alive,
--- a/crates/control/tests/common/mod.rs
+++ b/crates/control/tests/common/mod.rs
@@ -40,6 +40,7 @@
         let view = StoreView {
             alive: stores.into_iter().map(|disk| (DiskId(disk), store(disk))).collect(),
             gathered: true,
+            settled: true,
             ..StoreView::default()
         };
         let mut tier = Tier { state: ControlState::default(), view };
--- a/crates/control/tests/retire.rs
+++ b/crates/control/tests/retire.rs
@@ -2,9 +2,10 @@
 
 mod common;
 
-use common::{REQUIRED, Tier};
+use common::{REQUIRED, Tier, store_on};
 use juniperwing_control::{
-    ControlChange, RetireDecision, RetirementState, completed_retirements, decide_retire, retirement_state,
+    ControlChange, ControlState, RetireDecision, RetirementState, StoreView, completed_retirements,
+    decide_retire, retirement_state, retirement_to_renew,
 };
 use juniperwing_protocol::{DiskId, NodeName};
 use juniperwing_replication::ReplicatedState;
@@ -56,12 +57,12 @@
     assert!(!moving.is_empty());
     assert!(moving.iter().all(|held| held.joining.len() == 1), "another joins first");
     complete(&mut tier);
-    assert_eq!(retirement_state(&tier.state, &node(1)), Some(RetirementState::Active));
+    assert_eq!(retirement_state(&tier.state, &tier.view, &node(1)), Some(RetirementState::Active));
     tier.settle();
     assert!(!tier.holders().contains(&DiskId(1)));
     assert!(tier.partitions().iter().all(|held| held.in_sync.len() == REQUIRED + 1));
     complete(&mut tier);
-    assert_eq!(retirement_state(&tier.state, &node(1)), Some(RetirementState::Completed));
+    assert_eq!(retirement_state(&tier.state, &tier.view, &node(1)), Some(RetirementState::Completed));
     assert_eq!(decide(&tier, 1), RetireDecision::AlreadyTaken);
 }
 
@@ -74,7 +75,7 @@
     tier.step(&[]);
     complete(&mut tier);
     assert!(tier.holders().contains(&DiskId(1)));
-    assert_eq!(retirement_state(&tier.state, &node(1)), Some(RetirementState::Active));
+    assert_eq!(retirement_state(&tier.state, &tier.view, &node(1)), Some(RetirementState::Active));
 }
 
 #[test]
@@ -85,7 +86,7 @@
     begin(&mut tier, 1);
     tier.settle();
     complete(&mut tier);
-    assert_eq!(retirement_state(&tier.state, &node(1)), Some(RetirementState::Completed));
+    assert_eq!(retirement_state(&tier.state, &tier.view, &node(1)), Some(RetirementState::Completed));
     let left = before.iter().zip(tier.partitions()).filter(|(old, _)| old.in_sync.contains(&DiskId(1)));
     assert!(left.map(|(_, new)| new.in_sync.len()).all(|copies| copies == REQUIRED + 1));
 }
@@ -109,6 +110,74 @@
     complete(&mut tier);
     tier.lose_long(1);
     tier.settle();
-    assert_eq!(retirement_state(&tier.state, &node(1)), Some(RetirementState::Completed));
+    assert_eq!(retirement_state(&tier.state, &tier.view, &node(1)), Some(RetirementState::Completed));
     assert_eq!(decide(&tier, 1), RetireDecision::AlreadyTaken);
 }
+
+#[test]
+fn a_keeper_that_has_seen_no_store_yet_refuses_nothing() {
+    // Guard: `settled` in `decide_retire`.
+    let tier = Tier::of(1..=2);
+    let empty = StoreView::default();
+    let unknown = decide_retire(&ControlState::default(), &empty, &node(1), REQUIRED);
+    assert_eq!(unknown, RetireDecision::NotCertain);
+    let too_few = decide_retire(&tier.state, &empty, &node(1), REQUIRED);
+    assert_eq!(too_few, RetireDecision::NotCertain);
+    let settled = StoreView { settled: true, ..empty };
+    let unknown = decide_retire(&ControlState::default(), &settled, &node(1), REQUIRED);
+    assert_eq!(unknown, RetireDecision::Unknown);
+}
+
+#[test]
+fn a_keeper_that_has_seen_no_store_yet_takes_an_order_by_the_map_and_knows_what_was_taken() {
+    let mut tier = Tier::of(1..=3);
+    tier.view = StoreView::default();
+    begin(&mut tier, 1);
+    assert_eq!(decide(&tier, 1), RetireDecision::AlreadyTaken);
+    assert_eq!(retirement_state(&tier.state, &tier.view, &node(1)), Some(RetirementState::Active));
+}
+
+#[test]
+fn a_machine_that_came_anew_under_the_name_of_one_taken_away_is_another() {
+    // Guard: `came_anew` in `retirement_state`.
+    let mut tier = Tier::of(1..=4);
+    begin(&mut tier, 1);
+    tier.settle();
+    complete(&mut tier);
+    tier.lose_long(1);
+    tier.bring(store_on(11, 1));
+    tier.settle();
+    assert_eq!(retirement_state(&tier.state, &tier.view, &node(1)), None);
+    tier.lose_long(2);
+    tier.settle();
+    assert!(tier.holders().contains(&DiskId(11)));
+    tier.bring(common::store(2));
+    begin(&mut tier, 1);
+    assert_eq!(retirement_state(&tier.state, &tier.view, &node(1)), Some(RetirementState::Active));
+    tier.settle();
+    complete(&mut tier);
+    assert_eq!(retirement_state(&tier.state, &tier.view, &node(1)), Some(RetirementState::Completed));
+    assert!(!tier.holders().contains(&DiskId(11)));
+}
+
+#[test]
+fn a_machine_that_lost_its_disk_while_being_emptied_goes_on_being_emptied() {
+    // Guards: `is_under_way` in `decide_retire`, and `retirement_to_renew`.
+    let mut tier = Tier::of(1..=3);
+    begin(&mut tier, 1);
+    tier.view.alive.remove(&DiskId(1));
+    tier.bring(store_on(11, 1));
+    // The order that was taken is not refused, although too few would remain for another one.
+    tier.lose_long(3);
+    assert_eq!(decide(&tier, 1), RetireDecision::AlreadyTaken);
+    tier.bring(common::store(3));
+    let renewed = retirement_to_renew(&tier.state, &tier.view).expect("another disk to be given nothing");
+    tier.state.apply(&renewed);
+    assert_eq!(retirement_to_renew(&tier.state, &tier.view), None);
+    tier.settle();
+    complete(&mut tier);
+    assert!(!tier.holders().contains(&DiskId(1)) && !tier.holders().contains(&DiskId(11)));
+    assert_eq!(retirement_state(&tier.state, &tier.view, &node(1)), Some(RetirementState::Completed));
+    tier.settle();
+    assert!(!tier.holders().contains(&DiskId(11)));
+}
--- a/crates/node/src/keeper/orders.rs
+++ b/crates/node/src/keeper/orders.rs
@@ -153,6 +153,7 @@
             RetireDecision::AlreadyTaken => {
                 return Attempt::Answered(self.retire_state(&confirmed.state, node));
             }
+            RetireDecision::NotCertain => return Attempt::Again,
             RetireDecision::Unknown => return Attempt::Answered(unknown_machine()),
             RetireDecision::TooFewRemain { others } => {
                 info!(self.log, "retiring refused"; "store" => %node.0, "others" => others);
@@ -169,7 +170,7 @@
     }
 
     fn retire_state(&self, state: &ControlState, node: &NodeName) -> OrderAnswer {
-        if let Some(progress) = retirement_state(state, node) {
+        if let Some(progress) = retirement_state(state, &self.lock().store_view, node) {
             return json(200, &StateBody { state: state_name(progress) });
         }
         unknown_machine()
--- a/crates/node/src/keeper/stores.rs
+++ b/crates/node/src/keeper/stores.rs
@@ -2,7 +2,9 @@
 
 use std::sync::Arc;
 
-use juniperwing_control::{ControlChange, PlanInput, completed_retirements, plan, unrecoverable};
+use juniperwing_control::{
+    ControlChange, PlanInput, completed_retirements, plan, retirement_to_renew, unrecoverable,
+};
 use juniperwing_protocol::registry::RegistryMessage;
 use juniperwing_protocol::subscription::{CaughtUp, StoreNode};
 use juniperwing_protocol::{DiskId, Message};
@@ -88,6 +90,9 @@
         if !replica.is_primary() || replica.latest().version != committed.version {
             return None;
         }
+        if let Some(change) = retirement_to_renew(&committed.state, &state.store_view) {
+            return Some((committed.version, change));
+        }
         self.warn_unrecoverable(state);
         let input = PlanInput {
             state: &committed.state,
