A store that has the only copy fills another before it ends

Cause: at SIGTERM a store left the keepers at once, also while another one was being filled from it and had nothing yet, so that turns stopped until it was back. It now serves on until the map names a second copy, for at most graceS less 1.5 s. Test in store.rs: with the wait taken out, the keeper never hears that the other store has caught up.

--- a/crates/node/src/store.rs
+++ b/crates/node/src/store.rs
@@ -15,7 +15,7 @@
 use juniperwing_protocol::replication::Version;
 use juniperwing_protocol::subscription::{self, Subscribe};
 use juniperwing_protocol::{DiskId, NodeName};
-use juniperwing_sessions::Limits;
+use juniperwing_sessions::{Limits, Store};
 use slog::{Logger, info, warn};
 use tokio::net::TcpListener;
 use tokio::time::timeout;
@@ -32,6 +32,8 @@
 
 /// Keepers that a store subscribes to at most; usually there are fewer.
 const MAX_SUBSCRIPTIONS: usize = 9;
+/// How long before the platform kills the process the end no longer waits for a second copy.
+const BEFORE_GRACE_ENDS: Duration = Duration::from_millis(1_500);
 /// How long the end waits for what is under way.
 const END_WITHIN: Duration = Duration::from_millis(500);
 /// The share of memory that records may take; the rest is for messages, batches and the process itself.
@@ -80,6 +82,8 @@
     subscriber: Arc<Subscriber>,
     gossip: Gossip,
     listening: tokio::task::JoinHandle<()>,
+    /// How long the end may wait for a second copy.
+    hand_over_within: Duration,
     log: Logger,
 }
 
@@ -112,7 +116,8 @@
         let myself = Myself { role: Role::Store, disk: Some(disk) };
         let gossip = Gossip::start(settings, myself, log.clone(), observer).await?;
         info!(log, "serving"; "disk" => disk.0, "new" => is_new);
-        Ok(StoreProcess { core, subscriber, gossip, listening, log })
+        let hand_over_within = hand_over_within(settings);
+        Ok(StoreProcess { core, subscriber, gossip, listening, hand_over_within, log })
     }
 
     fn reload(&self, settings: &Settings) {
@@ -121,17 +126,27 @@
         info!(self.log, "settings read again");
     }
 
-    /// Leaves the keepers, so that they move the partitions, and ends what is under way if that is soon done.
+    /// Fills another store first, where this one has the only copy. Then leaves the keepers, so that they move the
+    /// partitions, and ends what is under way if that is soon done.
     async fn stop(self) {
+        let filled = self.core.until(|store| !store.is_filling_a_second_copy());
+        if timeout(self.hand_over_within, filled).await.is_err() {
+            warn!(self.log, "ends with the only copy");
+        }
         self.gossip.leave();
         self.subscriber.suspend(true);
         self.listening.abort();
-        if timeout(END_WITHIN, self.core.idle()).await.is_err() {
+        if timeout(END_WITHIN, self.core.until(Store::is_idle)).await.is_err() {
             info!(self.log, "ends with questions open");
         }
     }
 }
 
+fn hand_over_within(settings: &Settings) -> Duration {
+    let grace = Duration::try_from_secs_f64(settings.bounds.grace_s).unwrap_or_default();
+    grace.saturating_sub(BEFORE_GRACE_ENDS)
+}
+
 fn limits(settings: &Settings) -> Limits {
     Limits {
         required_copies: settings.required_copies(),
--- a/crates/node/src/store/core.rs
+++ b/crates/node/src/store/core.rs
@@ -114,13 +114,13 @@
         self.handled.notify_waiters();
     }
 
-    /// Waits until nothing is under way.
-    pub(super) async fn idle(&self) {
+    /// Waits until something holds of the store.
+    pub(super) async fn until(&self, holds: impl Fn(&Store) -> bool) {
         loop {
             let handled = self.handled.notified();
             tokio::pin!(handled);
             handled.as_mut().enable();
-            if self.lock().store.is_idle() {
+            if holds(&self.lock().store) {
                 return;
             }
             handled.await;
--- a/crates/node/tests/store.rs
+++ b/crates/node/tests/store.rs
@@ -164,3 +164,27 @@
     stores.keeper.subscribed(COUNT).await;
     assert_eq!(stores.client.finish(keep("p", "t3", Some("t2")), WITHIN).await, Ok(()));
 }
+
+#[tokio::test]
+async fn the_only_holder_fills_another_store_before_it_ends() {
+    // Guard: `stop` waits while `is_filling_a_second_copy`.
+    let mut stores = Stores::start("handover").await;
+    keep_two(&stores).await;
+    stores.running[2].take().unwrap().kill();
+    let two_left = stores.keeper.subscribed(2).await;
+    stores.running[1].take().unwrap().kill();
+    let only = stores.keeper.subscribed(1).await[0];
+    let other = *two_left.iter().find(|disk| **disk != only).unwrap();
+    let epoch = stores.assign(&[only], &[other]);
+    stores.keeper.applied(epoch).await;
+    let holder = stores.running[0].take().unwrap();
+    let stopping = tokio::task::spawn_blocking(move || holder.stop());
+    stores.restart(1);
+    stores.keeper.subscribed(2).await;
+    let epoch = stores.assign(&[only], &[other]);
+    let all: Vec<u16> = (0..8).collect();
+    stores.keeper.caught_up(other, epoch, &all).await;
+    stores.assign(&[only, other], &[]);
+    tokio::time::timeout(WITHIN, stopping).await.expect("it ends").unwrap();
+    stores.assign(&[other], &[]);
+}
--- a/crates/node/tests/stores/mod.rs
+++ b/crates/node/tests/stores/mod.rs
@@ -36,6 +36,8 @@
     stores: BTreeMap<DiskId, (StoreNode, Link)>,
     map: Arc<StoreMap>,
     caught_up: Vec<CaughtUp>,
+    /// The version of the map that was confirmed last.
+    applied: u64,
 }
 
 impl Service for Keeper {
@@ -47,7 +49,10 @@
                 state.stores.insert(disk, (node(&subscribe, disk), link.clone()));
                 link.send(Message::Update(Update::Stores(state.map.clone())));
             }
-            Message::Applied(applied) => state.caught_up = applied.caught_up,
+            Message::Applied(applied) => {
+                state.applied = applied.stores;
+                state.caught_up = applied.caught_up;
+            }
             _ => {}
         }
         drop(state);
@@ -88,6 +93,11 @@
             .await
     }
 
+    /// Waits until a store has confirmed the map of an epoch.
+    pub async fn applied(&self, epoch: EpochNumber) {
+        self.until(|state| (state.applied == epoch.0).then_some(())).await;
+    }
+
     /// Waits until every partition's joining replica has caught up in the present epoch.
     pub async fn caught_up(&self, replica: DiskId, epoch: EpochNumber, partitions: &[u16]) {
         self.until(|state| {
--- a/crates/sessions/src/store.rs
+++ b/crates/sessions/src/store.rs
@@ -175,6 +175,11 @@
         answered && self.rounds.is_empty() && self.waiting.is_empty() && self.journal.is_idle()
     }
 
+    /// Whether some partition has its only copy here while another store is being filled with it.
+    pub fn is_filling_a_second_copy(&self) -> bool {
+        self.map.partitions.iter().any(|held| held.in_sync == [self.disk] && !held.joining.is_empty())
+    }
+
     /// The records of a partition.
     pub fn table(&self, partition: PartitionId) -> Option<&Table> {
         self.tables.get(&partition)
