A primary that hears of a higher epoch late leaves office

A late answer to its own canvass could tell a sitting primary of a higher epoch; a change of its in-sync set would then have followed that epoch without being in sync there, and taken office without the writes acknowledged in it. It now steps aside. The guard test fails without the check, and the explored model loses a write without it.

--- a/crates/replication/src/primary.rs
+++ b/crates/replication/src/primary.rs
@@ -22,7 +22,10 @@
 
 impl<S: ReplicatedState> Replica<S> {
     pub(crate) fn advance_primary(&mut self, now: Time) {
-        if !self.has_majority(now) {
+        // Told of a higher epoch by a late answer to a canvass, it may lack what was acknowledged in that one,
+        // so it must not change it as its own.
+        let is_over = self.known.number > self.ballot.accepted.number;
+        if is_over || !self.has_majority(now) {
             self.step_aside(now);
             return;
         }
--- a/crates/replication/tests/guards.rs
+++ b/crates/replication/tests/guards.rs
@@ -258,3 +258,29 @@
     assert_eq!(epoch.voters, vec![voter(1), voter(2), newcomer]);
     assert_eq!(epoch.previous_voters, vec![voter(1), voter(2), voter(3)]);
 }
+
+// Guard: `primary.rs`, `advance_primary`, `is_over`. Without it, the primary would change the higher epoch as if it
+// were its own, and take office with a state that lacks what was acknowledged there.
+#[test]
+fn a_primary_that_hears_of_a_higher_epoch_late_leaves_office() {
+    let mut keeper = Keeper::new(epoch(1));
+    let first = keeper.become_candidate();
+    keeper.sync();
+    keeper.promise(2, first, epoch(1));
+    keeper.promise(3, first, epoch(1));
+    keeper.sync();
+    keeper.hear(2, ReplicationBody::Accepted { number: first });
+    assert!(!keeper.replica.epoch().voters.is_empty() && keeper.replica.epoch().number == first);
+    let mut higher = epoch(9);
+    higher.in_sync = vec![DiskId(2), DiskId(3)];
+    let late = ReplicationBody::CanvassAnswer { number: first, granted: true, epoch: higher.clone() };
+    keeper.hear(3, late);
+    // A newcomer that holds its state would make it change its epoch.
+    let newcomer = Voter { node: voter(3).node, ..voter(4) };
+    let mut said = keeper.hear(4, ReplicationBody::Join { voter: newcomer });
+    said.extend(keeper.hear(4, ReplicationBody::Confirm { epoch: first, version: version(1, 7) }));
+    said.extend(keeper.sync());
+    assert!(!said.iter().any(|body| matches!(body, ReplicationBody::Prepare { .. })), "{said:?}");
+    assert!(!keeper.replica.is_primary());
+    assert_eq!(keeper.replica.epoch(), &higher);
+}
