A keeper that ends is done without first: its copy and its vote

A backup that got SIGTERM ended at once and stayed a voter for a second; with four voters the next loss left no majority. A primary that found no successor ended after 300 ms with what may be the only copy. A keeper now says that it leaves, the primary takes it out of the in-sync set and, where one fewer bears as many losses, out of the voters, and it ends when that is chosen, or two seconds before its grace is over. A primary without a successor goes on and lets replicas in.

--- a/crates/node/src/keeper.rs
+++ b/crates/node/src/keeper.rs
@@ -34,7 +34,7 @@
 use slog::{Logger, info, warn};
 use tokio::net::TcpListener;
 use tokio::sync::{Notify, mpsc, watch};
-use tokio::time::{Instant, MissedTickBehavior, timeout, timeout_at};
+use tokio::time::{Instant, MissedTickBehavior, sleep, timeout, timeout_at};
 
 use self::consensus::{Consensus, MAX_WRITES, Write, tick_replica, write_records};
 use self::contact::Contact;
@@ -59,8 +59,10 @@
 const PAUSE: Span = Span::from_millis(1_000);
 /// How long calls that are under way may take when the keeper ends.
 const FINISH_WITHIN: Duration = Duration::from_millis(900);
-/// How long a primary has for handing over when it ends.
-const HAND_OVER_WITHIN: Duration = Duration::from_millis(300);
+/// How long before its grace ends a keeper waits no more for the others to do without it.
+const BEFORE_GRACE_ENDS: Duration = Duration::from_millis(2_000);
+/// Between two looks whether a keeper that was told to end may do so.
+const END_CHECK: Duration = Duration::from_millis(20);
 
 /// What changes while a keeper runs.
 struct State {
@@ -148,6 +150,7 @@
     };
     let internal = TcpListener::bind(settings.own_address(Port::Keeper)).await?;
     let control = control_listener::bind(control).await?;
+    let grace = Duration::try_from_secs_f64(settings.bounds.grace_s).unwrap_or_default();
     let for_disk = settings.clone();
     let opened = tokio::task::spawn_blocking(move || open(&for_disk, &folder));
     let start = opened.await.map_err(io::Error::other)??;
@@ -169,7 +172,7 @@
     stop.await;
     info!(keeper.log, "ending");
     contacts.leave();
-    keeper.hand_over().await;
+    keeper.hand_over(grace).await;
     // Whoever serves a connection holds a sender; the channel ends with the last of them.
     stopping.send_replace(true);
     let _ = timeout(FINISH_WITHIN, calls_ended.recv()).await;
@@ -297,16 +300,15 @@
         }
     }
 
-    /// A primary lets another keeper take over before it ends.
-    async fn hand_over(self: &Arc<Self>) {
+    /// A keeper that is told to end runs on until others hold all that was acknowledged and decide without it, or
+    /// its grace is nearly over: whether it ever comes back is not known.
+    async fn hand_over(self: &Arc<Self>, grace: Duration) {
         self.replica_event(Event::StepDown);
-        let until = Instant::now() + HAND_OVER_WITHIN;
-        let me = self.me.disk;
-        self.wait_until(until, |state| {
-            let replica = &state.consensus.replica;
-            !replica.is_primary() && (replica.epoch().primary != me || replica.voters().len() < 2)
-        })
-        .await;
+        let until = Instant::now() + grace.saturating_sub(BEFORE_GRACE_ENDS);
+        while !self.lock().consensus.replica.may_end() && Instant::now() < until {
+            sleep(END_CHECK).await;
+        }
+        info!(self.log, "handed over"; "may_end" => self.lock().consensus.replica.may_end());
     }
 
     /// Tells subscribers and keepers of changes; all that came in one turn go together.
--- a/crates/protocol/src/replication.rs
+++ b/crates/protocol/src/replication.rs
@@ -159,4 +159,6 @@
         /// It, as a voter.
         voter: Voter,
     },
+    /// A backup is about to end: the primary shall do without its copy and its vote.
+    Leave,
 }
--- a/crates/replication/src/follower.rs
+++ b/crates/replication/src/follower.rs
@@ -40,6 +40,9 @@
     /// Whether this keeper has to ask for a primary's attention: it is no voter, or may have been made none
     /// without hearing of it.
     pub(crate) fn must_ask(&self, now: Time) -> bool {
+        if self.retires {
+            return false;
+        }
         !self.is_voter() || (!self.is_eligible() && !self.hears_primary(now))
     }
 
@@ -141,6 +144,9 @@
         if version.is_none() {
             self.confirm(to, number);
         }
+        if self.retires {
+            self.send(to, ReplicationBody::Leave);
+        }
     }
 
     /// Whether a write or snapshot of that epoch may be taken; its sender is told if not.
--- a/crates/replication/src/membership.rs
+++ b/crates/replication/src/membership.rs
@@ -56,12 +56,15 @@
         let limit = self.settings.timings.confirm;
         let Some(peer) = self.peer(disk) else { return false };
         let silent = self.now.since(peer.last_answer) > limit;
-        silent || peer.behind_since.is_some_and(|since| self.now.since(since) > limit)
+        let leaves = self.now < peer.leaves_until;
+        leaves || silent || peer.behind_since.is_some_and(|since| self.now.since(since) > limit)
     }
 
-    fn is_silent(&self, disk: DiskId) -> bool {
+    /// Whether a voter is gone, or about to go.
+    fn is_leaving_or_silent(&self, disk: DiskId) -> bool {
         let silence = self.settings.timings.silence;
-        self.peer(disk).is_some_and(|peer| self.now.since(peer.last_answer) >= silence)
+        let Some(peer) = self.peer(disk) else { return false };
+        self.now < peer.leaves_until || self.now.since(peer.last_answer) >= silence
     }
 
     /// Whether `voter` asks to be let in, and may be.
@@ -72,15 +75,15 @@
         asks && self.is_up_to_date(peer) && others.all(|voter| proposer_bits(voter.disk) != bits)
     }
 
-    /// The voter whose place `newcomer` takes: its former self, or one that is silent.
+    /// The voter whose place `newcomer` takes: its former self, or one that leaves or is silent.
     fn replaced_by(&self, newcomer: &Voter, voters: &[Voter]) -> Option<usize> {
         let me = self.epoch.primary;
         let others = || voters.iter().enumerate().filter(move |(_, voter)| voter.disk != me);
         let same_disk = others().find(|(_, voter)| voter.disk == newcomer.disk);
         let same_machine =
             || others().find(|(_, voter)| voter.node == newcomer.node || voter.address == newcomer.address);
-        let silent = || others().find(|(_, voter)| self.is_silent(voter.disk));
-        same_disk.or_else(same_machine).or_else(silent).map(|(index, _)| index)
+        let going = || others().find(|(_, voter)| self.is_leaving_or_silent(voter.disk));
+        same_disk.or_else(same_machine).or_else(going).map(|(index, _)| index)
     }
 
     fn admit(&self, voters: &mut Vec<Voter>) {
@@ -96,17 +99,17 @@
         }
     }
 
-    /// Silent voters go, down to as many as founded the tier or are needed for the copies. An odd number stays:
-    /// an even one bears no more losses than one fewer.
-    fn drop_silent(&self, voters: &mut Vec<Voter>) {
-        let least = self.settings.seeds.len().max(2 * self.settings.required_copies - 1);
-        let silent = voters.iter().filter(|voter| self.is_silent(voter.disk)).count();
-        let mut surplus = silent.min(voters.len().saturating_sub(least));
+    /// Voters that leave or are silent go, down to the least that are kept. An odd number stays: an even one bears
+    /// no more losses than one fewer.
+    fn drop_surplus(&self, voters: &mut Vec<Voter>) {
+        let least = self.settings.least_voters();
+        let going = voters.iter().filter(|voter| self.is_leaving_or_silent(voter.disk)).count();
+        let mut surplus = going.min(voters.len().saturating_sub(least));
         if (voters.len() - surplus).is_multiple_of(2) {
             surplus = surplus.saturating_sub(1);
         }
         for _ in 0..surplus {
-            let dropped = voters.iter().position(|voter| self.is_silent(voter.disk));
+            let dropped = voters.iter().position(|voter| self.is_leaving_or_silent(voter.disk));
             dropped.map(|index| voters.remove(index));
         }
     }
@@ -124,6 +127,9 @@
                 in_sync.push(voter.disk);
             }
         }
+        let answers = |disk: &&DiskId| self.peer(**disk).is_some_and(|peer| self.is_up_to_date(peer));
+        let present: Vec<DiskId> = self.epoch.in_sync.iter().filter(answers).copied().collect();
+        fill_up(&mut in_sync, &present, voters, required);
         fill_up(&mut in_sync, &self.epoch.in_sync, voters, required);
         in_sync
     }
@@ -131,7 +137,7 @@
     fn plan(&self) -> Plan {
         let mut voters = self.epoch.voters.clone();
         self.admit(&mut voters);
-        self.drop_silent(&mut voters);
+        self.drop_surplus(&mut voters);
         let in_sync = self.in_sync(&voters);
         let least = self.settings.required_copies.min(self.epoch.in_sync.len());
         if in_sync.len() < least {
--- a/crates/replication/src/office.rs
+++ b/crates/replication/src/office.rs
@@ -31,6 +31,8 @@
     pub(crate) answered_round: u64,
     /// Until when it asks to be let in.
     pub(crate) asks_until: Time,
+    /// Until when it counts as about to end.
+    pub(crate) leaves_until: Time,
 }
 
 impl Peer {
@@ -44,6 +46,7 @@
             sent: None,
             answered_round: 0,
             asks_until: Time::default(),
+            leaves_until: Time::default(),
         }
     }
 }
@@ -143,9 +146,9 @@
         }
     }
 
-    /// Drops keepers that are no voters and ask no more.
+    /// Drops keepers that are no voters and ask no more. One that leaves has yet to hear that it may.
     pub(crate) fn forget_strangers(&mut self, now: Time, epoch: &Epoch) {
         let is_voter = |disk: &DiskId| epoch.voters.iter().any(|voter| voter.disk == *disk);
-        self.peers.retain(|disk, peer| is_voter(disk) || now < peer.asks_until);
+        self.peers.retain(|disk, peer| is_voter(disk) || now < peer.asks_until || now < peer.leaves_until);
     }
 }
--- a/crates/replication/src/primary.rs
+++ b/crates/replication/src/primary.rs
@@ -9,7 +9,7 @@
 use crate::ballot::is_majority;
 use crate::error::{ProposeError, ReadError};
 use crate::interface::{Command, ProposeToken, ReadToken};
-use crate::office::{InFlight, MAX_PROPOSALS, MAX_READS, Peer, PendingRead, Proposal};
+use crate::office::{InFlight, MAX_PROPOSALS, MAX_READS, Office, Peer, PendingRead, Proposal};
 use crate::replica::{Replica, Stage};
 use crate::settings::MAX_VOTERS;
 use crate::state::ReplicatedState;
@@ -61,8 +61,9 @@
     }
 
     pub(crate) fn propose(&mut self, now: Time, token: ProposeToken, base: Version, change: S::Change) {
+        let hands_over = self.successor(now).is_some();
         let error = match &mut self.office {
-            Some(office) if office.hands_over || !office.serves => ProposeError::NotPrimary,
+            Some(office) if hands_over || !office.serves => ProposeError::NotPrimary,
             Some(office) if office.queue.len() >= MAX_PROPOSALS => ProposeError::Busy,
             Some(office) => {
                 office.queue.push_back(Proposal { token, proposed: now, base, change });
@@ -90,12 +91,21 @@
         self.command(Command::ReadDone { token, outcome: Err(error) });
     }
 
-    /// Seeks the office no more, and hands it over if it is held.
-    pub(crate) fn retire(&mut self) {
+    /// Seeks the office no more, and hands it over if it is held; a backup asks the primary to do without it.
+    pub(crate) fn retire(&mut self, now: Time) {
         self.retires = true;
-        let Some(office) = &mut self.office else { return };
+        let Some(office) = &mut self.office else {
+            if let Some(primary) = self.primary_address() {
+                self.send(primary, ReplicationBody::Leave);
+            }
+            return;
+        };
         office.hands_over = true;
         office.heartbeat_at = Time::default();
+        if self.successor(now).is_none() {
+            return;
+        }
+        let Some(office) = &mut self.office else { return };
         for proposal in std::mem::take(&mut office.queue) {
             let outcome = Err(ProposeError::NotPrimary);
             self.command(Command::Proposed { token: proposal.token, outcome });
@@ -162,9 +172,12 @@
 
     /// Begins the next write, if none is under way.
     fn start_writes(&mut self, now: Time) {
+        if self.successor(now).is_some() {
+            return;
+        }
         loop {
             let Some(office) = &mut self.office else { return };
-            if !office.synced || office.in_flight.is_some() || office.hands_over {
+            if !office.synced || office.in_flight.is_some() {
                 return;
             }
             let Some(proposal) = office.queue.pop_front() else { return };
@@ -247,21 +260,40 @@
         self.send_all(&peers, &body);
     }
 
-    /// Asks the in-sync replica that answered last to take over, once nothing is under way.
-    fn hand_over(&mut self, now: Time) {
+    /// Who can take over from a primary that hands over: the in-sync replica that answered last. While there is
+    /// none, the primary goes on as before, so that what it holds gets to other disks.
+    fn successor(&self, now: Time) -> Option<&Peer> {
         let latest = self.latest.version;
-        let epoch = &self.ballot.accepted;
-        let Some(office) = self.office.as_ref().filter(|office| office.hands_over) else { return };
-        let is_stuck = !office.synced || office.in_flight.is_some();
-        let peers = office.peers.values();
-        let fit = peers.filter(|peer| epoch.in_sync.contains(&peer.voter.disk) && peer.held == Some(latest));
-        let Some(successor) = fit.max_by_key(|peer| peer.last_answer) else { return };
-        if !is_stuck && now.since(successor.last_answer) < self.settings.timings.election {
-            let (to, epoch) = (successor.voter.address, epoch.number);
+        let in_sync = &self.ballot.accepted.in_sync;
+        let office = self.office.as_ref().filter(|office| office.hands_over)?;
+        let is_fit = |peer: &&Peer| {
+            let answers = now.since(peer.last_answer) < self.settings.timings.election;
+            let is_held = peer.held == Some(latest) || office.in_flight.is_some();
+            in_sync.contains(&peer.voter.disk) && is_held && answers && now >= peer.leaves_until
+        };
+        office.peers.values().filter(is_fit).max_by_key(|peer| peer.last_answer)
+    }
+
+    /// Asks the successor to take over, once nothing is under way.
+    fn hand_over(&mut self, now: Time) {
+        let epoch = self.ballot.accepted.number;
+        let is_settled = |office: &Office<S::Change>| office.synced && office.in_flight.is_none();
+        let Some(successor) = self.successor(now) else { return };
+        if self.office.as_ref().is_some_and(is_settled) {
+            let to = successor.voter.address;
             self.send(to, ReplicationBody::TakeOver { epoch });
         }
     }
 
+    /// A backup is about to end. It says so again as long as it runs.
+    pub(crate) fn asked_out(&mut self, now: Time, from: DiskId) {
+        let leaves_until = now + self.settings.timings.silence;
+        let Some(office) = &mut self.office else { return };
+        let Some(peer) = office.peers.get_mut(&from) else { return };
+        peer.leaves_until = leaves_until;
+        peer.asks_until = Time::default();
+    }
+
     pub(crate) fn confirmed(&mut self, now: Time, from: DiskId, epoch: EpochNumber, version: Version) {
         let is_primary = matches!(self.stage, Stage::Primary) && epoch == self.ballot.accepted.number;
         let Some(office) = self.office.as_mut().filter(|_| is_primary) else { return };
@@ -319,7 +351,7 @@
         let Some(office) = &self.office else { return false };
         let plan = self.plan(now, office);
         let is_outbid = office.outbid_at.is_some_and(|at| now >= at);
-        if office.hands_over || !(is_outbid || self.is_change(&plan)) {
+        if self.successor(now).is_some() || !(is_outbid || self.is_change(&plan)) {
             return false;
         }
         self.start_election(now, Some(plan));
@@ -342,6 +374,7 @@
             let peer = office.peers.entry(voter.disk).or_insert_with(|| Peer::new(now, voter.clone()));
             peer.voter = voter;
             peer.asks_until = asks_until;
+            peer.leaves_until = Time::default();
             return;
         }
         // Passed on once only.
--- a/crates/replication/src/replica.rs
+++ b/crates/replication/src/replica.rs
@@ -122,7 +122,7 @@
             Event::Tick => {}
             Event::Propose { token, base, change } => self.propose(now, token, base, change),
             Event::Read { token } => self.read(now, token),
-            Event::StepDown => self.retire(),
+            Event::StepDown => self.retire(now),
             Event::Contacts(contacts) => self.set_contacts(now, contacts),
         }
         self.release();
@@ -139,6 +139,23 @@
         self.role() == Role::Primary
     }
 
+    /// Whether this process may end and never come back: the epoch known to be chosen has enough copies without
+    /// it, and bears no more losses with its vote than without. [`Event::StepDown`] brings that about, where
+    /// enough other keepers are there.
+    pub fn may_end(&self) -> bool {
+        let epoch = &self.known;
+        if self.office.is_some() {
+            return epoch.voters.len() < 2;
+        }
+        let is_settled = epoch.previous_voters.is_empty();
+        if voter_of(epoch, self.me()).is_none() {
+            return is_settled;
+        }
+        let has_copies = epoch.in_sync.len() >= self.settings.required_copies;
+        let is_spared = has_copies && !epoch.in_sync.contains(&self.me());
+        is_settled && is_spared && !self.settings.may_drop_one_of(epoch.voters.len())
+    }
+
     /// What this keeper is at present.
     pub fn role(&self) -> Role {
         match (&self.office, &self.stage) {
@@ -259,6 +276,7 @@
             }
             ReplicationBody::Join { voter } => self.asked_in(now, from, voter),
             ReplicationBody::Found { voter } => self.found_by(voter),
+            ReplicationBody::Leave => self.asked_out(now, from),
         }
     }
 
--- a/crates/replication/tests/common/mod.rs
+++ b/crates/replication/tests/common/mod.rs
@@ -403,6 +403,26 @@
         machine.voter.disk = disk;
     }
 
+    /// Tells a keeper to end, and waits until it may, for `grace` at most. It still runs.
+    pub fn step_down(&mut self, index: usize, grace: Span) -> bool {
+        self.hand(index, Event::StepDown);
+        self.run_until(grace, |world| {
+            let replica = world.machines[index].replica.as_ref();
+            replica.is_none_or(Replica::may_end)
+        })
+    }
+
+    /// Cuts what others say to `index`, or what it says to them.
+    pub fn cut_one_way(&mut self, index: usize, hears: bool) {
+        for other in (0..self.machines.len()).filter(|other| *other != index) {
+            if hears {
+                self.cut(index, other);
+            } else {
+                self.cut(other, index);
+            }
+        }
+    }
+
     /// Takes a machine away for good.
     pub fn remove(&mut self, index: usize) {
         self.kill(index);
--- a/crates/replication/tests/guards.rs
+++ b/crates/replication/tests/guards.rs
@@ -284,3 +284,20 @@
     assert!(!keeper.replica.is_primary());
     assert_eq!(keeper.replica.epoch(), &higher);
 }
+
+// Guard: `follower.rs`, `must_ask`, `retires`: one that ends does not ask to be let in again.
+#[test]
+fn a_keeper_that_ends_asks_for_no_vote() {
+    let mut without = epoch(2);
+    without.voters.retain(|other| other.disk != DiskId(1));
+    without.in_sync.retain(|disk| *disk != DiskId(1));
+    let mut keeper = Keeper::new(epoch(1));
+    let said = keeper.hand(Event::StepDown);
+    assert!(said.contains(&ReplicationBody::Leave));
+    assert!(!keeper.replica.may_end());
+    keeper.hear(2, ReplicationBody::Heartbeat { epoch: without, committed: version(1, 7), round: 1 });
+    assert!(keeper.replica.may_end());
+    keeper.now = Time::from_nanos(20_000_000_000);
+    let said = keeper.hand(Event::Tick);
+    assert!(!said.iter().any(|body| matches!(body, ReplicationBody::Join { .. })), "{said:?}");
+}
