--- a/crates/replication/tests/second_loss.rs
+++ b/crates/replication/tests/second_loss.rs
@@ -3,6 +3,8 @@
 
 mod common;
 
+use std::sync::atomic::{AtomicU64, Ordering};
+
 use common::World;
 use juniperwing_clock::Span;
 
@@ -78,6 +80,7 @@
 /// Plays every kind of next loss on every member that matters at every moment, after `first`.
 fn play_all(seeds: usize, machines: usize, required: usize, first: impl Fn(&mut World, u64) + Sync) {
     let first = &first;
+    let longest = &AtomicU64::new(0);
     std::thread::scope(|scope| {
         for victim in VICTIMS {
             scope.spawn(move || {
@@ -89,14 +92,17 @@
                     world.run(Span::from_millis(moment));
                     let struck = find(&world, victim);
                     strike(&mut world, struck, loss);
+                    let struck_at = world.now;
                     world.run(Span::from_millis(10));
                     world.expect_progress(BORNE, &what);
+                    longest.fetch_max(world.now.since(struck_at).nanos() / 1_000_000, Ordering::Relaxed);
                     world.heal();
                     world.expect_whole(WHOLE, &what);
                 }
             });
         }
     });
+    println!("acknowledged again after {} ms at most", longest.load(Ordering::Relaxed));
 }
 
 fn started(seed: u64, seeds: usize, machines: usize, required: usize) -> World {
