--- a/crates/emulator/src/day.rs
+++ b/crates/emulator/src/day.rs
@@ -133,6 +133,7 @@
             all_over = all_over.max(trouble.end_ms()).max(clear_from);
             troubles.push(trouble);
         }
+        troubles.extend(restarts_in_cuts(seed, &troubles));
         troubles.sort_by_key(|trouble| trouble.at_ms);
         Day::new(seed, keepers, troubles)
     }
@@ -144,6 +145,21 @@
     }
 }
 
+/// Relays that start while a keeper is cut off, in every second long cut.
+fn restarts_in_cuts(seed: u64, troubles: &[Trouble]) -> Vec<Trouble> {
+    let mut chance = Chance::new(seed, 3_001);
+    let is_long = |trouble: &&Trouble| matches!(trouble.kind, Kind::Cut(..)) && trouble.lasts_ms == LONG_MS;
+    let mut restarts = Vec::new();
+    for cut in troubles.iter().filter(is_long) {
+        let (at_ms, lasts_ms) = (cut.at_ms + chance.below(LONG_MS), chance.between(100, 1_000));
+        let machine = 1 + chance.below(2) as usize;
+        if chance.one_in(2) {
+            restarts.push(Trouble { at_ms, lasts_ms, machine, kind: Kind::RestartRelay });
+        }
+    }
+    restarts
+}
+
 fn draw_kind(chance: &mut Chance) -> Kind {
     let direction =
         *chance.choose(&[Direction::In, Direction::Out, Direction::Both]).unwrap_or(&Direction::Both);
--- a/crates/emulator/src/main.rs
+++ b/crates/emulator/src/main.rs
@@ -22,6 +22,7 @@
     days: u64,
     jobs: usize,
     log: bool,
+    brief: bool,
 }
 
 fn main() -> ExitCode {
@@ -31,6 +32,11 @@
     options.optopt("", "jobs", "on how many cores [default: 4]", "COUNT");
     options.optopt("", "seed", "the seed of the first day [default: 1]", "SEED");
     options.optflag("", "log", "play the first day only and print all that was seen");
+    options.optflag(
+        "",
+        "brief",
+        "count findings only; don't look for the least troubles that bring them about",
+    );
     options.optflag("h", "help", "print this");
     let usage = options.usage("Usage: juniperwing-emulator [OPTIONS]");
     let wanted =
@@ -38,8 +44,9 @@
             let number = |name: &str, default: u64| matches.opt_get_default(name, default).ok();
             let jobs = number("jobs", 4)?.max(1) as usize;
             let help = matches.opt_present("help");
-            let log = matches.opt_present("log");
-            (!help).then_some(Wanted { first: number("seed", 1)?, days: number("days", 1_000)?, jobs, log })
+            let (log, brief) = (matches.opt_present("log"), matches.opt_present("brief"));
+            let (first, days) = (number("seed", 1)?, number("days", 1_000)?);
+            (!help).then_some(Wanted { first, days, jobs, log, brief })
         });
     match wanted {
         None => {
@@ -92,12 +99,12 @@
         wanted.days as f64 / seconds * 60.0,
         found.len()
     );
-    report(&found);
+    report(&found, wanted.brief);
     if found.is_empty() { ExitCode::SUCCESS } else { ExitCode::FAILURE }
 }
 
 /// The seeds of each property, and the first ones shrunk.
-fn report(found: &BTreeMap<u64, Vec<Finding>>) {
+fn report(found: &BTreeMap<u64, Vec<Finding>>, brief: bool) {
     let mut by_property: BTreeMap<Property, Vec<(u64, &Finding)>> = BTreeMap::new();
     for (seed, findings) in found {
         for finding in findings {
@@ -110,7 +117,7 @@
     for (property, seeds) in by_property {
         let numbers: Vec<String> = seeds.iter().take(10).map(|(seed, _)| seed.to_string()).collect();
         println!("\n{property:?}: {} days, seeds {}", seeds.len(), numbers.join(", "));
-        for (seed, finding) in seeds.iter().take(SHRUNK) {
+        for (seed, finding) in seeds.iter().take(if brief { 0 } else { SHRUNK }) {
             println!("  {finding}");
             print!("  {}", shrink(&Day::draw(*seed), property));
         }
