--- a/crates/node/tests/keeper_contact.rs
+++ b/crates/node/tests/keeper_contact.rs
@@ -178,7 +178,8 @@
 #[tokio::test]
 async fn an_end_that_is_known_here_is_refused_until_a_majority_has_it() {
     let (keepers, peers) = Keepers::start_among_peers(BACKUP).await;
-    keepers.until_heartbeat(BACKUP, "i-1", &heartbeat("ready", 1)).await;
+    // Acknowledged, so nothing is left that the others have not confirmed.
+    keepers.until_heartbeat(BACKUP, "i-0", &heartbeat("draining", 1)).await;
     set_gates(&peers, Gate { takes_instances: false, ..Gate::OPEN });
     peers[0].tell(keepers.internal(BACKUP), draining("i-1", 2)).await;
     assert_eq!(status_of_drain(&keepers, BACKUP, "i-1", 2).await, 503);
@@ -199,3 +200,31 @@
     relay.close();
     keepers.until_deleted(0, "i-1").await;
 }
+
+/// Has a keeper stand still while the others take another configuration and a relay subscribes to it. Once it goes
+/// on, the relay must not be told the older configuration, which the keeper still takes for current.
+async fn a_relay_subscribes_to_a_frozen_keeper(frozen: usize) {
+    let keepers = Keepers::start(3).await;
+    let other = (frozen + 1) % 3;
+    assert_eq!(keepers.put(other, 0, &configuration(3)).await.status, 200);
+    let mut before = Observer::subscribe(keepers.internal(frozen), Subscriber::Relay);
+    before.until_configuration(&configuration(3)).await;
+    let stands_still = keepers.freeze(frozen).await;
+    assert_eq!(keepers.put(other, 3, &configuration(4)).await.status, 200);
+    let mut relay = Observer::subscribe(keepers.internal(frozen), Subscriber::Relay);
+    relay.until_subscribed().await;
+    drop(stands_still);
+    relay.until_configuration(&configuration(4)).await;
+    assert_eq!(relay.configurations(), [configuration(4)]);
+}
+
+/// Guard: subscriptions wait for a confirmation (`Stage::Unconfirmed`).
+#[tokio::test]
+async fn a_primary_that_stood_still_tells_a_new_relay_nothing_old() {
+    a_relay_subscribes_to_a_frozen_keeper(PRIMARY).await;
+}
+
+#[tokio::test]
+async fn a_backup_that_stood_still_tells_a_new_relay_nothing_old() {
+    a_relay_subscribes_to_a_frozen_keeper(BACKUP).await;
+}
