--- a/crates/node/tests/relay/main.rs
+++ b/crates/node/tests/relay/main.rs
@@ -2,12 +2,17 @@
 
 mod client_left;
 mod deadlines;
+mod early;
 mod endpoint;
 mod events;
+mod framing;
+mod hostile;
+mod hostile_answers;
 mod lifecycle;
 mod planned_work;
 mod refusals;
 mod resumption;
+mod smuggling;
 mod streams;
 mod support;
 mod turns;
