A relay that stops accepts until the platform sends it nothing more

Now it accepts for 2.3 s, a third of the grace at the most, and connections that rest are closed with their next answer or after that. The tests' grace is 7 s, so that this fits in.

--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -59,8 +59,11 @@
 
 /// How often connections whose time may be over are looked through.
 const SWEEP_EVERY: Duration = Duration::from_millis(250);
-/// For how long connections are still accepted after the platform wants an end: its checks come every second.
-const ACCEPT_ON: Duration = Duration::from_millis(1_100);
+/// For how long connections are still accepted after the platform wants an end: it sends new ones until two of its
+/// checks, which come every second, have gone unanswered.
+const ACCEPT_ON: Duration = Duration::from_millis(2_300);
+/// The share of the time for an end that this may take.
+const ACCEPT_SHARE: f64 = 0.34;
 /// What is kept of the time that the platform leaves for an end.
 const BEFORE_GRACE_ENDS: Duration = Duration::from_millis(500);
 /// For how long the answers that are given at the very end may go out.
@@ -236,8 +239,9 @@
         let grace = Duration::try_from_secs_f64(settings.bounds.grace_s).unwrap_or_default();
         let end = Instant::now() + grace.saturating_sub(BEFORE_GRACE_ENDS);
         core.stopping.store(true, Ordering::Relaxed);
-        core.connections.finish_all();
-        sleep(ACCEPT_ON.min(grace / 4)).await;
+        // Connections that rest are closed with the next answer, or when no more are accepted: a request that is on
+        // its way meanwhile finds them open.
+        sleep(ACCEPT_ON.min(grace.mul_f64(ACCEPT_SHARE))).await;
         accepting.abort();
         core.connections.finish_all();
         let finished = timeout_at(end, core.connections.ended()).await.is_ok();
--- a/crates/node/tests/relay/planned_work.rs
+++ b/crates/node/tests/relay/planned_work.rs
@@ -1,6 +1,7 @@
 //! Planned work cuts nothing that was read: ends of endpoints and of the relay, other configurations.
 
 use std::sync::Arc;
+use std::time::{Duration, Instant};
 
 use http::StatusCode;
 use juniperwing_protocol::registry::InstanceState;
@@ -12,6 +13,8 @@
 
 /// Requests that an endpoint of the capacity in `instance` takes from one relay.
 const TAKEN: usize = 10;
+/// The platform asks every second whether a relay is ready.
+const TWO_CHECKS: Duration = Duration::from_secs(2);
 /// Routes whose time is far longer than that for an end.
 const PATIENT: &str = r#"{"generation":2,"routes":[
     {"name":"n","hostname":"h.example","pathPrefix":"/n/","routeType":"non_idempotent","timeoutMs":60000,"targetLatencyMs":4000,"priority":2,"backend":"s","maxRetries":2},
@@ -182,3 +185,33 @@
     let served = bench.served.lock().unwrap().take().unwrap();
     soon(served).await.unwrap().unwrap();
 }
+
+// Guards: `ACCEPT_ON`; connections that rest are not ended before it is over.
+#[tokio::test]
+async fn a_relay_that_stops_serves_until_the_platform_has_missed_two_checks() {
+    let endpoint = Endpoint::start("i-1", |request| ok(request, "")).await;
+    let bench = Bench::with(&[&endpoint]).await;
+    let mut resting = connect(bench.frontend).await;
+    soon(resting.ready()).await.unwrap();
+    let begun = Instant::now();
+    bench.stop();
+    soon(async {
+        while bench.core.is_ready() {
+            tokio::task::yield_now().await;
+        }
+    })
+    .await;
+    let on_resting = soon(resting.send_request(request("GET", "/i/x", "a1", ""))).await.unwrap();
+    let on_new = bench.send(request("GET", "/i/x", "a2", "")).await;
+    for answer in [on_resting, on_new] {
+        let answer = read(answer).await;
+        assert_eq!((answer.status, answer.header("connection")), (StatusCode::OK, "close"));
+    }
+    soon(async {
+        while TcpStream::connect(bench.frontend).await.is_ok() {
+            tokio::task::yield_now().await;
+        }
+    })
+    .await;
+    assert!(begun.elapsed() >= TWO_CHECKS, "{:?}", begun.elapsed());
+}
--- a/crates/node/tests/relay/support.rs
+++ b/crates/node/tests/relay/support.rs
@@ -113,7 +113,7 @@
     memoryMb = 128
     maxFds = 1024
     [bounds]
-    graceS = 4
+    graceS = 7
 "#;
 
 /// Routes of every kind.
