--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -17,7 +17,9 @@
 pub use order_history::OrderHistory;
 pub use placement::{PARTITIONS, REPLICAS_BEYOND_REQUIRED};
 pub use plan::{PlanInput, plan, unrecoverable};
-pub use retire::{RetireDecision, completed_retirements, decide_retire, retirement_state};
+pub use retire::{
+    RetireDecision, completed_retirements, decide_retire, retirement_state, retirement_to_renew,
+};
 pub use state::{
     ConfigurationInForce, ControlChange, ControlState, MAX_ORDERS_REMEMBERED, MAX_REFUSALS_REMEMBERED,
     MAX_RETIREMENTS, Retirement, RetirementState,
--- a/crates/replication/src/primary.rs
+++ b/crates/replication/src/primary.rs
@@ -7,9 +7,10 @@
 use juniperwing_protocol::{DiskId, EpochNumber};
 
 use crate::ballot::is_majority;
+use crate::catch_up::Made;
 use crate::error::{ProposeError, ReadError};
 use crate::interface::{Command, ProposeToken, ReadToken};
-use crate::office::{InFlight, MAX_PROPOSALS, MAX_READS, Peer, PendingRead, Proposal};
+use crate::office::{InFlight, MAX_PROPOSALS, MAX_READS, Office, Peer, PendingRead, Proposal};
 use crate::replica::{Replica, Stage};
 use crate::settings::MAX_VOTERS;
 use crate::state::ReplicatedState;
@@ -22,7 +23,10 @@
 
 impl<S: ReplicatedState> Replica<S> {
     pub(crate) fn advance_primary(&mut self, now: Time) {
-        if !self.has_majority(now) {
+        // Told of a higher epoch by a late answer to a canvass, it may lack what was acknowledged in that one,
+        // so it must not change it as its own.
+        let is_over = self.known.number > self.ballot.accepted.number;
+        if is_over || !self.has_majority(now) {
             self.step_aside(now);
             return;
         }
@@ -58,8 +62,9 @@
     }
 
     pub(crate) fn propose(&mut self, now: Time, token: ProposeToken, base: Version, change: S::Change) {
+        let hands_over = self.successor(now).is_some();
         let error = match &mut self.office {
-            Some(office) if office.hands_over || !office.serves => ProposeError::NotPrimary,
+            Some(office) if hands_over || !office.serves => ProposeError::NotPrimary,
             Some(office) if office.queue.len() >= MAX_PROPOSALS => ProposeError::Busy,
             Some(office) => {
                 office.queue.push_back(Proposal { token, proposed: now, base, change });
@@ -87,12 +92,21 @@
         self.command(Command::ReadDone { token, outcome: Err(error) });
     }
 
-    /// Seeks the office no more, and hands it over if it is held.
-    pub(crate) fn retire(&mut self) {
+    /// Seeks the office no more, and hands it over if it is held; a backup asks the primary to do without it.
+    pub(crate) fn retire(&mut self, now: Time) {
         self.retires = true;
-        let Some(office) = &mut self.office else { return };
+        let Some(office) = &mut self.office else {
+            if let Some(primary) = self.primary_address() {
+                self.send(primary, ReplicationBody::Leave);
+            }
+            return;
+        };
         office.hands_over = true;
         office.heartbeat_at = Time::default();
+        if self.successor(now).is_none() {
+            return;
+        }
+        let Some(office) = &mut self.office else { return };
         for proposal in std::mem::take(&mut office.queue) {
             let outcome = Err(ProposeError::NotPrimary);
             self.command(Command::Proposed { token: proposal.token, outcome });
@@ -159,9 +173,12 @@
 
     /// Begins the next write, if none is under way.
     fn start_writes(&mut self, now: Time) {
+        if self.successor(now).is_some() {
+            return;
+        }
         loop {
             let Some(office) = &mut self.office else { return };
-            if !office.synced || office.in_flight.is_some() || office.hands_over {
+            if !office.synced || office.in_flight.is_some() {
                 return;
             }
             let Some(proposal) = office.queue.pop_front() else { return };
@@ -181,57 +198,15 @@
         self.latest = self.latest.with(version, &proposal.change);
         self.disk.mark();
         let Some(office) = &mut self.office else { return };
-        office.in_flight = Some(InFlight {
-            token: Some(proposal.token),
-            proposed: proposal.proposed,
-            base,
-            version,
-            change: S::encode_change(&proposal.change),
-        });
+        office.in_flight =
+            Some(InFlight { token: Some(proposal.token), proposed: proposal.proposed, version });
+        let change = S::encode_change(&proposal.change);
+        office.changes.push(Made { base, version, change }, self.latest.encoded.len());
         for peer in office.peers.values_mut() {
             peer.behind_since = Some(now);
         }
     }
 
-    /// Sends each keeper that lacks the latest version the write, or the whole state.
-    fn catch_up(&mut self, now: Time) {
-        let latest = self.latest.version;
-        let epoch = self.ballot.accepted.number;
-        let confirm = self.settings.timings.confirm;
-        let resend = confirm.times(0.5);
-        let Some(office) = &mut self.office else { return };
-        let mut sends = Vec::new();
-        for peer in office.peers.values_mut() {
-            let Some(held) = peer.held else { continue };
-            if held == latest {
-                peer.behind_since = None;
-                continue;
-            }
-            peer.behind_since.get_or_insert(now);
-            let is_sent = peer.sent.is_some_and(|(version, at)| version == latest && now.since(at) < resend);
-            let is_gone = now.since(peer.last_answer) > confirm;
-            if is_sent || is_gone {
-                continue;
-            }
-            peer.sent = Some((latest, now));
-            let body = match &office.in_flight {
-                Some(write) if write.base == held && write.version == latest => ReplicationBody::Write {
-                    epoch,
-                    base: held,
-                    version: latest,
-                    change: write.change.clone(),
-                },
-                _ => ReplicationBody::Snapshot {
-                    epoch,
-                    version: latest,
-                    state: self.latest.encoded.as_ref().clone(),
-                },
-            };
-            sends.push((peer.voter.address, body));
-        }
-        sends.into_iter().for_each(|(to, body)| self.send(to, body));
-    }
-
     /// Begins a round of heartbeats.
     fn beat(&mut self, now: Time) {
         let committed = self.committed.as_ref().map(|committed| committed.version).unwrap_or_default();
@@ -244,21 +219,40 @@
         self.send_all(&peers, &body);
     }
 
-    /// Asks the in-sync replica that answered last to take over, once nothing is under way.
-    fn hand_over(&mut self, now: Time) {
+    /// Who can take over from a primary that hands over: the in-sync replica that answered last. While there is
+    /// none, the primary goes on as before, so that what it holds gets to other disks.
+    fn successor(&self, now: Time) -> Option<&Peer> {
         let latest = self.latest.version;
-        let epoch = &self.ballot.accepted;
-        let Some(office) = self.office.as_ref().filter(|office| office.hands_over) else { return };
-        let is_stuck = !office.synced || office.in_flight.is_some();
-        let peers = office.peers.values();
-        let fit = peers.filter(|peer| epoch.in_sync.contains(&peer.voter.disk) && peer.held == Some(latest));
-        let Some(successor) = fit.max_by_key(|peer| peer.last_answer) else { return };
-        if !is_stuck && now.since(successor.last_answer) < self.settings.timings.election {
-            let (to, epoch) = (successor.voter.address, epoch.number);
+        let in_sync = &self.ballot.accepted.in_sync;
+        let office = self.office.as_ref().filter(|office| office.hands_over)?;
+        let is_fit = |peer: &&Peer| {
+            let answers = now.since(peer.last_answer) < self.settings.timings.election;
+            let is_held = peer.held == Some(latest) || office.in_flight.is_some();
+            in_sync.contains(&peer.voter.disk) && is_held && answers && now >= peer.leaves_until
+        };
+        office.peers.values().filter(is_fit).max_by_key(|peer| peer.last_answer)
+    }
+
+    /// Asks the successor to take over, once nothing is under way.
+    fn hand_over(&mut self, now: Time) {
+        let epoch = self.ballot.accepted.number;
+        let is_settled = |office: &Office<S::Change>| office.synced && office.in_flight.is_none();
+        let Some(successor) = self.successor(now) else { return };
+        if self.office.as_ref().is_some_and(is_settled) {
+            let to = successor.voter.address;
             self.send(to, ReplicationBody::TakeOver { epoch });
         }
     }
 
+    /// A backup is about to end. It says so again as long as it runs.
+    pub(crate) fn asked_out(&mut self, now: Time, from: DiskId) {
+        let leaves_until = now + self.settings.timings.silence;
+        let Some(office) = &mut self.office else { return };
+        let Some(peer) = office.peers.get_mut(&from) else { return };
+        peer.leaves_until = leaves_until;
+        peer.asks_until = Time::default();
+    }
+
     pub(crate) fn confirmed(&mut self, now: Time, from: DiskId, epoch: EpochNumber, version: Version) {
         let is_primary = matches!(self.stage, Stage::Primary) && epoch == self.ballot.accepted.number;
         let Some(office) = self.office.as_mut().filter(|_| is_primary) else { return };
@@ -316,7 +310,7 @@
         let Some(office) = &self.office else { return false };
         let plan = self.plan(now, office);
         let is_outbid = office.outbid_at.is_some_and(|at| now >= at);
-        if office.hands_over || !(is_outbid || self.is_change(&plan)) {
+        if self.successor(now).is_some() || !(is_outbid || self.is_change(&plan)) {
             return false;
         }
         self.start_election(now, Some(plan));
@@ -339,6 +333,7 @@
             let peer = office.peers.entry(voter.disk).or_insert_with(|| Peer::new(now, voter.clone()));
             peer.voter = voter;
             peer.asks_until = asks_until;
+            peer.leaves_until = Time::default();
             return;
         }
         // Passed on once only.
