Proposals and reads wait in one way

Each kept a table of its own and drew its tokens by hand. Both are one Waiters now, which draws the token with the end at which the outcome comes in.

--- a/crates/node/src/keeper.rs
+++ b/crates/node/src/keeper.rs
@@ -13,9 +13,10 @@
 mod inbox;
 mod orders;
 mod peers;
-mod record_file;
+pub mod record_file;
 mod stores;
 mod subscribers;
+mod waiters;
 
 use std::future::Future;
 use std::io;
--- a/crates/node/src/keeper/consensus.rs
+++ b/crates/node/src/keeper/consensus.rs
@@ -1,7 +1,6 @@
 //! Drives the replica: hands it events, carries out its commands, and gives proposals and reads to those that
 //! wait for them.
 
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -14,9 +13,10 @@
     Versioned,
 };
 use slog::info;
-use tokio::sync::{mpsc, oneshot, watch};
+use tokio::sync::{mpsc, watch};
 
 use super::Keeper;
+use super::waiters::Waiters;
 use crate::clock;
 use crate::host::wait_for_disk;
 
@@ -43,9 +43,8 @@
 /// The replica, and who waits for what.
 pub(super) struct Consensus {
     pub(super) replica: Replica<ControlState>,
-    next_token: u64,
-    proposals: HashMap<ProposeToken, oneshot::Sender<Result<Version, ProposeError>>>,
-    reads: HashMap<ReadToken, oneshot::Sender<Result<Versioned<ControlState>, ReadError>>>,
+    proposals: Waiters<Result<Version, ProposeError>>,
+    reads: Waiters<Result<Versioned<ControlState>, ReadError>>,
     writes: mpsc::Sender<Write>,
     wake: watch::Sender<Time>,
 }
@@ -54,18 +53,13 @@
     pub(super) fn new(
         replica: Replica<ControlState>, writes: mpsc::Sender<Write>, wake: watch::Sender<Time>,
     ) -> Self {
-        Consensus { replica, next_token: 0, proposals: HashMap::new(), reads: HashMap::new(), writes, wake }
+        Consensus { replica, proposals: Waiters::default(), reads: Waiters::default(), writes, wake }
     }
 
     /// The committed state, if one is known.
     pub(super) fn committed(&self) -> Option<&Versioned<ControlState>> {
         self.replica.committed()
     }
-
-    fn draw_token(&mut self) -> u64 {
-        self.next_token += 1;
-        self.next_token
-    }
 }
 
 impl Keeper {
@@ -99,14 +93,8 @@
     pub(super) async fn propose(
         self: &Arc<Self>, base: Version, change: ControlChange,
     ) -> Result<Version, ProposeError> {
-        let (sender, receiver) = oneshot::channel();
-        let token = {
-            let consensus = &mut self.lock().consensus;
-            let token = ProposeToken(consensus.draw_token());
-            consensus.proposals.insert(token, sender);
-            token
-        };
-        self.replica_event(Event::Propose { token, base, change });
+        let (token, receiver) = self.lock().consensus.proposals.draw();
+        self.replica_event(Event::Propose { token: ProposeToken(token), base, change });
         receiver.await.unwrap_or(Err(ProposeError::Unknown))
     }
 
@@ -116,14 +104,8 @@
     ///
     /// If this keeper is not primary or no majority answers.
     pub(super) async fn read_confirmed(self: &Arc<Self>) -> Result<Versioned<ControlState>, ReadError> {
-        let (sender, receiver) = oneshot::channel();
-        let token = {
-            let consensus = &mut self.lock().consensus;
-            let token = ReadToken(consensus.draw_token());
-            consensus.reads.insert(token, sender);
-            token
-        };
-        self.replica_event(Event::Read { token });
+        let (token, receiver) = self.lock().consensus.reads.draw();
+        self.replica_event(Event::Read { token: ReadToken(token) });
         receiver.await.unwrap_or(Err(ReadError::Unavailable))
     }
 
@@ -133,13 +115,7 @@
             Command::Persist { token, record } => self.persist(token, record),
             Command::WakeAt(at) => drop(self.lock().consensus.wake.send_replace(at)),
             Command::Committed(_) => self.committed(),
-            Command::Proposed { token, outcome } => {
-                let waiting = self.lock().consensus.proposals.remove(&token);
-                if let Some(waiting) = waiting {
-                    // One that no longer waits has dropped its end.
-                    let _ = waiting.send(outcome);
-                }
-            }
+            Command::Proposed { token, outcome } => self.lock().consensus.proposals.tell(token.0, outcome),
             Command::ReadDone { token, outcome } => self.read_done(token, outcome),
             Command::Role(role) => self.role_changed(role),
         }
@@ -161,10 +137,9 @@
 
     fn read_done(&self, token: ReadToken, outcome: Result<(), ReadError>) {
         let mut state = self.lock();
-        let Some(waiting) = state.consensus.reads.remove(&token) else { return };
         let committed = state.consensus.committed().cloned();
         let answer = outcome.and_then(|()| committed.ok_or(ReadError::Unavailable));
-        drop(waiting.send(answer));
+        state.consensus.reads.tell(token.0, answer);
     }
 
     fn role_changed(self: &Arc<Self>, role: Role) {
