--- a/crates/node/tests/subscriber.rs
+++ b/crates/node/tests/subscriber.rs
@@ -20,6 +20,8 @@
 struct Keeper {
     answers: bool,
     subscriptions: Mutex<usize>,
+    /// The link of the newest subscription.
+    link: Mutex<Option<Link>>,
     news: Notify,
 }
 
@@ -29,6 +31,7 @@
             return;
         }
         *self.subscriptions.lock().unwrap() += 1;
+        *self.link.lock().unwrap() = Some(link.clone());
         self.news.notify_waiters();
         if self.answers {
             let update = InstancesUpdate { whole: true, complete: true, ..InstancesUpdate::default() };
@@ -67,6 +70,8 @@
 struct Counter {
     updates: Mutex<usize>,
     told: Notify,
+    connected: Mutex<Vec<bool>>,
+    connection: Notify,
 }
 
 impl Sink for Counter {
@@ -82,6 +87,11 @@
     fn configuration(&self) -> Version {
         Version::default()
     }
+
+    fn connected(&self, is_connected: bool) {
+        self.connected.lock().unwrap().push(is_connected);
+        self.connection.notify_one();
+    }
 }
 
 fn subscribe() -> Subscribe {
@@ -109,7 +119,7 @@
     assert_eq!(*sink.updates.lock().unwrap(), 1);
 }
 
-/// Guard: members found are asked while no subscription was answered, not only while no link stands.
+/// At the latest when the silent keeper is left; at once in fact, which is not asserted: it is a matter of time.
 #[tokio::test]
 async fn while_no_keeper_answers_those_are_asked_that_the_membership_found() {
     let (silent, silent_keeper) = Keeper::start(false).await;
@@ -121,3 +131,44 @@
     found_keeper.until_subscriptions(1).await;
     timeout(PATIENCE, sink.told.notified()).await.expect("an update");
 }
+
+/// Guard: the sink is told when the last answered subscription ends. Links that nobody answers do not count.
+#[tokio::test]
+async fn the_sink_is_told_whether_any_keeper_answers() {
+    let (answering, keeper) = Keeper::start(true).await;
+    let (silent, silent_keeper) = Keeper::start(false).await;
+    let sink = Arc::new(Counter::default());
+    let subscriber = Subscriber::start(subscribe(), vec![answering, silent], 2, sink.clone());
+    keeper.until_subscriptions(1).await;
+    silent_keeper.until_subscriptions(1).await;
+    let answered = async {
+        while !subscriber.is_connected() {
+            sink.connection.notified().await
+        }
+    };
+    timeout(PATIENCE, answered).await.expect("an answer");
+    subscriber.suspend(true);
+    let lost = async {
+        while sink.connected.lock().unwrap().last() != Some(&false) {
+            sink.connection.notified().await
+        }
+    };
+    timeout(PATIENCE, lost).await.expect("the end");
+    assert!(sink.connected.lock().unwrap().contains(&true));
+}
+
+/// Guard: `Keepers::take_keepers`. A keeper that was replaced while it was cut off does not end its subscriptions.
+#[tokio::test]
+async fn a_keeper_that_is_no_voter_any_more_is_left() {
+    let (replaced, replaced_keeper) = Keeper::start(true).await;
+    let (voter, voter_keeper) = Keeper::start(true).await;
+    let subscriber = Subscriber::start(subscribe(), vec![replaced, voter], 2, Arc::new(Counter::default()));
+    replaced_keeper.until_subscriptions(1).await;
+    voter_keeper.until_subscriptions(1).await;
+    let link_to_voter = voter_keeper.link.lock().unwrap().clone().unwrap();
+    let link_to_replaced = replaced_keeper.link.lock().unwrap().clone().unwrap();
+    link_to_voter.send(Message::Update(Update::Keepers(vec![voter])));
+    timeout(PATIENCE, link_to_replaced.closed()).await.expect("the end of the subscription");
+    assert!(!link_to_voter.is_closed());
+    assert!(subscriber.keepers().contains(&voter));
+}
--- a/crates/protocol/src/replication.rs
+++ b/crates/protocol/src/replication.rs
@@ -177,4 +177,6 @@
         /// The changes, oldest first.
         changes: Vec<NumberedChange>,
     },
+    /// A backup is about to end: the primary shall do without its copy and its vote.
+    Leave,
 }
