--- a/crates/node/src/relay/frontend.rs
+++ b/crates/node/src/relay/frontend.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use http::header::{CONNECTION, CONTENT_LENGTH, EXPECT, HOST};
-use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, Uri};
+use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, Uri, Version};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -23,8 +23,8 @@
 
 use super::Core;
 use super::body::RelayBody;
-use super::connections::{ClientConnection, Watched};
-use super::exchange::{Exchange, header_number, header_text, remove_hop_by_hop};
+use super::connections::{ClientConnection, Listed, Watched};
+use super::exchange::{Exchange, has_other_transfer_coding, header_number, header_text, remove_hop_by_hop};
 use super::fate::{Fate, GivenUp, plain};
 use super::forward::forward;
 use super::memory::Held;
@@ -34,10 +34,12 @@
 
 /// The pause after a connection could not be accepted.
 const PAUSE_AFTER_FAILURE: Duration = Duration::from_millis(50);
-/// The least buffer that the HTTP library takes, in bytes.
-const LEAST_BUFFER_BYTES: usize = 8 << 10;
+/// Room for the first line of a request beside its headers, in bytes. The HTTP library's least buffer is as large.
+const REQUEST_LINE_BYTES: usize = 8 << 10;
 /// Connections beyond the bound that are still told to come back later; more are closed at once.
 const REFUSED_POLITELY: usize = 64;
+/// Header lines of a request at the most; the bytes that they may take together are the operator's to bound.
+const MOST_HEADERS: usize = 512;
 /// Bytes that a header takes beside its name and value.
 const HEADER_OVERHEAD: usize = 4;
 
@@ -57,15 +59,18 @@
         return;
     }
     let has_room = count < core.most_connections;
-    tokio::spawn(serve_connection(Arc::clone(core), stream, has_room));
+    let limits = core.world.snapshot().limits();
+    // Listed at once: a relay that stops ends all that it has accepted.
+    let listed = core.connections.add(limits.max_header_bytes);
+    tokio::spawn(serve_connection(Arc::clone(core), stream, listed, limits, has_room));
 }
 
-async fn serve_connection(core: Arc<Core>, stream: TcpStream, has_room: bool) {
+async fn serve_connection(
+    core: Arc<Core>, stream: TcpStream, listed: Listed, limits: Limits, has_room: bool,
+) {
     // Without it answers only come later.
     let _ = stream.set_nodelay(true);
-    let listed = core.connections.add();
     let connection = Arc::clone(&listed.connection);
-    let limits = core.world.snapshot().limits();
     let service = {
         let (core, connection) = (Arc::clone(&core), Arc::clone(&connection));
         service_fn(move |request| {
@@ -75,7 +80,8 @@
     let mut builder = http1::Builder::new();
     builder.header_read_timeout(None);
     builder.auto_date_header(false);
-    builder.max_buf_size((limits.max_header_bytes as usize).max(LEAST_BUFFER_BYTES));
+    builder.max_headers(MOST_HEADERS);
+    builder.max_buf_size((limits.max_header_bytes as usize).saturating_add(REQUEST_LINE_BYTES));
     let watched = Watched { stream, connection: Arc::clone(&connection) };
     let served = builder.serve_connection(TokioIo::new(watched), service);
     tokio::pin!(served);
@@ -95,7 +101,7 @@
     let open = connection.open_request();
     core.metrics.requests.add();
     let mut answer = if has_room {
-        respond(&core, request).await.unwrap_or_else(|refused| refused.answer(&core))
+        respond_before_end(&core, &connection, request).await
     } else {
         Refused::GivenUp(GivenUp::NoRoom).answer(&core)
     };
@@ -106,6 +112,20 @@
     Ok(answer)
 }
 
+/// Answers a request; without a promise if the process ends before it is done.
+async fn respond_before_end(
+    core: &Arc<Core>, connection: &ClientConnection, request: Request<Incoming>,
+) -> Response<RelayBody> {
+    tokio::select! {
+        biased;
+        answer = respond(core, connection, request) => answer.unwrap_or_else(|refused| refused.answer(core)),
+        () = core.ending() => {
+            core.metrics.given_up(GivenUp::Broken);
+            GivenUp::Broken.answer(Fate::MayHaveRun)
+        }
+    }
+}
+
 /// Why a request is not passed on.
 enum Refused {
     Finally(StatusCode),
@@ -133,13 +153,19 @@
     }
 }
 
-async fn respond(core: &Arc<Core>, request: Request<Incoming>) -> Result<Response<RelayBody>, Refused> {
+async fn respond(
+    core: &Arc<Core>, connection: &ClientConnection, request: Request<Incoming>,
+) -> Result<Response<RelayBody>, Refused> {
     let begun = now();
     let snapshot = core.world.snapshot();
     let in_force = snapshot.configuration.as_ref().ok_or(Refused::GivenUp(GivenUp::NotConfigured))?;
     let route = find_route(core, in_force, &request)?;
     let limits = in_force.table.limits();
     check_head(&request, limits)?;
+    // An HTTP/1.0 client could not tell a stream's end from a break.
+    if request.version() < Version::HTTP_11 && route.route_type.is_streaming() {
+        return Err(Refused::Finally(StatusCode::HTTP_VERSION_NOT_SUPPORTED));
+    }
     let (parts, body) = request.into_parts();
     let deadline = begun + time_allowed(&route, &parts.headers);
     let (body, mut held) = read_body(core, body, limits, deadline).await?;
@@ -153,7 +179,9 @@
     if !held.grow(exchange.body.len()) {
         return Err(Refused::GivenUp(GivenUp::NoRoom));
     }
-    Ok(forward(core, exchange, turn).await)
+    let answer = forward(core, exchange, turn).await;
+    connection.set_deadline(deadline);
+    Ok(answer)
 }
 
 fn find_route(core: &Core, in_force: &InForce, request: &Request<Incoming>) -> Result<Arc<Route>, Refused> {
@@ -161,6 +189,9 @@
     let host = if authority.is_empty() { header_text(request.headers(), HOST.as_str()) } else { authority };
     let route = in_force.table.lookup(host, request.uri().path());
     route.cloned().ok_or_else(|| {
+        if core.world.is_out_of_touch() {
+            return Refused::GivenUp(GivenUp::OutOfTouch);
+        }
         core.metrics.no_route.add();
         Refused::Finally(StatusCode::NOT_FOUND)
     })
@@ -175,7 +206,13 @@
     if header_number(request.headers(), CONTENT_LENGTH.as_str()) > Some(limits.max_body_bytes) {
         return Err(Refused::Finally(StatusCode::PAYLOAD_TOO_LARGE));
     }
-    if !request.headers().contains_key(headers::REQUEST_ID) {
+    check_unambiguous(request.headers())
+}
+
+/// Whether an endpoint can only read the request as it is read here.
+fn check_unambiguous(lines: &HeaderMap) -> Result<(), Refused> {
+    let count = |name: &str| lines.get_all(name).iter().count();
+    if count(headers::REQUEST_ID) != 1 || count(HOST.as_str()) > 1 || has_other_transfer_coding(lines) {
         return Err(Refused::Finally(StatusCode::BAD_REQUEST));
     }
     Ok(())
@@ -183,8 +220,8 @@
 
 /// The shorter of what the client and what the operator allows.
 fn time_allowed(route: &Route, headers: &HeaderMap) -> Span {
-    let deadline = header_number(headers, headers::DEADLINE_MS).map(Span::from_millis);
-    deadline.map_or(route.timeout, |deadline| deadline.min(route.timeout))
+    let deadline: Option<f64> = header_text(headers, headers::DEADLINE_MS).trim().parse().ok();
+    deadline.map_or(route.timeout, |millis| Span::from_secs(millis / 1_000.0).min(route.timeout))
 }
 
 /// Reads the body whole, within its bounds.
