--- a/crates/node/tests/relay/planned_work.rs
+++ b/crates/node/tests/relay/planned_work.rs
@@ -1,9 +1,11 @@
 //! Planned work cuts nothing that was read: ends of endpoints and of the relay, other configurations.
 
 use std::sync::Arc;
+use std::time::{Duration, Instant};
 
 use http::StatusCode;
 use juniperwing_protocol::registry::InstanceState;
+use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
 use crate::endpoint::{Endpoint, Step, answer, chunk, last_chunk, ok, stream_head};
@@ -11,6 +13,8 @@
 
 /// Requests that an endpoint of the capacity in `instance` takes from one relay.
 const TAKEN: usize = 10;
+/// The platform asks every second whether a relay is ready.
+const TWO_CHECKS: Duration = Duration::from_secs(2);
 /// Routes whose time is far longer than that for an end.
 const PATIENT: &str = r#"{"generation":2,"routes":[
     {"name":"n","hostname":"h.example","pathPrefix":"/n/","routeType":"non_idempotent","timeoutMs":60000,"targetLatencyMs":4000,"priority":2,"backend":"s","maxRetries":2},
@@ -49,13 +53,12 @@
     let mut stream = bench.send(request("POST", "/e/x", "a2", "")).await.into_body();
     next_piece(&mut stream).await.unwrap().unwrap();
     bench.tell(false, vec![instance(&leaving, InstanceState::Gone, 2)]);
-    bench.tell(false, vec![instance(&staying, InstanceState::Ready, 1)]);
     // Neither a late heartbeat nor news of a drain that came late brings it back.
     bench.tell(false, vec![instance(&leaving, InstanceState::Ready, 3)]);
     bench.tell(false, vec![instance(&leaving, InstanceState::Draining, 4)]);
-    for _ in 0..8 {
-        assert_eq!(bench.get("/i/x").await.status, StatusCode::OK);
-    }
+    assert_eq!(bench.get("/i/x").await.status, StatusCode::SERVICE_UNAVAILABLE, "there is no other");
+    bench.tell(false, vec![instance(&staying, InstanceState::Ready, 1)]);
+    assert_eq!(bench.get("/i/x").await.status, StatusCode::OK);
     go_on.notify_waiters();
     let plain = read(soon(plain).await.unwrap()).await;
     assert_eq!((plain.status, plain.body.as_deref()), (StatusCode::OK, Some(&b"done"[..])));
@@ -114,15 +117,22 @@
         }
     })
     .await;
-    // Freed slots go to the request that waits; the endpoint holds what still comes in no longer.
+    // A freed slot goes to the request that waits for one.
     soon(async {
-        while endpoint.received().len() < TAKEN + 2 {
+        while endpoint.received().len() < TAKEN + 1 {
             go_on.notify_waiters();
-            hold_begin.notify_waiters();
             tokio::task::yield_now().await;
         }
     })
     .await;
+    // The turn is still at the stores when new connections are no longer accepted.
+    soon(async {
+        while TcpStream::connect(bench.frontend).await.is_ok() {
+            tokio::task::yield_now().await;
+        }
+    })
+    .await;
+    hold_begin.notify_waiters();
     let answers = async {
         let mut statuses = Vec::new();
         for answer in asked {
@@ -175,3 +185,33 @@
     let served = bench.served.lock().unwrap().take().unwrap();
     soon(served).await.unwrap().unwrap();
 }
+
+// Guards: `ACCEPT_ON`; connections that rest are not ended before it is over.
+#[tokio::test]
+async fn a_relay_that_stops_serves_until_the_platform_has_missed_two_checks() {
+    let endpoint = Endpoint::start("i-1", |request| ok(request, "")).await;
+    let bench = Bench::with(&[&endpoint]).await;
+    let mut resting = connect(bench.frontend).await;
+    soon(resting.ready()).await.unwrap();
+    let begun = Instant::now();
+    bench.stop();
+    soon(async {
+        while bench.core.is_ready() {
+            tokio::task::yield_now().await;
+        }
+    })
+    .await;
+    let on_resting = soon(resting.send_request(request("GET", "/i/x", "a1", ""))).await.unwrap();
+    let on_new = bench.send(request("GET", "/i/x", "a2", "")).await;
+    for answer in [on_resting, on_new] {
+        let answer = read(answer).await;
+        assert_eq!((answer.status, answer.header("connection")), (StatusCode::OK, "close"));
+    }
+    soon(async {
+        while TcpStream::connect(bench.frontend).await.is_ok() {
+            tokio::task::yield_now().await;
+        }
+    })
+    .await;
+    assert!(begun.elapsed() >= TWO_CHECKS, "{:?}", begun.elapsed());
+}
