Lost primaries in the exploration; members kept out for 300 changes; the vote of a leaver

A member kept out for 300 changes catches up within 5 s and never leads before. A mutation of the wait for the leaver's vote was not caught by the simulation; a guard test now fails without it.

--- a/crates/replication/tests/exploration.rs
+++ b/crates/replication/tests/exploration.rs
@@ -35,7 +35,11 @@
 const ADMISSION: Rules = Rules { elections: 1, admits_first: true, newcomer: true, ..WRITES };
 
 /// A keeper has lost its disk, its successor is let in, and then anybody seeks an epoch.
-const LOST_DISK: Rules = Rules { elections: 2, writes: 1, lost: Some(2), ..ADMISSION };
+const LOST_DISK: Rules = Rules { elections: 2, lost: Some(2), ..ADMISSION };
+
+/// The primary has lost its disk: a backup takes over, lets the successor in, and then anybody seeks an epoch.
+const LOST_PRIMARY: Rules =
+    Rules { elections: 3, writes: 1, lost: Some(0), admits_first: false, ..ADMISSION };
 
 /// Explores all states. None may break a property, and each of `reached` must be met.
 fn explore(rules: Rules, reached: &[&str]) {
@@ -81,7 +85,12 @@
 
 #[test]
 fn the_successor_of_a_wiped_keeper_makes_no_majority_that_forgets() {
-    explore(LOST_DISK, &["a newcomer leads"]);
+    explore(LOST_DISK, &["a newcomer leads", "all writes are acknowledged"]);
+}
+
+#[test]
+fn the_successor_of_a_wiped_primary_makes_no_majority_that_forgets() {
+    explore(LOST_PRIMARY, &["a newcomer leads"]);
 }
 
 #[test]
@@ -121,7 +130,10 @@
 
 #[test]
 fn voters_must_not_change_without_the_previous_ones() {
-    expect_caught(Rules { lost: None, ..LOST_DISK }, Mutation::ChangesVotersWithoutThePreviousOnes);
+    expect_caught(
+        Rules { lost: None, writes: 1, ..LOST_DISK },
+        Mutation::ChangesVotersWithoutThePreviousOnes,
+    );
 }
 
 #[test]
--- a/crates/replication/tests/guards.rs
+++ b/crates/replication/tests/guards.rs
@@ -301,3 +301,20 @@
     let said = keeper.hand(Event::Tick);
     assert!(!said.iter().any(|body| matches!(body, ReplicationBody::Join { .. })), "{said:?}");
 }
+
+// Guard: `replica.rs`, `may_end`, `may_drop_one_of`: one of four voters is waited for until its vote is gone, even
+// if its copy counts no more.
+#[test]
+fn a_keeper_whose_vote_counts_in_vain_waits_until_it_is_gone() {
+    let mut four = epoch(2);
+    four.voters.push(voter(4));
+    four.in_sync.retain(|disk| *disk != DiskId(1));
+    let mut keeper = Keeper::new(four);
+    keeper.hand(Event::StepDown);
+    assert!(!keeper.replica.may_end());
+    let mut three = epoch(3);
+    three.voters = vec![voter(2), voter(3), voter(4)];
+    three.in_sync = vec![DiskId(2), DiskId(3)];
+    keeper.hear(2, ReplicationBody::Heartbeat { epoch: three, committed: version(1, 7), round: 1 });
+    assert!(keeper.replica.may_end());
+}
--- a/crates/replication/tests/second_loss.rs
+++ b/crates/replication/tests/second_loss.rs
@@ -281,3 +281,30 @@
         world.run(CATCH_UP);
     });
 }
+
+/// A member that was kept out for hundreds of changes gets them while more come, and leads only then.
+// Guard: `replica.rs`, `is_eligible`, `in_sync`: out of sync it seeks no office.
+#[test]
+fn a_member_that_was_kept_out_for_hundreds_of_changes_catches_up_and_leads_only_then() {
+    for seed in 0..30 {
+        let mut world = started(seed, 3, 3, 2);
+        let primary = world.primary().expect("a primary");
+        let (backup, behind) = ((primary + 1) % 3, (primary + 2) % 3);
+        world.isolate(behind);
+        let target = world.judge.acknowledged() + 300;
+        let reached = world.run_until(Span::from_millis(60_000), |world| world.judge.acknowledged() > target);
+        assert!(reached, "seed {seed}");
+        world.cuts.clear();
+        if seed % 2 == 0 {
+            // The others are lost before it has caught up: nobody may serve.
+            world.kill(primary);
+            world.kill(backup);
+            world.run(Span::from_millis(5_000));
+            assert_eq!(world.primary(), None, "seed {seed}: it leads with old state");
+            world.heal();
+        }
+        world.expect_whole(Span::from_millis(5_000), "300 changes");
+        let held = world.machines[behind].replica.as_ref().expect("it runs").latest().state.0.len();
+        assert!(held > target, "seed {seed}");
+    }
+}
