Writes wait a moment for a replica that they outrun, and it gets one state at a time

After 400 ms of lag, and every 5 s from then on, the next write now waits for up to 600 ms; a lagging replica is sent the next state when it has confirmed the last. The test fails without the wait.

--- a/crates/replication/src/office.rs
+++ b/crates/replication/src/office.rs
@@ -25,7 +25,9 @@
     pub(crate) held: Option<Version>,
     /// Since when it has lacked the primary's version.
     pub(crate) behind_since: Option<Time>,
-    /// The version that was last sent to it, and when.
+    /// Since when it has been out of sync and lacked each newest version.
+    pub(crate) lags_since: Option<Time>,
+    /// The version that was last sent to it, and when; nothing if it has confirmed something since.
     pub(crate) sent: Option<(Version, Time)>,
     /// The newest round of heartbeats that it answered in this epoch.
     pub(crate) answered_round: u64,
@@ -43,6 +45,7 @@
             last_answer: now,
             held: None,
             behind_since: None,
+            lags_since: None,
             sent: None,
             answered_round: 0,
             asks_until: Time::default(),
--- a/crates/replication/src/primary.rs
+++ b/crates/replication/src/primary.rs
@@ -20,6 +20,12 @@
 /// How many askings a keeper may miss before it counts as gone.
 const ASKINGS: f64 = 4.0;
 
+/// How often new writes wait for a replica that they outrun.
+const HOLD_EVERY: Span = Span::from_millis(5_000);
+
+/// How long they wait each time, in units of [`crate::Timings::confirm`].
+const HOLD: f64 = 1.5;
+
 impl<S: ReplicatedState> Replica<S> {
     pub(crate) fn advance_primary(&mut self, now: Time) {
         // Told of a higher epoch by a late answer to a canvass, it may lack what was acknowledged in that one,
@@ -172,7 +178,7 @@
 
     /// Begins the next write, if none is under way.
     fn start_writes(&mut self, now: Time) {
-        if self.successor(now).is_some() {
+        if self.successor(now).is_some() || self.waits_for_laggard(now) {
             return;
         }
         loop {
@@ -190,6 +196,21 @@
         }
     }
 
+    /// Whether the next write waits a moment, so that a replica that is always some changes behind can hold the
+    /// newest one and be counted in sync.
+    fn waits_for_laggard(&self, now: Time) -> bool {
+        let Some(office) = &self.office else { return false };
+        let confirm = self.settings.timings.confirm;
+        let is_due = |since: Time| {
+            let turn = Span::from_nanos(now.since(since).nanos() % HOLD_EVERY.nanos());
+            turn >= confirm && turn < confirm + confirm.times(HOLD)
+        };
+        office.peers.values().any(|peer| {
+            let answers = now.since(peer.last_answer) < confirm && now >= peer.leaves_until;
+            answers && peer.lags_since.is_some_and(is_due)
+        })
+    }
+
     fn write(&mut self, now: Time, proposal: Proposal<S::Change>) {
         let base = self.latest.version;
         let epoch = self.ballot.accepted.number;
@@ -215,16 +236,25 @@
         let epoch = self.ballot.accepted.number;
         let confirm = self.settings.timings.confirm;
         let resend = confirm.times(0.5);
+        let in_sync = &self.ballot.accepted.in_sync;
         let Some(office) = &mut self.office else { return };
         let mut sends = Vec::new();
         for peer in office.peers.values_mut() {
             let Some(held) = peer.held else { continue };
             if held == latest {
                 peer.behind_since = None;
+                peer.lags_since = None;
                 continue;
             }
             peer.behind_since.get_or_insert(now);
-            let is_sent = peer.sent.is_some_and(|(version, at)| version == latest && now.since(at) < resend);
+            let is_in_sync = in_sync.contains(&peer.voter.disk);
+            if !is_in_sync {
+                peer.lags_since.get_or_insert(now);
+            }
+            // One that lags gets one state at a time, however fast the changes come.
+            let is_sent = peer
+                .sent
+                .is_some_and(|(version, at)| (version == latest || !is_in_sync) && now.since(at) < resend);
             let is_gone = now.since(peer.last_answer) > confirm;
             if is_sent || is_gone {
                 continue;
@@ -299,6 +329,9 @@
         let Some(office) = self.office.as_mut().filter(|_| is_primary) else { return };
         let Some(peer) = office.peers.get_mut(&from) else { return };
         peer.last_answer = now;
+        if peer.held != Some(version) {
+            peer.sent = None;
+        }
         peer.held = Some(version);
     }
 
--- a/crates/replication/tests/common/mod.rs
+++ b/crates/replication/tests/common/mod.rs
@@ -92,6 +92,8 @@
     pub cuts: BTreeSet<(SocketAddr, SocketAddr)>,
     pub weather: Weather,
     pub judge: Judge,
+    /// How much longer messages to and from a machine take.
+    pub far: BTreeMap<usize, Span>,
     /// Whether writes to disk fail at times.
     pub ill_disks: bool,
     /// Whether writes to disk take long at times.
@@ -123,6 +125,7 @@
             cuts: BTreeSet::new(),
             weather: CALM,
             judge: Judge::default(),
+            far: BTreeMap::new(),
             ill_disks: false,
             slow_disks: false,
             required,
@@ -347,6 +350,8 @@
         }
         let slow = late > 0 && self.random.one_in(late);
         let delay = if slow { self.random.millis(1, 400) } else { self.random.millis(1, 4) };
+        let far = |machine: Option<usize>| machine.and_then(|machine| self.far.get(&machine).copied());
+        let delay = delay + far(Some(from)).unwrap_or_default() + far(self.index_at(to)).unwrap_or_default();
         self.after(delay, Action::Deliver { to, message });
     }
 
--- a/crates/replication/tests/second_loss.rs
+++ b/crates/replication/tests/second_loss.rs
@@ -7,6 +7,7 @@
 
 use common::World;
 use juniperwing_clock::Span;
+use juniperwing_replication::{Event, ProposeToken};
 
 /// A member counts as repaired so long after its start (`catchUpS` of the deployments).
 const CATCH_UP: Span = Span::from_millis(4_100);
@@ -308,3 +309,37 @@
         assert!(held > target, "seed {seed}");
     }
 }
+
+/// One change after the other at the primary until the tier is whole; how many there were.
+fn press_until_whole(world: &mut World, limit: Span) -> u64 {
+    const FIRST_TOKEN: u64 = 1 << 40;
+    let end = world.now + limit;
+    let mut pressed = 0;
+    while !world.is_whole() && world.now < end {
+        world.run(Span::from_millis(5));
+        let Some(primary) = world.primary() else { continue };
+        let base = world.machines[primary].replica.as_ref().expect("it runs").latest().version;
+        let token = ProposeToken(FIRST_TOKEN + pressed);
+        pressed += 1;
+        world.judge.proposal_begins(token, base);
+        world.hand(primary, Event::Propose { token, base, change: token.0 });
+    }
+    pressed
+}
+
+/// Changes come faster than the state gets to a member that is far away.
+// Guard: `primary.rs`, `waits_for_laggard`: without it, the member is some changes behind for ever.
+#[test]
+fn a_member_that_changes_outrun_gets_in_sync_all_the_same() {
+    for seed in 0..30 {
+        let mut world = started(seed, 3, 3, 2);
+        let primary = world.primary().expect("a primary");
+        let behind = (primary + 1) % 3;
+        world.isolate(behind);
+        world.run(Span::from_millis(2_000));
+        world.cuts.clear();
+        world.far.insert(behind, Span::from_millis(25));
+        let pressed = press_until_whole(&mut world, CATCH_UP);
+        assert!(world.is_whole(), "seed {seed}, {pressed} changes\n{}", world.picture());
+    }
+}
