--- a/crates/node/src/keeper.rs
+++ b/crates/node/src/keeper.rs
@@ -5,8 +5,8 @@
 //! tell relays and stores what is in force (`subscribers`). All state is behind one lock that is never held
 //! while anything is awaited.
 
+mod confirmation;
 mod consensus;
-mod contact;
 mod contacts;
 mod control_listener;
 mod discovery;
@@ -26,34 +26,34 @@
 
 use juniperwing_clock::{Span, Time};
 use juniperwing_control::{ControlState, StoreTracker, StoreView};
+use juniperwing_protocol::NodeName;
 use juniperwing_protocol::replication::{Version, Voter};
 use juniperwing_protocol::subscription::CaughtUp;
-use juniperwing_protocol::{DiskId, NodeName};
-use juniperwing_registry::{Exchange, MAX_INSTANCES, Registry, RegistrySettings};
-use juniperwing_replication::{Event, Record, Replica, Timings};
+use juniperwing_registry::{Contact, Exchange, MAX_INSTANCES, Registry, RegistrySettings};
+use juniperwing_replication::{Event, Replica, Timings};
 use slog::{Logger, info, warn};
-use tokio::net::TcpListener;
 use tokio::sync::{Notify, mpsc, watch};
 use tokio::time::{Instant, MissedTickBehavior, sleep, timeout, timeout_at};
 
 use self::consensus::{Consensus, MAX_WRITES, Write, tick_replica, write_records};
-use self::contact::Contact;
 use self::contacts::Contacts;
 use self::inbox::Inbox;
 use self::peers::Peers;
-use self::record_file::RecordFile;
+use self::record_file::{Opened, RecordFile};
 use self::subscribers::{Subscribers, Tellable};
 use crate::clock;
 use crate::command::Process;
+use crate::host::{Listener, wait_for_disk};
 use crate::link::LinkId;
-use crate::settings::{Port, Settings};
+use crate::settings::{ControlTimes, Port, Settings};
 use crate::signals::Wish;
 
 /// Between two rounds of housekeeping.
 const HOUSEKEEPING: Duration = Duration::from_millis(150);
 /// Rounds between two batches of heartbeats for the other keepers.
 const ROUNDS_PER_BATCH: u64 = 2;
-/// Rounds between two reports of the stores seen.
+/// Rounds between two reports of the stores seen, whose answers are also evidence of contact; every round while
+/// this keeper has no contact.
 const ROUNDS_PER_REPORT: u64 = 3;
 /// Rounds of housekeeping further apart than this mean that the process was paused.
 const PAUSE: Span = Span::from_millis(1_000);
@@ -86,6 +86,7 @@
 struct Keeper {
     me: Voter,
     required_copies: usize,
+    times: ControlTimes,
     log: Logger,
     state: Mutex<State>,
     peers: Arc<Peers>,
@@ -93,6 +94,8 @@
     progress: Notify,
     /// There is something to tell subscribers or keepers.
     wake_push: Notify,
+    /// A subscription waits to be confirmed.
+    wake_confirmation: Notify,
     /// The store map may have to change.
     wake_planner: Notify,
 }
@@ -148,11 +151,11 @@
     let Some(folder) = settings.data_directory.clone() else {
         return Err(unusable("dataDirectory is missing"));
     };
-    let internal = TcpListener::bind(settings.own_address(Port::Keeper)).await?;
+    let internal = Listener::bind(settings.own_address(Port::Keeper)).await?;
     let control = control_listener::bind(control).await?;
+    let (for_disk, disk_log) = (settings.clone(), log.clone());
+    let opened = wait_for_disk(move || open(&for_disk, &folder, &disk_log));
     let grace = Duration::try_from_secs_f64(settings.bounds.grace_s).unwrap_or_default();
-    let for_disk = settings.clone();
-    let opened = tokio::task::spawn_blocking(move || open(&for_disk, &folder));
     let start = opened.await.map_err(io::Error::other)??;
     info!(log, "starting"; "disk" => start.me.disk.0, "seeds" => settings.seed_nodes.len());
 
@@ -182,28 +185,28 @@
 }
 
 /// Opens the disk and restores the replica from it. Blocks.
-fn open(settings: &Settings, folder: &Path) -> io::Result<Start> {
-    let (disk, _) = juniperwing_storage::identity::open(folder, clock::random()).map_err(io::Error::other)?;
-    let (file, restored) = RecordFile::open(folder).map_err(io::Error::other)?;
+fn open(settings: &Settings, folder: &Path, log: &Logger) -> io::Result<Start> {
+    let Opened { disk, file, record, loss } =
+        record_file::open(folder, clock::random).map_err(io::Error::other)?;
+    if let Some(loss) = &loss {
+        warn!(log, "the disk counts as lost"; "why" => loss.to_string());
+    }
     let me = Voter {
-        disk: DiskId(disk),
+        disk,
         node: NodeName::from(settings.node_name.as_str()),
         address: settings.own_address(Port::Keeper),
     };
-    let replica = restore(settings, me.clone(), restored)?;
-    Ok(Start { replica, file, me })
-}
-
-fn restore(settings: &Settings, me: Voter, restored: Option<Record>) -> io::Result<Replica<ControlState>> {
     let settings = juniperwing_replication::Settings {
-        me,
+        me: me.clone(),
         seeds: settings.seed_keepers(),
-        bootstrap: settings.bootstrap,
+        // Who has lost a disk does not found the tier once more.
+        bootstrap: settings.bootstrap && loss.is_none(),
         required_copies: settings.required_copies(),
         timings: Timings::default(),
     };
     let initial = ControlState::default();
-    Replica::new(clock::now(), settings, restored, initial, clock::random()).map_err(io::Error::other)
+    let replica = Replica::new(clock::now(), settings, record, initial, clock::random());
+    Ok(Start { replica: replica.map_err(io::Error::other)?, file, me })
 }
 
 fn unusable(why: &str) -> io::Error {
@@ -214,10 +217,11 @@
     fn new(settings: &Settings, log: Logger, me: Voter, consensus: Consensus) -> Arc<Keeper> {
         let now = clock::now();
         let heartbeat = Span::from_millis(settings.heartbeat_ms);
+        let times = settings.control_times();
         let registry = Registry::new(now, RegistrySettings { heartbeat, max_instances: MAX_INSTANCES });
         let state = State {
             consensus,
-            contact: Contact::new(now),
+            contact: Contact::new(times.contact_window),
             registry,
             exchange: Exchange::default(),
             subscribers: Subscribers::default(),
@@ -233,17 +237,19 @@
         Arc::new_cyclic(|keeper| Keeper {
             me,
             required_copies: settings.required_copies(),
+            times,
             log,
             state: Mutex::new(state),
             peers: Arc::new(Peers::new(Arc::new(Inbox::new(keeper.clone())))),
             progress: Notify::new(),
             wake_push: Notify::new(),
+            wake_confirmation: Notify::new(),
             wake_planner: Notify::new(),
         })
     }
 
     fn start_tasks(
-        self: &Arc<Self>, internal: TcpListener, file: RecordFile, writes: mpsc::Receiver<Write>,
+        self: &Arc<Self>, internal: Listener, file: RecordFile, writes: mpsc::Receiver<Write>,
         wake: watch::Receiver<Time>,
     ) -> Vec<tokio::task::JoinHandle<()>> {
         let inbox = Arc::new(Inbox::new(Arc::downgrade(self)));
@@ -252,6 +258,7 @@
             tokio::spawn(tick_replica(Arc::clone(self), wake)),
             tokio::spawn(crate::link::serve(internal, inbox)),
             tokio::spawn(Arc::clone(self).push_changes()),
+            tokio::spawn(Arc::clone(self).confirm_subscriptions()),
             tokio::spawn(Arc::clone(self).plan_changes()),
             tokio::spawn(Arc::clone(self).keep_house()),
         ]
@@ -261,11 +268,11 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Where the other voters listen.
-    fn other_keepers(&self) -> Vec<SocketAddr> {
+    /// The other voters.
+    fn other_voters(&self) -> Vec<Voter> {
         let state = self.lock();
         let voters = state.consensus.replica.voters().iter();
-        voters.filter(|voter| voter.disk != self.me.disk).map(|voter| voter.address).collect()
+        voters.filter(|voter| voter.disk != self.me.disk).cloned().collect()
     }
 
     /// Where those of the other voters listen that were heard of a short while ago.
@@ -277,11 +284,14 @@
         heard.filter(|voter| voter.disk != self.me.disk).map(|voter| voter.address).collect()
     }
 
-    /// Whether what this keeper hears and tells reaches most of the others.
+    /// Whether this keeper is a voter, as far as it knows.
+    fn is_voter(&self, state: &State) -> bool {
+        state.consensus.replica.voters().iter().any(|voter| voter.disk == self.me.disk)
+    }
+
+    /// Whether a majority of the keepers has answered this one a short while ago.
     fn is_in_contact(&self, state: &State) -> bool {
-        let replica = &state.consensus.replica;
-        let primary = replica.epoch().primary;
-        state.contact.is_among_most(clock::now(), self.me.disk, replica.voters(), primary)
+        state.contact.has_majority(clock::now(), self.me.disk, state.consensus.replica.epoch())
     }
 
     /// Waits until a condition holds, or a time has come. Returns whether it holds.
@@ -327,7 +337,7 @@
         let complete = state.registry.is_complete(clock::now());
         let committed = state.consensus.committed().map(|committed| Arc::clone(&committed.state));
         let tellable = Tellable { committed: committed.as_deref(), keepers: &keepers, complete };
-        state.subscribers.push(&tellable);
+        state.subscribers.push(&tellable, || state.registry.instances().cloned().collect());
     }
 
     async fn plan_changes(self: Arc<Self>) {
@@ -346,7 +356,8 @@
         for round in 0_u64.. {
             rounds.tick().await;
             self.keep_house_once();
-            if round % ROUNDS_PER_REPORT == 0 {
+            let has_contact = self.is_in_contact(&self.lock());
+            if round % ROUNDS_PER_REPORT == 0 || !has_contact {
                 self.report_stores();
             }
             if round % ROUNDS_PER_BATCH == 0 {
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -38,7 +38,8 @@
 use juniperwing_protocol::subscription::{Subscribe, Subscriber as Kind};
 use slog::{Logger, info, warn};
 use tokio::net::TcpListener;
-use tokio::time::{Instant, MissedTickBehavior, interval, sleep, timeout_at};
+use tokio::sync::watch;
+use tokio::time::{Instant, MissedTickBehavior, interval, sleep, timeout, timeout_at};
 
 use crate::clock::random;
 use crate::command::Process;
@@ -56,12 +57,17 @@
 use snapshot::World;
 use upstream::Pool;
 
-/// How often idle connections are looked through.
-const SWEEP_EVERY: Duration = Duration::from_secs(1);
-/// For how long connections are still accepted after the platform wants an end: its checks come every second.
-const ACCEPT_ON: Duration = Duration::from_millis(1_100);
+/// How often connections whose time may be over are looked through.
+const SWEEP_EVERY: Duration = Duration::from_millis(250);
+/// For how long connections are still accepted after the platform wants an end: it sends new ones until two of its
+/// checks, which come every second, have gone unanswered.
+const ACCEPT_ON: Duration = Duration::from_millis(2_300);
+/// The share of the time for an end that this may take.
+const ACCEPT_SHARE: f64 = 0.34;
 /// What is kept of the time that the platform leaves for an end.
 const BEFORE_GRACE_ENDS: Duration = Duration::from_millis(500);
+/// For how long the answers that are given at the very end may go out.
+const LAST_ANSWERS: Duration = Duration::from_millis(200);
 /// Descriptors that are for neither clients nor endpoints.
 const OTHER_DESCRIPTORS: usize = 264;
 /// The share of descriptors for clients; the rest is for endpoints.
@@ -93,6 +99,16 @@
     pub most_connections: usize,
     /// An end is near.
     pub stopping: AtomicBool,
+    /// The process ends at once: `true` from then on.
+    ends: watch::Sender<bool>,
+}
+
+impl Core {
+    /// Waits until the process ends at once.
+    pub async fn ending(&self) {
+        // The sender lives as long as this does.
+        let _ = self.ends.subscribe().wait_for(|ends| *ends).await;
+    }
 }
 
 /// A relay with its listeners open.
@@ -159,6 +175,7 @@
             memory: Memory::new(bounds.body_bytes),
             most_connections: bounds.client_connections,
             stopping: AtomicBool::new(false),
+            ends: watch::Sender::new(false),
         });
         Ok(Relay { core, frontend, readiness, settings, log })
     }
@@ -222,11 +239,15 @@
         let grace = Duration::try_from_secs_f64(settings.bounds.grace_s).unwrap_or_default();
         let end = Instant::now() + grace.saturating_sub(BEFORE_GRACE_ENDS);
         core.stopping.store(true, Ordering::Relaxed);
-        core.connections.finish_all();
-        sleep(ACCEPT_ON.min(grace / 4)).await;
+        // Connections that rest are closed with the next answer, or when no more are accepted: a request that is on
+        // its way meanwhile finds them open.
+        sleep(ACCEPT_ON.min(grace.mul_f64(ACCEPT_SHARE))).await;
         accepting.abort();
         core.connections.finish_all();
         let finished = timeout_at(end, core.connections.ended()).await.is_ok();
+        // What is not done by now is answered all the same, not cut.
+        core.ends.send_replace(true);
+        let _ = timeout(LAST_ANSWERS, core.connections.ended()).await;
         upkeep.abort();
         readiness.abort();
         core.metrics.log(&log);
@@ -241,7 +262,7 @@
     TcpListener::bind(address).await
 }
 
-/// Closes idle connections whose time is over, and logs counters.
+/// Closes connections whose time is over, and logs counters.
 async fn upkeep(core: Arc<Core>, log: Logger) {
     let mut ticks = interval(SWEEP_EVERY);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
--- a/crates/node/src/relay/stream.rs
+++ b/crates/node/src/relay/stream.rs
@@ -39,6 +39,8 @@
     body: Option<Incoming>,
     connection: Option<Connection>,
     keep_alive: Option<u64>,
+    /// Whether only the end of the connection ends the stream.
+    ends_with_connection: bool,
     splitter: EventSplitter,
 }
 
@@ -55,6 +57,7 @@
             body: Some(answer.body),
             connection: Some(answer.connection),
             keep_alive: keep_alive(&answer.parts.headers),
+            ends_with_connection: answer.ends_with_connection,
             splitter: EventSplitter::default(),
         };
         (answer.parts, source)
@@ -68,7 +71,10 @@
             match body.frame().await {
                 None => {
                     self.body = None;
-                    return Ok(Next::End(self.splitter.rest()));
+                    let rest = self.splitter.rest();
+                    // A connection that ends within an event was broken off.
+                    let whole = rest.is_empty() || !self.ends_with_connection;
+                    return if whole { Ok(Next::End(rest)) } else { Err(broken) };
                 }
                 Some(Err(_)) => return Err(broken),
                 Some(Ok(frame)) => {
@@ -108,6 +114,7 @@
     // Another endpoint may go on with it: its length is not known.
     parts.headers.remove(CONTENT_LENGTH);
     let left = duration(exchange.deadline.since(now()));
+    let last_id = exchange.last_event_id();
     let passage = Passage {
         core: Arc::clone(core),
         exchange,
@@ -116,7 +123,7 @@
         source,
         slot,
         first: Some(first),
-        last_id: None,
+        last_id,
         until: Instant::now() + left,
         ended: false,
     };
@@ -136,7 +143,7 @@
     source: Source,
     slot: Option<Slot>,
     first: Option<Vec<Event>>,
-    /// The id of the last event passed on.
+    /// The id of the last event that the client has: passed on, or named by it.
     last_id: Option<Bytes>,
     until: Instant,
     ended: bool,
@@ -260,7 +267,10 @@
             self.core.pool.give_back(&endpoint, connection, self.source.keep_alive);
         }
         match self.turn.take() {
-            Some(turn) => turn.complete(&endpoint).await.map_err(|_| BrokenOff::NotKept),
+            Some(turn) => {
+                let left = self.exchange.deadline.since(now());
+                turn.complete(&endpoint, left).await.map_err(|_| BrokenOff::NotKept)
+            }
             None => Ok(()),
         }
     }
--- a/crates/sessions/tests/filling.rs
+++ b/crates/sessions/tests/filling.rs
@@ -26,6 +26,7 @@
         primary: DiskId(1),
         in_sync: vec![DiskId(1)],
         joining: vec![DiskId(2)],
+        lost_copies: 0,
     };
     let partitions = vec![assignment; PARTITIONS];
     Arc::new(StoreMap { version: 1, stores: vec![store(1), store(2)], partitions })
@@ -54,6 +55,9 @@
         open.extend(calls(store.handle(moment, Event::Answered { call, answer })));
     }
     assert!(most <= AT_ONCE, "{most} at once");
+    // Guard: `DurableMapVersion`. Nothing is told before the version of the map is on disk.
+    assert_eq!(store.caught_up().len(), 0);
+    store.handle(moment, Event::MapVersionWritten { version: 1 });
     assert_eq!(store.caught_up().len(), PARTITIONS - 1);
     let later = Moment { now: moment.now + Span::from_millis(1_000), ..moment };
     for call in calls(store.handle(later, Event::Tick)).collect::<Vec<_>>() {
@@ -62,3 +66,17 @@
     }
     assert_eq!(store.caught_up().len(), PARTITIONS);
 }
+
+#[test]
+fn what_has_expired_a_short_while_ago_is_filled_too() {
+    // Guard: `LEVEL_SLACK_MS`. By a clock that is seconds ahead, a turn that must be known has expired already.
+    let limits = Limits { required_copies: 2, memory_bytes: 1 << 20, disk_bytes: 1 << 20 };
+    let mut store = Store::new(DiskId(1), limits);
+    let moment = Moment { now: Time::from_nanos(1), time_of_day_ms: 100_000 };
+    let compared = store.handle(moment, Event::Map(map())).into_iter().filter_map(|command| match command {
+        Command::Call { request: TransferRequest::Digests { live_after_ms, .. }, .. } => Some(live_after_ms),
+        _ => None,
+    });
+    let compared: Vec<u64> = compared.collect();
+    assert!(!compared.is_empty() && compared.iter().all(|after| *after == 95_000), "{compared:?}");
+}
