--- a/crates/replication/tests/directions.rs
+++ b/crates/replication/tests/directions.rs
@@ -53,8 +53,6 @@
     }
 }
 
-// Guard: `primary.rs`, `advance_primary`, `has_majority`: it holds its backups back by its heartbeats, and has to
-// go by itself.
 #[test]
 fn a_primary_that_hears_nobody_is_succeeded() {
     for seed in 0..60 {
@@ -68,7 +66,6 @@
     }
 }
 
-// Guard: `follower.rs`, `answer_canvass`: who hears the primary lets nobody else through.
 #[test]
 fn a_backup_that_hears_nobody_does_not_unseat_the_primary() {
     for seed in 0..60 {
@@ -97,6 +94,17 @@
     }
 }
 
+/// It leaves the in-sync set before its patience ends, so even a canvass that all granted would not let it lead.
+#[test]
+fn a_backup_that_only_the_primary_does_not_reach_does_not_unseat_it() {
+    for seed in 0..60 {
+        let (mut world, primary) = started(seed);
+        world.cut(primary, (primary + 1) % 3);
+        world.run(LONG);
+        assert_eq!(world.primary(), Some(primary), "seed {seed}");
+    }
+}
+
 /// Each pair of keepers, cut in one direction or in both: the third reaches both.
 #[test]
 fn one_link_that_is_cut_is_borne() {
