--- a/crates/replication/src/catch_up.rs
+++ b/crates/replication/src/catch_up.rs
@@ -176,9 +176,13 @@
             let Some(held) = peer.held else { continue };
             if held == latest {
                 peer.behind_since = None;
+                peer.lags_since = None;
                 continue;
             }
             peer.behind_since.get_or_insert(now);
+            if !self.ballot.accepted.in_sync.contains(&peer.voter.disk) {
+                peer.lags_since.get_or_insert(now);
+            }
             let is_gone = now.since(peer.last_answer) > timings.confirm;
             if !is_gone {
                 let body = sender.send_to(peer, held);
--- a/crates/replication/src/office.rs
+++ b/crates/replication/src/office.rs
@@ -26,6 +26,8 @@
     pub(crate) held: Option<Version>,
     /// Since when it has lacked the primary's version.
     pub(crate) behind_since: Option<Time>,
+    /// Since when it has been out of sync and lacked each newest version.
+    pub(crate) lags_since: Option<Time>,
     /// What was last sent to it.
     pub(crate) sent: Option<Shipment>,
     /// The newest round of heartbeats that it answered in this epoch.
@@ -44,6 +46,7 @@
             last_answer: now,
             held: None,
             behind_since: None,
+            lags_since: None,
             sent: None,
             answered_round: 0,
             asks_until: Time::default(),
--- a/crates/replication/tests/second_loss.rs
+++ b/crates/replication/tests/second_loss.rs
@@ -7,6 +7,7 @@
 
 use common::World;
 use juniperwing_clock::Span;
+use juniperwing_replication::{Event, ProposeToken};
 
 /// A member counts as repaired so long after its start (`catchUpS` of the deployments).
 const CATCH_UP: Span = Span::from_millis(4_100);
@@ -281,3 +282,64 @@
         world.run(CATCH_UP);
     });
 }
+
+/// A member that was kept out for hundreds of changes gets them while more come, and leads only then.
+// Guard: `replica.rs`, `is_eligible`, `in_sync`: out of sync it seeks no office.
+#[test]
+fn a_member_that_was_kept_out_for_hundreds_of_changes_catches_up_and_leads_only_then() {
+    for seed in 0..30 {
+        let mut world = started(seed, 3, 3, 2);
+        let primary = world.primary().expect("a primary");
+        let (backup, behind) = ((primary + 1) % 3, (primary + 2) % 3);
+        world.isolate(behind);
+        let target = world.judge.acknowledged() + 300;
+        let reached = world.run_until(Span::from_millis(60_000), |world| world.judge.acknowledged() > target);
+        assert!(reached, "seed {seed}");
+        world.cuts.clear();
+        if seed % 2 == 0 {
+            // The others are lost before it has caught up: nobody may serve.
+            world.kill(primary);
+            world.kill(backup);
+            world.run(Span::from_millis(5_000));
+            assert_eq!(world.primary(), None, "seed {seed}: it leads with old state");
+            world.heal();
+        }
+        world.expect_whole(Span::from_millis(5_000), "300 changes");
+        let held = world.machines[behind].replica.as_ref().expect("it runs").latest().state.0.len();
+        assert!(held > target, "seed {seed}");
+    }
+}
+
+/// One change after the other at the primary until the tier is whole; how many there were.
+fn press_until_whole(world: &mut World, limit: Span) -> u64 {
+    const FIRST_TOKEN: u64 = 1 << 40;
+    let end = world.now + limit;
+    let mut pressed = 0;
+    while !world.is_whole() && world.now < end {
+        world.run(Span::from_millis(5));
+        let Some(primary) = world.primary() else { continue };
+        let base = world.machines[primary].replica.as_ref().expect("it runs").latest().version;
+        let token = ProposeToken(FIRST_TOKEN + pressed);
+        pressed += 1;
+        world.judge.proposal_begins(token, base);
+        world.hand(primary, Event::Propose { token, base, change: token.0 });
+    }
+    pressed
+}
+
+/// Changes come faster than the state gets to a member that is far away.
+// Guard: `primary.rs`, `waits_for_laggard`: without it, the member is some changes behind for ever.
+#[test]
+fn a_member_that_changes_outrun_gets_in_sync_all_the_same() {
+    for seed in 0..30 {
+        let mut world = started(seed, 3, 3, 2);
+        let primary = world.primary().expect("a primary");
+        let behind = (primary + 1) % 3;
+        world.isolate(behind);
+        world.run(Span::from_millis(2_000));
+        world.cuts.clear();
+        world.far.insert(behind, Span::from_millis(25));
+        let pressed = press_until_whole(&mut world, CATCH_UP);
+        assert!(world.is_whole(), "seed {seed}, {pressed} changes\n{}", world.picture());
+    }
+}
