--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -5,6 +5,7 @@
 //! that day, with operators, endpoints and relays as callers, and records what these saw. The
 //! [`oracle`] judges this record alone. [`shrink`] removes what a finding doesn't need.
 
+pub mod aim;
 pub mod chance;
 pub mod clock;
 pub mod day;
--- a/crates/emulator/src/main.rs
+++ b/crates/emulator/src/main.rs
@@ -8,7 +8,7 @@
 
 use getopts::Options;
 use juniperwing_clock::Time;
-use juniperwing_emulator::day::Day;
+use juniperwing_emulator::aim::day_of;
 use juniperwing_emulator::oracle::{Finding, Property, judge};
 use juniperwing_emulator::shrink::{findings, shrink};
 use juniperwing_emulator::world::play;
@@ -27,39 +27,46 @@
 
 fn main() -> ExitCode {
     let arguments: Vec<String> = std::env::args().skip(1).collect();
-    let mut options = Options::new();
-    options.optopt("", "days", "how many days to play [default: 1000]", "COUNT");
-    options.optopt("", "jobs", "on how many cores [default: 4]", "COUNT");
-    options.optopt("", "seed", "the seed of the first day [default: 1]", "SEED");
-    options.optflag("", "log", "play the first day only and print all that was seen");
-    options.optflag(
-        "",
-        "brief",
-        "count findings only; don't look for the least troubles that bring them about",
-    );
-    options.optflag("h", "help", "print this");
-    let usage = options.usage("Usage: juniperwing-emulator [OPTIONS]");
-    let wanted =
-        options.parse(&arguments).ok().filter(|matches| matches.free.is_empty()).and_then(|matches| {
-            let number = |name: &str, default: u64| matches.opt_get_default(name, default).ok();
-            let jobs = number("jobs", 4)?.max(1) as usize;
-            let help = matches.opt_present("help");
-            let (log, brief) = (matches.opt_present("log"), matches.opt_present("brief"));
-            let (first, days) = (number("seed", 1)?, number("days", 1_000)?);
-            (!help).then_some(Wanted { first, days, jobs, log, brief })
-        });
-    match wanted {
-        None => {
+    match Wanted::parse(&arguments) {
+        Err(usage) => {
             eprint!("{usage}");
             ExitCode::from(2)
         }
-        Some(wanted) if wanted.log => print_day(wanted.first),
-        Some(wanted) => play_many(&wanted),
+        Ok(wanted) if wanted.log => print_day(wanted.first),
+        Ok(wanted) => play_many(&wanted),
+    }
+}
+
+impl Wanted {
+    /// Reads the command line, or gives back how it is used.
+    fn parse(arguments: &[String]) -> Result<Wanted, String> {
+        let mut options = Options::new();
+        options.optopt("", "days", "how many days to play [default: 1000]", "COUNT");
+        options.optopt("", "jobs", "on how many cores [default: 4]", "COUNT");
+        options.optopt("", "seed", "the seed of the first day [default: 1]", "SEED");
+        options.optflag("", "log", "play the first day only and print all that was seen");
+        options.optflag("", "brief", "count findings only; don't look for the least troubles");
+        options.optflag("h", "help", "print this");
+        let usage = options.usage("Usage: juniperwing-emulator [OPTIONS]");
+        let matches = options.parse(arguments).map_err(|error| format!("{error}\n{usage}"))?;
+        if matches.opt_present("help") || !matches.free.is_empty() {
+            return Err(usage);
+        }
+        let number = |name: &str, default: u64| {
+            matches.opt_get_default(name, default).map_err(|error| format!("--{name}: {error}\n{usage}"))
+        };
+        Ok(Wanted {
+            first: number("seed", 1)?,
+            days: number("days", 1_000)?,
+            jobs: number("jobs", 4)?.max(1) as usize,
+            log: matches.opt_present("log"),
+            brief: matches.opt_present("brief"),
+        })
     }
 }
 
 fn print_day(seed: u64) -> ExitCode {
-    let day = Day::draw(seed);
+    let day = day_of(seed);
     print!("{day}");
     let history = play(&day, true);
     for (at, seen) in &history {
@@ -82,7 +89,7 @@
                     if seed >= wanted.first + wanted.days {
                         return;
                     }
-                    let findings = findings(&Day::draw(seed));
+                    let findings = findings(&day_of(seed));
                     if !findings.is_empty() {
                         found.lock().expect("no player panics here").insert(seed, findings);
                     }
@@ -119,7 +126,7 @@
         println!("\n{property:?}: {} days, seeds {}", seeds.len(), numbers.join(", "));
         for (seed, finding) in seeds.iter().take(if brief { 0 } else { SHRUNK }) {
             println!("  {finding}");
-            print!("  {}", shrink(&Day::draw(*seed), property));
+            print!("  {}", shrink(&day_of(*seed), property));
         }
     }
 }
--- a/crates/emulator/src/network.rs
+++ b/crates/emulator/src/network.rs
@@ -176,9 +176,18 @@
         outcome
     }
 
-    /// Cuts one direction between two machines; cuts add up.
-    pub fn cut(&self, from: IpAddr, to: IpAddr) {
-        *self.lock().cuts.entry((from, to)).or_default() += 1;
+    /// Cuts one direction between two machines; cuts add up. What is under way has not arrived and is held up.
+    pub fn cut(&self, now: Time, from: IpAddr, to: IpAddr) {
+        let mut state = self.lock();
+        *state.cuts.entry((from, to)).or_default() += 1;
+        for pipe in state.pipes.values_mut().filter(|pipe| (pipe.from, pipe.to) == (from, to)) {
+            let arrived = pipe.travelling.partition_point(|(arrival, _)| *arrival <= now);
+            let under_way = pipe.travelling.split_off(arrived);
+            pipe.held.extend(under_way.into_iter().map(|(_, segment)| segment));
+            if !pipe.held.is_empty() {
+                pipe.unacknowledged_since.get_or_insert(now);
+            }
+        }
     }
 
     /// Takes back one cut. What it held up is sent again soon.
--- a/crates/emulator/src/world/troubles.rs
+++ b/crates/emulator/src/world/troubles.rs
@@ -88,7 +88,7 @@
         if direction != Direction::In {
             cuts.extend(directions(&one, &others));
         }
-        cuts.iter().for_each(|(from, to)| self.network.cut(*from, *to));
+        cuts.iter().for_each(|(from, to)| self.network.cut(self.now, *from, *to));
         self.cuts.insert(index, cuts);
     }
 
