--- a/crates/node/src/store/core.rs
+++ b/crates/node/src/store/core.rs
@@ -114,13 +114,13 @@
         self.handled.notify_waiters();
     }
 
-    /// Waits until nothing is under way.
-    pub(super) async fn idle(&self) {
+    /// Waits until something holds of the store.
+    pub(super) async fn until(&self, holds: impl Fn(&Store) -> bool) {
         loop {
             let handled = self.handled.notified();
             tokio::pin!(handled);
             handled.as_mut().enable();
-            if self.lock().store.is_idle() {
+            if holds(&self.lock().store) {
                 return;
             }
             handled.await;
@@ -160,6 +160,7 @@
                 }
                 Command::WriteBatch { records } => self.put(DiskJob::Write(records)),
                 Command::RemoveSegment { segment } => self.put(DiskJob::Remove(SegmentNumber(segment))),
+                Command::WriteMapVersion { version } => self.put(DiskJob::WriteMapVersion(version)),
                 Command::Report => self.report(),
             }
         }
@@ -211,6 +212,7 @@
             match wake {
                 None => self.rearm.notified().await,
                 Some(wake) => tokio::select! {
+                    biased;
                     () = tokio::time::sleep(duration(wake.since(now()))) => self.handle(Event::Tick),
                     () = self.rearm.notified() => {}
                 },
--- a/crates/node/tests/relay/main.rs
+++ b/crates/node/tests/relay/main.rs
@@ -1,5 +1,7 @@
 //! A relay in this process, between clients and stand-ins for endpoints and stores on loopback.
 
+mod client_left;
+mod deadlines;
 mod early;
 mod endpoint;
 mod events;
@@ -8,6 +10,9 @@
 mod hostile;
 mod hostile_answers;
 mod lifecycle;
+mod planned_work;
+mod refusals;
+mod resumption;
 mod smuggling;
 mod streams;
 mod support;
--- a/crates/node/tests/stores/mod.rs
+++ b/crates/node/tests/stores/mod.rs
@@ -36,6 +36,8 @@
     stores: BTreeMap<DiskId, (StoreNode, Link)>,
     map: Arc<StoreMap>,
     caught_up: Vec<CaughtUp>,
+    /// The version of the map that was confirmed last.
+    applied: u64,
 }
 
 impl Service for Keeper {
@@ -47,7 +49,10 @@
                 state.stores.insert(disk, (node(&subscribe, disk), link.clone()));
                 link.send(Message::Update(Update::Stores(state.map.clone())));
             }
-            Message::Applied(applied) => state.caught_up = applied.caught_up,
+            Message::Applied(applied) => {
+                state.applied = applied.stores;
+                state.caught_up = applied.caught_up;
+            }
             _ => {}
         }
         drop(state);
@@ -88,6 +93,11 @@
             .await
     }
 
+    /// Waits until a store has confirmed the map of an epoch.
+    pub async fn applied(&self, epoch: EpochNumber) {
+        self.until(|state| (state.applied == epoch.0).then_some(())).await;
+    }
+
     /// Waits until every partition's joining replica has caught up in the present epoch.
     pub async fn caught_up(&self, replica: DiskId, epoch: EpochNumber, partitions: &[u16]) {
         self.until(|state| {
@@ -110,6 +120,7 @@
             primary: in_sync[partition % in_sync.len()],
             in_sync: in_sync.to_vec(),
             joining: joining.to_vec(),
+            lost_copies: 0,
         });
         let stores = state.stores.values().map(|(store, _)| store.clone()).collect();
         state.map = Arc::new(StoreMap { version, stores, partitions: partitions.collect() });
@@ -191,6 +202,11 @@
         stores
     }
 
+    /// The client of another relay.
+    pub fn another_client(&self) -> SessionsClient {
+        SessionsClient::new(Arc::new(LinkPool::new(Arc::new(Keeper::default()))), self.map.subscribe())
+    }
+
     /// Has the keeper and the client go by another map.
     pub fn assign(&self, in_sync: &[DiskId], joining: &[DiskId]) -> EpochNumber {
         let map = self.keeper.assign(in_sync, joining);
