--- a/crates/node/src/subscriber.rs
+++ b/crates/node/src/subscriber.rs
@@ -33,6 +33,12 @@
 
     /// The configuration held; it is not sent again.
     fn configuration(&self) -> Version;
+
+    /// Whether a keeper that has answered is subscribed to, after that may have changed. What was told may be out
+    /// of date while none is.
+    fn connected(&self, is_connected: bool) {
+        let _ = is_connected;
+    }
 }
 
 /// The subscriptions of one process.
@@ -71,6 +77,17 @@
     }
 }
 
+impl Keepers {
+    /// Takes the list that was told over `link`. Keepers that are not in it hear of no change any more; one that is
+    /// cut off does not know that, so its subscription is ended here.
+    fn take_keepers(&mut self, told: Vec<SocketAddr>, link: &Link) {
+        let others = self.links.iter().filter(|place| !told.contains(&place.keeper));
+        let dropped = others.filter_map(|place| place.link.as_ref()).filter(|held| held.id() != link.id());
+        dropped.for_each(Link::close);
+        self.told = told;
+    }
+}
+
 impl Subscriber {
     /// Subscribes to `wanted` keepers at a time, found through the seeds, until the process ends.
     pub fn start(
@@ -145,6 +162,7 @@
                 self.hold(address, &link, answered).await;
             }
             self.lock().links.retain(|place| place.keeper != address);
+            self.sink.connected(self.is_connected());
             self.changed.notify_waiters();
             tokio::time::sleep(RETRY_AFTER).await;
         }
@@ -179,6 +197,7 @@
         if let Some(place) = self.lock().links.iter_mut().find(|place| place.keeper == address) {
             place.answered = true;
         }
+        self.sink.connected(self.is_connected());
         link.closed().await;
     }
 
@@ -227,7 +246,7 @@
         }
         match update {
             Update::Keepers(told) => {
-                self.subscriber.lock().told = told;
+                self.subscriber.lock().take_keepers(told, link);
                 self.subscriber.changed.notify_waiters();
             }
             update => {
--- a/crates/node/tests/keepers/peer.rs
+++ b/crates/node/tests/keepers/peer.rs
@@ -2,7 +2,7 @@
 //!
 //! It takes part in the replication with a replica of its own, and answers what keepers ask each other.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
@@ -12,7 +12,7 @@
 use juniperwing_node::link::{Link, LinkPool, Reply, Service, serve};
 use juniperwing_node::settings::{Port, Settings};
 use juniperwing_protocol::registry::{Instance, InstanceState, RegistryMessage};
-use juniperwing_protocol::replication::{ReplicationMessage, Voter};
+use juniperwing_protocol::replication::{ReplicationBody, ReplicationMessage, Voter};
 use juniperwing_protocol::{DiskId, InstanceId, Message, NodeName};
 use juniperwing_replication::{Command, Event, ProposeToken, ReadToken, Replica, Timings};
 use tokio::net::TcpListener;
@@ -32,11 +32,14 @@
     pub takes_instances: bool,
     /// Whether it says that its relays have applied them.
     pub applies_instances: bool,
+    /// Whether keepers may ask it to be let in.
+    pub admits: bool,
 }
 
 impl Gate {
     /// Everything gets through.
-    pub const OPEN: Gate = Gate { hears: true, tells: true, takes_instances: true, applies_instances: true };
+    pub const OPEN: Gate =
+        Gate { hears: true, tells: true, takes_instances: true, applies_instances: true, admits: true };
     /// The real keepers hear it and are not heard.
     pub const DEAF: Gate = Gate { hears: false, ..Gate::OPEN };
     /// The real keepers are heard and do not hear it.
@@ -215,8 +218,10 @@
     }
 
     fn replication(self: &Arc<Self>, message: ReplicationMessage) {
-        let is_heard = self.peers.contains(&message.address) || self.lock().gate.hears;
-        if is_heard {
+        let gate = self.lock().gate;
+        let is_peer = self.peers.contains(&message.address);
+        let asks_in = matches!(message.body, ReplicationBody::Join { .. });
+        if is_peer || (gate.hears && (gate.admits || !asks_in)) {
             self.handle(Event::Message(message));
         }
     }
@@ -254,22 +259,31 @@
     }
 
     fn handle(self: &Arc<Self>, event: Event<ControlState>) {
-        let commands = self.lock().replica.handle(self.now(), event);
-        for command in commands {
-            match command {
-                Command::Send { to, message } => self.send(to, message),
-                Command::Persist { token, .. } => self.handle(Event::Persisted(token)),
-                Command::WakeAt(at) => {
-                    self.lock().wake_at = at;
-                    self.wake.notify_one();
-                }
-                Command::ReadDone { token, outcome } => self.answer_read(token, outcome.is_ok()),
-                Command::Committed(_) | Command::Proposed { .. } | Command::Role(_) => {}
-            }
+        // An event that follows from a command waits until all commands before it are carried out: an older
+        // time to wake must not replace a newer one.
+        let mut events = VecDeque::from([event]);
+        while let Some(event) = events.pop_front() {
+            let commands = self.lock().replica.handle(self.now(), event);
+            events.extend(commands.into_iter().filter_map(|command| self.carry_out(command)));
         }
         self.news.notify_waiters();
     }
 
+    /// Returns the event that follows at once.
+    fn carry_out(self: &Arc<Self>, command: Command) -> Option<Event<ControlState>> {
+        match command {
+            Command::Send { to, message } => self.send(to, message),
+            Command::Persist { token, .. } => return Some(Event::Persisted(token)),
+            Command::WakeAt(at) => {
+                self.lock().wake_at = at;
+                self.wake.notify_one();
+            }
+            Command::ReadDone { token, outcome } => self.answer_read(token, outcome.is_ok()),
+            Command::Committed(_) | Command::Proposed { .. } | Command::Role(_) => {}
+        }
+        None
+    }
+
     fn answer_read(&self, token: ReadToken, is_confirmed: bool) {
         let mut state = self.lock();
         let version = state.replica.committed().map(|committed| committed.version).filter(|_| is_confirmed);
--- a/crates/replication/src/office.rs
+++ b/crates/replication/src/office.rs
@@ -6,6 +6,7 @@
 use juniperwing_protocol::DiskId;
 use juniperwing_protocol::replication::{Epoch, Version, Voter};
 
+use crate::catch_up::{Changes, Shipment};
 use crate::interface::{ProposeToken, ReadToken};
 
 /// The most proposals that wait.
@@ -25,12 +26,14 @@
     pub(crate) held: Option<Version>,
     /// Since when it has lacked the primary's version.
     pub(crate) behind_since: Option<Time>,
-    /// The version that was last sent to it, and when.
-    pub(crate) sent: Option<(Version, Time)>,
+    /// What was last sent to it.
+    pub(crate) sent: Option<Shipment>,
     /// The newest round of heartbeats that it answered in this epoch.
     pub(crate) answered_round: u64,
     /// Until when it asks to be let in.
     pub(crate) asks_until: Time,
+    /// Until when it counts as about to end.
+    pub(crate) leaves_until: Time,
 }
 
 impl Peer {
@@ -44,6 +47,7 @@
             sent: None,
             answered_round: 0,
             asks_until: Time::default(),
+            leaves_until: Time::default(),
         }
     }
 }
@@ -55,12 +59,8 @@
     pub(crate) token: Option<ProposeToken>,
     /// When it was proposed.
     pub(crate) proposed: Time,
-    /// The version that it builds on.
-    pub(crate) base: Version,
     /// The version that it makes.
     pub(crate) version: Version,
-    /// The change, encoded.
-    pub(crate) change: Vec<u8>,
 }
 
 /// A change that waits for its turn.
@@ -99,6 +99,8 @@
     pub(crate) hands_over: bool,
     /// The change that is being written.
     pub(crate) in_flight: Option<InFlight>,
+    /// The newest changes made in this office.
+    pub(crate) changes: Changes,
     /// The changes that wait.
     pub(crate) queue: VecDeque<Proposal<C>>,
     /// The reads that wait, oldest first.
@@ -117,6 +119,7 @@
             outbid_at: None,
             hands_over: false,
             in_flight: None,
+            changes: Changes::default(),
             queue: VecDeque::new(),
             reads: VecDeque::new(),
         }
@@ -143,9 +146,9 @@
         }
     }
 
-    /// Drops keepers that are no voters and ask no more.
+    /// Drops keepers that are no voters and ask no more. One that leaves has yet to hear that it may.
     pub(crate) fn forget_strangers(&mut self, now: Time, epoch: &Epoch) {
         let is_voter = |disk: &DiskId| epoch.voters.iter().any(|voter| voter.disk == *disk);
-        self.peers.retain(|disk, peer| is_voter(disk) || now < peer.asks_until);
+        self.peers.retain(|disk, peer| is_voter(disk) || now < peer.asks_until || now < peer.leaves_until);
     }
 }
--- a/crates/replication/src/settings.rs
+++ b/crates/replication/src/settings.rs
@@ -23,6 +23,19 @@
     pub timings: Timings,
 }
 
+impl Settings {
+    /// The fewest voters that are kept, even if some are silent: as many as founded the tier or are needed for
+    /// the copies.
+    pub(crate) fn least_voters(&self) -> usize {
+        self.seeds.len().max(2 * self.required_copies - 1)
+    }
+
+    /// Whether one of `voters` may go and as many losses can be borne as before.
+    pub(crate) fn may_drop_one_of(&self, voters: usize) -> bool {
+        voters > self.least_voters() && voters.is_multiple_of(2)
+    }
+}
+
 /// The spans that a replica goes by.
 #[derive(Clone, Copy, Debug)]
 pub struct Timings {
@@ -47,6 +60,9 @@
     pub resend: Span,
     /// The longest that a proposal or a read waits.
     pub patience: Span,
+    /// Bytes in a millisecond on the slowest link that a whole state must get over: what is on its way for
+    /// longer than that takes counts as lost.
+    pub slowest_bytes_per_ms: f64,
 }
 
 impl Default for Timings {
@@ -62,6 +78,7 @@
             stragglers: Span::from_millis(80),
             resend: Span::from_millis(120),
             patience: Span::from_millis(2_000),
+            slowest_bytes_per_ms: 1_000.0,
         }
     }
 }
