A keeper that loses touch expires nothing that others may have heard since

Change: silence counts up to the newest proof of contact, and a keeper that knows a later heartbeat than an expiry it is told of tells its subscribers so.

--- a/crates/emulator/tests/days.rs
+++ b/crates/emulator/tests/days.rs
@@ -40,3 +40,12 @@
         assert_eq!(once.len(), again.len(), "seed {seed}");
     }
 }
+
+/// Seeds in which a keeper that had just lost touch told relays that live endpoints had expired. Guards:
+/// `Registry::contradicting`, and `Contact::confirmed_at` in the keeper's `expire_instances`.
+#[test]
+fn endpoints_stay_known_while_a_keeper_loses_touch() {
+    for seed in [124, 233] {
+        assert_eq!(findings(&day_of(seed)), [], "seed {seed}");
+    }
+}
--- a/crates/node/src/keeper/discovery.rs
+++ b/crates/node/src/keeper/discovery.rs
@@ -103,10 +103,12 @@
     /// Expires endpoints that nobody hears of, while this keeper hears what the others hear.
     pub(super) fn expire_instances(&self, state: &mut State) {
         let now = clock::now();
-        if !self.is_in_contact(state) || state.was_paused {
+        let epoch = state.consensus.replica.epoch();
+        let confirmed_at = state.contact.confirmed_at(now, self.me.disk, epoch);
+        let Some(confirmed_at) = confirmed_at.filter(|_| !state.was_paused) else {
             return state.registry.restart_silence(now);
-        }
-        let expired = state.registry.expire(now);
+        };
+        let expired = state.registry.expire(now, confirmed_at);
         for instance in &expired {
             info!(self.log, "endpoint lost"; "endpoint" => %instance.id.0, "service" => %instance.service.0);
         }
--- a/crates/registry/src/contact.rs
+++ b/crates/registry/src/contact.rs
@@ -73,6 +73,33 @@
             && (epoch.previous_voters.is_empty() || is_majority(&epoch.previous_voters))
     }
 
+    /// The newest moment up to which contact is proved: a majority of the voters of `epoch` has answered a question
+    /// that was sent then or later. `None` without contact. What the others told before that moment has been heard.
+    pub fn confirmed_at(&self, now: Time, me: DiskId, epoch: &Epoch) -> Option<Time> {
+        if !self.has_majority(now, me, epoch) {
+            return None;
+        }
+        let present = self.majority_asked_at(now, me, epoch.number, &epoch.voters);
+        if epoch.previous_voters.is_empty() {
+            return Some(present);
+        }
+        Some(present.min(self.majority_asked_at(now, me, epoch.number, &epoch.previous_voters)))
+    }
+
+    /// The latest moment at which, or after which, a majority of `voters` was sent a question that it answered.
+    fn majority_asked_at(&self, now: Time, me: DiskId, epoch: EpochNumber, voters: &[Voter]) -> Time {
+        let asked_at = |voter: &Voter| match self.round_trips.get(&voter.disk) {
+            _ if voter.disk == me => now,
+            Some(known) if known.epoch <= epoch => known.asked_at,
+            _ => Time::default(),
+        };
+        let mut times: Vec<Time> = voters.iter().map(asked_at).collect();
+        times.sort_unstable();
+        // With so many removed from the early end, what is left is the smallest majority.
+        let outside = voters.len() - (voters.len() / 2 + 1);
+        times.get(outside).copied().unwrap_or_default()
+    }
+
     /// One that knows a higher epoch than this keeper may belong to another set of voters.
     fn is_reached(&self, now: Time, keeper: DiskId, epoch: EpochNumber) -> bool {
         let round_trip = self.round_trips.get(&keeper);
--- a/crates/registry/src/registry.rs
+++ b/crates/registry/src/registry.rs
@@ -143,6 +143,7 @@
     pub fn merge(&mut self, now: Time, changed: Vec<Instance>, refreshed: &[Refresh]) -> Vec<Instance> {
         let mut news = Vec::new();
         for instance in changed {
+            news.extend(self.contradicting(&instance));
             if self.merge_one(now, &instance) {
                 news.push(instance);
             }
@@ -153,15 +154,16 @@
         news
     }
 
-    /// Instances of which nobody has heard for too long; they are expired from now on. Not to be called while
-    /// other keepers may hear heartbeats that this one is not told of.
-    pub fn expire(&mut self, now: Time) -> Vec<Instance> {
+    /// Instances of which nobody has heard for too long; they are expired from now on. Silence counts up to
+    /// `confirmed_at`, the newest moment up to which contact with the other keepers is proved: heartbeats that
+    /// they took after it may be unknown here.
+    pub fn expire(&mut self, now: Time, confirmed_at: Time) -> Vec<Instance> {
         self.forget(now);
         let limit = self.settings.heartbeat.times(EXPIRY_HEARTBEATS);
         let mut expired = Vec::new();
         for entry in self.entries.values_mut() {
             let living = matches!(entry.instance.state, InstanceState::Ready | InstanceState::Draining);
-            let silent = now.since(entry.heard.max(self.silence_from)) >= limit;
+            let silent = confirmed_at.since(entry.heard.max(self.silence_from)) >= limit;
             if !(living && silent) {
                 continue;
             }
@@ -179,6 +181,14 @@
         self.silence_from = now;
     }
 
+    /// What is known of an instance that another keeper takes for expired though a later heartbeat was heard here.
+    /// That keeper's subscribers were told of the expiry, and a heartbeat alone is no news to them.
+    fn contradicting(&self, instance: &Instance) -> Option<Instance> {
+        let known = self.get(&instance.id)?;
+        let lives = known.state == InstanceState::Ready && known.sequence > instance.sequence;
+        Some(known.clone()).filter(|_| instance.state == InstanceState::Expired && lives)
+    }
+
     fn merge_one(&mut self, now: Time, instance: &Instance) -> bool {
         let full = self.entries.len() >= self.settings.max_instances;
         match self.entries.get_mut(&instance.id) {
--- a/crates/registry/tests/contact.rs
+++ b/crates/registry/tests/contact.rs
@@ -154,3 +154,28 @@
         [2, 3, 3, 4]
     );
 }
+
+/// Guard: the time of the answered question counts, for the slowest keeper of the fastest majority.
+#[test]
+fn contact_is_proved_up_to_the_question_that_a_majority_has_answered() {
+    let mut contact = contact();
+    let epoch = epoch(5, &[1, 2, 3, 4, 5]);
+    for (disk, asked_ms) in [(2, 100), (3, 300), (4, 900)] {
+        contact.answered(at(1_000), DiskId(disk), at(asked_ms), EpochNumber(5));
+    }
+    assert_eq!(contact.confirmed_at(at(1_000), ME, &epoch), Some(at(300)));
+    assert_eq!(contact.confirmed_at(at(1_600), ME, &epoch), None);
+    let alone = Epoch { voters: voters(&[1]), ..epoch.clone() };
+    assert_eq!(contact.confirmed_at(at(1_600), ME, &alone), Some(at(1_600)));
+}
+
+/// Guard: while an epoch is not settled, the voters before it count too.
+#[test]
+fn contact_with_both_sets_of_voters_is_proved_up_to_the_older_question() {
+    let mut contact = contact();
+    let epoch = Epoch { previous_voters: voters(&[1, 4, 5]), ..epoch(5, &[1, 2, 3]) };
+    contact.answered(at(1_000), DiskId(2), at(900), EpochNumber(5));
+    assert_eq!(contact.confirmed_at(at(1_000), ME, &epoch), None);
+    contact.answered(at(1_000), DiskId(4), at(400), EpochNumber(5));
+    assert_eq!(contact.confirmed_at(at(1_000), ME, &epoch), Some(at(400)));
+}
--- a/crates/registry/tests/registry.rs
+++ b/crates/registry/tests/registry.rs
@@ -78,9 +78,9 @@
     assert_eq!(registry.remove(at(1), &"a".into()).map(|gone| gone.state), Some(InstanceState::Gone));
     assert_eq!(registry.remove(at(2), &"a".into()), None);
     assert_eq!(registry.heartbeat(at(3), ready("a", 2)), HeartbeatOutcome::Late);
-    registry.expire(at(59_000));
+    registry.expire(at(59_000), at(59_000));
     assert_eq!(state_of(&registry, "a"), Some(InstanceState::Gone));
-    registry.expire(at(1) + TOMBSTONE_LIFE);
+    registry.expire(at(1) + TOMBSTONE_LIFE, at(1) + TOMBSTONE_LIFE);
     assert!(registry.is_empty());
 }
 
@@ -95,9 +95,9 @@
 fn silence_expires_and_a_later_heartbeat_brings_back() {
     let mut registry = registry();
     registry.heartbeat(at(0), ready("a", 1));
-    assert!(registry.expire(at(2_999)).is_empty());
-    assert_eq!(registry.expire(at(3_000))[0].state, InstanceState::Expired);
-    assert!(registry.expire(at(3_100)).is_empty());
+    assert!(registry.expire(at(2_999), at(2_999)).is_empty());
+    assert_eq!(registry.expire(at(3_000), at(3_000))[0].state, InstanceState::Expired);
+    assert!(registry.expire(at(3_100), at(3_100)).is_empty());
     assert_eq!(registry.heartbeat(at(3_200), ready("a", 1)), HeartbeatOutcome::Late);
     assert!(matches!(registry.heartbeat(at(3_300), ready("a", 2)), HeartbeatOutcome::Changed(_)));
     assert_eq!(state_of(&registry, "a"), Some(InstanceState::Ready));
@@ -108,8 +108,8 @@
     let mut registry = registry();
     registry.heartbeat(at(0), ready("a", 1));
     assert!(registry.merge(at(2_000), Vec::new(), &[refresh("a", 3)]).is_empty());
-    assert!(registry.expire(at(4_000)).is_empty());
-    assert_eq!(registry.expire(at(5_000)).len(), 1);
+    assert!(registry.expire(at(4_000), at(4_000)).is_empty());
+    assert_eq!(registry.expire(at(5_000), at(5_000)).len(), 1);
     let back = registry.merge(at(5_100), Vec::new(), &[refresh("a", 4)]);
     assert_eq!(back[0].state, InstanceState::Ready);
 }
@@ -119,8 +119,33 @@
     let mut registry = registry();
     registry.heartbeat(at(0), ready("a", 1));
     registry.restart_silence(at(10_000));
-    assert!(registry.expire(at(12_900)).is_empty());
-    assert_eq!(registry.expire(at(13_000)).len(), 1);
+    assert!(registry.expire(at(12_900), at(12_900)).is_empty());
+    assert_eq!(registry.expire(at(13_000), at(13_000)).len(), 1);
+}
+
+/// Guard: silence counts up to `confirmed_at`, not up to now. Heartbeats that the others took since then are unknown.
+#[test]
+fn silence_counts_only_while_contact_is_proved() {
+    let mut registry = registry();
+    registry.heartbeat(at(0), ready("a", 1));
+    assert!(registry.expire(at(3_900), at(2_900)).is_empty());
+    assert_eq!(registry.expire(at(3_900), at(3_000)).len(), 1);
+}
+
+/// Guard: `contradicting`. The subscribers of the keeper that lost touch were told of the expiry, and they would hold
+/// to it, since a heartbeat that changes nothing is no news.
+#[test]
+fn an_expiry_told_by_a_keeper_that_missed_heartbeats_is_contradicted() {
+    let mut registry = registry();
+    registry.heartbeat(at(0), ready("a", 1));
+    registry.heartbeat(at(1_000), ready("a", 2));
+    let expired = instance("a", 1, InstanceState::Expired, 1);
+    let news = registry.merge(at(1_100), vec![expired.clone()], &[]);
+    assert_eq!(news.len(), 1);
+    assert!(news[0].state == InstanceState::Ready && news[0].supersedes(&expired));
+    // One that is as old as what is known here may be right.
+    let expired = instance("a", 1, InstanceState::Expired, 2);
+    assert_eq!(registry.merge(at(1_200), vec![expired.clone()], &[]), [expired]);
 }
 
 #[test]
