The test of a failing store disk no longer depends on which segment is open

Cause: it failed under load in about 1 of 8 runs, at "not settled" after the folder lost its name: a slow call that was made twice left a segment open, and that one outlives the name. Change: turns that fill a segment are sent until one is refused, and only then the turn that must be refused; the assertions are the same.

--- a/crates/node/tests/store.rs
+++ b/crates/node/tests/store.rs
@@ -12,6 +12,8 @@
 
 /// How long a call may take that is known to end without success.
 const SHORTLY: Duration = Duration::from_millis(300);
+/// Segments that may be open when a folder loses its name: one, and another if a slow call was made twice.
+const MOST_OPEN_SEGMENTS: usize = 4;
 
 fn begin(program: &str, request: &str, previous: Option<&str>, budget: Option<u64>) -> BeginTurn {
     BeginTurn {
@@ -44,6 +46,13 @@
     }
 }
 
+/// The end of a turn that fills a segment.
+fn filling(number: usize) -> FinishTurn {
+    let mut filling = keep("p", &format!("filling-{number}"), Some("t2"));
+    filling.kept.as_mut().unwrap().output = Arc::from(vec![b'x'; 1 << 20]);
+    filling
+}
+
 async fn keep_two(stores: &Stores) {
     for (request, previous) in [("t1", None), ("t2", Some("t1"))] {
         stores.client.begin(begin("p", request, previous, Some(1_000)), WITHIN).await.unwrap();
@@ -150,13 +159,15 @@
 async fn a_store_whose_disk_fails_leaves_the_keepers_until_the_disk_is_back() {
     let stores = Stores::start("disk").await;
     keep_two(&stores).await;
-    // An open segment outlives the name of its folder: a turn that fills it has the next batch open another.
-    let mut filling = keep("p", "filling", Some("t2"));
-    filling.kept.as_mut().unwrap().output = Arc::from(vec![b'x'; 1 << 20]);
-    assert_eq!(stores.client.finish(filling, WITHIN).await, Ok(()));
     let batches = stores.data(0).join("sessions");
     let aside = stores.data(0).join("aside");
     std::fs::rename(&batches, &aside).unwrap();
+    // An open segment outlives the name of its folder. A turn that fills it has the next batch open another.
+    let mut filled = 0;
+    while stores.client.finish(filling(filled), SHORTLY).await == Ok(()) {
+        filled += 1;
+        assert!(filled < MOST_OPEN_SEGMENTS, "the disk takes everything");
+    }
     let finished = stores.client.finish(keep("p", "t3", Some("t2")), SHORTLY).await;
     assert_eq!(finished, Err(NotSettled));
     stores.keeper.subscribed(COUNT - 1).await;
