--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -232,7 +232,6 @@
         if !(self.bounds.grace_s.is_finite() && self.bounds.grace_s >= 0.0) {
             findings.push("bounds.graceS: must be a number from 0 upward".to_owned());
         }
-        findings.extend(self.bounds.control_findings());
         findings
     }
 
--- a/crates/node/src/settings/control_times.rs
+++ b/crates/node/src/settings/control_times.rs
@@ -17,12 +17,14 @@
 const HOP: Duration = Duration::from_millis(50);
 /// The share of `contactMs` for which evidence of contact counts. The rest is for losing and finding it again.
 const CONTACT_SHARE: f64 = 0.4;
+/// The shortest time for which evidence of contact counts: two reports between keepers, 450 ms apart, must fit.
+const MIN_CONTACT_WINDOW: Span = Span::from_millis(900);
 /// The share of `configApplyMs` for which an acknowledgement of a configuration waits for subscribers.
 const CONFIGURATION_SHARE: f64 = 0.25;
 /// The longest that such an acknowledgement waits, whatever the bounds allow: the rest of the caller's patience is
 /// for committing.
 const MAX_CONFIGURATION_WAIT: Duration = Duration::from_millis(500);
-/// The shortest `contactMs`: within its share, three reports between keepers must fit.
+/// The shortest `contactMs`: a little more than the shortest window, for losing contact and finding it again.
 const MIN_CONTACT_MS: u64 = 1_200;
 /// The shortest `drainMs` and `configApplyMs`: before that, a subscriber that is cut off cannot be known to be.
 const MIN_SPREAD_MS: u64 = DEAD_AFTER.as_millis() as u64;
@@ -50,8 +52,9 @@
         let spread_within = CALLER_PATIENCE - ANSWER_MARGIN;
         let peer_answers_within = spread_within - HOP;
         let configuration = Duration::from_millis(bounds.config_apply_ms).mul_f64(CONFIGURATION_SHARE);
+        let contact_window = Span::from_millis(bounds.contact_ms).times(CONTACT_SHARE);
         ControlTimes {
-            contact_window: Span::from_millis(bounds.contact_ms).times(CONTACT_SHARE),
+            contact_window: contact_window.max(MIN_CONTACT_WINDOW),
             spread_within,
             peer_answers_within,
             subscribers_apply_within: peer_answers_within - HOP,
@@ -62,8 +65,8 @@
 }
 
 impl Bounds {
-    /// What keepers cannot meet, each with its key.
-    pub(super) fn control_findings(&self) -> Vec<String> {
+    /// Bounds that keepers cannot meet, each with its key. They serve all the same, as fast as they can.
+    pub fn too_short(&self) -> Vec<String> {
         let least = [
             ("contactMs", self.contact_ms, MIN_CONTACT_MS),
             ("drainMs", self.drain_ms, MIN_SPREAD_MS),
