Invariants that run: checked where they could break, counted, a panic in tests

The one on copies was too strict at first: cluster and loss plays showed writes acknowledged with one in-sync replica and a joining one that is level, which counts as a copy. Tests of both crates pass in a debug build, where a violation panics.

--- a/crates/replication/src/ballot.rs
+++ b/crates/replication/src/ballot.rs
@@ -66,6 +66,12 @@
     epoch.voters.iter().find(|voter| voter.disk == disk)
 }
 
+/// Whether two epochs of one number are one. Whether it is known to be chosen may differ.
+pub(crate) fn is_same_epoch(one: &Epoch, other: &Epoch) -> bool {
+    let alike = one.primary == other.primary && one.in_sync == other.in_sync && one.voters == other.voters;
+    one.number != other.number || alike
+}
+
 /// Whether `epoch` says more than `than`: a higher number, or the same one and now known to be chosen.
 pub(crate) fn is_news(epoch: &Epoch, than: &Epoch) -> bool {
     let settles = epoch.previous_voters.is_empty() && !than.previous_voters.is_empty();
--- a/crates/replication/src/candidacy.rs
+++ b/crates/replication/src/candidacy.rs
@@ -3,10 +3,11 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use juniperwing_clock::Time;
+use juniperwing_invariants::{Invariant, check};
 use juniperwing_protocol::replication::{Epoch, ReplicationBody, Version, Voter};
 use juniperwing_protocol::{DiskId, EpochNumber};
 
-use crate::ballot::{deciders, is_majority, is_news, is_quorum, voter_of};
+use crate::ballot::{deciders, is_majority, is_news, is_quorum, is_same_epoch, voter_of};
 use crate::disk::Deferred;
 use crate::membership::{Plan, fill_up};
 use crate::office::Office;
@@ -368,6 +369,9 @@
     /// Knows of a higher epoch now.
     pub(crate) fn learn(&mut self, epoch: &Epoch) {
         self.highest_number = self.highest_number.max(epoch.number);
+        check(Invariant::OneEpochForANumber, is_same_epoch(epoch, &self.known), || {
+            format!("disk {}, {epoch:?} and {:?}", self.me().0, self.known)
+        });
         if is_news(epoch, &self.known) {
             self.known = epoch.clone();
         }
@@ -375,6 +379,10 @@
 
     /// Accepts an epoch; what rests on it waits for the disk.
     pub(crate) fn adopt(&mut self, epoch: Epoch) {
+        let least = self.ballot.accepted.number.max(self.ballot.promised);
+        check(Invariant::EpochNeverFalls, epoch.number >= least, || {
+            format!("disk {}, epoch {} after {}", self.me().0, epoch.number.0, least.0)
+        });
         self.learn(&epoch);
         self.ballot.promised = self.ballot.promised.max(epoch.number);
         self.ballot.accepted = epoch;
--- a/crates/replication/src/follower.rs
+++ b/crates/replication/src/follower.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use juniperwing_clock::Time;
+use juniperwing_invariants::{Invariant, check};
 use juniperwing_protocol::EpochNumber;
 use juniperwing_protocol::replication::{Epoch, NumberedChange, ReplicationBody, Version};
 
@@ -222,7 +223,11 @@
     /// The latest state is committed.
     pub(crate) fn show_latest(&mut self) {
         let version = self.latest.version;
-        if self.committed.as_ref().is_none_or(|committed| committed.version != version) {
+        let shown = self.committed.as_ref().map(|committed| committed.version);
+        if shown != Some(version) {
+            check(Invariant::CommittedVersionNeverFalls, shown < Some(version), || {
+                format!("disk {}, {version:?} after {shown:?}", self.me().0)
+            });
             self.committed = Some(self.latest.clone());
             self.command(Command::Committed(version));
         }
--- a/crates/replication/src/primary.rs
+++ b/crates/replication/src/primary.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 
 use juniperwing_clock::{Span, Time};
+use juniperwing_invariants::{Invariant, check};
 use juniperwing_protocol::replication::{ReplicationBody, Version, Voter};
 use juniperwing_protocol::{DiskId, EpochNumber};
 
@@ -169,6 +170,8 @@
         office.synced = true;
         office.serves = true;
         office.heartbeat_at = now;
+        self.check_durable();
+        let Some(office) = &mut self.office else { return };
         let in_flight = office.in_flight.take();
         self.show_latest();
         let Some(in_flight) = in_flight else { return };
@@ -177,6 +180,20 @@
         }
     }
 
+    /// What is committed now is on the own disk, and every in-sync replica but this one has said so in this epoch.
+    fn check_durable(&self) {
+        let Some(office) = &self.office else { return };
+        let latest = self.latest.version;
+        let in_sync = &self.ballot.accepted.in_sync;
+        let confirmed =
+            office.peers.iter().filter(|(disk, peer)| in_sync.contains(disk) && peer.held == Some(latest));
+        let copies = 1 + confirmed.count();
+        let durable = self.disk.version() == latest && copies >= self.settings.required_copies;
+        check(Invariant::CommittedIsDurable, durable && copies == in_sync.len(), || {
+            format!("disk {}, version {latest:?}, {copies} copies, in sync {in_sync:?}", self.me().0)
+        });
+    }
+
     /// Begins the next write, if none is under way.
     fn start_writes(&mut self, now: Time) {
         if self.successor(now).is_some() || self.waits_for_laggard(now) {
--- a/crates/sessions/src/lib.rs
+++ b/crates/sessions/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod batch;
 mod call;
+mod counts;
 mod event;
 mod journal;
 mod ledger;
@@ -23,6 +24,7 @@
 mod write;
 
 pub use batch::{StoredRecord, decode_batch, encode_batch};
+pub use counts::Counts;
 pub use event::{AskerId, Command, Event, Moment, TransferCallId};
 pub use limits::Limits;
 pub use merge::merge;
--- a/crates/sessions/src/primary.rs
+++ b/crates/sessions/src/primary.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use juniperwing_invariants::{Invariant, check};
 use juniperwing_protocol::session::{
     BeginTurn, FinishTurn, PartitionEpoch, SessionCall, SessionReply, SessionRequest, Turn,
 };
@@ -9,6 +10,7 @@
 use juniperwing_protocol::{DiskId, EpochNumber, PartitionId, RequestId};
 
 use crate::call::Purpose;
+use crate::counts::Undecided;
 use crate::event::{AskerId, Command};
 use crate::limits::{
     ANSWER_WITHIN, BUDGET_MEMORY_MS, KEPT_MEMORY_MS, MAX_RETENTION_MS, MAX_WAITING, MAX_WRITES,
@@ -53,8 +55,11 @@
         if !leads {
             return self.refuse(asker, partition);
         }
-        if !self.has_copies(partition) || self.writes.len() >= MAX_WRITES {
-            return self.answer(asker, SessionReply::Unavailable);
+        if !self.has_copies(partition) {
+            return self.answer_undecided(asker, Undecided::TooFewCopies);
+        }
+        if self.writes.len() >= MAX_WRITES {
+            return self.answer_undecided(asker, Undecided::TooManyWrites);
         }
         match &request.body {
             SessionCall::Finish(finish) => {
@@ -75,28 +80,28 @@
 
     fn begin(&mut self, asker: AskerId, request: SessionRequest, begin: &BeginTurn, certainty: Certainty) {
         if self.is_full() {
-            return self.answer(asker, SessionReply::Unavailable);
+            return self.answer_undecided(asker, Undecided::Full);
         }
         let partition = request.partition;
         let chain = match self.chain_for(partition, begin) {
             Chain::Found(chain) => chain,
-            Chain::Broken => return self.answer(asker, SessionReply::Unavailable),
+            Chain::Broken => return self.answer_undecided(asker, Undecided::BrokenChain),
             Chain::Unknown => return self.deny(asker, request, SessionReply::UnknownTurn, certainty),
         };
         let mut records = self.imports(partition, begin, &chain);
         if let Some(budget) = begin.budget {
             match self.admit(partition, begin, budget) {
                 Admission::Admitted(record) => records.push(*record),
-                Admission::Settled => return self.answer(asker, SessionReply::Unavailable),
+                Admission::Settled => return self.answer_undecided(asker, Undecided::AlreadySettled),
                 Admission::Spent => return self.deny(asker, request, SessionReply::BudgetSpent, certainty),
             }
         }
         let reply = SessionReply::Begun { chain };
         if records.is_empty() {
-            self.answer(asker, reply);
-        } else {
-            self.write(partition, records, asker, reply);
+            return self.answer(asker, reply);
         }
+        self.write(partition, records, asker, reply);
+        self.check_budget(partition, begin);
     }
 
     fn chain_for(&self, partition: PartitionId, begin: &BeginTurn) -> Chain {
@@ -153,10 +158,36 @@
         }))
     }
 
+    /// What a program has spent and reserved, the turn that was just admitted included, is within its budget.
+    fn check_budget(&self, partition: PartitionId, begin: &BeginTurn) {
+        let (Some(budget), Some(table)) = (begin.budget, self.tables.get(&partition)) else { return };
+        let counted: u64 = table.records_of(&begin.program).map(|record| record.tokens).sum();
+        check(Invariant::ReservationsWithinBudget, counted <= budget, || {
+            format!("program {}, request {}, {counted} of {budget}", begin.program.0, begin.request.0)
+        });
+    }
+
+    /// A turn is settled at no more than was reserved, and kept with one content.
+    fn check_settlement(&self, partition: PartitionId, finish: &FinishTurn) {
+        let table = self.tables.get(&partition);
+        let Some(known) = table.and_then(|table| table.record(&finish.program, &finish.request)) else {
+            return;
+        };
+        let name = || format!("program {}, request {}", finish.program.0, finish.request.0);
+        let within = known.settled || finish.tokens <= known.tokens;
+        check(Invariant::SettledWithinReservation, within, name);
+        let same = match (&known.turn, &finish.kept) {
+            (Some(known), Some(kept)) => known.output == kept.output && known.input == kept.input,
+            _ => true,
+        };
+        check(Invariant::TurnIsKeptOnce, same, name);
+    }
+
     fn finish(&mut self, asker: AskerId, partition: PartitionId, finish: FinishTurn) {
         if finish.kept.as_ref().is_some_and(|turn| turn.request != finish.request) {
-            return self.answer(asker, SessionReply::Unavailable);
+            return self.answer_undecided(asker, Undecided::WrongTurn);
         }
+        self.check_settlement(partition, &finish);
         let memory_ms = match &finish.kept {
             Some(turn) => turn.retention_ms.clamp(KEPT_MEMORY_MS, MAX_RETENTION_MS),
             None => BUDGET_MEMORY_MS,
@@ -185,8 +216,11 @@
             if self.leads.get(&named.partition).is_none_or(|lead| lead.epoch < named.epoch) {
                 return self.refuse(asker, named.partition);
             }
-            if !self.has_copies(named.partition) || !self.is_levelled(named.partition) {
-                return self.answer(asker, SessionReply::Unavailable);
+            if !self.has_copies(named.partition) {
+                return self.answer_undecided(asker, Undecided::TooFewCopies);
+            }
+            if !self.is_levelled(named.partition) {
+                return self.answer_undecided(asker, Undecided::NotLevel);
             }
         }
         self.deny_all(asker, request, partitions, SessionReply::UnknownTurn, certainty);
@@ -218,7 +252,7 @@
             return self.answer(asker, reply);
         }
         if self.rounds.len() >= MAX_WAITING {
-            return self.answer(asker, SessionReply::Unavailable);
+            return self.answer_undecided(asker, Undecided::TooManyWaiting);
         }
         let round = RoundId(self.next_number());
         self.rounds.insert(round, Round { asker, request, epochs, outstanding: asked.len() });
@@ -240,7 +274,7 @@
             // Decided anew: what was missing may have come meanwhile.
             self.decide(round.asker, round.request, Certainty::Confirmed);
         } else {
-            self.answer(round.asker, SessionReply::Unavailable);
+            self.answer_undecided(round.asker, Undecided::NotConfirmed);
         }
     }
 
@@ -250,7 +284,7 @@
 
     fn wait_for_level(&mut self, asker: AskerId, request: SessionRequest) {
         if self.waiting.len() >= MAX_WAITING {
-            return self.answer(asker, SessionReply::Unavailable);
+            return self.answer_undecided(asker, Undecided::TooManyWaiting);
         }
         let number = self.next_number();
         self.waiting.insert(number, Waiting::Level { asker, request });
--- a/crates/sessions/src/store.rs
+++ b/crates/sessions/src/store.rs
@@ -4,13 +4,15 @@
 use std::sync::Arc;
 
 use juniperwing_clock::Time;
-use juniperwing_protocol::session::{SessionReply, SessionRequest};
+use juniperwing_invariants::{Invariant, check};
+use juniperwing_protocol::session::SessionRequest;
 use juniperwing_protocol::subscription::StoreMap;
 use juniperwing_protocol::transfer::{RecordKey, TransferReply, TransferRequest};
 use juniperwing_protocol::{DiskId, PartitionId};
 
 use crate::batch::StoredRecord;
 use crate::call::Purpose;
+use crate::counts::{Undecided, UndecidedCounts};
 use crate::event::{AskerId, Command, Event, Moment, TransferCallId};
 use crate::journal::{Journal, StoredKey, Written};
 use crate::ledger::Ledger;
@@ -71,6 +73,7 @@
     pub(crate) map_version: DurableMapVersion,
     pub(crate) moment: Moment,
     pub(crate) commands: Vec<Command>,
+    pub(crate) undecided: UndecidedCounts,
     sweep_due: bool,
     last_number: u64,
 }
@@ -96,6 +99,7 @@
             map_version: DurableMapVersion::default(),
             moment: Moment::default(),
             commands: Vec::new(),
+            undecided: UndecidedCounts::default(),
             sweep_due: false,
             last_number: 0,
         }
@@ -198,6 +202,9 @@
             return;
         }
         let before = std::mem::replace(&mut self.map, map);
+        check(Invariant::StoreMapNeverFalls, before.version < self.map.version, || {
+            format!("disk {}, map {} after {}", self.disk.0, self.map.version, before.version)
+        });
         let count = self.map.partitions.len().max(before.partitions.len()) as u16;
         for partition in (0..count).map(PartitionId) {
             if before.assignment(partition) != self.map.assignment(partition) {
@@ -265,7 +272,7 @@
 
     fn waited(&mut self, number: u64) {
         match self.waiting.remove(&number) {
-            Some(Waiting::Level { asker, .. }) => self.answer(asker, SessionReply::Unavailable),
+            Some(Waiting::Level { asker, .. }) => self.answer_undecided(asker, Undecided::NotLevel),
             Some(Waiting::Map { asker, .. }) => self.answer_transfer(asker, TransferReply::Failed),
             None => {}
         }
--- a/crates/sessions/src/table.rs
+++ b/crates/sessions/src/table.rs
@@ -83,6 +83,18 @@
         Some(&self.programs.get(program)?.records.get(request)?.record)
     }
 
+    /// All records.
+    pub(crate) fn records(&self) -> impl Iterator<Item = &Record> {
+        let held = self.programs.values().flat_map(|program| program.records.values());
+        held.map(|held| &held.record)
+    }
+
+    /// The records of a program.
+    pub(crate) fn records_of(&self, program: &ProgramId) -> impl Iterator<Item = &Record> {
+        let held = self.programs.get(program).into_iter().flat_map(|program| program.records.values());
+        held.map(|held| &held.record)
+    }
+
     /// Tokens of a program that count against its budget, those of the try `except` left out.
     pub fn tokens_except(&self, program: &ProgramId, except: &RequestId) -> u64 {
         self.programs.get(program).map_or(0, |held| held.tokens_except(except))
--- a/crates/sessions/src/write.rs
+++ b/crates/sessions/src/write.rs
@@ -3,11 +3,13 @@
 use std::collections::BTreeSet;
 
 use juniperwing_clock::Time;
+use juniperwing_invariants::{Invariant, check};
 use juniperwing_protocol::session::SessionReply;
 use juniperwing_protocol::transfer::{Record, RecordKey, TransferReply, TransferRequest};
 use juniperwing_protocol::{DiskId, PartitionId};
 
 use crate::call::Purpose;
+use crate::counts::Undecided;
 use crate::event::{AskerId, Command};
 use crate::journal::{StoredKey, Waiter};
 use crate::limits::{ANSWER_WITHIN, RETRY_PAUSE};
@@ -138,17 +140,36 @@
         if needed.len() + 1 + self.lost_copies(write.partition) < self.limits.required_copies {
             return;
         }
-        if let Some(answer) = self.writes.remove(&id).and_then(|write| write.answer) {
+        let Some(write) = self.writes.remove(&id) else { return };
+        self.check_copies(&write);
+        if let Some(answer) = write.answer {
             self.timers.remove(&(answer.overdue_at, Timer::Overdue(id)));
             self.commands.push(Command::Answer { asker: answer.asker, reply: answer.reply });
         }
     }
 
+    /// What is acknowledged is on the disk of every in-sync replica of the map in force, on this store's own, and on
+    /// as many as are required but for those known to be lost.
+    fn check_copies(&self, write: &PendingWrite) {
+        let partition = write.partition;
+        let assignment = self.map.assignment(partition);
+        let in_sync = assignment.map(|assignment| assignment.in_sync.as_slice()).unwrap_or_default();
+        let has = |disk: &DiskId| *disk == self.disk || write.confirmed.contains(disk);
+        // A joining replica that is level counts as a copy: the keepers may have put it in sync already.
+        let copies = 1 + write.confirmed.len();
+        let enough = copies + self.lost_copies(partition) >= self.limits.required_copies;
+        let on_all = in_sync.iter().all(has) && in_sync.contains(&self.disk);
+        check(Invariant::AcknowledgedOnAllReplicas, on_all && enough && write.durable, || {
+            let request = write.records.first().map(|record| &*record.request.0);
+            format!("partition {}, request {request:?}, {copies} copies, in sync {in_sync:?}", partition.0)
+        });
+    }
+
     /// The asker is told that it cannot be done now; the write goes on.
     pub(crate) fn write_overdue(&mut self, id: WriteId) {
         let answer = self.writes.get_mut(&id).and_then(|write| write.answer.take());
         if let Some(answer) = answer {
-            self.commands.push(Command::Answer { asker: answer.asker, reply: SessionReply::Unavailable });
+            self.answer_undecided(answer.asker, Undecided::Overdue);
         }
     }
 
