--- a/crates/node/src/command.rs
+++ b/crates/node/src/command.rs
@@ -6,7 +6,7 @@
 use getopts::Options;
 use slog::{Level, Logger, error};
 
-use crate::log::logger;
+use crate::log::{log_faults, logger};
 use crate::settings::Settings;
 use crate::signals::Signals;
 
@@ -99,6 +99,7 @@
 
 fn serve(role: Role, settings: Settings, settings_file: Option<PathBuf>, level: Level) -> ExitCode {
     let log = logger(level, role.name(), &settings.node_name);
+    log_faults(&log);
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let ended = runtime.and_then(|runtime| {
         runtime.block_on(async {
--- a/crates/node/src/keeper.rs
+++ b/crates/node/src/keeper.rs
@@ -10,6 +10,7 @@
 mod contacts;
 mod control_listener;
 mod discovery;
+mod figures;
 mod inbox;
 mod orders;
 mod peers;
@@ -38,6 +39,7 @@
 
 use self::consensus::{Consensus, MAX_WRITES, Write, tick_replica, write_records};
 use self::contacts::Contacts;
+use self::figures::OrderAnswers;
 use self::inbox::Inbox;
 use self::peers::Peers;
 use self::record_file::{Opened, RecordFile};
@@ -46,6 +48,8 @@
 use crate::command::Process;
 use crate::host::{Listener, wait_for_disk};
 use crate::link::LinkId;
+use crate::metrics::{self, FigureSource};
+use crate::rate_limit::RateLimit;
 use crate::settings::{ControlTimes, Port, Settings};
 use crate::signals::Wish;
 use crate::sync::lock;
@@ -92,6 +96,8 @@
     log: Logger,
     state: Mutex<State>,
     peers: Arc<Peers>,
+    order_answers: OrderAnswers,
+    order_lines: RateLimit,
     /// Something was confirmed, committed or lost: those that wait look again.
     progress: Notify,
     /// There is something to tell subscribers or keepers.
@@ -169,6 +175,7 @@
     let Start { replica, file, me } = start;
     let consensus = Consensus::new(replica, writes, wake);
     let keeper = Keeper::new(&settings, log, me, consensus);
+    metrics::start(&settings, Arc::clone(&keeper) as Arc<dyn FigureSource>, &keeper.log).await;
     let mut tasks = keeper.start_tasks(internal, file, writes_received, wake_received);
     let contacts = Contacts::start(&settings, &keeper).await?;
     tasks.push(tokio::spawn(Arc::clone(&contacts).follow(changes)));
@@ -246,6 +253,8 @@
             log,
             state: Mutex::new(state),
             peers: Arc::new(Peers::new(Arc::new(Inbox::new(keeper.clone())))),
+            order_answers: OrderAnswers::default(),
+            order_lines: RateLimit::per_second(orders::LINES_PER_SECOND),
             progress: Notify::new(),
             wake_push: Notify::new(),
             wake_confirmation: Notify::new(),
--- a/crates/node/src/keeper/orders.rs
+++ b/crates/node/src/keeper/orders.rs
@@ -4,9 +4,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use juniperwing_configuration::digest;
 use juniperwing_control::{
     ControlState, PutDecision, RetireDecision, RetirementState, decide_put, decide_retire, retirement_state,
 };
+use juniperwing_invariants::{Invariant, check};
 use juniperwing_protocol::registry::{Order, OrderAnswer, RegistryMessage};
 use juniperwing_protocol::replication::Version;
 use juniperwing_protocol::{Message, NodeName};
@@ -28,6 +30,11 @@
 /// How much sooner a keeper that was passed an order answers.
 const HOP: Duration = Duration::from_millis(30);
 
+/// The status of an order without a clear answer.
+const UNAVAILABLE: u16 = 503;
+/// Lines for orders in a second; further ones are counted.
+pub(super) const LINES_PER_SECOND: u32 = 50;
+
 /// A JSON body that says what is wrong.
 #[derive(Serialize)]
 struct Refusal<'text> {
@@ -47,30 +54,85 @@
     /// The answer.
     Answered(OrderAnswer),
     /// Not here or not now.
-    Again,
+    Again(Obstacle),
+}
+
+/// Why an order has no answer yet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Obstacle {
+    /// No primary is known, or it was not heard of lately.
+    NoPrimary,
+    /// The primary gave no clear answer to a keeper that passed the order on.
+    PrimaryUnclear,
+    /// No majority confirmed the state of this primary in time.
+    NotConfirmed,
+    /// The change was not in force in time.
+    NotInForce,
+    /// The stores are not known well enough yet.
+    StoresUncertain,
+}
+
+impl Obstacle {
+    fn name(self) -> &'static str {
+        match self {
+            Obstacle::NoPrimary => "no primary",
+            Obstacle::PrimaryUnclear => "the primary gives no clear answer",
+            Obstacle::NotConfirmed => "no majority confirms",
+            Obstacle::NotInForce => "the change is not in force",
+            Obstacle::StoresUncertain => "the stores are not certain",
+        }
+    }
 }
 
 impl Keeper {
     /// Carries out an order that an operator sent to this keeper, here or at the primary.
     pub(super) async fn order(self: &Arc<Self>, order: Order) -> OrderAnswer {
-        let deadline = Instant::now() + patience_for(&order);
+        let began = Instant::now();
+        let deadline = began + patience_for(&order);
         loop {
-            let attempt = match self.primary_place() {
+            let place = self.primary_place();
+            let attempt = match place {
                 PrimaryPlace::Here => self.order_here(&order, deadline).await,
                 PrimaryPlace::At(address) => self.pass_on(&order, address, deadline).await,
-                PrimaryPlace::Unknown => Attempt::Again,
+                PrimaryPlace::Unknown => Attempt::Again(Obstacle::NoPrimary),
+            };
+            let obstacle = match attempt {
+                Attempt::Answered(answer) => {
+                    let answer = in_time(&order, answer, deadline);
+                    self.log_order(&order, &answer, place, None, began);
+                    return answer;
+                }
+                Attempt::Again(obstacle) => obstacle,
             };
-            if let Attempt::Answered(answer) = attempt {
-                return in_time(&order, answer, deadline);
-            }
             if Instant::now() + LOOK_AGAIN >= deadline {
-                return unavailable();
+                let answer = unavailable();
+                self.log_order(&order, &answer, place, Some(obstacle), began);
+                return answer;
             }
             // Either ends the wait: news, or the time.
             let _ = timeout(LOOK_AGAIN, self.progress.notified()).await;
         }
     }
 
+    /// Logs what became of an order that changes something, and of every order without a clear answer.
+    fn log_order(
+        &self, order: &Order, answer: &OrderAnswer, place: PrimaryPlace, obstacle: Option<Obstacle>,
+        began: Instant,
+    ) {
+        self.order_answers.count(answer.status);
+        let (kind, base, digest) = described(order);
+        let changes = matches!(order, Order::PutConfiguration { .. } | Order::Retire { .. });
+        if !changes && answer.status != UNAVAILABLE {
+            return;
+        }
+        let Some(unlogged) = self.order_lines.take() else { return };
+        let epoch = self.lock().consensus.replica.epoch().number.0;
+        info!(self.log, "order";
+            "order" => kind, "base" => base, "digest" => digest, "status" => answer.status,
+            "primary" => format!("{place:?}"), "epoch" => epoch, "why" => obstacle.map_or("", Obstacle::name),
+            "took_ms" => began.elapsed().as_millis() as u64, "unlogged" => unlogged);
+    }
+
     /// Carries out an order that another keeper passed on; it goes no further.
     pub(super) async fn order_passed_on(self: &Arc<Self>, order: Order) -> OrderAnswer {
         let deadline = Instant::now() + patience_for(&order) - HOP;
@@ -90,17 +152,17 @@
         let within = deadline.saturating_duration_since(Instant::now());
         let message = Message::Registry(RegistryMessage::Order(order.clone()));
         match self.peers.call(address, message, within).await {
-            Ok(Message::Registry(RegistryMessage::OrderAnswer(answer))) if answer.status != 503 => {
+            Ok(Message::Registry(RegistryMessage::OrderAnswer(answer))) if answer.status != UNAVAILABLE => {
                 Attempt::Answered(answer)
             }
-            _ => Attempt::Again,
+            _ => Attempt::Again(Obstacle::PrimaryUnclear),
         }
     }
 
     /// One try as primary. Whatever is decided rests on a state confirmed after the order came.
     async fn order_here(self: &Arc<Self>, order: &Order, deadline: Instant) -> Attempt {
         let Ok(Ok(confirmed)) = timeout_at(deadline, self.read_confirmed()).await else {
-            return Attempt::Again;
+            return Attempt::Again(Obstacle::NotConfirmed);
         };
         match order {
             Order::PutConfiguration { base, body } => self.put(&confirmed, *base, body, deadline).await,
@@ -125,13 +187,13 @@
             PutDecision::Refuse { current, change } => {
                 return match timeout_at(deadline, self.propose(confirmed.version, change)).await {
                     Ok(Ok(_)) => Attempt::Answered(stale(current)),
-                    _ => Attempt::Again,
+                    _ => Attempt::Again(Obstacle::NotInForce),
                 };
             }
             PutDecision::Invalid(findings) => return Attempt::Answered(json(400, &findings)),
         };
         let Ok(Ok(_)) = timeout_at(deadline, self.propose(confirmed.version, change)).await else {
-            return Attempt::Again;
+            return Attempt::Again(Obstacle::NotInForce);
         };
         // The change was made on the very state that was confirmed, so this is its number.
         let taken = Version {
@@ -139,6 +201,10 @@
             ..confirmed.state.configuration_version()
         };
         self.distribute(taken, deadline).await;
+        let committed = self.lock().consensus.committed().map(|held| held.state.configuration_version());
+        check(Invariant::AcknowledgedOrderIsCommitted, committed >= Some(taken), || {
+            format!("{taken:?} is acknowledged, {committed:?} is committed")
+        });
         Attempt::Answered(json(200, &serde_json::json!({})))
     }
 
@@ -154,7 +220,7 @@
             RetireDecision::AlreadyTaken => {
                 return Attempt::Answered(self.retire_state(&confirmed.state, node));
             }
-            RetireDecision::NotCertain => return Attempt::Again,
+            RetireDecision::NotCertain => return Attempt::Again(Obstacle::StoresUncertain),
             RetireDecision::Unknown => return Attempt::Answered(unknown_machine()),
             RetireDecision::TooFewRemain { others } => {
                 info!(self.log, "retiring refused"; "store" => %node.0, "others" => others);
@@ -166,7 +232,7 @@
                 info!(self.log, "retiring"; "store" => %node.0);
                 Attempt::Answered(json(200, &StateBody { state: state_name(RetirementState::Active) }))
             }
-            _ => Attempt::Again,
+            _ => Attempt::Again(Obstacle::NotInForce),
         }
     }
 
@@ -228,6 +294,18 @@
     }
 }
 
+/// The kind of an order, the version that it builds on, and what tells it from others with the same number.
+fn described(order: &Order) -> (&'static str, u64, String) {
+    match order {
+        Order::PutConfiguration { base, body } => {
+            ("put configuration", *base, digest(*base, body).to_string())
+        }
+        Order::GetConfiguration => ("get configuration", 0, String::new()),
+        Order::Retire { node, .. } => ("retire", 0, node.0.to_string()),
+        Order::RetireState { node } => ("retirement state", 0, node.0.to_string()),
+    }
+}
+
 fn state_name(state: RetirementState) -> &'static str {
     match state {
         RetirementState::Active => "active",
@@ -250,7 +328,7 @@
 
 /// No answer: the order may come into force or not, and is to be sent again.
 pub(super) fn unavailable() -> OrderAnswer {
-    json(503, &refusal("no primary can be reached"))
+    json(UNAVAILABLE, &refusal("no primary can be reached"))
 }
 
 pub(super) fn json(status: u16, body: &impl Serialize) -> OrderAnswer {
--- a/crates/node/src/keeper/subscribers.rs
+++ b/crates/node/src/keeper/subscribers.rs
@@ -90,6 +90,11 @@
         self.subscriptions.insert(link.id(), subscription);
     }
 
+    /// How many there are.
+    pub(super) fn count(&self) -> usize {
+        self.subscriptions.len()
+    }
+
     /// The newest subscription that waits to be confirmed.
     pub(super) fn newest_unconfirmed(&self) -> Option<SubscriptionNumber> {
         let open = self.subscriptions.values().filter(|subscription| !subscription.link.is_closed());
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -11,6 +11,8 @@
 pub mod link;
 pub mod local;
 pub mod log;
+pub mod metrics;
+pub mod rate_limit;
 pub mod relay;
 pub mod sessions_client;
 pub mod settings;
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -12,6 +12,7 @@
 pub mod events;
 pub mod exchange;
 pub mod fate;
+mod figures;
 pub mod forward;
 pub mod frontend;
 pub mod memory;
@@ -20,6 +21,7 @@
 pub mod sessions;
 pub mod snapshot;
 pub mod stream;
+pub mod trace;
 pub mod turn;
 pub mod upstream;
 
@@ -32,6 +34,7 @@
 
 use juniperwing_balancing::{Balancer, Bounds};
 use juniperwing_clock::Span;
+use juniperwing_invariants::{Invariant, check};
 use juniperwing_membership::Role;
 use juniperwing_protocol::Message;
 use juniperwing_protocol::identity::NodeName;
@@ -45,6 +48,7 @@
 use crate::command::Process;
 use crate::gossip::{Gossip, Myself};
 use crate::link::{Link, LinkPool, Reply, Service};
+use crate::metrics::FigureSource;
 use crate::sessions_client::SessionsClient;
 use crate::settings::{Port, Settings};
 use crate::signals::Wish;
@@ -55,6 +59,7 @@
 use metrics::{LOG_EVERY, Metrics};
 use sessions::Sessions;
 use snapshot::World;
+use trace::RequestLog;
 use upstream::Pool;
 
 /// How often connections whose time may be over are looked through.
@@ -93,6 +98,8 @@
     pub sessions: Arc<dyn Sessions>,
     /// Counters.
     pub metrics: Metrics,
+    /// Lines for requests that failed or were slow.
+    pub request_log: Arc<RequestLog>,
     /// Room for bodies.
     pub memory: Arc<Memory>,
     /// Connections of clients at the most.
@@ -104,6 +111,16 @@
 }
 
 impl Core {
+    /// Without requests nothing is held for any.
+    fn check_idle(&self) {
+        if self.connections.busy() > 0 {
+            return;
+        }
+        let (bytes, slots) = (self.memory.held(), self.dispatcher.taken());
+        check(Invariant::NoBytesHeldWhenIdle, bytes == 0, || format!("{bytes} bytes"));
+        check(Invariant::NoSlotsHeldWhenIdle, slots == 0, || format!("{slots} slots"));
+    }
+
     /// Waits until the process ends at once.
     pub async fn ending(&self) {
         // The sender lives as long as this does.
@@ -172,6 +189,7 @@
             pool: Pool::new(bounds.upstream_connections),
             connections: Arc::default(),
             metrics: Metrics::default(),
+            request_log: Arc::new(RequestLog::new(log.clone())),
             memory: Memory::new(bounds.body_bytes),
             most_connections: bounds.client_connections,
             stopping: AtomicBool::new(false),
@@ -231,6 +249,7 @@
     pub async fn serve(self, stop: impl Future<Output = ()>) -> io::Result<()> {
         let Relay { core, frontend, readiness, settings, log } = self;
         info!(log, "serving");
+        crate::metrics::start(&settings, Arc::clone(&core) as Arc<dyn FigureSource>, &log).await;
         let readiness = tokio::spawn(readiness::serve(Arc::clone(&core), readiness));
         let accepting = tokio::spawn(frontend::accept(Arc::clone(&core), frontend));
         let upkeep = tokio::spawn(upkeep(Arc::clone(&core), log.clone()));
@@ -271,6 +290,7 @@
         ticks.tick().await;
         core.connections.sweep(&core.world.snapshot().limits());
         core.pool.sweep(|endpoint| core.dispatcher.is_ready(endpoint));
+        core.check_idle();
         let requests = core.metrics.requests.get();
         if requests != logged && logged_at.elapsed() >= LOG_EVERY {
             (logged_at, logged) = (Instant::now(), requests);
--- a/crates/node/src/relay/attempt.rs
+++ b/crates/node/src/relay/attempt.rs
@@ -66,6 +66,7 @@
         if !core.dispatcher.is_ready(slot.endpoint()) {
             return Err(Failure::not_sent(Cause::EndpointLeft));
         }
+        exchange.trace.sending(exchange.may_repeat());
         match connection.sender.try_send_request(request(exchange, slot)).await {
             Ok(answer) => {
                 let (parts, body) = answer.into_parts();
--- a/crates/node/src/relay/body.rs
+++ b/crates/node/src/relay/body.rs
@@ -10,6 +10,7 @@
 use snafu::Snafu;
 
 use super::connections::RequestGuard;
+use super::trace::Traced;
 
 /// Why an answer breaks off. The client sees a connection that ends before the answer does.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
@@ -28,6 +29,18 @@
     Unsound,
 }
 
+impl BrokenOff {
+    /// Its name in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            BrokenOff::Endpoint => "endpoint broke off",
+            BrokenOff::Deadline => "deadline",
+            BrokenOff::NotKept => "turn not kept",
+            BrokenOff::Unsound => "unsound answer",
+        }
+    }
+}
+
 /// Pieces of an answer as they come.
 pub type Pieces = Pin<Box<dyn Stream<Item = Result<Bytes, BrokenOff>> + Send>>;
 
@@ -39,6 +52,8 @@
 /// The body of an answer.
 pub struct RelayBody {
     content: Content,
+    /// Tells what became of the request when its answer has ended.
+    traced: Option<Traced>,
     /// The request counts as open for as long as its answer lives.
     open: Option<RequestGuard>,
 }
@@ -46,7 +61,7 @@
 impl RelayBody {
     /// A body that is known as a whole.
     pub fn whole(pieces: VecDeque<Bytes>) -> Self {
-        RelayBody { content: Content::Whole(pieces), open: None }
+        RelayBody { content: Content::Whole(pieces), traced: None, open: None }
     }
 
     /// A fixed text.
@@ -56,12 +71,13 @@
 
     /// A body whose pieces are passed on as they come.
     pub fn pieces(pieces: Pieces) -> Self {
-        RelayBody { content: Content::Pieces(pieces), open: None }
+        RelayBody { content: Content::Pieces(pieces), traced: None, open: None }
     }
 
     /// Ties the request to its answer.
-    pub fn hold(&mut self, open: RequestGuard) {
+    pub fn hold(&mut self, open: RequestGuard, traced: Traced) {
         self.open = Some(open);
+        self.traced = Some(traced);
     }
 }
 
--- a/crates/node/src/relay/connections.rs
+++ b/crates/node/src/relay/connections.rs
@@ -154,6 +154,11 @@
         self.lock().values().for_each(|connection| connection.finish.notify_one());
     }
 
+    /// How many have a request without a whole answer.
+    pub fn busy(&self) -> usize {
+        self.lock().values().filter(|connection| connection.busy.load(Ordering::Relaxed)).count()
+    }
+
     /// Waits until there are none.
     pub async fn ended(&self) {
         loop {
--- a/crates/node/src/relay/dispatcher.rs
+++ b/crates/node/src/relay/dispatcher.rs
@@ -1,6 +1,7 @@
 //! Slots at endpoints: the balancer behind a lock, and the requests that wait for it.
 
 use std::collections::HashMap;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
@@ -39,6 +40,8 @@
 #[derive(Debug)]
 pub struct Dispatcher {
     state: Mutex<State>,
+    /// Slots that are taken.
+    taken: AtomicUsize,
 }
 
 /// A slot taken at an endpoint. Dropped without an ending, it counts as abandoned.
@@ -63,6 +66,7 @@
 
     fn give_back(&mut self, ending: Ending) {
         if !std::mem::replace(&mut self.ended, true) {
+            self.dispatcher.taken.fetch_sub(1, Ordering::Relaxed);
             self.dispatcher.end(&self.destination, &self.endpoint, ending);
         }
     }
@@ -78,7 +82,7 @@
     /// A dispatcher over a balancer.
     pub fn new(balancer: Balancer) -> Arc<Self> {
         let state = State { balancer, latencies: Latencies::default(), waiting: HashMap::new() };
-        Arc::new(Dispatcher { state: Mutex::new(state) })
+        Arc::new(Dispatcher { state: Mutex::new(state), taken: AtomicUsize::new(0) })
     }
 
     /// Takes a slot for a request, waiting for one up to `patience`.
@@ -126,9 +130,15 @@
     }
 
     fn slot_at(self: &Arc<Self>, destination: Destination, endpoint: InstanceId) -> Slot {
+        self.taken.fetch_add(1, Ordering::Relaxed);
         Slot { dispatcher: Arc::clone(self), destination, endpoint, ended: false }
     }
 
+    /// Slots that are taken now.
+    pub fn taken(&self) -> usize {
+        self.taken.load(Ordering::Relaxed)
+    }
+
     fn next_look(&self, service: &ServiceName, until: Time) -> Duration {
         let now = now();
         let state = self.lock();
--- a/crates/node/src/relay/exchange.rs
+++ b/crates/node/src/relay/exchange.rs
@@ -12,6 +12,8 @@
 use juniperwing_protocol::identity::{InstanceId, ProgramId, RequestId};
 
 use super::fate::header_name;
+use super::sessions::SessionFault;
+use super::trace::RequestTrace;
 use crate::clock::now;
 
 /// Kept back from the time left for the way back to the client.
@@ -47,6 +49,8 @@
     pub hint: Option<InstanceId>,
     /// When the client, or the operator, gives it up.
     pub deadline: Time,
+    /// What becomes of it.
+    pub trace: Arc<RequestTrace>,
 }
 
 impl Exchange {
@@ -60,6 +64,13 @@
         self.route.may_repeat()
     }
 
+    /// The stores could not, or would not, do what it needs.
+    pub fn note_stores(&self, fault: SessionFault) {
+        if let SessionFault::Unavailable { trouble } = fault {
+            self.trace.stores_failed(trouble);
+        }
+    }
+
     /// The id of the try.
     pub fn request_id(&self) -> RequestId {
         RequestId::from(text(&self.request))
--- a/crates/node/src/relay/fate.rs
+++ b/crates/node/src/relay/fate.rs
@@ -39,6 +39,23 @@
     Silent,
 }
 
+impl Cause {
+    /// Its name in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Cause::NoConnection => "no connection",
+            Cause::EndpointLeft => "endpoint left",
+            Cause::Declined => "declined",
+            Cause::Misdirected => "misdirected",
+            Cause::Broken => "broken",
+            Cause::WrongRequest => "answer of another request",
+            Cause::Unsound => "unsound answer",
+            Cause::EndpointError => "endpoint error",
+            Cause::Silent => "silent",
+        }
+    }
+}
+
 /// A try that gave no answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Failure {
@@ -86,13 +103,31 @@
     OutOfTouch,
     /// The relay has no room.
     NoRoom,
+    /// The process ends.
+    Ending,
 }
 
 impl GivenUp {
+    /// Its name in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            GivenUp::TooLate => "too late",
+            GivenUp::NoTriesLeft => "no tries left",
+            GivenUp::NoEndpoint => "no endpoint",
+            GivenUp::Full => "full",
+            GivenUp::Broken => "broken",
+            GivenUp::NoSessions => "no sessions",
+            GivenUp::NotConfigured => "not configured",
+            GivenUp::OutOfTouch => "out of touch",
+            GivenUp::NoRoom => "no room",
+            GivenUp::Ending => "the relay ends",
+        }
+    }
+
     /// When the client should come back if the request has not run.
     fn retry_after(self) -> Span {
         let millis = match self {
-            GivenUp::TooLate | GivenUp::Broken | GivenUp::NoTriesLeft => 50,
+            GivenUp::TooLate | GivenUp::Broken | GivenUp::NoTriesLeft | GivenUp::Ending => 50,
             GivenUp::Full => 150,
             GivenUp::NoSessions => 200,
             GivenUp::NoEndpoint | GivenUp::NoRoom => 300,
--- a/crates/node/src/relay/forward.rs
+++ b/crates/node/src/relay/forward.rs
@@ -14,7 +14,9 @@
 use super::dispatcher::{NoSlot, Slot};
 use super::exchange::{Exchange, remove_hop_by_hop};
 use super::fate::{Cause, Failure, Fate, GivenUp};
+use super::frontend::given_up;
 use super::stream::{self, LiveStream};
+use super::trace::{AttemptEnd, Outcome, RequestTrace};
 use super::turn::OpenTurn;
 use crate::clock::{duration, now};
 
@@ -23,11 +25,12 @@
 
 /// Passes a request on and gives back the final answer.
 pub async fn forward(core: &Arc<Core>, exchange: Exchange, turn: Option<OpenTurn>) -> Response<RelayBody> {
-    let mut tries = Tries::default();
+    let mut tries = Tries::new(Arc::clone(&exchange.trace));
     loop {
         match one_try(core, &exchange, &mut tries).await {
             Ok(Reply::Whole(answer)) => {
                 core.metrics.answered.add();
+                exchange.trace.ended(Outcome::Answered(answer.status()));
                 return answer;
             }
             Ok(Reply::Live(live)) => {
@@ -57,7 +60,6 @@
 }
 
 /// The tries of one request.
-#[derive(Default)]
 pub struct Tries {
     /// Endpoints that are not asked again.
     pub excluded: Vec<InstanceId>,
@@ -67,9 +69,15 @@
     fate: Option<Fate>,
     /// The answer of an endpoint that failed, where others might not.
     failed: Option<Response<RelayBody>>,
+    trace: Arc<RequestTrace>,
 }
 
 impl Tries {
+    /// No try yet.
+    pub fn new(trace: Arc<RequestTrace>) -> Tries {
+        Tries { excluded: Vec::new(), sent: 0, unsent: 0, fate: None, failed: None, trace }
+    }
+
     /// Endpoints that it may still be sent to.
     pub fn left(&self, exchange: &Exchange) -> u32 {
         let may_send = exchange.route.max_retries.saturating_sub(self.sent);
@@ -78,12 +86,16 @@
 
     /// Takes in a try that gave no answer.
     pub fn note(&mut self, core: &Core, endpoint: InstanceId, failure: Failure) {
+        self.trace.attempt_ended(AttemptEnd::Failed(failure.cause));
         self.excluded.push(endpoint);
         self.fate = self.fate.max(Some(failure.fate));
         match failure.fate {
             Fate::NotSent => self.unsent += 1,
             Fate::DeclaredNotExecuted | Fate::MayHaveRun => self.sent += 1,
         }
+        if failure.fate == Fate::MayHaveRun {
+            self.trace.may_have_run();
+        }
         match failure.cause {
             Cause::Declined | Cause::Misdirected => core.metrics.declined.add(),
             Cause::WrongRequest | Cause::Unsound => core.metrics.unsound.add(),
@@ -101,16 +113,17 @@
         let fate = self.fate();
         if let Some(failed) = self.failed {
             core.metrics.answered.add();
+            self.trace.ended(Outcome::Answered(failed.status()));
             return failed;
         }
-        core.metrics.given_up(why);
-        why.answer(fate)
+        given_up(core, &self.trace, why, fate)
     }
 }
 
 async fn one_try(core: &Arc<Core>, exchange: &Exchange, tries: &mut Tries) -> Result<Reply, Ended> {
     let slot = take_slot(core, exchange, tries).await?;
     let endpoint = slot.endpoint().clone();
+    exchange.trace.attempt_began(&endpoint);
     let connection = match attempt::connect(core, exchange, &slot).await {
         Ok(connection) => connection,
         Err(failure) => return Err(after_failure(core, exchange, tries, slot, failure)),
@@ -143,6 +156,7 @@
     if !answer.status().is_server_error() {
         core.dispatcher.record(&exchange.destination, now().since(begun), false);
         slot.end(Ending::Answered);
+        exchange.trace.attempt_ended(AttemptEnd::Answered);
         return Ok(Reply::Whole(answer));
     }
     if exchange.may_repeat() && tries.left(exchange) > 1 {
@@ -152,6 +166,7 @@
     }
     // Errors come fast: an endpoint that gives them must not look free and sound.
     slot.end(Ending::Erred);
+    exchange.trace.attempt_ended(AttemptEnd::Failed(Cause::EndpointError));
     Ok(Reply::Whole(answer))
 }
 
--- a/crates/node/src/relay/frontend.rs
+++ b/crates/node/src/relay/frontend.rs
@@ -29,6 +29,7 @@
 use super::forward::forward;
 use super::memory::Held;
 use super::snapshot::InForce;
+use super::trace::{Outcome, RequestTrace, Traced};
 use super::turn::{Denied, OpenTurn};
 use crate::clock::{duration, now, random};
 
@@ -100,12 +101,16 @@
 ) -> Result<Response<RelayBody>, Infallible> {
     let open = connection.open_request();
     core.metrics.requests.add();
+    let trace = RequestTrace::begin(header_text(request.headers(), headers::REQUEST_ID));
+    // Dropped with this future if the client leaves before it is answered.
+    let traced = Traced::new(Arc::clone(&trace), Arc::clone(&core.request_log));
     let mut answer = if has_room {
-        respond_before_end(&core, &connection, request).await
+        respond_before_end(&core, &connection, request, &trace).await
     } else {
-        Refused::GivenUp(GivenUp::NoRoom).answer(&core)
+        Refused::GivenUp(GivenUp::NoRoom).answer(&core, &trace)
     };
-    answer.body_mut().hold(open);
+    trace.answering(&answer);
+    answer.body_mut().hold(open, traced);
     if core.stopping.load(Ordering::Relaxed) || !has_room {
         answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
@@ -114,15 +119,14 @@
 
 /// Answers a request; without a promise if the process ends before it is done.
 async fn respond_before_end(
-    core: &Arc<Core>, connection: &ClientConnection, request: Request<Incoming>,
+    core: &Arc<Core>, connection: &ClientConnection, request: Request<Incoming>, trace: &Arc<RequestTrace>,
 ) -> Response<RelayBody> {
     tokio::select! {
         biased;
-        answer = respond(core, connection, request) => answer.unwrap_or_else(|refused| refused.answer(core)),
-        () = core.ending() => {
-            core.metrics.given_up(GivenUp::Broken);
-            GivenUp::Broken.answer(Fate::MayHaveRun)
+        answer = respond(core, connection, request, trace) => {
+            answer.unwrap_or_else(|refused| refused.answer(core, trace))
         }
+        () = core.ending() => given_up(core, trace, GivenUp::Ending, Fate::MayHaveRun),
     }
 }
 
@@ -133,17 +137,25 @@
 }
 
 impl Refused {
-    fn answer(self, core: &Core) -> Response<RelayBody> {
+    fn answer(self, core: &Core, trace: &RequestTrace) -> Response<RelayBody> {
         match self {
-            Refused::Finally(status) => plain(status),
-            Refused::GivenUp(why) => {
-                core.metrics.given_up(why);
-                why.answer(Fate::NotSent)
+            Refused::Finally(status) => {
+                trace.ended(Outcome::Refused(status));
+                plain(status)
             }
+            Refused::GivenUp(why) => given_up(core, trace, why, Fate::NotSent),
         }
     }
 }
 
+/// Counts a request that is given up, and answers it.
+pub(super) fn given_up(core: &Core, trace: &RequestTrace, why: GivenUp, fate: Fate) -> Response<RelayBody> {
+    core.metrics.given_up(why);
+    let answer = why.answer(fate);
+    trace.ended(Outcome::GivenUp(why, answer.status()));
+    answer
+}
+
 impl From<Denied> for Refused {
     fn from(denied: Denied) -> Self {
         match denied {
@@ -154,12 +166,13 @@
 }
 
 async fn respond(
-    core: &Arc<Core>, connection: &ClientConnection, request: Request<Incoming>,
+    core: &Arc<Core>, connection: &ClientConnection, request: Request<Incoming>, trace: &Arc<RequestTrace>,
 ) -> Result<Response<RelayBody>, Refused> {
     let begun = now();
     let snapshot = core.world.snapshot();
     let in_force = snapshot.configuration.as_ref().ok_or(Refused::GivenUp(GivenUp::NotConfigured))?;
     let route = find_route(core, in_force, &request)?;
+    trace.routed(&route, in_force.generation);
     let limits = in_force.table.limits();
     check_head(&request, limits)?;
     // An HTTP/1.0 client could not tell a stream's end from a break.
@@ -169,7 +182,7 @@
     let (parts, body) = request.into_parts();
     let deadline = begun + time_allowed(&route, &parts.headers);
     let (body, mut held) = read_body(core, body, limits, deadline).await?;
-    let mut exchange = exchange(route, parts, body, deadline)?;
+    let mut exchange = exchange(route, parts, body, deadline, trace)?;
     let turn = OpenTurn::begin(core, &mut exchange, &in_force.table).await;
     let turn = turn.inspect_err(|denied| {
         if matches!(denied, Denied::Finally(_)) {
@@ -257,7 +270,7 @@
 }
 
 fn exchange(
-    route: Arc<Route>, parts: http::request::Parts, body: Bytes, deadline: Time,
+    route: Arc<Route>, parts: http::request::Parts, body: Bytes, deadline: Time, trace: &Arc<RequestTrace>,
 ) -> Result<Exchange, Refused> {
     let bad_request = || Refused::Finally(StatusCode::BAD_REQUEST);
     let mut headers = parts.headers;
@@ -284,6 +297,7 @@
         body,
         deadline,
         route,
+        trace: Arc::clone(trace),
     })
 }
 
--- a/crates/node/src/relay/memory.rs
+++ b/crates/node/src/relay/memory.rs
@@ -23,6 +23,11 @@
         Arc::new(Memory { held: AtomicUsize::new(0), most })
     }
 
+    /// Bytes held now.
+    pub fn held(&self) -> usize {
+        self.held.load(Ordering::Relaxed)
+    }
+
     /// Takes room; `None` if there is too little.
     pub fn take(self: &Arc<Self>, bytes: usize) -> Option<Held> {
         let mut held = Held { memory: Arc::clone(self), bytes: 0 };
--- a/crates/node/src/relay/metrics.rs
+++ b/crates/node/src/relay/metrics.rs
@@ -5,6 +5,7 @@
 use slog::{Logger, info};
 
 use super::fate::GivenUp;
+use crate::metrics::Figure;
 
 /// How often counters are logged.
 pub const LOG_EVERY: std::time::Duration = std::time::Duration::from_secs(10);
@@ -62,6 +63,10 @@
     pub full: Counter,
     /// Given up: stores not reached.
     pub no_sessions: Counter,
+    /// Given up: no room for connections or bodies.
+    pub no_room: Counter,
+    /// Given up: no configuration yet, or all keepers lost.
+    pub out_of_touch: Counter,
     /// Given up: for other reasons.
     pub other: Counter,
 }
@@ -74,14 +79,46 @@
             GivenUp::NoEndpoint => self.no_endpoint.add(),
             GivenUp::Full => self.full.add(),
             GivenUp::NoSessions => self.no_sessions.add(),
-            GivenUp::NoTriesLeft
-            | GivenUp::Broken
-            | GivenUp::NotConfigured
-            | GivenUp::OutOfTouch
-            | GivenUp::NoRoom => self.other.add(),
+            GivenUp::NoRoom => self.no_room.add(),
+            GivenUp::NotConfigured | GivenUp::OutOfTouch => self.out_of_touch.add(),
+            GivenUp::NoTriesLeft | GivenUp::Broken | GivenUp::Ending => self.other.add(),
         }
     }
 
+    /// All of them, by name.
+    fn all(&self) -> [(&'static str, &'static str, &Counter); 20] {
+        [
+            ("requests", "Requests read", &self.requests),
+            ("answered", "Answers of endpoints passed on", &self.answered),
+            ("resends", "Tries beyond the first of a request", &self.resends),
+            ("abandoned", "Tries given up at their time-out", &self.abandoned),
+            ("declined", "Tries that endpoints declined", &self.declined),
+            ("broken", "Tries that broke", &self.broken),
+            ("unsound", "Answers that were not sound", &self.unsound),
+            ("connections", "Connections to endpoints opened", &self.connections),
+            ("connections_failed", "Connections that did not come up", &self.connections_failed),
+            ("resumed", "Streams taken up at another endpoint", &self.resumed),
+            ("broken_off", "Streams broken off", &self.broken_off),
+            ("no_route", "Requests refused: no route", &self.no_route),
+            ("turns_denied", "Turns refused: budget spent, or turn unknown", &self.turns_denied),
+            ("too_late", "Requests given up: too little time", &self.too_late),
+            ("no_endpoint", "Requests given up: no endpoint", &self.no_endpoint),
+            ("full", "Requests given up: full", &self.full),
+            ("no_sessions", "Requests given up: stores not reached", &self.no_sessions),
+            ("no_room", "Requests given up: no room for connections or bodies", &self.no_room),
+            ("out_of_touch", "Requests given up: keepers not reached", &self.out_of_touch),
+            ("other", "Requests given up: for other reasons", &self.other),
+        ]
+    }
+
+    /// The counters as figures.
+    pub fn figures(&self) -> Vec<Figure> {
+        self.all()
+            .into_iter()
+            .map(|(name, help, counter)| Figure::counter(name, help, counter.get()))
+            .collect()
+    }
+
     /// Logs the counters.
     pub fn log(&self, log: &Logger) {
         info!(log, "counters";
@@ -93,6 +130,7 @@
             "broken_off" => self.broken_off.get(), "no_route" => self.no_route.get(),
             "turns_denied" => self.turns_denied.get(), "too_late" => self.too_late.get(),
             "no_endpoint" => self.no_endpoint.get(), "full" => self.full.get(),
-            "no_sessions" => self.no_sessions.get(), "other" => self.other.get());
+            "no_sessions" => self.no_sessions.get(), "no_room" => self.no_room.get(),
+            "out_of_touch" => self.out_of_touch.get(), "other" => self.other.get());
     }
 }
--- a/crates/node/src/relay/sessions.rs
+++ b/crates/node/src/relay/sessions.rs
@@ -7,7 +7,7 @@
 use juniperwing_protocol::session::{BeginTurn, FinishTurn, Turn};
 use snafu::Snafu;
 
-use crate::sessions_client::{SessionError, SessionsClient};
+use crate::sessions_client::{NotSettled, SessionError, SessionsClient, StoreTrouble};
 
 /// Why a turn cannot be begun or finished.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
@@ -19,8 +19,11 @@
     #[snafu(display("the turn before is not known"))]
     UnknownTurn,
     /// It cannot be done now.
-    #[snafu(display("the stores cannot do it now"))]
-    Unavailable,
+    #[snafu(display("the stores cannot do it now: {}", trouble.name()))]
+    Unavailable {
+        /// Why, as far as is known.
+        trouble: StoreTrouble,
+    },
 }
 
 /// A call to the stores.
@@ -36,6 +39,16 @@
 
     /// Settles a turn in the background; tried again for a while.
     fn finish_later(&self, turn: FinishTurn);
+
+    /// Turns that are being settled in the background.
+    fn settling(&self) -> usize {
+        0
+    }
+
+    /// Turns that could not be settled in the background: they count at their most.
+    fn settlements_lost(&self) -> u64 {
+        0
+    }
 }
 
 /// The stores behind their client.
@@ -46,7 +59,7 @@
             let begun = client.begin(turn, within).await.map_err(|error| match error {
                 SessionError::BudgetSpent => SessionFault::BudgetSpent,
                 SessionError::UnknownTurn => SessionFault::UnknownTurn,
-                SessionError::Unavailable => SessionFault::Unavailable,
+                SessionError::Unavailable { trouble } => SessionFault::Unavailable { trouble },
             })?;
             Ok(begun.chain)
         })
@@ -54,11 +67,21 @@
 
     fn finish(&self, turn: FinishTurn, within: Duration) -> SessionCall<()> {
         let client = self.clone();
-        Box::pin(async move { client.finish(turn, within).await.map_err(|_| SessionFault::Unavailable) })
+        Box::pin(async move {
+            let finished = client.finish(turn, within).await;
+            finished.map_err(|NotSettled { trouble }| SessionFault::Unavailable { trouble })
+        })
     }
 
     fn finish_later(&self, turn: FinishTurn) {
-        // Where too many are under way already, the turn counts at its most.
         SessionsClient::finish_later(self, turn);
     }
+
+    fn settling(&self) -> usize {
+        SessionsClient::settling(self)
+    }
+
+    fn settlements_lost(&self) -> u64 {
+        SessionsClient::settlements_lost(self)
+    }
 }
--- a/crates/node/src/relay/snapshot.rs
+++ b/crates/node/src/relay/snapshot.rs
@@ -8,6 +8,7 @@
 use juniperwing_balancing::{Destination, EndpointInfo};
 use juniperwing_clock::{Span, Time};
 use juniperwing_configuration::{Configuration, Limits, RouteTable};
+use juniperwing_invariants::{Invariant, check};
 use juniperwing_protocol::identity::InstanceId;
 use juniperwing_protocol::registry::{Instance, InstanceState};
 use juniperwing_protocol::replication::Version;
@@ -33,6 +34,8 @@
 pub struct InForce {
     /// Its version.
     pub version: Version,
+    /// The operator's number of it.
+    pub generation: u64,
     /// Its routes and limits.
     pub table: RouteTable,
     /// Whether a route keeps turns.
@@ -149,7 +152,7 @@
         let keeps_turns = configuration.routes.iter().any(|route| route.kept);
         let table = RouteTable::new(&configuration);
         let generation = configuration.generation;
-        let in_force = Arc::new(InForce { version, table, keeps_turns });
+        let in_force = Arc::new(InForce { version, generation, table, keeps_turns });
         self.change(|snapshot| snapshot.configuration = Some(in_force));
         self.forget_destinations(&configuration);
         info!(self.log, "configuration in force"; "generation" => generation);
@@ -239,6 +242,7 @@
         let mut held = self.lock();
         let mut next = Snapshot::clone(&held);
         change(&mut next);
+        check_rises(&held, &next);
         *held = Arc::new(next);
     }
 
@@ -247,6 +251,16 @@
     }
 }
 
+/// What a relay acts on never goes back within a life.
+fn check_rises(before: &Snapshot, after: &Snapshot) {
+    let version = |snapshot: &Snapshot| snapshot.configuration.as_ref().map(|in_force| in_force.version);
+    check(Invariant::ConfigurationNeverFalls, version(before) <= version(after), || {
+        format!("{:?} is followed by {:?}", version(before), version(after))
+    });
+    let (held, told) = (before.stores.version, after.stores.version);
+    check(Invariant::StoreMapNeverFalls, held <= told, || format!("map {held} is followed by {told}"));
+}
+
 impl Sink for World {
     fn apply(&self, update: Update) {
         match update {
--- a/crates/node/src/relay/stream.rs
+++ b/crates/node/src/relay/stream.rs
@@ -5,10 +5,11 @@
 use bytes::{Bytes, BytesMut};
 use futures_util::stream::unfold;
 use http::header::CONTENT_LENGTH;
-use http::{HeaderValue, Response, response};
+use http::{HeaderValue, Response, StatusCode, response};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use juniperwing_balancing::Ending;
+use juniperwing_invariants::{Invariant, check};
 use juniperwing_protocol::headers;
 use tokio::time::{Instant, timeout_at};
 
@@ -20,6 +21,7 @@
 use super::exchange::{Exchange, remove_hop_by_hop};
 use super::fate::{Cause, Failure, header_name};
 use super::forward::{Tries, ending};
+use super::trace::{AttemptEnd, Outcome};
 use super::turn::OpenTurn;
 use super::upstream::Connection;
 use crate::clock::{duration, now};
@@ -113,6 +115,7 @@
     remove_hop_by_hop(&mut parts.headers);
     // Another endpoint may go on with it: its length is not known.
     parts.headers.remove(CONTENT_LENGTH);
+    let status = parts.status;
     let left = duration(exchange.deadline.since(now()));
     let last_id = exchange.last_event_id();
     let passage = Passage {
@@ -122,8 +125,10 @@
         tries,
         source,
         slot,
+        status,
         first: Some(first),
         last_id,
+        resumed_behind: None,
         until: Instant::now() + left,
         ended: false,
     };
@@ -142,9 +147,12 @@
     tries: Tries,
     source: Source,
     slot: Option<Slot>,
+    status: StatusCode,
     first: Option<Vec<Event>>,
     /// The id of the last event that the client has: passed on, or named by it.
     last_id: Option<Bytes>,
+    /// The same when the stream was last taken up elsewhere, as a number.
+    resumed_behind: Option<u64>,
     until: Instant,
     ended: bool,
 }
@@ -157,15 +165,22 @@
         }
         let next = self.next_bytes().await;
         self.ended = !matches!(next, Ok(Some(_)));
-        if next.is_err() {
-            self.core.metrics.broken_off.add();
-            self.source.connection = None;
-            self.slot = None;
-            self.turn = None;
+        match next {
+            Ok(Some(_)) => {}
+            Ok(None) => self.exchange.trace.ended(Outcome::Answered(self.status)),
+            Err(why) => self.broke_off(why),
         }
         next.transpose()
     }
 
+    fn broke_off(&mut self, why: BrokenOff) {
+        self.core.metrics.broken_off.add();
+        self.exchange.trace.ended(Outcome::BrokenOff(why));
+        self.source.connection = None;
+        self.slot = None;
+        self.turn = None;
+    }
+
     async fn next_bytes(&mut self) -> Result<Option<Bytes>, BrokenOff> {
         loop {
             if let Some(first) = self.first.take()
@@ -191,6 +206,7 @@
     fn take_in(&mut self, events: Vec<Event>) -> Option<Bytes> {
         let mut fresh: Vec<Event> = events.into_iter().filter(|event| !self.is_known(event)).collect();
         for event in &fresh {
+            self.check_rises(event);
             if let Some(turn) = &mut self.turn {
                 turn.hand_out(event);
             }
@@ -209,9 +225,19 @@
         }
     }
 
+    /// What another endpoint goes on with lies behind what the client had when it was asked.
+    fn check_rises(&self, event: &Event) {
+        let rises = match (self.resumed_behind, number(&event.id)) {
+            (Some(behind), Some(id)) => id > behind,
+            _ => true,
+        };
+        check(Invariant::EventIdsRise, rises, || {
+            format!("request {}, event {:?}", self.exchange.trace.request_id(), event.id)
+        });
+    }
+
     /// Whether a resumed stream repeats an event. Ids rise.
     fn is_known(&self, event: &Event) -> bool {
-        let number = |id: &Option<Bytes>| std::str::from_utf8(id.as_ref()?).ok()?.trim().parse::<u64>().ok();
         match (number(&self.last_id), number(&event.id)) {
             (Some(last), Some(id)) => id <= last,
             _ => false,
@@ -230,6 +256,7 @@
             let ask = self.exchange.ask(self.tries.excluded.clone());
             let patience = self.exchange.patience();
             let slot = self.core.dispatcher.slot(ask, patience).await.map_err(|_| BrokenOff::Endpoint)?;
+            self.exchange.trace.attempt_began(slot.endpoint());
             let answer = timeout_at(self.until, open(&self.core, &self.exchange, &slot)).await;
             self.slot = Some(slot);
             match answer {
@@ -252,6 +279,7 @@
         match last_id.filter(|_| may_resume) {
             None => Err(BrokenOff::Endpoint),
             Some(id) => {
+                self.resumed_behind = number(&self.last_id);
                 self.exchange.headers.insert(header_name(headers::LAST_EVENT_ID), id);
                 Ok(())
             }
@@ -263,19 +291,26 @@
         let Some(slot) = self.slot.take() else { return Ok(()) };
         let endpoint = slot.endpoint().clone();
         slot.end(Ending::Answered);
+        self.exchange.trace.attempt_ended(AttemptEnd::Answered);
         if let Some(connection) = self.source.connection.take() {
             self.core.pool.give_back(&endpoint, connection, self.source.keep_alive);
         }
         match self.turn.take() {
             Some(turn) => {
                 let left = self.exchange.deadline.since(now());
-                turn.complete(&endpoint, left).await.map_err(|_| BrokenOff::NotKept)
+                let kept = turn.complete(&endpoint, left).await;
+                kept.inspect_err(|fault| self.exchange.note_stores(*fault)).map_err(|_| BrokenOff::NotKept)
             }
             None => Ok(()),
         }
     }
 }
 
+/// The number of an event.
+fn number(id: &Option<Bytes>) -> Option<u64> {
+    std::str::from_utf8(id.as_ref()?).ok()?.trim().parse().ok()
+}
+
 async fn open(core: &Core, exchange: &Exchange, slot: &Slot) -> Result<Answer, Failure> {
     let connection = attempt::connect(core, exchange, slot).await?;
     attempt::send(core, exchange, slot, connection).await
--- a/crates/node/src/relay/turn.rs
+++ b/crates/node/src/relay/turn.rs
@@ -38,7 +38,7 @@
         match fault {
             SessionFault::BudgetSpent => Denied::Finally(StatusCode::PAYMENT_REQUIRED),
             SessionFault::UnknownTurn => Denied::Finally(StatusCode::NOT_FOUND),
-            SessionFault::Unavailable => Denied::GivenUp(GivenUp::NoSessions),
+            SessionFault::Unavailable { .. } => Denied::GivenUp(GivenUp::NoSessions),
         }
     }
 }
@@ -91,7 +91,8 @@
             Ok(chain) => chain,
             Err(fault) => {
                 // Where the answer is certain there is no reservation.
-                turn.reserved &= fault == SessionFault::Unavailable;
+                turn.reserved &= matches!(fault, SessionFault::Unavailable { .. });
+                exchange.note_stores(fault);
                 return Err(fault.into());
             }
         };
--- a/crates/node/src/sessions_client.rs
+++ b/crates/node/src/sessions_client.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use juniperwing_protocol::session::{
@@ -15,7 +16,7 @@
 use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep_until, timeout_at};
 
-use crate::link::LinkPool;
+use crate::link::{CallError, LinkPool};
 
 /// How long one try may take.
 const TRY_WITHIN: Duration = Duration::from_millis(300);
@@ -33,6 +34,53 @@
     pub chain: Vec<Turn>,
 }
 
+/// Why the stores could not decide, as the last try showed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StoreTrouble {
+    /// No map of the stores is known, or it names no primary for the program.
+    NoPrimary,
+    /// The primary cannot be reached.
+    NotConnected,
+    /// The link to it broke.
+    LinkBroke,
+    /// It did not answer in time.
+    NoAnswer,
+    /// It is not, or not certainly, the primary any more.
+    NotPrimary,
+    /// It cannot decide now.
+    Unavailable,
+    /// It answered what nobody asked.
+    WrongAnswer,
+    /// Some partition could not say whether it has the turn before.
+    Uncertain,
+}
+
+impl StoreTrouble {
+    /// Its name in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            StoreTrouble::NoPrimary => "no primary known",
+            StoreTrouble::NotConnected => "not connected",
+            StoreTrouble::LinkBroke => "link broke",
+            StoreTrouble::NoAnswer => "no answer",
+            StoreTrouble::NotPrimary => "not primary",
+            StoreTrouble::Unavailable => "unavailable",
+            StoreTrouble::WrongAnswer => "wrong answer",
+            StoreTrouble::Uncertain => "uncertain",
+        }
+    }
+}
+
+impl From<CallError> for StoreTrouble {
+    fn from(error: CallError) -> Self {
+        match error {
+            CallError::NotConnected => StoreTrouble::NotConnected,
+            CallError::Broken => StoreTrouble::LinkBroke,
+            CallError::TimedOut => StoreTrouble::NoAnswer,
+        }
+    }
+}
+
 /// Why a turn must not run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
 pub enum SessionError {
@@ -43,14 +91,20 @@
     #[snafu(display("the previous turn is not known"))]
     UnknownTurn,
     /// No certain answer in time. The turn may have been reserved: settle it at 0 tokens.
-    #[snafu(display("no certain answer in time"))]
-    Unavailable,
+    #[snafu(display("no certain answer in time: {}", trouble.name()))]
+    Unavailable {
+        /// Why, as far as is known.
+        trouble: StoreTrouble,
+    },
 }
 
 /// A turn was not settled in time, or not certainly.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
-#[snafu(display("the turn is not certain to be settled"))]
-pub struct NotSettled;
+#[snafu(display("the turn is not certain to be settled: {}", trouble.name()))]
+pub struct NotSettled {
+    /// Why, as far as is known.
+    pub trouble: StoreTrouble,
+}
 
 /// Talks to the stores. Cheap to clone.
 #[derive(Clone)]
@@ -58,6 +112,7 @@
     pool: Arc<LinkPool>,
     map: watch::Receiver<Arc<StoreMap>>,
     settling: Arc<Semaphore>,
+    settlements_lost: Arc<AtomicU64>,
 }
 
 /// The primary of a program's partition.
@@ -86,7 +141,8 @@
 impl SessionsClient {
     /// A client that goes by the newest map that `map` holds.
     pub fn new(pool: Arc<LinkPool>, map: watch::Receiver<Arc<StoreMap>>) -> Self {
-        SessionsClient { pool, map, settling: Arc::new(Semaphore::new(MAX_SETTLING)) }
+        let settling = Arc::new(Semaphore::new(MAX_SETTLING));
+        SessionsClient { pool, map, settling, settlements_lost: Arc::default() }
     }
 
     /// Reserves the most that a turn may generate and fetches the turns before it. May be called again with
@@ -102,14 +158,19 @@
         let until = Instant::now() + within;
         let mut begin = begin;
         loop {
-            match self.ask(&begin.program, SessionCall::Begin(begin.clone()), until).await {
-                Some(SessionReply::Begun { chain }) => return Ok(Begun { chain }),
-                Some(SessionReply::BudgetSpent) => return Err(SessionError::BudgetSpent),
-                Some(SessionReply::UnknownTurn) if begin.imported.is_empty() => {
-                    let previous = begin.previous.as_ref().ok_or(SessionError::Unavailable)?;
+            let reply = self.ask(&begin.program, SessionCall::Begin(begin.clone()), until).await;
+            match reply.map_err(|trouble| SessionError::Unavailable { trouble })? {
+                SessionReply::Begun { chain } => return Ok(Begun { chain }),
+                SessionReply::BudgetSpent => return Err(SessionError::BudgetSpent),
+                SessionReply::UnknownTurn if begin.imported.is_empty() => {
+                    let wrong = SessionError::Unavailable { trouble: StoreTrouble::WrongAnswer };
+                    let previous = begin.previous.as_ref().ok_or(wrong)?;
                     begin.imported = self.find(previous, until).await?;
                 }
-                _ => return Err(SessionError::Unavailable),
+                SessionReply::UnknownTurn => {
+                    return Err(SessionError::Unavailable { trouble: StoreTrouble::Uncertain });
+                }
+                _ => return Err(SessionError::Unavailable { trouble: StoreTrouble::WrongAnswer }),
             }
         }
     }
@@ -123,47 +184,69 @@
         let until = Instant::now() + within;
         let program = finish.program.clone();
         match self.ask(&program, SessionCall::Finish(finish), until).await {
-            Some(SessionReply::Finished) => Ok(()),
-            _ => Err(NotSettled),
+            Ok(SessionReply::Finished) => Ok(()),
+            Ok(_) => Err(NotSettled { trouble: StoreTrouble::WrongAnswer }),
+            Err(trouble) => Err(NotSettled { trouble }),
         }
     }
 
-    /// Settles a turn with nobody waiting for it, trying for about ten seconds. `false` if too many are under
-    /// way: the turn then counts at its most.
-    pub fn finish_later(&self, finish: FinishTurn) -> bool {
-        let Ok(permit) = Arc::clone(&self.settling).try_acquire_owned() else { return false };
+    /// Settles a turn with nobody waiting for it, trying for about ten seconds. If too many are under way, or the
+    /// time is over, the turn counts at its most.
+    pub fn finish_later(&self, finish: FinishTurn) {
+        let Ok(permit) = Arc::clone(&self.settling).try_acquire_owned() else { return self.count_lost() };
         let client = self.clone();
         tokio::spawn(async move {
-            // Not settled after all this time: it counts at its most.
-            let _ = client.finish(finish, SETTLE_WITHIN).await;
+            if client.finish(finish, SETTLE_WITHIN).await.is_err() {
+                client.count_lost();
+            }
             drop(permit);
         });
-        true
     }
 
-    /// Asks the primary of a program's partition until it decides; `None` when the time is over.
-    async fn ask(&self, program: &ProgramId, call: SessionCall, until: Instant) -> Option<SessionReply> {
+    fn count_lost(&self) {
+        self.settlements_lost.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Turns that are being settled with nobody waiting for them.
+    pub fn settling(&self) -> usize {
+        MAX_SETTLING - self.settling.available_permits()
+    }
+
+    /// Turns that could not be settled with nobody waiting for them.
+    pub fn settlements_lost(&self) -> u64 {
+        self.settlements_lost.load(Ordering::Relaxed)
+    }
+
+    /// Asks the primary of a program's partition until it decides, or the time is over.
+    async fn ask(
+        &self, program: &ProgramId, call: SessionCall, until: Instant,
+    ) -> Result<SessionReply, StoreTrouble> {
         let mut map = self.map.clone();
         loop {
             let target = target(&map.borrow_and_update(), program);
-            if let Some(target) = target {
-                let reply = self.try_once(target, call.clone(), until).await;
-                if reply.is_some() {
-                    return reply;
-                }
-            }
-            wait_for_change(&mut map, until).await?;
+            let tried = match target {
+                Some(target) => self.try_once(target, call.clone(), until).await,
+                None => Err(StoreTrouble::NoPrimary),
+            };
+            let trouble = match tried {
+                Ok(reply) => return Ok(reply),
+                Err(trouble) => trouble,
+            };
+            wait_for_change(&mut map, until).await.ok_or(trouble)?;
         }
     }
 
-    /// One try; `None` if the store could not decide.
-    async fn try_once(&self, target: Target, call: SessionCall, until: Instant) -> Option<SessionReply> {
+    /// One try.
+    async fn try_once(
+        &self, target: Target, call: SessionCall, until: Instant,
+    ) -> Result<SessionReply, StoreTrouble> {
         let request = SessionRequest { partition: target.partition, epoch: target.epoch, body: call };
         let within = TRY_WITHIN.min(until.saturating_duration_since(Instant::now()));
-        match self.pool.call(target.address, Message::SessionRequest(request), within).await {
-            Ok(Message::SessionReply(SessionReply::NotPrimary { .. } | SessionReply::Unavailable)) => None,
-            Ok(Message::SessionReply(reply)) => Some(reply),
-            _ => None,
+        match self.pool.call(target.address, Message::SessionRequest(request), within).await? {
+            Message::SessionReply(SessionReply::NotPrimary { .. }) => Err(StoreTrouble::NotPrimary),
+            Message::SessionReply(SessionReply::Unavailable) => Err(StoreTrouble::Unavailable),
+            Message::SessionReply(reply) => Ok(reply),
+            _ => Err(StoreTrouble::WrongAnswer),
         }
     }
 
@@ -176,7 +259,8 @@
                 Search::Found(chain) => return Ok(chain),
                 Search::Nowhere => return Err(SessionError::UnknownTurn),
                 Search::Uncertain => {
-                    wait_for_change(&mut map, until).await.ok_or(SessionError::Unavailable)?;
+                    let uncertain = SessionError::Unavailable { trouble: StoreTrouble::Uncertain };
+                    wait_for_change(&mut map, until).await.ok_or(uncertain)?;
                 }
             }
         }
@@ -196,8 +280,8 @@
         let mut certain = true;
         while let Some(ended) = calls.join_next().await {
             match ended {
-                Ok(Some(SessionReply::Found { chain })) => return Search::Found(chain),
-                Ok(Some(SessionReply::UnknownTurn)) => {}
+                Ok(Ok(SessionReply::Found { chain })) => return Search::Found(chain),
+                Ok(Ok(SessionReply::UnknownTurn)) => {}
                 _ => certain = false,
             }
         }
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -67,6 +67,8 @@
     pub bootstrap: bool,
     /// The folder that lasts, where there is one.
     pub data_directory: Option<PathBuf>,
+    /// Where the process tells its figures, as `PORT/PATH`; nowhere if it is missing or empty.
+    pub metrics: Option<String>,
     /// How often endpoints send heartbeats, in milliseconds.
     #[serde(default = "default_heartbeat_ms")]
     pub heartbeat_ms: u64,
--- a/crates/node/src/store.rs
+++ b/crates/node/src/store.rs
@@ -5,6 +5,7 @@
 
 mod core;
 mod disk;
+mod figures;
 
 use std::future::Future;
 use std::io;
@@ -26,6 +27,7 @@
 use crate::gossip::{Gossip, Myself};
 use crate::host::Listener;
 use crate::link::serve;
+use crate::metrics::{self, FigureSource};
 use crate::settings::{Port, Settings};
 use crate::signals::Wish;
 use crate::subscriber::Subscriber;
@@ -99,6 +101,7 @@
         let (files, store) = Disk::open(folder, disk, limits(settings), &log).map_err(io::Error::other)?;
         let listener = Listener::bind(settings.own_address(Port::Store)).await?;
         let core = Core::start(store, files, log.clone());
+        metrics::start(settings, Arc::clone(&core) as Arc<dyn FigureSource>, &log).await;
         let listening = tokio::spawn(serve(listener, Arc::new(Handle(core.clone()))));
         let subscribe = Subscribe {
             node: NodeName::from(settings.node_name.as_str()),
--- a/crates/node/src/store/core.rs
+++ b/crates/node/src/store/core.rs
@@ -38,16 +38,16 @@
     log: Logger,
 }
 
-struct State {
-    store: Store,
-    askers: HashMap<AskerId, Reply>,
+pub(super) struct State {
+    pub(super) store: Store,
+    pub(super) askers: HashMap<AskerId, Reply>,
     last_asker: u64,
     /// What the timer waits for.
     armed: Option<Time>,
     subscriber: Weak<Subscriber>,
     /// Since when every batch has failed.
     failing_since: Option<Time>,
-    suspended: bool,
+    pub(super) suspended: bool,
 }
 
 /// Takes no questions: other stores ask over connections of their own.
@@ -221,7 +221,7 @@
         }
     }
 
-    fn lock(&self) -> MutexGuard<'_, State> {
+    pub(super) fn lock(&self) -> MutexGuard<'_, State> {
         lock(&self.state)
     }
 }
--- a/crates/node/tests/relay/main.rs
+++ b/crates/node/tests/relay/main.rs
@@ -16,5 +16,6 @@
 mod smuggling;
 mod streams;
 mod support;
+mod trace;
 mod turns;
 mod unary;
