Soak: a tier of real processes under overlapping troubles, judged by its callers

Roles run as they are on machines of loopback whose links, datagrams, clocks and disks follow rules (the host's seam, in a crate that the shipped program does not have). Schedules follow from a seed; an oracle judges requests, turns, budgets, orders, reads, relays, ends and figures at rest.

--- a/crates/node/src/host.rs
+++ b/crates/node/src/host.rs
@@ -60,6 +60,11 @@
 
     /// How long the calls to the disk took that were made since this was last asked.
     fn take_disk_time(&self) -> Duration;
+
+    /// Whether calls to the disk take their time by themselves, and so are made on a thread of their own.
+    fn waits_for_disk_on_a_thread(&self) -> bool {
+        false
+    }
 }
 
 /// A simulated socket that accepts connections.
@@ -142,6 +147,14 @@
     work: impl FnOnce() -> T + Send + 'static,
 ) -> Result<T, JoinError> {
     let Some(host) = simulated() else { return tokio::task::spawn_blocking(work).await };
+    if host.waits_for_disk_on_a_thread() {
+        let disk = host.disk();
+        let on_that_disk = move || {
+            let _entered = juniperwing_storage::disk::enter(disk);
+            work()
+        };
+        return tokio::task::spawn_blocking(on_that_disk).await;
+    }
     let done = work();
     tokio::time::sleep(host.take_disk_time()).await;
     Ok(done)
--- /dev/null
+++ b/crates/soak/src/fault/disk.rs
@@ -0,0 +1,123 @@
+//! A folder of the real file system whose unsynced writes are lost with the process, and that can be told to
+//! misbehave.
+//!
+//! What is written to a file lies in memory until the file is synced, so a kill costs what a loss of power may cost.
+//! Names last at once: a new file, a renamed or a removed one may be kept by a loss of power, too.
+
+use std::collections::HashMap;
+use std::ffi::OsString;
+use std::fs::{self, File, OpenOptions};
+use std::io::{self, Write};
+use std::path::{Path, PathBuf};
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::thread;
+use std::time::Duration;
+
+use juniperwing_storage::disk::Disk;
+
+use super::rules::{DiskFault, LiveRules};
+
+/// How long a sync takes.
+const SYNC_TIME: Duration = Duration::from_millis(2);
+/// Between the two halves of what is made to last, so that a kill may tear it.
+const TEAR_TIME: Duration = Duration::from_micros(300);
+/// How often a disk that answers nothing looks whether it may.
+const LOOK_EVERY: Duration = Duration::from_millis(10);
+
+/// The disk of a process.
+#[derive(Debug)]
+pub struct FaultyDisk {
+    rules: LiveRules,
+    unsynced: Mutex<HashMap<PathBuf, Vec<u8>>>,
+}
+
+impl FaultyDisk {
+    /// A disk under rules.
+    pub fn new(rules: LiveRules) -> FaultyDisk {
+        FaultyDisk { rules, unsynced: Mutex::default() }
+    }
+
+    /// Waits while the disk answers nothing. Returns what it does then.
+    fn fault(&self) -> DiskFault {
+        loop {
+            match self.rules.get(|rules| rules.disk) {
+                DiskFault::Stalls => thread::sleep(LOOK_EVERY),
+                fault => return fault,
+            }
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<PathBuf, Vec<u8>>> {
+        self.unsynced.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn full() -> io::Error {
+    io::Error::new(io::ErrorKind::StorageFull, "the soak lets the disk be full")
+}
+
+impl Disk for FaultyDisk {
+    fn make_folder(&self, folder: &Path) -> io::Result<()> {
+        self.fault();
+        fs::create_dir_all(folder)
+    }
+
+    fn read(&self, path: &Path) -> io::Result<Vec<u8>> {
+        self.fault();
+        let mut contents = fs::read(path)?;
+        if let Some(unsynced) = self.lock().get(path) {
+            contents.extend_from_slice(unsynced);
+        }
+        Ok(contents)
+    }
+
+    fn list(&self, folder: &Path) -> io::Result<Vec<OsString>> {
+        self.fault();
+        fs::read_dir(folder)?.map(|entry| Ok(entry?.file_name())).collect()
+    }
+
+    fn create(&self, path: &Path) -> io::Result<()> {
+        if self.fault() == DiskFault::Refuses {
+            return Err(full());
+        }
+        self.lock().remove(path);
+        File::create(path).map(drop)
+    }
+
+    fn append(&self, path: &Path, bytes: &[u8]) -> io::Result<()> {
+        let fault = self.fault();
+        assert!(fault != DiskFault::Panics, "the soak has the writing thread panic");
+        let taken = if fault == DiskFault::Refuses { &bytes[..bytes.len() / 2] } else { bytes };
+        self.lock().entry(path.to_owned()).or_default().extend_from_slice(taken);
+        if taken.len() < bytes.len() { Err(full()) } else { Ok(()) }
+    }
+
+    fn sync(&self, path: &Path) -> io::Result<()> {
+        match self.fault() {
+            DiskFault::Slow { ms } => thread::sleep(Duration::from_millis(ms)),
+            _ => thread::sleep(SYNC_TIME),
+        }
+        let Some(unsynced) = self.lock().remove(path) else { return Ok(()) };
+        let mut file = OpenOptions::new().append(true).open(path)?;
+        let (first, second) = unsynced.split_at(unsynced.len() / 2);
+        file.write_all(first)?;
+        thread::sleep(TEAR_TIME);
+        file.write_all(second)
+    }
+
+    fn rename(&self, from: &Path, to: &Path) -> io::Result<()> {
+        self.fault();
+        fs::rename(from, to)?;
+        let mut unsynced = self.lock();
+        if let Some(bytes) = unsynced.remove(from) {
+            unsynced.insert(to.to_owned(), bytes);
+        }
+        Ok(())
+    }
+
+    fn remove(&self, path: &Path) -> io::Result<()> {
+        self.fault();
+        self.lock().remove(path);
+        fs::remove_file(path)
+    }
+}
--- /dev/null
+++ b/crates/soak/src/fault/host.rs
@@ -0,0 +1,132 @@
+//! The machine as the role sees it.
+
+use std::hash::{BuildHasher, RandomState};
+use std::io;
+use std::net::{IpAddr, SocketAddr};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use juniperwing_clock::Time;
+use juniperwing_node::host::{Host, Pending, SimulatedDatagrams, SimulatedListener, SimulatedStream};
+use juniperwing_storage::disk::Disk;
+use tokio::net::{TcpListener, TcpSocket, UdpSocket};
+
+use super::disk::FaultyDisk;
+use super::link::{under_rules, wait_for_way};
+use super::rules::LiveRules;
+
+/// Connections that wait to be accepted.
+const BACKLOG: i32 = 1_024;
+
+/// A machine of the operating system whose links, clock and disk follow rules.
+#[derive(Debug)]
+pub struct FaultyHost {
+    address: IpAddr,
+    rules: LiveRules,
+    disk: Arc<FaultyDisk>,
+    began: Instant,
+    draws: AtomicU64,
+    chance: RandomState,
+}
+
+impl FaultyHost {
+    /// The machine at an address.
+    pub fn new(address: IpAddr, rules: LiveRules) -> FaultyHost {
+        let disk = Arc::new(FaultyDisk::new(rules.clone()));
+        let (draws, chance) = (AtomicU64::new(0), RandomState::new());
+        FaultyHost { address, rules, disk, began: Instant::now(), draws, chance }
+    }
+}
+
+impl Host for FaultyHost {
+    fn now(&self) -> Time {
+        Time::from_nanos(1 + self.began.elapsed().as_nanos() as u64)
+    }
+
+    fn time_of_day_ms(&self) -> u64 {
+        let elapsed = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let offset = self.rules.get(|rules| rules.clock_offset_ms);
+        (elapsed.as_millis() as u64).saturating_add_signed(offset)
+    }
+
+    fn random(&self) -> u64 {
+        self.chance.hash_one(self.draws.fetch_add(1, Ordering::Relaxed))
+    }
+
+    fn listen(&self, address: SocketAddr) -> io::Result<Arc<dyn SimulatedListener>> {
+        let socket = TcpSocket::new_v4()?;
+        socket.set_reuseaddr(true)?;
+        socket.bind(address)?;
+        let listener = socket.listen(BACKLOG as u32)?;
+        Ok(Arc::new(Listener { listener, rules: self.rules.clone() }))
+    }
+
+    fn connect(&self, address: SocketAddr) -> Pending<'static, SimulatedStream> {
+        let (rules, from) = (self.rules.clone(), SocketAddr::new(self.address, 0));
+        Box::pin(async move {
+            wait_for_way(&rules, address).await;
+            let socket = TcpSocket::new_v4()?;
+            // By its address the other end knows whom the rules mean.
+            socket.bind(from)?;
+            under_rules(socket.connect(address).await?, &rules)
+        })
+    }
+
+    fn bind(&self, address: SocketAddr) -> io::Result<Arc<dyn SimulatedDatagrams>> {
+        let socket = std::net::UdpSocket::bind(address)?;
+        socket.set_nonblocking(true)?;
+        let socket = UdpSocket::from_std(socket)?;
+        Ok(Arc::new(Datagrams { socket, rules: self.rules.clone() }))
+    }
+
+    fn disk(&self) -> Arc<dyn Disk> {
+        Arc::<FaultyDisk>::clone(&self.disk)
+    }
+
+    fn take_disk_time(&self) -> Duration {
+        Duration::ZERO
+    }
+
+    fn waits_for_disk_on_a_thread(&self) -> bool {
+        true
+    }
+}
+
+#[derive(Debug)]
+struct Listener {
+    listener: TcpListener,
+    rules: LiveRules,
+}
+
+impl SimulatedListener for Listener {
+    fn accept(&self) -> Pending<'_, SimulatedStream> {
+        Box::pin(async {
+            let (stream, _) = self.listener.accept().await?;
+            under_rules(stream, &self.rules)
+        })
+    }
+}
+
+#[derive(Debug)]
+struct Datagrams {
+    socket: UdpSocket,
+    rules: LiveRules,
+}
+
+impl SimulatedDatagrams for Datagrams {
+    fn readable(&self) -> Pending<'_, ()> {
+        Box::pin(self.socket.readable())
+    }
+
+    fn try_recv_from(&self, buffer: &mut [u8]) -> io::Result<(usize, SocketAddr)> {
+        self.socket.try_recv_from(buffer)
+    }
+
+    fn try_send_to(&self, bytes: &[u8], to: SocketAddr) -> io::Result<usize> {
+        if self.rules.get(|rules| rules.cut_to.contains(&to.ip())) {
+            return Ok(bytes.len());
+        }
+        self.socket.try_send_to(bytes, to)
+    }
+}
--- /dev/null
+++ b/crates/soak/src/fault/link.rs
@@ -0,0 +1,189 @@
+//! Connections whose bytes can be held back, delayed or thrown away.
+//!
+//! A task for each direction carries bytes between the process and the socket. While the way to the other machine
+//! is cut, bytes wait; once they have waited for the connection's user time-out, both directions are reset, as the
+//! operating system would do.
+
+use std::io;
+use std::net::{IpAddr, SocketAddr};
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use juniperwing_node::host::{SimulatedStream, SimulatedWriter};
+use tokio::io::{AsyncReadExt, AsyncWrite, AsyncWriteExt, DuplexStream, duplex};
+use tokio::net::TcpStream;
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::sync::watch;
+use tokio::time::{Instant, sleep};
+
+use super::rules::LiveRules;
+
+/// Bytes that may wait in each direction, as in a socket's buffers.
+const BUFFER_BYTES: usize = 128 << 10;
+/// Bytes that are carried at a time.
+const PIECE_BYTES: usize = 16 << 10;
+/// How often what is held back looks whether it may go on.
+const LOOK_EVERY: Duration = Duration::from_millis(5);
+
+/// What both directions of a connection share.
+struct Shared {
+    rules: LiveRules,
+    peer: IpAddr,
+    user_timeout_ms: AtomicU64,
+    /// The count of resets when the connection came up.
+    resets: u64,
+    dead: watch::Sender<bool>,
+}
+
+impl Shared {
+    fn is_cut_to(&self) -> bool {
+        self.rules.get(|rules| rules.cut_to.contains(&self.peer))
+    }
+
+    fn is_cut_from(&self) -> bool {
+        self.rules.get(|rules| rules.cut_from.contains(&self.peer))
+    }
+
+    fn is_reset(&self) -> bool {
+        self.rules.get(|rules| rules.resets) != self.resets
+    }
+
+    fn is_overdue(&self, since: Instant) -> bool {
+        let limit = self.user_timeout_ms.load(Ordering::Relaxed);
+        limit > 0 && since.elapsed() >= Duration::from_millis(limit)
+    }
+
+    fn kill(&self) {
+        self.dead.send_replace(true);
+    }
+}
+
+/// Puts a connection under the rules.
+///
+/// # Errors
+///
+/// If the connection is gone.
+pub fn under_rules(stream: TcpStream, rules: &LiveRules) -> io::Result<SimulatedStream> {
+    let peer = stream.peer_addr()?;
+    stream.set_nodelay(true)?;
+    let (dead, _) = watch::channel(false);
+    let shared = Arc::new(Shared {
+        rules: rules.clone(),
+        peer: peer.ip(),
+        user_timeout_ms: AtomicU64::new(0),
+        resets: rules.get(|rules| rules.resets),
+        dead,
+    });
+    let (inbound, reader) = duplex(BUFFER_BYTES);
+    let (writer, outbound) = duplex(BUFFER_BYTES);
+    let (from, to) = stream.into_split();
+    tokio::spawn(carry_in(Arc::clone(&shared), from, inbound));
+    tokio::spawn(carry_out(Arc::clone(&shared), outbound, to));
+    Ok(SimulatedStream { peer, reader: Box::new(reader), writer: Box::new(Writer { inner: writer, shared }) })
+}
+
+/// Waits until the way to a machine is free, in both directions.
+pub async fn wait_for_way(rules: &LiveRules, peer: SocketAddr) {
+    let is_cut =
+        || rules.get(|rules| rules.cut_to.contains(&peer.ip()) || rules.cut_from.contains(&peer.ip()));
+    while is_cut() {
+        sleep(LOOK_EVERY).await;
+    }
+}
+
+async fn carry_in(shared: Arc<Shared>, mut from: OwnedReadHalf, mut to: DuplexStream) {
+    let mut dead = shared.dead.subscribe();
+    let mut piece = vec![0; PIECE_BYTES];
+    loop {
+        let read = tokio::select! {
+            _ = dead.wait_for(|dead| *dead) => return,
+            read = from.read(&mut piece) => read,
+        };
+        let Ok(length) = read else { return shared.kill() };
+        if length == 0 {
+            return;
+        }
+        if to.write_all(&piece[..length]).await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn carry_out(shared: Arc<Shared>, mut from: DuplexStream, mut to: OwnedWriteHalf) {
+    if carry_out_until_end(&shared, &mut from, &mut to).await.is_err() {
+        shared.kill();
+        // Dropped, the connection is reset: a machine that gives one up says so once it can.
+        let _ = socket2::SockRef::from(to.as_ref()).set_linger(Some(Duration::ZERO));
+    }
+}
+
+/// Carries bytes out until the process closes its side.
+async fn carry_out_until_end(
+    shared: &Shared, from: &mut DuplexStream, to: &mut OwnedWriteHalf,
+) -> io::Result<()> {
+    let given_up = || Err(io::ErrorKind::TimedOut.into());
+    let mut piece = vec![0; PIECE_BYTES];
+    let mut unacknowledged: Option<Instant> = None;
+    loop {
+        if shared.is_reset() || *shared.dead.borrow() {
+            return given_up();
+        }
+        if !shared.is_cut_from() {
+            unacknowledged = None;
+        } else if unacknowledged.is_some_and(|since| shared.is_overdue(since)) {
+            return given_up();
+        }
+        let read = tokio::select! {
+            read = from.read(&mut piece) => read?,
+            () = sleep(LOOK_EVERY) => continue,
+        };
+        if read == 0 {
+            // The other task ends with the socket.
+            return to.shutdown().await;
+        }
+        let held_since = Instant::now();
+        while shared.is_cut_to() {
+            if shared.is_overdue(held_since) || shared.is_reset() {
+                return given_up();
+            }
+            sleep(LOOK_EVERY).await;
+        }
+        let delay = shared.rules.get(|rules| rules.link_delay_ms);
+        if delay > 0 {
+            sleep(Duration::from_millis(delay)).await;
+        }
+        to.write_all(&piece[..read]).await?;
+        unacknowledged.get_or_insert_with(Instant::now);
+    }
+}
+
+/// The writing half as the process sees it.
+struct Writer {
+    inner: DuplexStream,
+    shared: Arc<Shared>,
+}
+
+impl SimulatedWriter for Writer {
+    fn set_user_timeout(&mut self, time_out: Duration) {
+        self.shared.user_timeout_ms.store(time_out.as_millis() as u64, Ordering::Relaxed);
+    }
+}
+
+impl AsyncWrite for Writer {
+    fn poll_write(
+        mut self: Pin<&mut Self>, context: &mut Context<'_>, bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.inner).poll_write(context, bytes)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_shutdown(context)
+    }
+}
--- /dev/null
+++ b/crates/soak/src/fault/node.rs
@@ -0,0 +1,47 @@
+//! A process of the soak that runs one role on a machine that can be told to misbehave.
+
+use std::io::{Read, stdin};
+use std::path::PathBuf;
+use std::process::{ExitCode, exit};
+use std::sync::Arc;
+use std::thread;
+
+use juniperwing_node::command::{Role, run as run_role};
+use juniperwing_node::host::enter;
+use juniperwing_node::settings::Settings;
+
+use super::host::FaultyHost;
+use super::rules::LiveRules;
+
+/// The exit code of a process whose soak is gone.
+const ORPHANED: i32 = 9;
+
+/// Runs `ROLE RULES SETTINGS` until the platform ends the process. It ends with the soak, too: its standard input
+/// ends then.
+pub fn run(arguments: &[String]) -> ExitCode {
+    let [role, rules, settings] = arguments else {
+        eprintln!("juniperwing-soak node: ROLE RULES SETTINGS");
+        return ExitCode::from(2);
+    };
+    let Some(role) = Role::of(role) else {
+        eprintln!("juniperwing-soak node: no role {role:?}");
+        return ExitCode::from(2);
+    };
+    end_with_the_soak();
+    let machine = Settings::read(Some(settings.as_ref())).map(|settings| settings.ip_address);
+    let (Ok(address), Ok(rules)) = (machine, LiveRules::follow(PathBuf::from(rules))) else {
+        // The role tells what is wrong with its settings.
+        return run_role(role, &["--settings".to_owned(), settings.clone()]);
+    };
+    let _machine = enter(Arc::new(FaultyHost::new(address, rules)));
+    run_role(role, &["--settings".to_owned(), settings.clone()])
+}
+
+fn end_with_the_soak() {
+    thread::spawn(|| {
+        let mut nothing = [0; 1];
+        // Nothing is ever written to it.
+        while matches!(stdin().read(&mut nothing), Ok(length) if length > 0) {}
+        exit(ORPHANED);
+    });
+}
--- /dev/null
+++ b/crates/soak/src/lib.rs
@@ -0,0 +1,21 @@
+//! Runs a whole tier as real processes on loopback under random troubles, and judges it by what its callers saw.
+//!
+//! The processes run the roles as they are; only the machine under them ([`juniperwing_node::host`]) is replaced by
+//! one whose links and disks can be told to misbehave ([`fault`]). The shipped program does not contain that. A
+//! schedule of overlapping troubles is drawn from a seed ([`schedule`]) and played on the tier ([`tier`]) while
+//! programs, plain clients and operators work ([`load`]). What they saw goes into a [`history`], which an [`oracle`]
+//! judges. `docs/soak.md` tells what is judged and how to use it.
+
+pub mod chance;
+pub mod command;
+pub mod coverage;
+pub mod fault;
+pub mod history;
+pub mod http;
+pub mod load;
+pub mod network;
+pub mod oracle;
+pub mod play;
+pub mod schedule;
+pub mod tier;
+pub mod troubles;
--- /dev/null
+++ b/crates/soak/src/main.rs
@@ -0,0 +1,15 @@
+//! The soak: see the library.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let words: Vec<String> = std::env::args().skip(1).collect();
+    match words.split_first() {
+        Some((command, rest)) if command == "run" => juniperwing_soak::command::run(rest),
+        Some((command, rest)) if command == "node" => juniperwing_soak::fault::run(rest),
+        _ => {
+            eprintln!("Usage: juniperwing-soak run [OPTIONS]; --help behind it tells them");
+            ExitCode::from(2)
+        }
+    }
+}
--- /dev/null
+++ b/crates/soak/src/network.rs
@@ -0,0 +1,56 @@
+//! The addresses of one play on the loopback network.
+
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+
+use juniperwing_node::command::Role;
+
+/// The ports of the tier; the same on all machines.
+pub const FRONTEND_PORT: u16 = 8_149;
+/// Where relays answer the platform.
+pub const READINESS_PORT: u16 = 8_141;
+/// Where keepers listen for endpoints and operators.
+pub const CONTROL_PORT: u16 = 8_144;
+/// Where every role tells its figures.
+pub const METRICS_PORT: u16 = 9_464;
+/// First and last of the ports for the tier's own messages.
+pub const TIER_PORTS: (u16, u16) = (7_380, 7_395);
+
+/// Networks that plays may use at the same time: 127.20 to 127.219.
+const NETWORKS: u64 = 200;
+const FIRST_NETWORK: u64 = 20;
+const ENDPOINTS: u8 = 4;
+
+/// The addresses of one play.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Network(u8);
+
+impl Network {
+    /// The network with a number; numbers wrap around.
+    pub fn new(number: u64) -> Network {
+        Network((FIRST_NETWORK + number % NETWORKS) as u8)
+    }
+
+    /// The machine of a role, by its number from 0 on.
+    pub fn machine(self, role: Role, number: usize) -> IpAddr {
+        let kind = match role {
+            Role::Keeper => 1,
+            Role::Store => 2,
+            Role::Relay => 3,
+        };
+        self.address(kind, number)
+    }
+
+    /// The machine of an endpoint, by its number from 0 on.
+    pub fn endpoint(self, number: usize) -> IpAddr {
+        self.address(ENDPOINTS, number)
+    }
+
+    /// A listener on the machine of a role.
+    pub fn listener(self, role: Role, number: usize, port: u16) -> SocketAddr {
+        SocketAddr::new(self.machine(role, number), port)
+    }
+
+    fn address(self, kind: u8, number: usize) -> IpAddr {
+        IpAddr::V4(Ipv4Addr::new(127, self.0, kind, 1 + number as u8))
+    }
+}
--- /dev/null
+++ b/crates/soak/src/play.rs
@@ -0,0 +1,447 @@
+//! Plays one schedule on a tier of processes, and judges what was seen.
+
+use std::fs;
+use std::io;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::Duration;
+
+use juniperwing_node::command::Role;
+use rustix::process::Signal;
+use tokio::task::JoinSet;
+use tokio::time::{Instant, sleep, sleep_until, timeout};
+
+use crate::chance::Chance;
+use crate::fault::DiskFault;
+use crate::history::{Ended, Finding, History, Millis, Suffered};
+use crate::http::{ask, request};
+use crate::load::{
+    Endpoints, KeptTurn, Operators, Platform, Shared, burst, continue_turn, read_configuration, start_clients,
+};
+use crate::network::{METRICS_PORT, Network};
+use crate::oracle::judge;
+use crate::schedule::{KEEPERS, RELAYS, Schedule, Trouble};
+use crate::tier::Tier;
+use crate::troubles::{Direction, Machine, TroubleKind};
+
+/// How long the tier may take until it serves for the first time.
+const FOUNDED_WITHIN: Duration = Duration::from_secs(20);
+/// `bounds.recoveryS`: how long it may take until all is well after the last trouble.
+const RECOVERY: Duration = Duration::from_secs(12);
+/// How long the load goes on after that.
+const AT_REST: Duration = Duration::from_secs(4);
+/// Requests in a hundred that must be served at rest.
+const SERVED_AT_REST: usize = 90;
+/// Turns from which a program goes on at the end.
+const CONTINUED: usize = 12;
+/// Tries of each of them.
+const CONTINUE_TRIES: usize = 3;
+/// How long whoever works may take to finish.
+const FINISH_WITHIN: Duration = Duration::from_secs(15);
+/// How long all may take to be settled when nobody works any more.
+const SETTLED_WITHIN: Duration = Duration::from_secs(13);
+/// How long the settled state is waited for where a reservation may be left over for good.
+const GLANCE: Duration = Duration::from_secs(1);
+
+/// What is played.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// The seed.
+    pub seed: u64,
+    /// About how long troubles come.
+    pub length: Millis,
+    /// The number of the network.
+    pub network: u64,
+    /// Where files go; a folder of its own for each play.
+    pub folder: PathBuf,
+    /// The program that processes run.
+    pub program: PathBuf,
+    /// Whether files are kept where nothing was found.
+    pub keep: bool,
+    /// Troubles to play in place of the drawn ones.
+    pub troubles: Option<Vec<Trouble>>,
+}
+
+/// What came of a play.
+#[derive(Clone, Debug)]
+pub struct Report {
+    /// What was played.
+    pub schedule: Schedule,
+    /// What must not be.
+    pub findings: Vec<Finding>,
+    /// What was done meanwhile, in a line.
+    pub summary: String,
+    /// Where its files are, if they were kept.
+    pub folder: Option<PathBuf>,
+}
+
+/// Plays one schedule.
+///
+/// # Errors
+///
+/// If files or processes cannot be made.
+pub async fn play(options: &Options) -> io::Result<Report> {
+    let mut schedule = Schedule::draw(options.seed, options.length);
+    if let Some(troubles) = &options.troubles {
+        schedule.troubles.clone_from(troubles);
+        schedule.within_tolerance = true;
+    }
+    // What an earlier play of this seed left is of no more use.
+    let _ = fs::remove_dir_all(&options.folder);
+    fs::create_dir_all(&options.folder)?;
+    fs::write(options.folder.join("schedule.txt"), schedule.to_string())?;
+    let play = Play::new(options);
+    let summary = play.run(&schedule).await?;
+    let load_ended_at = play.shared.history.now();
+    play.tier.end().await;
+    let mut findings =
+        judge(&play.shared.history.record(), &schedule, summary.load_ended_at.min(load_ended_at));
+    findings.extend(faults_in_logs(&play.tier)?);
+    findings.dedup();
+    let told: Vec<String> =
+        findings.iter().map(|found| format!("{}: {}", found.promise, found.details)).collect();
+    fs::write(options.folder.join("findings.txt"), told.join("\n"))?;
+    let kept = options.keep || !findings.is_empty();
+    if !kept {
+        fs::remove_dir_all(&options.folder)?;
+    }
+    let folder = kept.then(|| options.folder.clone());
+    Ok(Report { schedule, findings, summary: summary.text, folder })
+}
+
+/// Panics and violated invariants that the processes logged.
+fn faults_in_logs(tier: &Tier) -> io::Result<Vec<Finding>> {
+    let mut findings = Vec::new();
+    for (name, log) in tier.logs()? {
+        for line in log.lines() {
+            let is_planted = line.contains("the soak has the writing thread panic");
+            if line.contains("\"invariant violated\"") {
+                findings.push(Finding { promise: "an invariant", details: format!("{name}: {line}") });
+            } else if line.contains("panic") && !is_planted {
+                findings.push(Finding { promise: "no panic", details: format!("{name}: {line}") });
+            }
+        }
+    }
+    Ok(findings)
+}
+
+struct Play {
+    tier: Arc<Tier>,
+    shared: Arc<Shared>,
+    endpoints: Arc<Endpoints>,
+}
+
+struct Summary {
+    text: String,
+    load_ended_at: Millis,
+}
+
+impl Play {
+    fn new(options: &Options) -> Play {
+        let history = Arc::new(History::default());
+        let network = Network::new(options.network);
+        let tier = Tier::new(network, options.folder.clone(), options.program.clone(), Arc::clone(&history));
+        let tier = Arc::new(tier);
+        let platform = Arc::new(Platform::new(network));
+        let shared = Shared::new(network, Arc::clone(&tier), history, platform, options.seed);
+        let shared = Arc::new(shared);
+        let endpoints = Arc::new(Endpoints::start(&shared));
+        Play { tier, shared, endpoints }
+    }
+
+    async fn run(&self, schedule: &Schedule) -> io::Result<Summary> {
+        self.tier.found().await?;
+        // What looks after processes and relays ends with the play.
+        let mut helpers = JoinSet::new();
+        let tier = Arc::clone(&self.tier);
+        helpers.spawn(async move { tier.supervise().await });
+        for relay in 0..RELAYS {
+            let platform = Arc::clone(&self.shared.platform);
+            helpers.spawn(async move { platform.watch(relay).await });
+        }
+        let founded = Operators::found(&self.shared, FOUNDED_WITHIN).await;
+        let ready = self.shared.platform.all_take(FOUNDED_WITHIN).await;
+        if !founded || !ready {
+            let details = format!("configuration taken: {founded}, relays ready: {ready}");
+            self.shared.history.found("a tier comes up", details);
+        }
+        let mut load = JoinSet::new();
+        start_clients(&self.shared, &mut load);
+        for operator in 0..2 {
+            load.spawn(Operators::run(Arc::clone(&self.shared), operator));
+        }
+        self.play_troubles(schedule, &mut load).await;
+        sleep(RECOVERY).await;
+        let rest_began = self.shared.history.now();
+        sleep(AT_REST).await;
+        let load_ended_at = self.shared.history.now();
+        self.shared.stop();
+        if timeout(FINISH_WITHIN, async { while load.join_next().await.is_some() {} }).await.is_err() {
+            self.shared.history.found("the soak itself", "those who work do not finish".to_owned());
+        }
+        self.judge_rest(rest_began, load_ended_at);
+        self.judge_end().await;
+        self.judge_settled(schedule).await;
+        Ok(Summary { text: self.summary(), load_ended_at })
+    }
+
+    async fn play_troubles(&self, schedule: &Schedule, load: &mut JoinSet<()>) {
+        let began = Instant::now();
+        let mut playing = JoinSet::new();
+        for (number, trouble) in schedule.troubles.iter().enumerate() {
+            sleep_until(began + Duration::from_millis(trouble.at)).await;
+            if trouble.kind == TroubleKind::Burst {
+                burst(&self.shared, self.shared.history.now() + trouble.lasts, load);
+            }
+            let player = Player {
+                tier: Arc::clone(&self.tier),
+                shared: Arc::clone(&self.shared),
+                endpoints: Arc::clone(&self.endpoints),
+                chance: Chance::new(schedule.seed, &format!("trouble {number}")),
+            };
+            playing.spawn(player.play(*trouble));
+        }
+        while playing.join_next().await.is_some() {}
+    }
+
+    /// When all is over, nearly everything is served.
+    fn judge_rest(&self, from: Millis, until: Millis) {
+        let history = &self.shared.history;
+        let (mut served, mut all, mut examples) = (0, 0, Vec::new());
+        {
+            let record = history.record();
+            let at_rest = record.tries.iter().filter(|(_, tried)| (from..until).contains(&tried.sent_at));
+            for (id, tried) in at_rest {
+                let Some((_, ended)) = tried.ended else { continue };
+                match ended {
+                    Ended::Left => continue,
+                    Ended::Status { status: 200 | 402, .. } => served += 1,
+                    other => examples.push(format!("{id} by relay {}: {other:?}", tried.relay)),
+                }
+                all += 1;
+            }
+        }
+        if served * 100 < all * SERVED_AT_REST || all == 0 {
+            examples.truncate(5);
+            history.found("all is well after recovery", format!("{served} of {all} served; {examples:?}"));
+        }
+        let orders = history
+            .record()
+            .orders
+            .iter()
+            .filter(|order| order.acknowledged_at().is_some_and(|at| at >= from))
+            .count();
+        if orders == 0 {
+            history.found("all is well after recovery", "no order was taken".to_owned());
+        }
+    }
+
+    /// What was acknowledged is there: the newest configuration, and turns to go on from.
+    async fn judge_end(&self) {
+        let history = &self.shared.history;
+        let mut read = false;
+        for keeper in 0..KEEPERS * 3 {
+            read |= read_configuration(&self.shared, keeper).await.is_some();
+        }
+        if !read {
+            history.found("the configuration is read back", "no keeper answered".to_owned());
+        }
+        let kept = self.shared.kept_turns();
+        let step = kept.len().div_ceil(CONTINUED).max(1);
+        for turn in kept.iter().step_by(step) {
+            self.continue_from(turn).await;
+        }
+    }
+
+    async fn continue_from(&self, turn: &KeptTurn) {
+        if !continue_turn(&self.shared, turn, CONTINUE_TRIES).await {
+            let details = format!("{} of {}", turn.id, turn.program);
+            self.shared.history.found("a kept turn can be continued", details);
+        }
+    }
+
+    /// With nobody at work, nothing is held or under way.
+    async fn judge_settled(&self, schedule: &Schedule) {
+        let may_leave_reservations = schedule.troubles.iter().any(leaves_reservations);
+        let within = if may_leave_reservations { GLANCE } else { SETTLED_WITHIN };
+        let until = Instant::now() + within;
+        let mut unsettled = self.unsettled(may_leave_reservations).await;
+        while !unsettled.is_empty() && Instant::now() < until {
+            sleep(Duration::from_millis(300)).await;
+            unsettled = self.unsettled(may_leave_reservations).await;
+        }
+        if !unsettled.is_empty() {
+            self.shared.history.found("nothing is held at rest", unsettled.join(", "));
+        }
+    }
+
+    async fn unsettled(&self, may_leave_reservations: bool) -> Vec<String> {
+        const ZERO_AT_REST: [&str; 6] = [
+            "juniperwing_open_requests",
+            "juniperwing_slots_taken",
+            "juniperwing_body_bytes",
+            "juniperwing_settling",
+            "juniperwing_writes_under_way",
+            "juniperwing_questions_waiting",
+        ];
+        let mut unsettled = Vec::new();
+        for machine in self.tier.machines() {
+            let Some(page) = self.figures(machine).await else {
+                unsettled.push(format!("{machine} tells no figures"));
+                continue;
+            };
+            for line in page.lines().filter(|line| !line.starts_with('#')) {
+                let Some((name, value)) = line.rsplit_once(' ') else { continue };
+                let reservations = name == "juniperwing_reservations" && !may_leave_reservations;
+                if (ZERO_AT_REST.contains(&name) || reservations) && value != "0" {
+                    unsettled.push(format!("{machine}: {name} {value}"));
+                }
+                if name.starts_with("juniperwing_invariant_violations") && value != "0" {
+                    unsettled.push(format!("{machine}: {line}"));
+                }
+            }
+        }
+        unsettled
+    }
+
+    async fn figures(&self, machine: Machine) -> Option<String> {
+        let address = self.shared.network.listener(machine.role, machine.number, METRICS_PORT);
+        let question = request("GET", "/metrics", &[("Host", "figures")], b"");
+        let (head, body) = ask(address, &question, Duration::from_secs(1)).await.ok()?;
+        (head.status == 200).then(|| String::from_utf8_lossy(&body).into_owned())
+    }
+
+    fn summary(&self) -> String {
+        let record = self.shared.history.record();
+        let acknowledged = record.orders.iter().filter(|order| order.acknowledged_at().is_some()).count();
+        format!(
+            "{} tries, {} turns and {} requests served, {acknowledged} of {} orders acknowledged, {} reads, {} probes",
+            record.tries.len(),
+            record.turns_served.len(),
+            record.requests_served.len(),
+            record.orders.len(),
+            record.reads.len(),
+            record.probes.len(),
+        )
+    }
+}
+
+/// Whether a turn may stay reserved for good: its relay dies at once, or no store can be reached for long.
+fn leaves_reservations(trouble: &Trouble) -> bool {
+    let of_a_relay = trouble.kind.machine().is_some_and(|machine| machine.role == Role::Relay);
+    let ends_at_once = matches!(trouble.kind, TroubleKind::Kill(_) | TroubleKind::KillInStart(_));
+    let is_long = trouble.lasts >= 4_000 && trouble.kind.is_of_the_tier();
+    (of_a_relay && ends_at_once) || trouble.kind.strikes_many() || is_long
+}
+
+/// Plays one trouble.
+struct Player {
+    tier: Arc<Tier>,
+    shared: Arc<Shared>,
+    endpoints: Arc<Endpoints>,
+    chance: Chance,
+}
+
+impl Player {
+    async fn play(mut self, trouble: Trouble) {
+        let history = Arc::clone(&self.shared.history);
+        let place = {
+            let from = history.now();
+            let mut record = history.record();
+            // Until it is over, it lasts for ever.
+            record.suffered.push(Suffered { kind: trouble.kind, from, until: Millis::MAX / 2 });
+            record.suffered.len() - 1
+        };
+        self.strike(trouble).await;
+        let until = history.now();
+        history.record().suffered[place].until = until;
+    }
+
+    async fn strike(&mut self, trouble: Trouble) {
+        let time = Duration::from_millis(trouble.lasts);
+        let tier = Arc::clone(&self.tier);
+        match trouble.kind {
+            TroubleKind::Kill(machine) => tier.kill(machine, time, false).await,
+            TroubleKind::Wipe(machine) => tier.kill(machine, time, true).await,
+            TroubleKind::KillInStart(machine) => {
+                let pauses: Vec<Duration> =
+                    (0..3).map(|_| Duration::from_millis(5 + self.chance.below(250))).collect();
+                tier.kill_in_start(machine, &pauses).await;
+            }
+            TroubleKind::Freeze(machine) => tier.freeze(machine, time).await,
+            TroubleKind::Stop(machine) => tier.stop(machine, &[]).await,
+            TroubleKind::StopAgain(machine) => {
+                let mut at = || Duration::from_millis(self.chance.below(900));
+                let (mut first, mut second) = (at(), at());
+                if second < first {
+                    std::mem::swap(&mut first, &mut second);
+                }
+                let signals = [Signal::HUP, Signal::TERM, Signal::INT];
+                let further = [(first, self.chance.choose(&signals)), (second, self.chance.choose(&signals))];
+                tier.stop(machine, &further).await;
+            }
+            TroubleKind::StopInStart(machine) => {
+                tier.stop_in_start(machine, Duration::from_millis(self.chance.below(120))).await;
+            }
+            TroubleKind::Reload(machine, file) => {
+                if let Err(error) = tier.reload(machine, file, time).await {
+                    self.shared.history.found("the soak itself", error.to_string());
+                }
+            }
+            TroubleKind::Cut(machine, direction) => self.cut(machine, direction, time).await,
+            TroubleKind::Reset(machine) => tier.change_rules(machine, |rules| rules.resets += 1),
+            TroubleKind::SlowLinks(machine) => {
+                let delay = self.chance.choose(&[20, 60, 150]);
+                tier.change_rules(machine, |rules| rules.link_delay_ms = delay);
+                sleep(time).await;
+                tier.change_rules(machine, |rules| rules.link_delay_ms = 0);
+            }
+            TroubleKind::DiskStall(machine) => self.disk(machine, DiskFault::Stalls, time).await,
+            TroubleKind::DiskFull(machine) => self.disk(machine, DiskFault::Refuses, time).await,
+            TroubleKind::DiskSlow(machine) => {
+                let ms = self.chance.choose(&[40, 150]);
+                self.disk(machine, DiskFault::Slow { ms }, time).await;
+            }
+            TroubleKind::DiskPanic(machine) => self.disk(machine, DiskFault::Panics, time).await,
+            TroubleKind::ClockStep(machine) => {
+                let offset = self.chance.choose(&[-2_000, 2_000]);
+                tier.change_rules(machine, |rules| rules.clock_offset_ms = offset);
+                sleep(time).await;
+                tier.change_rules(machine, |rules| rules.clock_offset_ms = 0);
+            }
+            TroubleKind::KillAllThatCount => tier.kill_all(false, time, None).await,
+            TroubleKind::KillAll => tier.kill_all(true, time, None).await,
+            TroubleKind::KillAllWipeOne(machine) => tier.kill_all(true, time, Some(machine)).await,
+            TroubleKind::Endpoints(misbehaviour) => {
+                self.shared.set_misbehaviour(Some(misbehaviour));
+                sleep(time).await;
+                self.shared.set_misbehaviour(None);
+            }
+            TroubleKind::ReplaceEndpoint => self.endpoints.replace(self.chance.below(6)).await,
+            TroubleKind::EndpointGone => self.endpoints.vanish(self.chance.below(6)).await,
+            TroubleKind::Burst => sleep(time).await,
+            TroubleKind::ClientsLeave => {
+                self.shared.set_leaving(true);
+                sleep(time).await;
+                self.shared.set_leaving(false);
+            }
+        }
+    }
+
+    /// Cuts a machine off from those that count; half of the time from relays as well.
+    async fn cut(&mut self, machine: Machine, direction: Direction, time: Duration) {
+        let all = self.tier.machines();
+        let from_relays = self.chance.percent(50);
+        let others: Vec<Machine> =
+            all.into_iter().filter(|other| other.counts() || (from_relays && machine.counts())).collect();
+        let cut = self.tier.cut(machine, &others, direction);
+        sleep(time).await;
+        drop(cut);
+    }
+
+    async fn disk(&self, machine: Machine, fault: DiskFault, time: Duration) {
+        self.tier.change_rules(machine, |rules| rules.disk = fault);
+        sleep(time).await;
+        self.tier.change_rules(machine, |rules| rules.disk = DiskFault::None);
+    }
+}
--- /dev/null
+++ b/crates/soak/src/schedule.rs
@@ -0,0 +1,208 @@
+//! The schedule of a play, drawn from a seed before the play begins.
+
+use std::fmt;
+
+use juniperwing_node::command::Role;
+
+use crate::chance::Chance;
+use crate::history::Millis;
+use crate::troubles::{Direction, Machine, Misbehaviour, SettingsFile, TroubleKind};
+
+/// Keepers of a tier.
+pub const KEEPERS: usize = 3;
+/// Stores of a tier.
+pub const STORES: usize = 3;
+/// Relays of a tier.
+pub const RELAYS: usize = 2;
+/// A machine that counts stays lost for so long after it is back (`catchUpS`).
+pub const CATCH_UP_MS: Millis = 4_100;
+/// Before the first trouble, so that the tier is founded and works.
+const QUIET_AT_FIRST_MS: Millis = 1_500;
+
+/// A trouble at its time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Trouble {
+    /// When it begins, from the start of the load on.
+    pub at: Millis,
+    /// For how long it lasts, where it lasts.
+    pub lasts: Millis,
+    /// What.
+    pub kind: TroubleKind,
+}
+
+/// The troubles of one play, in the order of their times.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Schedule {
+    /// The seed.
+    pub seed: u64,
+    /// Whether no more is lost at once than the tier bears: then its service is judged throughout.
+    pub within_tolerance: bool,
+    /// The troubles.
+    pub troubles: Vec<Trouble>,
+    /// When the last of them is over.
+    pub ends_at: Millis,
+}
+
+impl Schedule {
+    /// Draws the schedule of a seed, which lasts for about `length`.
+    pub fn draw(seed: u64, length: Millis) -> Schedule {
+        let mut chance = Chance::new(seed, "schedule");
+        let within_tolerance = chance.percent(65);
+        let mut troubles = Vec::new();
+        draw_counted(&mut chance, length, within_tolerance, &mut troubles);
+        draw_others(&mut chance, length, &mut troubles);
+        if !within_tolerance {
+            draw_many(&mut chance, length, &mut troubles);
+        }
+        troubles.sort_by_key(|trouble| trouble.at);
+        let ends_at = troubles.iter().map(|trouble| trouble.at + trouble.lasts).max().unwrap_or_default();
+        Schedule { seed, within_tolerance, troubles, ends_at }
+    }
+}
+
+/// Troubles of machines that count: one after the other with the time to catch up between them, or overlapping.
+fn draw_counted(chance: &mut Chance, length: Millis, within_tolerance: bool, troubles: &mut Vec<Trouble>) {
+    let mut at = QUIET_AT_FIRST_MS + chance.below(500);
+    let mut disk_lost = false;
+    while at < length {
+        let mut trouble = Trouble { at, lasts: 0, kind: counted(chance) };
+        if trouble.kind.loses_disk() && !within_tolerance {
+            // A second disk may be lost only when the first one's copies are made again.
+            if disk_lost {
+                continue;
+            }
+            disk_lost = true;
+        }
+        trouble.lasts = lasts(chance, trouble.kind);
+        troubles.push(trouble);
+        let pause = if within_tolerance { CATCH_UP_MS + chance.below(600) } else { chance.below(1_500) };
+        let end = at + trouble.lasts;
+        at = if within_tolerance { end + pause } else { at + 300 + pause };
+    }
+}
+
+/// Troubles of relays, endpoints, clients, and such that lose nothing: at any time.
+fn draw_others(chance: &mut Chance, length: Millis, troubles: &mut Vec<Trouble>) {
+    let mut at = QUIET_AT_FIRST_MS / 2 + chance.below(1_000);
+    while at < length {
+        let kind = other(chance);
+        let lasts = lasts(chance, kind);
+        troubles.push(Trouble { at, lasts, kind });
+        at += 200 + chance.below(1_800);
+    }
+}
+
+/// More than the tier bears, once or twice.
+fn draw_many(chance: &mut Chance, length: Millis, troubles: &mut Vec<Trouble>) {
+    let has_lost_disk = troubles.iter().any(|trouble| trouble.kind.loses_disk());
+    for _ in 0..=chance.below(2) {
+        let at = QUIET_AT_FIRST_MS + chance.below(length);
+        let kind = match chance.below(4) {
+            0 => TroubleKind::KillAll,
+            1 if !has_lost_disk => TroubleKind::KillAllWipeOne(machine_that_counts(chance)),
+            _ => TroubleKind::KillAllThatCount,
+        };
+        let lost = troubles.iter().any(|trouble| trouble.kind.loses_disk());
+        let kind = if kind.loses_disk() && lost { TroubleKind::KillAll } else { kind };
+        troubles.push(Trouble { at, lasts: 200 + chance.below(1_500), kind });
+    }
+}
+
+fn counted(chance: &mut Chance) -> TroubleKind {
+    let machine = machine_that_counts(chance);
+    match chance.below(14) {
+        0 | 1 => TroubleKind::Kill(machine),
+        2 => TroubleKind::KillInStart(machine),
+        3 => TroubleKind::Wipe(machine),
+        4 => TroubleKind::Freeze(machine),
+        5 => TroubleKind::Stop(machine),
+        6 => TroubleKind::StopAgain(machine),
+        7 => TroubleKind::StopInStart(machine),
+        8 | 9 => TroubleKind::Cut(
+            machine,
+            chance.choose(&[Direction::Out, Direction::In, Direction::Both, Direction::Both]),
+        ),
+        10 => TroubleKind::DiskStall(machine),
+        11 => TroubleKind::DiskFull(machine),
+        12 => TroubleKind::DiskSlow(machine),
+        _ => TroubleKind::SlowLinks(machine),
+    }
+}
+
+fn other(chance: &mut Chance) -> TroubleKind {
+    let relay = Machine { role: Role::Relay, number: chance.below(RELAYS as u64) as usize };
+    let any = if chance.percent(50) { relay } else { machine_that_counts(chance) };
+    match chance.below(20) {
+        0 => TroubleKind::Kill(relay),
+        1 => TroubleKind::KillInStart(relay),
+        2 => TroubleKind::Freeze(relay),
+        3 | 4 => TroubleKind::Stop(relay),
+        5 => TroubleKind::StopAgain(relay),
+        6 => TroubleKind::Cut(relay, chance.choose(&[Direction::Out, Direction::In, Direction::Both])),
+        7..=9 => TroubleKind::Reload(any, settings_file(chance)),
+        10 => TroubleKind::Reset(any),
+        11 => TroubleKind::ClockStep(any),
+        12 | 13 => TroubleKind::Endpoints(misbehaviour(chance)),
+        14 | 15 => TroubleKind::ReplaceEndpoint,
+        16 => TroubleKind::EndpointGone,
+        17 => TroubleKind::Burst,
+        18 => TroubleKind::ClientsLeave,
+        _ => TroubleKind::SlowLinks(relay),
+    }
+}
+
+fn settings_file(chance: &mut Chance) -> SettingsFile {
+    chance.choose(&[SettingsFile::OtherSeeds, SettingsFile::Empty, SettingsFile::Broken, SettingsFile::Moved])
+}
+
+fn misbehaviour(chance: &mut Chance) -> Misbehaviour {
+    chance.choose(&[
+        Misbehaviour::LoseAnswers,
+        Misbehaviour::AnswerTwice,
+        Misbehaviour::BreakOff,
+        Misbehaviour::OtherId,
+        Misbehaviour::Hang,
+        Misbehaviour::Decline,
+    ])
+}
+
+fn machine_that_counts(chance: &mut Chance) -> Machine {
+    let number = chance.below((KEEPERS + STORES) as u64) as usize;
+    match number.checked_sub(KEEPERS) {
+        None => Machine { role: Role::Keeper, number },
+        Some(number) => Machine { role: Role::Store, number },
+    }
+}
+
+/// For how long a trouble lasts, in milliseconds; how long its machine is down, where it goes down.
+fn lasts(chance: &mut Chance, kind: TroubleKind) -> Millis {
+    match kind {
+        TroubleKind::Kill(_) | TroubleKind::Wipe(_) => 200 + chance.below(2_500),
+        TroubleKind::KillInStart(_) => 600 + chance.below(600),
+        TroubleKind::Stop(_) | TroubleKind::StopAgain(_) | TroubleKind::StopInStart(_) => 500,
+        TroubleKind::Freeze(_) => chance.choose(&[300, 900, 1_800, 4_000, 7_000]),
+        TroubleKind::Cut(..) => chance.choose(&[300, 900, 2_000, 5_000, 9_000]),
+        TroubleKind::DiskStall(_) => chance.choose(&[800, 2_500, 9_500]),
+        TroubleKind::DiskFull(_) => chance.choose(&[500, 1_500, 5_000]),
+        TroubleKind::DiskSlow(_) | TroubleKind::SlowLinks(_) => chance.choose(&[1_500, 4_000]),
+        TroubleKind::ClockStep(_) => 3_000,
+        TroubleKind::Reload(..) => 300,
+        TroubleKind::Endpoints(_) | TroubleKind::Burst | TroubleKind::ClientsLeave => {
+            1_000 + chance.below(3_000)
+        }
+        TroubleKind::KillAllThatCount | TroubleKind::KillAll | TroubleKind::KillAllWipeOne(_) => 500,
+        TroubleKind::DiskPanic(_) => 300,
+        TroubleKind::Reset(_) | TroubleKind::ReplaceEndpoint | TroubleKind::EndpointGone => 0,
+    }
+}
+
+impl fmt::Display for Schedule {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let kind = if self.within_tolerance { "within the tolerance" } else { "beyond the tolerance" };
+        writeln!(formatter, "seed {}, {kind}", self.seed)?;
+        for Trouble { at, lasts, kind } in &self.troubles {
+            writeln!(formatter, "  {at:>6} ms  {lasts:>5} ms  {kind}")?;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/soak/tests/schedule.rs
@@ -0,0 +1,34 @@
+//! Schedules follow from their seeds, and leave the machines that count the time to catch up.
+
+use juniperwing_soak::schedule::{CATCH_UP_MS, Schedule};
+
+const LENGTH_MS: u64 = 25_000;
+
+#[test]
+fn the_same_seed_gives_the_same_schedule() {
+    assert_eq!(Schedule::draw(7, LENGTH_MS), Schedule::draw(7, LENGTH_MS));
+    assert_ne!(Schedule::draw(7, LENGTH_MS).troubles, Schedule::draw(8, LENGTH_MS).troubles);
+}
+
+#[test]
+fn within_the_tolerance_one_loss_is_over_before_the_next() {
+    for schedule in (0..200).map(|seed| Schedule::draw(seed, LENGTH_MS)) {
+        if !schedule.within_tolerance {
+            continue;
+        }
+        let counted = schedule.troubles.iter().filter(|trouble| trouble.kind.is_counted_loss());
+        let counted: Vec<_> = counted.collect();
+        for pair in counted.windows(2) {
+            let free = pair[0].at + pair[0].lasts + CATCH_UP_MS;
+            assert!(pair[1].at >= free, "seed {}: {} and {}", schedule.seed, pair[0].kind, pair[1].kind);
+        }
+    }
+}
+
+#[test]
+fn beyond_it_no_more_disks_are_lost_than_are_borne() {
+    for schedule in (0..200).map(|seed| Schedule::draw(seed, LENGTH_MS)) {
+        let lost = schedule.troubles.iter().filter(|trouble| trouble.kind.loses_disk()).count();
+        assert!(schedule.within_tolerance || lost <= 1, "seed {}: {lost} disks", schedule.seed);
+    }
+}
--- /dev/null
+++ b/crates/soak/tests/short.rs
@@ -0,0 +1,46 @@
+//! The short form of the soak, for CI: a few plays side by side, in under two minutes.
+
+use std::path::PathBuf;
+
+use juniperwing_soak::play::{Options, Report, play};
+use juniperwing_soak::schedule::{Schedule, Trouble};
+
+/// About how long troubles come, in milliseconds.
+const LENGTH_MS: u64 = 9_000;
+
+fn options(name: &str, seed: u64, troubles: Option<Vec<Trouble>>) -> Options {
+    Options {
+        seed,
+        length: LENGTH_MS,
+        // Apart from the networks of other plays on this machine.
+        network: u64::from(std::process::id()) + seed,
+        folder: PathBuf::from(env!("CARGO_TARGET_TMPDIR"))
+            .join(format!("soak-{name}-{}", std::process::id())),
+        program: PathBuf::from(env!("CARGO_BIN_EXE_juniperwing-soak")),
+        keep: false,
+        troubles,
+    }
+}
+
+fn played(options: &Options) -> Report {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    runtime.block_on(play(options)).unwrap()
+}
+
+fn expect_nothing(report: &Report) {
+    let Report { schedule, findings, summary, folder } = report;
+    assert!(findings.is_empty(), "{schedule}{summary}\n{findings:#?}\nfiles: {folder:?}");
+}
+
+#[test]
+fn a_play_within_the_tolerance_finds_nothing() {
+    let report = played(&options("within", 3, None));
+    assert!(report.schedule.within_tolerance);
+    expect_nothing(&report);
+}
+
+#[test]
+fn a_play_beyond_the_tolerance_loses_nothing() {
+    let seed = (1..).find(|seed| !Schedule::draw(*seed, LENGTH_MS).within_tolerance).unwrap();
+    expect_nothing(&played(&options("beyond", seed, None)));
+}
