--- a/crates/node/src/host.rs
+++ b/crates/node/src/host.rs
@@ -138,6 +138,11 @@
     SIMULATED.with_borrow(Clone::clone)
 }
 
+/// An error with the address at which it came up.
+pub(crate) fn at(address: SocketAddr, error: &io::Error) -> io::Error {
+    io::Error::new(error.kind(), format!("{address}: {error}"))
+}
+
 /// Does work that waits for the disk without holding up the process.
 ///
 /// # Errors
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -47,6 +47,7 @@
 use crate::clock::random;
 use crate::command::Process;
 use crate::gossip::{Gossip, Myself};
+use crate::host::at;
 use crate::link::{Link, LinkPool, Reply, Service};
 use crate::metrics::FigureSource;
 use crate::sessions_client::SessionsClient;
@@ -278,7 +279,7 @@
 async fn listen(address: Option<SocketAddr>, key: &str) -> io::Result<TcpListener> {
     let address =
         address.ok_or_else(|| io::Error::new(io::ErrorKind::InvalidInput, format!("{key}: missing")))?;
-    TcpListener::bind(address).await
+    TcpListener::bind(address).await.map_err(|error| at(address, &error))
 }
 
 /// Closes connections whose time is over, and logs counters.
--- a/crates/node/tests/store.rs
+++ b/crates/node/tests/store.rs
@@ -2,6 +2,7 @@
 
 mod stores;
 
+use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -181,6 +182,44 @@
     assert_eq!(stores.client.finish(keep("p", "t3", Some("t2")), WITHIN).await, Ok(()));
 }
 
+/// A disk that answers nothing gives no event: opening a pipe that nobody reads blocks like it.
+#[tokio::test]
+async fn a_store_whose_disk_answers_nothing_leaves_the_keepers_until_it_does() {
+    let stores = Stores::start("stalled").await;
+    keep_two(&stores).await;
+    let pipe = Pipe::make(stores.next_segment(0));
+    let mut filled = 0;
+    while stores.client.finish(filling(filled), SHORTLY).await == Ok(()) {
+        filled += 1;
+        assert!(filled < MOST_OPEN_SEGMENTS, "the disk takes everything");
+    }
+    let left = stores.keeper.subscribed(COUNT - 1).await;
+    stores.assign(&left, &[]);
+    assert_eq!(stores.client.finish(keep("p", "t3", Some("t2")), WITHIN).await, Ok(()));
+    // The pipe is read, and refuses to be synced: the next batch goes into a segment of its own.
+    drop(pipe);
+    stores.keeper.subscribed(COUNT).await;
+}
+
+/// A pipe in the place of a file. It is read when this is dropped, also by a test that fails.
+struct Pipe(PathBuf);
+
+impl Pipe {
+    fn make(path: PathBuf) -> Pipe {
+        let made = std::process::Command::new("mkfifo").arg(&path).status().unwrap();
+        assert!(made.success());
+        Pipe(path)
+    }
+}
+
+impl Drop for Pipe {
+    fn drop(&mut self) {
+        let path = self.0.clone();
+        // Blocks until whoever writes has opened it.
+        std::thread::spawn(move || std::fs::read(path));
+    }
+}
+
 // Guard: reservations and settled turns are records on disk like any other, kept turn or not.
 #[tokio::test]
 async fn a_spent_budget_stays_spent_through_the_loss_of_all_stores() {
--- a/crates/node/tests/stores/mod.rs
+++ b/crates/node/tests/stores/mod.rs
@@ -220,6 +220,17 @@
         self.running[number] = Some(Running::start(self.settings(number)));
     }
 
+    /// The file that the next segment of a store will be.
+    pub fn next_segment(&self, store: usize) -> PathBuf {
+        const PREFIX: &str = "segment-";
+        let folder = self.data(store).join("sessions");
+        let names = std::fs::read_dir(&folder).unwrap().map(|entry| entry.unwrap().file_name());
+        let numbers =
+            names.filter_map(|name| u64::from_str_radix(name.to_str()?.strip_prefix(PREFIX)?, 16).ok());
+        let newest = numbers.max().unwrap_or_default();
+        folder.join(format!("{PREFIX}{:016x}", newest + 1))
+    }
+
     pub fn data(&self, number: usize) -> PathBuf {
         self.folder.join(format!("store-{number}"))
     }
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -50,7 +50,7 @@
         let within_tolerance = chance.percent(65);
         let mut troubles = Vec::new();
         draw_counted(&mut chance, length, within_tolerance, &mut troubles);
-        draw_others(&mut chance, length, &mut troubles);
+        draw_others(&mut chance, length, within_tolerance, &mut troubles);
         if !within_tolerance {
             draw_many(&mut chance, length, &mut troubles);
         }
@@ -81,11 +81,14 @@
     }
 }
 
-/// Troubles of relays, endpoints, clients, and such that lose nothing: at any time.
-fn draw_others(chance: &mut Chance, length: Millis, troubles: &mut Vec<Trouble>) {
+/// Troubles of relays, endpoints, clients, and such that lose nothing: at any time. Within the tolerance one relay is
+/// left alone, so that somebody serves.
+fn draw_others(chance: &mut Chance, length: Millis, within_tolerance: bool, troubles: &mut Vec<Trouble>) {
     let mut at = QUIET_AT_FIRST_MS / 2 + chance.below(1_000);
+    let struck = relay(chance);
     while at < length {
-        let kind = other(chance);
+        let relay = if within_tolerance { struck } else { relay(chance) };
+        let kind = other(chance, relay);
         let lasts = lasts(chance, kind);
         troubles.push(Trouble { at, lasts, kind });
         at += 200 + chance.below(1_800);
@@ -129,9 +132,12 @@
     }
 }
 
-fn other(chance: &mut Chance) -> TroubleKind {
-    let relay = Machine { role: Role::Relay, number: chance.below(RELAYS as u64) as usize };
-    let any = if chance.percent(50) { relay } else { machine_that_counts(chance) };
+fn relay(chance: &mut Chance) -> Machine {
+    Machine { role: Role::Relay, number: chance.below(RELAYS as u64) as usize }
+}
+
+fn other(chance: &mut Chance, relay: Machine) -> TroubleKind {
+    let any = if chance.percent(50) { self::relay(chance) } else { machine_that_counts(chance) };
     match chance.below(20) {
         0 => TroubleKind::Kill(relay),
         1 => TroubleKind::KillInStart(relay),
--- a/crates/soak/src/tier.rs
+++ b/crates/soak/src/tier.rs
@@ -4,6 +4,7 @@
 use std::fs;
 use std::io;
 use std::net::IpAddr;
+use std::os::unix::process::ExitStatusExt;
 use std::path::{Path, PathBuf};
 use std::process::Stdio;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -29,6 +30,8 @@
 const CATCHES_SIGNALS: Duration = Duration::from_millis(500);
 /// Before a process that has ended is started again.
 const RESTART_PAUSE: Duration = Duration::from_millis(200);
+/// The number of the signal by which the soak ends processes.
+const SIGKILL: i32 = 9;
 /// How often processes are looked after.
 const LOOK_EVERY: Duration = Duration::from_millis(50);
 
@@ -45,6 +48,8 @@
     started: Mutex<Option<Instant>>,
     /// Whether its end was brought about by the soak.
     may_end: AtomicBool,
+    /// Whether it may end by itself, since it is made to panic.
+    excused: AtomicBool,
     /// Whether it belongs to the first start of the tier.
     founds: AtomicBool,
     rules: Mutex<Rules>,
@@ -127,7 +132,7 @@
                 let Some(status) = child.as_mut().and_then(|child| child.try_wait().ok().flatten()) else {
                     continue;
                 };
-                if !node.may_end.load(Ordering::Relaxed) {
+                if !node.may_end.load(Ordering::Relaxed) && !node.excused.load(Ordering::Relaxed) {
                     let life = node.life.load(Ordering::Relaxed);
                     let details = format!("{} ended by itself with {status}, start {life}", node.machine);
                     self.history.found("a process ends by itself", details);
@@ -239,7 +244,8 @@
                     format!("{} runs {took} ms after SIGTERM", node.machine),
                 );
             }
-            Ok(Ok(status)) if caught && !status.success() => {
+            // Troubles that strike many kill without waiting for others.
+            Ok(Ok(status)) if caught && !status.success() && status.signal() != Some(SIGKILL) => {
                 self.history
                     .found("an end in order", format!("{} ends with {status} after SIGTERM", node.machine));
             }
@@ -269,6 +275,11 @@
         let _ = self.write_rules(node);
     }
 
+    /// Whether a process may end by itself from now on.
+    pub fn excuse(&self, machine: Machine, excused: bool) {
+        self.node(machine).excused.store(excused, Ordering::Relaxed);
+    }
+
     /// Cuts a machine off from others until the guard is dropped.
     pub fn cut(&self, machine: Machine, others: &[Machine], direction: Direction) -> Cut<'_> {
         let me = self.address(machine);
@@ -336,7 +347,9 @@
     }
 
     fn start(&self, node: &Node, child: &mut Option<Child>) -> io::Result<()> {
-        if self.ending.load(Ordering::Relaxed) {
+        // Another trouble may have started it already.
+        let runs = child.as_mut().is_some_and(|running| matches!(running.try_wait(), Ok(None)));
+        if runs || self.ending.load(Ordering::Relaxed) {
             return Ok(());
         }
         let machine = node.machine;
@@ -442,6 +455,7 @@
             life: AtomicU64::new(0),
             started: Mutex::default(),
             may_end: AtomicBool::new(false),
+            excused: AtomicBool::new(false),
             founds: AtomicBool::new(false),
             rules: Mutex::default(),
         }
--- a/crates/soak/tests/short.rs
+++ b/crates/soak/tests/short.rs
@@ -2,8 +2,10 @@
 
 use std::path::PathBuf;
 
+use juniperwing_node::command::Role;
 use juniperwing_soak::play::{Options, Report, play};
 use juniperwing_soak::schedule::{Schedule, Trouble};
+use juniperwing_soak::troubles::{Machine, TroubleKind};
 
 /// About how long troubles come, in milliseconds.
 const LENGTH_MS: u64 = 9_000;
@@ -44,3 +46,15 @@
     let seed = (1..).find(|seed| !Schedule::draw(*seed, LENGTH_MS).within_tolerance).unwrap();
     expect_nothing(&played(&options("beyond", seed, None)));
 }
+
+/// A process that has lost a task does not go on with a part of its work.
+#[test]
+fn processes_whose_writing_task_panics_end_and_come_back() {
+    let panics = |at, role, number| Trouble {
+        at,
+        lasts: 1_500,
+        kind: TroubleKind::DiskPanic(Machine { role, number }),
+    };
+    let troubles = vec![panics(1_500, Role::Store, 0), panics(8_000, Role::Keeper, 0)];
+    expect_nothing(&played(&options("panics", 5, Some(troubles))));
+}
