--- a/crates/replication/src/disk.rs
+++ b/crates/replication/src/disk.rs
@@ -15,6 +15,9 @@
 /// Before a failed write is tried again.
 const RETRY: Span = Span::from_millis(200);
 
+/// A write that takes so long counts as failed: whatever needs this keeper's disk is better done by another one.
+const STALLED_AFTER: Span = Span::from_millis(1_500);
+
 /// What is to be done once the disk holds what it rests on.
 #[derive(Clone, Debug)]
 pub(crate) enum Deferred {
@@ -30,6 +33,7 @@
 struct Writing {
     generation: u64,
     version: Version,
+    began: Time,
 }
 
 /// One record is written at a time; all changes made meanwhile go into the next.
@@ -40,6 +44,8 @@
     durable_version: Version,
     writing: Option<Writing>,
     retry_at: Option<Time>,
+    /// Whether the write under way has taken for too long.
+    stalled: bool,
     deferred: VecDeque<(u64, Deferred)>,
 }
 
@@ -52,6 +58,7 @@
             durable_version: version,
             writing: None,
             retry_at: None,
+            stalled: false,
             deferred: VecDeque::new(),
         }
     }
@@ -71,9 +78,22 @@
         self.durable == self.wanted
     }
 
-    /// Whether the last write failed.
+    /// Whether the last write failed, or the one under way has taken for too long.
     pub(crate) fn is_failing(&self) -> bool {
-        self.retry_at.is_some()
+        self.retry_at.is_some() || self.stalled
+    }
+
+    /// When the write under way will have taken for too long.
+    pub(crate) fn stalls_at(&self) -> Time {
+        let writing = self.writing.filter(|_| !self.stalled);
+        writing.map_or(Time::NEVER, |writing| writing.began + STALLED_AFTER)
+    }
+
+    /// Takes in how late it is. `true` if the write under way has just become one that takes too long.
+    pub(crate) fn watch(&mut self, now: Time) -> bool {
+        let stalls = now >= self.stalls_at();
+        self.stalled |= stalls;
+        stalls
     }
 
     /// When a failed write is tried again, unless it is being tried now.
@@ -103,7 +123,7 @@
         if waits || self.writing.is_some() || self.wanted == self.durable {
             return None;
         }
-        self.writing = Some(Writing { generation: self.wanted, version });
+        self.writing = Some(Writing { generation: self.wanted, version, began: now });
         Some(PersistToken(self.wanted))
     }
 
@@ -113,12 +133,14 @@
         self.durable = writing.generation;
         self.durable_version = writing.version;
         self.retry_at = None;
+        self.stalled = false;
     }
 
     /// The record of `token` could not be written.
     pub(crate) fn fail(&mut self, now: Time, token: PersistToken) {
         if self.writing.take_if(|writing| writing.generation == token.0).is_some() {
             self.retry_at = Some(now + RETRY);
+            self.stalled = false;
         }
     }
 }
--- a/crates/replication/src/replica.rs
+++ b/crates/replication/src/replica.rs
@@ -126,6 +126,9 @@
             Event::Contacts(contacts) => self.set_contacts(now, contacts),
         }
         self.release();
+        if self.disk.watch(now) {
+            self.step_aside(now);
+        }
         self.advance(now);
         self.persist(now);
         self.tell_role();
@@ -340,7 +343,7 @@
 
     /// Asks for a tick if the one asked for is spent or would come too late.
     fn arm(&mut self, now: Time) {
-        let deadline = self.deadline(now).min(self.disk.retry_at());
+        let deadline = self.deadline(now).min(self.disk.retry_at()).min(self.disk.stalls_at());
         let spent = self.armed.is_none_or(|armed| armed <= now || deadline < armed);
         if spent && deadline != Time::NEVER {
             self.armed = Some(deadline);
