A store whose disk hangs is taken out, and a panic ends the process that it came up in

Causes: a batch that hangs neither ends nor fails, so the store stayed subscribed and in sync and every write waited for it; tasks were spawned and forgotten, so one that panicked left a process that is counted on and does a part of its work (no turn ever again in the play). Now: hanging for 2 s ends the subscriptions; a panic ends the process, but for tasks that serve one connection, outside of critical sections; essential tasks that return panic; SIGTERM is heeded during recovery and is not held up by a disk that hangs; signals are caught before the settings are read. Looked for the same causes at all spawns and waits: the keeper's recovery, the store's recovery and the end of the runtime had it, too.

--- a/crates/node/src/command.rs
+++ b/crates/node/src/command.rs
@@ -2,14 +2,18 @@
 
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::time::Duration;
 
 use getopts::Options;
 use slog::{Level, Logger, error};
 
 use crate::log::{log_faults, logger};
-use crate::settings::Settings;
+use crate::settings::{Settings, SettingsError};
 use crate::signals::Signals;
 
+/// How long a write to the disk that is under way may hold up the end.
+const LAST_WRITES: Duration = Duration::from_millis(200);
+
 /// A role that a process may have.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Role {
@@ -74,16 +78,21 @@
         return misused("--log-level: error, warning, info or debug", &usage);
     };
     let settings_file = matches.opt_str("settings").map(PathBuf::from);
+    if !matches.opt_present("check") {
+        return serve(role, settings_file, level);
+    }
     match Settings::read(settings_file.as_deref()) {
-        Err(e) => {
-            eprintln!("juniperwing {}: {e}", role.name());
-            ExitCode::from(2)
-        }
-        Ok(settings) if matches.opt_present("check") => check(role, &settings),
-        Ok(settings) => serve(role, settings, settings_file, level),
+        Err(e) => unusable(role, &e),
+        Ok(settings) => check(role, &settings),
     }
 }
 
+/// Tells what is wrong with the settings.
+fn unusable(role: Role, error: &SettingsError) -> ExitCode {
+    eprintln!("juniperwing {}: {error}", role.name());
+    ExitCode::from(2)
+}
+
 /// Prints what was understood, or what the role lacks.
 fn check(role: Role, settings: &Settings) -> ExitCode {
     let missing = settings.missing_for(role);
@@ -97,21 +106,40 @@
     ExitCode::from(2)
 }
 
-fn serve(role: Role, settings: Settings, settings_file: Option<PathBuf>, level: Level) -> ExitCode {
+fn serve(role: Role, settings_file: Option<PathBuf>, level: Level) -> ExitCode {
+    let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
+        Ok(runtime) => runtime,
+        Err(e) => {
+            eprintln!("juniperwing {}: {e}", role.name());
+            return ExitCode::FAILURE;
+        }
+    };
+    let code = runtime.block_on(serve_role(role, settings_file, level));
+    // A disk that answers nothing must not keep the process.
+    runtime.shutdown_timeout(LAST_WRITES);
+    code
+}
+
+async fn serve_role(role: Role, settings_file: Option<PathBuf>, level: Level) -> ExitCode {
+    // First, so that a signal that comes while the settings are read is heeded.
+    let signals = Signals::new();
+    let settings = match Settings::read(settings_file.as_deref()) {
+        Ok(settings) => settings,
+        Err(e) => return unusable(role, &e),
+    };
     let log = logger(level, role.name(), &settings.node_name);
     log_faults(&log);
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    let ended = runtime.and_then(|runtime| {
-        runtime.block_on(async {
-            let signals = Signals::new()?;
+    let ended = match signals {
+        Err(e) => Err(e),
+        Ok(signals) => {
             let process = Process { settings, settings_file, log: log.clone(), signals };
             match role {
                 Role::Relay => crate::relay::run(process).await,
                 Role::Keeper => crate::keeper::run(process).await,
                 Role::Store => crate::store::run(process).await,
             }
-        })
-    });
+        }
+    };
     match ended {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
--- a/crates/node/src/keeper.rs
+++ b/crates/node/src/keeper.rs
@@ -49,6 +49,7 @@
 use crate::host::{Listener, wait_for_disk};
 use crate::link::LinkId;
 use crate::metrics::{self, FigureSource};
+use crate::panics::spawn_essential;
 use crate::rate_limit::RateLimit;
 use crate::settings::{ControlTimes, Port, Settings};
 use crate::signals::Wish;
@@ -164,7 +165,13 @@
     let (for_disk, disk_log) = (settings.clone(), log.clone());
     let opened = wait_for_disk(move || open(&for_disk, &folder, &disk_log));
     let grace = Duration::try_from_secs_f64(settings.bounds.grace_s).unwrap_or_default();
-    let start = opened.await.map_err(io::Error::other)??;
+    tokio::pin!(stop);
+    let start = tokio::select! {
+        biased;
+        opened = opened => opened.map_err(io::Error::other)??,
+        // Nothing was promised in this life yet.
+        () = stop.as_mut() => return Ok(()),
+    };
     for finding in settings.bounds.too_short() {
         warn!(log, "a bound cannot be met"; "bound" => finding);
     }
@@ -178,7 +185,7 @@
     metrics::start(&settings, Arc::clone(&keeper) as Arc<dyn FigureSource>, &keeper.log).await;
     let mut tasks = keeper.start_tasks(internal, file, writes_received, wake_received);
     let contacts = Contacts::start(&settings, &keeper).await?;
-    tasks.push(tokio::spawn(Arc::clone(&contacts).follow(changes)));
+    tasks.push(spawn_essential("contacts", Arc::clone(&contacts).follow(changes)));
 
     let (stopping, stop_received) = watch::channel(false);
     let (open_calls, mut calls_ended) = mpsc::channel(1);
@@ -268,13 +275,13 @@
     ) -> Vec<tokio::task::JoinHandle<()>> {
         let inbox = Arc::new(Inbox::new(Arc::downgrade(self)));
         vec![
-            tokio::spawn(write_records(Arc::clone(self), file, writes)),
-            tokio::spawn(tick_replica(Arc::clone(self), wake)),
-            tokio::spawn(crate::link::serve(internal, inbox)),
-            tokio::spawn(Arc::clone(self).push_changes()),
-            tokio::spawn(Arc::clone(self).confirm_subscriptions()),
-            tokio::spawn(Arc::clone(self).plan_changes()),
-            tokio::spawn(Arc::clone(self).keep_house()),
+            spawn_essential("records", write_records(Arc::clone(self), file, writes)),
+            spawn_essential("replica", tick_replica(Arc::clone(self), wake)),
+            spawn_essential("links", crate::link::serve(internal, inbox)),
+            spawn_essential("changes", Arc::clone(self).push_changes()),
+            spawn_essential("confirmations", Arc::clone(self).confirm_subscriptions()),
+            spawn_essential("store map", Arc::clone(self).plan_changes()),
+            spawn_essential("housekeeping", Arc::clone(self).keep_house()),
         ]
     }
 
--- a/crates/node/src/keeper/consensus.rs
+++ b/crates/node/src/keeper/consensus.rs
@@ -19,6 +19,7 @@
 use super::waiters::Waiters;
 use crate::clock;
 use crate::host::wait_for_disk;
+use crate::panics::critical;
 
 /// Records on their way to the disk; the replica hands out one at a time.
 pub(super) const MAX_WRITES: usize = 4;
@@ -65,7 +66,7 @@
 impl Keeper {
     /// Hands the replica an event and carries out what it says.
     pub(super) fn replica_event(self: &Arc<Self>, event: Event<ControlState>) {
-        let commands = self.lock().consensus.replica.handle(clock::now(), event);
+        let commands = critical(|| self.lock().consensus.replica.handle(clock::now(), event));
         for command in commands {
             self.carry_out(command);
         }
--- a/crates/node/src/keeper/contacts.rs
+++ b/crates/node/src/keeper/contacts.rs
@@ -59,6 +59,8 @@
             self.keeper.replica_event(Event::Contacts(all));
             self.gossip.reload(&settings);
         }
+        // Nobody changes the settings any more.
+        std::future::pending().await
     }
 
     /// Tells the other members that this keeper ends.
--- a/crates/node/src/keeper/control_listener.rs
+++ b/crates/node/src/keeper/control_listener.rs
@@ -26,6 +26,7 @@
 use super::discovery::HeartbeatAnswer;
 use super::orders::json;
 use crate::host::{Listener, Stream};
+use crate::panics::isolated;
 
 /// The largest configuration, in bytes.
 const MAX_CONFIGURATION_BYTES: usize = 8 << 20;
@@ -75,7 +76,8 @@
             Ok(_) if open.strong_count() > MAX_CONNECTIONS => {}
             Ok(mut stream) => {
                 if stream.prepare(USER_TIMEOUT).is_ok() {
-                    tokio::spawn(connection(stream, router.clone(), stop.clone(), open.clone()));
+                    let serving = connection(stream, router.clone(), stop.clone(), open.clone());
+                    tokio::spawn(isolated(serving));
                 }
             }
             Err(_) => tokio::time::sleep(PAUSE_AFTER_FAILURE).await,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod local;
 pub mod log;
 pub mod metrics;
+pub mod panics;
 pub mod rate_limit;
 pub mod relay;
 pub mod sessions_client;
--- a/crates/node/src/log.rs
+++ b/crates/node/src/log.rs
@@ -3,17 +3,22 @@
 use std::any::Any;
 use std::io::{self, Write};
 use std::panic;
+use std::process::exit;
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicU64, Ordering};
 
 use juniperwing_invariants::report_to;
 use slog::{Drain, Level, Logger, crit, o};
 
+use crate::panics::is_isolated;
 use crate::rate_limit::RateLimit;
 
 /// Violations of invariants that are logged in a second; all are counted.
 const VIOLATIONS_PER_SECOND: u32 = 20;
 
+/// The exit code of a process that a panic has ended, as of any Rust program.
+const PANICKED: i32 = 101;
+
 static PANICS: AtomicU64 = AtomicU64::new(0);
 
 /// The log of a process, from `level` upward. Lines are written at once: a process writes few.
@@ -23,13 +28,19 @@
     Logger::root(drain, o!("role" => role, "node" => node.to_owned()))
 }
 
-/// Has panics and violated invariants of this process logged and counted.
+/// Has panics and violated invariants of this process logged and counted. A panic ends the process, unless it is
+/// isolated (`panics`).
 pub fn log_faults(log: &Logger) {
     let panics = log.clone();
     panic::set_hook(Box::new(move |panic| {
         PANICS.fetch_add(1, Ordering::Relaxed);
         let place = panic.location().map(ToString::to_string).unwrap_or_default();
-        crit!(panics, "panic"; "place" => place, "why" => message(panic.payload()));
+        let is_isolated = is_isolated();
+        crit!(panics, "panic"; "place" => place, "why" => message(panic.payload()),
+            "ends the process" => !is_isolated);
+        if !is_isolated {
+            exit(PANICKED);
+        }
     }));
     let violations = log.clone();
     let limit = RateLimit::per_second(VIOLATIONS_PER_SECOND);
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -28,6 +28,7 @@
 use tokio::time::{sleep, timeout};
 
 use crate::log::panics;
+use crate::panics::isolated;
 use crate::settings::Settings;
 
 /// The prefix of all names.
@@ -205,11 +206,11 @@
             continue;
         };
         let (path, source) = (Arc::clone(&path), Arc::clone(&source));
-        tokio::spawn(async move {
+        tokio::spawn(isolated(async move {
             // Whoever is too slow asks again.
             let _ = timeout(SERVE_WITHIN, serve_connection(stream, path, source)).await;
             drop(place);
-        });
+        }));
     }
 }
 
--- a/crates/node/src/relay/dispatcher.rs
+++ b/crates/node/src/relay/dispatcher.rs
@@ -15,6 +15,7 @@
 use tokio::time::timeout;
 
 use crate::clock::{duration, now};
+use crate::panics::critical;
 use crate::sync::lock;
 
 /// What endpoints tell ages without an event: those that wait look again this often.
@@ -112,7 +113,7 @@
         let destination = ask.destination.clone();
         let mut state = self.lock();
         let usual = state.latencies.median(&destination);
-        match state.balancer.admit(now(), ask, usual) {
+        match critical(|| state.balancer.admit(now(), ask, usual)) {
             Admission::Go(endpoint) => {
                 drop(state);
                 Ok(Admitted::Slot(self.slot_at(destination, endpoint)))
@@ -148,11 +149,11 @@
 
     /// Hands free slots of a service to those that wait.
     fn release(self: &Arc<Self>, service: &ServiceName) {
-        let given: Vec<_> = {
+        let given: Vec<_> = critical(|| {
             let mut state = self.lock();
             let grants = state.balancer.release(now(), service);
             grants.into_iter().map(|grant| (state.waiting.remove(&grant.ticket), grant)).collect()
-        };
+        });
         for (waiter, Grant { endpoint, destination, .. }) in given {
             let slot = endpoint.map(|endpoint| self.slot_at(destination, endpoint));
             // A waiter that is gone drops the slot, which gives it back.
@@ -161,7 +162,7 @@
     }
 
     fn end(self: &Arc<Self>, destination: &Destination, endpoint: &InstanceId, ending: Ending) {
-        self.lock().balancer.end(now(), destination, endpoint, ending);
+        critical(|| self.lock().balancer.end(now(), destination, endpoint, ending));
         self.release(&destination.service);
     }
 
--- a/crates/node/src/relay/frontend.rs
+++ b/crates/node/src/relay/frontend.rs
@@ -32,6 +32,7 @@
 use super::trace::{Outcome, RequestTrace, Traced};
 use super::turn::{Denied, OpenTurn};
 use crate::clock::{duration, now, random};
+use crate::panics::isolated;
 
 /// The pause after a connection could not be accepted.
 const PAUSE_AFTER_FAILURE: Duration = Duration::from_millis(50);
@@ -63,7 +64,7 @@
     let limits = core.world.snapshot().limits();
     // Listed at once: a relay that stops ends all that it has accepted.
     let listed = core.connections.add(limits.max_header_bytes);
-    tokio::spawn(serve_connection(Arc::clone(core), stream, listed, limits, has_room));
+    tokio::spawn(isolated(serve_connection(Arc::clone(core), stream, listed, limits, has_room)));
 }
 
 async fn serve_connection(
--- a/crates/node/src/relay/readiness.rs
+++ b/crates/node/src/relay/readiness.rs
@@ -11,14 +11,11 @@
 
 use super::Core;
 
-/// Answers `GET /readyz` until the listener fails.
-///
-/// # Errors
-///
-/// If it fails.
-pub async fn serve(core: Arc<Core>, listener: TcpListener) -> std::io::Result<()> {
+/// Answers `GET /readyz` until it is dropped.
+pub async fn serve(core: Arc<Core>, listener: TcpListener) {
     let routes = Router::new().route("/readyz", get(readyz)).with_state(core);
-    axum::serve(listener, routes).await
+    // It only returns when it is told to end, which nobody does.
+    let _ = axum::serve(listener, routes).await;
 }
 
 async fn readyz(State(core): State<Arc<Core>>) -> StatusCode {
--- a/crates/node/src/relay/upstream.rs
+++ b/crates/node/src/relay/upstream.rs
@@ -17,6 +17,7 @@
 use tokio::time::timeout;
 
 use crate::clock::now;
+use crate::panics::isolated;
 use crate::sync::lock;
 
 /// A connection that has not come up by then is given up.
@@ -105,10 +106,10 @@
         let mut builder = http1::Builder::new();
         builder.max_buf_size(BUFFER_BYTES);
         let (sender, driver) = builder.handshake(TokioIo::new(stream)).await.ok()?;
-        let driver = tokio::spawn(async move {
+        let driver = tokio::spawn(isolated(async move {
             // Its errors reach the request that is under way.
             let _ = driver.await;
-        });
+        }));
         Some(Connection { sender, used: false, _driver: Driver(driver), _open: open })
     }
 
--- a/crates/node/src/store.rs
+++ b/crates/node/src/store.rs
@@ -13,23 +13,23 @@
 use std::time::Duration;
 
 use juniperwing_membership::Role;
+use juniperwing_protocol::NodeName;
 use juniperwing_protocol::replication::Version;
 use juniperwing_protocol::subscription::{self, Subscribe};
-use juniperwing_protocol::{DiskId, NodeName};
 use juniperwing_sessions::{Limits, Store};
 use slog::{Logger, info, warn};
 use tokio::time::timeout;
 
 use self::core::{Core, Handle};
-use self::disk::Disk;
-use crate::clock::random;
+use self::disk::{Disk, Opened};
 use crate::command::Process;
 use crate::gossip::{Gossip, Myself};
-use crate::host::Listener;
+use crate::host::{Listener, wait_for_disk};
 use crate::link::serve;
 use crate::metrics::{self, FigureSource};
+use crate::panics::spawn_essential;
 use crate::settings::{Port, Settings};
-use crate::signals::Wish;
+use crate::signals::{Signals, Wish};
 use crate::subscriber::Subscriber;
 
 /// Keepers that a store subscribes to at most; usually there are fewer.
@@ -50,7 +50,12 @@
 ///
 /// If a listener or the disk cannot be used.
 pub async fn run(mut process: Process) -> io::Result<()> {
-    let node = StoreProcess::start(&process.settings, process.log.clone()).await?;
+    let starting = StoreProcess::start(&process.settings, process.log.clone());
+    let node = tokio::select! {
+        started = starting => started?,
+        // Nothing was promised yet.
+        () = stop_wanted(&mut process.signals) => return Ok(()),
+    };
     loop {
         match process.signals.next().await {
             Wish::Stop => break,
@@ -64,6 +69,11 @@
     Ok(())
 }
 
+async fn stop_wanted(signals: &mut Signals) {
+    // The settings are read at the start: there is nothing to read again yet.
+    while signals.next().await != Wish::Stop {}
+}
+
 /// Runs with these settings until `shutdown` is over.
 ///
 /// # Errors
@@ -95,14 +105,14 @@
             .data_directory
             .as_ref()
             .ok_or_else(|| io::Error::other("dataDirectory: a store needs one"))?;
-        let (disk, is_new) =
-            juniperwing_storage::identity::open(folder, random()).map_err(io::Error::other)?;
-        let disk = DiskId(disk);
-        let (files, store) = Disk::open(folder, disk, limits(settings), &log).map_err(io::Error::other)?;
+        let (folder, limits, disk_log) = (folder.clone(), limits(settings), log.clone());
+        let opened = wait_for_disk(move || Disk::open(&folder, limits, &disk_log)).await;
+        let Opened { disk, is_new, files, store } =
+            opened.map_err(io::Error::other)?.map_err(io::Error::other)?;
         let listener = Listener::bind(settings.own_address(Port::Store)).await?;
         let core = Core::start(store, files, log.clone());
         metrics::start(settings, Arc::clone(&core) as Arc<dyn FigureSource>, &log).await;
-        let listening = tokio::spawn(serve(listener, Arc::new(Handle(core.clone()))));
+        let listening = spawn_essential("links", serve(listener, Arc::new(Handle(core.clone()))));
         let subscribe = Subscribe {
             node: NodeName::from(settings.node_name.as_str()),
             zone: settings.zone.as_str().into(),
--- a/crates/node/src/store/core.rs
+++ b/crates/node/src/store/core.rs
@@ -18,13 +18,14 @@
 use super::disk::{Disk, DiskJob};
 use crate::clock::{duration, now, time_of_day_ms};
 use crate::link::{Link, LinkPool, Reply, Service};
+use crate::panics::spawn_essential;
 use crate::subscriber::{Sink, Subscriber};
 use crate::sync::lock;
 
 /// How long a call to another store may take.
 const CALL_WITHIN: Duration = Duration::from_millis(1_000);
-/// For how long the disk may fail before the store ends its subscriptions, so that it is taken out.
-const DISK_LOST_AFTER: Span = Span::from_millis(2_000);
+/// For how long the disk may fail, or answer nothing, before the store ends its subscriptions, so that it is taken out.
+pub(super) const DISK_LOST_AFTER: Span = Span::from_millis(2_000);
 
 /// A running store.
 pub(super) struct Core {
@@ -47,6 +48,8 @@
     subscriber: Weak<Subscriber>,
     /// Since when every batch has failed.
     failing_since: Option<Time>,
+    /// Whether what the disk was told to do has taken for too long.
+    disk_hangs: bool,
     pub(super) suspended: bool,
 }
 
@@ -73,6 +76,7 @@
             armed: None,
             subscriber: Weak::new(),
             failing_since: None,
+            disk_hangs: false,
             suspended: false,
         };
         let core = Arc::new(Core {
@@ -83,8 +87,8 @@
             handled: Notify::new(),
             log: log.clone(),
         });
-        tokio::spawn(disk.run(waiting, core.clone(), log));
-        tokio::spawn(core.clone().keep_time());
+        spawn_essential("disk", disk.run(waiting, core.clone(), log));
+        spawn_essential("timer", core.clone().keep_time());
         let commands = core.lock().store.recovered(moment());
         core.execute(commands);
         core
@@ -128,26 +132,38 @@
         }
     }
 
+    /// The disk has answered nothing for [`DISK_LOST_AFTER`], or answers again.
+    pub(super) fn set_disk_hangs(&self, hangs: bool) {
+        let changed = {
+            let mut state = self.lock();
+            state.disk_hangs = hangs;
+            self.consider_disk(&mut state)
+        };
+        if let Some((subscriber, suspended)) = changed {
+            subscriber.suspend(suspended);
+        }
+    }
+
     /// Whether the subscriptions are to be ended or begun again, after this end of a batch.
     fn watch_disk(&self, event: &Event) -> Option<(Arc<Subscriber>, bool)> {
         let mut state = self.lock();
-        let suspended = match event {
-            Event::BatchWritten { .. } => {
-                state.failing_since = None;
-                false
-            }
-            Event::BatchFailed => {
-                let now = now();
-                let since = *state.failing_since.get_or_insert(now);
-                now.since(since) >= DISK_LOST_AFTER
-            }
+        match event {
+            Event::BatchWritten { .. } => state.failing_since = None,
+            Event::BatchFailed => drop(state.failing_since.get_or_insert_with(now)),
             _ => return None,
-        };
+        }
+        self.consider_disk(&mut state)
+    }
+
+    /// The subscriptions and whether they are to be ended, if that has changed.
+    fn consider_disk(&self, state: &mut State) -> Option<(Arc<Subscriber>, bool)> {
+        let fails = state.failing_since.is_some_and(|since| now().since(since) >= DISK_LOST_AFTER);
+        let suspended = fails || state.disk_hangs;
         if state.suspended == suspended {
             return None;
         }
         state.suspended = suspended;
-        warn!(self.log, "the disk"; "lost" => suspended);
+        warn!(self.log, "the disk"; "lost" => suspended, "hangs" => state.disk_hangs);
         Some((state.subscriber.upgrade()?, suspended))
     }
 
--- a/crates/node/src/store/disk.rs
+++ b/crates/node/src/store/disk.rs
@@ -1,15 +1,18 @@
 //! The disk of a store: batches are written one after the other, on a thread that may wait.
 
+use std::future::Future;
 use std::path::Path;
 use std::sync::Arc;
 
 use juniperwing_protocol::DiskId;
 use juniperwing_sessions::{Event, Limits, Store, StoredRecord, decode_batch, encode_batch};
-use juniperwing_storage::{SegmentFiles, SegmentNumber, StorageError, VersionFiles};
+use juniperwing_storage::{SegmentFiles, SegmentNumber, StorageError, VersionFiles, identity};
 use slog::{Logger, info, warn};
 use tokio::sync::mpsc;
+use tokio::time::timeout;
 
-use super::core::Core;
+use super::core::{Core, DISK_LOST_AFTER};
+use crate::clock::{duration, random};
 use crate::host::wait_for_disk;
 
 /// The folder of the batches within the data folder.
@@ -24,6 +27,18 @@
     WriteMapVersion(u64),
 }
 
+/// What a store finds on its disk.
+pub(super) struct Opened {
+    /// The identity of its folder.
+    pub(super) disk: DiskId,
+    /// Whether the folder is a new one.
+    pub(super) is_new: bool,
+    /// Where its batches go.
+    pub(super) files: Disk,
+    /// The store as it was.
+    pub(super) store: Store,
+}
+
 /// The batches of a store, and the map version that it must not fall behind.
 pub(super) struct Disk {
     files: SegmentFiles,
@@ -31,10 +46,10 @@
 }
 
 impl Disk {
-    /// Opens the batches and recovers the store from them.
-    pub(super) fn open(
-        folder: &Path, disk: DiskId, limits: Limits, log: &Logger,
-    ) -> Result<(Disk, Store), StorageError> {
+    /// Opens the folder, with the identity that it has or is given now, and recovers the store from its batches. Blocks.
+    pub(super) fn open(folder: &Path, limits: Limits, log: &Logger) -> Result<Opened, StorageError> {
+        let (identity, is_new) = identity::open(folder, random())?;
+        let disk = DiskId(identity);
         let moment = super::core::moment();
         let mut store = Store::new(disk, limits);
         let mut batches = 0_u64;
@@ -52,7 +67,7 @@
             store.recover_map_version(version);
         }
         info!(log, "recovered"; "batches" => batches);
-        Ok((Disk { files, map_version }, store))
+        Ok(Opened { disk, is_new, files: Disk { files, map_version }, store })
     }
 
     /// Does the jobs that come, until no more can.
@@ -65,7 +80,7 @@
                 let outcome = disk.work(taken);
                 (disk, outcome)
             });
-            let Ok((returned, outcome)) = done.await else { return };
+            let Ok((returned, outcome)) = answered(done, &core).await else { return };
             disk = returned;
             for failure in outcome.failures {
                 warn!(log, "the disk refuses"; "why" => failure.to_string());
@@ -102,6 +117,20 @@
     }
 }
 
+/// Waits for the disk, and has the store taken out while it answers nothing.
+async fn answered<T>(work: impl Future<Output = T>, core: &Core) -> T {
+    tokio::pin!(work);
+    match timeout(duration(DISK_LOST_AFTER), work.as_mut()).await {
+        Ok(done) => done,
+        Err(_) => {
+            core.set_disk_hangs(true);
+            let done = work.await;
+            core.set_disk_hangs(false);
+            done
+        }
+    }
+}
+
 #[derive(Default)]
 struct Outcome {
     /// The ends of what was written.
--- a/crates/soak/src/network.rs
+++ b/crates/soak/src/network.rs
@@ -1,6 +1,7 @@
 //! The addresses of one play on the loopback network.
 
-use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::io;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
 
 use juniperwing_node::command::Role;
 
@@ -20,16 +21,40 @@
 const FIRST_NETWORK: u64 = 20;
 const ENDPOINTS: u8 = 4;
 
+/// Held by the play that uses a network.
+const RESERVED_PORT: u16 = 7_379;
+
 /// The addresses of one play.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Network(u8);
 
+/// Keeps other plays on this machine off a network for as long as it lives.
+#[derive(Debug)]
+pub struct Reservation(#[expect(dead_code, reason = "held, not used")] TcpListener);
+
 impl Network {
     /// The network with a number; numbers wrap around.
     pub fn new(number: u64) -> Network {
         Network((FIRST_NETWORK + number % NETWORKS) as u8)
     }
 
+    /// The first network from a number on that no other play uses.
+    ///
+    /// # Errors
+    ///
+    /// If all are in use.
+    pub fn reserve(number: u64) -> io::Result<(Network, Reservation)> {
+        let mut failure = io::ErrorKind::AddrInUse.into();
+        for offset in 0..NETWORKS {
+            let network = Network::new(number.wrapping_add(offset));
+            match TcpListener::bind((network.address(0, 0), RESERVED_PORT)) {
+                Ok(listener) => return Ok((network, Reservation(listener))),
+                Err(error) => failure = error,
+            }
+        }
+        Err(failure)
+    }
+
     /// The machine of a role, by its number from 0 on.
     pub fn machine(self, role: Role, number: usize) -> IpAddr {
         let kind = match role {
--- a/crates/soak/src/play.rs
+++ b/crates/soak/src/play.rs
@@ -16,7 +16,7 @@
 use crate::history::{Ended, Finding, History, Millis, Suffered};
 use crate::http::{ask, request};
 use crate::load::{
-    Endpoints, KeptTurn, Operators, Platform, Shared, burst, continue_turn, read_configuration, start_clients,
+    Endpoints, Operators, Platform, Shared, burst, continue_turn, read_configuration, start_clients,
 };
 use crate::network::{METRICS_PORT, Network};
 use crate::oracle::judge;
@@ -34,6 +34,8 @@
 const SERVED_AT_REST: usize = 90;
 /// Turns from which a program goes on at the end.
 const CONTINUED: usize = 12;
+/// Failures after which no more are tried.
+const ENOUGH_FAILED: usize = 2;
 /// Tries of each of them.
 const CONTINUE_TRIES: usize = 3;
 /// How long whoever works may take to finish.
@@ -50,7 +52,7 @@
     pub seed: u64,
     /// About how long troubles come.
     pub length: Millis,
-    /// The number of the network.
+    /// The number of the network, or of the first that is tried.
     pub network: u64,
     /// Where files go; a folder of its own for each play.
     pub folder: PathBuf,
@@ -90,7 +92,8 @@
     let _ = fs::remove_dir_all(&options.folder);
     fs::create_dir_all(&options.folder)?;
     fs::write(options.folder.join("schedule.txt"), schedule.to_string())?;
-    let play = Play::new(options);
+    let (network, _reservation) = Network::reserve(options.network)?;
+    let play = Play::new(options, network);
     let summary = play.run(&schedule).await?;
     let load_ended_at = play.shared.history.now();
     play.tier.end().await;
@@ -137,9 +140,8 @@
 }
 
 impl Play {
-    fn new(options: &Options) -> Play {
+    fn new(options: &Options, network: Network) -> Play {
         let history = Arc::new(History::default());
-        let network = Network::new(options.network);
         let tier = Tier::new(network, options.folder.clone(), options.program.clone(), Arc::clone(&history));
         let tier = Arc::new(tier);
         let platform = Arc::new(Platform::new(network));
@@ -248,15 +250,17 @@
         }
         let kept = self.shared.kept_turns();
         let step = kept.len().div_ceil(CONTINUED).max(1);
+        let mut failed = 0;
         for turn in kept.iter().step_by(step) {
-            self.continue_from(turn).await;
-        }
-    }
-
-    async fn continue_from(&self, turn: &KeptTurn) {
-        if !continue_turn(&self.shared, turn, CONTINUE_TRIES).await {
-            let details = format!("{} of {}", turn.id, turn.program);
-            self.shared.history.found("a kept turn can be continued", details);
+            if !continue_turn(&self.shared, turn, CONTINUE_TRIES).await {
+                let details = format!("{} of {}", turn.id, turn.program);
+                history.found("a kept turn can be continued", details);
+                failed += 1;
+            }
+            // Each of them takes long.
+            if failed == ENOUGH_FAILED {
+                return;
+            }
         }
     }
 
--- a/crates/soak/src/tier.rs
+++ b/crates/soak/src/tier.rs
@@ -26,8 +26,6 @@
 pub const GRACE: Duration = Duration::from_secs(6);
 /// How much later than that the platform kills.
 const GRACE_SLACK: Duration = Duration::from_millis(700);
-/// A process that has been up for so long catches signals; before, SIGTERM ends it as it ends any program.
-const CATCHES_SIGNALS: Duration = Duration::from_millis(500);
 /// Before a process that has ended is started again.
 const RESTART_PAUSE: Duration = Duration::from_millis(200);
 /// The number of the signal by which the soak ends processes.
@@ -45,7 +43,7 @@
     /// The process ends when this is closed, also if the soak is killed.
     stdin: Mutex<Option<ChildStdin>>,
     life: AtomicU64,
-    started: Mutex<Option<Instant>>,
+    log: Mutex<PathBuf>,
     /// Whether its end was brought about by the soak.
     may_end: AtomicBool,
     /// Whether it may end by itself, since it is made to panic.
@@ -225,8 +223,7 @@
     }
 
     async fn stop_held(&self, node: &Node, child: &mut Option<Child>, further: &[(Duration, Signal)]) {
-        let up = lock(&node.started).map_or(Duration::ZERO, |started| started.elapsed());
-        let caught = up >= CATCHES_SIGNALS;
+        let caught = node.catches_signals();
         node.may_end.store(true, Ordering::Relaxed);
         let began = Instant::now();
         node.signal(Signal::TERM);
@@ -261,8 +258,11 @@
     /// If the file cannot be written.
     pub async fn reload(&self, machine: Machine, file: SettingsFile, time: Duration) -> io::Result<()> {
         let path = self.settings_path(machine);
-        fs::write(&path, self.settings(self.node(machine), Some(file)))?;
-        self.node(machine).signal(Signal::HUP);
+        let node = self.node(machine);
+        fs::write(&path, self.settings(node, Some(file)))?;
+        if node.catches_signals() {
+            node.signal(Signal::HUP);
+        }
         sleep(time).await;
         fs::write(&path, self.settings(self.node(machine), None))
     }
@@ -355,7 +355,8 @@
         let machine = node.machine;
         fs::write(self.settings_path(machine), self.settings(node, None))?;
         let life = node.life.fetch_add(1, Ordering::Relaxed) + 1;
-        let log = fs::File::create(self.folder.join("logs").join(format!("{machine}.{life:02}.log")))?;
+        let log_path = self.folder.join("logs").join(format!("{machine}.{life:02}.log"));
+        let log = fs::File::create(&log_path)?;
         let mut started = Command::new(&self.program)
             .arg("node")
             .arg(machine.role.name())
@@ -369,7 +370,7 @@
         let pid = started.id().and_then(|id| Pid::from_raw(i32::try_from(id).ok()?));
         *lock(&node.pid) = pid;
         *lock(&node.stdin) = started.stdin.take();
-        *lock(&node.started) = Some(Instant::now());
+        *lock(&node.log) = log_path;
         node.may_end.store(false, Ordering::Relaxed);
         *child = Some(started);
         Ok(())
@@ -453,7 +454,7 @@
             pid: Mutex::default(),
             stdin: Mutex::default(),
             life: AtomicU64::new(0),
-            started: Mutex::default(),
+            log: Mutex::default(),
             may_end: AtomicBool::new(false),
             excused: AtomicBool::new(false),
             founds: AtomicBool::new(false),
@@ -461,6 +462,11 @@
         }
     }
 
+    /// Whether the process catches signals, as its first line shows; before, SIGTERM ends it as it ends any program.
+    fn catches_signals(&self) -> bool {
+        fs::metadata(&*lock(&self.log)).is_ok_and(|log| log.len() > 0)
+    }
+
     fn signal(&self, signal: Signal) {
         if let Some(pid) = *lock(&self.pid) {
             // A process that has just ended needs no signal.
--- a/crates/soak/tests/short.rs
+++ b/crates/soak/tests/short.rs
@@ -58,3 +58,18 @@
     let troubles = vec![panics(1_500, Role::Store, 0), panics(8_000, Role::Keeper, 0)];
     expect_nothing(&played(&options("panics", 5, Some(troubles))));
 }
+
+/// A disk that answers nothing costs one machine, not the service.
+#[test]
+fn disks_that_answer_nothing_stop_no_service() {
+    let stalls = |at, role, number| Trouble {
+        at,
+        lasts: 12_000,
+        kind: TroubleKind::DiskStall(Machine { role, number }),
+    };
+    // What is told to end meanwhile does so within its grace.
+    let stop =
+        Trouble { at: 9_000, lasts: 0, kind: TroubleKind::Stop(Machine { role: Role::Store, number: 0 }) };
+    let troubles = vec![stalls(1_500, Role::Store, 0), stop, stalls(18_000, Role::Keeper, 0)];
+    expect_nothing(&played(&options("stalls", 6, Some(troubles))));
+}
