--- a/crates/node/src/relay/sessions.rs
+++ b/crates/node/src/relay/sessions.rs
@@ -40,6 +40,11 @@
     /// Settles a turn in the background; tried again for a while.
     fn finish_later(&self, turn: FinishTurn);
 
+    /// Waits until no turn is being settled in the background.
+    fn settled(&self) -> Pin<Box<dyn Future<Output = ()> + Send>> {
+        Box::pin(std::future::ready(()))
+    }
+
     /// Turns that are being settled in the background.
     fn settling(&self) -> usize {
         0
@@ -77,6 +82,11 @@
         SessionsClient::finish_later(self, turn);
     }
 
+    fn settled(&self) -> Pin<Box<dyn Future<Output = ()> + Send>> {
+        let client = self.clone();
+        Box::pin(async move { client.settled().await })
+    }
+
     fn settling(&self) -> usize {
         SessionsClient::settling(self)
     }
--- a/crates/node/src/sessions_client.rs
+++ b/crates/node/src/sessions_client.rs
@@ -207,6 +207,12 @@
         self.settlements_lost.fetch_add(1, Ordering::Relaxed);
     }
 
+    /// Waits until no turn is being settled with nobody waiting for it.
+    pub async fn settled(&self) {
+        // The semaphore is never closed.
+        let _ = self.settling.acquire_many(MAX_SETTLING as u32).await;
+    }
+
     /// Turns that are being settled with nobody waiting for them.
     pub fn settling(&self) -> usize {
         MAX_SETTLING - self.settling.available_permits()
--- a/crates/node/tests/relay/lifecycle.rs
+++ b/crates/node/tests/relay/lifecycle.rs
@@ -1,6 +1,7 @@
 //! When a relay is ready, and how it ends.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use http::StatusCode;
 use tokio::sync::Notify;
@@ -94,3 +95,19 @@
     let served = bench.served.lock().unwrap().take().unwrap();
     soon(served).await.unwrap().unwrap();
 }
+
+// Guard: `Relay::serve` waits for `Sessions::settled`. A turn that nobody settles counts at its most.
+#[tokio::test]
+async fn a_relay_that_ends_waits_for_turns_that_are_being_settled() {
+    let bench = Bench::empty().await;
+    let settled = Arc::new(Notify::new());
+    *bench.stores.hold_settled.lock().unwrap() = Some(Arc::clone(&settled));
+    bench.stop();
+    let served = bench.served.lock().unwrap().take().unwrap();
+    tokio::pin!(served);
+    // Far longer than the end of a relay without connections takes.
+    let waits = tokio::time::timeout(Duration::from_secs(4), served.as_mut()).await.is_err();
+    assert!(waits, "it has ended while a turn was being settled");
+    settled.notify_one();
+    soon(served).await.unwrap().unwrap();
+}
--- a/crates/node/tests/relay/streams.rs
+++ b/crates/node/tests/relay/streams.rs
@@ -7,7 +7,7 @@
 use tokio::sync::Notify;
 
 use crate::endpoint::{Endpoint, Received, Step, chunk, declined, last_chunk, stream_head};
-use crate::support::{Bench, next_piece, read, request, soon};
+use crate::support::{Bench, next_piece, read, request, soon, with_headers};
 
 const FIRST: &str = "id: 1\ndata: one\n\n";
 const SECOND: &str = "id: 2\r\ndata: two\r\n\r\n";
@@ -145,3 +145,35 @@
     drop(body);
     soon(endpoint.left.notified()).await;
 }
+
+// Guard: `Exchange::held`. A stream holds its body for a resumption, and a kept turn its output, to the end.
+#[tokio::test]
+async fn a_stream_holds_the_room_of_its_bodies_until_its_end() {
+    let go_on = Arc::new(Notify::new());
+    let waits = Arc::clone(&go_on);
+    let endpoint = Endpoint::start("i-1", move |request| {
+        vec![
+            stream_head(request, "s"),
+            chunk("id: 1\ndata: first\n\n"),
+            Step::Wait(Arc::clone(&waits)),
+            last_chunk(),
+        ]
+    })
+    .await;
+    let bench = Bench::with(&[&endpoint]).await;
+    let body = "x".repeat(10_000);
+    let sent = with_headers(request("POST", "/k/x", "t1", &body), &[("program", "p1")]);
+    let mut stream = bench.send(sent).await.into_body();
+    next_piece(&mut stream).await.unwrap().unwrap();
+    let held = bench.core.memory.held();
+    assert!(held >= body.len() + "first\n".len(), "{held} bytes are held");
+    go_on.notify_one();
+    assert!(next_piece(&mut stream).await.is_none());
+    drop(stream);
+    soon(async {
+        while bench.core.memory.held() > 0 {
+            tokio::task::yield_now().await;
+        }
+    })
+    .await;
+}
--- a/crates/node/tests/relay/support.rs
+++ b/crates/node/tests/relay/support.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::path::Path;
+use std::pin::Pin;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -56,6 +57,8 @@
     /// How long each `finish` was given.
     pub finish_within: Mutex<Vec<Duration>>,
     pub fail_finish: Mutex<bool>,
+    /// What the end of all settling waits for, if for anything.
+    pub hold_settled: Mutex<Option<Arc<Notify>>>,
     pub told: Notify,
 }
 
@@ -86,6 +89,15 @@
         })
     }
 
+    fn settled(&self) -> Pin<Box<dyn Future<Output = ()> + Send>> {
+        let hold = self.hold_settled.lock().unwrap().clone();
+        Box::pin(async move {
+            if let Some(hold) = hold {
+                hold.notified().await;
+            }
+        })
+    }
+
     fn finish_later(&self, turn: FinishTurn) {
         self.later.lock().unwrap().push(turn);
         self.told.notify_one();
--- a/crates/node/tests/store.rs
+++ b/crates/node/tests/store.rs
@@ -2,13 +2,17 @@
 
 mod stores;
 
+use std::future::pending;
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::Duration;
 
 use juniperwing_node::sessions_client::{Begun, NotSettled, SessionError};
+use juniperwing_node::store::run_until;
 use juniperwing_protocol::session::{BeginTurn, FinishTurn, Turn};
 use juniperwing_protocol::{ProgramId, RequestId};
+use juniperwing_storage::SegmentFiles;
+use slog::{Discard, Logger, o};
 use stores::{COUNT, Stores, WITHIN};
 
 /// How long a call may take that is known to end without success.
@@ -182,6 +186,23 @@
     assert_eq!(stores.client.finish(keep("p", "t3", Some("t2")), WITHIN).await, Ok(()));
 }
 
+/// What a batch holds must not be taken for nothing: others count on this disk.
+#[tokio::test]
+async fn a_store_with_a_batch_of_another_release_does_not_start() {
+    let mut stores = Stores::start("other-release").await;
+    keep_two(&stores).await;
+    stores.running[0].take().unwrap().kill();
+    let (mut segments, before) = SegmentFiles::open(stores.data(0).join("sessions")).unwrap();
+    segments.append(&[0xff; 40]).unwrap();
+    let settings = stores.settings(0);
+    let started = run_until(&settings, Logger::root(Discard, o!()), pending());
+    let refused = tokio::time::timeout(Duration::from_secs(5), started).await;
+    let Ok(Err(error)) = refused else { panic!("it has started") };
+    assert!(error.to_string().contains("release"), "{error}");
+    let (_, after) = SegmentFiles::open(stores.data(0).join("sessions")).unwrap();
+    assert_eq!(after.len(), before.len() + 1, "nothing is lost");
+}
+
 /// A disk that answers nothing gives no event: opening a pipe that nobody reads blocks like it.
 #[tokio::test]
 async fn a_store_whose_disk_answers_nothing_leaves_the_keepers_until_it_does() {
--- a/crates/node/tests/stores/mod.rs
+++ b/crates/node/tests/stores/mod.rs
@@ -235,7 +235,7 @@
         self.folder.join(format!("store-{number}"))
     }
 
-    fn settings(&self, number: usize) -> Settings {
+    pub fn settings(&self, number: usize) -> Settings {
         let text = format!(
             r#"
             nodeName = "store-{number}"
