Files of another release are refused, whatever they are: a layout number is read first

Cause: what could not be read was taken for nothing, in four places: a store's batches, its map version, the identity of a folder (drawn anew, which gives the folder up), and no file said its layout. Now a number for each role's files is checked before the rest; a folder without one is of the first layout, so nothing on disk changes. What is whole and cannot be read ends the start with an error and is kept.

--- a/crates/node/src/keeper/record_file.rs
+++ b/crates/node/src/keeper/record_file.rs
@@ -14,10 +14,12 @@
 use juniperwing_protocol::replication::{Epoch, Version};
 use juniperwing_protocol::{DiskId, EpochNumber};
 use juniperwing_replication::{Ballot, Record};
-use juniperwing_storage::{StorageError, VersionFiles, identity};
+use juniperwing_storage::{StorageError, VersionFiles, identity, layout};
 use serde::{Deserialize, Serialize};
 use snafu::{ResultExt, Snafu};
 
+/// The layout of records and ballots; another number with every change of what is in them.
+const LAYOUT: u32 = 1;
 /// The name of the state in the data directory.
 const STATE_NAME: &str = "control";
 /// The name of the ballots that came after it.
@@ -103,6 +105,7 @@
 pub fn open(folder: &Path, draw: impl Fn() -> u64) -> Result<Opened, DiskError> {
     let (disk, _) = identity::open(folder, draw()).context(RefusedSnafu)?;
     let disk = DiskId(disk);
+    layout::check(folder, STATE_NAME, LAYOUT).context(RefusedSnafu)?;
     match RecordFile::open(folder, disk) {
         Ok((file, record)) => Ok(Opened { disk, file, record, loss: None }),
         Err(loss) if loss.is_loss() => start_over(folder, DiskId(draw()), loss),
--- a/crates/node/src/store/disk.rs
+++ b/crates/node/src/store/disk.rs
@@ -6,7 +6,7 @@
 
 use juniperwing_protocol::DiskId;
 use juniperwing_sessions::{Event, Limits, Store, StoredRecord, decode_batch, encode_batch};
-use juniperwing_storage::{SegmentFiles, SegmentNumber, StorageError, VersionFiles, identity};
+use juniperwing_storage::{SegmentFiles, SegmentNumber, StorageError, VersionFiles, identity, layout};
 use slog::{Logger, info, warn};
 use tokio::sync::mpsc;
 use tokio::time::timeout;
@@ -17,6 +17,8 @@
 
 /// The folder of the batches within the data folder.
 const FOLDER: &str = "sessions";
+/// The layout of batches; another number with every change of what is in them.
+const LAYOUT: u32 = 1;
 /// The name of the state with the map version.
 const MAP_VERSION: &str = "map-version";
 
@@ -49,22 +51,32 @@
     /// Opens the folder, with the identity that it has or is given now, and recovers the store from its batches. Blocks.
     pub(super) fn open(folder: &Path, limits: Limits, log: &Logger) -> Result<Opened, StorageError> {
         let (identity, is_new) = identity::open(folder, random())?;
+        layout::check(folder, FOLDER, LAYOUT)?;
         let disk = DiskId(identity);
         let moment = super::core::moment();
         let mut store = Store::new(disk, limits);
         let mut batches = 0_u64;
+        let mut is_readable = true;
         let files = SegmentFiles::open_each(folder.join(FOLDER), |batch| {
             batches += 1;
             let bytes = batch.contents.len() as u64;
             match decode_batch(&batch.contents) {
                 Ok(records) => store.recover(moment, batch.segment.0, bytes, records),
-                // Its checksum is right, so it was written by another version of this program.
-                Err(e) => warn!(log, "a batch cannot be read"; "number" => batch.segment.0, "why" => %e),
+                Err(e) => {
+                    is_readable = false;
+                    warn!(log, "a batch cannot be read"; "number" => batch.segment.0, "why" => %e);
+                }
             }
         })?;
+        // Its checksum is right, so another release wrote it; others count on what it holds.
+        if !is_readable {
+            return Err(StorageError::OtherLayout { path: folder.join(FOLDER) });
+        }
         let (map_version, newest) = VersionFiles::open(folder, MAP_VERSION)?;
-        if let Some(version) = newest.and_then(|bytes| bytes.try_into().ok()).map(u64::from_le_bytes) {
-            store.recover_map_version(version);
+        if let Some(bytes) = newest {
+            let version =
+                bytes.try_into().map_err(|_| StorageError::OtherLayout { path: folder.to_owned() })?;
+            store.recover_map_version(u64::from_le_bytes(version));
         }
         info!(log, "recovered"; "batches" => batches);
         Ok(Opened { disk, is_new, files: Disk { files, map_version }, store })
--- a/crates/storage/src/error.rs
+++ b/crates/storage/src/error.rs
@@ -28,7 +28,7 @@
         /// What is found in it.
         found: &'static str,
     },
-    /// A file is whole, but of another release's layout.
+    /// A file is whole, or a folder is, but of another release's layout.
     #[snafu(display("{} has the layout of another release", path.display()))]
     OtherLayout {
         /// The file.
--- a/crates/storage/src/identity.rs
+++ b/crates/storage/src/identity.rs
@@ -3,7 +3,7 @@
 
 use std::path::Path;
 
-use crate::error::StorageError;
+use crate::error::{OtherLayoutSnafu, StorageError};
 use crate::version::VersionFiles;
 
 const NAME: &str = "identity";
@@ -13,19 +13,20 @@
 ///
 /// # Errors
 ///
-/// If the folder cannot be read or written.
+/// If the folder cannot be read or written, or holds what another release wrote.
 pub fn open(folder: &Path, drawn: u64) -> Result<(u64, bool), StorageError> {
     let (mut files, newest) = match VersionFiles::open(folder, NAME) {
         Err(error) if error.is_damage() => (VersionFiles::clear(folder, NAME)?, None),
         opened => opened?,
     };
-    let known = newest.and_then(|bytes| bytes.try_into().ok()).map(u64::from_le_bytes);
-    match known {
-        Some(identity) => Ok((identity, false)),
-        None => {
-            files.write(&drawn.to_le_bytes())?;
-            Ok((drawn, true))
-        }
+    let Some(bytes) = newest else {
+        files.write(&drawn.to_le_bytes())?;
+        return Ok((drawn, true));
+    };
+    // Whole, and not a number: another release wrote it. A new one in its place would give up what the folder holds.
+    match bytes.try_into() {
+        Ok(known) => Ok((u64::from_le_bytes(known), false)),
+        Err(_) => OtherLayoutSnafu { path: folder }.fail(),
     }
 }
 
--- a/crates/storage/src/lib.rs
+++ b/crates/storage/src/lib.rs
@@ -11,6 +11,7 @@
 mod error;
 mod file;
 pub mod identity;
+pub mod layout;
 mod segment;
 mod version;
 
--- a/crates/storage/tests/storage.rs
+++ b/crates/storage/tests/storage.rs
@@ -3,7 +3,7 @@
 use std::fs;
 use std::path::PathBuf;
 
-use juniperwing_storage::{Batch, SegmentFiles, VersionFiles, identity};
+use juniperwing_storage::{Batch, SegmentFiles, StorageError, VersionFiles, identity, layout};
 
 struct Folder(PathBuf);
 
@@ -187,3 +187,28 @@
     fs::remove_dir_all(&folder.0).unwrap();
     assert_eq!(identity::open(&folder.0, 9).unwrap(), (9, true));
 }
+
+#[test]
+fn a_folder_keeps_its_layout_and_refuses_others() {
+    let folder = Folder::new("layout");
+    // Without the number it is of the first layout, and says so from then on.
+    layout::check(&folder.0, "state", 1).unwrap();
+    layout::check(&folder.0, "state", 1).unwrap();
+    let other = layout::check(&folder.0, "state", 2);
+    assert!(matches!(other, Err(StorageError::OtherLayout { .. })), "{other:?}");
+    // Another role's files in the same folder have a layout of their own.
+    layout::check(&folder.0, "other", 1).unwrap();
+    let unsaid = Folder::new("layout-unsaid");
+    assert!(matches!(layout::check(&unsaid.0, "state", 2), Err(StorageError::OtherLayout { .. })));
+}
+
+#[test]
+fn an_identity_of_another_release_is_refused_and_kept() {
+    let folder = Folder::new("identity-release");
+    let (mut files, _) = VersionFiles::open(&folder.0, "identity").unwrap();
+    files.write(b"a longer identity").unwrap();
+    let before = folder.files();
+    let opened = identity::open(&folder.0, 7);
+    assert!(matches!(opened, Err(StorageError::OtherLayout { .. })), "{opened:?}");
+    assert_eq!(folder.files(), before);
+}
