--- a/crates/node/src/gossip.rs
+++ b/crates/node/src/gossip.rs
@@ -23,6 +23,7 @@
 use self::view::View;
 use crate::clock::{duration, now, random};
 use crate::host::Datagrams;
+use crate::panics::spawn_essential;
 use crate::settings::{Port, Settings};
 use crate::sync::lock;
 
@@ -85,7 +86,7 @@
         let membership = Membership::new(now(), membership_settings, random()).map_err(io::Error::other)?;
         let state = Mutex::new(State { membership, wake_at: now(), view });
         let shared = Arc::new(Shared { socket, state, rearm: Notify::new(), observer, log });
-        let task = tokio::spawn(Arc::clone(&shared).run());
+        let task = spawn_essential("membership", Arc::clone(&shared).run());
         Ok(Gossip { shared, task })
     }
 
--- a/crates/node/src/keeper.rs
+++ b/crates/node/src/keeper.rs
@@ -123,6 +123,12 @@
 /// If a listener or the disk cannot be used.
 pub async fn run(process: Process) -> io::Result<()> {
     let Process { settings, settings_file, log, mut signals } = process;
+    let opened = tokio::select! {
+        biased;
+        opened = Opening::of(&settings, &log) => opened?,
+        // Nothing was promised in this life yet.
+        () = signals.stop() => return Ok(()),
+    };
     let (changed, changes) = watch::channel(settings.clone());
     let reload_log = log.clone();
     let stop = async move {
@@ -133,7 +139,7 @@
             }
         }
     };
-    run_with(settings, changes, log, stop).await
+    opened.serve(settings, changes, log, stop).await
 }
 
 /// Runs until `stop` is done.
@@ -146,7 +152,8 @@
     run_with(settings, changes, log, stop).await
 }
 
-/// Runs until `stop` is done, and takes the seeds of settings that `changes` brings.
+/// Runs until `stop` is done, and takes the seeds of settings that `changes` brings. `stop` is asked for the first time
+/// when everything listens.
 ///
 /// # Errors
 ///
@@ -154,53 +161,69 @@
 pub async fn run_with(
     settings: Settings, changes: watch::Receiver<Settings>, log: Logger, stop: impl Future<Output = ()>,
 ) -> io::Result<()> {
-    let Some(control) = settings.listeners_map.control_plane else {
-        return Err(unusable("listenersMap.controlPlane is missing"));
-    };
-    let Some(folder) = settings.data_directory.clone() else {
-        return Err(unusable("dataDirectory is missing"));
-    };
-    let internal = Listener::bind(settings.own_address(Port::Keeper)).await?;
-    let control = control_listener::bind(control).await?;
-    let (for_disk, disk_log) = (settings.clone(), log.clone());
-    let opened = wait_for_disk(move || open(&for_disk, &folder, &disk_log));
-    let grace = Duration::try_from_secs_f64(settings.bounds.grace_s).unwrap_or_default();
-    tokio::pin!(stop);
-    let start = tokio::select! {
-        biased;
-        opened = opened => opened.map_err(io::Error::other)??,
-        // Nothing was promised in this life yet.
-        () = stop.as_mut() => return Ok(()),
-    };
-    for finding in settings.bounds.too_short() {
-        warn!(log, "a bound cannot be met"; "bound" => finding);
+    let opened = Opening::of(&settings, &log).await?;
+    opened.serve(settings, changes, log, stop).await
+}
+
+/// A keeper with its listeners and its disk open.
+struct Opening {
+    internal: Listener,
+    control: Listener,
+    start: Start,
+}
+
+impl Opening {
+    /// Opens the listeners and the disk.
+    async fn of(settings: &Settings, log: &Logger) -> io::Result<Opening> {
+        let Some(control) = settings.listeners_map.control_plane else {
+            return Err(unusable("listenersMap.controlPlane is missing"));
+        };
+        let Some(folder) = settings.data_directory.clone() else {
+            return Err(unusable("dataDirectory is missing"));
+        };
+        let internal = Listener::bind(settings.own_address(Port::Keeper)).await?;
+        let control = control_listener::bind(control).await?;
+        let (for_disk, disk_log) = (settings.clone(), log.clone());
+        let opened = wait_for_disk(move || open(&for_disk, &folder, &disk_log));
+        let start = opened.await.map_err(io::Error::other)??;
+        Ok(Opening { internal, control, start })
+    }
+
+    async fn serve(
+        self, settings: Settings, changes: watch::Receiver<Settings>, log: Logger,
+        stop: impl Future<Output = ()>,
+    ) -> io::Result<()> {
+        let Opening { internal, control, start: Start { replica, file, me } } = self;
+        for finding in settings.bounds.too_short() {
+            warn!(log, "a bound cannot be met"; "bound" => finding);
+        }
+        info!(log, "starting"; "disk" => me.disk.0, "seeds" => settings.seed_nodes.len());
+
+        let (writes, writes_received) = mpsc::channel(MAX_WRITES);
+        let (wake, wake_received) = watch::channel(Time::default());
+        let consensus = Consensus::new(replica, writes, wake);
+        let keeper = Keeper::new(&settings, log, me, consensus);
+        metrics::start(&settings, Arc::clone(&keeper) as Arc<dyn FigureSource>, &keeper.log).await;
+        let mut tasks = keeper.start_tasks(internal, file, writes_received, wake_received);
+        let contacts = Contacts::start(&settings, &keeper).await?;
+        tasks.push(spawn_essential("contacts", Arc::clone(&contacts).follow(changes)));
+
+        let (stopping, stop_received) = watch::channel(false);
+        let (open_calls, mut calls_ended) = mpsc::channel(1);
+        let calls = control_listener::serve(control, Arc::clone(&keeper), stop_received, open_calls);
+        let calls = tokio::spawn(calls);
+        stop.await;
+        info!(keeper.log, "ending");
+        contacts.leave();
+        let grace = Duration::try_from_secs_f64(settings.bounds.grace_s).unwrap_or_default();
+        keeper.hand_over(grace).await;
+        // Whoever serves a connection holds a sender; the channel ends with the last of them.
+        stopping.send_replace(true);
+        let _ = timeout(FINISH_WITHIN, calls_ended.recv()).await;
+        calls.abort();
+        tasks.iter().for_each(tokio::task::JoinHandle::abort);
+        Ok(())
     }
-    info!(log, "starting"; "disk" => start.me.disk.0, "seeds" => settings.seed_nodes.len());
-
-    let (writes, writes_received) = mpsc::channel(MAX_WRITES);
-    let (wake, wake_received) = watch::channel(Time::default());
-    let Start { replica, file, me } = start;
-    let consensus = Consensus::new(replica, writes, wake);
-    let keeper = Keeper::new(&settings, log, me, consensus);
-    metrics::start(&settings, Arc::clone(&keeper) as Arc<dyn FigureSource>, &keeper.log).await;
-    let mut tasks = keeper.start_tasks(internal, file, writes_received, wake_received);
-    let contacts = Contacts::start(&settings, &keeper).await?;
-    tasks.push(spawn_essential("contacts", Arc::clone(&contacts).follow(changes)));
-
-    let (stopping, stop_received) = watch::channel(false);
-    let (open_calls, mut calls_ended) = mpsc::channel(1);
-    let calls = control_listener::serve(control, Arc::clone(&keeper), stop_received, open_calls);
-    let calls = tokio::spawn(calls);
-    stop.await;
-    info!(keeper.log, "ending");
-    contacts.leave();
-    keeper.hand_over(grace).await;
-    // Whoever serves a connection holds a sender; the channel ends with the last of them.
-    stopping.send_replace(true);
-    let _ = timeout(FINISH_WITHIN, calls_ended.recv()).await;
-    calls.abort();
-    tasks.iter().for_each(tokio::task::JoinHandle::abort);
-    Ok(())
 }
 
 /// Opens the disk and restores the replica from it. Blocks.
--- a/crates/node/src/signals.rs
+++ b/crates/node/src/signals.rs
@@ -35,6 +35,11 @@
         })
     }
 
+    /// Waits until the end is wanted. Nothing is read again meanwhile.
+    pub async fn stop(&mut self) {
+        while self.next().await != Wish::Stop {}
+    }
+
     /// Waits for the next one.
     pub async fn next(&mut self) -> Wish {
         tokio::select! {
--- a/crates/node/src/store.rs
+++ b/crates/node/src/store.rs
@@ -29,7 +29,7 @@
 use crate::metrics::{self, FigureSource};
 use crate::panics::spawn_essential;
 use crate::settings::{Port, Settings};
-use crate::signals::{Signals, Wish};
+use crate::signals::Wish;
 use crate::subscriber::Subscriber;
 
 /// Keepers that a store subscribes to at most; usually there are fewer.
@@ -54,7 +54,7 @@
     let node = tokio::select! {
         started = starting => started?,
         // Nothing was promised yet.
-        () = stop_wanted(&mut process.signals) => return Ok(()),
+        () = process.signals.stop() => return Ok(()),
     };
     loop {
         match process.signals.next().await {
@@ -69,11 +69,6 @@
     Ok(())
 }
 
-async fn stop_wanted(signals: &mut Signals) {
-    // The settings are read at the start: there is nothing to read again yet.
-    while signals.next().await != Wish::Stop {}
-}
-
 /// Runs with these settings until `shutdown` is over.
 ///
 /// # Errors
--- a/crates/node/src/subscriber.rs
+++ b/crates/node/src/subscriber.rs
@@ -17,6 +17,7 @@
 use tokio::time::timeout;
 
 use crate::link::{Link, Reply, Service, connect};
+use crate::panics::spawn_essential;
 use crate::sync::lock;
 
 /// The pause before the next keeper is tried.
@@ -98,7 +99,7 @@
         let keepers = Mutex::new(Keepers { seeds, next, ..Keepers::default() });
         let subscriber = Arc::new(Subscriber { subscribe, sink, keepers, changed: Notify::new() });
         for _ in 0..wanted {
-            tokio::spawn(Arc::clone(&subscriber).keep_one());
+            spawn_essential("subscription", Arc::clone(&subscriber).keep_one());
         }
         subscriber
     }
