A relay settles before it ends, and streams hold the room of their bodies to the end

Causes: a relay ended with its connections, so what settled turns was dropped and they counted at their most for the rest of their memory; room was given back with the head of the answer, while a stream holds its body and a kept turn its output, and answers that are read whole took none. The end waits for settling up to 0.1 s before the grace; room goes with the exchange and with the answer. Tests, red before: 10,006 bytes are held where it was 0; the end waits. All tests of the node pass.

--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -73,6 +73,8 @@
 const ACCEPT_SHARE: f64 = 0.34;
 /// What is kept of the time that the platform leaves for an end.
 const BEFORE_GRACE_ENDS: Duration = Duration::from_millis(500);
+/// For how long turns may still be settled after the time for connections is over.
+const SETTLE_ON: Duration = Duration::from_millis(400);
 /// For how long the answers that are given at the very end may go out.
 const LAST_ANSWERS: Duration = Duration::from_millis(200);
 /// Descriptors that are for neither clients nor endpoints.
@@ -269,10 +271,12 @@
         // What is not done by now is answered all the same, not cut.
         core.ends.send_replace(true);
         let _ = timeout(LAST_ANSWERS, core.connections.ended()).await;
+        // What nobody settles counts at its most until it lapses.
+        let settled = timeout_at(end + SETTLE_ON, core.sessions.settled()).await.is_ok();
         upkeep.abort();
         readiness.abort();
         core.metrics.log(&log);
-        info!(log, "stopped"; "finished" => finished);
+        info!(log, "stopped"; "finished" => finished, "settled" => settled);
         Ok(())
     }
 }
--- a/crates/node/src/relay/attempt.rs
+++ b/crates/node/src/relay/attempt.rs
@@ -14,6 +14,7 @@
 use super::dispatcher::Slot;
 use super::exchange::{Exchange, has_other_transfer_coding, header_text};
 use super::fate::{Cause, Failure};
+use super::memory::Held;
 use super::upstream::Connection;
 use crate::clock::duration;
 
@@ -164,12 +165,12 @@
     bodiless || framed
 }
 
-/// Reads a body to its end.
+/// Reads a body to its end; `held` is the room that it takes.
 ///
 /// # Errors
 ///
-/// If it ends early, or is too large to be held.
-pub async fn read_whole(body: &mut Incoming) -> Result<VecDeque<Bytes>, Failure> {
+/// If it ends early, or is too large to be held, alone or with all others.
+pub async fn read_whole(body: &mut Incoming, held: &mut Held) -> Result<VecDeque<Bytes>, Failure> {
     let (mut pieces, mut length) = (VecDeque::new(), 0);
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|_| Failure::may_have_run(Cause::Unsound))?;
@@ -178,6 +179,9 @@
         if length > MAX_WHOLE_BYTES {
             return Err(Failure::may_have_run(Cause::Unsound));
         }
+        if !held.grow(data.len()) {
+            return Err(Failure::may_have_run(Cause::NoRoom));
+        }
         pieces.push_back(data);
     }
     Ok(pieces)
--- a/crates/node/src/relay/body.rs
+++ b/crates/node/src/relay/body.rs
@@ -10,6 +10,7 @@
 use snafu::Snafu;
 
 use super::connections::RequestGuard;
+use super::memory::Held;
 use super::trace::Traced;
 
 /// Why an answer breaks off. The client sees a connection that ends before the answer does.
@@ -27,6 +28,9 @@
     /// The endpoint sent what is no answer.
     #[snafu(display("the endpoint sent no proper answer"))]
     Unsound,
+    /// There is no room for what has to be kept of it.
+    #[snafu(display("no room for the answer"))]
+    NoRoom,
 }
 
 impl BrokenOff {
@@ -37,6 +41,7 @@
             BrokenOff::Deadline => "deadline",
             BrokenOff::NotKept => "turn not kept",
             BrokenOff::Unsound => "unsound answer",
+            BrokenOff::NoRoom => "no room for the answer",
         }
     }
 }
@@ -52,6 +57,8 @@
 /// The body of an answer.
 pub struct RelayBody {
     content: Content,
+    /// The room that it takes.
+    _held: Option<Held>,
     /// Tells what became of the request when its answer has ended.
     traced: Option<Traced>,
     /// The request counts as open for as long as its answer lives.
@@ -61,7 +68,12 @@
 impl RelayBody {
     /// A body that is known as a whole.
     pub fn whole(pieces: VecDeque<Bytes>) -> Self {
-        RelayBody { content: Content::Whole(pieces), traced: None, open: None }
+        RelayBody { content: Content::Whole(pieces), _held: None, traced: None, open: None }
+    }
+
+    /// The same, with the room that it takes until it has gone out.
+    pub fn whole_held(pieces: VecDeque<Bytes>, held: Held) -> Self {
+        RelayBody { _held: Some(held), ..Self::whole(pieces) }
     }
 
     /// A fixed text.
@@ -71,7 +83,7 @@
 
     /// A body whose pieces are passed on as they come.
     pub fn pieces(pieces: Pieces) -> Self {
-        RelayBody { content: Content::Pieces(pieces), traced: None, open: None }
+        RelayBody { content: Content::Pieces(pieces), _held: None, traced: None, open: None }
     }
 
     /// Ties the request to its answer.
--- a/crates/node/src/relay/exchange.rs
+++ b/crates/node/src/relay/exchange.rs
@@ -12,6 +12,7 @@
 use juniperwing_protocol::identity::{InstanceId, ProgramId, RequestId};
 
 use super::fate::header_name;
+use super::memory::Held;
 use super::sessions::SessionFault;
 use super::trace::RequestTrace;
 use crate::clock::now;
@@ -51,6 +52,8 @@
     pub deadline: Time,
     /// What becomes of it.
     pub trace: Arc<RequestTrace>,
+    /// The room that its body takes, and what is kept of its answer.
+    pub held: Held,
 }
 
 impl Exchange {
--- a/crates/node/src/relay/fate.rs
+++ b/crates/node/src/relay/fate.rs
@@ -37,6 +37,8 @@
     EndpointError,
     /// No answer within the time-out.
     Silent,
+    /// The relay has no room for the answer.
+    NoRoom,
 }
 
 impl Cause {
@@ -52,6 +54,7 @@
             Cause::Unsound => "unsound answer",
             Cause::EndpointError => "endpoint error",
             Cause::Silent => "silent",
+            Cause::NoRoom => "no room for the answer",
         }
     }
 }
--- a/crates/node/src/relay/forward.rs
+++ b/crates/node/src/relay/forward.rs
@@ -101,7 +101,7 @@
             Cause::WrongRequest | Cause::Unsound => core.metrics.unsound.add(),
             Cause::Silent => core.metrics.abandoned.add(),
             Cause::Broken | Cause::EndpointError => core.metrics.broken.add(),
-            Cause::NoConnection | Cause::EndpointLeft => {}
+            Cause::NoConnection | Cause::EndpointLeft | Cause::NoRoom => {}
         }
     }
 
@@ -211,7 +211,7 @@
     match cause {
         Cause::Declined => Ending::Full,
         Cause::Silent => Ending::Silent,
-        Cause::EndpointLeft | Cause::Misdirected => Ending::Abandoned,
+        Cause::EndpointLeft | Cause::Misdirected | Cause::NoRoom => Ending::Abandoned,
         Cause::NoConnection | Cause::Broken | Cause::WrongRequest | Cause::Unsound | Cause::EndpointError => {
             Ending::Failed
         }
@@ -227,8 +227,9 @@
     }
     let Answer { mut parts, mut body, connection, .. } = answer;
     let kept_for = keep_alive(&parts.headers);
-    let pieces = attempt::read_whole(&mut body).await?;
+    let mut held = core.memory.take(0).ok_or(Failure::may_have_run(Cause::NoRoom))?;
+    let pieces = attempt::read_whole(&mut body, &mut held).await?;
     core.pool.give_back(endpoint, connection, kept_for);
     remove_hop_by_hop(&mut parts.headers);
-    Ok(Reply::Whole(Response::from_parts(parts, RelayBody::whole(pieces))))
+    Ok(Reply::Whole(Response::from_parts(parts, RelayBody::whole_held(pieces, held))))
 }
--- a/crates/node/src/relay/frontend.rs
+++ b/crates/node/src/relay/frontend.rs
@@ -182,15 +182,16 @@
     }
     let (parts, body) = request.into_parts();
     let deadline = begun + time_allowed(&route, &parts.headers);
-    let (body, mut held) = read_body(core, body, limits, deadline).await?;
-    let mut exchange = exchange(route, parts, body, deadline, trace)?;
+    let (body, held) = read_body(core, body, limits, deadline).await?;
+    let mut exchange = exchange(route, parts, body, deadline, trace, held)?;
     let turn = OpenTurn::begin(core, &mut exchange, &in_force.table).await;
     let turn = turn.inspect_err(|denied| {
         if matches!(denied, Denied::Finally(_)) {
             core.metrics.turns_denied.add();
         }
     })?;
-    if !held.grow(exchange.body.len()) {
+    let with_history = exchange.body.len();
+    if !exchange.held.grow(with_history) {
         return Err(Refused::GivenUp(GivenUp::NoRoom));
     }
     let answer = forward(core, exchange, turn).await;
@@ -272,6 +273,7 @@
 
 fn exchange(
     route: Arc<Route>, parts: http::request::Parts, body: Bytes, deadline: Time, trace: &Arc<RequestTrace>,
+    held: Held,
 ) -> Result<Exchange, Refused> {
     let bad_request = || Refused::Finally(StatusCode::BAD_REQUEST);
     let mut headers = parts.headers;
@@ -299,6 +301,7 @@
         deadline,
         route,
         trace: Arc::clone(trace),
+        held,
     })
 }
 
--- a/crates/node/src/relay/stream.rs
+++ b/crates/node/src/relay/stream.rs
@@ -184,14 +184,14 @@
     async fn next_bytes(&mut self) -> Result<Option<Bytes>, BrokenOff> {
         loop {
             if let Some(first) = self.first.take()
-                && let Some(bytes) = self.take_in(first)
+                && let Some(bytes) = self.take_in(first)?
             {
                 return Ok(Some(bytes));
             }
             match timeout_at(self.until, self.source.next()).await {
                 Err(_) => return Err(BrokenOff::Deadline),
                 Ok(Ok(Next::Events(events))) => {
-                    if let Some(bytes) = self.take_in(events) {
+                    if let Some(bytes) = self.take_in(events)? {
                         return Ok(Some(bytes));
                     }
                 }
@@ -203,18 +203,19 @@
     }
 
     /// The bytes of events that the client does not have yet.
-    fn take_in(&mut self, events: Vec<Event>) -> Option<Bytes> {
+    fn take_in(&mut self, events: Vec<Event>) -> Result<Option<Bytes>, BrokenOff> {
         let mut fresh: Vec<Event> = events.into_iter().filter(|event| !self.is_known(event)).collect();
         for event in &fresh {
             self.check_rises(event);
-            if let Some(turn) = &mut self.turn {
-                turn.hand_out(event);
+            let kept = self.turn.as_mut().map_or(0, |turn| turn.hand_out(event));
+            if !self.exchange.held.grow(kept) {
+                return Err(BrokenOff::NoRoom);
             }
             if event.id.is_some() {
                 self.last_id.clone_from(&event.id);
             }
         }
-        match fresh.len() {
+        Ok(match fresh.len() {
             0 => None,
             1 => fresh.pop().map(|event| event.raw),
             _ => {
@@ -222,7 +223,7 @@
                 fresh.iter().for_each(|event| all.extend_from_slice(&event.raw));
                 Some(all.freeze())
             }
-        }
+        })
     }
 
     /// What another endpoint goes on with lies behind what the client had when it was asked.
--- a/crates/node/src/relay/turn.rs
+++ b/crates/node/src/relay/turn.rs
@@ -125,14 +125,16 @@
         }
     }
 
-    /// An event is passed on to the client.
-    pub fn hand_out(&mut self, event: &Event) {
-        let Some(data) = &event.data else { return };
+    /// An event is passed on to the client. Returns how many bytes are kept of it.
+    pub fn hand_out(&mut self, event: &Event) -> usize {
+        let Some(data) = &event.data else { return 0 };
         self.handed_out = self.handed_out.saturating_add(self.stride);
-        if self.retention.is_some() {
-            self.output.extend_from_slice(data);
-            self.output.push(b'\n');
+        if self.retention.is_none() {
+            return 0;
         }
+        self.output.extend_from_slice(data);
+        self.output.push(b'\n');
+        data.len() + 1
     }
 
     /// The answer has come to its end at an endpoint, with `left` until its deadline: the turn is kept before that
