Sight: slow disks are told, and a turn's line names the store that gave no answer

Soak: panics of writing threads are drawn; what may not start without its disk or its settings is excused.

--- a/crates/node/src/relay/sessions.rs
+++ b/crates/node/src/relay/sessions.rs
@@ -19,7 +19,7 @@
     #[snafu(display("the turn before is not known"))]
     UnknownTurn,
     /// It cannot be done now.
-    #[snafu(display("the stores cannot do it now: {}", trouble.name()))]
+    #[snafu(display("the stores cannot do it now: {trouble}"))]
     Unavailable {
         /// Why, as far as is known.
         trouble: StoreTrouble,
--- a/crates/node/src/relay/trace.rs
+++ b/crates/node/src/relay/trace.rs
@@ -267,7 +267,7 @@
             "request" => &state.request, "outcome" => outcome, "why" => why, "status" => status,
             "route" => state.route.as_ref().map_or("", |route| &route.name.0),
             "generation" => state.generation, "attempts" => state.attempts(),
-            "stores" => state.stores.map_or("", StoreTrouble::name),
+            "stores" => state.stores.map(|trouble| trouble.to_string()).unwrap_or_default(),
             "answered_ms" => state.answered_after.map(millis), "took_ms" => millis(trace.elapsed()),
             "unlogged" => unlogged);
     }
--- a/crates/node/src/sessions_client.rs
+++ b/crates/node/src/sessions_client.rs
@@ -1,6 +1,7 @@
 //! The relay's way to the stores: begins and finishes turns at the primary of a program's partition.
 
 use std::collections::BTreeMap;
+use std::fmt;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -34,9 +35,34 @@
     pub chain: Vec<Turn>,
 }
 
-/// Why the stores could not decide, as the last try showed.
+/// What the last try at the stores came to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum StoreTrouble {
+pub struct StoreTrouble {
+    /// The store that was asked last, if one was.
+    pub store: Option<SocketAddr>,
+    /// Why it did not decide.
+    pub why: StoreFault,
+}
+
+impl From<StoreFault> for StoreTrouble {
+    fn from(why: StoreFault) -> Self {
+        StoreTrouble { store: None, why }
+    }
+}
+
+impl fmt::Display for StoreTrouble {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(self.why.name())?;
+        match self.store {
+            Some(store) => write!(formatter, " ({store})"),
+            None => Ok(()),
+        }
+    }
+}
+
+/// Why a store did not decide.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StoreFault {
     /// No map of the stores is known, or it names no primary for the program.
     NoPrimary,
     /// The primary cannot be reached.
@@ -55,28 +81,28 @@
     Uncertain,
 }
 
-impl StoreTrouble {
+impl StoreFault {
     /// Its name in logs.
     pub fn name(self) -> &'static str {
         match self {
-            StoreTrouble::NoPrimary => "no primary known",
-            StoreTrouble::NotConnected => "not connected",
-            StoreTrouble::LinkBroke => "link broke",
-            StoreTrouble::NoAnswer => "no answer",
-            StoreTrouble::NotPrimary => "not primary",
-            StoreTrouble::Unavailable => "unavailable",
-            StoreTrouble::WrongAnswer => "wrong answer",
-            StoreTrouble::Uncertain => "uncertain",
+            StoreFault::NoPrimary => "no primary known",
+            StoreFault::NotConnected => "not connected",
+            StoreFault::LinkBroke => "link broke",
+            StoreFault::NoAnswer => "no answer",
+            StoreFault::NotPrimary => "not primary",
+            StoreFault::Unavailable => "unavailable",
+            StoreFault::WrongAnswer => "wrong answer",
+            StoreFault::Uncertain => "uncertain",
         }
     }
 }
 
-impl From<CallError> for StoreTrouble {
+impl From<CallError> for StoreFault {
     fn from(error: CallError) -> Self {
         match error {
-            CallError::NotConnected => StoreTrouble::NotConnected,
-            CallError::Broken => StoreTrouble::LinkBroke,
-            CallError::TimedOut => StoreTrouble::NoAnswer,
+            CallError::NotConnected => StoreFault::NotConnected,
+            CallError::Broken => StoreFault::LinkBroke,
+            CallError::TimedOut => StoreFault::NoAnswer,
         }
     }
 }
@@ -91,7 +117,7 @@
     #[snafu(display("the previous turn is not known"))]
     UnknownTurn,
     /// No certain answer in time. The turn may have been reserved: settle it at 0 tokens.
-    #[snafu(display("no certain answer in time: {}", trouble.name()))]
+    #[snafu(display("no certain answer in time: {trouble}"))]
     Unavailable {
         /// Why, as far as is known.
         trouble: StoreTrouble,
@@ -100,7 +126,7 @@
 
 /// A turn was not settled in time, or not certainly.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
-#[snafu(display("the turn is not certain to be settled: {}", trouble.name()))]
+#[snafu(display("the turn is not certain to be settled: {trouble}"))]
 pub struct NotSettled {
     /// Why, as far as is known.
     pub trouble: StoreTrouble,
@@ -163,14 +189,14 @@
                 SessionReply::Begun { chain } => return Ok(Begun { chain }),
                 SessionReply::BudgetSpent => return Err(SessionError::BudgetSpent),
                 SessionReply::UnknownTurn if begin.imported.is_empty() => {
-                    let wrong = SessionError::Unavailable { trouble: StoreTrouble::WrongAnswer };
+                    let wrong = SessionError::Unavailable { trouble: StoreFault::WrongAnswer.into() };
                     let previous = begin.previous.as_ref().ok_or(wrong)?;
                     begin.imported = self.find(previous, until).await?;
                 }
                 SessionReply::UnknownTurn => {
-                    return Err(SessionError::Unavailable { trouble: StoreTrouble::Uncertain });
+                    return Err(SessionError::Unavailable { trouble: StoreFault::Uncertain.into() });
                 }
-                _ => return Err(SessionError::Unavailable { trouble: StoreTrouble::WrongAnswer }),
+                _ => return Err(SessionError::Unavailable { trouble: StoreFault::WrongAnswer.into() }),
             }
         }
     }
@@ -185,7 +211,7 @@
         let program = finish.program.clone();
         match self.ask(&program, SessionCall::Finish(finish), until).await {
             Ok(SessionReply::Finished) => Ok(()),
-            Ok(_) => Err(NotSettled { trouble: StoreTrouble::WrongAnswer }),
+            Ok(_) => Err(NotSettled { trouble: StoreFault::WrongAnswer.into() }),
             Err(trouble) => Err(NotSettled { trouble }),
         }
     }
@@ -232,11 +258,11 @@
             let target = target(&map.borrow_and_update(), program);
             let tried = match target {
                 Some(target) => self.try_once(target, call.clone(), until).await,
-                None => Err(StoreTrouble::NoPrimary),
+                None => Err(StoreFault::NoPrimary),
             };
             let trouble = match tried {
                 Ok(reply) => return Ok(reply),
-                Err(trouble) => trouble,
+                Err(why) => StoreTrouble { store: target.map(|target| target.address), why },
             };
             wait_for_change(&mut map, until).await.ok_or(trouble)?;
         }
@@ -245,14 +271,14 @@
     /// One try.
     async fn try_once(
         &self, target: Target, call: SessionCall, until: Instant,
-    ) -> Result<SessionReply, StoreTrouble> {
+    ) -> Result<SessionReply, StoreFault> {
         let request = SessionRequest { partition: target.partition, epoch: target.epoch, body: call };
         let within = TRY_WITHIN.min(until.saturating_duration_since(Instant::now()));
         match self.pool.call(target.address, Message::SessionRequest(request), within).await? {
-            Message::SessionReply(SessionReply::NotPrimary { .. }) => Err(StoreTrouble::NotPrimary),
-            Message::SessionReply(SessionReply::Unavailable) => Err(StoreTrouble::Unavailable),
+            Message::SessionReply(SessionReply::NotPrimary { .. }) => Err(StoreFault::NotPrimary),
+            Message::SessionReply(SessionReply::Unavailable) => Err(StoreFault::Unavailable),
             Message::SessionReply(reply) => Ok(reply),
-            _ => Err(StoreTrouble::WrongAnswer),
+            _ => Err(StoreFault::WrongAnswer),
         }
     }
 
@@ -265,7 +291,7 @@
                 Search::Found(chain) => return Ok(chain),
                 Search::Nowhere => return Err(SessionError::UnknownTurn),
                 Search::Uncertain => {
-                    let uncertain = SessionError::Unavailable { trouble: StoreTrouble::Uncertain };
+                    let uncertain = SessionError::Unavailable { trouble: StoreFault::Uncertain.into() };
                     wait_for_change(&mut map, until).await.ok_or(uncertain)?;
                 }
             }
--- a/crates/node/src/store/disk.rs
+++ b/crates/node/src/store/disk.rs
@@ -3,13 +3,14 @@
 use std::future::Future;
 use std::path::Path;
 use std::sync::Arc;
+use std::time::Duration;
 
 use juniperwing_protocol::DiskId;
 use juniperwing_sessions::{Event, Limits, Store, StoredRecord, decode_batch, encode_batch};
 use juniperwing_storage::{SegmentFiles, SegmentNumber, StorageError, VersionFiles, identity, layout};
 use slog::{Logger, info, warn};
 use tokio::sync::mpsc;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout};
 
 use super::core::{Core, DISK_LOST_AFTER};
 use crate::clock::{duration, random};
@@ -17,6 +18,8 @@
 
 /// The folder of the batches within the data folder.
 const FOLDER: &str = "sessions";
+/// Work on disk that takes longer is told in the log.
+const SLOW: Duration = Duration::from_millis(300);
 /// The layout of batches; another number with every change of what is in them.
 const LAYOUT: u32 = 1;
 /// The name of the state with the map version.
@@ -92,7 +95,9 @@
                 let outcome = disk.work(taken);
                 (disk, outcome)
             });
+            let began = Instant::now();
             let Ok((returned, outcome)) = answered(done, &core).await else { return };
+            log_if_slow(&log, began.elapsed());
             disk = returned;
             for failure in outcome.failures {
                 warn!(log, "the disk refuses"; "why" => failure.to_string());
@@ -129,6 +134,13 @@
     }
 }
 
+/// Tells of work that took long: whoever waited for it may have given up.
+fn log_if_slow(log: &Logger, took: Duration) {
+    if took >= SLOW {
+        warn!(log, "the disk is slow"; "took_ms" => took.as_millis() as u64);
+    }
+}
+
 /// Waits for the disk, and has the store taken out while it answers nothing.
 async fn answered<T>(work: impl Future<Output = T>, core: &Core) -> T {
     tokio::pin!(work);
--- a/crates/node/tests/relay/support.rs
+++ b/crates/node/tests/relay/support.rs
@@ -17,7 +17,7 @@
 use juniperwing_node::relay::sessions::{SessionCall, SessionFault, Sessions};
 use juniperwing_node::relay::snapshot::World;
 use juniperwing_node::relay::{Core, Relay};
-use juniperwing_node::sessions_client::StoreTrouble;
+use juniperwing_node::sessions_client::StoreFault;
 use juniperwing_node::settings::Settings;
 use juniperwing_node::subscriber::Sink;
 use juniperwing_protocol::identity::{EpochNumber, InstanceId, RequestId, ServiceName};
@@ -85,7 +85,11 @@
             if let Some(hold) = hold {
                 hold.notified().await;
             }
-            if fails { Err(SessionFault::Unavailable { trouble: StoreTrouble::NoAnswer }) } else { Ok(()) }
+            if fails {
+                Err(SessionFault::Unavailable { trouble: StoreFault::NoAnswer.into() })
+            } else {
+                Ok(())
+            }
         })
     }
 
--- a/crates/soak/src/play.rs
+++ b/crates/soak/src/play.rs
@@ -21,7 +21,7 @@
 use crate::network::{METRICS_PORT, Network};
 use crate::oracle::judge;
 use crate::schedule::{KEEPERS, RELAYS, Schedule, Trouble};
-use crate::tier::Tier;
+use crate::tier::{EXCUSED_FOR, Tier};
 use crate::troubles::{Direction, Machine, TroubleKind};
 
 /// How long the tier may take until it serves for the first time.
@@ -406,13 +406,7 @@
                 let ms = self.chance.choose(&[40, 150]);
                 self.disk(machine, DiskFault::Slow { ms }, time).await;
             }
-            TroubleKind::DiskPanic(machine) => {
-                tier.excuse(machine, true);
-                self.disk(machine, DiskFault::Panics, time).await;
-                // A process that has panicked just now is found a moment later.
-                sleep(Duration::from_secs(1)).await;
-                tier.excuse(machine, false);
-            }
+            TroubleKind::DiskPanic(machine) => self.disk(machine, DiskFault::Panics, time).await,
             TroubleKind::ClockStep(machine) => {
                 let offset = self.chance.choose(&[-2_000, 2_000]);
                 tier.change_rules(machine, |rules| rules.clock_offset_ms = offset);
@@ -450,8 +444,12 @@
     }
 
     async fn disk(&self, machine: Machine, fault: DiskFault, time: Duration) {
+        // Without its disk it may not start, and a panic ends it.
+        self.tier.excuse(machine);
         self.tier.change_rules(machine, |rules| rules.disk = fault);
         sleep(time).await;
         self.tier.change_rules(machine, |rules| rules.disk = DiskFault::None);
+        sleep(EXCUSED_FOR).await;
+        self.tier.expect(machine);
     }
 }
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -113,7 +113,7 @@
 
 fn counted(chance: &mut Chance) -> TroubleKind {
     let machine = machine_that_counts(chance);
-    match chance.below(14) {
+    match chance.below(15) {
         0 | 1 => TroubleKind::Kill(machine),
         2 => TroubleKind::KillInStart(machine),
         3 => TroubleKind::Wipe(machine),
@@ -128,6 +128,7 @@
         10 => TroubleKind::DiskStall(machine),
         11 => TroubleKind::DiskFull(machine),
         12 => TroubleKind::DiskSlow(machine),
+        13 => TroubleKind::DiskPanic(machine),
         _ => TroubleKind::SlowLinks(machine),
     }
 }
@@ -197,7 +198,7 @@
             1_000 + chance.below(3_000)
         }
         TroubleKind::KillAllThatCount | TroubleKind::KillAll | TroubleKind::KillAllWipeOne(_) => 500,
-        TroubleKind::DiskPanic(_) => 300,
+        TroubleKind::DiskPanic(_) => 600,
         TroubleKind::Reset(_) | TroubleKind::ReplaceEndpoint | TroubleKind::EndpointGone => 0,
     }
 }
--- a/crates/soak/src/tier.rs
+++ b/crates/soak/src/tier.rs
@@ -7,7 +7,7 @@
 use std::os::unix::process::ExitStatusExt;
 use std::path::{Path, PathBuf};
 use std::process::Stdio;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -30,6 +30,8 @@
 const RESTART_PAUSE: Duration = Duration::from_millis(200);
 /// The number of the signal by which the soak ends processes.
 const SIGKILL: i32 = 9;
+/// A process that has ended by itself is found a moment later.
+pub const EXCUSED_FOR: Duration = Duration::from_secs(1);
 /// How often processes are looked after.
 const LOOK_EVERY: Duration = Duration::from_millis(50);
 
@@ -46,8 +48,8 @@
     log: Mutex<PathBuf>,
     /// Whether its end was brought about by the soak.
     may_end: AtomicBool,
-    /// Whether it may end by itself, since it is made to panic.
-    excused: AtomicBool,
+    /// Troubles under way of which it may end by itself: a disk that does not let it start, a broken settings file.
+    excuses: AtomicUsize,
     /// Whether it belongs to the first start of the tier.
     founds: AtomicBool,
     rules: Mutex<Rules>,
@@ -130,7 +132,7 @@
                 let Some(status) = child.as_mut().and_then(|child| child.try_wait().ok().flatten()) else {
                     continue;
                 };
-                if !node.may_end.load(Ordering::Relaxed) && !node.excused.load(Ordering::Relaxed) {
+                if !node.may_end.load(Ordering::Relaxed) && !node.may_end_by_itself() {
                     let life = node.life.load(Ordering::Relaxed);
                     let details = format!("{} ended by itself with {status}, start {life}", node.machine);
                     self.history.found("a process ends by itself", details);
@@ -259,12 +261,17 @@
     pub async fn reload(&self, machine: Machine, file: SettingsFile, time: Duration) -> io::Result<()> {
         let path = self.settings_path(machine);
         let node = self.node(machine);
+        // One that starts just now may read it.
+        self.excuse(machine);
         fs::write(&path, self.settings(node, Some(file)))?;
         if node.catches_signals() {
             node.signal(Signal::HUP);
         }
         sleep(time).await;
-        fs::write(&path, self.settings(self.node(machine), None))
+        let restored = fs::write(&path, self.settings(self.node(machine), None));
+        sleep(EXCUSED_FOR).await;
+        self.expect(machine);
+        restored
     }
 
     /// Changes the rules of a machine.
@@ -275,9 +282,14 @@
         let _ = self.write_rules(node);
     }
 
-    /// Whether a process may end by itself from now on.
-    pub fn excuse(&self, machine: Machine, excused: bool) {
-        self.node(machine).excused.store(excused, Ordering::Relaxed);
+    /// A process may end by itself until [`Tier::expect`].
+    pub fn excuse(&self, machine: Machine) {
+        self.node(machine).excuses.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// What was excused is over.
+    pub fn expect(&self, machine: Machine) {
+        self.node(machine).excuses.fetch_sub(1, Ordering::Relaxed);
     }
 
     /// Cuts a machine off from others until the guard is dropped.
@@ -456,12 +468,16 @@
             life: AtomicU64::new(0),
             log: Mutex::default(),
             may_end: AtomicBool::new(false),
-            excused: AtomicBool::new(false),
+            excuses: AtomicUsize::new(0),
             founds: AtomicBool::new(false),
             rules: Mutex::default(),
         }
     }
 
+    fn may_end_by_itself(&self) -> bool {
+        self.excuses.load(Ordering::Relaxed) > 0
+    }
+
     /// Whether the process catches signals, as its first line shows; before, SIGTERM ends it as it ends any program.
     fn catches_signals(&self) -> bool {
         fs::metadata(&*lock(&self.log)).is_ok_and(|log| log.len() > 0)
