--- a/crates/soak/src/load/operator.rs
+++ b/crates/soak/src/load/operator.rs
@@ -16,6 +16,8 @@
 pub const HOST: &str = "soak.example";
 /// Routes of older generations that a configuration keeps.
 const KEPT_ROUTES: usize = 40;
+/// Between two reads at a keeper.
+const READ_EVERY: Duration = Duration::from_millis(60);
 /// How long a call may take.
 const ANSWER_WITHIN: Duration = Duration::from_millis(1_050);
 /// For how long an order without a clear answer is sent again.
@@ -42,6 +44,15 @@
         false
     }
 
+    /// Reads the configuration at one keeper over and over, until the load ends.
+    pub async fn keep_reading(shared: Arc<Shared>, keeper: usize) {
+        while shared.is_running() {
+            // What it tells is judged at the end.
+            let _ = read(&shared, keeper).await;
+            sleep(READ_EVERY).await;
+        }
+    }
+
     /// One operator, until the load ends.
     pub async fn run(shared: Arc<Shared>, number: u64) {
         let mut chance = shared.chance(&format!("operator {number}"));
--- a/crates/soak/src/oracle.rs
+++ b/crates/soak/src/oracle.rs
@@ -29,7 +29,7 @@
     oracle.reads();
     oracle.probes();
     oracle.drains();
-    if schedule.within_tolerance {
+    if schedule.is_within_tolerance() {
         oracle.service(load_ended_at);
     }
     findings.append(&mut oracle.findings);
--- a/crates/soak/src/play.rs
+++ b/crates/soak/src/play.rs
@@ -20,7 +20,7 @@
 };
 use crate::network::{METRICS_PORT, Network};
 use crate::oracle::judge;
-use crate::schedule::{KEEPERS, RELAYS, Schedule, Trouble};
+use crate::schedule::{Flavor, KEEPERS, RELAYS, Schedule, Trouble};
 use crate::tier::{EXCUSED_FOR, Tier};
 use crate::troubles::{Direction, Machine, TroubleKind};
 
@@ -86,7 +86,7 @@
     let mut schedule = Schedule::draw(options.seed, options.length);
     if let Some(troubles) = &options.troubles {
         schedule.troubles.clone_from(troubles);
-        schedule.within_tolerance = true;
+        schedule.flavor = Flavor::WithinTolerance;
     }
     // What an earlier play of this seed left is of no more use.
     let _ = fs::remove_dir_all(&options.folder);
@@ -172,6 +172,9 @@
         for operator in 0..2 {
             load.spawn(Operators::run(Arc::clone(&self.shared), operator));
         }
+        for keeper in 0..KEEPERS {
+            load.spawn(Operators::keep_reading(Arc::clone(&self.shared), keeper));
+        }
         self.play_troubles(schedule, &mut load).await;
         sleep(RECOVERY).await;
         let rest_began = self.shared.history.now();
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -16,6 +16,10 @@
 pub const RELAYS: usize = 2;
 /// A machine that counts stays lost for so long after it is back (`catchUpS`).
 pub const CATCH_UP_MS: Millis = 4_100;
+/// How long a machine that is stopped is away, beside the time that its process takes to end.
+const STOP_MS: Millis = 500;
+/// The longest that a process takes to end (`graceS`).
+const GRACE_MS: Millis = 6_000;
 /// Before the first trouble, so that the tier is founded and works.
 const QUIET_AT_FIRST_MS: Millis = 1_500;
 
@@ -30,13 +34,24 @@
     pub kind: TroubleKind,
 }
 
+/// What a play is made of.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Flavor {
+    /// Work that the platform plans and what clients do; nothing that was read may be cut.
+    Planned,
+    /// No more is lost at once than the tier bears: its service is judged throughout.
+    WithinTolerance,
+    /// More is lost at once, though not more disks: nothing acknowledged may be lost.
+    BeyondTolerance,
+}
+
 /// The troubles of one play, in the order of their times.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Schedule {
     /// The seed.
     pub seed: u64,
-    /// Whether no more is lost at once than the tier bears: then its service is judged throughout.
-    pub within_tolerance: bool,
+    /// What it is made of.
+    pub flavor: Flavor,
     /// The troubles.
     pub troubles: Vec<Trouble>,
     /// When the last of them is over.
@@ -47,16 +62,58 @@
     /// Draws the schedule of a seed, which lasts for about `length`.
     pub fn draw(seed: u64, length: Millis) -> Schedule {
         let mut chance = Chance::new(seed, "schedule");
-        let within_tolerance = chance.percent(65);
+        let flavor = match chance.below(10) {
+            0 | 1 => Flavor::Planned,
+            2..=6 => Flavor::WithinTolerance,
+            _ => Flavor::BeyondTolerance,
+        };
         let mut troubles = Vec::new();
-        draw_counted(&mut chance, length, within_tolerance, &mut troubles);
-        draw_others(&mut chance, length, within_tolerance, &mut troubles);
-        if !within_tolerance {
+        if flavor == Flavor::Planned {
+            draw_planned(&mut chance, length, &mut troubles);
+        } else {
+            let within_tolerance = flavor == Flavor::WithinTolerance;
+            draw_counted(&mut chance, length, within_tolerance, &mut troubles);
+            draw_others(&mut chance, length, within_tolerance, &mut troubles);
+        }
+        if flavor == Flavor::BeyondTolerance {
             draw_many(&mut chance, length, &mut troubles);
         }
         troubles.sort_by_key(|trouble| trouble.at);
         let ends_at = troubles.iter().map(|trouble| trouble.at + trouble.lasts).max().unwrap_or_default();
-        Schedule { seed, within_tolerance, troubles, ends_at }
+        Schedule { seed, flavor, troubles, ends_at }
+    }
+
+    /// Whether the tier serves throughout.
+    pub fn is_within_tolerance(&self) -> bool {
+        self.flavor != Flavor::BeyondTolerance
+    }
+}
+
+/// Stops, reloads and replaced endpoints: of machines that count one after the other, of one relay at any time.
+fn draw_planned(chance: &mut Chance, length: Millis, troubles: &mut Vec<Trouble>) {
+    let stop = |chance: &mut Chance, machine| {
+        if chance.percent(50) { TroubleKind::Stop(machine) } else { TroubleKind::StopAgain(machine) }
+    };
+    let mut at = QUIET_AT_FIRST_MS;
+    while at < length {
+        let machine = machine_that_counts(chance);
+        troubles.push(Trouble { at, lasts: STOP_MS, kind: stop(chance, machine) });
+        // A process may take its whole grace.
+        at += STOP_MS + GRACE_MS + CATCH_UP_MS;
+    }
+    let struck = relay(chance);
+    at = QUIET_AT_FIRST_MS + chance.below(1_000);
+    while at < length {
+        let machine = if chance.percent(50) { relay(chance) } else { machine_that_counts(chance) };
+        let kind = match chance.below(8) {
+            0..=3 => stop(chance, struck),
+            4 | 5 => TroubleKind::Reload(machine, settings_file(chance)),
+            6 => TroubleKind::ReplaceEndpoint,
+            _ => TroubleKind::Burst,
+        };
+        let lasts = lasts(chance, kind);
+        troubles.push(Trouble { at, lasts, kind });
+        at += 300 + chance.below(2_500);
     }
 }
 
@@ -186,7 +243,7 @@
     match kind {
         TroubleKind::Kill(_) | TroubleKind::Wipe(_) => 200 + chance.below(2_500),
         TroubleKind::KillInStart(_) => 600 + chance.below(600),
-        TroubleKind::Stop(_) | TroubleKind::StopAgain(_) | TroubleKind::StopInStart(_) => 500,
+        TroubleKind::Stop(_) | TroubleKind::StopAgain(_) | TroubleKind::StopInStart(_) => STOP_MS,
         TroubleKind::Freeze(_) => chance.choose(&[300, 900, 1_800, 4_000, 7_000]),
         TroubleKind::Cut(..) => chance.choose(&[300, 900, 2_000, 5_000, 9_000]),
         TroubleKind::DiskStall(_) => chance.choose(&[800, 2_500, 9_500]),
@@ -205,8 +262,7 @@
 
 impl fmt::Display for Schedule {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let kind = if self.within_tolerance { "within the tolerance" } else { "beyond the tolerance" };
-        writeln!(formatter, "seed {}, {kind}", self.seed)?;
+        writeln!(formatter, "seed {}, {:?}", self.seed, self.flavor)?;
         for Trouble { at, lasts, kind } in &self.troubles {
             writeln!(formatter, "  {at:>6} ms  {lasts:>5} ms  {kind}")?;
         }
--- a/crates/soak/src/troubles.rs
+++ b/crates/soak/src/troubles.rs
@@ -201,7 +201,7 @@
         matches!(self, TroubleKind::Wipe(_) | TroubleKind::KillAllWipeOne(_))
     }
 
-    /// Whether it is work that the platform plans: nothing that was read may be cut by it.
+    /// Whether it is work that the platform plans, or what clients do: nothing that was read may be cut by it.
     pub fn is_planned(self) -> bool {
         matches!(
             self,
@@ -209,6 +209,8 @@
                 | TroubleKind::StopAgain(_)
                 | TroubleKind::Reload(..)
                 | TroubleKind::ReplaceEndpoint
+                | TroubleKind::Burst
+                | TroubleKind::ClientsLeave
         )
     }
 
--- a/crates/soak/tests/schedule.rs
+++ b/crates/soak/tests/schedule.rs
@@ -13,7 +13,7 @@
 #[test]
 fn within_the_tolerance_one_loss_is_over_before_the_next() {
     for schedule in (0..200).map(|seed| Schedule::draw(seed, LENGTH_MS)) {
-        if !schedule.within_tolerance {
+        if !schedule.is_within_tolerance() {
             continue;
         }
         let counted = schedule.troubles.iter().filter(|trouble| trouble.kind.is_counted_loss());
@@ -29,6 +29,6 @@
 fn beyond_it_no_more_disks_are_lost_than_are_borne() {
     for schedule in (0..200).map(|seed| Schedule::draw(seed, LENGTH_MS)) {
         let lost = schedule.troubles.iter().filter(|trouble| trouble.kind.loses_disk()).count();
-        assert!(schedule.within_tolerance || lost <= 1, "seed {}: {lost} disks", schedule.seed);
+        assert!(schedule.is_within_tolerance() || lost <= 1, "seed {}: {lost} disks", schedule.seed);
     }
 }
--- a/crates/soak/tests/short.rs
+++ b/crates/soak/tests/short.rs
@@ -4,7 +4,7 @@
 
 use juniperwing_node::command::Role;
 use juniperwing_soak::play::{Options, Report, play};
-use juniperwing_soak::schedule::{Schedule, Trouble};
+use juniperwing_soak::schedule::{Flavor, Schedule, Trouble};
 use juniperwing_soak::troubles::{Machine, TroubleKind};
 
 /// About how long troubles come, in milliseconds.
@@ -34,17 +34,24 @@
     assert!(findings.is_empty(), "{schedule}{summary}\n{findings:#?}\nfiles: {folder:?}");
 }
 
+/// The first seed of a flavor.
+fn seed_of(flavor: Flavor) -> u64 {
+    (1..).find(|seed| Schedule::draw(*seed, LENGTH_MS).flavor == flavor).expect("one in three, or more")
+}
+
+#[test]
+fn planned_work_cuts_nothing() {
+    expect_nothing(&played(&options("planned", seed_of(Flavor::Planned), None)));
+}
+
 #[test]
 fn a_play_within_the_tolerance_finds_nothing() {
-    let report = played(&options("within", 3, None));
-    assert!(report.schedule.within_tolerance);
-    expect_nothing(&report);
+    expect_nothing(&played(&options("within", seed_of(Flavor::WithinTolerance), None)));
 }
 
 #[test]
 fn a_play_beyond_the_tolerance_loses_nothing() {
-    let seed = (1..).find(|seed| !Schedule::draw(*seed, LENGTH_MS).within_tolerance).unwrap();
-    expect_nothing(&played(&options("beyond", seed, None)));
+    expect_nothing(&played(&options("beyond", seed_of(Flavor::BeyondTolerance), None)));
 }
 
 /// A process that has lost a task does not go on with a part of its work.
--- /dev/null
+++ b/crates/storage/tests/full_disk.rs
@@ -0,0 +1,108 @@
+//! A disk that takes half of a write and no more: nothing of it may pile up, and nothing that was confirmed is touched.
+
+use std::ffi::OsString;
+use std::fs::{self, OpenOptions};
+use std::io::{self, Write};
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+use juniperwing_storage::disk::{Disk, enter};
+use juniperwing_storage::{SegmentFiles, VersionFiles};
+
+/// The real file system, except that it may be full.
+#[derive(Debug, Default)]
+struct FullDisk(AtomicBool);
+
+impl FullDisk {
+    fn set_full(&self, full: bool) {
+        self.0.store(full, Ordering::Relaxed);
+    }
+}
+
+impl Disk for FullDisk {
+    fn make_folder(&self, folder: &Path) -> io::Result<()> {
+        fs::create_dir_all(folder)
+    }
+
+    fn read(&self, path: &Path) -> io::Result<Vec<u8>> {
+        fs::read(path)
+    }
+
+    fn list(&self, folder: &Path) -> io::Result<Vec<OsString>> {
+        fs::read_dir(folder)?.map(|entry| Ok(entry?.file_name())).collect()
+    }
+
+    fn create(&self, path: &Path) -> io::Result<()> {
+        fs::File::create(path).map(drop)
+    }
+
+    fn append(&self, path: &Path, bytes: &[u8]) -> io::Result<()> {
+        let full = self.0.load(Ordering::Relaxed);
+        let taken = if full { &bytes[..bytes.len() / 2] } else { bytes };
+        OpenOptions::new().append(true).open(path)?.write_all(taken)?;
+        if full { Err(io::ErrorKind::StorageFull.into()) } else { Ok(()) }
+    }
+
+    fn sync(&self, _: &Path) -> io::Result<()> {
+        Ok(())
+    }
+
+    fn rename(&self, from: &Path, to: &Path) -> io::Result<()> {
+        fs::rename(from, to)
+    }
+
+    fn remove(&self, path: &Path) -> io::Result<()> {
+        fs::remove_file(path)
+    }
+}
+
+fn folder(name: &str) -> PathBuf {
+    let path = std::env::temp_dir().join(format!("juniperwing-full-{}-{name}", std::process::id()));
+    let _ = fs::remove_dir_all(&path);
+    path
+}
+
+fn bytes_in(folder: &Path) -> u64 {
+    fs::read_dir(folder).unwrap().map(|entry| entry.unwrap().metadata().unwrap().len()).sum()
+}
+
+#[test]
+fn batches_that_could_not_be_written_take_no_room() {
+    let folder = folder("segments");
+    let disk = Arc::new(FullDisk::default());
+    let _entered = enter(Arc::clone(&disk) as Arc<dyn Disk>);
+    let (mut segments, _) = SegmentFiles::open(&folder).unwrap();
+    segments.append(b"confirmed").unwrap();
+    disk.set_full(true);
+    segments.append(&[b'x'; 1_000]).unwrap_err();
+    let after_one = bytes_in(&folder);
+    for _ in 0..20 {
+        segments.append(&[b'x'; 1_000]).unwrap_err();
+    }
+    assert_eq!(bytes_in(&folder), after_one, "what failed piles up");
+    disk.set_full(false);
+    segments.append(b"later").unwrap();
+    let (_, batches) = SegmentFiles::open(&folder).unwrap();
+    let contents: Vec<&[u8]> = batches.iter().map(|batch| &*batch.contents).collect();
+    assert_eq!(contents, [&b"confirmed"[..], b"later"]);
+    fs::remove_dir_all(folder).unwrap();
+}
+
+#[test]
+fn versions_that_could_not_be_written_take_no_room() {
+    let folder = folder("versions");
+    let disk = Arc::new(FullDisk::default());
+    let _entered = enter(Arc::clone(&disk) as Arc<dyn Disk>);
+    let (mut files, _) = VersionFiles::open(&folder, "state").unwrap();
+    files.write(b"confirmed").unwrap();
+    disk.set_full(true);
+    files.write(&[b'x'; 1_000]).unwrap_err();
+    let after_one = bytes_in(&folder);
+    for _ in 0..20 {
+        files.write(&[b'x'; 1_000]).unwrap_err();
+    }
+    assert_eq!(bytes_in(&folder), after_one, "what failed piles up");
+    assert_eq!(VersionFiles::open(&folder, "state").unwrap().1.as_deref(), Some(&b"confirmed"[..]));
+    fs::remove_dir_all(folder).unwrap();
+}
