A batch that could not be written leaves nothing behind

Cause: a segment whose first batch fails was sealed and forgotten: it counted in no account and stayed until the next start, so a full disk ate whatever became free. It is removed now; so is one whose folder could not be synced.

--- a/crates/storage/src/segment.rs
+++ b/crates/storage/src/segment.rs
@@ -45,6 +45,14 @@
     bytes: u64,
 }
 
+impl OpenSegment {
+    /// Writes a batch and makes it last.
+    fn write(&mut self, frame: &[u8], path: &Path) -> Result<(), StorageError> {
+        self.file.write_all(frame).context(RefusedSnafu { action: "writing", path })?;
+        self.file.sync_data().context(RefusedSnafu { action: "syncing", path })
+    }
+}
+
 impl SegmentFiles {
     /// Opens the folder (made if missing) and reads all whole batches in order. What is torn never counted; it
     /// is passed over.
@@ -102,9 +110,14 @@
         };
         let path = self.path(segment.number);
         let frame = file::batch_frame(contents);
-        // Dropped, and so sealed, if one of the two fails.
-        segment.file.write_all(&frame).context(RefusedSnafu { action: "writing", path: &path })?;
-        segment.file.sync_data().context(RefusedSnafu { action: "syncing", path: &path })?;
+        if let Err(error) = segment.write(&frame, &path) {
+            // Sealed by being dropped. One without a whole batch would only take room; if it cannot be removed now, it
+            // goes after the next start.
+            if segment.bytes == 0 {
+                let _ = disk::remove_file(&path);
+            }
+            return Err(error);
+        }
         let number = segment.number;
         segment.bytes += frame.len() as u64;
         self.open = Some(segment).filter(|segment| segment.bytes < SEALED_BYTES);
@@ -127,7 +140,10 @@
         self.next += 1;
         let path = self.path(number);
         let file = File::create(&path).context(RefusedSnafu { action: "creating", path: &path })?;
-        file::sync_folder(&self.folder)?;
+        if let Err(error) = file::sync_folder(&self.folder) {
+            let _ = disk::remove_file(&path);
+            return Err(error);
+        }
         Ok(OpenSegment { number, file, bytes: 0 })
     }
 
