--- a/crates/node/src/command.rs
+++ b/crates/node/src/command.rs
@@ -58,6 +58,7 @@
     let mut options = Options::new();
     options.optopt("", "settings", "the settings file [environment: JUNIPERWING_CONFIG]", "FILE");
     options.optopt("", "log-level", "error, warning, info or debug [default: info]", "LEVEL");
+    options.optopt("", "metrics", "where to tell figures, in place of what the settings name", "PORT/PATH");
     options.optflag(
         "",
         "check",
@@ -79,7 +80,7 @@
     };
     let settings_file = matches.opt_str("settings").map(PathBuf::from);
     if !matches.opt_present("check") {
-        return serve(role, settings_file, level);
+        return serve(role, settings_file, matches.opt_str("metrics"), level);
     }
     match Settings::read(settings_file.as_deref()) {
         Err(e) => unusable(role, &e),
@@ -106,7 +107,7 @@
     ExitCode::from(2)
 }
 
-fn serve(role: Role, settings_file: Option<PathBuf>, level: Level) -> ExitCode {
+fn serve(role: Role, settings_file: Option<PathBuf>, metrics: Option<String>, level: Level) -> ExitCode {
     let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
         Ok(runtime) => runtime,
         Err(e) => {
@@ -114,19 +115,22 @@
             return ExitCode::FAILURE;
         }
     };
-    let code = runtime.block_on(serve_role(role, settings_file, level));
+    let code = runtime.block_on(serve_role(role, settings_file, metrics, level));
     // A disk that answers nothing must not keep the process.
     runtime.shutdown_timeout(LAST_WRITES);
     code
 }
 
-async fn serve_role(role: Role, settings_file: Option<PathBuf>, level: Level) -> ExitCode {
+async fn serve_role(
+    role: Role, settings_file: Option<PathBuf>, metrics: Option<String>, level: Level,
+) -> ExitCode {
     // First, so that a signal that comes while the settings are read is heeded.
     let signals = Signals::new();
-    let settings = match Settings::read(settings_file.as_deref()) {
+    let mut settings = match Settings::read(settings_file.as_deref()) {
         Ok(settings) => settings,
         Err(e) => return unusable(role, &e),
     };
+    settings.metrics = metrics.or(settings.metrics);
     let log = logger(level, role.name(), &settings.node_name);
     log_faults(&log);
     let ended = match signals {
--- a/crates/soak/src/load.rs
+++ b/crates/soak/src/load.rs
@@ -23,7 +23,7 @@
 use crate::troubles::Misbehaviour;
 
 pub use self::endpoint::Endpoints;
-pub use self::operator::{HOST, Operators, generation_of, read as read_configuration};
+pub use self::operator::{HOST, Operators, generation_of, read as read_configuration, retired};
 pub use self::platform::Platform;
 pub use self::program::{KeptTurn, continue_turn};
 
--- a/crates/soak/src/load/operator.rs
+++ b/crates/soak/src/load/operator.rs
@@ -11,6 +11,7 @@
 use crate::history::{ConfigurationRead, Order, OrderAnswer};
 use crate::http::{Connection, ask, request};
 use crate::schedule::KEEPERS;
+use crate::troubles::Machine;
 
 /// The host of all routes.
 pub const HOST: &str = "soak.example";
@@ -142,6 +143,33 @@
     told
 }
 
+/// Has a store emptied. `true` once that is completed, `false` if it is not in time.
+pub async fn retired(shared: &Arc<Shared>, machine: Machine, within: Duration) -> bool {
+    let path = format!("/retire/{machine}");
+    let headers = [("Host", "keeper"), ("Content-Type", "application/json")];
+    let order = request("POST", &path, &headers, br#"{"durationS":10}"#);
+    let question = request("GET", &path, &[("Host", "keeper")], b"");
+    let until = Instant::now() + within;
+    let (mut keeper, mut taken) = (0, false);
+    while Instant::now() < until {
+        let call = if taken { &question } else { &order };
+        keeper += 1;
+        match ask(shared.keeper(keeper), call, ANSWER_WITHIN).await {
+            Ok((head, body)) if head.status == 200 => {
+                taken = true;
+                if String::from_utf8_lossy(&body).contains("completed") {
+                    return true;
+                }
+            }
+            // Too few others, or it has not been seen yet.
+            Ok((head, _)) if head.status < 500 => return false,
+            _ => {}
+        }
+        sleep(Duration::from_millis(200)).await;
+    }
+    false
+}
+
 fn note_order(shared: &Arc<Shared>, base: u64, generation: u64, body: &[u8]) -> usize {
     let sent_at = shared.history.now();
     let mut record = shared.history.record();
--- a/crates/soak/src/play.rs
+++ b/crates/soak/src/play.rs
@@ -16,7 +16,7 @@
 use crate::history::{Ended, Finding, History, Millis, Suffered};
 use crate::http::{ask, request};
 use crate::load::{
-    Endpoints, Operators, Platform, Shared, burst, continue_turn, read_configuration, start_clients,
+    Endpoints, Operators, Platform, Shared, burst, continue_turn, read_configuration, retired, start_clients,
 };
 use crate::network::{METRICS_PORT, Network};
 use crate::oracle::judge;
@@ -32,6 +32,8 @@
 const AT_REST: Duration = Duration::from_secs(4);
 /// Requests in a hundred that must be served at rest.
 const SERVED_AT_REST: usize = 90;
+/// Before an empty machine comes in the place of one that was taken away.
+const NEW_MACHINE_AFTER: Duration = Duration::from_millis(700);
 /// Turns from which a program goes on at the end.
 const CONTINUED: usize = 12;
 /// Failures after which no more are tried.
@@ -202,6 +204,7 @@
                 tier: Arc::clone(&self.tier),
                 shared: Arc::clone(&self.shared),
                 endpoints: Arc::clone(&self.endpoints),
+                within_tolerance: schedule.is_within_tolerance(),
                 chance: Chance::new(schedule.seed, &format!("trouble {number}")),
             };
             playing.spawn(player.play(*trouble));
@@ -346,6 +349,7 @@
     tier: Arc<Tier>,
     shared: Arc<Shared>,
     endpoints: Arc<Endpoints>,
+    within_tolerance: bool,
     chance: Chance,
 }
 
@@ -375,6 +379,7 @@
                     (0..3).map(|_| Duration::from_millis(5 + self.chance.below(250))).collect();
                 tier.kill_in_start(machine, &pauses).await;
             }
+            TroubleKind::Retire(machine) => self.retire(machine, time).await,
             TroubleKind::Freeze(machine) => tier.freeze(machine, time).await,
             TroubleKind::Stop(machine) => tier.stop(machine, &[]).await,
             TroubleKind::StopAgain(machine) => {
@@ -435,6 +440,15 @@
         }
     }
 
+    /// Has a store emptied and takes it away. Only where nothing else is lost is it certain to be done in time.
+    async fn retire(&self, machine: Machine, time: Duration) {
+        if retired(&self.shared, machine, time).await {
+            self.tier.kill(machine, NEW_MACHINE_AFTER, true).await;
+        } else if self.within_tolerance {
+            self.shared.history.found("a machine is emptied", format!("{machine} in {} s", time.as_secs()));
+        }
+    }
+
     /// Cuts a machine off from those that count; half of the time from relays as well.
     async fn cut(&mut self, machine: Machine, direction: Direction, time: Duration) {
         let all = self.tier.machines();
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -20,6 +20,8 @@
 const STOP_MS: Millis = 500;
 /// The longest that a process takes to end (`graceS`).
 const GRACE_MS: Millis = 6_000;
+/// How long the emptying of a store may take.
+pub const RETIRED_WITHIN_MS: Millis = 12_000;
 /// Before the first trouble, so that the tier is founded and works.
 const QUIET_AT_FIRST_MS: Millis = 1_500;
 
@@ -170,7 +172,7 @@
 
 fn counted(chance: &mut Chance) -> TroubleKind {
     let machine = machine_that_counts(chance);
-    match chance.below(15) {
+    match chance.below(16) {
         0 | 1 => TroubleKind::Kill(machine),
         2 => TroubleKind::KillInStart(machine),
         3 => TroubleKind::Wipe(machine),
@@ -186,6 +188,10 @@
         11 => TroubleKind::DiskFull(machine),
         12 => TroubleKind::DiskSlow(machine),
         13 => TroubleKind::DiskPanic(machine),
+        14 => {
+            let number = chance.below(STORES as u64) as usize;
+            TroubleKind::Retire(Machine { role: Role::Store, number })
+        }
         _ => TroubleKind::SlowLinks(machine),
     }
 }
@@ -256,6 +262,7 @@
         }
         TroubleKind::KillAllThatCount | TroubleKind::KillAll | TroubleKind::KillAllWipeOne(_) => 500,
         TroubleKind::DiskPanic(_) => 600,
+        TroubleKind::Retire(_) => RETIRED_WITHIN_MS,
         TroubleKind::Reset(_) | TroubleKind::ReplaceEndpoint | TroubleKind::EndpointGone => 0,
     }
 }
--- a/crates/soak/src/troubles.rs
+++ b/crates/soak/src/troubles.rs
@@ -76,6 +76,8 @@
     KillInStart(Machine),
     /// SIGKILL and an empty disk.
     Wipe(Machine),
+    /// A store is to be emptied; it is taken away with its disk when that is done, and an empty one comes.
+    Retire(Machine),
     /// SIGSTOP for a while.
     Freeze(Machine),
     /// SIGTERM, and a start once it has ended.
@@ -127,6 +129,7 @@
             TroubleKind::Kill(_) => "kill",
             TroubleKind::KillInStart(_) => "kill in start",
             TroubleKind::Wipe(_) => "wipe",
+            TroubleKind::Retire(_) => "retire",
             TroubleKind::Freeze(_) => "freeze",
             TroubleKind::Stop(_) => "stop",
             TroubleKind::StopAgain(_) => "stop again",
@@ -157,6 +160,7 @@
             TroubleKind::Kill(machine)
             | TroubleKind::KillInStart(machine)
             | TroubleKind::Wipe(machine)
+            | TroubleKind::Retire(machine)
             | TroubleKind::Freeze(machine)
             | TroubleKind::Stop(machine)
             | TroubleKind::StopAgain(machine)
