--- a/crates/protocol/src/replication.rs
+++ b/crates/protocol/src/replication.rs
@@ -42,6 +42,22 @@
     pub previous_voters: Vec<Voter>,
 }
 
+/// Whether more than half of `voters` are present.
+pub fn is_majority(voters: &[Voter], is_present: impl Fn(DiskId) -> bool) -> bool {
+    let present = voters.iter().filter(|voter| is_present(voter.disk)).count();
+    2 * present > voters.len()
+}
+
+impl Epoch {
+    /// Whether those who are present may decide on what follows this epoch: a majority of its voters and, where it is
+    /// not known to be chosen, of the voters before.
+    pub fn is_quorum(&self, is_present: impl Fn(DiskId) -> bool) -> bool {
+        let is_settled = self.previous_voters.is_empty();
+        is_majority(&self.voters, &is_present)
+            && (is_settled || is_majority(&self.previous_voters, &is_present))
+    }
+}
+
 /// Between keepers. Every message names the disk that sends it.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ReplicationMessage {
--- a/crates/registry/src/contact.rs
+++ b/crates/registry/src/contact.rs
@@ -67,10 +67,7 @@
     /// was sent within the window. Where the epoch still depends on the voters before it, a majority of those
     /// counts as well.
     pub fn has_majority(&self, now: Time, me: DiskId, epoch: &Epoch) -> bool {
-        let reached = |voter: &&Voter| voter.disk == me || self.is_reached(now, voter.disk, epoch.number);
-        let is_majority = |voters: &[Voter]| 2 * voters.iter().filter(reached).count() > voters.len();
-        is_majority(&epoch.voters)
-            && (epoch.previous_voters.is_empty() || is_majority(&epoch.previous_voters))
+        epoch.is_quorum(|disk| disk == me || self.is_reached(now, disk, epoch.number))
     }
 
     /// The newest moment up to which contact is proved: a majority of the voters of `epoch` has answered a question
--- a/crates/replication/src/ballot.rs
+++ b/crates/replication/src/ballot.rs
@@ -1,7 +1,5 @@
 //! What a witness stores, and the arithmetic of epochs: numbers and majorities.
 
-use std::collections::BTreeSet;
-
 use juniperwing_protocol::replication::{Epoch, Voter};
 use juniperwing_protocol::{DiskId, EpochNumber};
 
@@ -37,19 +35,6 @@
     number.0 >> PROPOSER_BITS == FOUNDING_ROUND
 }
 
-/// Whether more than half of `voters` are in `present`.
-pub(crate) fn is_majority(voters: &[Voter], present: &BTreeSet<DiskId>) -> bool {
-    let count = voters.iter().filter(|voter| present.contains(&voter.disk)).count();
-    2 * count > voters.len()
-}
-
-/// Whether `present` may decide on what follows `epoch`: a majority of its voters and, where it is not known
-/// to be chosen, of the voters before.
-pub(crate) fn is_quorum(epoch: &Epoch, present: &BTreeSet<DiskId>) -> bool {
-    is_majority(&epoch.voters, present)
-        && (epoch.previous_voters.is_empty() || is_majority(&epoch.previous_voters, present))
-}
-
 /// All that decide on what follows `epoch`, each once.
 pub(crate) fn deciders(epoch: &Epoch) -> Vec<Voter> {
     let mut all = epoch.voters.clone();
--- a/crates/replication/src/candidacy.rs
+++ b/crates/replication/src/candidacy.rs
@@ -4,10 +4,10 @@
 
 use juniperwing_clock::Time;
 use juniperwing_invariants::{Invariant, check};
-use juniperwing_protocol::replication::{Epoch, ReplicationBody, Version, Voter};
+use juniperwing_protocol::replication::{Epoch, ReplicationBody, Version, Voter, is_majority};
 use juniperwing_protocol::{DiskId, EpochNumber};
 
-use crate::ballot::{deciders, is_majority, is_news, is_quorum, is_same_epoch, voter_of};
+use crate::ballot::{deciders, is_news, is_same_epoch, voter_of};
 use crate::disk::Deferred;
 use crate::membership::{Plan, fill_up};
 use crate::office::Office;
@@ -79,7 +79,7 @@
 
     /// Whether a majority promised, and this keeper's own promise is on disk: it fences the primary before.
     fn has_promises(&self, me: DiskId) -> bool {
-        self.promises.contains_key(&me) && is_quorum(&self.base, &self.promises.keys().copied().collect())
+        self.promises.contains_key(&me) && self.base.is_quorum(|disk| self.promises.contains_key(&disk))
     }
 
     /// The replicas that shall be in sync.
@@ -144,7 +144,7 @@
         let Stage::Canvassing(canvass) = &self.stage else { return };
         if !self.is_eligible() || now >= canvass.give_up_at {
             self.back_off(now);
-        } else if is_quorum(&self.known, &canvass.granted) {
+        } else if self.known.is_quorum(|disk| canvass.granted.contains(&disk)) {
             self.start_election(now, None);
         }
     }
@@ -278,7 +278,11 @@
         let Some(proposal) = &candidacy.proposal else { return false };
         let mut voters = proposal.epoch.voters.iter();
         let everyone = voters.all(|voter| proposal.accepted.contains(&voter.disk));
-        let enough = if proposal.founds { everyone } else { is_quorum(&proposal.epoch, &proposal.accepted) };
+        let enough = if proposal.founds {
+            everyone
+        } else {
+            proposal.epoch.is_quorum(|disk| proposal.accepted.contains(&disk))
+        };
         enough && proposal.accepted.contains(&self.me())
     }
 
@@ -356,14 +360,11 @@
     pub(crate) fn has_majority(&self, now: Time) -> bool {
         let Some(office) = &self.office else { return false };
         let election = self.settings.timings.election;
-        let answers = |disk: &DiskId| {
-            office.peers.get(disk).is_some_and(|peer| now.since(peer.last_answer) <= election)
+        let me = self.me();
+        let answers = |disk: DiskId| {
+            office.peers.get(&disk).is_some_and(|peer| now.since(peer.last_answer) <= election)
         };
-        let voters = &self.known.voters;
-        let mut present: BTreeSet<DiskId> =
-            voters.iter().map(|voter| voter.disk).filter(|disk| answers(disk)).collect();
-        present.insert(self.me());
-        is_majority(voters, &present)
+        is_majority(&self.known.voters, |disk| disk == me || answers(disk))
     }
 
     /// Knows of a higher epoch now.
--- a/crates/replication/src/primary.rs
+++ b/crates/replication/src/primary.rs
@@ -4,10 +4,9 @@
 
 use juniperwing_clock::{Span, Time};
 use juniperwing_invariants::{Invariant, check};
-use juniperwing_protocol::replication::{ReplicationBody, Version, Voter};
+use juniperwing_protocol::replication::{ReplicationBody, Version, Voter, is_majority};
 use juniperwing_protocol::{DiskId, EpochNumber};
 
-use crate::ballot::is_majority;
 use crate::catch_up::Made;
 use crate::error::{ProposeError, ReadError};
 use crate::interface::{Command, ProposeToken, ReadToken};
@@ -320,7 +319,7 @@
             let mut present: BTreeSet<DiskId> = answered.map(|(disk, _)| *disk).collect();
             present.insert(me);
             let begun = read.round <= office.round;
-            if !begun || !is_majority(&self.ballot.accepted.voters, &present) {
+            if !begun || !is_majority(&self.ballot.accepted.voters, |disk| present.contains(&disk)) {
                 break;
             }
             done.push(read.token);
--- a/crates/soak/src/command.rs
+++ b/crates/soak/src/command.rs
@@ -1,6 +1,6 @@
 //! The command line of the soak.
 
-use std::io;
+use std::io::{self, Write};
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::time::Duration;
@@ -40,8 +40,13 @@
             ExitCode::from(2)
         }
         Ok(wanted) if wanted.only_schedules => {
+            let mut out = io::stdout();
             for seed in wanted.seeds() {
-                print!("{}", crate::schedule::Schedule::draw(seed, wanted.length_ms));
+                let schedule = crate::schedule::Schedule::draw(seed, wanted.length_ms);
+                // Whoever has read enough closes the pipe.
+                if write!(out, "{schedule}").is_err() {
+                    break;
+                }
             }
             ExitCode::SUCCESS
         }
