--- a/crates/node/src/store/disk.rs
+++ b/crates/node/src/store/disk.rs
@@ -15,9 +15,12 @@
 use super::core::{Core, DISK_LOST_AFTER};
 use crate::clock::{duration, random};
 use crate::host::wait_for_disk;
+use crate::rate_limit::RateLimit;
 
 /// The folder of the batches within the data folder.
 const FOLDER: &str = "sessions";
+/// Lines in a second for what the disk refuses; it is tried again many times.
+const REFUSALS_PER_SECOND: u32 = 2;
 /// Work on disk that takes longer is told in the log.
 const SLOW: Duration = Duration::from_millis(300);
 /// The layout of batches; another number with every change of what is in them.
@@ -88,6 +91,7 @@
     /// Does the jobs that come, until no more can.
     pub(super) async fn run(self, mut jobs: mpsc::UnboundedReceiver<DiskJob>, core: Arc<Core>, log: Logger) {
         let mut disk = self;
+        let refusals = RateLimit::per_second(REFUSALS_PER_SECOND);
         let mut waiting = Vec::new();
         while jobs.recv_many(&mut waiting, usize::MAX).await > 0 {
             let taken = std::mem::take(&mut waiting);
@@ -100,7 +104,9 @@
             log_if_slow(&log, began.elapsed());
             disk = returned;
             for failure in outcome.failures {
-                warn!(log, "the disk refuses"; "why" => failure.to_string());
+                if let Some(unlogged) = refusals.take() {
+                    warn!(log, "the disk refuses"; "why" => failure.to_string(), "unlogged" => unlogged);
+                }
             }
             for event in outcome.events {
                 core.handle(event);
--- a/crates/soak/src/tier.rs
+++ b/crates/soak/src/tier.rs
@@ -166,17 +166,19 @@
             node.may_end.store(true, Ordering::Relaxed);
             node.signal(Signal::KILL);
         }
+        // Held until all are back, so that nobody starts one of them meanwhile.
+        let mut held = Vec::new();
         for node in &struck {
             let mut child = node.control.lock().await;
             end(node, &mut child).await;
+            held.push(child);
         }
         if let Some(machine) = loses_disk {
             self.node(machine).founds.store(false, Ordering::Relaxed);
             let _ = fs::remove_dir_all(self.data(machine));
         }
         sleep(down).await;
-        for node in struck {
-            let mut child = node.control.lock().await;
+        for (node, mut child) in struck.into_iter().zip(held) {
             self.start_or_tell(node, &mut child);
         }
     }
@@ -197,9 +199,16 @@
     /// Has a process stand still for a while.
     pub async fn freeze(&self, machine: Machine, time: Duration) {
         let node = self.node(machine);
-        let _child = node.control.lock().await;
+        let mut child = node.control.lock().await;
         node.signal(Signal::STOP);
-        sleep(time).await;
+        let until = Instant::now() + time;
+        // Troubles that strike many kill without waiting for this one.
+        let runs = |child: &mut Option<Child>| {
+            child.as_mut().is_some_and(|child| matches!(child.try_wait(), Ok(None)))
+        };
+        while Instant::now() < until && runs(&mut child) {
+            sleep(LOOK_EVERY.min(until - Instant::now())).await;
+        }
         node.signal(Signal::CONT);
     }
 
