--- a/crates/soak/src/load/endpoint.rs
+++ b/crates/soak/src/load/endpoint.rs
@@ -54,6 +54,12 @@
     drained_at: Mutex<Option<Millis>>,
 }
 
+impl Life {
+    fn is_leaving(&self) -> bool {
+        self.draining.load(Ordering::Relaxed)
+    }
+}
+
 /// A life with the task that lives it.
 #[derive(Debug)]
 struct Held {
@@ -87,20 +93,23 @@
         let number = number as usize % ENDPOINTS;
         let life = self.life(number);
         leave(&self.shared, &life).await;
-        self.begin_anew(number, life.service);
+        self.begin_anew(number, &life, life.service);
     }
 
     /// One is gone without a word; later its address goes to another service for a while.
     pub async fn vanish(&self, number: u64) {
         let number = number as usize % ENDPOINTS;
         let life = self.life(number);
+        if life.is_leaving() {
+            return;
+        }
         self.end(number);
         sleep(REUSE_AFTER).await;
-        self.begin_anew(number, if life.service == ENGINE { TOOL } else { ENGINE });
+        let other_service = if life.service == ENGINE { TOOL } else { ENGINE };
+        let Some(other) = self.begin_anew(number, &life, other_service) else { return };
         sleep(REUSE_AFTER).await;
-        let other = self.life(number);
         leave(&self.shared, &other).await;
-        self.begin_anew(number, life.service);
+        self.begin_anew(number, &other, life.service);
     }
 
     fn life(&self, number: usize) -> Arc<Life> {
@@ -111,10 +120,16 @@
         self.held.lock().unwrap_or_else(PoisonError::into_inner)[number].task.abort();
     }
 
-    fn begin_anew(&self, number: usize, service: &'static str) {
+    /// Another life takes the place of one that is over, unless one has already.
+    fn begin_anew(&self, number: usize, over: &Life, service: &'static str) -> Option<Arc<Life>> {
+        if self.life(number).instance != over.instance {
+            return None;
+        }
         self.end(number);
         let held = self.live(number, service);
+        let life = Arc::clone(&held.life);
         self.held.lock().unwrap_or_else(PoisonError::into_inner)[number] = held;
+        Some(life)
     }
 
     fn live(&self, number: usize, service: &'static str) -> Held {
