--- a/crates/soak/src/history.rs
+++ b/crates/soak/src/history.rs
@@ -70,6 +70,27 @@
     pub spoiled: bool,
 }
 
+impl Try {
+    /// One that is about to be sent to a relay.
+    pub fn begin(
+        kind: RequestKind, relay: usize, sent_at: Millis, deadline_ms: Millis, expected_body: Vec<u8>,
+    ) -> Try {
+        Try {
+            kind,
+            program: None,
+            relay,
+            sent_at,
+            deadline_ms,
+            expected_body,
+            ended: None,
+            tokens: 0,
+            runs: Vec::new(),
+            answer: None,
+            spoiled: false,
+        }
+    }
+}
+
 /// What a program may spend.
 #[derive(Clone, Copy, Debug)]
 pub struct Budget {
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -17,5 +17,7 @@
 pub mod oracle;
 pub mod play;
 pub mod schedule;
+mod strike;
 pub mod tier;
+mod told_settings;
 pub mod troubles;
--- a/crates/soak/src/load/program.rs
+++ b/crates/soak/src/load/program.rs
@@ -125,19 +125,9 @@
     let input = format!("[{id}:{}]", "x".repeat(chance.below(400) as usize)).into_bytes();
     let expected = [previous.map_or(&[][..], |kept| &kept.history), &input].concat();
     let bytes = turn_request(&id, program, budget, previous, &input);
-    let tried = Try {
-        kind: RequestKind::Turn,
-        program: Some(program.to_owned()),
-        relay,
-        sent_at: shared.history.now(),
-        deadline_ms: DEADLINE_MS,
-        expected_body: expected.clone(),
-        ended: None,
-        tokens: 0,
-        runs: Vec::new(),
-        answer: None,
-        spoiled: false,
-    };
+    let sent_at = shared.history.now();
+    let mut tried = Try::begin(RequestKind::Turn, relay, sent_at, DEADLINE_MS, expected.clone());
+    tried.program = Some(program.to_owned());
     shared.history.record().tries.insert(id.clone(), tried);
     if connection.write(&bytes).await.is_err() {
         shared.history.ended(&id, Ended::NotSent, 0);
--- a/crates/soak/src/load/requests.rs
+++ b/crates/soak/src/load/requests.rs
@@ -60,19 +60,7 @@
     let deadline = DEADLINE_MS.to_string();
     let headers = [("Host", HOST), ("X-Request-Id", id.as_str()), ("X-Deadline-Ms", deadline.as_str())];
     let bytes = request(method, &path, &headers, &body);
-    let tried = Try {
-        kind,
-        program: None,
-        relay: held.relay,
-        sent_at: shared.history.now(),
-        deadline_ms: DEADLINE_MS,
-        expected_body: body,
-        ended: None,
-        tokens: 0,
-        runs: Vec::new(),
-        answer: None,
-        spoiled: false,
-    };
+    let tried = Try::begin(kind, held.relay, shared.history.now(), DEADLINE_MS, body);
     shared.history.record().tries.insert(id.clone(), tried);
     if chance.percent(1) {
         // Half a request, and then nothing.
--- a/crates/soak/src/tier.rs
+++ b/crates/soak/src/tier.rs
@@ -18,12 +18,11 @@
 
 use crate::fault::Rules;
 use crate::history::History;
-use crate::network::{CONTROL_PORT, FRONTEND_PORT, METRICS_PORT, Network, READINESS_PORT, TIER_PORTS};
+use crate::network::Network;
 use crate::schedule::{KEEPERS, RELAYS, STORES};
+use crate::told_settings::{GRACE, ToldSettings};
 use crate::troubles::{Direction, Machine, SettingsFile};
 
-/// `bounds.graceS` of all processes.
-pub const GRACE: Duration = Duration::from_secs(6);
 /// How much later than that the platform kills.
 const GRACE_SLACK: Duration = Duration::from_millis(700);
 /// Before a process that has ended is started again.
@@ -398,46 +397,13 @@
     }
 
     fn settings(&self, node: &Node, file: Option<SettingsFile>) -> String {
-        let machine = node.machine;
-        match file {
-            Some(SettingsFile::Empty) => return String::new(),
-            Some(SettingsFile::Broken) => return "nodeName = \"x\"\n[limits".to_owned(),
-            Some(SettingsFile::OtherSeeds | SettingsFile::Moved) | None => {}
-        }
-        let mut seeds: Vec<String> = (0..KEEPERS)
-            .map(|number| format!("\"{}\"", self.network.listener(Role::Keeper, number, CONTROL_PORT)))
-            .collect();
-        if file == Some(SettingsFile::OtherSeeds) {
-            seeds.rotate_left(1);
-            seeds.truncate(2);
-        }
-        let (mut address, mut data) = (self.address(machine), self.data(machine));
-        if file == Some(SettingsFile::Moved) {
-            address = self.network.machine(machine.role, 100);
-            data = self.folder.join("data").join("moved");
-        }
-        let listeners = match machine.role {
-            Role::Keeper => format!("controlPlane = \"{address}:{CONTROL_PORT}\""),
-            Role::Relay => format!(
-                "frontend = \"{address}:{FRONTEND_PORT}\"\nreadiness = \"{address}:{READINESS_PORT}\""
-            ),
-            Role::Store => String::new(),
+        let told = ToldSettings {
+            network: self.network,
+            machine: node.machine,
+            data: self.data(node.machine),
+            founds: node.founds.load(Ordering::Relaxed),
         };
-        format!(
-            "nodeName = \"{machine}\"\nrole = \"{role}\"\nipAddress = \"{address}\"\nzone = \"a\"\n\
-             ephemeralPorts = [{first}, {last}]\nseedNodes = [{seeds}]\nbootstrap = {founds}\n\
-             dataDirectory = \"{data}\"\nheartbeatMs = 600\nmetrics = \"{METRICS_PORT}/metrics\"\n\
-             [listenersMap]\n{listeners}\n[limits]\nmemoryMb = 200\nmaxFds = 1024\ndiskMb = 128\n\
-             [faultTolerance]\nmachines = 1\n\
-             [bounds]\ngraceS = {grace}\nconfigApplyMs = 2000\ndrainMs = 2000\nackMs = 4000\ncontactMs = 3000\n",
-            role = machine.role.name(),
-            first = TIER_PORTS.0,
-            last = TIER_PORTS.1,
-            seeds = seeds.join(", "),
-            founds = node.founds.load(Ordering::Relaxed),
-            data = data.display(),
-            grace = GRACE.as_secs(),
-        )
+        told.text(file)
     }
 
     fn write_rules(&self, node: &Node) -> io::Result<()> {
