--- a/crates/soak/tests/short.rs
+++ b/crates/soak/tests/short.rs
@@ -1,6 +1,7 @@
 //! The short form of the soak, for CI: a few plays side by side, in under two minutes.
 
 use std::path::PathBuf;
+use std::sync::{Condvar, Mutex, PoisonError};
 
 use juniperwing_node::command::Role;
 use juniperwing_soak::play::{Options, Report, play};
@@ -24,7 +25,33 @@
     }
 }
 
+/// Plays at the same time: each takes most of a core in a debug build.
+const SIDE_BY_SIDE: usize = 3;
+
+/// A place among the plays at the same time; given back when it is dropped.
+struct Place;
+
+static TAKEN: Mutex<usize> = Mutex::new(0);
+static FREED: Condvar = Condvar::new();
+
+impl Place {
+    fn take() -> Place {
+        let taken = TAKEN.lock().unwrap_or_else(PoisonError::into_inner);
+        let wait = FREED.wait_while(taken, |taken| *taken >= SIDE_BY_SIDE);
+        *wait.unwrap_or_else(PoisonError::into_inner) += 1;
+        Place
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        *TAKEN.lock().unwrap_or_else(PoisonError::into_inner) -= 1;
+        FREED.notify_one();
+    }
+}
+
 fn played(options: &Options) -> Report {
+    let _place = Place::take();
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
     runtime.block_on(play(options)).unwrap()
 }
