--- a/crates/soak/src/history.rs
+++ b/crates/soak/src/history.rs
@@ -64,8 +64,8 @@
     pub tokens: u64,
     /// When it ran, and at which endpoint.
     pub runs: Vec<(Millis, String)>,
-    /// What the endpoint answered.
-    pub answer: Option<Vec<u8>>,
+    /// What its runs answered: one that may be repeated may have several.
+    pub answers: Vec<Vec<u8>>,
     /// Whether an endpoint broke off or misbehaved otherwise.
     pub spoiled: bool,
 }
@@ -85,7 +85,7 @@
             ended: None,
             tokens: 0,
             runs: Vec::new(),
-            answer: None,
+            answers: Vec::new(),
             spoiled: false,
         }
     }
@@ -272,10 +272,18 @@
     /// The endpoint answers a request.
     pub fn answered(&self, request: &str, answer: &[u8]) {
         if let Some(tried) = self.record().tries.get_mut(request) {
-            tried.answer = Some(answer.to_owned());
+            tried.answers.push(answer.to_owned());
         }
     }
 
+    /// Whether an endpoint gave this answer to a request.
+    pub fn is_answer_to(&self, request: &str, answer: &[u8]) -> bool {
+        self.record()
+            .tries
+            .get(request)
+            .is_some_and(|tried| tried.answers.iter().any(|given| given == answer))
+    }
+
     /// A client's try has ended.
     pub fn ended(&self, request: &str, ended: Ended, tokens: u64) {
         let at = self.now();
--- a/crates/soak/src/load/program.rs
+++ b/crates/soak/src/load/program.rs
@@ -243,10 +243,9 @@
 
 /// Events come from the run of this very turn, all of them, in order.
 fn check_events(shared: &Arc<Shared>, id: &str, head: &Head, events: &Events) {
-    let right = shared.history.record().tries.get(id).and_then(|tried| tried.answer.clone());
-    let got = events.whole.concat();
+    let right = shared.history.is_answer_to(id, &events.whole.concat());
     let own = head.has("x-server-signature") && head.header("x-request-id") == id;
-    if !own || right.as_deref() != Some(&got) || !events.partial.is_empty() {
+    if !own || !right || !events.partial.is_empty() {
         let details = format!("{id}: own head {own}, {} events", events.whole.len());
         shared.history.found("a stream of another run or not whole", details);
     }
--- a/crates/soak/src/load/requests.rs
+++ b/crates/soak/src/load/requests.rs
@@ -103,9 +103,9 @@
     };
     let stamped = head.has("x-server-signature");
     if (200..300).contains(&head.status) {
-        let right = shared.history.record().tries.get(id).and_then(|tried| tried.answer.clone());
+        let right = shared.history.is_answer_to(id, &body);
         let own = head.header("x-request-id") == id;
-        if !stamped || !own || right.as_deref() != Some(&body) {
+        if !stamped || !own || !right {
             let details = format!("{id}: stamped {stamped}, own id {own}, {} bytes", body.len());
             shared.history.found("an answer of another request or not whole", details);
         }
--- /dev/null
+++ b/crates/soak/tests/log.rs
@@ -0,0 +1,65 @@
+//! A log that nobody reads.
+
+use std::io;
+use std::path::PathBuf;
+use std::process::Stdio;
+use std::time::Duration;
+
+use juniperwing_node::command::Role;
+use juniperwing_soak::http::{Head, ask, request};
+use juniperwing_soak::network::{FRONTEND_PORT, Network, READINESS_PORT};
+use tokio::process::Command;
+use tokio::time::{Instant, sleep};
+
+/// A pipe holds 64 KiB; a relay writes up to a hundred lines of some 300 bytes in a second.
+const FILLED_WITHIN: Duration = Duration::from_secs(6);
+const ANSWER_WITHIN: Duration = Duration::from_secs(2);
+
+#[tokio::test]
+async fn a_log_that_nobody_reads_holds_up_nobody() {
+    let answer = readiness_after_many_lines(Stdio::piped(), "unread").await;
+    assert!(answer.is_ok(), "the relay stands still: {answer:?}");
+}
+
+#[tokio::test]
+async fn a_log_that_is_discarded_holds_up_nobody() {
+    let answer = readiness_after_many_lines(Stdio::null(), "discarded").await;
+    assert!(answer.is_ok(), "the relay stands still: {answer:?}");
+}
+
+/// What a relay with this standard error, held open and never read, answers when it has written more than a pipe holds.
+async fn readiness_after_many_lines(standard_error: Stdio, name: &str) -> io::Result<(Head, Vec<u8>)> {
+    let (network, _reservation) =
+        Network::reserve(u64::from(std::process::id()) + name.len() as u64).unwrap();
+    let address = network.machine(Role::Relay, 0);
+    let folder =
+        PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("log-{name}-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    let settings = folder.join("relay.toml");
+    let text = format!(
+        "nodeName = \"relay-1\"\nipAddress = \"{address}\"\nzone = \"a\"\nephemeralPorts = [7380, 7395]\n\
+         [listenersMap]\nfrontend = \"{address}:{FRONTEND_PORT}\"\nreadiness = \"{address}:{READINESS_PORT}\"\n"
+    );
+    std::fs::write(&settings, text).unwrap();
+    let _relay = Command::new(env!("CARGO_BIN_EXE_juniperwing-soak"))
+        .args(["node", "relay"])
+        .args([folder.join("rules.json"), settings])
+        .stdin(Stdio::piped())
+        .stderr(standard_error)
+        .kill_on_drop(true)
+        .spawn()
+        .unwrap();
+    let frontend = network.listener(Role::Relay, 0, FRONTEND_PORT);
+    let readiness = network.listener(Role::Relay, 0, READINESS_PORT);
+    let until = Instant::now() + FILLED_WITHIN;
+    while Instant::now() < until {
+        // Each is refused, and told in the log.
+        let refused = request("GET", "/x", &[("Host", "h"), ("X-Request-Id", "q")], b"");
+        let _ = ask(frontend, &refused, ANSWER_WITHIN).await;
+        sleep(Duration::from_millis(5)).await;
+    }
+    let question = request("GET", "/readyz", &[("Host", "relay")], b"");
+    let answer = ask(readiness, &question, ANSWER_WITHIN).await;
+    let _ = std::fs::remove_dir_all(&folder);
+    answer
+}
