--- a/crates/emulator/src/clock.rs
+++ b/crates/emulator/src/clock.rs
@@ -1,10 +1,11 @@
 //! Virtual time as one simulated machine sees it.
 
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use juniperwing_clock::Time;
+use juniperwing_node::sync::lock;
 use tokio::runtime::Handle;
 use tokio::time::Instant;
 
@@ -47,17 +48,17 @@
     /// A process has started; called in its runtime.
     pub fn start_process(&self) {
         let started = Started { instant: Instant::now(), at: self.world.now() };
-        *self.started.lock().unwrap_or_else(PoisonError::into_inner) = Some(started);
+        *lock(&self.started) = Some(started);
     }
 
     /// The process has ended.
     pub fn end_process(&self) {
-        *self.started.lock().unwrap_or_else(PoisonError::into_inner) = None;
+        *lock(&self.started) = None;
     }
 
     /// Now: in the runtime of the process its own time, elsewhere the world's.
     pub fn now(&self) -> Time {
-        let started = *self.started.lock().unwrap_or_else(PoisonError::into_inner);
+        let started = *lock(&self.started);
         match started {
             Some(started) if Handle::try_current().is_ok() => {
                 let elapsed = Instant::now().saturating_duration_since(started.instant);
--- a/crates/emulator/src/disk.rs
+++ b/crates/emulator/src/disk.rs
@@ -9,10 +9,11 @@
 use std::ffi::OsString;
 use std::io;
 use std::path::{Path, PathBuf};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
 use juniperwing_clock::{Span, Time};
+use juniperwing_node::sync::lock;
 use juniperwing_storage::disk::Disk;
 
 use crate::chance::Chance;
@@ -137,7 +138,7 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
-        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.state)
     }
 
     fn operate(&self, operation: impl FnOnce(&mut State) -> io::Result<Operation>) -> io::Result<()> {
--- a/crates/emulator/src/history.rs
+++ b/crates/emulator/src/history.rs
@@ -1,8 +1,9 @@
 //! What callers saw, in order.
 
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex};
 
 use juniperwing_clock::Time;
+use juniperwing_node::sync::lock;
 use juniperwing_protocol::registry::InstanceState;
 
 /// Tells orders apart; it stands in the body of each.
@@ -122,12 +123,12 @@
 impl History {
     /// Adds what was seen at `now`.
     pub fn add(&self, now: Time, seen: Seen) {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner).push((now, seen));
+        lock(&self.0).push((now, seen));
     }
 
     /// All, in order of time.
     pub fn take(&self) -> Vec<(Time, Seen)> {
-        let mut all = std::mem::take(&mut *self.0.lock().unwrap_or_else(PoisonError::into_inner));
+        let mut all = std::mem::take(&mut *lock(&self.0));
         all.sort_by_key(|(at, _)| *at);
         all
     }
--- a/crates/emulator/src/host.rs
+++ b/crates/emulator/src/host.rs
@@ -2,11 +2,12 @@
 
 use std::io;
 use std::net::{IpAddr, SocketAddr};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use juniperwing_clock::Time;
 use juniperwing_node::host::{Host, Pending, SimulatedDatagrams, SimulatedListener, SimulatedStream};
+use juniperwing_node::sync::lock;
 use juniperwing_storage::disk::Disk;
 
 use crate::chance::Chance;
@@ -56,7 +57,7 @@
     }
 
     fn random(&self) -> u64 {
-        self.chance.lock().unwrap_or_else(PoisonError::into_inner).bits()
+        lock(&self.chance).bits()
     }
 
     fn listen(&self, address: SocketAddr) -> io::Result<Arc<dyn SimulatedListener>> {
--- a/crates/emulator/src/network.rs
+++ b/crates/emulator/src/network.rs
@@ -7,11 +7,12 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::io;
 use std::net::{IpAddr, SocketAddr};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::task::Waker;
 use std::time::Duration;
 
 use juniperwing_clock::{Span, Time};
+use juniperwing_node::sync::lock;
 use tokio::sync::Notify;
 
 use crate::chance::Chance;
@@ -162,7 +163,7 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
-        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.state)
     }
 
     /// Does something and wakes whoever waits for it, without the lock.
@@ -244,7 +245,7 @@
     pub fn stop_listening(&self, address: SocketAddr) -> Vec<Connection> {
         let accepting = self.lock().listeners.remove(&address);
         let Some(accepting) = accepting else { return Vec::new() };
-        let mut queue = accepting.queue.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut queue = lock(&accepting.queue);
         queue.drain(..).map(|(_, connection)| connection).collect()
     }
 
@@ -334,7 +335,7 @@
             mailbox.map(|mailbox| (mailbox, at))
         };
         let Some((mailbox, at)) = mailbox else { return };
-        let mut queue = mailbox.queue.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut queue = lock(&mailbox.queue);
         if queue.len() < MAX_DATAGRAMS {
             let place = queue.partition_point(|(arrival, _, _)| *arrival <= at);
             queue.insert(place, (at, bytes.to_vec(), from));
@@ -405,7 +406,7 @@
         self.pipes.insert(forth, Pipe::new(from, to.ip(), to_life, back, arrival));
         self.pipes.insert(back, Pipe::new(to.ip(), from, from_life, forth, answered));
         let accepted = Connection { peer: SocketAddr::new(from, port), incoming: forth, outgoing: back };
-        let mut queue = accepting.queue.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut queue = lock(&accepting.queue);
         let place = queue.partition_point(|(at, _)| *at <= arrival);
         queue.insert(place, (arrival, accepted));
         drop(queue);
--- a/crates/emulator/src/operators.rs
+++ b/crates/emulator/src/operators.rs
@@ -2,11 +2,12 @@
 
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use juniperwing_clock::{Span, Time};
 use juniperwing_node::clock;
+use juniperwing_node::sync::lock;
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 use tokio::time::sleep;
@@ -142,7 +143,7 @@
     /// Sends an order that was acknowledged some time ago.
     async fn send_again(&mut self) {
         let order = {
-            let acknowledged = self.office.acknowledged.lock().unwrap_or_else(PoisonError::into_inner);
+            let acknowledged = lock(&self.office.acknowledged);
             self.chance.choose(&acknowledged).cloned()
         };
         if let Some(order) = order {
@@ -205,7 +206,7 @@
         let keeper = number_of(&address);
         self.history.add(clock::now(), Seen::OrderAnswered { order: order.id, status, asked, keeper });
         if status == 200 {
-            let mut acknowledged = self.acknowledged.lock().unwrap_or_else(PoisonError::into_inner);
+            let mut acknowledged = lock(&self.acknowledged);
             acknowledged.push(order.clone());
         }
         Some(status)
--- a/crates/emulator/src/relay.rs
+++ b/crates/emulator/src/relay.rs
@@ -2,10 +2,11 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex};
 
 use juniperwing_node::clock;
 use juniperwing_node::subscriber::{Sink, Subscriber};
+use juniperwing_node::sync::lock;
 use juniperwing_protocol::NodeName;
 use juniperwing_protocol::registry::Instance;
 use juniperwing_protocol::replication::Version;
@@ -74,7 +75,7 @@
 
 impl Sink for Recorder {
     fn apply(&self, update: Update) {
-        let mut held = self.held.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut held = lock(&self.held);
         match update {
             Update::Configuration { version, body } if version > held.configuration => {
                 held.configuration = version;
@@ -92,11 +93,11 @@
     }
 
     fn applied(&self) -> Applied {
-        let held = self.held.lock().unwrap_or_else(PoisonError::into_inner);
+        let held = lock(&self.held);
         Applied { configuration: held.configuration, stores: held.stores, ..Applied::default() }
     }
 
     fn configuration(&self) -> Version {
-        self.held.lock().unwrap_or_else(PoisonError::into_inner).configuration
+        lock(&self.held).configuration
     }
 }
--- a/crates/emulator/src/stream.rs
+++ b/crates/emulator/src/stream.rs
@@ -5,7 +5,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::pin::Pin;
-use std::sync::{Arc, PoisonError};
+use std::sync::Arc;
 use std::task::{Context, Poll};
 use std::time::Duration;
 
@@ -13,6 +13,7 @@
 use juniperwing_node::host::{
     Pending, SimulatedDatagrams, SimulatedListener, SimulatedStream, SimulatedWriter,
 };
+use juniperwing_node::sync::lock;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::time::Sleep;
 
@@ -132,7 +133,7 @@
 
 impl Listener {
     fn next(&self) -> Result<Connection, Option<Time>> {
-        let mut queue = self.accepting.queue.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut queue = lock(&self.accepting.queue);
         match queue.front() {
             Some((at, _)) if *at > self.ports.clock.now() => Err(Some(*at)),
             Some(_) => queue.pop_front().map(|(_, connection)| connection).ok_or(None),
@@ -183,7 +184,7 @@
 
 impl Datagrams {
     fn next_arrival(&self) -> Option<Time> {
-        let queue = self.mailbox.queue.lock().unwrap_or_else(PoisonError::into_inner);
+        let queue = lock(&self.mailbox.queue);
         queue.front().map(|(at, _, _)| *at)
     }
 }
@@ -207,7 +208,7 @@
     }
 
     fn try_recv_from(&self, buffer: &mut [u8]) -> io::Result<(usize, SocketAddr)> {
-        let mut queue = self.mailbox.queue.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut queue = lock(&self.mailbox.queue);
         let now = self.ports.clock.now();
         if queue.front().is_none_or(|(at, _, _)| *at > now) {
             return Err(io::ErrorKind::WouldBlock.into());
--- a/crates/emulator/src/world.rs
+++ b/crates/emulator/src/world.rs
@@ -18,6 +18,7 @@
 use crate::host::SimulatedHost;
 use crate::machine::Machine;
 use crate::network::{LEAST_DELAY, Network};
+use crate::stability::millis;
 use crate::{endpoints, operators};
 
 /// Relays of a day.
@@ -82,10 +83,6 @@
     history.take()
 }
 
-fn millis(time: Time) -> u64 {
-    crate::stability::millis(time)
-}
-
 fn time(millis: u64) -> Time {
     Time::from_nanos(millis * 1_000_000)
 }
--- a/crates/soak/src/fault/disk.rs
+++ b/crates/soak/src/fault/disk.rs
@@ -9,10 +9,11 @@
 use std::fs::{self, File, OpenOptions};
 use std::io::{self, Write};
 use std::path::{Path, PathBuf};
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Mutex, MutexGuard};
 use std::thread;
 use std::time::Duration;
 
+use juniperwing_node::sync::lock;
 use juniperwing_storage::disk::Disk;
 
 use super::rules::{DiskFault, LiveRules};
@@ -48,7 +49,7 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, HashMap<PathBuf, Vec<u8>>> {
-        self.unsynced.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.unsynced)
     }
 }
 
--- a/crates/soak/src/fault/rules.rs
+++ b/crates/soak/src/fault/rules.rs
@@ -5,10 +5,12 @@
 use std::io;
 use std::net::IpAddr;
 use std::path::{Path, PathBuf};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
 
+use juniperwing_node::sync::lock;
+
 use serde::{Deserialize, Serialize};
 
 /// How often a process looks whether its file has changed.
@@ -80,7 +82,7 @@
             loop {
                 thread::sleep(LOOK_EVERY);
                 if let Some(rules) = read(&path) {
-                    *live.0.lock().unwrap_or_else(PoisonError::into_inner) = rules;
+                    *lock(&live.0) = rules;
                 }
             }
         })?;
@@ -89,7 +91,7 @@
 
     /// Something about them as they stand.
     pub fn get<T>(&self, read: impl FnOnce(&Rules) -> T) -> T {
-        read(&self.0.lock().unwrap_or_else(PoisonError::into_inner))
+        read(&lock(&self.0))
     }
 }
 
--- a/crates/soak/src/history.rs
+++ b/crates/soak/src/history.rs
@@ -1,9 +1,11 @@
 //! What callers and endpoints saw, with the times of the troubles.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Mutex, MutexGuard};
 use std::time::Instant;
 
+use juniperwing_node::sync::lock;
+
 use crate::troubles::TroubleKind;
 
 /// Milliseconds since the play began.
@@ -236,7 +238,7 @@
 
     /// The record as it stands.
     pub fn record(&self) -> MutexGuard<'_, Record> {
-        self.record.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.record)
     }
 
     /// Something that must not be was seen.
--- a/crates/soak/src/load.rs
+++ b/crates/soak/src/load.rs
@@ -9,10 +9,10 @@
 
 use std::sync::Arc;
 use std::sync::Mutex;
-use std::sync::PoisonError;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 
 use juniperwing_node::command::Role;
+use juniperwing_node::sync::lock;
 use tokio::task::JoinSet;
 
 use crate::chance::Chance;
@@ -88,11 +88,11 @@
 
     /// What endpoints do from now on.
     pub fn set_misbehaviour(&self, misbehaviour: Option<Misbehaviour>) {
-        *self.misbehaviour.lock().unwrap_or_else(PoisonError::into_inner) = misbehaviour;
+        *lock(&self.misbehaviour) = misbehaviour;
     }
 
     fn misbehaviour(&self) -> Option<Misbehaviour> {
-        *self.misbehaviour.lock().unwrap_or_else(PoisonError::into_inner)
+        *lock(&self.misbehaviour)
     }
 
     /// Whether clients leave in the middle from now on.
@@ -106,12 +106,12 @@
 
     /// A turn was answered whole.
     fn keep(&self, turn: &KeptTurn) {
-        self.kept.lock().unwrap_or_else(PoisonError::into_inner).push(turn.clone());
+        lock(&self.kept).push(turn.clone());
     }
 
     /// The turns that were answered whole.
     pub fn kept_turns(&self) -> Vec<KeptTurn> {
-        self.kept.lock().unwrap_or_else(PoisonError::into_inner).clone()
+        lock(&self.kept).clone()
     }
 
     /// A name that is used once.
--- a/crates/soak/src/load/endpoint.rs
+++ b/crates/soak/src/load/endpoint.rs
@@ -2,9 +2,11 @@
 
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use juniperwing_node::sync::lock;
+
 use tokio::net::TcpListener;
 use tokio::task::{AbortHandle, JoinSet};
 use tokio::time::sleep;
@@ -83,7 +85,7 @@
         for number in 0..ENDPOINTS {
             let service = if number < ENDPOINTS / 2 { ENGINE } else { TOOL };
             let held = endpoints.live(number, service);
-            endpoints.held.lock().unwrap_or_else(PoisonError::into_inner).push(held);
+            lock(&endpoints.held).push(held);
         }
         endpoints
     }
@@ -113,11 +115,11 @@
     }
 
     fn life(&self, number: usize) -> Arc<Life> {
-        Arc::clone(&self.held.lock().unwrap_or_else(PoisonError::into_inner)[number].life)
+        Arc::clone(&lock(&self.held)[number].life)
     }
 
     fn end(&self, number: usize) {
-        self.held.lock().unwrap_or_else(PoisonError::into_inner)[number].task.abort();
+        lock(&self.held)[number].task.abort();
     }
 
     /// Another life takes the place of one that is over, unless one has already.
@@ -128,7 +130,7 @@
         self.end(number);
         let held = self.live(number, service);
         let life = Arc::clone(&held.life);
-        self.held.lock().unwrap_or_else(PoisonError::into_inner)[number] = held;
+        lock(&self.held)[number] = held;
         Some(life)
     }
 
@@ -143,7 +145,7 @@
             drained_at: Mutex::default(),
         });
         let work = run(Arc::clone(&self.shared), Arc::clone(&life));
-        let task = self.tasks.lock().unwrap_or_else(PoisonError::into_inner).spawn(work);
+        let task = lock(&self.tasks).spawn(work);
         Held { life, task }
     }
 }
@@ -204,7 +206,7 @@
     for keeper in 0..DRAIN_TRIES {
         if tell(shared, life, keeper, "draining").await {
             let at = shared.history.now();
-            *life.drained_at.lock().unwrap_or_else(PoisonError::into_inner) = Some(at);
+            *lock(&life.drained_at) = Some(at);
             break;
         }
     }
@@ -255,7 +257,7 @@
     if !is_known && !id.starts_with('v') {
         shared.history.found("a request that nobody sent", format!("{id} at {}", life.instance));
     }
-    let drained_at = *life.drained_at.lock().unwrap_or_else(PoisonError::into_inner);
+    let drained_at = *lock(&life.drained_at);
     let now = shared.history.now();
     if let Some(drained_at) = drained_at.filter(|at| now > at + DRAIN_MS) {
         shared.history.record().late_runs.push((drained_at, now, id.to_owned()));
--- a/crates/soak/src/tier.rs
+++ b/crates/soak/src/tier.rs
@@ -8,10 +8,11 @@
 use std::path::{Path, PathBuf};
 use std::process::Stdio;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use juniperwing_node::command::Role;
+use juniperwing_node::sync::lock;
 use rustix::process::{Pid, Signal, kill_process};
 use tokio::process::{Child, ChildStdin, Command};
 use tokio::time::{Instant, sleep, timeout};
@@ -497,7 +498,3 @@
         self.tier.apply_cuts();
     }
 }
-
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
--- a/crates/soak/tests/short.rs
+++ b/crates/soak/tests/short.rs
@@ -4,6 +4,7 @@
 use std::sync::{Condvar, Mutex, PoisonError};
 
 use juniperwing_node::command::Role;
+use juniperwing_node::sync::lock;
 use juniperwing_soak::play::{Options, Report, play};
 use juniperwing_soak::schedule::{Flavor, Schedule, Trouble};
 use juniperwing_soak::troubles::{Machine, TroubleKind};
@@ -36,7 +37,7 @@
 
 impl Place {
     fn take() -> Place {
-        let taken = TAKEN.lock().unwrap_or_else(PoisonError::into_inner);
+        let taken = lock(&TAKEN);
         let wait = FREED.wait_while(taken, |taken| *taken >= SIDE_BY_SIDE);
         *wait.unwrap_or_else(PoisonError::into_inner) += 1;
         Place
@@ -45,7 +46,7 @@
 
 impl Drop for Place {
     fn drop(&mut self) {
-        *TAKEN.lock().unwrap_or_else(PoisonError::into_inner) -= 1;
+        *lock(&TAKEN) -= 1;
         FREED.notify_one();
     }
 }
