Tests of the replication share the start of three keepers, elections and epochs

Cause: the tests of stalled disks copied the start from those of one-way cuts, the bound for a whole tier stood four times, an election twice, the epoch of a keeper twice.

--- a/crates/replication/tests/common/mod.rs
+++ b/crates/replication/tests/common/mod.rs
@@ -20,6 +20,23 @@
 use judge::Judge;
 use log::Log;
 
+/// How soon a tier is whole again.
+pub const WHOLE: Span = Span::from_millis(8_000);
+
+/// Three keepers of which two must be in sync, some time after their start, and the primary among them.
+pub fn three_keepers(seed: u64) -> (World, usize) {
+    let mut world = World::new(seed, 3, 2);
+    world.expect_whole(WHOLE, "the start");
+    world.run(Span::from_millis(1_200));
+    let primary = world.primary().expect("a primary");
+    (world, primary)
+}
+
+/// The number of the epoch that a keeper knows.
+pub fn epoch(world: &World, index: usize) -> u64 {
+    world.machines[index].replica.as_ref().expect("it runs").epoch().number.0
+}
+
 /// splitmix64.
 #[derive(Clone, Debug)]
 pub struct Random(pub u64);
--- a/crates/replication/tests/directions.rs
+++ b/crates/replication/tests/directions.rs
@@ -3,30 +3,15 @@
 
 mod common;
 
-use common::World;
+use common::{WHOLE, World, epoch, three_keepers};
 use juniperwing_clock::Span;
 
 /// How soon a change is acknowledged after a cut that has to be borne.
 const BORNE: Span = Span::from_millis(2_500);
 
-/// How soon a tier is whole again.
-const WHOLE: Span = Span::from_millis(8_000);
-
 /// Long against all time-outs.
 const LONG: Span = Span::from_millis(20_000);
 
-fn started(seed: u64) -> (World, usize) {
-    let mut world = World::new(seed, 3, 2);
-    world.expect_whole(WHOLE, "the start");
-    world.run(Span::from_millis(1_200));
-    let primary = world.primary().expect("a primary");
-    (world, primary)
-}
-
-fn epoch(world: &World, index: usize) -> u64 {
-    world.machines[index].replica.as_ref().expect("it runs").epoch().number.0
-}
-
 /// Plays `span` and returns the longest time in it without an acknowledgement.
 fn longest_pause(world: &mut World, span: Span) -> Span {
     let end = world.now + span;
@@ -43,7 +28,7 @@
 #[test]
 fn a_primary_that_is_heard_by_nobody_is_succeeded() {
     for seed in 0..60 {
-        let (mut world, primary) = started(seed);
+        let (mut world, primary) = three_keepers(seed);
         world.cut_one_way(primary, true);
         world.expect_progress(BORNE, &format!("a mute primary, seed {seed}"));
         assert!(longest_pause(&mut world, LONG) < BORNE, "seed {seed}");
@@ -56,7 +41,7 @@
 #[test]
 fn a_primary_that_hears_nobody_is_succeeded() {
     for seed in 0..60 {
-        let (mut world, primary) = started(seed);
+        let (mut world, primary) = three_keepers(seed);
         world.cut_one_way(primary, false);
         world.expect_progress(BORNE, &format!("a deaf primary, seed {seed}"));
         assert!(longest_pause(&mut world, LONG) < BORNE, "seed {seed}");
@@ -69,7 +54,7 @@
 /// A backup is cut off in one direction; the primary keeps its office and its epoch, and goes on writing.
 fn a_backup_cut_off_does_not_unseat_the_primary(hears: bool) {
     for seed in 0..60 {
-        let (mut world, primary) = started(seed);
+        let (mut world, primary) = three_keepers(seed);
         let backup = (primary + 1) % 3;
         world.cut_one_way(backup, hears);
         world.run(BORNE);
@@ -94,7 +79,7 @@
 #[test]
 fn a_backup_that_only_the_primary_does_not_reach_does_not_unseat_it() {
     for seed in 0..60 {
-        let (mut world, primary) = started(seed);
+        let (mut world, primary) = three_keepers(seed);
         world.cut(primary, (primary + 1) % 3);
         world.run(LONG);
         assert_eq!(world.primary(), Some(primary), "seed {seed}");
@@ -105,7 +90,7 @@
 #[test]
 fn one_link_that_is_cut_is_borne() {
     for seed in 0..90 {
-        let (mut world, _) = started(seed);
+        let (mut world, _) = three_keepers(seed);
         let (from, to) = ((seed % 3) as usize, ((seed + 1 + seed / 3 % 2) % 3) as usize);
         world.cut(from, to);
         if seed % 5 == 0 {
@@ -122,7 +107,7 @@
 #[test]
 fn a_member_that_flaps_never_takes_the_others_long() {
     for seed in 0..90 {
-        let (mut world, primary) = started(seed);
+        let (mut world, primary) = three_keepers(seed);
         let member = (primary + seed as usize) % 3;
         let before = world.judge.acknowledged();
         for round in 0..20 {
@@ -147,7 +132,7 @@
 #[test]
 fn a_primary_that_freezes_again_and_again_is_succeeded_each_time() {
     for seed in 0..60 {
-        let (mut world, _) = started(seed);
+        let (mut world, _) = three_keepers(seed);
         for round in 0..6 {
             let Some(primary) = world.primary() else { panic!("no primary\n{}", world.picture()) };
             let span = world.random.millis(700, 3_000);
--- a/crates/replication/tests/guards.rs
+++ b/crates/replication/tests/guards.rs
@@ -83,6 +83,17 @@
         said
     }
 
+    /// Elected by all three keepers, in the epoch that is returned.
+    fn become_primary(&mut self) -> EpochNumber {
+        let number = self.become_candidate();
+        self.sync();
+        self.promise(2, number, epoch(1));
+        self.promise(3, number, epoch(1));
+        self.sync();
+        self.hear(2, ReplicationBody::Accepted { number });
+        number
+    }
+
     /// Lets time pass until it seeks office and has been let through; its number.
     fn become_candidate(&mut self) -> EpochNumber {
         self.now = Time::from_nanos(10_000_000_000);
@@ -234,12 +245,7 @@
 #[test]
 fn a_change_of_voters_needs_the_voters_before_it() {
     let mut keeper = Keeper::new(epoch(1));
-    let first = keeper.become_candidate();
-    keeper.sync();
-    keeper.promise(2, first, epoch(1));
-    keeper.promise(3, first, epoch(1));
-    keeper.sync();
-    keeper.hear(2, ReplicationBody::Accepted { number: first });
+    let first = keeper.become_primary();
     assert!(keeper.replica.is_primary());
 
     let newcomer = Voter { node: voter(3).node, ..voter(4) };
@@ -264,12 +270,7 @@
 #[test]
 fn a_primary_that_hears_of_a_higher_epoch_late_leaves_office() {
     let mut keeper = Keeper::new(epoch(1));
-    let first = keeper.become_candidate();
-    keeper.sync();
-    keeper.promise(2, first, epoch(1));
-    keeper.promise(3, first, epoch(1));
-    keeper.sync();
-    keeper.hear(2, ReplicationBody::Accepted { number: first });
+    let first = keeper.become_primary();
     assert!(!keeper.replica.epoch().voters.is_empty() && keeper.replica.epoch().number == first);
     let mut higher = epoch(9);
     higher.in_sync = vec![DiskId(2), DiskId(3)];
--- a/crates/replication/tests/scenarios.rs
+++ b/crates/replication/tests/scenarios.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::World;
+use common::{World, epoch};
 use juniperwing_clock::Span;
 use juniperwing_replication::{Event, ProposeToken, ReadToken, Role};
 
@@ -14,10 +14,6 @@
     (world, primary)
 }
 
-fn epoch(world: &World, index: usize) -> u64 {
-    world.machines[index].replica.as_ref().expect("it runs").epoch().number.0
-}
-
 #[test]
 fn a_primary_that_steps_down_hands_over_at_once() {
     for seed in 0..50 {
--- a/crates/replication/tests/second_loss.rs
+++ b/crates/replication/tests/second_loss.rs
@@ -5,7 +5,7 @@
 
 use std::sync::atomic::{AtomicU64, Ordering};
 
-use common::World;
+use common::{WHOLE, World};
 use juniperwing_clock::Span;
 use juniperwing_replication::{Event, ProposeToken};
 
@@ -18,9 +18,6 @@
 /// How soon a change is acknowledged after a loss that has to be borne.
 const BORNE: Span = Span::from_millis(2_500);
 
-/// How soon a tier is whole again.
-const WHOLE: Span = Span::from_millis(8_000);
-
 /// Moments of the next loss, in milliseconds after the first from which on it is allowed, up to twice the time of
 /// a repair.
 const MOMENTS: [u64; 13] = [0, 5, 15, 40, 90, 160, 300, 500, 900, 1_300, 2_000, 4_100, 8_200];
--- a/crates/replication/tests/simulation.rs
+++ b/crates/replication/tests/simulation.rs
@@ -4,7 +4,7 @@
 
 use std::collections::BTreeSet;
 
-use common::{ROUGH, Random, World};
+use common::{ROUGH, Random, WHOLE, World};
 use juniperwing_clock::Span;
 use juniperwing_replication::Event;
 
@@ -13,9 +13,6 @@
 /// How soon a change is acknowledged once all is well again.
 const RECOVERY: Span = Span::from_millis(4_000);
 
-/// How soon all machines are in sync once all is well again.
-const WHOLE: Span = Span::from_millis(8_000);
-
 /// Storms add machines up to this number.
 const MOST_MACHINES: usize = 6;
 
--- a/crates/replication/tests/stalled_disk.rs
+++ b/crates/replication/tests/stalled_disk.rs
@@ -2,27 +2,17 @@
 
 mod common;
 
-use common::World;
+use common::{WHOLE, three_keepers};
 use juniperwing_clock::Span;
 
 /// How soon changes are acknowledged again after a disk has begun to answer nothing.
 const BORNE: Span = Span::from_millis(3_500);
-/// How soon a tier is whole again.
-const WHOLE: Span = Span::from_millis(8_000);
 const SEEDS: u64 = 20;
 
-fn started(seed: u64) -> (World, usize) {
-    let mut world = World::new(seed, 3, 2);
-    world.expect_whole(WHOLE, "the start");
-    world.run(Span::from_millis(1_200));
-    let primary = world.primary().expect("a primary");
-    (world, primary)
-}
-
 #[test]
 fn a_primary_whose_disk_answers_nothing_is_succeeded() {
     for seed in 0..SEEDS {
-        let (mut world, primary) = started(seed);
+        let (mut world, primary) = three_keepers(seed);
         world.stall_disk(primary);
         world.run(Span::from_millis(20));
         world.expect_progress(BORNE, "a disk that answers nothing");
@@ -37,7 +27,7 @@
 #[test]
 fn a_backup_whose_disk_answers_nothing_holds_up_nobody() {
     for seed in 0..SEEDS {
-        let (mut world, primary) = started(seed);
+        let (mut world, primary) = three_keepers(seed);
         let backup = (primary + 1) % 3;
         world.stall_disk(backup);
         for _ in 0..5 {
@@ -52,7 +42,7 @@
 #[test]
 fn a_disk_that_is_slow_for_a_moment_costs_no_office() {
     for seed in 0..SEEDS {
-        let (mut world, primary) = started(seed);
+        let (mut world, primary) = three_keepers(seed);
         world.stall_disk(primary);
         world.run(Span::from_millis(800));
         world.release_disk(primary);
