Writes to a disk that take long are told in one place

Cause: keepers and stores each timed their writes, with a bound of their own and the same line in the log. Change: host::write_to_disk does it for both; bound and line stay.

--- a/crates/node/src/host.rs
+++ b/crates/node/src/host.rs
@@ -18,12 +18,17 @@
 
 use juniperwing_clock::Time;
 use juniperwing_storage::disk::Disk;
+use slog::{Logger, warn};
 use tokio::task::JoinError;
+use tokio::time::Instant;
 
 pub use self::datagrams::Datagrams;
 pub use self::listener::Listener;
 pub use self::stream::{ReadHalf, Stream, WriteHalf};
 
+/// A write to the disk that takes longer is told in the log.
+const SLOW_WRITE: Duration = Duration::from_millis(300);
+
 /// What a simulated call will come to.
 pub type Pending<'call, T> = Pin<Box<dyn Future<Output = io::Result<T>> + Send + 'call>>;
 
@@ -143,6 +148,24 @@
     io::Error::new(error.kind(), format!("{address}: {error}"))
 }
 
+/// Writes to the disk without holding up the process, and tells the log of writes that take long: whoever waits for
+/// one may have given up.
+///
+/// # Errors
+///
+/// If the work panicked.
+pub(crate) async fn write_to_disk<T: Send + 'static>(
+    log: &Logger, work: impl FnOnce() -> T + Send + 'static,
+) -> Result<T, JoinError> {
+    let began = Instant::now();
+    let done = wait_for_disk(work).await;
+    let took = began.elapsed();
+    if took >= SLOW_WRITE {
+        warn!(log, "the disk is slow"; "took_ms" => took.as_millis() as u64);
+    }
+    done
+}
+
 /// Does work that waits for the disk without holding up the process.
 ///
 /// # Errors
--- a/crates/node/src/keeper/consensus.rs
+++ b/crates/node/src/keeper/consensus.rs
@@ -3,7 +3,6 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
 
 use juniperwing_clock::Time;
 use juniperwing_control::{ControlChange, ControlState};
@@ -15,20 +14,16 @@
 };
 use slog::info;
 use tokio::sync::{mpsc, watch};
-use tokio::time::Instant;
 
 use super::Keeper;
 use super::waiters::Waiters;
 use crate::clock;
-use crate::host::wait_for_disk;
+use crate::host::write_to_disk;
 use crate::panics::critical;
 
 /// Records on their way to the disk; the replica hands out one at a time.
 pub(super) const MAX_WRITES: usize = 4;
 
-/// A write that takes longer is told in the log.
-const SLOW_WRITE: Duration = Duration::from_millis(300);
-
 /// A record to be written.
 pub(super) struct Write {
     pub(super) token: PersistToken,
@@ -169,17 +164,13 @@
     keeper: Arc<Keeper>, mut file: super::record_file::RecordFile, mut writes: mpsc::Receiver<Write>,
 ) {
     while let Some(Write { token, record }) = writes.recv().await {
-        let began = Instant::now();
-        let written = wait_for_disk(move || {
+        let written = write_to_disk(&keeper.log, move || {
             let outcome = file.write(&record);
             (file, outcome)
         });
         // The task ends early only if the write panicked, and then the disk is of no more use.
         let Ok((returned, outcome)) = written.await else { return };
         file = returned;
-        if began.elapsed() >= SLOW_WRITE {
-            slog::warn!(keeper.log, "the disk is slow"; "took_ms" => began.elapsed().as_millis() as u64);
-        }
         match outcome {
             Ok(()) => keeper.replica_event(Event::Persisted(token)),
             Err(error) => {
--- a/crates/node/src/store/disk.rs
+++ b/crates/node/src/store/disk.rs
@@ -3,26 +3,23 @@
 use std::future::Future;
 use std::path::Path;
 use std::sync::Arc;
-use std::time::Duration;
 
 use juniperwing_protocol::DiskId;
 use juniperwing_sessions::{Event, Limits, Store, StoredRecord, decode_batch, encode_batch};
 use juniperwing_storage::{SegmentFiles, SegmentNumber, StorageError, VersionFiles, identity, layout};
 use slog::{Logger, info, warn};
 use tokio::sync::mpsc;
-use tokio::time::{Instant, timeout};
+use tokio::time::timeout;
 
 use super::core::{Core, DISK_LOST_AFTER};
 use crate::clock::{duration, random};
-use crate::host::wait_for_disk;
+use crate::host::write_to_disk;
 use crate::rate_limit::RateLimit;
 
 /// The folder of the batches within the data folder.
 const FOLDER: &str = "sessions";
 /// Lines in a second for what the disk refuses; it is tried again many times.
 const REFUSALS_PER_SECOND: u32 = 2;
-/// Work on disk that takes longer is told in the log.
-const SLOW: Duration = Duration::from_millis(300);
 /// The layout of batches; another number with every change of what is in them.
 const LAYOUT: u32 = 1;
 /// The name of the state with the map version.
@@ -95,13 +92,11 @@
         let mut waiting = Vec::new();
         while jobs.recv_many(&mut waiting, usize::MAX).await > 0 {
             let taken = std::mem::take(&mut waiting);
-            let done = wait_for_disk(move || {
+            let done = write_to_disk(&log, move || {
                 let outcome = disk.work(taken);
                 (disk, outcome)
             });
-            let began = Instant::now();
             let Ok((returned, outcome)) = answered(done, &core).await else { return };
-            log_if_slow(&log, began.elapsed());
             disk = returned;
             for failure in outcome.failures {
                 if let Some(unlogged) = refusals.take() {
@@ -140,13 +135,6 @@
     }
 }
 
-/// Tells of work that took long: whoever waited for it may have given up.
-fn log_if_slow(log: &Logger, took: Duration) {
-    if took >= SLOW {
-        warn!(log, "the disk is slow"; "took_ms" => took.as_millis() as u64);
-    }
-}
-
 /// Waits for the disk, and has the store taken out while it answers nothing.
 async fn answered<T>(work: impl Future<Output = T>, core: &Core) -> T {
     tokio::pin!(work);
