The line of a relay's counters is written from the list that its figures come from

Cause: the twenty names stood twice, in the list for figures and in the log's line. Change: the line is made from the list; names and order stay.

--- a/crates/node/src/relay/metrics.rs
+++ b/crates/node/src/relay/metrics.rs
@@ -2,7 +2,7 @@
 
 use std::sync::atomic::{AtomicU64, Ordering};
 
-use slog::{Logger, info};
+use slog::{KV, Logger, Record, Serializer, info};
 
 use super::fate::GivenUp;
 use crate::metrics::Figure;
@@ -121,16 +121,12 @@
 
     /// Logs the counters.
     pub fn log(&self, log: &Logger) {
-        info!(log, "counters";
-            "requests" => self.requests.get(), "answered" => self.answered.get(),
-            "resends" => self.resends.get(), "abandoned" => self.abandoned.get(),
-            "declined" => self.declined.get(), "broken" => self.broken.get(),
-            "unsound" => self.unsound.get(), "connections" => self.connections.get(),
-            "connections_failed" => self.connections_failed.get(), "resumed" => self.resumed.get(),
-            "broken_off" => self.broken_off.get(), "no_route" => self.no_route.get(),
-            "turns_denied" => self.turns_denied.get(), "too_late" => self.too_late.get(),
-            "no_endpoint" => self.no_endpoint.get(), "full" => self.full.get(),
-            "no_sessions" => self.no_sessions.get(), "no_room" => self.no_room.get(),
-            "out_of_touch" => self.out_of_touch.get(), "other" => self.other.get());
+        info!(log, "counters"; self);
+    }
+}
+
+impl KV for Metrics {
+    fn serialize(&self, _: &Record, serializer: &mut dyn Serializer) -> slog::Result {
+        self.all().into_iter().try_for_each(|(name, _, counter)| serializer.emit_u64(name, counter.get()))
     }
 }
