The digest of an order is computed only for a line that is written

Cause: every order's body was digested for the log, also when no line was due. Change: the digest comes after the bounds of the log.

--- a/crates/node/src/keeper/orders.rs
+++ b/crates/node/src/keeper/orders.rs
@@ -120,12 +120,12 @@
         began: Instant,
     ) {
         self.order_answers.count(answer.status);
-        let (kind, base, digest) = described(order);
         let changes = matches!(order, Order::PutConfiguration { .. } | Order::Retire { .. });
         if !changes && answer.status != UNAVAILABLE {
             return;
         }
         let Some(unlogged) = self.order_lines.take() else { return };
+        let (kind, base, digest) = described(order);
         let epoch = self.lock().consensus.replica.epoch().number.0;
         info!(self.log, "order";
             "order" => kind, "base" => base, "digest" => digest, "status" => answer.status,
