The log of the tier is written by a thread of its own behind a bounded queue

Change: the relay's thread for its log becomes crates/log, used by both; the roles flush it, for 200 ms at most, at their end and in a panic.

--- /dev/null
+++ b/crates/log/src/whole_lines.rs
@@ -0,0 +1,33 @@
+//! Whole lines in one write each.
+
+use std::io::{self, Write};
+
+/// Hands whole lines on in one write each, so that lines of several processes don't mix and a line costs one system
+/// call.
+#[derive(Debug)]
+pub(crate) struct WholeLines<W> {
+    inner: W,
+    line: Vec<u8>,
+}
+
+impl<W: Write> WholeLines<W> {
+    pub(crate) fn new(inner: W) -> Self {
+        WholeLines { inner, line: Vec::new() }
+    }
+}
+
+impl<W: Write> Write for WholeLines<W> {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.line.extend_from_slice(bytes);
+        if self.line.ends_with(b"\n") {
+            let written = self.inner.write_all(&self.line);
+            self.line.clear();
+            written?;
+        }
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        self.inner.flush()
+    }
+}
--- a/crates/node/src/command.rs
+++ b/crates/node/src/command.rs
@@ -7,7 +7,7 @@
 use getopts::Options;
 use slog::{Level, Logger, error};
 
-use crate::log::{log_faults, logger};
+use crate::log::{flush, log_faults, logger};
 use crate::settings::{Settings, SettingsError};
 use crate::signals::Signals;
 
@@ -118,6 +118,7 @@
     let code = runtime.block_on(serve_role(role, settings_file, metrics, level));
     // A disk that answers nothing must not keep the process.
     runtime.shutdown_timeout(LAST_WRITES);
+    flush();
     code
 }
 
--- a/crates/node/src/log.rs
+++ b/crates/node/src/log.rs
@@ -1,17 +1,19 @@
 //! The log: one JSON object a line on standard error.
 
 use std::any::Any;
-use std::io::{self, Write};
+use std::io;
 use std::panic;
 use std::process::exit;
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicU64, Ordering};
 
 use juniperwing_invariants::report_to;
-use slog::{Drain, Level, Logger, crit, o};
+use juniperwing_log::{FlushGuard, background};
+use slog::{Level, Logger, crit, o};
 
 use crate::panics::is_isolated;
 use crate::rate_limit::RateLimit;
+use crate::sync::lock;
 
 /// Violations of invariants that are logged in a second; all are counted.
 const VIOLATIONS_PER_SECOND: u32 = 20;
@@ -21,11 +23,24 @@
 
 static PANICS: AtomicU64 = AtomicU64::new(0);
 
-/// The log of a process, from `level` upward. Lines are written at once: a process writes few.
+/// Flushes the log; wherever the process ends, whoever ends it takes the guard.
+static FLUSH_GUARD: Mutex<Option<FlushGuard>> = Mutex::new(None);
+
+/// The log of a process, from `level` upward.
 pub fn logger(level: Level, role: &'static str, node: &str) -> Logger {
-    let lines = slog_json::Json::new(WholeLines::new(io::stderr())).add_default_keys().build();
-    let drain = Mutex::new(lines).filter_level(level).ignore_res();
-    Logger::root(drain, o!("role" => role, "node" => node.to_owned()))
+    let values = o!("role" => role, "node" => node.to_owned());
+    let (logger, guard) = background(io::stderr(), level, values);
+    *lock(&FLUSH_GUARD) = Some(guard);
+    logger
+}
+
+/// Waits until all that was logged is written, for a bounded time. To be called at the end of the process: what is logged
+/// afterwards is lost.
+pub fn flush() {
+    let guard = lock(&FLUSH_GUARD).take();
+    if let Some(guard) = guard {
+        guard.flush();
+    }
 }
 
 /// Has panics and violated invariants of this process logged and counted. A panic ends the process, unless it is
@@ -39,6 +54,7 @@
         crit!(panics, "panic"; "place" => place, "why" => message(panic.payload()),
             "ends the process" => !is_isolated);
         if !is_isolated {
+            flush();
             exit(PANICKED);
         }
     }));
@@ -63,33 +79,3 @@
 pub fn panics() -> u64 {
     PANICS.load(Ordering::Relaxed)
 }
-
-/// Hands whole lines on in one write each, so that lines of several processes don't mix and a line costs one system
-/// call.
-#[derive(Debug)]
-struct WholeLines<W> {
-    inner: W,
-    line: Vec<u8>,
-}
-
-impl<W: Write> WholeLines<W> {
-    fn new(inner: W) -> Self {
-        WholeLines { inner, line: Vec::new() }
-    }
-}
-
-impl<W: Write> Write for WholeLines<W> {
-    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
-        self.line.extend_from_slice(bytes);
-        if self.line.ends_with(b"\n") {
-            let written = self.inner.write_all(&self.line);
-            self.line.clear();
-            written?;
-        }
-        Ok(bytes.len())
-    }
-
-    fn flush(&mut self) -> io::Result<()> {
-        self.inner.flush()
-    }
-}
--- a/crates/relay/src/main.rs
+++ b/crates/relay/src/main.rs
@@ -18,12 +18,10 @@
 use std::os::unix::net::UnixStream;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
-use std::sync::Mutex;
-use std::time::Duration;
 
 use juniperwing_node::command::Role;
 use lexopt::prelude::*;
-use slog::{Drain, Level, Logger, error, o};
+use slog::{Level, error, o};
 
 use crate::config::Config;
 use crate::event_loop::Signals;
@@ -62,11 +60,6 @@
 ROUTER_DISCOVERY where the configuration does not.
 ";
 
-/// Lines of the log that may wait to be written; more are dropped and counted.
-const LOG_LINES: usize = 4_096;
-/// How long the last lines of the log may take when the program ends.
-const LAST_LINES: Duration = Duration::from_millis(200);
-
 enum Order {
     Serve,
     CheckConfig,
@@ -178,13 +171,7 @@
 }
 
 fn serve(config: Config, state: &Path, signals: std::io::Result<Signals>, level: Level) -> ExitCode {
-    // Lines are written by a thread of their own: a reader of the log that stands still holds nothing up.
-    let lines = slog_json::Json::default(std::io::stderr());
-    let (lines, guard) = slog_async::Async::new(Mutex::new(lines).map(slog::Fuse))
-        .chan_size(LOG_LINES)
-        .overflow_strategy(slog_async::OverflowStrategy::DropAndReport)
-        .build_with_guard();
-    let log = Logger::root(lines.filter_level(level).fuse(), o!());
+    let (log, guard) = juniperwing_log::background(std::io::stderr(), level, o!());
     let served = signals.and_then(|signals| serve::serve(config, state, signals, log.clone()));
     let code = match served {
         Ok(()) => ExitCode::SUCCESS,
@@ -193,15 +180,7 @@
             ExitCode::FAILURE
         }
     };
-    drop(log);
-    // The last lines are written, unless nobody reads them.
-    let (done, written) = std::sync::mpsc::channel();
-    std::thread::spawn(move || {
-        drop(guard);
-        // Nobody waits any more if this took too long.
-        let _ = done.send(());
-    });
-    let _ = written.recv_timeout(LAST_LINES);
+    guard.flush();
     code
 }
 
