Endpoints are chosen by the time that one more call adds, in place of weights

Cause: at 75 relays a fixed bonus for the agreed place of a shared part piled all first turns on a few endpoints (busiest 4.37 times the mean), and a load that had not been told of late counted as none. Change: one cost in seconds: calls there, the line beyond the slots, tokens to read at the measured rate while as many as usual wait, and what a failure would lose. A part of a session grows; only parts that several programs send are taken to be read everywhere; an endpoint not heard of has the usual load.

--- a/crates/balancing/src/ask.rs
+++ b/crates/balancing/src/ask.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use juniperwing_clock::Span;
 use juniperwing_protocol::identity::{InstanceId, ProgramId, ServiceName};
 
 use crate::prompt::PromptPart;
@@ -34,10 +35,14 @@
     pub excluded: Vec<InstanceId>,
     /// The parts of its prompt in order; empty for plain requests.
     pub prompt: Vec<PromptPart>,
+    /// The share of the prompt that no turn before held, as far as it is known; 1 for a first turn.
+    pub new_share: f64,
     /// The endpoint that ran the turn before.
     pub hint: Option<InstanceId>,
     /// The program that it belongs to.
     pub program: Option<ProgramId>,
+    /// What it costs if the endpoint gives no good answer: the time-out of the try.
+    pub time_out: Span,
 }
 
 /// A place in the queue.
--- a/crates/balancing/src/balancer.rs
+++ b/crates/balancing/src/balancer.rs
@@ -9,20 +9,10 @@
 
 use crate::ask::{Admission, Ask, Destination, EndpointInfo, Grant, Refusal, Ticket};
 use crate::endpoint::{Ending, Endpoint, ServerLoad};
+use crate::prompt::{LikelyPart, SharedParts};
 use crate::queue::Queue;
+use crate::service_time::{AgedMean, ServiceTime};
 
-/// What a share of the prompt that need not be read again is worth, in shares of an endpoint's slots.
-const CACHED_PROMPT: f64 = 0.4;
-/// What it is worth to follow the program's turn before.
-const SAME_PROGRAM: f64 = 0.4;
-/// What the agreed place of an unknown prompt is worth: all relays send it there while load allows.
-const AGREED_PLACE: f64 = 0.1;
-/// What the relay's own zone is worth.
-const OWN_ZONE: f64 = 0.02;
-/// What it costs to go to an endpoint that failed lately: any other with room is taken first.
-const FAILED_LATELY: f64 = 100.0;
-/// What it costs to go to an endpoint all of whose late calls went badly, in shares of its slots.
-const TROUBLE: f64 = 3.0;
 /// Programs whose last endpoint is remembered.
 const PROGRAMS_REMEMBERED: usize = 4_096;
 
@@ -43,6 +33,13 @@
 struct Service {
     endpoints: HashMap<InstanceId, Endpoint>,
     queue: Queue,
+    times: ServiceTime,
+    /// Calls of others at an endpoint that tells its load.
+    others: AgedMean,
+    /// This relay's own calls, at all endpoints together, at those moments.
+    own: AgedMean,
+    in_flight: u32,
+    shared_parts: SharedParts,
 }
 
 /// One relay's view of the ready endpoints of all services.
@@ -143,17 +140,39 @@
     pub fn end(&mut self, now: Time, destination: &Destination, id: &InstanceId, ending: Ending) {
         let Some(service) = self.services.get_mut(&destination.service) else { return };
         service.queue.end(now, destination);
-        if let Some(endpoint) = service.endpoints.get_mut(id) {
-            endpoint.end(now, ending);
+        service.in_flight = service.in_flight.saturating_sub(1);
+        let held = service.endpoints.get_mut(id).and_then(|endpoint| endpoint.end(now, ending));
+        if let Some(held) = held {
+            service.times.record_held(held);
         }
     }
 
     /// An endpoint has told its load.
     pub fn tell(&mut self, now: Time, id: &InstanceId, load: ServerLoad) {
-        let Some(owner) = self.owners.get(id) else { return };
-        let endpoint = self.services.get_mut(owner).and_then(|service| service.endpoints.get_mut(id));
-        if let Some(endpoint) = endpoint {
-            endpoint.tell(now, load);
+        let Some(service) = self.owners.get(id).and_then(|owner| self.services.get_mut(owner)) else { return };
+        let Some(endpoint) = service.endpoints.get_mut(id) else { return };
+        service.others.add(f64::from(endpoint.tell(now, load)));
+        service.own.add(f64::from(service.in_flight));
+    }
+
+    /// An endpoint began to answer a call, so long after it was sent: it has read the prompt.
+    pub fn answered(&mut self, ask: &Ask, id: &InstanceId, lasted: Span) {
+        if ask.prompt.is_empty() {
+            return;
+        }
+        let Some(service) = self.services.get_mut(&ask.destination.service) else { return };
+        let likely = service.likely_parts(ask);
+        let ran_before = last_endpoint(&self.programs, ask) == Some(id);
+        if let Some(endpoint) = service.endpoints.get_mut(id) {
+            service.times.record_first_event(unread_tokens(endpoint, ask, &likely, ran_before), lasted);
+            endpoint.parts.read(&ask.prompt);
+        }
+        if let Some(program) = &ask.program {
+            service.shared_parts.sent(program, &ask.prompt);
+            if self.programs.len() >= PROGRAMS_REMEMBERED && !self.programs.contains_key(program) {
+                self.programs.clear();
+            }
+            self.programs.insert(program.clone(), id.clone());
         }
     }
 
@@ -194,39 +213,62 @@
     fn take(&mut self, now: Time, ask: &Ask, id: &InstanceId, usual: Span) {
         let Some(service) = self.services.get_mut(&ask.destination.service) else { return };
         service.queue.begin(now, &ask.destination, usual);
+        service.in_flight += 1;
         if let Some(endpoint) = service.endpoints.get_mut(id) {
-            endpoint.begin();
-            endpoint.parts.read(&ask.prompt);
-        }
-        if let Some(program) = ask.program.as_ref().filter(|_| !ask.prompt.is_empty()) {
-            if self.programs.len() >= PROGRAMS_REMEMBERED && !self.programs.contains_key(program) {
-                self.programs.clear();
-            }
-            self.programs.insert(program.clone(), id.clone());
+            endpoint.begin(now);
         }
     }
 
-    /// The endpoint with room that costs least: its load, less what the prompt and the program find there.
+    /// The endpoint with room at which the call is likely over first. Times that differ by less than what one call more
+    /// at an endpoint makes count as the same: then the endpoint that ran the program's turn before is taken, then one in
+    /// the relay's own zone.
     fn choose(&self, now: Time, ask: &Ask) -> Option<InstanceId> {
         let service = self.services.get(&ask.destination.service)?;
-        let agreed = service.agreed_place(ask);
-        let before = ask.program.as_ref().and_then(|program| self.programs.get(program));
+        let last = last_endpoint(&self.programs, ask);
+        let likely = service.likely_parts(ask);
+        let times = service.times.expected(!ask.prompt.is_empty(), service.mean_slots());
+        let usual_others = service.others.get().unwrap_or(0.0);
+        let usual_load = usual_others + f64::from(service.in_flight) / service.endpoints.len() as f64;
         let open = service.open_to(ask).filter(|(_, endpoint)| endpoint.has_room(now));
-        let costs = open.map(|(id, endpoint)| {
-            let mut cost = endpoint.fullness(now);
-            cost -= CACHED_PROMPT * endpoint.parts.share(&ask.prompt);
-            cost -= if [before, ask.hint.as_ref()].contains(&Some(id)) { SAME_PROGRAM } else { 0.0 };
-            cost -= if agreed == Some(id) { AGREED_PLACE } else { 0.0 };
-            cost -= if endpoint.own_zone { OWN_ZONE } else { 0.0 };
-            cost += if endpoint.is_aside(now) { FAILED_LATELY } else { 0.0 };
-            cost += TROUBLE * endpoint.trouble(now);
-            (cost, hash_of(&(self.seed, id)), id)
+        let ranks = open.map(|(id, endpoint)| {
+            let ran_before = last == Some(id);
+            let load = endpoint.likely_load(now, usual_others);
+            let unread = unread_tokens(endpoint, ask, &likely, ran_before);
+            let predicted = times.added_secs(load, endpoint.slots(), unread, usual_load);
+            let predicted = predicted + endpoint.failure_secs(now, ask.time_out);
+            let steps = (predicted / times.per_call).floor();
+            (steps, !ran_before, !endpoint.own_zone, self.tie_break(ask, id), id)
+        });
+        let first = ranks.min_by(|a, b| {
+            a.0.total_cmp(&b.0).then_with(|| (a.1, a.2, a.3, a.4).cmp(&(b.1, b.2, b.3, b.4)))
         });
-        let least = costs.min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
-        least.map(|(_, _, id)| id.clone())
+        first.map(|(.., id)| id.clone())
+    }
+
+    /// Among equals a program's turns go to one endpoint, whichever relays they come through; other calls to few, which
+    /// differ by relay, so that connections are used again.
+    fn tie_break(&self, ask: &Ask, id: &InstanceId) -> u64 {
+        match ask.program.as_ref().filter(|_| !ask.prompt.is_empty()) {
+            Some(program) => hash_of(&(program, id)),
+            None => hash_of(&(self.seed, id)),
+        }
     }
 }
 
+/// The endpoint that ran the program's turn before: the stores know it better than this relay, through which not all
+/// turns of a program come.
+fn last_endpoint<'a>(programs: &'a HashMap<ProgramId, InstanceId>, ask: &'a Ask) -> Option<&'a InstanceId> {
+    let known = ask.program.as_ref().and_then(|program| programs.get(program));
+    ask.hint.as_ref().or(known)
+}
+
+/// Tokens of a prompt that an endpoint has yet to read. One that ran the turn before has read all but what is new.
+fn unread_tokens(endpoint: &Endpoint, ask: &Ask, prompt: &[LikelyPart], ran_before: bool) -> f64 {
+    let total: f64 = ask.prompt.iter().map(|part| f64::from(part.tokens)).sum();
+    let unread = total - endpoint.parts.kept_tokens(prompt);
+    if ran_before { unread.min(total * ask.new_share) } else { unread }
+}
+
 impl Service {
     fn open_to<'a>(&'a self, ask: &'a Ask) -> impl Iterator<Item = (&'a InstanceId, &'a Endpoint)> {
         self.endpoints.iter().filter(|(id, _)| !ask.excluded.contains(id))
@@ -236,11 +278,17 @@
         self.open_to(ask).next().is_some()
     }
 
-    /// Where a prompt goes that no endpoint is known to have read: by rendezvous hashing of its first part, the
-    /// same at every relay.
-    fn agreed_place(&self, ask: &Ask) -> Option<&InstanceId> {
-        let first = ask.prompt.first()?;
-        self.endpoints.keys().max_by_key(|id| hash_of(&(first.id, id)))
+    fn mean_slots(&self) -> f64 {
+        let slots: f64 = self.endpoints.values().map(|endpoint| f64::from(endpoint.slots())).sum();
+        slots / self.endpoints.len().max(1) as f64
+    }
+
+    fn likely_parts(&self, ask: &Ask) -> Vec<LikelyPart> {
+        let others_per_own_call = match (self.others.get(), self.own.get()) {
+            (Some(others), Some(own)) if own > 0.0 => others / own,
+            _ => 0.0,
+        };
+        self.shared_parts.likely(&ask.prompt, others_per_own_call)
     }
 }
 
--- a/crates/balancing/src/endpoint.rs
+++ b/crates/balancing/src/endpoint.rs
@@ -1,5 +1,7 @@
 //! One endpoint as a relay sees it.
 
+use std::collections::VecDeque;
+
 use juniperwing_clock::{Span, Time};
 
 use crate::prompt::PartMemory;
@@ -66,12 +68,19 @@
     own: u32,
 }
 
+impl ToldLoad {
+    fn others(&self) -> u32 {
+        self.load.running.saturating_add(self.load.waiting).saturating_sub(self.own)
+    }
+}
+
 #[derive(Debug)]
 pub(crate) struct Endpoint {
     pub(crate) own_zone: bool,
     pub(crate) parts: PartMemory,
     capacity: u32,
-    in_flight: u32,
+    /// When the calls that are out began, the oldest first.
+    out: VecDeque<Time>,
     told: Option<ToldLoad>,
     failures: u32,
     full: u32,
@@ -88,7 +97,7 @@
             own_zone,
             parts: PartMemory::default(),
             capacity: capacity.max(1),
-            in_flight: 0,
+            out: VecDeque::new(),
             told: None,
             failures: 0,
             full: 0,
@@ -103,12 +112,14 @@
         self.capacity = capacity.max(1);
     }
 
-    pub(crate) fn begin(&mut self) {
-        self.in_flight += 1;
+    pub(crate) fn begin(&mut self, now: Time) {
+        self.out.push_back(now);
     }
 
-    pub(crate) fn end(&mut self, now: Time, ending: Ending) {
-        self.in_flight = self.in_flight.saturating_sub(1);
+    /// A call has ended; gives back for how long it held its slot, where it was answered. The oldest one out counts as
+    /// the one that ended, which leaves the mean as it is.
+    pub(crate) fn end(&mut self, now: Time, ending: Ending) -> Option<Span> {
+        let began = self.out.pop_front();
         if ending != Ending::Abandoned {
             self.note_trouble(now, ending != Ending::Answered);
         }
@@ -124,6 +135,7 @@
             }
             Ending::Erred | Ending::Silent | Ending::Abandoned => {}
         }
+        began.filter(|_| ending == Ending::Answered).map(|began| now.since(began))
     }
 
     fn note_trouble(&mut self, now: Time, went_badly: bool) {
@@ -140,8 +152,15 @@
         self.trouble * 0.5_f64.powf(halvings)
     }
 
-    pub(crate) fn tell(&mut self, now: Time, load: ServerLoad) {
-        self.told = Some(ToldLoad { at: now, load, own: self.in_flight });
+    /// The endpoint has told its load; gives back the calls of others in it.
+    pub(crate) fn tell(&mut self, now: Time, load: ServerLoad) -> u32 {
+        let told = ToldLoad { at: now, load, own: self.in_flight() };
+        self.told = Some(told);
+        told.others()
+    }
+
+    fn in_flight(&self) -> u32 {
+        u32::try_from(self.out.len()).unwrap_or(u32::MAX)
     }
 
     /// Whether one more request may be sent to it.
@@ -160,23 +179,33 @@
         self.full_until
     }
 
-    /// The share of its slots that is taken; above 1 if requests wait there.
-    pub(crate) fn fullness(&self, now: Time) -> f64 {
-        self.load(now) / f64::from(self.slots())
+    /// Its requests, for a choice between endpoints. Where its load was not told of late, `usual_others` requests of
+    /// others are taken to be there.
+    pub(crate) fn likely_load(&self, now: Time, usual_others: f64) -> f64 {
+        f64::from(self.in_flight()) + self.others(now, usual_others)
     }
 
-    fn slots(&self) -> u32 {
+    /// Seconds that a call likely loses to the endpoint's failures, if a bad one loses `time_out`.
+    pub(crate) fn failure_secs(&self, now: Time, time_out: Span) -> f64 {
+        let pause = if self.is_aside(now) { self.failed_until.since(now) + time_out } else { Span::ZERO };
+        pause.secs() + self.trouble(now) * time_out.secs()
+    }
+
+    /// Requests that it works on at a time.
+    pub(crate) fn slots(&self) -> u32 {
         self.told.map_or(self.capacity, |told| told.load.slots.max(1))
     }
 
     /// Its requests as far as they are known: this relay's own, and what others had there when it last told.
     fn load(&self, now: Time) -> f64 {
-        let others = self.told.map_or(0.0, |told| {
-            let all = told.load.running.saturating_add(told.load.waiting);
-            let age = now.since(told.at).secs() / LOAD_VALID.secs();
-            f64::from(all.saturating_sub(told.own)) * (1.0 - age).max(0.0)
-        });
-        f64::from(self.in_flight) + others
+        f64::from(self.in_flight()) + self.others(now, 0.0)
+    }
+
+    /// The calls of others: what was told passes over into `usual` as it ages.
+    fn others(&self, now: Time, usual: f64) -> f64 {
+        let Some(told) = self.told else { return usual };
+        let age = (now.since(told.at).secs() / LOAD_VALID.secs()).min(1.0);
+        f64::from(told.others()) * (1.0 - age) + usual * age
     }
 }
 
--- a/crates/balancing/src/lib.rs
+++ b/crates/balancing/src/lib.rs
@@ -10,6 +10,7 @@
 mod latency;
 mod prompt;
 mod queue;
+mod service_time;
 
 pub use ask::{Admission, Ask, Destination, EndpointInfo, Grant, Refusal, Ticket};
 pub use balancer::{Balancer, Bounds};
--- a/crates/node/src/relay/dispatcher.rs
+++ b/crates/node/src/relay/dispatcher.rs
@@ -188,6 +188,11 @@
         self.lock().balancer.tell(now(), endpoint, load);
     }
 
+    /// An endpoint began to answer a call, so long after it was sent.
+    pub fn answered(&self, ask: &Ask, endpoint: &InstanceId, lasted: Span) {
+        critical(|| self.lock().balancer.answered(ask, endpoint, lasted));
+    }
+
     /// Takes in how long a try lasted.
     pub fn record(&self, destination: &Destination, lasted: Span, censored: bool) {
         self.lock().latencies.record(now(), destination, lasted, censored);
--- a/crates/node/src/relay/exchange.rs
+++ b/crates/node/src/relay/exchange.rs
@@ -44,6 +44,8 @@
     pub request: HeaderValue,
     /// The parts of its prompt.
     pub prompt: Vec<PromptPart>,
+    /// The share of its prompt that no turn before held.
+    pub new_share: f64,
     /// The program.
     pub program: Option<ProgramId>,
     /// The endpoint that ran the turn before.
@@ -85,15 +87,17 @@
         id.map(|id| Bytes::copy_from_slice(id.as_bytes()))
     }
 
-    /// What the balancer is asked for it.
-    pub fn ask(&self, excluded: Vec<InstanceId>) -> Ask {
+    /// What the balancer is asked for a try of it that may last for `time_out`.
+    pub fn ask(&self, excluded: Vec<InstanceId>, time_out: Span) -> Ask {
         Ask {
             destination: self.destination.clone(),
             priority: self.route.priority,
             excluded,
             prompt: self.prompt.clone(),
+            new_share: self.new_share,
             hint: self.hint.clone(),
             program: self.program.clone(),
+            time_out,
         }
     }
 
--- a/crates/node/src/relay/forward.rs
+++ b/crates/node/src/relay/forward.rs
@@ -137,7 +137,9 @@
     match timeout(duration(may_last), run).await {
         Ok(Ok(Reply::Whole(answer))) => after_answer(core, exchange, tries, slot, begun, answer),
         Ok(Ok(Reply::Live(mut live))) => {
-            core.dispatcher.record(&exchange.destination, now().since(begun), false);
+            let lasted = now().since(begun);
+            core.dispatcher.record(&exchange.destination, lasted, false);
+            core.dispatcher.answered(&exchange.ask(Vec::new(), may_last), &endpoint, lasted);
             live.slot = Some(slot);
             Ok(Reply::Live(live))
         }
@@ -179,7 +181,7 @@
     if !worth_trying() {
         return Err(Ended::GivenUp(GivenUp::TooLate));
     }
-    let ask = exchange.ask(tries.excluded.clone());
+    let ask = exchange.ask(tries.excluded.clone(), time_out(core, exchange, tries));
     let slot = core.dispatcher.slot(ask, exchange.patience()).await;
     let slot = slot.map_err(|why| match why {
         NoSlot::NoEndpoint => Ended::GivenUp(GivenUp::NoEndpoint),
--- a/crates/node/src/relay/frontend.rs
+++ b/crates/node/src/relay/frontend.rs
@@ -296,6 +296,7 @@
         prompt: PromptPart::list(header_text(&headers, headers::PROMPT_PREFIX)),
         program: program.map(ProgramId::from),
         hint: None,
+        new_share: 1.0,
         headers,
         body,
         deadline,
--- a/crates/node/src/relay/stream.rs
+++ b/crates/node/src/relay/stream.rs
@@ -254,7 +254,7 @@
             self.tries.note(&self.core, slot.endpoint().clone(), failure);
             slot.end(ending(failure.cause));
             self.ask_for_the_rest()?;
-            let ask = self.exchange.ask(self.tries.excluded.clone());
+            let ask = self.exchange.ask(self.tries.excluded.clone(), self.exchange.left());
             let patience = self.exchange.patience();
             let slot = self.core.dispatcher.slot(ask, patience).await.map_err(|_| BrokenOff::Endpoint)?;
             self.exchange.trace.attempt_began(slot.endpoint());
--- a/crates/node/src/relay/turn.rs
+++ b/crates/node/src/relay/turn.rs
@@ -98,7 +98,10 @@
         };
         if kept {
             exchange.hint = chain.last().and_then(|turn| turn.endpoint.clone()).map(InstanceId);
+            let input = exchange.body.len();
             exchange.body = body_of(&chain, &exchange.body);
+            // A prompt has about as many tokens for each byte everywhere.
+            exchange.new_share = input as f64 / exchange.body.len().max(1) as f64;
         }
         Ok(Some(turn))
     }
