--- a/crates/balancing/src/balancer.rs
+++ b/crates/balancing/src/balancer.rs
@@ -227,7 +227,7 @@
         let last = last_endpoint(&self.programs, ask);
         let likely = service.likely_parts(ask);
         let times = service.times.expected(!ask.prompt.is_empty(), service.mean_slots());
-        let usual_others = service.others.get().unwrap_or(0.0);
+        let usual_others = service.others.get();
         let usual_load = usual_others + f64::from(service.in_flight) / service.endpoints.len() as f64;
         let open = service.open_to(ask).filter(|(_, endpoint)| endpoint.has_room(now));
         let ranks = open.map(|(id, endpoint)| {
@@ -237,7 +237,7 @@
             let predicted = times.added_secs(load, endpoint.slots(), unread, usual_load);
             let predicted = predicted + endpoint.failure_secs(now, ask.time_out);
             let steps = (predicted / times.per_call).floor();
-            (steps, !ran_before, !endpoint.own_zone, self.tie_break(ask, id), id)
+            (steps, !ran_before, !endpoint.own_zone, self.tie_break(ask, id, endpoint), id)
         });
         let first = ranks.min_by(|a, b| {
             a.0.total_cmp(&b.0).then_with(|| (a.1, a.2, a.3, a.4).cmp(&(b.1, b.2, b.3, b.4)))
@@ -245,13 +245,12 @@
         first.map(|(.., id)| id.clone())
     }
 
-    /// Among equals a program's turns go to one endpoint, whichever relays they come through; other calls to few, which
-    /// differ by relay, so that connections are used again.
-    fn tie_break(&self, ask: &Ask, id: &InstanceId) -> u64 {
-        match ask.program.as_ref().filter(|_| !ask.prompt.is_empty()) {
-            Some(program) => hash_of(&(program, id)),
-            None => hash_of(&(self.seed, id)),
-        }
+    /// The order among equals, which differs by relay. Turns go to the endpoint that this relay has sent nothing to for
+    /// longest: a program stays where its first turn ran, so that programs have to be spread. Other calls go to the same
+    /// few, so that connections are used again.
+    fn tie_break(&self, ask: &Ask, id: &InstanceId, endpoint: &Endpoint) -> (Time, u64) {
+        let last_begun = if ask.prompt.is_empty() { Time::default() } else { endpoint.last_begun() };
+        (last_begun, hash_of(&(self.seed, id)))
     }
 }
 
@@ -284,10 +283,8 @@
     }
 
     fn likely_parts(&self, ask: &Ask) -> Vec<LikelyPart> {
-        let others_per_own_call = match (self.others.get(), self.own.get()) {
-            (Some(others), Some(own)) if own > 0.0 => others / own,
-            _ => 0.0,
-        };
+        let own = self.own.get();
+        let others_per_own_call = if own > 0.0 { self.others.get() / own } else { 0.0 };
         self.shared_parts.likely(&ask.prompt, others_per_own_call)
     }
 }
--- a/crates/balancing/src/endpoint.rs
+++ b/crates/balancing/src/endpoint.rs
@@ -81,6 +81,7 @@
     capacity: u32,
     /// When the calls that are out began, the oldest first.
     out: VecDeque<Time>,
+    last_begun: Time,
     told: Option<ToldLoad>,
     failures: u32,
     full: u32,
@@ -98,6 +99,7 @@
             parts: PartMemory::default(),
             capacity: capacity.max(1),
             out: VecDeque::new(),
+            last_begun: Time::default(),
             told: None,
             failures: 0,
             full: 0,
@@ -114,6 +116,12 @@
 
     pub(crate) fn begin(&mut self, now: Time) {
         self.out.push_back(now);
+        self.last_begun = now;
+    }
+
+    /// When this relay last sent it a call.
+    pub(crate) fn last_begun(&self) -> Time {
+        self.last_begun
     }
 
     /// A call has ended; gives back for how long it held its slot, where it was answered. The oldest one out counts as
--- a/crates/balancing/src/service_time.rs
+++ b/crates/balancing/src/service_time.rs
@@ -8,22 +8,28 @@
 /// then, for load is all that is known.
 const UNMEASURED: Span = Span::from_millis(100);
 
-/// A mean in which older samples fade.
-#[derive(Clone, Copy, Debug, Default)]
+/// A mean in which older samples fade. It begins with one sample of zero, so that the first real one does not stand for
+/// all others.
+#[derive(Clone, Copy, Debug)]
 pub(crate) struct AgedMean {
     weight: f64,
     mean: f64,
 }
 
+impl Default for AgedMean {
+    fn default() -> Self {
+        AgedMean { weight: 1.0, mean: 0.0 }
+    }
+}
+
 impl AgedMean {
     pub(crate) fn add(&mut self, value: f64) {
         self.weight = (self.weight + 1.0).min(WINDOW);
         self.mean += (value - self.mean) / self.weight;
     }
 
-    /// The mean; `None` without samples.
-    pub(crate) fn get(&self) -> Option<f64> {
-        (self.weight > 0.0).then_some(self.mean)
+    pub(crate) fn get(&self) -> f64 {
+        self.mean
     }
 }
 
@@ -54,9 +60,9 @@
 
     /// What is expected of the next call, with or without a prompt, at endpoints of so many slots.
     pub(crate) fn expected(&self, has_prompt: bool, slots: f64) -> ExpectedTime {
-        let held = self.held.get().filter(|held| *held > 0.0).unwrap_or(UNMEASURED.secs());
+        let held = if self.held.get() > 0.0 { self.held.get() } else { UNMEASURED.secs() };
         let per_token = self.reading_secs_per_token();
-        let reading = per_token * self.unread.get().unwrap_or(0.0);
+        let reading = per_token * self.unread.get();
         let per_call = if has_prompt && reading > 0.0 { reading } else { held / slots.max(1.0) };
         ExpectedTime { held, per_token, per_call }
     }
@@ -64,12 +70,12 @@
     /// Seconds by which each unread token delays the first event: the slope of a line through what was seen. It lies
     /// between nothing and all of the time. Zero before there are samples that differ.
     fn reading_secs_per_token(&self) -> f64 {
-        let (Some(unread), Some(lasted)) = (self.unread.get(), self.to_first_event.get()) else { return 0.0 };
-        let variance = self.unread_squared.mean - unread * unread;
+        let (unread, lasted) = (self.unread.get(), self.to_first_event.get());
+        let variance = self.unread_squared.get() - unread * unread;
         if unread <= 0.0 || variance <= 0.0 {
             return 0.0;
         }
-        let covariance = self.product.mean - unread * lasted;
+        let covariance = self.product.get() - unread * lasted;
         (covariance / variance).clamp(0.0, lasted / unread)
     }
 }
--- a/crates/balancing/tests/balancing.rs
+++ b/crates/balancing/tests/balancing.rs
@@ -37,8 +37,10 @@
         priority,
         excluded: Vec::new(),
         prompt: Vec::new(),
+        new_share: 1.0,
         hint: None,
         program: None,
+        time_out: Span::from_millis(1_000),
     }
 }
 
@@ -148,7 +150,11 @@
         prompt: PromptPart::list(prompt),
         ..ask("/", 0)
     };
+    // Reading is measured to be quick: a prompt of this length costs less than a line.
+    balancer.answered(&turn("z", "ee:100000"), &"i-0".into(), USUAL);
     let first = goes_to(&mut balancer, at(0), turn("p", "aa:100,bb:50"));
+    balancer.answered(&turn("p", "aa:100,bb:50"), &first, USUAL);
+    balancer.end(at(1), &destination("/"), &first, Ending::Answered);
     assert_eq!(goes_to(&mut balancer, at(1), turn("p", "aa:100,bb:50,cc:20")), first);
     let loaded = ServerLoad { running: 10, waiting: 0, slots: 10 };
     balancer.tell(at(2), &first, loaded);
--- a/crates/node/src/sessions_client.rs
+++ b/crates/node/src/sessions_client.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::fmt;
+use std::future::pending;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -142,7 +143,7 @@
 }
 
 /// The primary of a program's partition.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct Target {
     partition: PartitionId,
     epoch: EpochNumber,
@@ -249,7 +250,8 @@
         self.settlements_lost.load(Ordering::Relaxed)
     }
 
-    /// Asks the primary of a program's partition until it decides, or the time is over.
+    /// Asks the primary of a program's partition until it decides, or the time is over. A try ends as soon as the map
+    /// names another primary or epoch: the one that was asked may be gone.
     async fn ask(
         &self, program: &ProgramId, call: SessionCall, until: Instant,
     ) -> Result<SessionReply, StoreTrouble> {
@@ -257,7 +259,10 @@
         loop {
             let target = target(&map.borrow_and_update(), program);
             let tried = match target {
-                Some(target) => self.try_once(target, call.clone(), until).await,
+                Some(asked) => tokio::select! {
+                    tried = self.try_once(asked, call.clone(), until) => tried,
+                    () = replaced(&mut map, program, asked) => continue,
+                },
                 None => Err(StoreFault::NoPrimary),
             };
             let trouble = match tried {
@@ -328,6 +333,17 @@
     Some(Target { partition, epoch: assignment.epoch, address })
 }
 
+/// Waits until the map names another primary or epoch for a program than the one asked.
+async fn replaced(map: &mut watch::Receiver<Arc<StoreMap>>, program: &ProgramId, asked: Target) {
+    while map.changed().await.is_ok() {
+        if target(&map.borrow_and_update(), program).is_some_and(|newest| newest != asked) {
+            return;
+        }
+    }
+    // Nobody fills the map any more.
+    pending().await
+}
+
 /// All partitions, by the stores that lead them; `None` if there are none or the map lacks a store.
 fn led(map: &StoreMap) -> Option<Vec<Led>> {
     let mut by_primary = BTreeMap::new();
