--- a/crates/balancing/tests/balancing.rs
+++ b/crates/balancing/tests/balancing.rs
@@ -159,8 +159,19 @@
     let loaded = ServerLoad { running: 10, waiting: 0, slots: 10 };
     balancer.tell(at(2), &first, loaded);
     assert_ne!(goes_to(&mut balancer, at(3), turn("p", "aa:100,bb:50,cc:20")), first);
-    let hint = InstanceId::from("i-5");
-    let hinted = Ask { hint: Some(hint.clone()), ..turn("q", "dd:10") };
+}
+
+#[test]
+fn a_turn_follows_the_hint_of_the_stores_also_to_an_endpoint_that_has_a_call() {
+    let mut balancer = balancer(&[("one", "a", 10), ("two", "a", 10), ("three", "a", 10)]);
+    let turn = |prompt: &str| Ask {
+        program: Some(ProgramId::from("p")),
+        prompt: PromptPart::list(prompt),
+        ..ask("/", 0)
+    };
+    balancer.answered(&turn("ee:1000"), &"two".into(), USUAL);
+    let hint = goes_to(&mut balancer, at(0), ask("/", 0));
+    let hinted = Ask { hint: Some(hint.clone()), new_share: 0.1, ..turn("dd:5000") };
     assert_eq!(goes_to(&mut balancer, at(4), hinted), hint);
 }
 
--- /dev/null
+++ b/crates/balancing/tests/placement.rs
@@ -0,0 +1,167 @@
+//! Properties of the choice of an endpoint.
+
+use std::collections::BTreeMap;
+
+use juniperwing_balancing::{
+    Admission, Ask, Balancer, Bounds, Destination, Ending, EndpointInfo, PromptPart, ServerLoad,
+};
+use juniperwing_clock::{Span, Time};
+use juniperwing_protocol::identity::{InstanceId, ProgramId, ServiceName};
+use proptest::prelude::*;
+
+const USUAL: Span = Span::from_millis(20);
+const SLOTS: u32 = 12;
+
+fn at(millis: u64) -> Time {
+    Time::default() + Span::from_millis(100_000 + millis)
+}
+
+fn id(number: usize) -> InstanceId {
+    InstanceId::from(format!("i-{number}").as_str())
+}
+
+fn balancer(endpoints: usize, seed: u64) -> Balancer {
+    let mut balancer = Balancer::new("a".into(), seed, Bounds { waiting: 4 });
+    for number in 0..endpoints {
+        let service = ServiceName::from("s");
+        balancer.insert(&EndpointInfo { id: id(number), service, zone: "a".into(), capacity: SLOTS });
+    }
+    balancer
+}
+
+fn destination() -> Destination {
+    Destination { service: ServiceName::from("s"), host: "h".into(), prefix: "/".into() }
+}
+
+fn turn(program: &str, prompt: &[(u64, u32)]) -> Ask {
+    let parts = prompt.iter().map(|(id, tokens)| PromptPart { id: *id, tokens: *tokens });
+    Ask {
+        destination: destination(),
+        priority: 0,
+        excluded: Vec::new(),
+        prompt: parts.collect(),
+        new_share: 1.0,
+        hint: None,
+        program: Some(ProgramId::from(program)),
+        time_out: Span::from_millis(1_000),
+    }
+}
+
+fn plain() -> Ask {
+    Ask { program: None, prompt: Vec::new(), ..turn("", &[]) }
+}
+
+fn chosen(balancer: &mut Balancer, now: Time, ask: Ask) -> InstanceId {
+    match balancer.admit(now, ask, USUAL) {
+        Admission::Go(id) => id,
+        other => panic!("{other:?}"),
+    }
+}
+
+/// Has the balancer see that reading takes `micros_per_token`, and that a call holds its slot for 300 ms.
+fn measured(balancer: &mut Balancer, micros_per_token: u64) {
+    for tokens in [500_u32, 1_500, 2_500] {
+        let ask = turn("measured", &[(u64::from(tokens), tokens)]);
+        let endpoint = chosen(balancer, at(0), ask.clone());
+        let lasted = Span::from_nanos(u64::from(tokens) * micros_per_token * 1_000);
+        balancer.answered(&ask, &endpoint, lasted);
+        balancer.end(at(300), &destination(), &endpoint, Ending::Answered);
+    }
+}
+
+/// Whether a program's second turn stays where its first one ran, if that endpoint tells such a load.
+fn stays(history: u32, load: u32) -> bool {
+    let mut balancer = balancer(6, 7);
+    measured(&mut balancer, 26);
+    let first = turn("p", &[(1, 100), (2, history)]);
+    let endpoint = chosen(&mut balancer, at(400), first.clone());
+    balancer.answered(&first, &endpoint, Span::from_millis(u64::from(history) * 26 / 1_000));
+    balancer.end(at(700), &destination(), &endpoint, Ending::Answered);
+    balancer.tell(at(800), &endpoint, ServerLoad { running: load, waiting: 0, slots: SLOTS });
+    chosen(&mut balancer, at(801), turn("p", &[(1, 100), (2, history + 50)])) == endpoint
+}
+
+proptest! {
+    #[test]
+    fn a_chosen_endpoint_is_ready_and_not_excluded(
+        removed in prop::collection::btree_set(0_usize..8, 0..7),
+        excluded in prop::collection::btree_set(0_usize..8, 0..7),
+        loads in prop::collection::vec((0_usize..8, 0_u32..40, 0_u32..40, 0_u32..20), 0..20),
+        tokens in 0_u32..100_000,
+    ) {
+        let mut balancer = balancer(8, 3);
+        for (step, (number, running, waiting, slots)) in loads.into_iter().enumerate() {
+            balancer.tell(at(step as u64), &id(number), ServerLoad { running, waiting, slots });
+        }
+        removed.iter().for_each(|number| balancer.remove(&id(*number)));
+        let excluded: Vec<_> = excluded.into_iter().map(id).collect();
+        for ask in [turn("p", &[(1, tokens), (2, 10)]), plain()] {
+            let ask = Ask { excluded: excluded.clone(), hint: Some(id(0)), ..ask };
+            if let Admission::Go(endpoint) = balancer.admit(at(100), ask, USUAL) {
+                prop_assert!(balancer.is_ready(&endpoint));
+                prop_assert!(!excluded.contains(&endpoint));
+            }
+        }
+    }
+
+    /// Nobody tells a load, or all tell the same: first turns go round.
+    #[test]
+    fn equal_knowledge_spreads_evenly(endpoints in 1_usize..60, rounds in 1_usize..5, told in any::<bool>(), seed in any::<u64>()) {
+        let mut balancer = balancer(endpoints, seed);
+        if told {
+            let load = ServerLoad { running: 3, waiting: 0, slots: SLOTS };
+            (0..endpoints).for_each(|number| balancer.tell(at(0), &id(number), load));
+        }
+        let mut counts = BTreeMap::new();
+        for number in 0..endpoints * rounds {
+            let now = at(10_000 + 50 * number as u64);
+            let endpoint = chosen(&mut balancer, now, turn(&format!("p-{number}"), &[(1, 500)]));
+            balancer.end(now + Span::from_millis(40), &destination(), &endpoint, Ending::Answered);
+            *counts.entry(endpoint).or_insert(0) += 1;
+        }
+        prop_assert!(counts.len() == endpoints && counts.values().all(|count| *count == rounds), "{counts:?}");
+    }
+
+    /// What an endpoint is told to have may be anything: the choice neither panics nor refuses while there is room elsewhere.
+    #[test]
+    fn loads_that_lie_leave_a_choice(running in any::<u32>(), waiting in any::<u32>(), slots in any::<u32>(), new_share in any::<f64>()) {
+        let mut balancer = balancer(3, 1);
+        balancer.tell(at(0), &id(0), ServerLoad { running, waiting, slots });
+        let ask = Ask { new_share, hint: Some(id(0)), ..turn("p", &[(1, u32::MAX), (2, u32::MAX)]) };
+        prop_assert!(matches!(balancer.admit(at(1), ask, USUAL), Admission::Go(_)));
+    }
+
+    /// A program stays with its prompt up to some load; the longer its history, the more load it bears.
+    #[test]
+    fn a_turn_goes_where_its_prompt_is_unless_that_costs_more(history in 100_u32..6_000, more in 0_u32..6_000, load in 0_u32..12) {
+        prop_assert!(stays(history, 0));
+        if stays(history, load) {
+            prop_assert!(load == 0 || stays(history, load - 1));
+            prop_assert!(stays(history + more, load));
+        }
+    }
+}
+
+#[test]
+fn waiting_behind_a_full_endpoint_may_cost_more_than_reading_anew() {
+    assert!(stays(4_000, 4));
+    assert!(!stays(100, 12));
+}
+
+/// Parts that several programs send are read by other relays, too; parts of one program are not.
+#[test]
+fn a_shared_part_holds_no_program_at_the_endpoints_that_have_read_it_for_this_relay() {
+    let mut balancer = balancer(20, 5);
+    measured(&mut balancer, 26);
+    let mut endpoints = BTreeMap::new();
+    for number in 0..40_u64 {
+        let ask = turn(&format!("p-{number}"), &[(1, 2_560), (100 + number, 300)]);
+        let now = at(1_000 + 200 * number);
+        let endpoint = chosen(&mut balancer, now, ask.clone());
+        balancer.tell(now, &endpoint, ServerLoad { running: 4, waiting: 0, slots: SLOTS });
+        balancer.answered(&ask, &endpoint, Span::from_millis(74));
+        balancer.end(now + Span::from_millis(150), &destination(), &endpoint, Ending::Answered);
+        *endpoints.entry(endpoint).or_insert(0) += 1;
+    }
+    assert!(endpoints.len() >= 15, "{endpoints:?}");
+}
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -22,6 +22,7 @@
 pub mod snapshot;
 pub mod stream;
 pub mod trace;
+mod tries;
 pub mod turn;
 pub mod upstream;
 
--- a/crates/node/src/relay/fate.rs
+++ b/crates/node/src/relay/fate.rs
@@ -1,6 +1,7 @@
 //! What is known of tries, and which answers may follow from it.
 
 use http::{HeaderName, HeaderValue, Response, StatusCode, header};
+use juniperwing_balancing::Ending;
 use juniperwing_clock::Span;
 
 use super::body::RelayBody;
@@ -57,6 +58,20 @@
             Cause::NoRoom => "no room for the answer",
         }
     }
+
+    /// What it says of the endpoint.
+    pub fn ending(self) -> Ending {
+        match self {
+            Cause::Declined => Ending::Full,
+            Cause::Silent => Ending::Silent,
+            Cause::EndpointLeft | Cause::Misdirected | Cause::NoRoom => Ending::Abandoned,
+            Cause::NoConnection
+            | Cause::Broken
+            | Cause::WrongRequest
+            | Cause::Unsound
+            | Cause::EndpointError => Ending::Failed,
+        }
+    }
 }
 
 /// A try that gave no answer.
--- a/crates/node/src/relay/forward.rs
+++ b/crates/node/src/relay/forward.rs
@@ -16,13 +16,11 @@
 use super::fate::{Cause, Failure, Fate, GivenUp};
 use super::frontend::given_up;
 use super::stream::{self, LiveStream};
-use super::trace::{AttemptEnd, Outcome, RequestTrace};
+use super::trace::{AttemptEnd, Outcome};
+use super::tries::Tries;
 use super::turn::OpenTurn;
 use crate::clock::{duration, now};
 
-/// Tries of which nothing was sent, beyond those that the route allows.
-const UNSENT_TRIES: u32 = 4;
-
 /// Passes a request on and gives back the final answer.
 pub async fn forward(core: &Arc<Core>, exchange: Exchange, turn: Option<OpenTurn>) -> Response<RelayBody> {
     let mut tries = Tries::new(Arc::clone(&exchange.trace));
@@ -38,7 +36,7 @@
                 return stream::pass_on(core, exchange, turn, *live, tries);
             }
             Err(Ended::Again) => core.metrics.resends.add(),
-            Err(Ended::GivenUp(why)) => return tries.final_answer(core, why),
+            Err(Ended::GivenUp(why)) => return final_answer(core, tries, why),
         }
     }
 }
@@ -59,65 +57,14 @@
     GivenUp(GivenUp),
 }
 
-/// The tries of one request.
-pub struct Tries {
-    /// Endpoints that are not asked again.
-    pub excluded: Vec<InstanceId>,
-    /// Endpoints that it was sent to.
-    pub sent: u32,
-    unsent: u32,
-    fate: Option<Fate>,
-    /// The answer of an endpoint that failed, where others might not.
-    failed: Option<Response<RelayBody>>,
-    trace: Arc<RequestTrace>,
-}
-
-impl Tries {
-    /// No try yet.
-    pub fn new(trace: Arc<RequestTrace>) -> Tries {
-        Tries { excluded: Vec::new(), sent: 0, unsent: 0, fate: None, failed: None, trace }
-    }
-
-    /// Endpoints that it may still be sent to.
-    pub fn left(&self, exchange: &Exchange) -> u32 {
-        let may_send = exchange.route.max_retries.saturating_sub(self.sent);
-        if self.unsent < UNSENT_TRIES { may_send } else { 0 }
-    }
-
-    /// Takes in a try that gave no answer.
-    pub fn note(&mut self, core: &Core, endpoint: InstanceId, failure: Failure) {
-        self.trace.attempt_ended(AttemptEnd::Failed(failure.cause));
-        self.excluded.push(endpoint);
-        self.fate = self.fate.max(Some(failure.fate));
-        match failure.fate {
-            Fate::NotSent => self.unsent += 1,
-            Fate::DeclaredNotExecuted | Fate::MayHaveRun => self.sent += 1,
-        }
-        if failure.fate == Fate::MayHaveRun {
-            self.trace.may_have_run();
-        }
-        match failure.cause {
-            Cause::Declined | Cause::Misdirected => core.metrics.declined.add(),
-            Cause::WrongRequest | Cause::Unsound => core.metrics.unsound.add(),
-            Cause::Silent => core.metrics.abandoned.add(),
-            Cause::Broken | Cause::EndpointError => core.metrics.broken.add(),
-            Cause::NoConnection | Cause::EndpointLeft | Cause::NoRoom => {}
-        }
-    }
-
-    fn fate(&self) -> Fate {
-        self.fate.unwrap_or(Fate::NotSent)
-    }
-
-    fn final_answer(self, core: &Core, why: GivenUp) -> Response<RelayBody> {
-        let fate = self.fate();
-        if let Some(failed) = self.failed {
-            core.metrics.answered.add();
-            self.trace.ended(Outcome::Answered(failed.status()));
-            return failed;
-        }
-        given_up(core, &self.trace, why, fate)
+fn final_answer(core: &Core, tries: Tries, why: GivenUp) -> Response<RelayBody> {
+    let fate = tries.fate();
+    if let Some(failed) = tries.failed {
+        core.metrics.answered.add();
+        tries.trace.ended(Outcome::Answered(failed.status()));
+        return failed;
     }
+    given_up(core, &tries.trace, why, fate)
 }
 
 async fn one_try(core: &Arc<Core>, exchange: &Exchange, tries: &mut Tries) -> Result<Reply, Ended> {
@@ -200,7 +147,7 @@
 
 fn after_failure(core: &Core, exchange: &Exchange, tries: &mut Tries, slot: Slot, failure: Failure) -> Ended {
     tries.note(core, slot.endpoint().clone(), failure);
-    slot.end(ending(failure.cause));
+    slot.end(failure.cause.ending());
     if failure.fate == Fate::MayHaveRun && !exchange.may_repeat() {
         let silent = failure.cause == Cause::Silent;
         return Ended::GivenUp(if silent { GivenUp::TooLate } else { GivenUp::Broken });
@@ -208,18 +155,6 @@
     Ended::Again
 }
 
-/// What a failure says of the endpoint.
-pub fn ending(cause: Cause) -> Ending {
-    match cause {
-        Cause::Declined => Ending::Full,
-        Cause::Silent => Ending::Silent,
-        Cause::EndpointLeft | Cause::Misdirected | Cause::NoRoom => Ending::Abandoned,
-        Cause::NoConnection | Cause::Broken | Cause::WrongRequest | Cause::Unsound | Cause::EndpointError => {
-            Ending::Failed
-        }
-    }
-}
-
 /// Reads an answer to its end, or, where it is a stream, to its first event.
 async fn read_reply(
     core: &Core, exchange: &Exchange, endpoint: &InstanceId, answer: Answer,
--- a/crates/node/src/relay/stream.rs
+++ b/crates/node/src/relay/stream.rs
@@ -20,8 +20,8 @@
 use super::events::{Event, EventSplitter};
 use super::exchange::{Exchange, remove_hop_by_hop};
 use super::fate::{Cause, Failure, header_name};
-use super::forward::{Tries, ending};
 use super::trace::{AttemptEnd, Outcome};
+use super::tries::Tries;
 use super::turn::OpenTurn;
 use super::upstream::Connection;
 use crate::clock::{duration, now};
@@ -252,7 +252,7 @@
             self.source.connection = None;
             let Some(slot) = self.slot.take() else { return Err(BrokenOff::Endpoint) };
             self.tries.note(&self.core, slot.endpoint().clone(), failure);
-            slot.end(ending(failure.cause));
+            slot.end(failure.cause.ending());
             self.ask_for_the_rest()?;
             let ask = self.exchange.ask(self.tries.excluded.clone(), self.exchange.left());
             let patience = self.exchange.patience();
