--- a/crates/balancing/src/balancer.rs
+++ b/crates/balancing/src/balancer.rs
@@ -221,9 +221,7 @@
         }
     }
 
-    /// The endpoint with room at which the call is likely over first. Times that differ by less than what one call more
-    /// at an endpoint makes count as the same: then the endpoint that ran the program's turn before is taken, then one in
-    /// the relay's own zone.
+    /// The endpoint with room at which the call adds the least time ([`Rank`]).
     fn choose(&self, now: Time, ask: &Ask) -> Option<InstanceId> {
         let service = self.services.get(&ask.destination.service)?;
         let last = last_endpoint(&self.programs, ask);
@@ -238,21 +236,33 @@
             let unread = unread_tokens(endpoint, ask, &likely, ran_before);
             let predicted = times.added_secs(load, endpoint.slots(), unread, usual_load);
             let predicted = predicted + endpoint.failure_secs(now, ask.time_out);
-            let steps = (predicted / times.per_call).floor();
-            (steps, !ran_before, !endpoint.own_zone, self.tie_break(ask, id, endpoint), id)
+            Rank {
+                predicted_calls: (predicted / times.per_call) as u64,
+                reads_anew: !ran_before,
+                is_in_other_zone: !endpoint.own_zone,
+                last_begun: if ask.prompt.is_empty() { Time::default() } else { endpoint.last_begun() },
+                order_of_relay: hash_of(&(self.seed, id)),
+                id,
+            }
         });
-        let first = ranks
-            .min_by(|a, b| a.0.total_cmp(&b.0).then_with(|| (a.1, a.2, a.3, a.4).cmp(&(b.1, b.2, b.3, b.4))));
-        first.map(|(.., id)| id.clone())
+        ranks.min().map(|rank| rank.id.clone())
     }
+}
 
-    /// The order among equals, which differs by relay. Turns go to the endpoint that this relay has sent nothing to for
-    /// longest: a program stays where its first turn ran, so that programs have to be spread. Other calls go to the same
-    /// few, so that connections are used again.
-    fn tie_break(&self, ask: &Ask, id: &InstanceId, endpoint: &Endpoint) -> (Time, u64) {
-        let last_begun = if ask.prompt.is_empty() { Time::default() } else { endpoint.last_begun() };
-        (last_begun, hash_of(&(self.seed, id)))
-    }
+/// Where an endpoint stands among those that may be chosen; the least is taken.
+#[derive(PartialEq, Eq, PartialOrd, Ord)]
+struct Rank<'a> {
+    /// The time that the call adds, in whole times of what one call more makes: less is no difference.
+    predicted_calls: u64,
+    /// Whether another endpoint ran the program's turn before.
+    reads_anew: bool,
+    is_in_other_zone: bool,
+    /// When this relay last sent it a turn: a program stays where its first turn ran, so that programs have to be spread.
+    /// The same for calls without prompts, which go to the same few so that connections are used again.
+    last_begun: Time,
+    /// An order that differs by relay.
+    order_of_relay: u64,
+    id: &'a InstanceId,
 }
 
 /// The endpoint that ran the program's turn before: the stores know it better than this relay, through which not all
--- a/crates/control/src/tracker.rs
+++ b/crates/control/src/tracker.rs
@@ -9,7 +9,7 @@
 /// For how long a keeper's report counts.
 const REPORT_LIFE: Span = Span::from_millis(1_200);
 /// A store that no keeper has seen for this long is lost.
-const LOST_AFTER: Span = Span::from_millis(100);
+const LOST_AFTER: Span = Span::from_millis(300);
 /// A store that no keeper has seen for this long is lost beyond doubt: copies that only it could hold are not
 /// asked for until it is back. Longer than a hiccup of a machine that no one would count as lost.
 const SURELY_LOST_AFTER: Span = Span::from_millis(1_000);
