--- a/crates/balancing/src/service_time.rs
+++ b/crates/balancing/src/service_time.rs
@@ -2,7 +2,8 @@
 
 use juniperwing_clock::Span;
 
-/// Samples after which an older one counts for less than a third.
+/// Samples that a mean goes by: from then on each new one counts for this share, and a sample that is as many older
+/// counts for little more than a third of it.
 const WINDOW: f64 = 64.0;
 /// What a call is taken to last before the first one has ended. Any figure above zero gives the same order of endpoints
 /// then, for load is all that is known.
