Tests of the balancer share their balancer, requests and clock

Cause: placement.rs had written again what balancing.rs has: the moment, the destination, the request, the balancer and the choice.

--- a/crates/balancing/tests/balancing.rs
+++ b/crates/balancing/tests/balancing.rs
@@ -1,54 +1,16 @@
 //! Choice of endpoints, admission and release of slots.
 
-use juniperwing_balancing::{
-    Admission, Ask, Balancer, Bounds, Destination, Ending, EndpointInfo, Latencies, PromptPart, Refusal,
-    ServerLoad,
-};
-use juniperwing_clock::{Span, Time};
-use juniperwing_protocol::identity::{InstanceId, ProgramId, ServiceName};
-use proptest::prelude::*;
+mod common;
 
-const USUAL: Span = Span::from_millis(20);
+use juniperwing_balancing::{Admission, Ask, Balancer, Ending, Latencies, PromptPart, Refusal, ServerLoad};
+use juniperwing_clock::Span;
+use juniperwing_protocol::identity::{InstanceId, ProgramId};
+use proptest::prelude::*;
 
-fn at(millis: u64) -> Time {
-    Time::default() + Span::from_millis(100_000 + millis)
-}
+use crate::common::{USUAL, ask, at, balancer_of, destination, goes_to};
 
 fn balancer(endpoints: &[(&str, &str, u32)]) -> Balancer {
-    let mut balancer = Balancer::new("a".into(), 7, Bounds { waiting: 4 });
-    for (id, zone, capacity) in endpoints {
-        balancer.insert(&EndpointInfo {
-            id: InstanceId::from(*id),
-            service: ServiceName::from("s"),
-            zone: (*zone).into(),
-            capacity: *capacity,
-        });
-    }
-    balancer
-}
-
-fn destination(prefix: &str) -> Destination {
-    Destination { service: ServiceName::from("s"), host: "h".into(), prefix: prefix.into() }
-}
-
-fn ask(prefix: &str, priority: u32) -> Ask {
-    Ask {
-        destination: destination(prefix),
-        priority,
-        excluded: Vec::new(),
-        prompt: Vec::new(),
-        new_share: 1.0,
-        hint: None,
-        program: None,
-        time_out: Span::from_millis(1_000),
-    }
-}
-
-fn goes_to(balancer: &mut Balancer, now: Time, ask: Ask) -> InstanceId {
-    match balancer.admit(now, ask, USUAL) {
-        Admission::Go(id) => id,
-        other => panic!("{other:?}"),
-    }
+    balancer_of(7, endpoints)
 }
 
 /// Takes every slot of the balancer's endpoints.
--- /dev/null
+++ b/crates/balancing/tests/common/mod.rs
@@ -0,0 +1,54 @@
+//! What the tests of the balancer share.
+
+use juniperwing_balancing::{Admission, Ask, Balancer, Bounds, Destination, EndpointInfo};
+use juniperwing_clock::{Span, Time};
+use juniperwing_protocol::identity::{InstanceId, ServiceName};
+
+/// The usual time of a call.
+pub const USUAL: Span = Span::from_millis(20);
+
+/// A moment, in milliseconds of the test.
+pub fn at(millis: u64) -> Time {
+    Time::default() + Span::from_millis(100_000 + millis)
+}
+
+/// A balancer in zone `a` over endpoints of one service, each with its zone and its slots.
+pub fn balancer_of(seed: u64, endpoints: &[(&str, &str, u32)]) -> Balancer {
+    let mut balancer = Balancer::new("a".into(), seed, Bounds { waiting: 4 });
+    for (id, zone, capacity) in endpoints {
+        balancer.insert(&EndpointInfo {
+            id: InstanceId::from(*id),
+            service: ServiceName::from("s"),
+            zone: (*zone).into(),
+            capacity: *capacity,
+        });
+    }
+    balancer
+}
+
+/// The destination of a route of that service.
+pub fn destination(prefix: &str) -> Destination {
+    Destination { service: ServiceName::from("s"), host: "h".into(), prefix: prefix.into() }
+}
+
+/// A request without a prompt.
+pub fn ask(prefix: &str, priority: u32) -> Ask {
+    Ask {
+        destination: destination(prefix),
+        priority,
+        excluded: Vec::new(),
+        prompt: Vec::new(),
+        new_share: 1.0,
+        hint: None,
+        program: None,
+        time_out: Span::from_millis(1_000),
+    }
+}
+
+/// The endpoint that a request goes to at once.
+pub fn goes_to(balancer: &mut Balancer, now: Time, ask: Ask) -> InstanceId {
+    match balancer.admit(now, ask, USUAL) {
+        Admission::Go(id) => id,
+        other => panic!("{other:?}"),
+    }
+}
--- a/crates/balancing/tests/placement.rs
+++ b/crates/balancing/tests/placement.rs
@@ -1,71 +1,41 @@
 //! Properties of the choice of an endpoint.
 
+mod common;
+
 use std::collections::BTreeMap;
 
-use juniperwing_balancing::{
-    Admission, Ask, Balancer, Bounds, Destination, Ending, EndpointInfo, PromptPart, ServerLoad,
-};
-use juniperwing_clock::{Span, Time};
-use juniperwing_protocol::identity::{InstanceId, ProgramId, ServiceName};
+use juniperwing_balancing::{Admission, Ask, Balancer, Ending, PromptPart, ServerLoad};
+use juniperwing_clock::Span;
+use juniperwing_protocol::identity::{InstanceId, ProgramId};
 use proptest::prelude::*;
 
-const USUAL: Span = Span::from_millis(20);
-const SLOTS: u32 = 12;
+use crate::common::{USUAL, ask, at, balancer_of, destination, goes_to};
 
-fn at(millis: u64) -> Time {
-    Time::default() + Span::from_millis(100_000 + millis)
-}
+const SLOTS: u32 = 12;
 
 fn id(number: usize) -> InstanceId {
     InstanceId::from(format!("i-{number}").as_str())
 }
 
 fn balancer(endpoints: usize, seed: u64) -> Balancer {
-    let mut balancer = Balancer::new("a".into(), seed, Bounds { waiting: 4 });
-    for number in 0..endpoints {
-        let service = ServiceName::from("s");
-        balancer.insert(&EndpointInfo { id: id(number), service, zone: "a".into(), capacity: SLOTS });
-    }
-    balancer
-}
-
-fn destination() -> Destination {
-    Destination { service: ServiceName::from("s"), host: "h".into(), prefix: "/".into() }
+    let ids: Vec<InstanceId> = (0..endpoints).map(id).collect();
+    let endpoints: Vec<_> = ids.iter().map(|id| (&*id.0, "a", SLOTS)).collect();
+    balancer_of(seed, &endpoints)
 }
 
 fn turn(program: &str, prompt: &[(u64, u32)]) -> Ask {
     let parts = prompt.iter().map(|(id, tokens)| PromptPart { id: *id, tokens: *tokens });
-    Ask {
-        destination: destination(),
-        priority: 0,
-        excluded: Vec::new(),
-        prompt: parts.collect(),
-        new_share: 1.0,
-        hint: None,
-        program: Some(ProgramId::from(program)),
-        time_out: Span::from_millis(1_000),
-    }
-}
-
-fn plain() -> Ask {
-    Ask { program: None, prompt: Vec::new(), ..turn("", &[]) }
-}
-
-fn chosen(balancer: &mut Balancer, now: Time, ask: Ask) -> InstanceId {
-    match balancer.admit(now, ask, USUAL) {
-        Admission::Go(id) => id,
-        other => panic!("{other:?}"),
-    }
+    Ask { prompt: parts.collect(), program: Some(ProgramId::from(program)), ..ask("/", 0) }
 }
 
 /// Has the balancer see that reading takes `micros_per_token`, and that a call holds its slot for 300 ms.
 fn measured(balancer: &mut Balancer, micros_per_token: u64) {
     for tokens in [500_u32, 1_500, 2_500] {
         let ask = turn("measured", &[(u64::from(tokens), tokens)]);
-        let endpoint = chosen(balancer, at(0), ask.clone());
+        let endpoint = goes_to(balancer, at(0), ask.clone());
         let lasted = Span::from_nanos(u64::from(tokens) * micros_per_token * 1_000);
         balancer.answered(&ask, &endpoint, lasted);
-        balancer.end(at(300), &destination(), &endpoint, Ending::Answered);
+        balancer.end(at(300), &destination("/"), &endpoint, Ending::Answered);
     }
 }
 
@@ -74,11 +44,11 @@
     let mut balancer = balancer(6, 7);
     measured(&mut balancer, 26);
     let first = turn("p", &[(1, 100), (2, history)]);
-    let endpoint = chosen(&mut balancer, at(400), first.clone());
+    let endpoint = goes_to(&mut balancer, at(400), first.clone());
     balancer.answered(&first, &endpoint, Span::from_millis(u64::from(history) * 26 / 1_000));
-    balancer.end(at(700), &destination(), &endpoint, Ending::Answered);
+    balancer.end(at(700), &destination("/"), &endpoint, Ending::Answered);
     balancer.tell(at(800), &endpoint, ServerLoad { running: load, waiting: 0, slots: SLOTS });
-    chosen(&mut balancer, at(801), turn("p", &[(1, 100), (2, history + 50)])) == endpoint
+    goes_to(&mut balancer, at(801), turn("p", &[(1, 100), (2, history + 50)])) == endpoint
 }
 
 proptest! {
@@ -95,7 +65,7 @@
         }
         removed.iter().for_each(|number| balancer.remove(&id(*number)));
         let excluded: Vec<_> = excluded.into_iter().map(id).collect();
-        for ask in [turn("p", &[(1, tokens), (2, 10)]), plain()] {
+        for ask in [turn("p", &[(1, tokens), (2, 10)]), ask("/", 0)] {
             let ask = Ask { excluded: excluded.clone(), hint: Some(id(0)), ..ask };
             if let Admission::Go(endpoint) = balancer.admit(at(100), ask, USUAL) {
                 prop_assert!(balancer.is_ready(&endpoint));
@@ -115,8 +85,8 @@
         let mut counts = BTreeMap::new();
         for number in 0..endpoints * rounds {
             let now = at(10_000 + 50 * number as u64);
-            let endpoint = chosen(&mut balancer, now, turn(&format!("p-{number}"), &[(1, 500)]));
-            balancer.end(now + Span::from_millis(40), &destination(), &endpoint, Ending::Answered);
+            let endpoint = goes_to(&mut balancer, now, turn(&format!("p-{number}"), &[(1, 500)]));
+            balancer.end(now + Span::from_millis(40), &destination("/"), &endpoint, Ending::Answered);
             *counts.entry(endpoint).or_insert(0) += 1;
         }
         prop_assert!(counts.len() == endpoints && counts.values().all(|count| *count == rounds), "{counts:?}");
@@ -157,10 +127,10 @@
     for number in 0..40_u64 {
         let ask = turn(&format!("p-{number}"), &[(1, 2_560), (100 + number, 300)]);
         let now = at(1_000 + 200 * number);
-        let endpoint = chosen(&mut balancer, now, ask.clone());
+        let endpoint = goes_to(&mut balancer, now, ask.clone());
         balancer.tell(now, &endpoint, ServerLoad { running: 4, waiting: 0, slots: SLOTS });
         balancer.answered(&ask, &endpoint, Span::from_millis(74));
-        balancer.end(now + Span::from_millis(150), &destination(), &endpoint, Ending::Answered);
+        balancer.end(now + Span::from_millis(150), &destination("/"), &endpoint, Ending::Answered);
         *endpoints.entry(endpoint).or_insert(0) += 1;
     }
     assert!(endpoints.len() >= 15, "{endpoints:?}");
