--- a/crates/relay/src/main.rs
+++ b/crates/relay/src/main.rs
@@ -44,7 +44,6 @@
                  Read an operator's configuration and print what is in it, or all that is wrong with it
   local FOLDER   Start the roles of a folder of settings on this machine, for trying the tier out
   endpoint       Start a stand-in for an endpoint, for trying the tier out
-  hollow         Play many hollow relays, endpoints or programs, or measure the tier with them
 
 Other commands:
   version        Print the version
@@ -130,7 +129,6 @@
     match command.as_str() {
         "local" => Some(juniperwing_node::local::run(arguments)),
         "endpoint" => Some(juniperwing_stand_in::command::run(arguments)),
-        "hollow" => Some(juniperwing_hollow::command::run(arguments)),
         "check-configuration" => Some(juniperwing_node::check_configuration::run(arguments)),
         _ => None,
     }
