The emulator gives the same history from its seed, in any process

Cause: a closing link dropped the senders of its pending calls in the order of a hash map, and the runtime of a killed process drops its connections by task numbers that all simulations of a process share. Change: BTreeMap in place of hash maps wherever an order can be seen, sockets of a process that ends are closed in the order in which they were opened, a watch channel that wakes in order, select! with a fixed order; clippy.toml refuses hash maps and tokio's watch, a test refuses unbiased select!.

--- a/crates/balancing/src/balancer.rs
+++ b/crates/balancing/src/balancer.rs
@@ -1,6 +1,6 @@
 //! Chooses endpoints for requests, and queues requests while all endpoints are full.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use juniperwing_clock::{Span, Time};
@@ -36,11 +36,11 @@
     zone: Arc<str>,
     seed: u64,
     limits: BalancerLimits,
-    services: HashMap<ServiceName, Service>,
+    services: BTreeMap<ServiceName, Service>,
     /// The service of each endpoint.
-    service_of: HashMap<InstanceId, ServiceName>,
+    service_of: BTreeMap<InstanceId, ServiceName>,
     /// The endpoint that ran the last turn of each program, as far as this relay knows.
-    last_endpoints: HashMap<ProgramId, InstanceId>,
+    last_endpoints: BTreeMap<ProgramId, InstanceId>,
     next_ticket: u64,
 }
 
@@ -51,9 +51,9 @@
             zone,
             seed,
             limits,
-            services: HashMap::new(),
-            service_of: HashMap::new(),
-            last_endpoints: HashMap::new(),
+            services: BTreeMap::new(),
+            service_of: BTreeMap::new(),
+            last_endpoints: BTreeMap::new(),
             next_ticket: 0,
         }
     }
@@ -210,7 +210,7 @@
 /// The endpoint that ran the program's previous turn. The stores know it better than this relay, because other relays
 /// serve turns of the program as well.
 fn last_endpoint<'a>(
-    last_endpoints: &'a HashMap<ProgramId, InstanceId>, request: &'a PlacementRequest,
+    last_endpoints: &'a BTreeMap<ProgramId, InstanceId>, request: &'a PlacementRequest,
 ) -> Option<&'a InstanceId> {
     let known = request.program.as_ref().and_then(|program| last_endpoints.get(program));
     request.previous_endpoint.as_ref().or(known)
--- a/crates/balancing/src/latency.rs
+++ b/crates/balancing/src/latency.rs
@@ -1,5 +1,7 @@
 //! The timeouts of attempts, from the latencies of each destination: the restart timer of the data plane.
 
+#![expect(clippy::disallowed_types, reason = "only looked up by key, once per endpoint of a choice")]
+
 use std::collections::HashMap;
 
 use juniperwing_clock::{Span, Time};
--- a/crates/balancing/src/prefix_cache.rs
+++ b/crates/balancing/src/prefix_cache.rs
@@ -1,5 +1,10 @@
 //! Estimates what is in an endpoint's prefix cache.
 
+#![expect(
+    clippy::disallowed_types,
+    reason = "only looked up by key, for each section of a prompt and each endpoint"
+)]
+
 use std::collections::{HashMap, VecDeque};
 
 use crate::prompt::PromptSection;
--- a/crates/balancing/src/service.rs
+++ b/crates/balancing/src/service.rs
@@ -1,6 +1,6 @@
 //! The endpoints of one service, the requests that wait for them, and what is measured of their calls.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 
 use juniperwing_clock::{Span, Time};
 use juniperwing_protocol::identity::InstanceId;
@@ -18,7 +18,7 @@
 
 #[derive(Debug, Default)]
 pub(crate) struct Service {
-    pub(crate) endpoints: HashMap<InstanceId, Endpoint>,
+    pub(crate) endpoints: BTreeMap<InstanceId, Endpoint>,
     pub(crate) queue: Queue,
     service_time: ServiceTime,
     /// The calls of others at an endpoint when it reports its load.
--- a/crates/balancing/src/shared_sections.rs
+++ b/crates/balancing/src/shared_sections.rs
@@ -1,5 +1,7 @@
 //! Estimates which sections of prompts other relays send as well.
 
+#![expect(clippy::disallowed_types, reason = "only looked up by key, for each section of a prompt")]
+
 use std::collections::HashMap;
 
 use juniperwing_protocol::identity::ProgramId;
--- a/crates/configuration/src/check.rs
+++ b/crates/configuration/src/check.rs
@@ -5,7 +5,7 @@
 mod section;
 mod services;
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 
 use juniperwing_protocol::identity::ServiceName;
 
@@ -39,9 +39,9 @@
 struct Checker {
     findings: Findings,
     /// The index of each service.
-    services: HashMap<ServiceName, usize>,
+    services: BTreeMap<ServiceName, usize>,
     /// The index of each route.
-    routes: HashMap<RouteKey, usize>,
+    routes: BTreeMap<RouteKey, usize>,
 }
 
 impl Checker {
--- a/crates/configuration/src/check/routes.rs
+++ b/crates/configuration/src/check/routes.rs
@@ -1,6 +1,6 @@
 //! Checks the routes.
 
-use std::collections::hash_map::Entry;
+use std::collections::btree_map::Entry;
 use std::sync::Arc;
 
 use juniperwing_clock::Span;
@@ -17,7 +17,7 @@
 use crate::weighted_services::{WeightedService, WeightedServices};
 
 /// A host and a prefix, which together are unique to a route.
-#[derive(PartialEq, Eq, Hash)]
+#[derive(PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct RouteKey {
     hostname: Arc<str>,
     path_prefix: Arc<str>,
--- a/crates/configuration/src/check/services.rs
+++ b/crates/configuration/src/check/services.rs
@@ -1,6 +1,6 @@
 //! Checks the services.
 
-use std::collections::hash_map::Entry;
+use std::collections::btree_map::Entry;
 use std::sync::Arc;
 
 use juniperwing_protocol::identity::ServiceName;
--- a/crates/configuration/src/table.rs
+++ b/crates/configuration/src/table.rs
@@ -1,5 +1,7 @@
 //! Looks up the route of a request.
 
+#![expect(clippy::disallowed_types, reason = "only looked up by key, for each request")]
+
 use std::borrow::Cow;
 use std::cmp::Reverse;
 use std::collections::HashMap;
--- a/crates/emulator/src/arguments.rs
+++ b/crates/emulator/src/arguments.rs
@@ -18,6 +18,8 @@
     pub log: bool,
     /// Print violations without shrinking their scenarios.
     pub brief: bool,
+    /// Print a digest of the whole history of each scenario, with all logs, instead of violations.
+    pub digest: bool,
 }
 
 /// Why a command line was not accepted. The message ends with the usage text.
@@ -71,6 +73,7 @@
             threads: number("jobs", 4)?.max(1) as usize,
             log: matches.opt_present("log"),
             brief: matches.opt_present("brief"),
+            digest: matches.opt_present("digest"),
         })
     }
 }
@@ -82,6 +85,7 @@
     options.optopt("", "seed", "the seed of the first day [default: 1]", "SEED");
     options.optflag("", "log", "play the first day only and print all that was seen");
     options.optflag("", "brief", "count findings only; don't look for the least troubles");
+    options.optflag("", "digest", "print a digest of all that was seen on each day, with all logs");
     options.optflag("h", "help", "print this");
     options
 }
--- a/crates/emulator/src/endpoints.rs
+++ b/crates/emulator/src/endpoints.rs
@@ -5,9 +5,9 @@
 
 use juniperwing_clock::{Span, Time};
 use juniperwing_node::clock;
+use juniperwing_node::sync::watch;
 use juniperwing_protocol::registry::InstanceState;
 use juniperwing_random::Rng;
-use tokio::sync::watch;
 use tokio::task::JoinSet;
 use tokio::time::sleep;
 
--- a/crates/emulator/src/history.rs
+++ b/crates/emulator/src/history.rs
@@ -5,6 +5,7 @@
 use juniperwing_clock::Time;
 use juniperwing_node::sync::lock;
 use juniperwing_protocol::registry::InstanceState;
+use sha2::{Digest, Sha256};
 
 /// Identifies an order; its body contains it.
 pub type OrderId = usize;
@@ -142,3 +143,12 @@
         all
     }
 }
+
+/// A digest of a whole history, as lower-case hexadecimal digits. Two histories with one digest are the same.
+pub fn digest(history: &[RecordedEvent]) -> String {
+    let mut hasher = Sha256::new();
+    for RecordedEvent { at, event } in history {
+        hasher.update(format!("{} {event:?}\n", at.since(Time::default()).as_nanos()));
+    }
+    hasher.finalize().iter().map(|byte| format!("{byte:02x}")).collect()
+}
--- a/crates/emulator/src/host.rs
+++ b/crates/emulator/src/host.rs
@@ -46,6 +46,11 @@
         let rng = Mutex::new(Rng::for_purpose(seed, purpose));
         Arc::new(SimulatedHost { address, clock, disk: Arc::new(disk), context, rng })
     }
+
+    /// Closes all sockets of the process, which ends.
+    pub fn close_sockets(&self) {
+        self.context.network.close_sockets(self.clock.now(), self.address);
+    }
 }
 
 impl Host for SimulatedHost {
--- a/crates/emulator/src/machine.rs
+++ b/crates/emulator/src/machine.rs
@@ -107,6 +107,10 @@
     }
 
     fn end_process(&mut self) {
+        if self.process.is_none() {
+            return;
+        }
+        self.host.close_sockets();
         let _entered = simulate(Arc::<SimulatedHost>::clone(&self.host) as Arc<dyn Host>);
         self.host.clock.end_process();
         drop(self.process.take());
--- a/crates/emulator/src/main.rs
+++ b/crates/emulator/src/main.rs
@@ -10,7 +10,7 @@
 
 use juniperwing_clock::Time;
 use juniperwing_emulator::checker::{Property, Violation, check};
-use juniperwing_emulator::history::RecordedEvent;
+use juniperwing_emulator::history::{RecordedEvent, digest};
 use juniperwing_emulator::shrink::{run_and_check, shrink};
 use juniperwing_emulator::simulation::run;
 use juniperwing_emulator::targeting::scenario_for_seed;
@@ -33,6 +33,7 @@
             ExitCode::from(2)
         }
         Ok(arguments) if arguments.log => run_and_print(arguments.first_seed),
+        Ok(arguments) if arguments.digest => print_digests(&arguments),
         Ok(arguments) => run_many(&arguments),
     }
 }
@@ -67,18 +68,29 @@
 }
 
 fn violations_by_seed(arguments: &Arguments) -> ViolationsBySeed {
+    let found = by_seed(arguments, |seed| run_and_check(&scenario_for_seed(seed)));
+    found.into_iter().filter(|(_, violations)| !violations.is_empty()).collect()
+}
+
+/// Prints the digest of the history of each scenario, in order of seeds.
+fn print_digests(arguments: &Arguments) -> ExitCode {
+    let digests = by_seed(arguments, |seed| digest(&run(&scenario_for_seed(seed), true)));
+    digests.iter().for_each(|(seed, digest)| println!("{seed} {digest}"));
+    ExitCode::SUCCESS
+}
+
+/// Calls `run_seed` for each seed that the arguments ask for, on several threads.
+fn by_seed<T: Send>(arguments: &Arguments, run_seed: impl Fn(u64) -> T + Sync) -> BTreeMap<u64, T> {
     let next = AtomicU64::new(arguments.first_seed);
-    let found: Mutex<ViolationsBySeed> = Mutex::default();
+    let outcomes: Mutex<BTreeMap<u64, T>> = Mutex::default();
     let run_seeds = || {
         loop {
             let seed = next.fetch_add(1, Ordering::Relaxed);
             if seed >= arguments.first_seed + arguments.scenarios {
                 return;
             }
-            let violations = run_and_check(&scenario_for_seed(seed));
-            if !violations.is_empty() {
-                found.lock().expect("no thread panics with the lock").insert(seed, violations);
-            }
+            let outcome = run_seed(seed);
+            outcomes.lock().expect("no thread panics with the lock").insert(seed, outcome);
         }
     };
     std::thread::scope(|scope| {
@@ -86,7 +98,7 @@
             scope.spawn(run_seeds);
         }
     });
-    found.into_inner().expect("no thread panics with the lock")
+    outcomes.into_inner().expect("no thread panics with the lock")
 }
 
 /// Prints the seeds that violate each property, and the first ones of these with shrunk scenarios.
--- a/crates/emulator/src/network/machines.rs
+++ b/crates/emulator/src/network/machines.rs
@@ -1,6 +1,6 @@
 //! State of the machines on the network: power, freezes and boot counts.
 
-use std::net::IpAddr;
+use std::net::{IpAddr, SocketAddr};
 
 use juniperwing_clock::Time;
 
@@ -34,6 +34,30 @@
         }
     }
 
+    /// Closes all sockets of a machine whose process ends, as an operating system does, in the order in which they were
+    /// opened. The runtime of the process drops them in an order that depends on the numbers of its tasks, which are
+    /// shared by all simulations of this process.
+    pub fn close_sockets(&self, now: Time, machine: IpAddr) {
+        self.change(|state| {
+            let listeners: Vec<SocketAddr> =
+                state.listeners.keys().filter(|address| address.ip() == machine).copied().collect();
+            for address in listeners {
+                state.listeners.remove(&address);
+            }
+            let pipes: Vec<PipeId> = state.pipes.keys().copied().collect();
+            for id in pipes {
+                let Some(pipe) = state.pipes.get(&id) else { continue };
+                let (from, to) = (pipe.from, pipe.to);
+                if from == machine {
+                    state.drop_writer(now, id);
+                }
+                if to == machine {
+                    state.drop_reader(now, id);
+                }
+            }
+        });
+    }
+
     /// Restores the power of a machine, which has lost the state of its earlier connections and resets them.
     pub fn power_on(&self, now: Time, machine: IpAddr) {
         self.change(|state| {
--- a/crates/emulator/src/network/pipes.rs
+++ b/crates/emulator/src/network/pipes.rs
@@ -81,26 +81,12 @@
 
     /// Closes the sending side for good.
     pub fn drop_writer(&self, now: Time, pipe: PipeId) {
-        self.change(|state| {
-            state.close_write(now, pipe);
-            if let Some(found) = state.pipes.get_mut(&pipe) {
-                found.is_writer_dropped = true;
-            }
-            state.remove_if_unused(pipe);
-        });
+        self.change(|state| state.drop_writer(now, pipe));
     }
 
     /// Drops the receiving side; unread bytes reset the connection.
     pub fn drop_reader(&self, now: Time, pipe: PipeId) {
-        self.change(|state| {
-            if let Some(found) = state.pipes.get_mut(&pipe) {
-                found.is_reader_dropped = true;
-                if found.buffered_bytes > 0 {
-                    state.reset(now, pipe);
-                }
-            }
-            state.remove_if_unused(pipe);
-        });
+        self.change(|state| state.drop_reader(now, pipe));
     }
 
     /// Reads what has arrived.
@@ -144,10 +130,25 @@
         }
     }
 
+    pub(super) fn drop_writer(&mut self, now: Time, id: PipeId) {
+        self.close_write(now, id);
+        if let Some(pipe) = self.pipes.get_mut(&id) {
+            pipe.is_writer_dropped = true;
+        }
+        self.remove_if_unused(id);
+    }
+
+    pub(super) fn drop_reader(&mut self, now: Time, id: PipeId) {
+        let Some(pipe) = self.pipes.get_mut(&id).filter(|pipe| !pipe.is_reader_dropped) else { return };
+        pipe.is_reader_dropped = true;
+        if pipe.buffered_bytes > 0 {
+            self.reset(now, id);
+        }
+        self.remove_if_unused(id);
+    }
+
     /// Sends a segment, or holds it up while its direction is blocked.
     pub(super) fn dispatch(&mut self, now: Time, id: PipeId, segment: Segment) {
-        // Tokio wakes those that wait for one thing in an order that no seed decides. Connections that end at the
-        // same moment, as they do when a process stops, must not draw from the common sequence in that order.
         let delay = if matches!(segment, Segment::Bytes(_)) { self.delay() } else { MIN_DELAY };
         let Some(pipe) = self.pipes.get(&id) else { return };
         let (from, to, reverse) = (pipe.from, pipe.to, pipe.reverse);
--- a/crates/emulator/src/operators.rs
+++ b/crates/emulator/src/operators.rs
@@ -7,9 +7,8 @@
 
 use juniperwing_clock::{Span, Time};
 use juniperwing_node::clock;
-use juniperwing_node::sync::lock;
+use juniperwing_node::sync::{lock, watch};
 use juniperwing_random::Rng;
-use tokio::sync::watch;
 use tokio::task::JoinSet;
 use tokio::time::sleep;
 
--- a/crates/emulator/src/relay.rs
+++ b/crates/emulator/src/relay.rs
@@ -6,12 +6,11 @@
 
 use juniperwing_node::clock;
 use juniperwing_node::subscriber::{Subscriber, UpdateSink};
-use juniperwing_node::sync::lock;
+use juniperwing_node::sync::{lock, watch};
 use juniperwing_protocol::NodeName;
 use juniperwing_protocol::registry::Instance;
 use juniperwing_protocol::replication::Version;
 use juniperwing_protocol::subscription::{AppliedVersions, Subscribe, SubscriberKind, Update};
-use tokio::sync::watch;
 
 use crate::history::{Event, History};
 use crate::operators::order_in_body;
--- a/crates/emulator/src/simulation.rs
+++ b/crates/emulator/src/simulation.rs
@@ -8,8 +8,8 @@
 use std::sync::Arc;
 
 use juniperwing_clock::Time;
+use juniperwing_node::sync::watch;
 use juniperwing_random::Rng;
-use tokio::sync::watch;
 
 use self::processes::Keeper;
 use crate::clock::SimulationTime;
--- a/crates/emulator/src/simulation/processes.rs
+++ b/crates/emulator/src/simulation/processes.rs
@@ -8,8 +8,8 @@
 use juniperwing_node::clock;
 use juniperwing_node::keeper::run_with;
 use juniperwing_node::settings::{Port, Settings};
+use juniperwing_node::sync::watch;
 use slog::{Discard, Logger, o};
-use tokio::sync::watch;
 
 use super::{Simulation, address, millis};
 use crate::history::Event;
--- /dev/null
+++ b/crates/emulator/tests/determinism.rs
@@ -0,0 +1,58 @@
+//! The same seed gives the same history, whatever process plays it, and the sources avoid what would prevent that.
+
+use std::fs;
+use std::path::{Path, PathBuf};
+use std::process::Command;
+
+/// How many scenarios are played from each first seed.
+const SCENARIOS: &str = "20";
+/// The first seeds. From 478 on are some whose histories once depended on the order in which a killed process dropped
+/// its connections.
+const FIRST_SEEDS: [&str; 2] = ["1", "478"];
+
+/// The digests of the histories of scenarios, played by a process of their own on `threads` threads.
+fn digests(first_seed: &str, threads: &str) -> String {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_juniperwing-emulator"));
+    command.args(["--digest", "--seed", first_seed, "--days", SCENARIOS, "--jobs", threads]);
+    let output = command.output().expect("the program runs");
+    assert!(output.status.success(), "{}", String::from_utf8_lossy(&output.stderr));
+    String::from_utf8(output.stdout).expect("UTF-8")
+}
+
+/// Two processes differ in what the operating system gives them: addresses, hash keys, identities of threads.
+#[test]
+fn same_seeds_give_same_histories_in_two_processes() {
+    for first_seed in FIRST_SEEDS {
+        let (first, second) = (digests(first_seed, "2"), digests(first_seed, "3"));
+        assert_eq!(first.lines().count().to_string(), SCENARIOS);
+        let difference = first.lines().zip(second.lines()).find(|(one, other)| one != other);
+        assert_eq!(difference, None);
+    }
+}
+
+/// The `.rs` files below a directory.
+fn sources(directory: &Path) -> Vec<PathBuf> {
+    let entries = fs::read_dir(directory).expect("a readable directory").map(|entry| entry.unwrap().path());
+    let (directories, files): (Vec<_>, Vec<_>) = entries.partition(|path| path.is_dir());
+    let is_source = |path: &PathBuf| path.extension().is_some_and(|extension| extension == "rs");
+    let nested = directories.iter().flat_map(|directory| sources(directory));
+    files.into_iter().filter(is_source).chain(nested).collect()
+}
+
+/// `select!` polls its branches in a random order unless it is told not to. Hash maps and tokio's `watch` are refused
+/// by `clippy.toml`.
+#[test]
+fn every_select_has_a_fixed_order() {
+    let crates = Path::new(env!("CARGO_MANIFEST_DIR")).join("..");
+    let directories = ["node", "emulator"].map(|name| crates.join(name).join("src"));
+    let files: Vec<PathBuf> = directories.iter().flat_map(|directory| sources(directory)).collect();
+    let mut selects = 0;
+    for file in files {
+        let text = fs::read_to_string(&file).expect("a readable file");
+        for after in text.split("select! {").skip(1) {
+            selects += 1;
+            assert!(after.trim_start().starts_with("biased;"), "{}: {after:.80}", file.display());
+        }
+    }
+    assert!(selects > 0, "no select found: does this test still look in the right place?");
+}
--- a/crates/model/src/simulation.rs
+++ b/crates/model/src/simulation.rs
@@ -3,6 +3,8 @@
 //! It keeps the clock, the calls in flight, the connections and the storage of each relay; it gives relays their
 //! events and executes their commands as the relay on sockets does. It decides nothing for a relay.
 
+#![expect(clippy::disallowed_types, reason = "only looked up by key")]
+
 mod affected;
 mod call_ends;
 mod calls;
--- a/crates/model/src/simulation/oracle.rs
+++ b/crates/model/src/simulation/oracle.rs
@@ -1,5 +1,7 @@
 //! The true state of endpoints, for a policy that may see it.
 
+#![expect(clippy::disallowed_types, reason = "only looked up by key")]
+
 use std::collections::HashMap;
 use std::sync::Arc;
 
--- a/crates/model/src/simulation/setup.rs
+++ b/crates/model/src/simulation/setup.rs
@@ -1,5 +1,7 @@
 //! The state of a simulation before its first event, made from a scenario and a seed.
 
+#![expect(clippy::disallowed_types, reason = "only looked up by key")]
+
 use std::collections::{BTreeMap, HashMap};
 
 use juniperwing::interface::Readiness;
--- a/crates/node/src/gossip/view.rs
+++ b/crates/node/src/gossip/view.rs
@@ -1,6 +1,6 @@
 //! A process's view of the other members: the live keepers, and deaths that were logged.
 
-use std::collections::HashSet;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
 use juniperwing_membership::{Member, MemberId, Membership, Role, Status};
@@ -13,7 +13,7 @@
 pub(super) struct MemberView {
     local_id: MemberId,
     keepers: Vec<SocketAddr>,
-    logged_dead: HashSet<MemberId>,
+    logged_dead: BTreeSet<MemberId>,
 }
 
 /// The live members of a role.
@@ -26,7 +26,7 @@
 
 impl MemberView {
     pub(super) fn new(local_id: &MemberId) -> MemberView {
-        MemberView { local_id: local_id.clone(), keepers: Vec::new(), logged_dead: HashSet::new() }
+        MemberView { local_id: local_id.clone(), keepers: Vec::new(), logged_dead: BTreeSet::new() }
     }
 
     /// The addresses of live keepers, sorted.
--- a/crates/node/src/keeper.rs
+++ b/crates/node/src/keeper.rs
@@ -34,12 +34,12 @@
 use std::io;
 
 use slog::{Logger, warn};
-use tokio::sync::watch;
 
 use self::startup::StartupResources;
 use crate::process::Process;
 use crate::settings::Settings;
 use crate::signals::ShutdownOrReload;
+use crate::sync::watch;
 
 /// Runs until the platform ends the process.
 ///
--- a/crates/node/src/keeper/consensus.rs
+++ b/crates/node/src/keeper/consensus.rs
@@ -13,13 +13,14 @@
     Versioned,
 };
 use slog::info;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::mpsc;
 
 use super::controller::Controller;
 use super::pending_outcomes::PendingOutcomes;
 use crate::clock;
 use crate::host::run_disk_write;
 use crate::panics::critical_section;
+use crate::sync::watch;
 
 /// The capacity of the queue of records to be written; the replica submits one at a time.
 pub(super) const MAX_QUEUED_WRITES: usize = 4;
--- a/crates/node/src/keeper/control_listener.rs
+++ b/crates/node/src/keeper/control_listener.rs
@@ -8,7 +8,7 @@
 use axum::Router;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use hyper_util::service::TowerToHyperService;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
@@ -16,6 +16,7 @@
 use super::controller::Controller;
 use crate::host::{Listener, Stream};
 use crate::panics::isolate;
+use crate::sync::watch;
 
 /// How long a connection may be idle, or take to send the head of a call.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
--- a/crates/node/src/keeper/peer_discovery.rs
+++ b/crates/node/src/keeper/peer_discovery.rs
@@ -8,12 +8,11 @@
 
 use juniperwing_membership::Role;
 use juniperwing_replication::Event;
-use tokio::sync::watch;
 
 use super::controller::Controller;
 use crate::gossip::{Gossip, LocalProcess};
 use crate::settings::Settings;
-use crate::sync::lock;
+use crate::sync::{lock, watch};
 
 /// Tracks the addresses of other keepers.
 pub(super) struct PeerDiscovery {
--- a/crates/node/src/keeper/peers.rs
+++ b/crates/node/src/keeper/peers.rs
@@ -1,6 +1,6 @@
 //! Links to the other keepers. Messages to an unreachable keeper are dropped, not queued without limit.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
@@ -18,7 +18,7 @@
 /// The links to other keepers.
 pub(super) struct Peers {
     pool: LinkPool,
-    peers: Mutex<HashMap<SocketAddr, Peer>>,
+    peers: Mutex<BTreeMap<SocketAddr, Peer>>,
 }
 
 /// Another keeper.
@@ -88,7 +88,7 @@
         peer.link = link;
     }
 
-    fn lock(&self) -> MutexGuard<'_, HashMap<SocketAddr, Peer>> {
+    fn lock(&self) -> MutexGuard<'_, BTreeMap<SocketAddr, Peer>> {
         lock(&self.peers)
     }
 }
--- a/crates/node/src/keeper/pending_outcomes.rs
+++ b/crates/node/src/keeper/pending_outcomes.rs
@@ -1,6 +1,6 @@
 //! Outcomes of the replica that tasks wait for.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 
 use tokio::sync::oneshot;
 
@@ -8,12 +8,12 @@
 #[derive(Debug)]
 pub(super) struct PendingOutcomes<T> {
     next_token: u64,
-    senders: HashMap<u64, oneshot::Sender<T>>,
+    senders: BTreeMap<u64, oneshot::Sender<T>>,
 }
 
 impl<T> Default for PendingOutcomes<T> {
     fn default() -> Self {
-        PendingOutcomes { next_token: 0, senders: HashMap::new() }
+        PendingOutcomes { next_token: 0, senders: BTreeMap::new() }
     }
 }
 
--- a/crates/node/src/keeper/startup.rs
+++ b/crates/node/src/keeper/startup.rs
@@ -12,7 +12,7 @@
 use juniperwing_replication::{Replica, Timings};
 use slog::{Logger, info, warn};
 use snafu::Snafu;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
 
 use super::consensus::{Consensus, MAX_QUEUED_WRITES, RecordWrite, run_record_writer, run_replica_timer};
@@ -27,6 +27,7 @@
 use crate::metrics::{self, MetricSource};
 use crate::panics::spawn_essential;
 use crate::settings::{Port, Settings};
+use crate::sync::watch;
 
 /// A setting without which no keeper can start.
 #[derive(Debug, Snafu)]
--- a/crates/node/src/link/connection.rs
+++ b/crates/node/src/link/connection.rs
@@ -1,6 +1,6 @@
 //! One link: its reader, its writer and its pending calls.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -63,7 +63,7 @@
     closed: Notify,
     outgoing: Mutex<Vec<u8>>,
     wake_writer: Notify,
-    pending_calls: Mutex<HashMap<CallId, oneshot::Sender<Message>>>,
+    pending_calls: Mutex<BTreeMap<CallId, oneshot::Sender<Message>>>,
 }
 
 /// Sends the reply to a message; the reply is dropped if the message was not a call.
--- a/crates/node/src/link/pool.rs
+++ b/crates/node/src/link/pool.rs
@@ -1,6 +1,6 @@
 //! Pool of links to other processes, opened on demand.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -18,7 +18,7 @@
 /// One link per process that this one sends messages to.
 pub struct LinkPool {
     service: Arc<dyn Service>,
-    slots: Mutex<HashMap<SocketAddr, Slot>>,
+    slots: Mutex<BTreeMap<SocketAddr, Slot>>,
 }
 
 impl LinkPool {
--- a/crates/node/src/local.rs
+++ b/crates/node/src/local.rs
@@ -78,6 +78,7 @@
     }
     let all_started = loop {
         tokio::select! {
+            biased;
             signal = signals.next() => match signal {
                 ShutdownOrReload::Shutdown => break true,
                 ShutdownOrReload::Reload => supervised.iter().for_each(|(process, _)| process.send_signal(Signal::HUP)),
--- a/crates/node/src/relay/cluster_view.rs
+++ b/crates/node/src/relay/cluster_view.rs
@@ -1,6 +1,6 @@
 //! A relay's view of the cluster: applies the keepers' updates to the snapshot and to the dispatcher.
 
-use std::collections::HashSet;
+use std::collections::BTreeSet;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 
@@ -13,13 +13,12 @@
 use juniperwing_protocol::replication::Version;
 use juniperwing_protocol::subscription::{AppliedVersions, InstancesUpdate, StoreMap, Update};
 use slog::{Logger, error, info};
-use tokio::sync::watch;
 
 use super::dispatcher::Dispatcher;
 use super::snapshot::{ActiveConfiguration, Snapshot};
 use crate::clock::now;
 use crate::subscriber::UpdateSink;
-use crate::sync::lock;
+use crate::sync::{lock, watch};
 
 /// The current [`Snapshot`], with which the dispatcher is kept consistent.
 pub struct ClusterView {
@@ -103,7 +102,7 @@
 
     /// Drops the latencies of destinations that are not in the configuration.
     fn drop_old_destinations(&self, configuration: &Configuration) {
-        let destinations: HashSet<Destination> = configuration
+        let destinations: BTreeSet<Destination> = configuration
             .routes
             .iter()
             .flat_map(|route| {
--- a/crates/node/src/relay/connections.rs
+++ b/crates/node/src/relay/connections.rs
@@ -1,6 +1,6 @@
 //! The connections of clients: which of them are idle, since when, and how they are closed.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 
@@ -105,7 +105,7 @@
 /// All connections of clients.
 #[derive(Debug, Default)]
 pub struct Connections {
-    open: Mutex<HashMap<u64, Arc<ClientConnection>>>,
+    open: Mutex<BTreeMap<u64, Arc<ClientConnection>>>,
     next_number: AtomicU64,
     closed: Notify,
 }
@@ -171,7 +171,7 @@
         }
     }
 
-    fn lock(&self) -> MutexGuard<'_, HashMap<u64, Arc<ClientConnection>>> {
+    fn lock(&self) -> MutexGuard<'_, BTreeMap<u64, Arc<ClientConnection>>> {
         lock(&self.open)
     }
 }
--- a/crates/node/src/relay/dispatcher.rs
+++ b/crates/node/src/relay/dispatcher.rs
@@ -1,6 +1,6 @@
 //! Slots at endpoints: the balancer behind a lock, and the requests that wait for it.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
@@ -35,7 +35,7 @@
     balancer: Balancer,
     latencies: LatencyModels,
     /// The queued requests; `None` is sent if no endpoint is left.
-    waiters: HashMap<Ticket, oneshot::Sender<Option<Slot>>>,
+    waiters: BTreeMap<Ticket, oneshot::Sender<Option<Slot>>>,
 }
 
 /// Assigns slots at endpoints to requests.
@@ -82,7 +82,7 @@
 impl Dispatcher {
     /// A dispatcher over a balancer.
     pub fn new(balancer: Balancer) -> Arc<Self> {
-        let state = State { balancer, latencies: LatencyModels::default(), waiters: HashMap::new() };
+        let state = State { balancer, latencies: LatencyModels::default(), waiters: BTreeMap::new() };
         Arc::new(Dispatcher { state: Mutex::new(state), occupied_slots: AtomicUsize::new(0) })
     }
 
--- a/crates/node/src/relay/frontend.rs
+++ b/crates/node/src/relay/frontend.rs
@@ -72,6 +72,7 @@
     tokio::pin!(served);
     loop {
         tokio::select! {
+            biased;
             // Errors are those of the client, which has disconnected.
             _ = served.as_mut() => return,
             () = connection.close_when_idle.notified() => served.as_mut().graceful_shutdown(),
--- a/crates/node/src/relay/shutdown.rs
+++ b/crates/node/src/relay/shutdown.rs
@@ -2,7 +2,7 @@
 
 use std::sync::atomic::{AtomicBool, Ordering};
 
-use tokio::sync::watch;
+use crate::sync::watch;
 
 /// The stage of a relay's shutdown. It only advances.
 #[derive(Debug, Default)]
--- a/crates/node/src/relay/snapshot.rs
+++ b/crates/node/src/relay/snapshot.rs
@@ -1,6 +1,6 @@
 //! An immutable snapshot of configuration, endpoints and stores.
 
-use std::collections::HashSet;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -121,7 +121,7 @@
     fn drop_missing_instances(
         &mut self, update: &InstancesUpdate, now: Time, heartbeat_interval: Span,
     ) -> Vec<Instance> {
-        let listed: HashSet<&InstanceId> = update.instances.iter().map(|instance| &instance.id).collect();
+        let listed: BTreeSet<&InstanceId> = update.instances.iter().map(|instance| &instance.id).collect();
         let max_age = heartbeat_interval.mul_f64(HEARTBEATS_UNTIL_DROPPED);
         let has_too_many = self.instances.size() > MAX_REMEMBERED_INSTANCES;
         let is_old = |known: &KnownInstance| now.since(known.last_update_at) > max_age;
--- a/crates/node/src/relay/upstream.rs
+++ b/crates/node/src/relay/upstream.rs
@@ -1,6 +1,6 @@
 //! Connections to endpoints: one request at a time on each, kept for reuse while they are usable.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -71,7 +71,7 @@
 /// All connections of a relay to endpoints.
 #[derive(Debug)]
 pub struct ConnectionPool {
-    idle: Mutex<HashMap<InstanceId, Vec<IdleConnection>>>,
+    idle: Mutex<BTreeMap<InstanceId, Vec<IdleConnection>>>,
     open_connections: Arc<AtomicUsize>,
     max_connections: usize,
 }
@@ -158,7 +158,7 @@
         !self.lock().is_empty()
     }
 
-    fn lock(&self) -> MutexGuard<'_, HashMap<InstanceId, Vec<IdleConnection>>> {
+    fn lock(&self) -> MutexGuard<'_, BTreeMap<InstanceId, Vec<IdleConnection>>> {
         lock(&self.idle)
     }
 }
--- a/crates/node/src/sessions_client.rs
+++ b/crates/node/src/sessions_client.rs
@@ -11,13 +11,13 @@
 use juniperwing_protocol::session::{BeginTurn, FinishTurn, SessionCall, SessionReply, SessionRequest, Turn};
 use juniperwing_protocol::subscription::StoreMap;
 use juniperwing_protocol::{Message, ProgramId};
-use tokio::sync::watch;
 use tokio::time::{Instant, sleep_until, timeout_at};
 
 use self::background::BackgroundCommits;
 pub use self::error::{CommitUncertain, SessionError, StoreFailure, StoreFailureReason};
 use self::routing::{PartitionPrimary, primary_of, wait_until_replaced};
 use crate::link::LinkPool;
+use crate::sync::watch;
 
 /// How long one attempt may take.
 const ATTEMPT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -97,6 +97,7 @@
             let primary = primary_of(&map.borrow_and_update(), program);
             let result = match primary {
                 Some(primary) => tokio::select! {
+                    biased;
                     result = self.call_once(primary, call.clone(), deadline) => result,
                     () = wait_until_replaced(&mut map, program, primary) => continue,
                 },
--- a/crates/node/src/sessions_client/routing.rs
+++ b/crates/node/src/sessions_client/routing.rs
@@ -8,7 +8,8 @@
 use juniperwing_protocol::session::PartitionEpoch;
 use juniperwing_protocol::subscription::StoreMap;
 use juniperwing_protocol::{EpochNumber, PartitionId, ProgramId};
-use tokio::sync::watch;
+
+use crate::sync::watch;
 
 /// The primary of a partition.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/node/src/signals.rs
+++ b/crates/node/src/signals.rs
@@ -43,6 +43,7 @@
     /// Waits for the next signal.
     pub async fn next(&mut self) -> ShutdownOrReload {
         tokio::select! {
+            biased;
             _ = self.terminate.recv() => ShutdownOrReload::Shutdown,
             _ = self.interrupt.recv() => ShutdownOrReload::Shutdown,
             _ = self.hangup.recv() => ShutdownOrReload::Reload,
--- a/crates/node/src/store.rs
+++ b/crates/node/src/store.rs
@@ -57,6 +57,7 @@
 pub async fn run(mut process: Process) -> io::Result<()> {
     let starting = StoreProcess::start(&process.settings, process.log.clone());
     let store = tokio::select! {
+        biased;
         started = starting => started?,
         // Nothing was acknowledged yet.
         () = process.signals.wait_for_shutdown() => return Ok(()),
--- a/crates/node/src/store/driver.rs
+++ b/crates/node/src/store/driver.rs
@@ -1,6 +1,6 @@
 //! The driver of a store's state machine: hands it events, and carries its commands out on links, disk and timer.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, Weak};
 use std::time::Duration;
@@ -40,7 +40,7 @@
 pub(super) struct DriverState {
     pub(super) store: Store,
     /// Those who wait for a reply.
-    pub(super) callers: HashMap<CallerId, ReplySender>,
+    pub(super) callers: BTreeMap<CallerId, ReplySender>,
     last_caller: u64,
     /// When the timer goes off; `None` if it does not.
     timer_at: Option<Time>,
@@ -67,7 +67,7 @@
         let (disk_jobs, pending_jobs) = mpsc::unbounded_channel();
         let state = DriverState {
             store,
-            callers: HashMap::new(),
+            callers: BTreeMap::new(),
             last_caller: 0,
             timer_at: None,
             subscriber: Weak::new(),
--- a/crates/node/src/sync.rs
+++ b/crates/node/src/sync.rs
@@ -1,7 +1,9 @@
-//! Locking that ignores poisoning.
+//! Synchronization between tasks: locking that ignores poisoning, and a channel of one value.
 //!
-//! It is for state that is consistent between any two statements, so that a panic of another thread while it held the
-//! lock leaves nothing inconsistent.
+//! Locking is for state that is consistent between any two statements, so that a panic of another thread while it held
+//! the lock leaves nothing inconsistent.
+
+pub mod watch;
 
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
--- a/crates/node/tests/gossip.rs
+++ b/crates/node/tests/gossip.rs
@@ -12,12 +12,12 @@
 use juniperwing_node::keeper::run_with;
 use juniperwing_node::settings::{Port, Settings};
 use juniperwing_node::subscriber::{Subscriber, UpdateSink};
+use juniperwing_node::sync::watch;
 use juniperwing_protocol::NodeName;
 use juniperwing_protocol::replication::Version;
 use juniperwing_protocol::subscription::{AppliedVersions, Subscribe, SubscriberKind as Kind, Update};
 use slog::{Discard, Logger, o};
 use tokio::net::TcpListener;
-use tokio::sync::watch;
 use tokio::time::timeout;
 
 use keepers::{Keepers, Observer, TEST_TIMEOUT, configuration};
--- a/crates/node/tests/keepers/peer.rs
+++ b/crates/node/tests/keepers/peer.rs
@@ -2,7 +2,7 @@
 //!
 //! It takes part in the replication with a replica of its own, and replies to requests of other keepers.
 
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
@@ -74,7 +74,7 @@
     replica: Replica<ControlState>,
     gate: Gate,
     wake_at: Time,
-    reads: HashMap<ReadToken, ReplySender>,
+    reads: BTreeMap<ReadToken, ReplySender>,
     next_token: u64,
     instances: BTreeMap<InstanceId, InstanceState>,
 }
@@ -120,7 +120,7 @@
             replica,
             gate: Gate::OPEN,
             wake_at: Time::default(),
-            reads: HashMap::new(),
+            reads: BTreeMap::new(),
             next_token: 0,
             instances: BTreeMap::new(),
         };
--- a/crates/node/tests/relay/early_responses.rs
+++ b/crates/node/tests/relay/early_responses.rs
@@ -1,7 +1,7 @@
 //! An endpoint may respond before it has read a long body, keep the connection and read on later: it must never get
 //! other bytes in place of the rest of that body.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use http::StatusCode;
@@ -33,7 +33,7 @@
 /// connections to the endpoint.
 async fn run_long_then_short(long: RequestPlan) -> (Vec<Outcome>, usize) {
     let requests = vec![long, short_request()];
-    let plans: HashMap<String, RequestPlan> =
+    let plans: BTreeMap<String, RequestPlan> =
         requests.iter().enumerate().map(|(number, plan)| (request_id(0, number), plan.clone())).collect();
     let case = CaseState::new(plans.clone());
     let endpoint = HostileEndpoint::start(&case);
@@ -71,7 +71,7 @@
 async fn an_unread_body_is_released_after_the_response() {
     let plan = long_request_with_early_response(Kind::NonIdempotent, AfterEarly::KeepOpen, false);
     let id = request_id(0, 0);
-    let case = CaseState::new(HashMap::from([(id.clone(), plan)]));
+    let case = CaseState::new(BTreeMap::from([(id.clone(), plan)]));
     let endpoint = HostileEndpoint::start(&case);
     let harness = RelayHarness::start().await;
     harness.configure(1, &configuration_for_long_bodies());
--- a/crates/node/tests/relay/hostile/case_state.rs
+++ b/crates/node/tests/relay/hostile/case_state.rs
@@ -1,6 +1,6 @@
 //! What all endpoints of a case share: the plans of its requests, and what has happened to them.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex};
 
 use tokio::sync::Notify;
@@ -10,9 +10,9 @@
 /// What all endpoints of a case share.
 #[derive(Default)]
 pub struct CaseState {
-    plans: HashMap<String, RequestPlan>,
-    arrivals: Mutex<HashMap<String, usize>>,
-    response_received: Mutex<HashMap<String, Arc<Notify>>>,
+    plans: BTreeMap<String, RequestPlan>,
+    arrivals: Mutex<BTreeMap<String, usize>>,
+    response_received: Mutex<BTreeMap<String, Arc<Notify>>>,
     /// Requests that an endpoint has declared not executed.
     pub declined: Mutex<Vec<String>>,
     /// The bytes received, by connection.
@@ -20,7 +20,7 @@
 }
 
 impl CaseState {
-    pub fn new(plans: HashMap<String, RequestPlan>) -> Arc<CaseState> {
+    pub fn new(plans: BTreeMap<String, RequestPlan>) -> Arc<CaseState> {
         Arc::new(CaseState { plans, ..CaseState::default() })
     }
 
--- a/crates/node/tests/relay/hostile/endpoint.rs
+++ b/crates/node/tests/relay/hostile/endpoint.rs
@@ -4,11 +4,11 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 
+use juniperwing_node::sync::watch;
 use juniperwing_protocol::identity::{InstanceId, ServiceName};
 use juniperwing_protocol::registry::{Instance, InstanceState};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
-use tokio::sync::watch;
 use tokio::task::JoinSet;
 
 use super::case_state::CaseState;
--- a/crates/node/tests/relay/hostile/oracle.rs
+++ b/crates/node/tests/relay/hostile/oracle.rs
@@ -1,6 +1,6 @@
 //! Checks a case by what its clients and its endpoints received.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 
 use snafu::ResultExt;
 
@@ -17,9 +17,9 @@
 ///
 /// The first violation.
 pub fn check_case(
-    plans: &HashMap<String, RequestPlan>, outcomes: &[Outcome], case: &CaseState,
+    plans: &BTreeMap<String, RequestPlan>, outcomes: &[Outcome], case: &CaseState,
 ) -> Result<(), Violation> {
-    let mut arrivals: HashMap<String, usize> = HashMap::new();
+    let mut arrivals: BTreeMap<String, usize> = BTreeMap::new();
     for stream in case.streams.lock().unwrap().iter() {
         for id in requests_in(&stream.lock().unwrap(), plans)? {
             *arrivals.entry(id).or_default() += 1;
@@ -44,7 +44,7 @@
 }
 
 /// The ids of the requests on a connection, each of which must be as its client sent it. The last may be truncated.
-fn requests_in(bytes: &[u8], plans: &HashMap<String, RequestPlan>) -> Result<Vec<String>, Violation> {
+fn requests_in(bytes: &[u8], plans: &BTreeMap<String, RequestPlan>) -> Result<Vec<String>, Violation> {
     let (mut ids, mut bytes) = (Vec::new(), bytes);
     while !bytes.is_empty() {
         let Some(split) = split_head(bytes) else { break };
--- a/crates/node/tests/relay/hostile_responses.rs
+++ b/crates/node/tests/relay/hostile_responses.rs
@@ -1,7 +1,7 @@
 //! Whatever endpoints send and whenever clients disconnect, no byte reaches another client, nothing broken looks
 //! complete, and non-idempotent requests are executed at most once.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::env;
 use std::sync::Arc;
 
@@ -74,7 +74,7 @@
     check_case(&plans, &outcomes, &case)
 }
 
-fn by_id(clients: &[ClientPlan]) -> HashMap<String, RequestPlan> {
+fn by_id(clients: &[ClientPlan]) -> BTreeMap<String, RequestPlan> {
     let numbered = clients.iter().enumerate();
     let requests = numbered.flat_map(|(client, plan)| {
         plan.requests
--- a/crates/node/tests/stores/mod.rs
+++ b/crates/node/tests/stores/mod.rs
@@ -9,6 +9,7 @@
 use juniperwing_node::link::{Link, LinkPool, ReplySender, Service, serve};
 use juniperwing_node::sessions_client::SessionsClient;
 use juniperwing_node::settings::Settings;
+use juniperwing_node::sync::watch;
 use juniperwing_protocol::session::{BeginTurn, Turn};
 use juniperwing_protocol::subscription::{
     Assignment, CaughtUp, StoreMap, StoreNode, Subscribe, SubscriberKind, Update,
@@ -16,7 +17,7 @@
 use juniperwing_protocol::{DiskId, EpochNumber, Message, ProgramId, RequestId};
 use slog::{Discard, Logger, o};
 use tokio::net::TcpListener;
-use tokio::sync::{Notify, oneshot, watch};
+use tokio::sync::{Notify, oneshot};
 
 use crate::loopback::LoopbackNetwork;
 
--- a/crates/registry/src/contact.rs
+++ b/crates/registry/src/contact.rs
@@ -5,7 +5,7 @@
 //! the request had been sent. The time that counts is that of the request, so that replies delayed by a paused
 //! process or a queue prove nothing about the present.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 
 use juniperwing_clock::{Span, Time};
 use juniperwing_protocol::replication::{Epoch, Voter};
@@ -35,14 +35,14 @@
 #[derive(Clone, Debug)]
 pub struct Contact {
     window: Span,
-    last_message_at: HashMap<DiskId, Time>,
-    round_trips: HashMap<DiskId, RoundTrip>,
+    last_message_at: BTreeMap<DiskId, Time>,
+    round_trips: BTreeMap<DiskId, RoundTrip>,
 }
 
 impl Contact {
     /// A tracker without any contact. Evidence older than `window` does not count.
     pub fn new(window: Span) -> Self {
-        Contact { window, last_message_at: HashMap::new(), round_trips: HashMap::new() }
+        Contact { window, last_message_at: BTreeMap::new(), round_trips: BTreeMap::new() }
     }
 
     /// Records that a message of `keeper` was received at `now`.
--- a/crates/registry/src/registry.rs
+++ b/crates/registry/src/registry.rs
@@ -1,6 +1,6 @@
 //! The registry: a table of endpoint instances with their heartbeats, expiry and tombstones.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddr};
 
 use juniperwing_clock::{Span, Time};
@@ -54,13 +54,13 @@
     /// Heartbeat timeouts run from this time at the earliest.
     timeouts_start_at: Time,
     entries: BTreeMap<InstanceId, Entry>,
-    by_address: HashMap<SocketAddr, Vec<InstanceId>>,
+    by_address: BTreeMap<SocketAddr, Vec<InstanceId>>,
 }
 
 impl Registry {
     /// An empty registry of a process that starts at `now`.
     pub fn new(now: Time, settings: RegistrySettings) -> Self {
-        Registry { settings, timeouts_start_at: now, entries: BTreeMap::new(), by_address: HashMap::new() }
+        Registry { settings, timeouts_start_at: now, entries: BTreeMap::new(), by_address: BTreeMap::new() }
     }
 
     /// Whether the registry has been in contact with the other keepers for long enough to know every live endpoint
--- a/crates/relay/src/admission.rs
+++ b/crates/relay/src/admission.rs
@@ -3,7 +3,7 @@
 //! It enforces limits and recognises ids that were submitted before. Weighing notifications against each other is the
 //! core's part.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 use std::hash::{BuildHasher, RandomState};
 use std::sync::Arc;
 
@@ -21,7 +21,7 @@
 #[derive(Default)]
 pub struct Admission {
     /// By a digest of the id.
-    responses: HashMap<u64, SubmissionResponse>,
+    responses: BTreeMap<u64, SubmissionResponse>,
     /// The digests in the order in which they came.
     insertion_order: VecDeque<u64>,
     hasher: RandomState,
--- a/crates/soak/src/faulty_host/disk.rs
+++ b/crates/soak/src/faulty_host/disk.rs
@@ -3,7 +3,7 @@
 //! What is written to a file lies in memory until the file is synced, so a kill costs what a loss of power may cost.
 //! Names last at once: a new file, a renamed or a removed one may be kept by a loss of power, too.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::ffi::OsString;
 use std::fs::{self, File, OpenOptions};
 use std::io::{self, Write};
@@ -28,7 +28,7 @@
 #[derive(Debug)]
 pub struct FaultyDisk {
     rules: LiveFaultRules,
-    unsynced: Mutex<HashMap<PathBuf, Vec<u8>>>,
+    unsynced: Mutex<BTreeMap<PathBuf, Vec<u8>>>,
 }
 
 impl FaultyDisk {
@@ -47,7 +47,7 @@
         }
     }
 
-    fn lock(&self) -> MutexGuard<'_, HashMap<PathBuf, Vec<u8>>> {
+    fn lock(&self) -> MutexGuard<'_, BTreeMap<PathBuf, Vec<u8>>> {
         lock(&self.unsynced)
     }
 }
--- a/crates/soak/src/faulty_host/link.rs
+++ b/crates/soak/src/faulty_host/link.rs
@@ -13,10 +13,10 @@
 use std::time::Duration;
 
 use juniperwing_node::host::{SimulatedStream, SimulatedWriter};
+use juniperwing_node::sync::watch;
 use tokio::io::{AsyncReadExt, AsyncWrite, AsyncWriteExt, DuplexStream, duplex};
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
-use tokio::sync::watch;
 use tokio::time::{Instant, sleep};
 
 use super::rules::LiveFaultRules;
