--- a/crates/emulator/src/checker.rs
+++ b/crates/emulator/src/checker.rs
@@ -48,8 +48,8 @@
     UnknownThoughAcknowledged,
     /// A valid order had no conclusive response in time while the core was stable.
     OrderWithoutAnswer,
-    /// A keeper's process exited although nothing had asked it to.
-    KeeperExited,
+    /// A process exited although nothing had asked it to.
+    ProcessExited,
 }
 
 /// A violation of a property.
@@ -89,8 +89,8 @@
     endpoints::check(&observations, &mut violations);
     liveness::check(&observations, &mut violations);
     for RecordedEvent { at, event } in history {
-        if let Event::KeeperExited { keeper } = event {
-            violations.add(Property::KeeperExited, *at, format!("core-{keeper}"));
+        if let Event::ProcessExited { process } = event {
+            violations.add(Property::ProcessExited, *at, process.to_string());
         }
     }
     let mut violations = violations.0;
--- a/crates/emulator/src/checker/observations.rs
+++ b/crates/emulator/src/checker/observations.rs
@@ -6,8 +6,7 @@
 use juniperwing_protocol::registry::InstanceState;
 
 use crate::history::{Event, OrderId, RecordedEvent};
-use crate::scenario::Scenario;
-use crate::simulation::RELAY_COUNT;
+use crate::scenario::{ProcessId, RELAY_COUNT, Scenario};
 use crate::stability::{Stability, millis};
 
 /// A response to a submission of an order.
@@ -163,7 +162,7 @@
     let mut incarnations: Vec<RelayIncarnation> = Vec::new();
     for RecordedEvent { at, event } in history {
         match event {
-            Event::RelayStarted { relay: number } if *number == relay => {
+            Event::ProcessStarted { process } if *process == ProcessId::relay(relay) => {
                 let (configurations, instances) = (Vec::new(), Vec::new());
                 incarnations.push(RelayIncarnation {
                     relay,
@@ -173,7 +172,7 @@
                     instances,
                 });
             }
-            Event::RelayStopped { relay: number } if *number == relay => {
+            Event::ProcessStopped { process } if *process == ProcessId::relay(relay) => {
                 if let Some(incarnation) = incarnations.last_mut() {
                     incarnation.stopped_at = *at;
                 }
--- a/crates/emulator/src/disk.rs
+++ b/crates/emulator/src/disk.rs
@@ -65,6 +65,10 @@
     journal: Vec<Entry>,
     next_file: FileId,
     slowdown_factor: u32,
+    /// Syncs complete no earlier.
+    stalled_until: Time,
+    /// Whether there is no room for further bytes.
+    is_full: bool,
     /// The latency of the operations since the last [`SimulatedDisk::take_elapsed`].
     elapsed: Span,
     rng: Rng,
@@ -86,6 +90,8 @@
             journal: Vec::new(),
             next_file: 1,
             slowdown_factor: 1,
+            stalled_until: Time::default(),
+            is_full: false,
             elapsed: Span::ZERO,
             rng,
         };
@@ -97,6 +103,16 @@
         self.lock().slowdown_factor = factor;
     }
 
+    /// Syncs that start before `time` complete no earlier.
+    pub fn stall_until(&self, time: Time) {
+        self.lock().stalled_until = time;
+    }
+
+    /// Sets whether there is no room for further bytes.
+    pub fn set_full(&self, is_full: bool) {
+        self.lock().is_full = is_full;
+    }
+
     /// Returns and resets the latency of the operations since the last call.
     pub fn take_elapsed(&self) -> Duration {
         Duration::from_nanos(std::mem::replace(&mut self.lock().elapsed, Span::ZERO).as_nanos())
@@ -149,7 +165,7 @@
         let mut state = self.lock();
         let operation = operation(&mut state)?;
         let started_at = now + state.elapsed;
-        state.elapsed = state.elapsed + state.latency_of(&operation);
+        state.elapsed = state.elapsed + state.latency_of(&operation, started_at);
         let completed_at = now + state.elapsed;
         state.visible.apply(&operation);
         state.journal.push(Entry { started_at, completed_at, operation });
@@ -159,10 +175,11 @@
 }
 
 impl State {
-    fn latency_of(&self, operation: &Operation) -> Span {
+    fn latency_of(&self, operation: &Operation, started_at: Time) -> Span {
         match operation {
             Operation::SyncFile(_) | Operation::SyncDirectory(_) => {
-                SYNC_LATENCY.mul_f64(f64::from(self.slowdown_factor))
+                let latency = SYNC_LATENCY.mul_f64(f64::from(self.slowdown_factor));
+                latency.max(self.stalled_until.since(started_at))
             }
             _ => CALL_LATENCY,
         }
@@ -283,6 +300,9 @@
     fn append(&self, path: &Path, bytes: &[u8]) -> io::Result<()> {
         self.operate(|state| {
             let file = state.file(path)?;
+            if state.is_full {
+                return Err(io::ErrorKind::StorageFull.into());
+            }
             let offset = state.visible.files.get(&file).map_or(0, Vec::len);
             Ok(Operation::Append { file, offset, bytes: bytes.to_vec() })
         })
--- a/crates/emulator/src/history.rs
+++ b/crates/emulator/src/history.rs
@@ -7,6 +7,8 @@
 use juniperwing_protocol::registry::InstanceState;
 use sha2::{Digest, Sha256};
 
+use crate::scenario::ProcessId;
+
 /// Identifies an order; its body contains it.
 pub type OrderId = usize;
 
@@ -49,16 +51,6 @@
         /// The order that the body belongs to; `None` if the body contains no order.
         order: Option<OrderId>,
     },
-    /// A relay has started, without any state.
-    RelayStarted {
-        /// The relay's number, from 1.
-        relay: usize,
-    },
-    /// A relay was killed.
-    RelayStopped {
-        /// The relay's number, from 1.
-        relay: usize,
-    },
     /// A relay applied a configuration.
     RelayConfigurationApplied {
         /// The relay's number, from 1.
@@ -98,20 +90,20 @@
         /// The identifier of the endpoint's incarnation.
         id: String,
     },
-    /// A keeper's process exited although nothing had asked it to.
-    KeeperExited {
-        /// The keeper's number, from 1.
-        keeper: usize,
+    /// A process has started; a relay has no state then.
+    ProcessStarted {
+        /// The process.
+        process: ProcessId,
     },
-    /// A keeper's process that was asked to shut down has exited.
-    KeeperStopped {
-        /// The keeper's number, from 1.
-        keeper: usize,
+    /// A process that was asked to shut down has exited, or a relay was killed.
+    ProcessStopped {
+        /// The process.
+        process: ProcessId,
     },
-    /// A keeper's process has started.
-    KeeperStarted {
-        /// The keeper's number, from 1.
-        keeper: usize,
+    /// A process exited although nothing had asked it to.
+    ProcessExited {
+        /// The process.
+        process: ProcessId,
     },
     /// A log line of a process, or the begin or end of a fault; ignored by the checker.
     Log(String),
--- a/crates/emulator/src/host.rs
+++ b/crates/emulator/src/host.rs
@@ -35,10 +35,11 @@
 }
 
 impl SimulatedHost {
-    /// Creates a machine with an empty disk. `seed` and `purpose` together select its random stream.
+    /// Creates a machine with an empty disk. `seed` and `address` together select its random stream.
     pub fn new(
-        address: IpAddr, network: Arc<Network>, simulation_time: SimulationTime, seed: u64, purpose: u64,
+        address: IpAddr, network: Arc<Network>, simulation_time: SimulationTime, seed: u64,
     ) -> Arc<SimulatedHost> {
+        let purpose = random_purpose(address);
         let clock = Arc::new(MachineClock::new(simulation_time));
         let disk =
             SimulatedDisk::new(Arc::clone(&clock), Rng::for_purpose(seed, purpose.wrapping_add(1 << 32)));
@@ -53,6 +54,15 @@
     }
 }
 
+/// The purpose of the random stream of a machine, whose address ends with its group and number.
+fn random_purpose(address: IpAddr) -> u64 {
+    let (group, number) = match address {
+        IpAddr::V4(address) => (address.octets()[2], address.octets()[3]),
+        IpAddr::V6(address) => (address.octets()[14], address.octets()[15]),
+    };
+    u64::from(group) * 1_000 + u64::from(number) + 10_000
+}
+
 impl Host for SimulatedHost {
     fn now(&self) -> Time {
         self.clock.now()
--- a/crates/emulator/src/operators.rs
+++ b/crates/emulator/src/operators.rs
@@ -198,8 +198,11 @@
         };
         let mut backoff_ms = INITIAL_BACKOFF_MS;
         let mut keeper_index = self.random_keeper_index(&mut rng);
+        let mut is_lost = false;
         while clock::now() < retry_deadline {
-            let status = self.submit_once(&order, &put, keeper_index, &mut rng).await;
+            // Never two in a row: beside a partitioned keeper, a reply in time would be a matter of luck.
+            is_lost = !is_lost && rng.one_in(RESPONSE_LOSS_INTERVAL);
+            let status = self.submit_once(&order, &put, keeper_index, is_lost, &mut rng).await;
             if let Some(status) = status.filter(|status| is_conclusive(*status)) {
                 return Some(ConclusiveResponse { status, order });
             }
@@ -212,12 +215,11 @@
     }
 
     async fn submit_once(
-        &self, order: &Order, put: &Request, keeper_index: usize, rng: &mut Rng,
+        &self, order: &Order, put: &Request, keeper_index: usize, is_lost: bool, rng: &mut Rng,
     ) -> Option<u16> {
         let address = self.keeper_at(keeper_index)?;
         let requested_at = clock::now();
         // If the response is lost, the operator does not learn whether the order was accepted.
-        let is_lost = rng.one_in(RESPONSE_LOSS_INTERVAL);
         let time_limit = if is_lost {
             Duration::from_millis(rng.below(MAX_LOST_RESPONSE_TIMEOUT_MS))
         } else {
--- a/crates/emulator/src/relay.rs
+++ b/crates/emulator/src/relay.rs
@@ -14,9 +14,7 @@
 
 use crate::history::{Event, History};
 use crate::operators::order_in_body;
-
-/// The number of concurrent subscriptions, as in a relay that tolerates the loss of one machine.
-const SUBSCRIPTION_COUNT: usize = 2;
+use crate::scenario::ProcessId;
 
 /// The state that a relay has applied.
 #[derive(Default)]
@@ -33,11 +31,24 @@
     applied: Mutex<AppliedState>,
 }
 
+/// What a relay starts with.
+pub struct RelaySetup {
+    /// Its number, from 1.
+    pub number: usize,
+    /// Its internal address.
+    pub address: SocketAddr,
+    /// The addresses at which keepers listen for relays.
+    pub seeds: watch::Receiver<Vec<SocketAddr>>,
+    /// How many keepers it subscribes to: one more than may be lost.
+    pub subscriptions: usize,
+    /// Where it records what it applies.
+    pub history: History,
+}
+
 /// Runs the relay until its machine is killed.
-pub async fn run(
-    relay: usize, address: SocketAddr, mut seeds: watch::Receiver<Vec<SocketAddr>>, history: History,
-) {
-    history.record(clock::now(), Event::RelayStarted { relay });
+pub async fn run(setup: RelaySetup) {
+    let RelaySetup { number: relay, address, mut seeds, subscriptions, history } = setup;
+    history.record(clock::now(), Event::ProcessStarted { process: ProcessId::relay(relay) });
     let recorder = Recorder { relay, history, applied: Mutex::default() };
     let subscribe = Subscribe {
         node: NodeName::from(format!("edge-{relay}").as_str()),
@@ -47,7 +58,7 @@
         configuration: Version::default(),
     };
     let first = seeds.borrow_and_update().clone();
-    let subscriber = Subscriber::start(subscribe, first, SUBSCRIPTION_COUNT, Arc::new(recorder));
+    let subscriber = Subscriber::start(subscribe, first, subscriptions, Arc::new(recorder));
     while seeds.changed().await.is_ok() {
         let changed = seeds.borrow_and_update().clone();
         subscriber.set_seeds(changed);
--- a/crates/emulator/src/scenario.rs
+++ b/crates/emulator/src/scenario.rs
@@ -14,24 +14,74 @@
 pub const READ_ONLY_TAIL_MS: u64 = 5_000;
 /// The duration of long partitions, the longest that the operators' pages name, in milliseconds.
 const LONG_PARTITION_MS: u64 = 20_000;
+/// The number of relays.
+pub const RELAY_COUNT: usize = 2;
 /// The maximum number of faults of a scenario, without the relay restarts added to long partitions.
 const MAX_FAULTS: u64 = 5;
 
-/// The directions that a partition blocks, from the point of view of the keeper.
+/// The role of a process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Role {
+    /// Holds the control state.
+    Keeper,
+    /// Serves clients.
+    Relay,
+    /// Holds turns and budgets.
+    Store,
+}
+
+/// Identifies a process, and the machine that it runs on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct ProcessId {
+    /// Its role.
+    pub role: Role,
+    /// Its number among the processes of its role, from 1 in the order of their first starts.
+    pub number: usize,
+}
+
+impl ProcessId {
+    /// A keeper.
+    pub const fn keeper(number: usize) -> ProcessId {
+        ProcessId { role: Role::Keeper, number }
+    }
+
+    /// A relay.
+    pub const fn relay(number: usize) -> ProcessId {
+        ProcessId { role: Role::Relay, number }
+    }
+
+    /// A store.
+    pub const fn store(number: usize) -> ProcessId {
+        ProcessId { role: Role::Store, number }
+    }
+}
+
+impl fmt::Display for ProcessId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let class = match self.role {
+            Role::Keeper => "core",
+            Role::Relay => "edge",
+            Role::Store => "storage",
+        };
+        write!(f, "{class}-{}", self.number)
+    }
+}
+
+/// The directions that a partition blocks, from the point of view of the process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Direction {
-    /// Messages to the keeper.
+    /// Messages to it.
     Inbound,
-    /// Messages from the keeper.
+    /// Messages from it.
     Outbound,
     /// Both directions.
     Both,
 }
 
-/// The machines that a partition separates a keeper from.
+/// The machines that a partition separates a process from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum PartitionScope {
-    /// The other keepers; relays, operators and endpoints still reach it.
+    /// The other keepers and stores; relays, operators and endpoints still reach it.
     Core,
     /// All other machines.
     All,
@@ -40,31 +90,33 @@
 /// The kind of a fault.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum FaultKind {
-    /// A network partition separates the keeper from others.
+    /// A network partition separates the process from others.
     Partition(PartitionScope, Direction),
-    /// The keeper's machine does not run.
+    /// The machine does not run.
     Freeze,
-    /// The keeper's process is killed.
+    /// The process is killed.
     Kill,
-    /// The processes of all keepers are killed at once.
-    KillCore,
-    /// The keeper's machine loses power.
+    /// All processes of the role are killed at once.
+    KillAll,
+    /// The machine loses power.
     LosePower,
-    /// All keepers' machines lose power at once.
-    LoseCorePower,
-    /// The keeper's machine loses power and the contents of its disk.
+    /// All machines of the role lose power at once.
+    LoseAllPower,
+    /// The machine loses power and the contents of its disk.
     Wipe,
-    /// The tolerated number of machines, from this one on, lose their disks; at the same moment all the others lose
-    /// power.
-    WipeAndLoseCorePower,
-    /// The keeper is asked to shut down.
+    /// The tolerated number of machines of the role, from this one on, lose their disks; at the same moment all the
+    /// others lose power.
+    WipeAndLoseAllPower,
+    /// The process is asked to shut down.
     Stop,
-    /// The keeper's disk is slow.
+    /// The disk is slow.
     SlowDisk,
-    /// The keeper's machine is replaced by an empty one with another address.
+    /// The disk answers nothing until the end of the fault.
+    StallDisk,
+    /// The disk takes no more bytes.
+    FullDisk,
+    /// The machine is replaced by an empty one with another address.
     Replace,
-    /// A relay is killed and started again.
-    RestartRelay,
 }
 
 /// A fault of a scenario.
@@ -74,8 +126,8 @@
     pub start_ms: u64,
     /// How long it lasts, or how long the machine is down, in milliseconds.
     pub duration_ms: u64,
-    /// The number of the affected keeper (or relay), from 1 in the order of their first starts.
-    pub machine: usize,
+    /// The affected process.
+    pub process: ProcessId,
     /// What happens.
     pub kind: FaultKind,
 }
@@ -87,6 +139,8 @@
     pub seed: u64,
     /// The number of keepers.
     pub keepers: usize,
+    /// The number of stores; without any, no programs run.
+    pub stores: usize,
     /// The faults in order of their start.
     pub faults: Vec<Fault>,
     /// The duration of the scenario, in milliseconds.
@@ -96,7 +150,7 @@
 impl FaultKind {
     /// Whether a machine loses its disk.
     pub fn loses_disk(self) -> bool {
-        matches!(self, FaultKind::Wipe | FaultKind::WipeAndLoseCorePower | FaultKind::Replace)
+        matches!(self, FaultKind::Wipe | FaultKind::WipeAndLoseAllPower | FaultKind::Replace)
     }
 }
 
@@ -118,16 +172,16 @@
         let mut all_ended_ms = FIRST_FAULT_MS;
         let mut machines = keepers;
         for _ in 0..count {
-            let kind = random_fault_kind(&mut rng);
+            let (role, kind) = random_fault_kind(&mut rng);
             let base_ms = if kind.loses_disk() || rng.one_in(2) { all_ended_ms } else { next_start_ms };
             let start_ms = base_ms + rng.below(1_500);
-            let duration_ms = random_duration_ms(kind, &mut rng);
-            let machine_count = if kind == FaultKind::RestartRelay { 2 } else { machines as u64 };
-            let machine = 1 + rng.below(machine_count) as usize;
+            let duration_ms = random_duration_ms(role, kind, &mut rng);
+            let count = if role == Role::Relay { RELAY_COUNT } else { machines };
+            let process = ProcessId { role, number: 1 + rng.index(count) };
             if kind == FaultKind::Replace {
                 machines += 1;
             }
-            let fault = Fault { start_ms, duration_ms, machine, kind };
+            let fault = Fault { start_ms, duration_ms, process, kind };
             if kind.loses_disk() {
                 next_start_ms = fault.end_ms() + CATCH_UP_MS;
             } else {
@@ -144,7 +198,7 @@
     /// Creates a scenario that ends some time after the last of these faults.
     pub fn new(seed: u64, keepers: usize, faults: Vec<Fault>) -> Scenario {
         let last_end_ms = faults.iter().map(Fault::end_ms).max().unwrap_or(FIRST_FAULT_MS);
-        Scenario { seed, keepers, faults, duration_ms: last_end_ms + FAULT_FREE_TAIL_MS }
+        Scenario { seed, keepers, stores: 0, faults, duration_ms: last_end_ms + FAULT_FREE_TAIL_MS }
     }
 }
 
@@ -158,56 +212,64 @@
     for partition in faults.iter().filter(is_long) {
         let (start_ms, duration_ms) =
             (partition.start_ms + rng.below(LONG_PARTITION_MS), rng.between(100, 1_000));
-        let machine = 1 + rng.below(2) as usize;
+        let process = ProcessId::relay(1 + rng.index(RELAY_COUNT));
         if rng.one_in(2) {
-            restarts.push(Fault { start_ms, duration_ms, machine, kind: FaultKind::RestartRelay });
+            restarts.push(Fault { start_ms, duration_ms, process, kind: FaultKind::Kill });
         }
     }
     restarts
 }
 
-fn random_fault_kind(rng: &mut Rng) -> FaultKind {
+fn random_fault_kind(rng: &mut Rng) -> (Role, FaultKind) {
     let direction =
         *rng.choose(&[Direction::Inbound, Direction::Outbound, Direction::Both]).unwrap_or(&Direction::Both);
     let scope = if rng.one_in(3) { PartitionScope::All } else { PartitionScope::Core };
-    match rng.below(16) {
+    let kind = match rng.below(16) {
         0..=4 => FaultKind::Partition(scope, direction),
         5 => FaultKind::Freeze,
         6 => FaultKind::Kill,
-        7 => FaultKind::KillCore,
+        7 => FaultKind::KillAll,
         8 => FaultKind::LosePower,
-        9 => FaultKind::LoseCorePower,
+        9 => FaultKind::LoseAllPower,
         10 => FaultKind::Wipe,
         11 => FaultKind::Stop,
         12 => FaultKind::SlowDisk,
         13 => FaultKind::Replace,
-        _ => FaultKind::RestartRelay,
-    }
+        _ => return (Role::Relay, FaultKind::Kill),
+    };
+    (Role::Keeper, kind)
 }
 
-fn random_duration_ms(kind: FaultKind, rng: &mut Rng) -> u64 {
+fn random_duration_ms(role: Role, kind: FaultKind, rng: &mut Rng) -> u64 {
     match kind {
         FaultKind::Partition(..) if rng.one_in(2) => LONG_PARTITION_MS,
         FaultKind::Partition(..) | FaultKind::Freeze | FaultKind::SlowDisk => rng.between(300, 8_000),
         FaultKind::Replace => 500,
-        FaultKind::RestartRelay => rng.between(100, 1_000),
+        _ if role == Role::Relay => rng.between(100, 1_000),
         _ => rng.between(300, 2_500),
     }
 }
 
 impl fmt::Display for Fault {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Fault { start_ms, duration_ms, machine, kind } = self;
+        let Fault { start_ms, duration_ms, process, kind } = self;
+        let role = match process.role {
+            Role::Keeper => "keeper",
+            Role::Relay => "relay",
+            Role::Store => "store",
+        };
+        let number = process.number;
         write!(
             f,
-            "Fault {{ start_ms: {start_ms}, duration_ms: {duration_ms}, machine: {machine}, kind: FaultKind::{kind:?} }}"
+            "Fault {{ start_ms: {start_ms}, duration_ms: {duration_ms}, process: ProcessId::{role}({number}), kind: FaultKind::{kind:?} }}"
         )
     }
 }
 
 impl fmt::Display for Scenario {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        writeln!(f, "seed {}, {} keepers, {} ms", self.seed, self.keepers, self.duration_ms)?;
+        let Scenario { seed, keepers, stores, duration_ms, .. } = self;
+        writeln!(f, "seed {seed}, {keepers} keepers, {stores} stores, {duration_ms} ms")?;
         self.faults.iter().try_for_each(|fault| writeln!(f, "    {fault},"))
     }
 }
--- a/crates/emulator/src/simulation.rs
+++ b/crates/emulator/src/simulation.rs
@@ -4,25 +4,25 @@
 mod processes;
 
 use std::collections::BTreeMap;
-use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 
 use juniperwing_clock::Time;
 use juniperwing_node::sync::watch;
 use juniperwing_random::Rng;
 
-use self::processes::Keeper;
+use self::processes::{
+    TierProcess, address, control_addresses, endpoints_address, keeper_addresses, operators_address,
+};
 use crate::clock::SimulationTime;
 use crate::history::{Event, History, RecordedEvent};
 use crate::host::SimulatedHost;
 use crate::machine::Machine;
 use crate::network::{MIN_DELAY, Network};
-use crate::scenario::{READ_ONLY_TAIL_MS, Scenario};
+use crate::scenario::{ProcessId, READ_ONLY_TAIL_MS, RELAY_COUNT, Role, Scenario};
 use crate::stability::millis;
 use crate::{endpoints, operators};
 
-/// The number of relays.
-pub const RELAY_COUNT: usize = 2;
 /// The number of endpoints.
 const ENDPOINT_COUNT: u64 = 5;
 /// The number of operators.
@@ -37,10 +37,10 @@
     BeginFault(usize),
     /// Ends the fault with this index.
     EndFault(usize),
-    /// Starts a keeper's process unless it runs.
-    StartKeeper(usize),
-    /// Kills a keeper that has not shut down within its grace period.
-    KillKeeper(usize),
+    /// Starts the process of a keeper or a store unless it runs.
+    StartProcess(ProcessId),
+    /// Kills a process that has not shut down within its grace period.
+    KillStopping(ProcessId),
     /// Starts a relay's process.
     StartRelay(usize),
     /// Publishes the present addresses of keepers to all processes.
@@ -55,13 +55,15 @@
     network: Arc<Network>,
     history: History,
     with_logs: bool,
-    /// Keepers by number; those that were replaced are removed.
-    keepers: BTreeMap<usize, Keeper>,
+    /// Keepers and stores; those that were replaced are removed.
+    processes: BTreeMap<ProcessId, TierProcess>,
     relays: BTreeMap<usize, Machine>,
     operators: Machine,
     endpoints: Machine,
     /// The numbers of the present keepers.
-    members: Vec<usize>,
+    keepers: Vec<usize>,
+    /// The numbers of the present stores.
+    stores: Vec<usize>,
     seeds: watch::Sender<Vec<usize>>,
     relay_seeds: watch::Sender<Vec<SocketAddr>>,
     control: watch::Sender<Vec<SocketAddr>>,
@@ -90,37 +92,35 @@
     Time::from_nanos(millis * 1_000_000)
 }
 
-/// The address of a machine; groups: 0 keepers, 1 relays, 2 operators, 3 endpoints.
-fn address(group: u8, number: usize) -> IpAddr {
-    IpAddr::V4(Ipv4Addr::new(10, 0, group, number as u8))
-}
-
 impl Simulation {
     fn new(scenario: Scenario, with_logs: bool) -> Simulation {
         let simulation_time = SimulationTime::default();
         simulation_time.set(time(1));
         let network = Arc::new(Network::new(Rng::for_purpose(scenario.seed, 1)));
-        let host = |group: u8, number: usize| {
-            let purpose = u64::from(group) * 1_000 + number as u64 + 10_000;
+        let host = |address: IpAddr| {
             let (network, simulation_time) = (Arc::clone(&network), simulation_time.clone());
-            SimulatedHost::new(address(group, number), network, simulation_time, scenario.seed, purpose)
+            SimulatedHost::new(address, network, simulation_time, scenario.seed)
         };
-        let members: Vec<usize> = (1..=scenario.keepers).collect();
+        let keepers: Vec<usize> = (1..=scenario.keepers).collect();
+        let stores: Vec<usize> = (1..=scenario.stores).collect();
+        let with_disks = keepers.iter().copied().map(ProcessId::keeper);
+        let with_disks = with_disks.chain(stores.iter().copied().map(ProcessId::store));
+        let relay = |number| (number, Machine::new(host(address(ProcessId::relay(number)))));
         Simulation {
             now: time(1),
             history: History::default(),
             with_logs,
-            keepers: members.iter().map(|number| (*number, Keeper::new(host(0, *number), *number))).collect(),
-            relays: (1..=RELAY_COUNT).map(|number| (number, Machine::new(host(1, number)))).collect(),
-            operators: Machine::new(host(2, 1)),
-            endpoints: Machine::new(host(3, 1)),
-            seeds: watch::channel(members.clone()).0,
-            relay_seeds: watch::channel(Simulation::keeper_addresses(&members)).0,
-            control: watch::channel(
-                members.iter().map(|number| processes::control_address(*number)).collect(),
-            )
-            .0,
-            members,
+            processes: with_disks
+                .map(|process| (process, TierProcess::new(host(address(process)))))
+                .collect(),
+            relays: (1..=RELAY_COUNT).map(relay).collect(),
+            operators: Machine::new(host(operators_address())),
+            endpoints: Machine::new(host(endpoints_address())),
+            seeds: watch::channel(keepers.clone()).0,
+            relay_seeds: watch::channel(keeper_addresses(&keepers)).0,
+            control: watch::channel(control_addresses(&keepers)).0,
+            keepers,
+            stores,
             scheduled_actions: BTreeMap::new(),
             action_count: 0,
             partitions: BTreeMap::new(),
@@ -138,9 +138,10 @@
     }
 
     fn start(&mut self) {
-        for number in self.members.clone() {
+        let processes: Vec<ProcessId> = self.processes.keys().copied().collect();
+        for process in processes {
             let at_ms = 1 + self.rng.below(300);
-            self.schedule(at_ms, Action::StartKeeper(number));
+            self.schedule(at_ms, Action::StartProcess(process));
         }
         for relay in 1..=RELAY_COUNT {
             self.schedule(400 + relay as u64, Action::StartRelay(relay));
@@ -170,9 +171,9 @@
         }
         let until = self.now + MIN_DELAY;
         let mut exited = Vec::new();
-        for (number, keeper) in &mut self.keepers {
-            if keeper.machine.run(until) {
-                exited.push(*number);
+        for (process, running) in &mut self.processes {
+            if running.machine.run(until) {
+                exited.push(*process);
             }
         }
         for relay in self.relays.values_mut() {
@@ -182,26 +183,31 @@
         self.endpoints.run(until);
         self.now = until;
         self.simulation_time.set(until);
-        for number in exited {
-            self.handle_keeper_exit(number);
+        for process in exited {
+            self.handle_exit(process);
         }
     }
 
+    /// The numbers of the present processes of a role that have a disk.
+    fn members(&mut self, role: Role) -> &mut Vec<usize> {
+        if role == Role::Store { &mut self.stores } else { &mut self.keepers }
+    }
+
     fn record_log(&self, text: String) {
         self.history.record(self.now, Event::Log(text));
     }
 
-    fn handle_keeper_exit(&mut self, number: usize) {
-        let Some(keeper) = self.keepers.get_mut(&number) else { return };
+    fn handle_exit(&mut self, process: ProcessId) {
+        let Some(exited) = self.processes.get_mut(&process) else { return };
         let earliest_restart_ms = millis(self.now) + RESTART_DELAY_MS;
-        if keeper.is_stopping {
+        if exited.is_stopping {
             // The shutdown may have taken longer than the fault.
-            let restart_ms = keeper.restart_not_before_ms.max(earliest_restart_ms);
-            self.history.record(self.now, Event::KeeperStopped { keeper: number });
-            self.schedule(restart_ms, Action::StartKeeper(number));
+            let restart_ms = exited.restart_not_before_ms.max(earliest_restart_ms);
+            self.history.record(self.now, Event::ProcessStopped { process });
+            self.schedule(restart_ms, Action::StartProcess(process));
         } else {
-            self.history.record(self.now, Event::KeeperExited { keeper: number });
-            self.schedule(earliest_restart_ms, Action::StartKeeper(number));
+            self.history.record(self.now, Event::ProcessExited { process });
+            self.schedule(earliest_restart_ms, Action::StartProcess(process));
         }
     }
 }
--- a/crates/emulator/src/simulation/faults.rs
+++ b/crates/emulator/src/simulation/faults.rs
@@ -4,12 +4,15 @@
 use std::net::IpAddr;
 use std::sync::Arc;
 
-use super::processes::{Keeper, control_address};
-use super::{Action, RELAY_COUNT, Simulation, address, millis};
+use super::processes::{
+    TierProcess, address, control_addresses, endpoints_address, keeper_addresses, operators_address,
+};
+use super::{Action, Simulation, millis, time};
+use crate::disk::SimulatedDisk;
 use crate::history::Event;
 use crate::host::SimulatedHost;
 use crate::network::directions;
-use crate::scenario::{Direction, Fault, FaultKind, PartitionScope};
+use crate::scenario::{Direction, Fault, FaultKind, PartitionScope, ProcessId, RELAY_COUNT, Role};
 
 /// How long seeds and keeper lists stay stale after a replacement (`seedLagS`), in milliseconds.
 const SEED_LAG_MS: u64 = 3_000;
@@ -23,8 +26,8 @@
         match action {
             Action::BeginFault(index) => self.begin_fault(index),
             Action::EndFault(index) => self.end_fault(index),
-            Action::StartKeeper(number) => self.start_keeper(number),
-            Action::KillKeeper(number) => self.kill_stopping_keeper(number),
+            Action::StartProcess(process) => self.start_process(process),
+            Action::KillStopping(process) => self.kill_stopping(process),
             Action::StartRelay(number) => self.start_relay(number),
             Action::PublishSeeds => self.publish_seeds(),
         }
@@ -32,65 +35,76 @@
 
     fn begin_fault(&mut self, index: usize) {
         let fault = self.scenario.faults[index];
+        let Fault { process, kind, .. } = fault;
         self.record_log(format!("begins: {fault}"));
-        match fault.kind {
-            FaultKind::Partition(scope, direction) => self.partition(index, fault.machine, scope, direction),
-            FaultKind::Freeze => self.freeze(fault.machine),
-            FaultKind::Kill => self.kill(fault.machine),
-            FaultKind::KillCore => self.members.clone().into_iter().for_each(|number| self.kill(number)),
-            FaultKind::LosePower => self.lose_power(fault.machine, false),
-            FaultKind::LoseCorePower => {
-                self.members.clone().into_iter().for_each(|number| self.lose_power(number, false));
-            }
-            FaultKind::Wipe => self.lose_power(fault.machine, true),
-            FaultKind::WipeAndLoseCorePower => self.lose_disks_and_power(fault.machine),
+        match kind {
+            _ if process.role == Role::Relay => self.kill_relay(process),
+            FaultKind::Partition(scope, direction) => self.partition(index, process, scope, direction),
+            FaultKind::Freeze => self.freeze(process),
+            FaultKind::Kill => self.kill(process),
+            FaultKind::KillAll => self.all_of(process.role).for_each(|one| self.kill(one)),
+            FaultKind::LosePower => self.lose_power(process, false),
+            FaultKind::LoseAllPower => self.all_of(process.role).for_each(|one| self.lose_power(one, false)),
+            FaultKind::Wipe => self.lose_power(process, true),
+            FaultKind::WipeAndLoseAllPower => self.lose_disks_and_power(process),
             FaultKind::Stop => self.stop(fault),
-            FaultKind::SlowDisk => self.slow_disk(fault.machine, SLOW_DISK_FACTOR),
-            FaultKind::Replace => self.remove(fault.machine),
-            FaultKind::RestartRelay => {
-                let now = self.now;
-                let relay = 1 + (fault.machine - 1) % RELAY_COUNT;
-                self.relays.entry(relay).and_modify(|machine| machine.kill(now));
-                self.history.record(now, Event::RelayStopped { relay });
+            FaultKind::SlowDisk => {
+                self.change_disk(process, |disk| disk.set_slowdown_factor(SLOW_DISK_FACTOR))
             }
+            FaultKind::StallDisk => self.change_disk(process, |disk| disk.stall_until(time(fault.end_ms()))),
+            FaultKind::FullDisk => self.change_disk(process, |disk| disk.set_full(true)),
+            FaultKind::Replace => self.remove(process),
         }
     }
 
     fn end_fault(&mut self, index: usize) {
         let fault = self.scenario.faults[index];
+        let Fault { process, kind, .. } = fault;
         self.record_log(format!("ends: {fault}"));
-        match fault.kind {
+        match kind {
+            _ if process.role == Role::Relay => self.start_relay(relay_number(process)),
             FaultKind::Partition(..) => self.heal(index),
-            FaultKind::Freeze => self.thaw(fault.machine),
-            FaultKind::Kill | FaultKind::Stop => self.start_keeper(fault.machine),
-            FaultKind::KillCore => {
-                self.members.clone().into_iter().for_each(|number| self.start_keeper(number));
-            }
-            FaultKind::LosePower | FaultKind::Wipe => self.power_on(fault.machine),
-            FaultKind::LoseCorePower | FaultKind::WipeAndLoseCorePower => {
-                self.members.clone().into_iter().for_each(|number| self.power_on(number));
+            FaultKind::Freeze => self.thaw(process),
+            FaultKind::Kill | FaultKind::Stop => self.start_process(process),
+            FaultKind::KillAll => self.all_of(process.role).for_each(|one| self.start_process(one)),
+            FaultKind::LosePower | FaultKind::Wipe => self.power_on(process),
+            FaultKind::LoseAllPower | FaultKind::WipeAndLoseAllPower => {
+                self.all_of(process.role).for_each(|one| self.power_on(one));
             }
-            FaultKind::SlowDisk => self.slow_disk(fault.machine, 1),
-            FaultKind::Replace => self.add_replacement(fault.machine),
-            FaultKind::RestartRelay => self.start_relay(1 + (fault.machine - 1) % RELAY_COUNT),
+            FaultKind::SlowDisk => self.change_disk(process, |disk| disk.set_slowdown_factor(1)),
+            FaultKind::StallDisk => {}
+            FaultKind::FullDisk => self.change_disk(process, |disk| disk.set_full(false)),
+            FaultKind::Replace => self.add_replacement(process),
         }
     }
 
+    /// The present processes of a role that have a disk.
+    fn all_of(&mut self, role: Role) -> impl Iterator<Item = ProcessId> + use<> {
+        self.members(role).clone().into_iter().map(move |number| ProcessId { role, number })
+    }
+
+    fn kill_relay(&mut self, process: ProcessId) {
+        let now = self.now;
+        let number = relay_number(process);
+        self.relays.entry(number).and_modify(|machine| machine.kill(now));
+        self.history.record(now, Event::ProcessStopped { process: ProcessId::relay(number) });
+    }
+
     /// Blocks the directions of a partition, adding to other partitions.
-    fn partition(&mut self, index: usize, number: usize, scope: PartitionScope, direction: Direction) {
-        let keeper = BTreeSet::from([address(0, number)]);
-        let mut others: BTreeSet<IpAddr> = self.keepers.keys().map(|other| address(0, *other)).collect();
+    fn partition(&mut self, index: usize, process: ProcessId, scope: PartitionScope, direction: Direction) {
+        let one = BTreeSet::from([address(process)]);
+        let mut others: BTreeSet<IpAddr> = self.processes.keys().copied().map(address).collect();
         if scope == PartitionScope::All {
-            others.extend((1..=RELAY_COUNT).map(|relay| address(1, relay)));
-            others.extend([address(2, 1), address(3, 1)]);
+            others.extend((1..=RELAY_COUNT).map(|relay| address(ProcessId::relay(relay))));
+            others.extend([operators_address(), endpoints_address()]);
         }
-        others.remove(&address(0, number));
+        others.remove(&address(process));
         let mut blocked = Vec::new();
         if direction != Direction::Outbound {
-            blocked.extend(directions(&others, &keeper));
+            blocked.extend(directions(&others, &one));
         }
         if direction != Direction::Inbound {
-            blocked.extend(directions(&keeper, &others));
+            blocked.extend(directions(&one, &others));
         }
         blocked.iter().for_each(|(from, to)| self.network.block(self.now, *from, *to));
         self.partitions.insert(index, blocked);
@@ -103,103 +117,114 @@
         }
     }
 
-    fn freeze(&mut self, number: usize) {
-        let Some(keeper) = self.keepers.get_mut(&number) else { return };
-        keeper.machine.freeze();
-        self.network.set_frozen(address(0, number), true);
+    fn freeze(&mut self, process: ProcessId) {
+        let Some(running) = self.processes.get_mut(&process) else { return };
+        running.machine.freeze();
+        self.network.set_frozen(address(process), true);
     }
 
-    fn thaw(&mut self, number: usize) {
-        self.network.set_frozen(address(0, number), false);
+    fn thaw(&mut self, process: ProcessId) {
+        self.network.set_frozen(address(process), false);
         let now = self.now;
-        self.keepers.entry(number).and_modify(|keeper| keeper.machine.thaw(now));
+        self.processes.entry(process).and_modify(|running| running.machine.thaw(now));
     }
 
-    fn kill(&mut self, number: usize) {
+    fn kill(&mut self, process: ProcessId) {
         let now = self.now;
-        self.keepers.entry(number).and_modify(|keeper| keeper.machine.kill(now));
+        self.processes.entry(process).and_modify(|running| running.machine.kill(now));
     }
 
-    fn kill_stopping_keeper(&mut self, number: usize) {
+    fn kill_stopping(&mut self, process: ProcessId) {
         let now = self.now;
-        let stopping = self.keepers.get_mut(&number).filter(|keeper| keeper.is_stopping);
-        if let Some(keeper) = stopping {
-            keeper.machine.kill(now);
-            self.history.record(now, Event::KeeperStopped { keeper: number });
-            self.start_keeper(number);
+        let stopping = self.processes.get_mut(&process).filter(|running| running.is_stopping);
+        if let Some(running) = stopping {
+            running.machine.kill(now);
+            self.history.record(now, Event::ProcessStopped { process });
+            self.start_process(process);
         }
     }
 
     fn stop(&mut self, fault: Fault) {
-        let Some(keeper) = self.keepers.get_mut(&fault.machine) else { return };
-        keeper.is_stopping = true;
-        keeper.restart_not_before_ms = fault.end_ms();
-        keeper.machine.stop();
-        self.schedule(fault.start_ms + GRACE_MS, Action::KillKeeper(fault.machine));
+        let Some(running) = self.processes.get_mut(&fault.process) else { return };
+        running.is_stopping = true;
+        running.restart_not_before_ms = fault.end_ms();
+        running.machine.stop();
+        self.schedule(fault.start_ms + GRACE_MS, Action::KillStopping(fault.process));
     }
 
-    fn lose_power(&mut self, number: usize, with_disk: bool) {
+    fn lose_power(&mut self, process: ProcessId, with_disk: bool) {
         let now = self.now;
-        self.network.power_off(address(0, number));
-        let Some(keeper) = self.keepers.get_mut(&number) else { return };
-        keeper.machine.kill(now);
-        keeper.machine.host.disk.lose_power(now);
+        self.network.power_off(address(process));
+        let Some(running) = self.processes.get_mut(&process) else { return };
+        running.machine.kill(now);
+        running.machine.host.disk.lose_power(now);
         if with_disk {
-            keeper.machine.host.disk.wipe();
+            running.machine.host.disk.wipe();
         }
     }
 
-    /// The tolerated number of machines, from `first` on, lose their disks; the others lose power.
-    fn lose_disks_and_power(&mut self, first: usize) {
-        let members = self.members.clone();
+    /// The tolerated number of machines of the role, from `first` on, lose their disks; the others lose power.
+    fn lose_disks_and_power(&mut self, first: ProcessId) {
+        let members = self.members(first.role).clone();
         for position in 0..members.len() {
-            let number = members[(first - 1 + position) % members.len()];
-            self.lose_power(number, position < self.tolerated_failures());
+            let number = members[(first.number - 1 + position) % members.len()];
+            let process = ProcessId { role: first.role, number };
+            self.lose_power(process, position < self.tolerated_failures());
         }
     }
 
-    fn power_on(&mut self, number: usize) {
-        if !self.members.contains(&number) {
+    fn power_on(&mut self, process: ProcessId) {
+        if !self.members(process.role).contains(&process.number) {
             return;
         }
-        self.network.power_on(self.now, address(0, number));
-        self.start_keeper(number);
+        self.network.power_on(self.now, address(process));
+        self.start_process(process);
     }
 
-    fn slow_disk(&mut self, number: usize, factor: u32) {
-        if let Some(keeper) = self.keepers.get(&number) {
-            keeper.machine.host.disk.set_slowdown_factor(factor);
+    fn change_disk(&mut self, process: ProcessId, change: impl FnOnce(&SimulatedDisk)) {
+        if let Some(running) = self.processes.get(&process) {
+            change(&running.machine.host.disk);
         }
     }
 
     /// Removes a machine for good.
-    fn remove(&mut self, number: usize) {
-        if !self.members.contains(&number) {
-            return;
+    fn remove(&mut self, process: ProcessId) {
+        if self.members(process.role).contains(&process.number) {
+            self.lose_power(process, true);
+        }
+    }
+
+    fn add_replacement(&mut self, process: ProcessId) {
+        let ProcessId { role, number } = process;
+        let Some(position) = self.members(role).iter().position(|member| *member == number) else { return };
+        let numbers = self.processes.keys().filter(|known| known.role == role).map(|known| known.number);
+        let new = ProcessId { role, number: 1 + numbers.max().unwrap_or(0) };
+        self.members(role)[position] = new.number;
+        self.add_process(new);
+        self.processes.remove(&process);
+        self.start_process(new);
+        if role == Role::Keeper {
+            let publish_ms = millis(self.now) + SEED_LAG_MS;
+            self.schedule(publish_ms, Action::PublishSeeds);
         }
-        self.lose_power(number, true);
     }
 
-    fn add_replacement(&mut self, number: usize) {
-        let Some(position) = self.members.iter().position(|member| *member == number) else { return };
-        let new = 1 + self.keepers.keys().max().copied().unwrap_or(0);
-        self.members[position] = new;
+    /// Adds a machine with an empty disk.
+    fn add_process(&mut self, process: ProcessId) {
         let (network, simulation_time) = (Arc::clone(&self.network), self.simulation_time.clone());
-        let purpose = 10_000 + new as u64;
-        let host = SimulatedHost::new(address(0, new), network, simulation_time, self.scenario.seed, purpose);
-        self.keepers.insert(new, Keeper::new(host, new));
-        self.keepers.remove(&number);
-        self.start_keeper(new);
-        let publish_ms = millis(self.now) + SEED_LAG_MS;
-        self.schedule(publish_ms, Action::PublishSeeds);
+        let host = SimulatedHost::new(address(process), network, simulation_time, self.scenario.seed);
+        self.processes.insert(process, TierProcess::new(host));
     }
 
     fn publish_seeds(&mut self) {
-        let members = self.members.clone();
-        let tolerated_failures = self.tolerated_failures();
-        self.keepers.values().for_each(|keeper| keeper.reload(&members, tolerated_failures));
-        self.relay_seeds.send_replace(Simulation::keeper_addresses(&members));
-        self.control.send_replace(members.iter().map(|number| control_address(*number)).collect());
-        self.seeds.send_replace(members);
+        self.reload_keepers();
+        self.relay_seeds.send_replace(keeper_addresses(&self.keepers));
+        self.control.send_replace(control_addresses(&self.keepers));
+        self.seeds.send_replace(self.keepers.clone());
     }
 }
+
+/// The number of a relay, wrapped around.
+fn relay_number(process: ProcessId) -> usize {
+    1 + (process.number - 1) % RELAY_COUNT
+}
--- a/crates/emulator/src/simulation/processes.rs
+++ b/crates/emulator/src/simulation/processes.rs
@@ -1,35 +1,35 @@
-//! Starts the processes of keepers and relays.
+//! Starts the processes of keepers, stores and relays.
 
 use std::fmt::Write;
-use std::net::SocketAddr;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::Path;
 use std::sync::Arc;
 
 use juniperwing_node::clock;
-use juniperwing_node::keeper::run_with;
 use juniperwing_node::settings::{Port, Settings};
 use juniperwing_node::sync::watch;
+use juniperwing_node::{keeper, store};
 use slog::{Discard, Logger, o};
 
-use super::{Simulation, address, millis};
+use super::{Simulation, millis};
 use crate::history::Event;
 use crate::host::SimulatedHost;
 use crate::log::history_logger;
 use crate::machine::Machine;
-use crate::relay;
+use crate::relay::{self, RelaySetup};
+use crate::scenario::{ProcessId, Role};
 
 /// The port of a keeper's control listener.
 const CONTROL_PORT: u16 = 8_144;
-/// The first of the ephemeral ports of keepers and relays.
+/// The first of the ephemeral ports of all processes of the tier.
 const FIRST_PORT: u16 = 7_380;
 /// Keepers that start this early bootstrap the tier, in milliseconds.
 const BOOTSTRAP_PERIOD_MS: u64 = 1_000;
 
-/// A keeper and its machine.
-pub(super) struct Keeper {
+/// A process of the tier that has a disk (a keeper or a store), and its machine.
+pub(super) struct TierProcess {
     pub(super) machine: Machine,
-    number: usize,
-    /// Sends changed settings to the running process.
+    /// Sends changed settings to the running process, if it is a keeper.
     settings: Option<watch::Sender<Settings>>,
     /// Whether the process was asked to shut down.
     pub(super) is_stopping: bool,
@@ -37,46 +37,81 @@
     pub(super) restart_not_before_ms: u64,
 }
 
-impl Keeper {
-    pub(super) fn new(host: Arc<SimulatedHost>, number: usize) -> Keeper {
-        Keeper {
+impl TierProcess {
+    pub(super) fn new(host: Arc<SimulatedHost>) -> TierProcess {
+        TierProcess {
             machine: Machine::new(host),
-            number,
             settings: None,
             is_stopping: false,
             restart_not_before_ms: 0,
         }
     }
+}
 
-    /// Reloads the settings of the running process.
-    pub(super) fn reload(&self, seeds: &[usize], tolerated_failures: usize) {
-        if let Some(sender) = &self.settings {
-            sender.send_replace(settings(self.number, seeds, tolerated_failures, false));
-        }
-    }
+/// The address of a process.
+pub(super) fn address(process: ProcessId) -> IpAddr {
+    let group = match process.role {
+        Role::Keeper => 0,
+        Role::Relay => 1,
+        Role::Store => 4,
+    };
+    group_address(group, process.number)
+}
+
+/// The address of the machine with the operators.
+pub(super) fn operators_address() -> IpAddr {
+    group_address(2, 1)
+}
+
+/// The address of the machine with the endpoints.
+pub(super) fn endpoints_address() -> IpAddr {
+    group_address(3, 1)
+}
+
+fn group_address(group: u8, number: usize) -> IpAddr {
+    IpAddr::V4(Ipv4Addr::new(10, 0, group, number as u8))
 }
 
 /// The address at which a keeper receives orders and heartbeats.
 pub(super) fn control_address(number: usize) -> SocketAddr {
-    SocketAddr::new(address(0, number), CONTROL_PORT)
+    SocketAddr::new(address(ProcessId::keeper(number)), CONTROL_PORT)
+}
+
+/// The addresses at which keepers receive orders and heartbeats.
+pub(super) fn control_addresses(keepers: &[usize]) -> Vec<SocketAddr> {
+    keepers.iter().map(|number| control_address(*number)).collect()
 }
 
-fn settings(number: usize, seeds: &[usize], tolerated_failures: usize, bootstrap: bool) -> Settings {
+/// The addresses at which keepers listen for relays.
+pub(super) fn keeper_addresses(keepers: &[usize]) -> Vec<SocketAddr> {
+    let port = FIRST_PORT + Port::Keeper as u16;
+    keepers.iter().take(3).map(|number| SocketAddr::new(address(ProcessId::keeper(*number)), port)).collect()
+}
+
+fn settings(process: ProcessId, seeds: &[usize], tolerated_failures: usize, bootstrap: bool) -> Settings {
     let mut listed = String::new();
     for seed in seeds.iter().take(3) {
         // Writing to a string does not fail.
         let _ = write!(listed, "\"{}\",", control_address(*seed));
     }
-    let machine = address(0, number);
-    let text = format!(
-        "nodeName = \"core-{number}\"\nipAddress = \"{machine}\"\nzone = \"a\"\n\
+    let machine = address(process);
+    let mut text = format!(
+        "nodeName = \"{process}\"\nipAddress = \"{machine}\"\nzone = \"a\"\n\
          ephemeralPorts = [{FIRST_PORT},{last}]\nseedNodes = [{listed}]\nbootstrap = {bootstrap}\n\
-         dataDirectory = \"/data\"\nheartbeatMs = 1200\n\
-         [listenersMap]\ncontrolPlane = \"{control}\"\n[faultTolerance]\nmachines = {tolerated_failures}\n",
+         dataDirectory = \"/data\"\nheartbeatMs = 1200\n",
         last = FIRST_PORT + 15,
-        control = control_address(number),
     );
-    Settings::parse(Path::new("simulated.toml"), &text).expect("settings of a simulated keeper are valid")
+    if process.role == Role::Keeper {
+        // Writing to a string does not fail.
+        let _ = write!(
+            text,
+            "[listenersMap]\ncontrolPlane = \"{control}\"\n",
+            control = control_address(process.number)
+        );
+    }
+    // Writing to a string does not fail.
+    let _ = write!(text, "[faultTolerance]\nmachines = {tolerated_failures}\n");
+    Settings::parse(Path::new("simulated.toml"), &text).expect("settings of a simulated process are valid")
 }
 
 impl Simulation {
@@ -85,46 +120,71 @@
         (self.scenario.keepers - 1) / 2
     }
 
-    pub(super) fn start_keeper(&mut self, number: usize) {
-        let bootstrap = millis(self.now) < BOOTSTRAP_PERIOD_MS;
+    /// Starts the process of a keeper or a store, unless it runs.
+    pub(super) fn start_process(&mut self, process: ProcessId) {
+        let bootstrap = process.role == Role::Keeper && millis(self.now) < BOOTSTRAP_PERIOD_MS;
         let seeds = self.seeds.borrow().clone();
-        let settings = settings(number, &seeds, self.tolerated_failures(), bootstrap);
-        let log = self.logger(&format!("core-{number}"));
+        let settings = settings(process, &seeds, self.tolerated_failures(), bootstrap);
+        let log = self.logger(process);
         let history = self.history.clone();
-        let Some(keeper) = self.keepers.get_mut(&number) else { return };
-        if keeper.machine.is_running() {
+        let now = self.now;
+        let Some(running) = self.processes.get_mut(&process) else { return };
+        if running.machine.is_running() {
             return;
         }
-        let (sender, changes) = watch::channel(settings.clone());
-        keeper.settings = Some(sender);
-        keeper.is_stopping = false;
-        let now = self.now;
-        self.history.record(now, Event::KeeperStarted { keeper: number });
-        keeper.machine.start(now, |stopped| async move {
-            let stop = async { drop(stopped.await) };
-            if let Err(error) = run_with(settings, changes, log, stop).await {
-                let event = Event::Log(format!("core-{number} failed: {error}"));
-                history.record(clock::now(), event);
-            }
-        });
+        self.history.record(now, Event::ProcessStarted { process });
+        running.is_stopping = false;
+        if process.role == Role::Keeper {
+            let (sender, changes) = watch::channel(settings.clone());
+            running.settings = Some(sender);
+            running.machine.start(now, |stopped| async move {
+                let stop = async { drop(stopped.await) };
+                if let Err(error) = keeper::run_with(settings, changes, log, stop).await {
+                    history.record(clock::now(), Event::Log(format!("{process} failed: {error}")));
+                }
+            });
+        } else {
+            running.machine.start(now, |stopped| async move {
+                let stop = async { drop(stopped.await) };
+                if let Err(error) = store::run_until(&settings, log, stop).await {
+                    history.record(clock::now(), Event::Log(format!("{process} failed: {error}")));
+                }
+            });
+        }
     }
 
+    /// Starts a relay's process, unless it runs.
     pub(super) fn start_relay(&mut self, number: usize) {
-        let address = SocketAddr::new(address(1, number), FIRST_PORT + Port::Relay as u16);
-        let (history, seeds) = (self.history.clone(), self.relay_seeds.subscribe());
+        let address = SocketAddr::new(address(ProcessId::relay(number)), FIRST_PORT + Port::Relay as u16);
+        let setup = RelaySetup {
+            number,
+            address,
+            seeds: self.relay_seeds.subscribe(),
+            subscriptions: self.tolerated_failures() + 1,
+            history: self.history.clone(),
+        };
         let now = self.now;
         if let Some(machine) = self.relays.get_mut(&number).filter(|machine| !machine.is_running()) {
-            machine.start(now, |_| relay::run(number, address, seeds, history));
+            machine.start(now, |_| relay::run(setup));
         }
     }
 
-    /// The addresses at which keepers listen for relays.
-    pub(super) fn keeper_addresses(members: &[usize]) -> Vec<SocketAddr> {
-        let port = FIRST_PORT + Port::Keeper as u16;
-        members.iter().take(3).map(|number| SocketAddr::new(address(0, *number), port)).collect()
+    /// Sends the present keepers to the running ones.
+    pub(super) fn reload_keepers(&self) {
+        let tolerated_failures = self.tolerated_failures();
+        let keepers = self.processes.iter().filter(|(process, _)| process.role == Role::Keeper);
+        for (process, running) in keepers {
+            if let Some(sender) = &running.settings {
+                sender.send_replace(settings(*process, &self.keepers, tolerated_failures, false));
+            }
+        }
     }
 
-    fn logger(&self, name: &str) -> Logger {
-        if self.with_logs { history_logger(&self.history, name) } else { Logger::root(Discard, o!()) }
+    fn logger(&self, process: ProcessId) -> Logger {
+        if self.with_logs {
+            history_logger(&self.history, &process.to_string())
+        } else {
+            Logger::root(Discard, o!())
+        }
     }
 }
--- a/crates/emulator/src/stability.rs
+++ b/crates/emulator/src/stability.rs
@@ -6,7 +6,7 @@
 use juniperwing_clock::Time;
 
 use crate::history::{Event, RecordedEvent};
-use crate::scenario::{Fault, FaultKind, Scenario};
+use crate::scenario::{Fault, FaultKind, ProcessId, Role, Scenario};
 
 /// How long the core must have been without a change to be stable (`contactMs`), in milliseconds.
 const CONTACT_MS: u64 = 3_000;
@@ -47,7 +47,7 @@
 
 /// A period in which a process that was asked to shut down was not running.
 struct Downtime {
-    machine: usize,
+    process: ProcessId,
     from_ms: u64,
     until_ms: u64,
 }
@@ -57,11 +57,13 @@
     let mut downtimes = Vec::new();
     for RecordedEvent { at, event } in history {
         match event {
-            Event::KeeperStopped { keeper } => drop(stopped.insert(*keeper, millis(*at))),
-            Event::KeeperStarted { keeper } => {
-                let from = stopped.remove(keeper);
+            Event::ProcessStopped { process } if process.role == Role::Keeper => {
+                stopped.insert(*process, millis(*at));
+            }
+            Event::ProcessStarted { process } => {
+                let from = stopped.remove(process);
                 downtimes.extend(from.map(|from_ms| Downtime {
-                    machine: *keeper,
+                    process: *process,
                     from_ms,
                     until_ms: millis(*at),
                 }));
@@ -70,8 +72,8 @@
         }
     }
     let not_restarted = stopped.into_iter();
-    downtimes.extend(not_restarted.map(|(machine, from_ms)| Downtime {
-        machine,
+    downtimes.extend(not_restarted.map(|(process, from_ms)| Downtime {
+        process,
         from_ms,
         until_ms: u64::MAX,
     }));
@@ -81,14 +83,12 @@
 /// Whether the core is stable at a moment.
 fn is_stable(scenario: &Scenario, downtimes: &[Downtime], now_ms: u64) -> bool {
     let core_faults: Vec<&Fault> =
-        scenario.faults.iter().filter(|fault| fault.kind != FaultKind::RestartRelay).collect();
+        scenario.faults.iter().filter(|fault| fault.process.role == Role::Keeper).collect();
     let is_recent = |moment: u64, span: u64| moment <= now_ms && now_ms < moment.saturating_add(span);
     let is_disturbed = |fault: &&Fault| {
         // Twice the period after a fault that hit most of the core.
         let span = match fault.kind {
-            FaultKind::KillCore | FaultKind::LoseCorePower | FaultKind::WipeAndLoseCorePower => {
-                2 * CONTACT_MS
-            }
+            FaultKind::KillAll | FaultKind::LoseAllPower | FaultKind::WipeAndLoseAllPower => 2 * CONTACT_MS,
             _ => CONTACT_MS,
         };
         is_recent(fault.start_ms, span) || is_recent(fault.end_ms(), span)
@@ -100,17 +100,17 @@
         return false;
     }
     let is_down = |downtime: &&Downtime| downtime.from_ms <= now_ms && now_ms < downtime.until_ms;
-    let mut unavailable: Vec<usize> =
-        downtimes.iter().filter(is_down).map(|downtime| downtime.machine).collect();
+    let mut unavailable: Vec<ProcessId> =
+        downtimes.iter().filter(is_down).map(|downtime| downtime.process).collect();
     for fault in core_faults.iter().filter(is_active) {
         match fault.kind {
-            FaultKind::KillCore
-            | FaultKind::LoseCorePower
-            | FaultKind::WipeAndLoseCorePower
+            FaultKind::KillAll
+            | FaultKind::LoseAllPower
+            | FaultKind::WipeAndLoseAllPower
             | FaultKind::SlowDisk => {
                 return false;
             }
-            _ => unavailable.push(fault.machine),
+            _ => unavailable.push(fault.process),
         }
     }
     unavailable.sort_unstable();
--- a/crates/emulator/tests/scenarios.rs
+++ b/crates/emulator/tests/scenarios.rs
@@ -1,7 +1,7 @@
 //! Scenarios of fixed seeds violate no property.
 
 use juniperwing_emulator::checker::Violation;
-use juniperwing_emulator::scenario::{Fault, FaultKind, Scenario};
+use juniperwing_emulator::scenario::{Fault, FaultKind, ProcessId, Scenario};
 use juniperwing_emulator::shrink::run_and_check;
 use juniperwing_emulator::simulation::run;
 use juniperwing_emulator::targeting::scenario_for_seed;
@@ -70,8 +70,9 @@
         for first in 1..=keepers {
             // At various moments of the orders in progress.
             let start_ms = 9_000 + 137 * seed + 61 * first as u64;
-            let kind = FaultKind::WipeAndLoseCorePower;
-            let fault = Fault { start_ms, duration_ms: 900 + 100 * seed, machine: first, kind };
+            let kind = FaultKind::WipeAndLoseAllPower;
+            let fault =
+                Fault { start_ms, duration_ms: 900 + 100 * seed, process: ProcessId::keeper(first), kind };
             let scenario = Scenario::new(9_000 + seed, keepers, vec![fault]);
             assert_eq!(run_and_check(&scenario), [], "{scenario}");
         }
