Emulator: stores, and programs whose turns run at relays

Cause: no simulation ran the real stores with keepers and relays. Change: scenarios of the whole tier (--stores) with the real store process, its files on the simulated disk, the relays' real client of the stores, faults of stores, full and stalled disks, and a checker that knows what clients saw of turns, chains and budgets.

--- a/crates/emulator/src/arguments.rs
+++ b/crates/emulator/src/arguments.rs
@@ -3,6 +3,7 @@
 use std::num::ParseIntError;
 
 use getopts::Options;
+use juniperwing_emulator::targeting::Suite;
 use snafu::{ResultExt, Snafu};
 
 /// The parsed command line.
@@ -18,6 +19,8 @@
     pub log: bool,
     /// Print violations without shrinking their scenarios.
     pub brief: bool,
+    /// What the scenarios simulate.
+    pub suite: Suite,
     /// Print a digest of the whole history of each scenario, with all logs, instead of violations.
     pub digest: bool,
 }
@@ -73,6 +76,7 @@
             threads: number("jobs", 4)?.max(1) as usize,
             log: matches.opt_present("log"),
             brief: matches.opt_present("brief"),
+            suite: if matches.opt_present("stores") { Suite::Tier } else { Suite::Keepers },
             digest: matches.opt_present("digest"),
         })
     }
@@ -85,6 +89,7 @@
     options.optopt("", "seed", "the seed of the first day [default: 1]", "SEED");
     options.optflag("", "log", "play the first day only and print all that was seen");
     options.optflag("", "brief", "count findings only; don't look for the least troubles");
+    options.optflag("", "stores", "play stores and programs, too");
     options.optflag("", "digest", "print a digest of all that was seen on each day, with all logs");
     options.optflag("h", "help", "print this");
     options
--- a/crates/emulator/src/checker.rs
+++ b/crates/emulator/src/checker.rs
@@ -1,13 +1,15 @@
 //! Checks the history of a scenario for violated properties, from what clients observed alone.
 //!
 //! [`orders`] checks the responses to operators, [`relays`] the configurations that relays applied, [`endpoints`] the
-//! acknowledgements of heartbeats and drains, and [`liveness`] whether orders are acknowledged at all.
+//! acknowledgements of heartbeats and drains, [`liveness`] whether orders are acknowledged at all, and [`turns`] what the
+//! clients of programs saw.
 
 mod endpoints;
 mod liveness;
 mod observations;
 mod orders;
 mod relays;
+mod turns;
 
 use std::fmt;
 
@@ -48,6 +50,20 @@
     UnknownThoughAcknowledged,
     /// A valid order had no conclusive response in time while the core was stable.
     OrderWithoutAnswer,
+    /// A turn that was answered completely and stored was denied with 404.
+    StoredTurnDenied,
+    /// An endpoint got a chain that is not the one that was answered.
+    WrongChain,
+    /// A turn that continues one that was never answered was sent to an endpoint.
+    UnknownTurnContinued,
+    /// Clients received more tokens of a program than its budget allows.
+    BudgetExceeded,
+    /// A turn that has run, or that runs later, was denied with 402.
+    DeniedTurnRan,
+    /// A turn was denied with 402 although the budget had room for it.
+    DeniedWithinBudget,
+    /// A turn was answered with 503 while the tier was stable.
+    TurnNotServed,
     /// A process exited although nothing had asked it to.
     ProcessExited,
 }
@@ -88,6 +104,7 @@
     relays::check(&observations, &mut violations);
     endpoints::check(&observations, &mut violations);
     liveness::check(&observations, &mut violations);
+    turns::check(&observations, &mut violations);
     for RecordedEvent { at, event } in history {
         if let Event::ProcessExited { process } = event {
             violations.add(Property::ProcessExited, *at, process.to_string());
--- a/crates/emulator/src/checker/observations.rs
+++ b/crates/emulator/src/checker/observations.rs
@@ -7,7 +7,7 @@
 
 use crate::history::{Event, OrderId, RecordedEvent};
 use crate::scenario::{ProcessId, RELAY_COUNT, Scenario};
-use crate::stability::{Stability, millis};
+use crate::stability::{Scope, Stability, millis};
 
 /// A response to a submission of an order.
 pub(super) struct OrderReply {
@@ -101,7 +101,7 @@
         let mut observations = Observations {
             scenario,
             history,
-            stability: Stability::compute(scenario, history),
+            stability: Stability::compute(scenario, history, Scope::Core),
             orders: BTreeMap::new(),
             relay_incarnations: (1..=RELAY_COUNT)
                 .flat_map(|relay| relay_incarnations(relay, history, end))
--- a/crates/emulator/src/history.rs
+++ b/crates/emulator/src/history.rs
@@ -7,6 +7,7 @@
 use juniperwing_protocol::registry::InstanceState;
 use sha2::{Digest, Sha256};
 
+use crate::programs::{TurnContent, TurnId, TurnRequest};
 use crate::scenario::ProcessId;
 
 /// Identifies an order; its body contains it.
@@ -90,6 +91,48 @@
         /// The identifier of the endpoint's incarnation.
         id: String,
     },
+    /// A client sent a turn to a relay.
+    TurnRequested {
+        /// The turn, and all that the request says.
+        request: TurnRequest,
+        /// The relay's number, from 1.
+        relay: usize,
+    },
+    /// A turn was sent to an endpoint, after the stores had begun it.
+    TurnBegun {
+        /// The turn.
+        turn: TurnId,
+        /// The earlier turns that the endpoint got, oldest first; `None` if one of them was never asked for.
+        chain: Option<Vec<TurnContent>>,
+    },
+    /// A client received tokens of a turn.
+    TokensSent {
+        /// The turn.
+        turn: TurnId,
+        /// The number of tokens.
+        tokens: u64,
+    },
+    /// The response to a turn was complete.
+    TurnAnswered {
+        /// The turn.
+        turn: TurnId,
+        /// The attempt whose content is stored; `None` if its route stores no turns.
+        stored_attempt: Option<u64>,
+    },
+    /// The response to a turn broke off.
+    TurnBrokenOff {
+        /// The turn.
+        turn: TurnId,
+    },
+    /// A turn was answered with 402, 404 or 503.
+    TurnRefused {
+        /// The turn.
+        turn: TurnId,
+        /// The HTTP status.
+        status: u16,
+        /// When the request was sent.
+        requested_at: Time,
+    },
     /// A process has started; a relay has no state then.
     ProcessStarted {
         /// The process.
--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -2,7 +2,8 @@
 //!
 //! A [`Scenario`](scenario::Scenario) is generated from a seed: which machines are partitioned, frozen, killed, wiped
 //! or replaced, and when. [`run`](simulation::run) runs the real keepers (`juniperwing_node::keeper`) on simulated
-//! machines through the scenario, with operators, endpoints and relays as clients, and records a
+//! machines through the scenario, with operators, endpoints and relays as clients, with stores
+//! (`juniperwing_node::store`) and programs where the scenario has any, and records a
 //! [`History`](history::History) of what the clients observed. The [`checker`] searches this history alone for
 //! violated properties. [`shrink`] removes faults that a violation does not need.
 
@@ -17,6 +18,7 @@
 pub mod machine;
 pub mod network;
 pub mod operators;
+pub mod programs;
 pub mod relay;
 pub mod scenario;
 pub mod shrink;
--- a/crates/emulator/src/main.rs
+++ b/crates/emulator/src/main.rs
@@ -32,15 +32,15 @@
             eprint!("{error}");
             ExitCode::from(2)
         }
-        Ok(arguments) if arguments.log => run_and_print(arguments.first_seed),
+        Ok(arguments) if arguments.log => run_and_print(&arguments),
         Ok(arguments) if arguments.digest => print_digests(&arguments),
         Ok(arguments) => run_many(&arguments),
     }
 }
 
 /// Runs one scenario and prints its history and its violations.
-fn run_and_print(seed: u64) -> ExitCode {
-    let scenario = scenario_for_seed(seed);
+fn run_and_print(arguments: &Arguments) -> ExitCode {
+    let scenario = scenario_for_seed(arguments.suite, arguments.first_seed);
     print!("{scenario}");
     let history = run(&scenario, true);
     for RecordedEvent { at, event } in &history {
@@ -63,18 +63,18 @@
         arguments.scenarios as f64 / seconds * 60.0,
         violations.len()
     );
-    report(&violations, arguments.brief);
+    report(&violations, arguments);
     if violations.is_empty() { ExitCode::SUCCESS } else { ExitCode::FAILURE }
 }
 
 fn violations_by_seed(arguments: &Arguments) -> ViolationsBySeed {
-    let found = by_seed(arguments, |seed| run_and_check(&scenario_for_seed(seed)));
+    let found = by_seed(arguments, |seed| run_and_check(&scenario_for_seed(arguments.suite, seed)));
     found.into_iter().filter(|(_, violations)| !violations.is_empty()).collect()
 }
 
 /// Prints the digest of the history of each scenario, in order of seeds.
 fn print_digests(arguments: &Arguments) -> ExitCode {
-    let digests = by_seed(arguments, |seed| digest(&run(&scenario_for_seed(seed), true)));
+    let digests = by_seed(arguments, |seed| digest(&run(&scenario_for_seed(arguments.suite, seed), true)));
     digests.iter().for_each(|(seed, digest)| println!("{seed} {digest}"));
     ExitCode::SUCCESS
 }
@@ -102,7 +102,7 @@
 }
 
 /// Prints the seeds that violate each property, and the first ones of these with shrunk scenarios.
-fn report(found: &ViolationsBySeed, brief: bool) {
+fn report(found: &ViolationsBySeed, arguments: &Arguments) {
     let mut by_property: BTreeMap<Property, Vec<(u64, &Violation)>> = BTreeMap::new();
     for (seed, violations) in found {
         for violation in violations {
@@ -116,9 +116,9 @@
         let numbers: Vec<String> =
             seeds.iter().take(MAX_PRINTED_SEEDS).map(|(seed, _)| seed.to_string()).collect();
         println!("\n{property:?}: {} days, seeds {}", seeds.len(), numbers.join(", "));
-        for (seed, violation) in seeds.iter().take(if brief { 0 } else { MAX_SHRUNK_VIOLATIONS }) {
+        for (seed, violation) in seeds.iter().take(if arguments.brief { 0 } else { MAX_SHRUNK_VIOLATIONS }) {
             println!("  {violation}");
-            print!("  {}", shrink(&scenario_for_seed(*seed), property));
+            print!("  {}", shrink(&scenario_for_seed(arguments.suite, *seed), property));
         }
     }
 }
--- a/crates/emulator/src/relay.rs
+++ b/crates/emulator/src/relay.rs
@@ -5,15 +5,18 @@
 use std::sync::{Arc, Mutex};
 
 use juniperwing_node::clock;
+use juniperwing_node::link::{Link, LinkPool, ReplySender, Service};
+use juniperwing_node::sessions_client::SessionsClient;
 use juniperwing_node::subscriber::{Subscriber, UpdateSink};
 use juniperwing_node::sync::{lock, watch};
-use juniperwing_protocol::NodeName;
 use juniperwing_protocol::registry::Instance;
 use juniperwing_protocol::replication::Version;
-use juniperwing_protocol::subscription::{AppliedVersions, Subscribe, SubscriberKind, Update};
+use juniperwing_protocol::subscription::{AppliedVersions, StoreMap, Subscribe, SubscriberKind, Update};
+use juniperwing_protocol::{Message, NodeName};
 
 use crate::history::{Event, History};
 use crate::operators::order_in_body;
+use crate::programs::{ProgramPool, run_workers};
 use crate::scenario::ProcessId;
 
 /// The state that a relay has applied.
@@ -29,6 +32,15 @@
     relay: usize,
     history: History,
     applied: Mutex<AppliedState>,
+    /// Passes the newest store map to the client of the stores.
+    store_maps: watch::Sender<Arc<StoreMap>>,
+}
+
+/// Handles no messages: stores reply to calls only.
+struct NoService;
+
+impl Service for NoService {
+    fn handle_message(&self, _: &Link, _: Message, _: ReplySender) {}
 }
 
 /// What a relay starts with.
@@ -43,13 +55,16 @@
     pub subscriptions: usize,
     /// Where it records what it applies.
     pub history: History,
+    /// The programs whose turns it runs; `None` if there are no stores.
+    pub programs: Option<ProgramPool>,
 }
 
 /// Runs the relay until its machine is killed.
 pub async fn run(setup: RelaySetup) {
-    let RelaySetup { number: relay, address, mut seeds, subscriptions, history } = setup;
+    let RelaySetup { number: relay, address, mut seeds, subscriptions, history, programs } = setup;
     history.record(clock::now(), Event::ProcessStarted { process: ProcessId::relay(relay) });
-    let recorder = Recorder { relay, history, applied: Mutex::default() };
+    let (store_maps, known_stores) = watch::channel(Arc::default());
+    let recorder = Recorder { relay, history, applied: Mutex::default(), store_maps };
     let subscribe = Subscribe {
         node: NodeName::from(format!("edge-{relay}").as_str()),
         zone: "a".into(),
@@ -59,6 +74,11 @@
     };
     let first = seeds.borrow_and_update().clone();
     let subscriber = Subscriber::start(subscribe, first, subscriptions, Arc::new(recorder));
+    if let Some(pool) = programs {
+        let client = SessionsClient::new(Arc::new(LinkPool::new(Arc::new(NoService))), known_stores);
+        let started_at = clock::now();
+        tokio::spawn(async move { run_workers(&pool, &client, relay, started_at).await });
+    }
     while seeds.changed().await.is_ok() {
         let changed = seeds.borrow_and_update().clone();
         subscriber.set_seeds(changed);
@@ -98,8 +118,11 @@
                     self.apply_instance(&mut applied, instance);
                 }
             }
-            Update::Stores(map) => applied.stores = applied.stores.max(map.version),
-            Update::Configuration { .. } | Update::Keepers(_) => {}
+            Update::Stores(map) if map.version > applied.stores => {
+                applied.stores = map.version;
+                self.store_maps.send_replace(map);
+            }
+            Update::Configuration { .. } | Update::Stores(_) | Update::Keepers(_) => {}
         }
     }
 
--- a/crates/emulator/src/scenario.rs
+++ b/crates/emulator/src/scenario.rs
@@ -1,5 +1,7 @@
 //! Scenarios: the faults of a simulation, generated from a seed within the fault model of the operators' pages.
 
+mod tier;
+
 use std::fmt;
 
 use juniperwing_random::Rng;
@@ -195,6 +197,11 @@
         Scenario::new(seed, keepers, faults)
     }
 
+    /// The number of machines that may be lost at once.
+    pub fn tolerated_failures(&self) -> usize {
+        (self.keepers - 1) / 2
+    }
+
     /// Creates a scenario that ends some time after the last of these faults.
     pub fn new(seed: u64, keepers: usize, faults: Vec<Fault>) -> Scenario {
         let last_end_ms = faults.iter().map(Fault::end_ms).max().unwrap_or(FIRST_FAULT_MS);
--- a/crates/emulator/src/simulation.rs
+++ b/crates/emulator/src/simulation.rs
@@ -19,6 +19,7 @@
 use crate::host::SimulatedHost;
 use crate::machine::Machine;
 use crate::network::{MIN_DELAY, Network};
+use crate::programs::ProgramPool;
 use crate::scenario::{ProcessId, READ_ONLY_TAIL_MS, RELAY_COUNT, Role, Scenario};
 use crate::stability::millis;
 use crate::{endpoints, operators};
@@ -60,6 +61,7 @@
     relays: BTreeMap<usize, Machine>,
     operators: Machine,
     endpoints: Machine,
+    programs: ProgramPool,
     /// The numbers of the present keepers.
     keepers: Vec<usize>,
     /// The numbers of the present stores.
@@ -101,6 +103,7 @@
             let (network, simulation_time) = (Arc::clone(&network), simulation_time.clone());
             SimulatedHost::new(address, network, simulation_time, scenario.seed)
         };
+        let history = History::default();
         let keepers: Vec<usize> = (1..=scenario.keepers).collect();
         let stores: Vec<usize> = (1..=scenario.stores).collect();
         let with_disks = keepers.iter().copied().map(ProcessId::keeper);
@@ -108,7 +111,8 @@
         let relay = |number| (number, Machine::new(host(address(ProcessId::relay(number)))));
         Simulation {
             now: time(1),
-            history: History::default(),
+            programs: ProgramPool::new(history.clone(), scenario.seed),
+            history,
             with_logs,
             processes: with_disks
                 .map(|process| (process, TierProcess::new(host(address(process)))))
--- a/crates/emulator/src/simulation/faults.rs
+++ b/crates/emulator/src/simulation/faults.rs
@@ -169,7 +169,7 @@
         for position in 0..members.len() {
             let number = members[(first.number - 1 + position) % members.len()];
             let process = ProcessId { role: first.role, number };
-            self.lose_power(process, position < self.tolerated_failures());
+            self.lose_power(process, position < self.scenario.tolerated_failures());
         }
     }
 
--- a/crates/emulator/src/simulation/processes.rs
+++ b/crates/emulator/src/simulation/processes.rs
@@ -115,16 +115,11 @@
 }
 
 impl Simulation {
-    /// The number of machines that may fail at once.
-    pub(super) fn tolerated_failures(&self) -> usize {
-        (self.scenario.keepers - 1) / 2
-    }
-
     /// Starts the process of a keeper or a store, unless it runs.
     pub(super) fn start_process(&mut self, process: ProcessId) {
         let bootstrap = process.role == Role::Keeper && millis(self.now) < BOOTSTRAP_PERIOD_MS;
         let seeds = self.seeds.borrow().clone();
-        let settings = settings(process, &seeds, self.tolerated_failures(), bootstrap);
+        let settings = settings(process, &seeds, self.scenario.tolerated_failures(), bootstrap);
         let log = self.logger(process);
         let history = self.history.clone();
         let now = self.now;
@@ -160,8 +155,9 @@
             number,
             address,
             seeds: self.relay_seeds.subscribe(),
-            subscriptions: self.tolerated_failures() + 1,
+            subscriptions: self.scenario.tolerated_failures() + 1,
             history: self.history.clone(),
+            programs: (self.scenario.stores > 0).then(|| self.programs.clone()),
         };
         let now = self.now;
         if let Some(machine) = self.relays.get_mut(&number).filter(|machine| !machine.is_running()) {
@@ -171,7 +167,7 @@
 
     /// Sends the present keepers to the running ones.
     pub(super) fn reload_keepers(&self) {
-        let tolerated_failures = self.tolerated_failures();
+        let tolerated_failures = self.scenario.tolerated_failures();
         let keepers = self.processes.iter().filter(|(process, _)| process.role == Role::Keeper);
         for (process, running) in keepers {
             if let Some(sender) = &running.settings {
--- a/crates/emulator/src/stability.rs
+++ b/crates/emulator/src/stability.rs
@@ -1,19 +1,45 @@
-//! The periods in which the core is stable, as the operators' pages define it. They are computed from the scenario, and
-//! from the exits of processes that were asked to shut down, since these choose how long they take.
+//! The periods in which the core, or the whole tier, is stable, as the operators' pages define it. They are computed from
+//! the scenario, and from the exits of processes that were asked to shut down, since these choose how long they take.
 
 use std::collections::BTreeMap;
 
 use juniperwing_clock::Time;
 
 use crate::history::{Event, RecordedEvent};
-use crate::scenario::{Fault, FaultKind, ProcessId, Role, Scenario};
+use crate::scenario::{CATCH_UP_MS, Fault, FaultKind, ProcessId, Role, Scenario};
 
 /// How long the core must have been without a change to be stable (`contactMs`), in milliseconds.
 const CONTACT_MS: u64 = 3_000;
 /// The interval at which stability is sampled, in milliseconds.
 const SAMPLE_INTERVAL_MS: u64 = 50;
 
-/// The periods in which the core is stable.
+/// What must be stable.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Scope {
+    /// The keepers: more than half of them are available.
+    Core,
+    /// Keepers and stores: no more of them are lost than may be.
+    Tier,
+}
+
+impl Scope {
+    fn contains(self, role: Role) -> bool {
+        match self {
+            Scope::Core => role == Role::Keeper,
+            Scope::Tier => role != Role::Relay,
+        }
+    }
+
+    /// How long nothing must have changed, in milliseconds.
+    fn settling_ms(self) -> u64 {
+        match self {
+            Scope::Core => CONTACT_MS,
+            Scope::Tier => CATCH_UP_MS,
+        }
+    }
+}
+
+/// The periods in which something is stable.
 #[derive(Clone, Debug)]
 pub struct Stability {
     /// One sample per [`SAMPLE_INTERVAL_MS`].
@@ -22,12 +48,12 @@
 
 impl Stability {
     /// Computes the stability of a scenario that was run.
-    pub fn compute(scenario: &Scenario, history: &[RecordedEvent]) -> Stability {
+    pub fn compute(scenario: &Scenario, history: &[RecordedEvent], scope: Scope) -> Stability {
         let sample_count = scenario.duration_ms / SAMPLE_INTERVAL_MS + 1;
-        let downtimes = downtimes(history);
+        let downtimes = downtimes(history, scope);
         Stability {
             samples: (0..sample_count)
-                .map(|sample| is_stable(scenario, &downtimes, sample * SAMPLE_INTERVAL_MS))
+                .map(|sample| is_stable(scenario, scope, &downtimes, sample * SAMPLE_INTERVAL_MS))
                 .collect(),
         }
     }
@@ -52,12 +78,12 @@
     until_ms: u64,
 }
 
-fn downtimes(history: &[RecordedEvent]) -> Vec<Downtime> {
+fn downtimes(history: &[RecordedEvent], scope: Scope) -> Vec<Downtime> {
     let mut stopped = BTreeMap::new();
     let mut downtimes = Vec::new();
     for RecordedEvent { at, event } in history {
         match event {
-            Event::ProcessStopped { process } if process.role == Role::Keeper => {
+            Event::ProcessStopped { process } if scope.contains(process.role) => {
                 stopped.insert(*process, millis(*at));
             }
             Event::ProcessStarted { process } => {
@@ -80,23 +106,24 @@
     downtimes
 }
 
-/// Whether the core is stable at a moment.
-fn is_stable(scenario: &Scenario, downtimes: &[Downtime], now_ms: u64) -> bool {
+/// Whether what the scope names is stable at a moment.
+fn is_stable(scenario: &Scenario, scope: Scope, downtimes: &[Downtime], now_ms: u64) -> bool {
+    let settling_ms = scope.settling_ms();
     let core_faults: Vec<&Fault> =
-        scenario.faults.iter().filter(|fault| fault.process.role == Role::Keeper).collect();
+        scenario.faults.iter().filter(|fault| scope.contains(fault.process.role)).collect();
     let is_recent = |moment: u64, span: u64| moment <= now_ms && now_ms < moment.saturating_add(span);
     let is_disturbed = |fault: &&Fault| {
         // Twice the period after a fault that hit most of the core.
         let span = match fault.kind {
-            FaultKind::KillAll | FaultKind::LoseAllPower | FaultKind::WipeAndLoseAllPower => 2 * CONTACT_MS,
-            _ => CONTACT_MS,
+            FaultKind::KillAll | FaultKind::LoseAllPower | FaultKind::WipeAndLoseAllPower => 2 * settling_ms,
+            _ => settling_ms,
         };
         is_recent(fault.start_ms, span) || is_recent(fault.end_ms(), span)
     };
     let is_active = |fault: &&&Fault| fault.start_ms <= now_ms && now_ms < fault.end_ms();
     let exits_and_starts = downtimes.iter().flat_map(|downtime| [downtime.from_ms, downtime.until_ms]);
-    let is_disturbed_by_restart = exits_and_starts.into_iter().any(|moment| is_recent(moment, CONTACT_MS));
-    if core_faults.iter().any(is_disturbed) || is_disturbed_by_restart || now_ms < CONTACT_MS {
+    let is_disturbed_by_restart = exits_and_starts.into_iter().any(|moment| is_recent(moment, settling_ms));
+    if core_faults.iter().any(is_disturbed) || is_disturbed_by_restart || now_ms < settling_ms {
         return false;
     }
     let is_down = |downtime: &&Downtime| downtime.from_ms <= now_ms && now_ms < downtime.until_ms;
@@ -107,7 +134,9 @@
             FaultKind::KillAll
             | FaultKind::LoseAllPower
             | FaultKind::WipeAndLoseAllPower
-            | FaultKind::SlowDisk => {
+            | FaultKind::SlowDisk
+            | FaultKind::StallDisk
+            | FaultKind::FullDisk => {
                 return false;
             }
             _ => unavailable.push(fault.process),
@@ -115,5 +144,8 @@
     }
     unavailable.sort_unstable();
     unavailable.dedup();
-    2 * (scenario.keepers - unavailable.len().min(scenario.keepers)) > scenario.keepers
+    match scope {
+        Scope::Core => 2 * (scenario.keepers - unavailable.len().min(scenario.keepers)) > scenario.keepers,
+        Scope::Tier => unavailable.len() <= scenario.tolerated_failures(),
+    }
 }
--- a/crates/emulator/src/targeting.rs
+++ b/crates/emulator/src/targeting.rs
@@ -1,6 +1,6 @@
-//! Scenarios whose first fault starts while an order is being decided.
+//! Scenarios whose first fault starts while an order or a turn is being decided.
 //!
-//! The time between a write, its acknowledgement by other keepers and the response is a few milliseconds, and a fault
+//! The time between a write, its acknowledgement by other replicas and the response is a few milliseconds, and a fault
 //! at a random time rarely falls into it. Since a scenario runs the same until its first fault, it is run once without
 //! faults, and then all faults are shifted so that the first one starts shortly before or at an acknowledgement.
 
@@ -16,9 +16,21 @@
 /// How long before the acknowledgement the first fault starts at most, in milliseconds.
 const MAX_LEAD_MS: u64 = 45;
 
+/// What scenarios simulate.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Suite {
+    /// Keepers, with operators, endpoints and relays as clients.
+    Keepers,
+    /// Keepers and stores, with programs as further clients.
+    Tier,
+}
+
 /// The scenario of a seed; every third one is targeted.
-pub fn scenario_for_seed(seed: u64) -> Scenario {
-    let scenario = Scenario::generate(seed);
+pub fn scenario_for_seed(suite: Suite, seed: u64) -> Scenario {
+    let scenario = match suite {
+        Suite::Keepers => Scenario::generate(seed),
+        Suite::Tier => Scenario::generate_tier(seed),
+    };
     if seed.is_multiple_of(TARGETED_SEED_INTERVAL) { target_acknowledgement(&scenario) } else { scenario }
 }
 
@@ -29,7 +41,7 @@
     let fault_free = Scenario { faults: Vec::new(), ..scenario.clone() };
     let acknowledged: Vec<u64> = run(&fault_free, false)
         .iter()
-        .filter(|RecordedEvent { event, .. }| matches!(event, Event::OrderReplied { status: 200, .. }))
+        .filter(|RecordedEvent { event, .. }| is_acknowledgement(scenario, event))
         .map(|recorded| millis(recorded.at))
         .filter(|at_ms| *at_ms > first.start_ms + MAX_LEAD_MS)
         .collect();
@@ -42,3 +54,12 @@
     // The fault-free tail keeps its duration; operators become read-only later, so nothing before the fault changes.
     Scenario { faults, duration_ms: scenario.duration_ms + shift_ms, ..scenario.clone() }
 }
+
+/// Whether an event follows a write that the scenario is about: of an order, or, where there are stores, of a turn.
+fn is_acknowledgement(scenario: &Scenario, event: &Event) -> bool {
+    match event {
+        Event::OrderReplied { status: 200, .. } => scenario.stores == 0,
+        Event::TurnBegun { .. } | Event::TurnAnswered { stored_attempt: Some(_), .. } => true,
+        _ => false,
+    }
+}
--- a/crates/emulator/tests/scenarios.rs
+++ b/crates/emulator/tests/scenarios.rs
@@ -4,7 +4,7 @@
 use juniperwing_emulator::scenario::{Fault, FaultKind, ProcessId, Scenario};
 use juniperwing_emulator::shrink::run_and_check;
 use juniperwing_emulator::simulation::run;
-use juniperwing_emulator::targeting::scenario_for_seed;
+use juniperwing_emulator::targeting::{Suite, scenario_for_seed};
 
 /// Runs the scenarios of consecutive seeds on several threads and returns those with violations.
 fn violations_by_seed(first_seed: u64, count: u64) -> Vec<(u64, Vec<Violation>)> {
@@ -15,7 +15,9 @@
             .map(|thread| {
                 let seeds = (first_seed..first_seed + count).filter(move |seed| seed % THREADS == thread);
                 scope.spawn(|| {
-                    seeds.map(|seed| (seed, run_and_check(&scenario_for_seed(seed)))).collect::<Vec<_>>()
+                    seeds
+                        .map(|seed| (seed, run_and_check(&scenario_for_seed(Suite::Keepers, seed))))
+                        .collect::<Vec<_>>()
                 })
             })
             .collect();
@@ -36,7 +38,7 @@
 #[test]
 fn same_seed_gives_same_history() {
     for seed in [7, 8] {
-        let scenario = scenario_for_seed(seed);
+        let scenario = scenario_for_seed(Suite::Keepers, seed);
         let (first, second) = (run(&scenario, true), run(&scenario, true));
         let difference = first.iter().zip(&second).find(|(one, other)| one != other);
         assert_eq!(difference, None, "seed {seed}");
@@ -49,7 +51,7 @@
 #[test]
 fn shutdown_time_of_keeper_counts_as_unstable() {
     for seed in [30_635, 32_832] {
-        assert_eq!(run_and_check(&scenario_for_seed(seed)), [], "seed {seed}");
+        assert_eq!(run_and_check(&scenario_for_seed(Suite::Keepers, seed)), [], "seed {seed}");
     }
 }
 
@@ -58,7 +60,7 @@
 #[test]
 fn endpoints_stay_known_while_keeper_loses_contact() {
     for seed in [124, 233] {
-        assert_eq!(run_and_check(&scenario_for_seed(seed)), [], "seed {seed}");
+        assert_eq!(run_and_check(&scenario_for_seed(Suite::Keepers, seed)), [], "seed {seed}");
     }
 }
 
