A turn that was denied for its budget stays denied

Change: the denial is a record (RecordState, encoded as the boolean was), on all in-sync disks before the 402 is sent; it also keeps the program remembered from its 402 on.

--- a/crates/emulator/src/checker/turns.rs
+++ b/crates/emulator/src/checker/turns.rs
@@ -127,16 +127,17 @@
 
     fn handle_refusal(&mut self, at: Time, turn: TurnId, status: u16, requested_at: Time) {
         match status {
-            402 => self.handle_denial(at, turn, requested_at),
+            402 => self.handle_denial(at, turn),
             404 => self.handle_not_found(at, turn),
             _ => self.handle_unavailable(at, turn, requested_at),
         }
     }
 
-    fn handle_denial(&mut self, at: Time, turn: TurnId, requested_at: Time) {
+    /// A denial stays, so it must have been right at some time since the turn was first sent.
+    fn handle_denial(&mut self, at: Time, turn: TurnId) {
         let Some(known) = self.turns.get_mut(&turn) else { return };
         known.is_denied = true;
-        let (has_begun, request) = (known.has_begun, known.request);
+        let (has_begun, request, requested_at) = (known.has_begun, known.request, known.requested_at);
         if has_begun {
             self.add(Property::DeniedTurnRan, at, turn, "402 after it ran".to_owned());
         }
--- a/crates/protocol/src/transfer.rs
+++ b/crates/protocol/src/transfer.rs
@@ -5,10 +5,21 @@
 use crate::identity::{EpochNumber, PartitionId, ProgramId, RequestId};
 use crate::session::{PartitionEpoch, Turn};
 
+/// What is decided about a request. The order of the variants is that of the encoding, not of the decisions.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum RecordState {
+    /// The turn may run; its tokens are the most that it may generate.
+    Reserved,
+    /// The turn has ended; its tokens are those used.
+    Committed,
+    /// The turn was denied for its program's budget and never runs; it has no tokens.
+    Denied,
+}
+
 /// A record of the session store.
 ///
-/// Records merge in any order: a committed one supersedes a reservation, a stored turn stays. All records of a program
-/// are removed together, when the last of them expires.
+/// Records merge in any order: a denial supersedes a reservation, a committed record supersedes both, a stored turn
+/// stays. All records of a program are removed together, when the last of them expires.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Record {
     /// The program.
@@ -17,8 +28,8 @@
     pub request: RequestId,
     /// Tokens that count against the budget.
     pub tokens: u64,
-    /// Whether `tokens` is the number of tokens used; otherwise it is the number reserved.
-    pub is_committed: bool,
+    /// What is decided; it says what `tokens` counts.
+    pub state: RecordState,
     /// The turn, if it is stored.
     pub turn: Option<Turn>,
     /// When it may be removed, in milliseconds since the Unix epoch.
--- a/crates/sessions/src/admission.rs
+++ b/crates/sessions/src/admission.rs
@@ -1,14 +1,14 @@
-//! The begin of a turn: its chain is looked up, and its reservation admitted within the program's budget.
+//! The begin of a turn: its chain is looked up, and its reservation admitted within the program's budget, or denied.
 
 use juniperwing_invariants::{Invariant, check};
 use juniperwing_protocol::session::{BeginTurn, SessionReply, SessionRequest, Turn};
-use juniperwing_protocol::transfer::Record;
+use juniperwing_protocol::transfer::{Record, RecordState};
 use juniperwing_protocol::{PartitionId, RequestId};
 
 use crate::chain::Chain;
 use crate::epoch_confirmation::EpochCertainty;
 use crate::event::CallerId;
-use crate::limits::RESERVATION_RETENTION_MS;
+use crate::limits::{BUDGET_RETENTION_MS, RESERVATION_RETENTION_MS};
 use crate::statistics::UnavailableReason;
 use crate::store::Store;
 
@@ -17,7 +17,10 @@
     Admitted(Box<Record>),
     /// It has run, or never will.
     AlreadyCommitted,
-    BudgetExhausted,
+    /// It was denied before, and stays denied whatever the budget has room for now.
+    AlreadyDenied,
+    /// The budget has no room for it. The record makes that final.
+    Denied(Box<Record>),
 }
 
 impl Store {
@@ -40,9 +43,14 @@
                 Admission::AlreadyCommitted => {
                     return self.send_unavailable(caller, UnavailableReason::AlreadyCommitted);
                 }
-                Admission::BudgetExhausted => {
+                Admission::AlreadyDenied => {
                     return self.deny(caller, request, SessionReply::BudgetExhausted, certainty);
                 }
+                Admission::Denied(record) => {
+                    // The write is confirmed in this epoch by all replicas, so no confirmation is needed beside it.
+                    let denial = vec![*record];
+                    return self.start_write(partition, denial, caller, SessionReply::BudgetExhausted);
+                }
             }
         }
         let reply = SessionReply::TurnBegun { chain };
@@ -76,35 +84,44 @@
             program: begin.program.clone(),
             request: turn.request.clone(),
             tokens: 0,
-            is_committed: true,
+            state: RecordState::Committed,
             turn: Some(turn.clone()),
             expires_at_ms,
         };
         chain.iter().filter(|turn| !is_own(turn)).map(record).collect()
     }
 
-    /// Reserves the most tokens that a turn may generate, if the budget allows it.
+    /// Reserves the most tokens that a turn may generate, if the budget allows it, and else denies the turn for good.
     fn admit_turn(&self, partition: PartitionId, begin: &BeginTurn, budget: u64) -> Admission {
         let table = self.tables.get(&partition);
         let known = table.and_then(|table| table.record(&begin.program, &begin.request));
-        if known.is_some_and(|record| record.is_committed) {
-            return Admission::AlreadyCommitted;
+        match known.map(|record| record.state) {
+            Some(RecordState::Committed) => return Admission::AlreadyCommitted,
+            Some(RecordState::Denied) => return Admission::AlreadyDenied,
+            Some(RecordState::Reserved) | None => {}
         }
         let reserved = known.map_or(0, |record| record.tokens);
         let used = table.map_or(0, |table| table.tokens_except(&begin.program, &begin.request));
         let tokens = begin.max_tokens.max(reserved);
         // An existing reservation proves nothing: an old primary may have left it unacknowledged.
         if used.saturating_add(tokens) > budget {
-            return Admission::BudgetExhausted;
+            let denied = self.record_without_tokens(begin, RecordState::Denied, BUDGET_RETENTION_MS);
+            return Admission::Denied(Box::new(denied));
         }
-        Admission::Admitted(Box::new(Record {
+        let reserved = self.record_without_tokens(begin, RecordState::Reserved, RESERVATION_RETENTION_MS);
+        Admission::Admitted(Box::new(Record { tokens, ..reserved }))
+    }
+
+    /// A record of a turn that has generated nothing.
+    fn record_without_tokens(&self, begin: &BeginTurn, state: RecordState, retention_ms: u64) -> Record {
+        Record {
             program: begin.program.clone(),
             request: begin.request.clone(),
-            tokens,
-            is_committed: false,
+            tokens: 0,
+            state,
             turn: None,
-            expires_at_ms: self.moment.unix_time_ms.saturating_add(RESERVATION_RETENTION_MS),
-        }))
+            expires_at_ms: self.moment.unix_time_ms.saturating_add(retention_ms),
+        }
     }
 
     /// Checks that the tokens which a program has used and reserved, those of the turn just admitted included, are
--- a/crates/sessions/src/commit.rs
+++ b/crates/sessions/src/commit.rs
@@ -3,7 +3,7 @@
 use juniperwing_invariants::{Invariant, check};
 use juniperwing_protocol::PartitionId;
 use juniperwing_protocol::session::{FinishTurn, SessionReply};
-use juniperwing_protocol::transfer::Record;
+use juniperwing_protocol::transfer::{Record, RecordState};
 
 use crate::event::CallerId;
 use crate::limits::{BUDGET_RETENTION_MS, MAX_RETENTION_MS, MIN_STORED_TURN_RETENTION_MS};
@@ -24,7 +24,7 @@
             program: finish.program,
             request: finish.request,
             tokens: finish.tokens,
-            is_committed: true,
+            state: RecordState::Committed,
             turn: finish.stored_turn,
             expires_at_ms: self.moment.unix_time_ms.saturating_add(retention_ms),
         };
@@ -38,7 +38,7 @@
             return;
         };
         let describe = || format!("program {}, request {}", finish.program.0, finish.request.0);
-        let is_within_reservation = known.is_committed || finish.tokens <= known.tokens;
+        let is_within_reservation = known.state == RecordState::Committed || finish.tokens <= known.tokens;
         check(Invariant::CommitWithinReservation, is_within_reservation, describe);
         let is_unchanged = match (&known.turn, &finish.stored_turn) {
             (Some(known), Some(stored)) => known.output == stored.output && known.input == stored.input,
--- a/crates/sessions/src/digest.rs
+++ b/crates/sessions/src/digest.rs
@@ -13,7 +13,7 @@
     hasher.write_text(&record.program.0);
     hasher.write_text(&record.request.0);
     hasher.write_number(record.tokens);
-    hasher.write_number(u64::from(record.is_committed));
+    hasher.write_number(record.state as u64);
     hasher.write_number(record.expires_at_ms);
     if let Some(turn) = &record.turn {
         hasher.write_number(turn.input.len() as u64);
--- a/crates/sessions/src/limits.rs
+++ b/crates/sessions/src/limits.rs
@@ -13,7 +13,7 @@
     pub disk_bytes: u64,
 }
 
-/// How long a program is retained after a turn that is not stored, in milliseconds.
+/// How long a program is retained after a turn that is not stored, or was denied, in milliseconds.
 pub(crate) const BUDGET_RETENTION_MS: u64 = 120_000;
 /// How long a program is retained at least after a turn was admitted, in milliseconds.
 pub(crate) const RESERVATION_RETENTION_MS: u64 = 60_000;
--- a/crates/sessions/src/merge.rs
+++ b/crates/sessions/src/merge.rs
@@ -1,12 +1,12 @@
 //! The merge of two records of one request: idempotent, commutative and associative.
 
 use juniperwing_protocol::session::Turn;
-use juniperwing_protocol::transfer::Record;
+use juniperwing_protocol::transfer::{Record, RecordState};
 
 /// Merges `other` into `record`; returns whether that changed `record`.
 ///
-/// A committed record supersedes a reservation; of two alike, the larger number of tokens counts. The later expiry
-/// counts. A stored turn is never removed.
+/// A denial supersedes a reservation, and a committed record supersedes both; of two alike, the larger number of tokens
+/// counts. The later expiry counts. A stored turn is never removed.
 pub fn merge(record: &mut Record, other: &Record) -> bool {
     let tokens_changed = merge_tokens(record, other);
     let turn_changed = merge_turn(&mut record.turn, other.turn.as_ref());
@@ -14,16 +14,25 @@
 }
 
 fn merge_tokens(record: &mut Record, other: &Record) -> bool {
-    let before = (record.is_committed, record.tokens, record.expires_at_ms);
-    if other.is_committed && !record.is_committed {
-        record.is_committed = true;
+    let before = (record.state, record.tokens, record.expires_at_ms);
+    if rank(other.state) > rank(record.state) {
+        record.state = other.state;
         record.tokens = other.tokens;
-    } else if other.is_committed == record.is_committed {
+    } else if other.state == record.state {
         record.tokens = record.tokens.max(other.tokens);
     }
     // Never earlier: a replica that lacks the newer record must not retain the program for longer than others.
     record.expires_at_ms = record.expires_at_ms.max(other.expires_at_ms);
-    before != (record.is_committed, record.tokens, record.expires_at_ms)
+    before != (record.state, record.tokens, record.expires_at_ms)
+}
+
+/// The higher one of two states counts.
+fn rank(state: RecordState) -> u8 {
+    match state {
+        RecordState::Reserved => 0,
+        RecordState::Denied => 1,
+        RecordState::Committed => 2,
+    }
 }
 
 /// A request runs once, so there is one turn of it. Should there be two all the same, every replica must choose the
--- a/crates/sessions/src/statistics.rs
+++ b/crates/sessions/src/statistics.rs
@@ -4,6 +4,8 @@
 
 use juniperwing_protocol::session::SessionReply;
 
+use juniperwing_protocol::transfer::RecordState;
+
 use crate::event::CallerId;
 use crate::store::Store;
 
@@ -104,7 +106,7 @@
             records: self.tables.values().map(|table| table.records().count() as u64).sum(),
             record_bytes: self.tables.values().map(super::table::Table::bytes).sum(),
             disk_bytes: self.segment_usage.bytes(),
-            reservations: led_records.filter(|record| !record.is_committed).count() as u64,
+            reservations: led_records.filter(|record| record.state == RecordState::Reserved).count() as u64,
             pending_writes: self.pending_writes.len() as u64,
             unavailable_replies: unavailable_replies.to_vec(),
         }
