Of stores that vanish together none leaves the in-sync set before one is seen

The one that counted as lost some milliseconds before the others was removed from the in-sync sets; when another came back empty, no partition had a replica left, though the first had everything on its disk: no turn was served again. Change: a lost replica is removed only while another in-sync one is seen.

--- a/crates/control/src/plan.rs
+++ b/crates/control/src/plan.rs
@@ -3,7 +3,8 @@
 //! A store enters `in_sync` of a partition only with the first map, or after the partition's primary has
 //! reported that it caught up. From that report on, the primary must wait for the store's acknowledgement of
 //! every further write, even before the map names the store: the map that admits it may come into force at any
-//! time, and may make it primary next. A store leaves `in_sync` when it is lost; the last one never does.
+//! time, and may make it primary next. A store leaves `in_sync` when it is lost and another one of them is seen; the
+//! last one never does.
 //!
 //! Fewer replicas than required suffice (`lost_replicas`) only while no other store could hold one, because the
 //! loss of all others is certain: the fault model allows no further loss of a disk until they have been back for
@@ -125,12 +126,16 @@
         next
     }
 
-    /// Removes lost stores, but never all of `in_sync`.
+    /// Removes lost stores, but never all of `in_sync`, and no store that may still return while none of the others is
+    /// seen: where several vanish at nearly the same time, the one that counts as lost first may be the one that keeps
+    /// its disk.
     fn remove_lost_replicas(&self, planned: &mut Assignment) {
         let lost = &self.input.view.lost;
         planned.joining.retain(|disk| !lost.contains(disk) && !self.replaced.contains(disk));
         retain_unless_empty(&mut planned.in_sync, |disk| !self.replaced.contains(&disk));
-        retain_unless_empty(&mut planned.in_sync, |disk| !lost.contains(&disk));
+        if planned.in_sync.iter().any(|disk| self.input.view.alive.contains_key(disk)) {
+            planned.in_sync.retain(|disk| !lost.contains(disk));
+        }
     }
 
     /// Moves stores to `in_sync` that caught up in the present epoch with a primary that stays.
--- a/crates/control/tests/plan.rs
+++ b/crates/control/tests/plan.rs
@@ -9,6 +9,7 @@
     ControlState, PARTITION_COUNT, PlanInput, StoreView, plan_store_map, unrecoverable_partitions,
 };
 use juniperwing_protocol::DiskId;
+use juniperwing_protocol::subscription::Assignment;
 use proptest::prelude::*;
 
 #[test]
@@ -100,6 +101,25 @@
     assert!(tier.partitions().iter().all(|assignment| assignment.in_sync.len() == 3));
 }
 
+/// Two stores lose power at the same moment, and one of them its disk. Which of them counts as lost first is a matter of
+/// milliseconds, and must not decide whether the other's disk is all that counts.
+#[test]
+fn of_replicas_that_vanish_together_none_is_removed_before_one_is_seen() {
+    let mut tier = Tier::with_first_map(1..=2);
+    tier.lose_store(1);
+    tier.view.alive.remove(&DiskId(2));
+    assert_eq!(tier.plan_and_commit(&[]), None, "store 2 is not seen, though it does not count as lost yet");
+    tier.lose_store(2);
+    assert_eq!(tier.plan_and_commit(&[]), None);
+    // Store 2 comes back with an empty disk, store 1 with its own.
+    tier.add_live_store(store_on(9, 2));
+    tier.add_live_store(store(1));
+    tier.plan_and_commit(&[]).unwrap();
+    let is_led_by_store_1 = |assignment: &Assignment| assignment.primary == DiskId(1);
+    assert!(tier.partitions().iter().all(is_led_by_store_1));
+    assert_eq!(unrecoverable_partitions(&tier.state, &tier.view), []);
+}
+
 #[test]
 fn of_replicas_lost_together_the_first_to_return_becomes_primary() {
     let mut tier = Tier::with_first_map(1..=2);
--- a/crates/emulator/src/programs/worker.rs
+++ b/crates/emulator/src/programs/worker.rs
@@ -94,6 +94,11 @@
             SessionError::UnknownTurn => 404,
             SessionError::Unavailable { .. } => 503,
         };
+        if status == 503 {
+            let TurnRequest { turn, program, .. } = request;
+            let line = format!("edge-{}: turn {turn} of program {program} not begun: {error}", self.relay);
+            self.record(Event::Log(line));
+        }
         if status == 503 && request.budget.is_some() {
             // As a relay does: there may be a reservation.
             self.client.finish_in_background(request.commit(0));
