--- a/crates/emulator/tests/scenarios.rs
+++ b/crates/emulator/tests/scenarios.rs
@@ -16,7 +16,7 @@
                 let seeds = (first_seed..first_seed + count).filter(move |seed| seed % THREADS == thread);
                 scope.spawn(|| {
                     seeds
-                        .map(|seed| (seed, run_and_check(&scenario_for_seed(Suite::Keepers, seed))))
+                        .map(|seed| (seed, run_and_check(&scenario_for_seed(suite, seed))))
                         .collect::<Vec<_>>()
                 })
             })
