A denial that surfaces late does not take away an admitted turn's reservation

Change: a denial keeps the tokens of the reservation that it supersedes. Measured: the property of merging that an open record never counts less fails without it; all tests of sessions pass.

--- a/crates/protocol/src/transfer.rs
+++ b/crates/protocol/src/transfer.rs
@@ -12,14 +12,15 @@
     Reserved,
     /// The turn has ended; its tokens are those used.
     Committed,
-    /// The turn was denied for its program's budget and never runs; it has no tokens.
+    /// The turn was denied for its program's budget and never runs. Its tokens are 0, or those of a reservation that
+    /// another primary made without knowing of the denial.
     Denied,
 }
 
 /// A record of the session store.
 ///
-/// Records merge in any order: a denial supersedes a reservation, a committed record supersedes both, a stored turn
-/// stays. All records of a program are removed together, when the last of them expires.
+/// Records merge in any order: a denial supersedes a reservation and keeps its tokens, a committed record supersedes
+/// both, a stored turn stays. All records of a program are removed together, when the last of them expires.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Record {
     /// The program.
--- a/crates/sessions/src/merge.rs
+++ b/crates/sessions/src/merge.rs
@@ -5,8 +5,9 @@
 
 /// Merges `other` into `record`; returns whether that changed `record`.
 ///
-/// A denial supersedes a reservation, and a committed record supersedes both; of two alike, the larger number of tokens
-/// counts. The later expiry counts. A stored turn is never removed.
+/// A denial supersedes a reservation but keeps its tokens, since a later primary may have admitted the turn without
+/// knowing of the denial. A committed record supersedes both. Of two alike, the larger number of tokens counts. The later
+/// expiry counts. A stored turn is never removed.
 pub fn merge(record: &mut Record, other: &Record) -> bool {
     let tokens_changed = merge_tokens(record, other);
     let turn_changed = merge_turn(&mut record.turn, other.turn.as_ref());
@@ -15,11 +16,14 @@
 
 fn merge_tokens(record: &mut Record, other: &Record) -> bool {
     let before = (record.state, record.tokens, record.expires_at_ms);
+    let is_ended = |record: &Record| record.state == RecordState::Committed;
+    match (is_ended(record), is_ended(other)) {
+        (false, true) => record.tokens = other.tokens,
+        (true, false) => {}
+        (false, false) | (true, true) => record.tokens = record.tokens.max(other.tokens),
+    }
     if rank(other.state) > rank(record.state) {
         record.state = other.state;
-        record.tokens = other.tokens;
-    } else if other.state == record.state {
-        record.tokens = record.tokens.max(other.tokens);
     }
     // Never earlier: a replica that lacks the newer record must not retain the program for longer than others.
     record.expires_at_ms = record.expires_at_ms.max(other.expires_at_ms);
--- a/crates/sessions/tests/merge.rs
+++ b/crates/sessions/tests/merge.rs
@@ -66,6 +66,8 @@
         prop_assert!(merged.state == RecordState::Committed || !was_committed);
         let was_denied = a.state == RecordState::Denied;
         prop_assert!(merged.state != RecordState::Reserved || !was_denied);
+        let is_open = merged.state != RecordState::Committed;
+        prop_assert!(!is_open || merged.tokens >= a.tokens, "an open reservation keeps counting");
         prop_assert!(merged.turn.is_some() || a.turn.is_none());
         prop_assert!(merged.expires_at_ms >= a.expires_at_ms);
     }
