A fenced primary of a partition sends nothing in its epoch again

Cause: a write that was refused for a later epoch was sent again every 100 ms until the map came. Change: the store gives up the partition at once, answers what waits with NotPrimary, and leads again only by a later map.

--- a/crates/sessions/src/anti_entropy.rs
+++ b/crates/sessions/src/anti_entropy.rs
@@ -69,6 +69,13 @@
     comparisons: u32,
 }
 
+impl SyncStep {
+    /// The partition of the replica.
+    pub(crate) fn partition(&self) -> PartitionId {
+        self.partition
+    }
+}
+
 impl LedPartition {
     /// The replicas that hold all that this store holds.
     pub(crate) fn synchronized_replicas(&self) -> impl Iterator<Item = DiskId> + '_ {
--- a/crates/sessions/src/call.rs
+++ b/crates/sessions/src/call.rs
@@ -1,7 +1,7 @@
 //! Calls to other stores.
 
-use juniperwing_protocol::DiskId;
 use juniperwing_protocol::transfer::{TransferReply, TransferRequest};
+use juniperwing_protocol::{DiskId, EpochNumber};
 
 use crate::anti_entropy::SyncStep;
 use crate::epoch_confirmation::EpochConfirmationId;
@@ -41,6 +41,9 @@
     }
 
     fn complete_call(&mut self, purpose: CallPurpose, reply: Option<TransferReply>) {
+        if let Some(TransferReply::Fenced { epoch }) = reply {
+            self.handle_fenced(purpose, epoch);
+        }
         match purpose {
             CallPurpose::Write { write, replica } => self.handle_write_reply(write, replica, reply),
             CallPurpose::ConfirmEpochs { confirmation } => {
@@ -49,4 +52,21 @@
             CallPurpose::Sync(step) => self.handle_sync_reply(step, reply),
         }
     }
+
+    /// A replica knows a later epoch of the partition that a call was about: this store leads the partition no more,
+    /// and sends nothing in the old epoch again. The map with the new epoch follows.
+    fn handle_fenced(&mut self, purpose: CallPurpose, epoch: EpochNumber) {
+        let partition = match purpose {
+            CallPurpose::Write { write, .. } => self.pending_writes.get(&write).map(|write| write.partition),
+            CallPurpose::Sync(step) => Some(step.partition()),
+            // A confirmation is about several partitions; the request that needs it is not granted.
+            CallPurpose::ConfirmEpochs { .. } => None,
+        };
+        let Some(partition) = partition else { return };
+        if self.led_partitions.get(&partition).is_some_and(|led| led.epoch < epoch) {
+            self.led_partitions.remove(&partition);
+            self.abandon_writes(partition);
+            self.resume_requests(partition);
+        }
+    }
 }
