Review case 2: a kept turn taken up by the client loses its first events

Cause: a relay is killed in the middle of a stream; the client takes it up at another relay with Last-Event-Id. The turn is stored with the events of the last try alone (crates/node/src/relay/turn.rs: record_event), so the next turn runs without what the client was handed before.

--- a/review/rig/src/main.rs
+++ b/review/rig/src/main.rs
@@ -2,6 +2,7 @@
 //! the case could not run. With `TROUBLE=0` nothing is done to any process.
 
 mod case_overlap;
+mod case_resume;
 mod endpoint;
 mod http;
 mod record;
@@ -46,6 +47,7 @@
     record.say(&format!("case {case}, trouble: {has_trouble}"));
     let verdict = match case.as_str() {
         "overlap" => case_overlap::play(&record, has_trouble),
+        "resume" => case_resume::play(&record, has_trouble),
         _ => Verdict::CouldNotRun(format!("unknown case {case}")),
     };
     match verdict {
