Review case 3: a burst and a lower time-out lock a route for good

Cause: a relay rejects a request unsent when the time left is under the fitted median, and the fit ages by newer calls only. Where a time-out is lowered below the median of a burst, no call is made any more, and the route stays shut (crates/node/src/relay/forward.rs: acquire_slot).

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 rig=target/review/release/review-rig
 [ -x "$rig" ] || { echo "build first: review/build.sh" >&2; exit 2; }
-exec "$rig" budget review/3/record.txt
+exec "$rig" locked-route review/3/record.txt
--- a/review/rig/src/endpoint.rs
+++ b/review/rig/src/endpoint.rs
@@ -1,10 +1,11 @@
-//! A sound endpoint of a model service: it registers with the keepers, runs what it is sent, and streams its events.
+//! A sound endpoint: it registers with the keepers and runs what it is sent. It streams the events of a model service, and
+//! answers `GET` as a plain service whose slots and queue are bounded.
 
 use std::collections::BTreeMap;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::Duration;
 
@@ -13,6 +14,10 @@
 
 /// The tokens in each event.
 pub const STRIDE: usize = 3;
+/// What an endpoint of a plain service runs at once, what waits there, and how long one request works.
+pub const PLAIN_SLOTS: usize = 6;
+pub const PLAIN_QUEUE: usize = 24;
+pub const PLAIN_WORK: Duration = Duration::from_millis(100);
 const CAPACITY: usize = 32;
 
 /// The bodies of the requests that the endpoints have begun to work on, by request id.
@@ -31,12 +36,40 @@
     }
 }
 
+/// The plain requests at an endpoint: how many run and how many wait.
+#[derive(Default)]
+struct PlainWork {
+    state: Mutex<(usize, usize)>,
+    has_ended: Condvar,
+}
+
+impl PlainWork {
+    /// Waits for a slot and works; `false`, at once, if the queue is full.
+    fn run(&self) -> bool {
+        let mut state = self.state.lock().expect("no panics");
+        if state.0 + state.1 >= PLAIN_SLOTS + PLAIN_QUEUE {
+            return false;
+        }
+        state.1 += 1;
+        while state.0 >= PLAIN_SLOTS {
+            state = self.has_ended.wait(state).expect("no panics");
+        }
+        *state = (state.0 + 1, state.1 - 1);
+        drop(state);
+        thread::sleep(PLAIN_WORK);
+        self.state.lock().expect("no panics").0 -= 1;
+        self.has_ended.notify_one();
+        true
+    }
+}
+
 #[derive(Clone)]
 struct Endpoint {
     id: String,
     address: SocketAddr,
     gap: Duration,
     running: Arc<AtomicUsize>,
+    plain: Arc<PlainWork>,
     runs: Runs,
     record: Record,
 }
@@ -53,6 +86,7 @@
         address,
         gap,
         running: Arc::default(),
+        plain: Arc::default(),
         runs: runs.clone(),
         record: record.clone(),
     };
@@ -71,9 +105,10 @@
     fn send_heartbeats(&self, service: &str, control: &[SocketAddr]) {
         let mut keeper = 0;
         for sequence in 1_u64.. {
+            let capacity = if service == "desk" { PLAIN_SLOTS } else { CAPACITY };
             let body = format!(
                 "{{\"backend\":\"{service}\",\"address\":\"{}\",\"zone\":\"hall-a\",\"generation\":\"v1\",\
-                 \"capacity\":{CAPACITY},\"state\":\"ready\",\"warmupRemainingMs\":0,\"sequence\":{sequence}}}",
+                 \"capacity\":{capacity},\"state\":\"ready\",\"warmupRemainingMs\":0,\"sequence\":{sequence}}}",
                 self.address
             );
             for _ in 0..control.len() {
@@ -124,6 +159,18 @@
             );
             return stream.write_all(answer.as_bytes());
         }
+        if head.starts_with("GET") {
+            let has_run = self.plain.run();
+            let end = if has_run {
+                "Content-Length: 4\r\n\r\ndone"
+            } else {
+                "X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+            };
+            let status = if has_run { "200 OK" } else { "503 Service Unavailable" };
+            let stamp = format!("X-Server-Signature: {}.{request_id}", self.id);
+            let answer = format!("HTTP/1.1 {status}\r\nX-Request-Id: {request_id}\r\n{stamp}\r\n{end}");
+            return stream.write_all(answer.as_bytes());
+        }
         let most: usize = header("x-token-count")
             .and_then(|count| count.split_once(',').and_then(|(_, most)| most.trim().parse().ok()))
             .unwrap_or(STRIDE);
--- a/review/rig/src/main.rs
+++ b/review/rig/src/main.rs
@@ -1,7 +1,7 @@
 //! Plays one case of the review: `review-rig CASE RECORD`. Exits with 1 if the rule was broken, 0 if it held, and 2 if
 //! the case could not run. With `TROUBLE=0` nothing is done to any process.
 
-mod case_budget;
+mod case_locked_route;
 mod case_overlap;
 mod case_resume;
 mod endpoint;
@@ -49,7 +49,7 @@
     let verdict = match case.as_str() {
         "overlap" => case_overlap::play(&record, has_trouble),
         "resume" => case_resume::play(&record, has_trouble),
-        "budget" => case_budget::play(&record, has_trouble),
+        "locked-route" => case_locked_route::play(&record, has_trouble),
         _ => Verdict::CouldNotRun(format!("unknown case {case}")),
     };
     match verdict {
