Review: a case that fails by itself exits with 2

Cause: a panic of the rig (no free port, a program that does not start) ended with 101, which is none of the three statuses of a script.

--- a/review/rig/src/main.rs
+++ b/review/rig/src/main.rs
@@ -11,6 +11,7 @@
 mod turn;
 
 use std::net::SocketAddr;
+use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::path::Path;
 use std::process::ExitCode;
 use std::thread;
@@ -46,12 +47,14 @@
     });
     let has_trouble = std::env::var("TROUBLE").map_or(true, |trouble| trouble != "0");
     record.say(&format!("case {case}, trouble: {has_trouble}"));
-    let verdict = match case.as_str() {
+    // A panic means that something of the case itself failed; the processes end with their tier.
+    let played = catch_unwind(AssertUnwindSafe(|| match case.as_str() {
         "overlap" => case_overlap::play(&record, has_trouble),
         "resume" => case_resume::play(&record, has_trouble),
         "locked-route" => case_locked_route::play(&record, has_trouble),
         _ => Verdict::CouldNotRun(format!("unknown case {case}")),
-    };
+    }));
+    let verdict = played.unwrap_or_else(|_| Verdict::CouldNotRun("the case itself failed".into()));
     match verdict {
         Verdict::Held => {
             record.say("the rule held");
