Keepers log and expose how few in-sync stores a partition has left

Cause: the log line of a store map named its version and the number of stores only.

Change: the line has the keys min_in_sync and max_lost_replicas, and keepers expose juniperwing_min_in_sync_stores.

--- a/crates/node/src/keeper/metrics.rs
+++ b/crates/node/src/keeper/metrics.rs
@@ -66,13 +66,20 @@
     }
 }
 
-fn committed_metrics(state: &State) -> [Metric; 2] {
+fn committed_metrics(state: &State) -> [Metric; 3] {
     let committed = state.consensus.committed().map(|committed| &committed.state);
     let configuration = committed.map_or(0, |state| state.configuration_version().sequence);
-    let store_map = committed.map_or(0, |state| state.store_map.version);
+    let store_map = committed.map(|state| &state.store_map);
+    let version = store_map.map_or(0, |map| map.version);
+    let min_in_sync = store_map.map_or(0, |map| map.min_in_sync_replicas());
     [
         Metric::gauge("configuration_sequence", "The number of the committed configuration", configuration),
-        Metric::gauge("store_map_version", "The version of the committed store map", store_map),
+        Metric::gauge("store_map_version", "The version of the committed store map", version),
+        Metric::gauge(
+            "min_in_sync_stores",
+            "In-sync stores of the partition that has the fewest",
+            min_in_sync as u64,
+        ),
     ]
 }
 
--- a/crates/node/src/keeper/publishing.rs
+++ b/crates/node/src/keeper/publishing.rs
@@ -45,7 +45,10 @@
         let store_map = &committed.store_map;
         if store_map.version != state.logged_store_map {
             state.logged_store_map = store_map.version;
-            info!(self.log, "store map committed"; "version" => store_map.version, "stores" => store_map.stores.len());
+            info!(self.log, "store map committed";
+                "version" => store_map.version, "stores" => store_map.stores.len(),
+                "min_in_sync" => store_map.min_in_sync_replicas(),
+                "max_lost_replicas" => store_map.max_lost_replicas());
         }
     }
 }
--- a/crates/protocol/src/subscription.rs
+++ b/crates/protocol/src/subscription.rs
@@ -143,6 +143,16 @@
         (count > 0).then(|| PartitionId((hasher.finish() % count) as u16))
     }
 
+    /// The number of in-sync replicas of the partition that has the fewest; 0 while the map is empty.
+    pub fn min_in_sync_replicas(&self) -> usize {
+        self.partitions.iter().map(|assignment| assignment.in_sync.len()).min().unwrap_or(0)
+    }
+
+    /// The highest number of required replicas that any partition may lack.
+    pub fn max_lost_replicas(&self) -> u16 {
+        self.partitions.iter().map(|assignment| assignment.lost_replicas).max().unwrap_or(0)
+    }
+
     /// The store with this disk.
     pub fn store(&self, disk: DiskId) -> Option<&StoreNode> {
         self.stores.iter().find(|store| store.disk == disk)
