A partition rests rather than go on with fewer live stores than bear a lost disk

Cause: Planner::remove_lost_replicas removed every lost store as long as one in-sync store was reported, so that the in-sync sets shrank to the one store whose disk was lost next, and that store was allowed to acknowledge alone. A store lost for 6 s also left the map, so that a tier of three took itself for one of two.

Fix: a partition goes on without its lost replicas only while min_live_replicas in-sync stores are live (loss_tolerance.rs); below that it rests and keeps all of them in sync. Whichever disk is lost then, another in-sync disk has every acknowledged write. A live in-sync store leads meanwhile and fills other stores. A store counts until it was retired or succeeded by a new machine. Caught-up replicas are admitted before lost ones are removed, which saves one map.

Left open: tiers of up to 2 x machines stores (docs/control-stores.md).

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -5,6 +5,7 @@
 //! operator's order into a [`ControlChange`] or a rejection, [`StoreTracker`] distinguishes lost stores from
 //! those that are expected to return, and [`plan_store_map`] computes the next store map.
 
+mod loss_tolerance;
 mod order;
 mod order_history;
 mod placement;
--- a/crates/control/src/plan.rs
+++ b/crates/control/src/plan.rs
@@ -4,12 +4,13 @@
 //! reported that it caught up. From that report on, the primary must wait for the store's acknowledgement of
 //! every further write, even before the map lists the store as in sync: the map that admits it may be
 //! committed at any time, and may make it primary next. A store is removed from `in_sync` when it is lost and
-//! another in-sync store is reported. The last one is never removed.
+//! enough other in-sync stores are reported (`loss_tolerance`): otherwise the partition rests, and its
+//! acknowledged writes remain bound to all disks that hold them. The last one is never removed.
 //!
-//! Writes may be acknowledged on fewer replicas than required (`lost_replicas`) only while no other store can
-//! hold one because the loss of all others is certain. This is safe because the fault model allows no further
-//! loss of a disk until the others have been back for the catch-up time. As soon as one of them returns, the
-//! full number is required again.
+//! Writes may be acknowledged on fewer replicas than required (`lost_replicas`) only in a tier that has too few
+//! machines to keep the required number after a tolerated loss, and only while no other store can hold a
+//! replica because the loss of all others is certain. As soon as one of them returns, the full number is
+//! required again.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -17,6 +18,7 @@
 use juniperwing_protocol::subscription::{Assignment, CaughtUp, StoreMap, StoreNode};
 use juniperwing_protocol::{DiskId, EpochNumber, PartitionId};
 
+use crate::loss_tolerance::{long_lost_stores_to_list, machines_in_service, min_live_replicas};
 use crate::placement::{
     EXTRA_REPLICAS, Load, PARTITION_COUNT, balanced_replicas_per_store, initial_assignments, next_replica,
 };
@@ -80,6 +82,10 @@
     replaced: BTreeSet<DiskId>,
     /// The number of replicas that each partition should have.
     target_replicas: usize,
+    /// The number of store machines in service, live or lost.
+    machines: usize,
+    /// The fewest live in-sync replicas with which a partition goes on without its lost ones.
+    min_live_replicas: usize,
 }
 
 impl<'input> Planner<'input> {
@@ -92,7 +98,9 @@
             .collect();
         let replaced = replaced_disks(&input.state.store_map.stores, alive);
         let target_replicas = (input.required_replicas + EXTRA_REPLICAS).min(eligible.len());
-        Planner { input, eligible, replaced, target_replicas }
+        let machines = machines_in_service(input.state, input.view).len();
+        let min_live_replicas = min_live_replicas(machines, input.required_replicas);
+        Planner { input, eligible, replaced, target_replicas, machines, min_live_replicas }
     }
 
     /// The assignments of a tier's first map; `None` while too few stores have joined.
@@ -108,8 +116,9 @@
         let mut next = Vec::with_capacity(current.len());
         for (partition, assignment) in (0..).map(PartitionId).zip(current) {
             let mut planned = assignment.clone();
-            self.remove_lost_replicas(&mut planned);
+            planned.joining.retain(|disk| !self.is_lost(*disk));
             self.admit_caught_up_replicas(partition, assignment, &mut planned);
+            self.remove_lost_replicas(&mut planned);
             self.remove_retiring_replicas(&mut planned);
             self.choose_primary(&mut planned, &mut load);
             self.add_joining_replicas(partition, &mut planned, &mut load);
@@ -127,24 +136,30 @@
         next
     }
 
-    /// Removes lost stores, but never all of `in_sync`, and while no in-sync store is reported only those
-    /// whose disk was replaced: if several stores fail at nearly the same time, the first one that counts as
-    /// lost may be the only one whose disk survives.
+    /// Removes lost stores, but never all of `in_sync`, and while fewer than `min_live_replicas` in-sync stores
+    /// are reported only those whose disk was replaced: if losses overlap, any of the lost stores may be the
+    /// only one whose disk survives, and what the live ones acknowledge alone could be lost with them.
     fn remove_lost_replicas(&self, planned: &mut Assignment) {
-        let lost = &self.input.view.lost;
-        planned.joining.retain(|disk| !lost.contains(disk) && !self.replaced.contains(disk));
         retain_unless_empty(&mut planned.in_sync, |disk| !self.replaced.contains(&disk));
-        if planned.in_sync.iter().any(|disk| self.input.view.alive.contains_key(disk)) {
-            planned.in_sync.retain(|disk| !lost.contains(disk));
+        let live = planned.in_sync.iter().filter(|disk| self.is_alive(**disk)).count();
+        if live >= self.min_live_replicas {
+            planned.in_sync.retain(|disk| !self.is_lost(*disk));
         }
     }
 
+    fn is_lost(&self, disk: DiskId) -> bool {
+        self.input.view.lost.contains(&disk) || self.replaced.contains(&disk)
+    }
+
+    fn is_alive(&self, disk: DiskId) -> bool {
+        self.input.view.alive.contains_key(&disk)
+    }
+
     /// Moves stores that caught up in the current epoch to `in_sync`, provided that the primary stays.
     fn admit_caught_up_replicas(
         &self, partition: PartitionId, current: &Assignment, planned: &mut Assignment,
     ) {
-        let primary_stays = planned.in_sync.contains(&current.primary)
-            && self.input.view.alive.contains_key(&current.primary);
+        let primary_stays = planned.in_sync.contains(&current.primary) && self.is_alive(current.primary);
         if !primary_stays {
             return;
         }
@@ -161,25 +176,24 @@
     fn remove_retiring_replicas(&self, planned: &mut Assignment) {
         let is_retiring = |disk: DiskId| self.input.state.is_retiring(disk);
         planned.joining.retain(|disk| !is_retiring(*disk));
-        let live_others = planned
-            .in_sync
-            .iter()
-            .filter(|disk| !is_retiring(**disk) && self.input.view.alive.contains_key(disk))
-            .count();
+        let live_others =
+            planned.in_sync.iter().filter(|disk| !is_retiring(**disk) && self.is_alive(**disk)).count();
         if live_others >= self.target_replicas.max(self.input.required_replicas) {
             planned.in_sync.retain(|disk| !is_retiring(*disk));
         }
     }
 
-    /// Chooses another primary if the current one is not in sync.
+    /// Chooses another primary if the current one is not in sync, or is lost while another in-sync store is
+    /// reported.
     fn choose_primary(&self, planned: &mut Assignment, load: &mut Load) {
-        if planned.in_sync.contains(&planned.primary) {
+        let must_move =
+            self.is_lost(planned.primary) && planned.in_sync.iter().any(|disk| self.is_alive(*disk));
+        if planned.in_sync.contains(&planned.primary) && !must_move {
             return;
         }
-        let is_alive = |disk: DiskId| self.input.view.alive.contains_key(&disk);
         let is_retiring = |disk: DiskId| self.input.state.is_retiring(disk);
         let preference =
-            |disk: &&DiskId| (!is_alive(**disk), is_retiring(**disk), load.primaries(**disk), **disk);
+            |disk: &&DiskId| (!self.is_alive(**disk), is_retiring(**disk), load.primaries(**disk), **disk);
         if let Some(chosen) = planned.in_sync.iter().min_by_key(preference).copied() {
             load.move_primary(planned.primary, chosen);
             planned.primary = chosen;
@@ -201,10 +215,13 @@
         }
     }
 
-    /// The number of required replicas that may be missing: 0 while another store can hold one. Once allowed,
-    /// this remains allowed until another store is reported, even on a keeper that has received no reports
-    /// yet.
+    /// The number of required replicas that may be missing: 0 while another store can hold one, and in a tier
+    /// with enough machines. Once allowed, this remains allowed until another store is reported, even on a
+    /// keeper that has received no reports yet.
     fn allowed_lost_replicas(&self, planned: &Assignment, previously_allowed: u16) -> u16 {
+        if planned.in_sync.len() < self.min_live_replicas {
+            return 0;
+        }
         let missing = self.input.required_replicas.saturating_sub(planned.in_sync.len());
         let missing = u16::try_from(missing).unwrap_or(u16::MAX);
         let others_reported = self.eligible.keys().any(|disk| !planned.in_sync.contains(disk));
@@ -233,8 +250,8 @@
     fn lacks_replicas(&self, planned: &Assignment) -> bool {
         let members = planned.in_sync.iter().chain(&planned.joining);
         let staying = members.filter(|disk| self.eligible.contains_key(disk)).count();
-        let unreported =
-            planned.in_sync.iter().filter(|disk| !self.input.view.alive.contains_key(disk)).count();
+        let is_unreported = |disk: DiskId| !self.is_alive(disk) && !self.is_lost(disk);
+        let unreported = planned.in_sync.iter().filter(|disk| is_unreported(**disk)).count();
         if staying + unreported >= self.target_replicas {
             return false;
         }
@@ -275,23 +292,34 @@
         }
     }
 
-    /// The stores that the map lists: live stores, recently lost ones, and all that hold a replica.
+    /// The stores that the map lists: live stores, lost ones that may return, and all that hold a replica.
     fn listed_stores(&self, partitions: &[Assignment]) -> Vec<StoreNode> {
         let holders: BTreeSet<DiskId> = partitions
             .iter()
             .flat_map(|assignment| assignment.in_sync.iter().chain(&assignment.joining))
             .copied()
             .collect();
+        let view = self.input.view;
+        let may_return = |disk: DiskId| !self.replaced.contains(&disk) && !view.succeeded.contains(&disk);
+        let known = self.input.state.store_map.stores.iter();
+        let long_lost = known.clone().filter(|store| {
+            view.replaceable.contains(&store.disk)
+                && !holders.contains(&store.disk)
+                && !self.input.state.is_retired(store.disk)
+                && may_return(store.disk)
+        });
+        let long_lost_to_list =
+            long_lost_stores_to_list(self.machines, self.input.required_replicas, long_lost);
         let mut listed: BTreeMap<DiskId, StoreNode> = BTreeMap::new();
-        for store in &self.input.state.store_map.stores {
-            let recent =
-                !self.input.view.replaceable.contains(&store.disk) && !self.replaced.contains(&store.disk);
-            if holders.contains(&store.disk) || recent {
+        for store in known {
+            let is_recent = !view.replaceable.contains(&store.disk) && may_return(store.disk);
+            let is_needed = long_lost_to_list.contains(&store.disk);
+            if holders.contains(&store.disk) || is_recent || is_needed {
                 listed.insert(store.disk, store.clone());
             }
         }
         // The address of a live store may have changed.
-        listed.extend(self.input.view.alive.iter().map(|(disk, store)| (*disk, store.clone())));
+        listed.extend(view.alive.iter().map(|(disk, store)| (*disk, store.clone())));
         listed.into_values().collect()
     }
 }
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -116,6 +116,12 @@
         self.retirements.iter().any(|retirement| retirement.store.disk == disk)
     }
 
+    /// Whether the store's retirement is completed: it holds no replica and may have been removed.
+    pub fn is_retired(&self, disk: DiskId) -> bool {
+        let mut completed = self.retirements.iter().filter(|one| one.state == RetirementState::Completed);
+        completed.any(|retirement| retirement.store.disk == disk)
+    }
+
     fn apply_configuration(&mut self, digest: OrderDigest, configuration: ActiveConfiguration) {
         self.accepted.insert(digest, MAX_REMEMBERED_ORDERS);
         self.configurations_accepted += 1;
--- a/crates/control/src/tracker.rs
+++ b/crates/control/src/tracker.rs
@@ -44,6 +44,8 @@
     pub confirmed_lost: BTreeSet<DiskId>,
     /// The subset of `lost` that other stores should replace.
     pub replaceable: BTreeSet<DiskId>,
+    /// Unreported stores of the map whose place a new machine has taken; they are no longer waited for.
+    pub succeeded: BTreeSet<DiskId>,
     /// Whether this keeper has run without a pause for the startup grace period, so that it knows every live
     /// store.
     pub is_past_grace_period: bool,
@@ -60,6 +62,8 @@
     reports: BTreeMap<DiskId, Report>,
     /// Stores of the map that no keeper reports, with the time at which each was first missing.
     unreported_since: BTreeMap<DiskId, Time>,
+    /// The unreported store that each new machine has succeeded, by the new machine's disk.
+    predecessors: BTreeMap<DiskId, DiskId>,
     /// The live stores as of the last tick.
     last_alive: BTreeSet<DiskId>,
     /// The time of the first report that contained a store.
@@ -77,6 +81,7 @@
         StoreTracker {
             reports: BTreeMap::new(),
             unreported_since: BTreeMap::new(),
+            predecessors: BTreeMap::new(),
             last_alive: BTreeSet::new(),
             first_reported_at: None,
             grace_until: now + STARTUP_GRACE_PERIOD,
@@ -114,6 +119,7 @@
             lost: lost_after(LOSS_TIMEOUT),
             confirmed_lost: lost_after(CONFIRMED_LOSS_TIMEOUT),
             replaceable: lost_after(REPLACEMENT_DELAY),
+            succeeded: self.predecessors.values().copied().collect(),
             is_past_grace_period: !is_in_grace_period,
             is_initial_wait_over: self
                 .first_reported_at
@@ -153,5 +159,23 @@
         for disk in unreported {
             self.unreported_since.entry(disk).or_insert(now);
         }
+        self.record_successors(alive, map_stores);
+    }
+
+    /// Pairs each machine that is new to the tier with the store that has been unreported for longest, which it is taken
+    /// to succeed. A store that is reported again has no successor any more.
+    fn record_successors(&mut self, alive: &BTreeMap<DiskId, StoreNode>, map_stores: &[StoreNode]) {
+        let unreported = &self.unreported_since;
+        self.predecessors.retain(|_, predecessor| unreported.contains_key(predecessor));
+        let is_new = |store: &&StoreNode| map_stores.iter().all(|known| known.node != store.node);
+        for newcomer in alive.values().filter(is_new) {
+            if self.predecessors.contains_key(&newcomer.disk) {
+                continue;
+            }
+            let succeeded: BTreeSet<DiskId> = self.predecessors.values().copied().collect();
+            let missing = unreported.iter().filter(|(disk, _)| !succeeded.contains(disk));
+            let longest = missing.min_by_key(|(_, since)| **since).map(|(disk, _)| *disk);
+            longest.map(|predecessor| self.predecessors.insert(newcomer.disk, predecessor));
+        }
     }
 }
--- a/crates/control/tests/tracker.rs
+++ b/crates/control/tests/tracker.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::store;
+use common::{store, store_on};
 use juniperwing_clock::{Span, Time};
 use juniperwing_control::StoreTracker;
 use juniperwing_protocol::DiskId;
@@ -91,3 +91,26 @@
     assert!(!tracker.tick(at(1_900), &[]).is_initial_wait_over);
     assert!(tracker.tick(at(2_500), &[]).is_initial_wait_over);
 }
+
+// Guards `record_successors`: a store that was replaced by another machine must not be waited for, while one that only
+// stays away must.
+#[test]
+fn a_new_machine_succeeds_the_store_that_is_missing_for_longest() {
+    let mut tracker = tracker_after_ten_seconds();
+    let listed = [store(1), store(2), store(3)];
+    tracker.record_report(at(10_100), KEEPER, vec![store(1), store(3)]);
+    assert!(tracker.tick(at(10_100), &listed).succeeded.is_empty(), "no machine is new");
+    tracker.record_report(at(10_200), KEEPER, vec![store(3)]);
+    tracker.tick(at(10_200), &listed);
+    tracker.record_report(at(10_300), KEEPER, vec![store(3), store(4)]);
+    let succeeded = tracker.tick(at(10_300), &listed).succeeded;
+    assert_eq!(succeeded.into_iter().collect::<Vec<_>>(), [DiskId(2)]);
+    // The pair stays once the map lists the new machine, and ends when the old one is back.
+    let listed = [store(1), store(2), store(3), store(4)];
+    assert!(tracker.tick(at(10_400), &listed).succeeded.contains(&DiskId(2)));
+    tracker.record_report(at(10_500), KEEPER, vec![store(2), store(3), store(4)]);
+    assert!(tracker.tick(at(10_500), &listed).succeeded.is_empty());
+    // A machine that returns with another disk is not new.
+    tracker.record_report(at(10_600), KEEPER, vec![store(2), store(3), store(4), store_on(11, 1)]);
+    assert!(tracker.tick(at(10_600), &listed).succeeded.is_empty());
+}
