--- a/crates/balancing/src/latency.rs
+++ b/crates/balancing/src/latency.rs
@@ -48,6 +48,11 @@
         self.models.get(destination).map_or(Span::ZERO, LatencyModel::median)
     }
 
+    /// The longest fitted median of any destination; zero if there is no fit.
+    pub fn longest_median(&self) -> Span {
+        self.models.values().map(LatencyModel::median).max().unwrap_or(Span::ZERO)
+    }
+
     /// Removes the models of destinations for which `exists` is false.
     pub fn retain(&mut self, exists: impl Fn(&Destination) -> bool) {
         self.models.retain(|destination, _| exists(destination));
--- a/crates/node/src/relay/dispatcher.rs
+++ b/crates/node/src/relay/dispatcher.rs
@@ -211,6 +211,11 @@
         self.lock().latencies.has_time_for_attempt(destination, remaining)
     }
 
+    /// The longest fitted median latency of any destination; zero if there is no fit.
+    pub fn longest_median(&self) -> Span {
+        self.lock().latencies.longest_median()
+    }
+
     /// Removes the latency models of destinations that no longer exist.
     pub fn retain_destinations(&self, exists: impl Fn(&Destination) -> bool) {
         self.lock().latencies.retain(exists);
--- a/crates/node/src/relay/gauges.rs
+++ b/crates/node/src/relay/gauges.rs
@@ -44,6 +44,11 @@
                 count(self.connections.open_requests()),
             ),
             Metric::gauge("slots_taken", "Slots taken at endpoints", count(self.dispatcher.occupied_slots())),
+            Metric::gauge(
+                "longest_median_ms",
+                "The longest fitted median latency of any destination, in milliseconds",
+                self.dispatcher.longest_median().as_nanos() / 1_000_000,
+            ),
             Metric::gauge("body_bytes", "Bytes of bodies held", count(self.memory.reserved_bytes())),
             Metric::gauge(
                 "settling",
