One trial a second corrects a latency fit whose cutoff ends every request

Cause: the cutoff ends a request unsent if it has less time than the fitted median, and the fit learns only from requests that are sent. With a median above the time of all requests nothing is sent, and nothing corrects it. The core of the notification relay shares the model and had the same fault.

Evidence: juniperwing_longest_median_ms was 314 to 495 ms at the six relays 20 s after the burst, above the route's 300 ms; reason 'deadline too close'. With trials turned off four of the new tests fail: the model's first, both of the core, and the relay's.

Fix: if no attempt began and no latency was recorded for 1 s, one request is sent in spite of the cutoff. A trial that completes in its time drops the older latencies, so that the route is served at once; one that does not changes nothing. Trials go out one at a time, so an overload gets at most one attempt a second for each relay and destination more.

--- a/crates/balancing/src/latency.rs
+++ b/crates/balancing/src/latency.rs
@@ -37,10 +37,20 @@
         self.models.get(destination).map_or(remaining, |model| model.timeout(remaining, attempts_left))
     }
 
-    /// Whether an attempt is worthwhile: the remaining time is at least the fitted median latency.
-    pub fn has_time_for_attempt(&self, destination: &Destination, remaining: Span) -> bool {
-        remaining > Span::ZERO
-            && self.models.get(destination).is_none_or(|model| model.has_time_for_attempt(remaining))
+    /// Whether an attempt is worthwhile: the remaining time is at least the fitted median latency, or the attempt is due
+    /// to correct the fit.
+    pub fn allows_attempt(&self, now: Time, destination: &Destination, remaining: Span) -> bool {
+        let model = self.models.get(destination);
+        remaining > Span::ZERO && model.is_none_or(|model| model.allows_attempt(now, remaining))
+    }
+
+    /// Begins an attempt; returns `false` if it is not worthwhile.
+    pub fn begin_attempt(&mut self, now: Time, destination: &Destination, remaining: Span) -> bool {
+        let is_allowed = self.allows_attempt(now, destination, remaining);
+        if is_allowed && let Some(model) = self.models.get_mut(destination) {
+            model.record_attempt(now, remaining);
+        }
+        is_allowed
     }
 
     /// The fitted median latency; zero until there are enough samples.
--- a/crates/balancing/tests/balancing.rs
+++ b/crates/balancing/tests/balancing.rs
@@ -164,14 +164,14 @@
     let mut latencies = LatencyModels::default();
     let remaining = Span::from_millis(1_000);
     assert_eq!(latencies.attempt_timeout(&destination("/"), remaining, 3), remaining);
-    assert!(latencies.has_time_for_attempt(&destination("/"), Span::from_millis(1)));
+    assert!(latencies.allows_attempt(at(0), &destination("/"), Span::from_millis(1)));
     for step in 0..10 {
         latencies.record(at(step), &destination("/"), Span::from_millis(50), false);
     }
     assert!(latencies.attempt_timeout(&destination("/"), remaining, 3) < remaining);
     assert_eq!(latencies.attempt_timeout(&destination("/"), remaining, 1), remaining);
-    assert!(!latencies.has_time_for_attempt(&destination("/"), Span::from_millis(20)));
-    assert!(latencies.has_time_for_attempt(&destination("/"), Span::from_millis(200)));
+    assert!(!latencies.allows_attempt(at(10), &destination("/"), Span::from_millis(20)));
+    assert!(latencies.allows_attempt(at(10), &destination("/"), Span::from_millis(200)));
     latencies.retain(|_| false);
     assert_eq!(latencies.median(&destination("/")), Span::ZERO);
 }
--- a/crates/node/src/relay/dispatcher.rs
+++ b/crates/node/src/relay/dispatcher.rs
@@ -206,9 +206,14 @@
         self.lock().latencies.attempt_timeout(destination, remaining, attempts_left)
     }
 
-    /// Whether the remaining time suffices for an attempt.
-    pub fn has_time_for_attempt(&self, destination: &Destination, remaining: Span) -> bool {
-        self.lock().latencies.has_time_for_attempt(destination, remaining)
+    /// Whether an attempt may begin with the remaining time.
+    pub fn allows_attempt(&self, destination: &Destination, remaining: Span) -> bool {
+        self.lock().latencies.allows_attempt(now(), destination, remaining)
+    }
+
+    /// Begins an attempt; returns `false` if it may not begin with the remaining time.
+    pub fn begin_attempt(&self, destination: &Destination, remaining: Span) -> bool {
+        self.lock().latencies.begin_attempt(now(), destination, remaining)
     }
 
     /// The longest fitted median latency of any destination; zero if there is no fit.
--- a/crates/node/src/relay/forward.rs
+++ b/crates/node/src/relay/forward.rs
@@ -147,8 +147,7 @@
     if retries.attempts_left(exchange) == 0 {
         return Err(NextStep::Reject(Rejection::RetriesExhausted));
     }
-    let has_time = || state.dispatcher.has_time_for_attempt(&exchange.destination, exchange.remaining_time());
-    if !has_time() {
+    if !state.dispatcher.allows_attempt(&exchange.destination, exchange.remaining_time()) {
         return Err(NextStep::Reject(Rejection::DeadlineTooClose));
     }
     let attempt_timeout = attempt_timeout(state, exchange, retries);
@@ -158,8 +157,9 @@
         SlotError::NoEndpoint => NextStep::Reject(Rejection::NoEndpoint),
         SlotError::Overloaded => NextStep::Reject(Rejection::Overloaded),
     })?;
-    // Waiting for the slot may have used up the time.
-    if has_time() { Ok(slot) } else { Err(NextStep::Reject(Rejection::DeadlineTooClose)) }
+    // Waiting for the slot may have used up the time, or another request may have begun the trial that was due.
+    let may_begin = state.dispatcher.begin_attempt(&exchange.destination, exchange.remaining_time());
+    if may_begin { Ok(slot) } else { Err(NextStep::Reject(Rejection::DeadlineTooClose)) }
 }
 
 /// The timeout of an attempt: set by the latency model if the request can be retried, otherwise all the remaining time.
--- a/crates/node/tests/relay/deadlines.rs
+++ b/crates/node/tests/relay/deadlines.rs
@@ -101,6 +101,29 @@
     assert!(second + 500 <= first, "first {first}, then {second}");
 }
 
+// Guards the trials of `LatencyModels::begin_attempt`. A burst left a fitted median above the route's timeout; the route was
+// answered with 503 for as long as the relay ran, since no request was sent that could have corrected the fit.
+#[tokio::test]
+async fn a_route_is_served_again_although_the_median_exceeds_its_timeout() {
+    let endpoint = FakeEndpoint::start("i-1", plain_or_stream).await;
+    let harness = RelayHarness::with_endpoints(&[&endpoint]).await;
+    harness.configure(2, &short_timeout_routes());
+    for (method, path, prefix) in [("GET", "/i/x", "/i/"), ("POST", "/n/x", "/n/"), ("POST", "/e/x", "/e/")] {
+        harness.record_latencies(prefix, Span::from_millis(2 * ROUTE_TIMEOUT_MS));
+        let status = async || {
+            let sent = request_with_long_deadline(method, path, "9c43");
+            read(harness.send(sent).await).await.status
+        };
+        assert_eq!(status().await, StatusCode::SERVICE_UNAVAILABLE, "{path}: the cutoff holds at first");
+        let started_at = Instant::now();
+        while status().await != StatusCode::OK {
+            assert!(started_at.elapsed() < MAX_DURATION, "{path}");
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        assert_eq!(status().await, StatusCode::OK, "{path}: the trial has shown that there is time");
+    }
+}
+
 // Covers the deadline in every wait for an endpoint: the shorter of the client's deadline and the route's timeout.
 #[tokio::test]
 async fn requests_to_unresponsive_endpoints_end_at_the_route_timeout() {
--- a/crates/restart/src/latency_model.rs
+++ b/crates/restart/src/latency_model.rs
@@ -10,6 +10,8 @@
 const MAX_SAMPLES: usize = 32;
 /// The minimum number of latencies required for a fit.
 pub const MIN_FIT_SAMPLES: usize = 5;
+/// If nothing was learned of a destination for this long, one attempt is made in spite of the cutoff.
+const TRIAL_INTERVAL: Span = Span::from_millis(1_000);
 /// Shorter latencies are recorded as this one, in seconds.
 const MIN_LATENCY_SECS: f64 = 1e-4;
 
@@ -19,11 +21,27 @@
     /// In order of recording.
     samples: VecDeque<Sample>,
     fit: Option<Fit>,
+    /// When the latest attempt began; `None` before the first.
+    last_attempt_at: Option<Time>,
+    /// The time that the latest attempt had if that was less than the median; `None` once a latency was recorded.
+    trial: Option<Span>,
 }
 
 impl LatencyModel {
+    /// Records that an attempt begins with the time `left`.
+    pub fn record_attempt(&mut self, now: Time, left: Span) {
+        self.last_attempt_at = Some(now);
+        self.trial = (!self.has_time_for_attempt(left)).then_some(left);
+    }
+
     /// Records the duration of an attempt that ended at `now`; censored if the attempt was abandoned.
+    ///
+    /// A trial that completes in the time that it had refutes the older samples: they are dropped, so that further
+    /// attempts are made at once.
     pub fn record(&mut self, now: Time, latency: Span, is_censored: bool) {
+        if self.trial.take().is_some_and(|left| !is_censored && latency <= left) {
+            self.samples.clear();
+        }
         let ln_secs = latency.as_secs_f64().max(MIN_LATENCY_SECS).ln();
         self.samples.push_back(Sample { observed_at: now, ln_secs, is_censored });
         if self.samples.len() > MAX_SAMPLES {
@@ -56,6 +74,18 @@
         left > Span::ZERO && left >= self.median()
     }
 
+    /// Whether an attempt may begin: there is time for it, or it is due as a trial. Without trials, a median above the
+    /// time that all requests have would end every one of them unsent, so that no latency would ever correct it.
+    pub fn allows_attempt(&self, now: Time, left: Span) -> bool {
+        self.has_time_for_attempt(left) || (left > Span::ZERO && self.is_trial_due(now))
+    }
+
+    /// Whether no attempt began, and no latency was recorded, for the trial interval.
+    pub fn is_trial_due(&self, now: Time) -> bool {
+        let last_learned_at = self.samples.back().map(|sample| sample.observed_at).max(self.last_attempt_at);
+        last_learned_at.is_none_or(|at| now.since(at) >= TRIAL_INTERVAL)
+    }
+
     /// The 90th percentile of the latencies of completed attempts; `None` with fewer than [`MIN_FIT_SAMPLES`] of them.
     pub fn ninetieth_percentile(&self) -> Option<Span> {
         let mut completed: Vec<f64> = self.completed().collect();
--- a/crates/restart/tests/restart.rs
+++ b/crates/restart/tests/restart.rs
@@ -86,6 +86,55 @@
     assert!(!LatencyModel::default().has_time_for_attempt(Span::ZERO));
 }
 
+/// The time after which `model_of` with this many latencies has learned nothing for long enough for a trial.
+fn trial_due_after(samples: u64) -> Time {
+    Time::default() + millis(1_000 * samples + 1_000)
+}
+
+// Guards `allows_attempt` and `record_attempt`: without trials the cutoff would hold for good once it ends every attempt;
+// without their interval it would not hold at all.
+#[test]
+fn one_attempt_in_an_interval_is_made_in_spite_of_the_cutoff() {
+    let mut model = model_of(&[500; 10]);
+    let due_at = trial_due_after(10);
+    assert!(!model.allows_attempt(due_at - Span::from_nanos(1), millis(300)));
+    assert!(model.allows_attempt(due_at, millis(300)));
+    assert!(!model.allows_attempt(due_at, Span::ZERO));
+    model.record_attempt(due_at, millis(300));
+    assert!(!model.allows_attempt(due_at + millis(999), millis(300)));
+    assert!(model.allows_attempt(due_at + millis(999), millis(500)), "the cutoff alone decides otherwise");
+    assert!(
+        model.allows_attempt(due_at + millis(1_000), millis(300)),
+        "a trial without a result is repeated"
+    );
+}
+
+#[test]
+fn a_trial_that_completes_in_its_time_refutes_older_latencies() {
+    let mut model = model_of(&[500; 32]);
+    let due_at = trial_due_after(32);
+    model.record_attempt(due_at, millis(300));
+    model.record(due_at + millis(100), millis(100), false);
+    assert!(model.allows_attempt(due_at + millis(100), millis(300)));
+    assert_eq!(model.fit(), None, "the next attempts make a new fit");
+}
+
+#[test]
+fn a_trial_that_does_not_complete_in_its_time_leaves_the_cutoff() {
+    for is_censored in [false, true] {
+        let mut model = model_of(&[500; 32]);
+        let due_at = trial_due_after(32);
+        model.record_attempt(due_at, millis(300));
+        let latency = millis(if is_censored { 300 } else { 301 });
+        model.record(due_at + latency, latency, is_censored);
+        assert!(!model.allows_attempt(due_at + latency, millis(300)));
+        // A later attempt that had enough time is no trial.
+        model.record_attempt(due_at + latency, millis(2_000));
+        model.record(due_at + latency + millis(200), millis(200), false);
+        assert!(!model.allows_attempt(due_at + latency + millis(200), millis(300)));
+    }
+}
+
 #[test]
 fn censored_attempts_raise_the_fit() {
     let latencies = [100, 120, 90, 110, 100, 105, 95, 100];
--- a/src/rules/destination.rs
+++ b/src/rules/destination.rs
@@ -73,10 +73,14 @@
 
     /// The next time at which the options for a notification that is not in flight change without an event.
     fn next_deadline(&self, now: Time) -> Time {
-        let cutoff = self.latencies.median().max(MIN_TIME_LEFT) - Span::from_nanos(1);
+        let just_below = |time_left: Span| time_left - Span::from_nanos(1);
+        let cutoff = just_below(self.latencies.median().max(MIN_TIME_LEFT));
         let deadlines = |pending: &PendingNotification| {
+            let valid_until = pending.notification.valid_until;
+            // What waits beyond the cutoff waits for a trial.
+            let is_beyond_cutoff = valid_until - cutoff <= now;
             [
-                pending.notification.valid_until - cutoff,
+                valid_until - if is_beyond_cutoff { just_below(MIN_TIME_LEFT) } else { cutoff },
                 self.batching_deadline(pending),
                 pending.last_duplicate_at().unwrap_or(Time::NEVER),
             ]
@@ -200,7 +204,7 @@
             return false;
         }
         let left = pending.notification.valid_until.since(sendable_from);
-        let is_in_time = left >= MIN_TIME_LEFT && self.latencies.has_time_for_attempt(left);
+        let is_in_time = left >= MIN_TIME_LEFT && self.latencies.allows_attempt(now, left);
         !(is_in_time && pending.can_run(now, None, self.config.limits.max_pushes))
     }
 
--- a/src/state/destination.rs
+++ b/src/state/destination.rs
@@ -125,12 +125,15 @@
         };
         self.rotation_start = index + 1;
         let is_in_call = |id: NotificationId| call.pushes.iter().any(|push| push.notification == id);
+        let mut call_end = Time::NEVER;
         for pending in self.pending.iter_mut().filter(|pending| is_in_call(pending.notification.id)) {
             pending.history.push_count += 1;
             pending.in_flight =
                 Some(PossibleExecution { sent_at: now, zone: self.endpoints[index].zone.clone() });
             pending.last_endpoint = Some(call.endpoint.clone());
+            call_end = call_end.min(pending.notification.valid_until);
         }
+        self.latencies.record_attempt(now, call_end.since(now));
         true
     }
 
--- a/tests/rules/time.rs
+++ b/tests/rules/time.rs
@@ -88,6 +88,49 @@
     "#]]);
 }
 
+/// Latencies were long for a while, and since then no notification has had more time than their median. If the cutoff ended
+/// all of them unsent, no call would ever show that latencies are short again.
+#[test]
+fn a_trial_call_ends_a_cutoff_that_ends_everything() {
+    let mut relay = RelayHarness::new(4, 1, ONE_ENDPOINT).warmed_up(6, 400);
+    relay.trace.clear();
+    relay.accept(10, "idempotent", None, 300);
+    relay.advance(1_000);
+    // One of these is the trial.
+    relay.accept_all(20..23, "idempotent", 300);
+    relay.advance(100);
+    relay.end_push(20, CallStatus::Delivered);
+    relay.accept_all(30..32, "idempotent", 300);
+    relay.assert_trace(expect![[r#"
+        2400   throttle 10
+        3400   push 20 to a for 300 ms
+        3400   throttle 21
+        3400   throttle 22
+        3500   push 30 to a for 300 ms
+        3500   push 31 to a for 300 ms
+    "#]]);
+}
+
+/// A trial that is not delivered in time changes nothing, and the next one has to wait for its turn.
+#[test]
+fn a_trial_call_that_takes_too_long_leaves_the_cutoff() {
+    let mut relay = RelayHarness::new(4, 1, ONE_ENDPOINT).warmed_up(6, 400);
+    relay.trace.clear();
+    relay.advance(1_000);
+    relay.accept(20, "idempotent", None, 300);
+    relay.advance(300);
+    relay.end_all_pushes(CallStatus::TimedOut);
+    relay.accept(30, "idempotent", None, 300);
+    relay.advance(1_000);
+    relay.accept(40, "idempotent", None, 300);
+    relay.assert_trace(expect![[r#"
+        3400   push 20 to a for 300 ms
+        3700   expire 20
+        3700   throttle 30
+        4700   push 40 to a for 300 ms
+    "#]]);
+}
+
 /// If a requested delay or backoff ends after the deadline of a notification, the notification is ended immediately
 /// instead of near its TTL, whether it was accepted before or after the delay began.
 #[test]
