A retired store leaves the map once it is gone, so that no successor is paired with it

Cause: since lost stores count for the replicas that must be live, a new machine is paired with the store that is missing for longest. A store whose retirement was completed stayed in the map for 6 s after it was taken away, was paired first, and the store that the new machine really succeeded went on counting: a tier of two rested at its next loss.

Change: a retired store is listed only while it is live. a_retired_store_leaves_the_map_when_it_is_gone failed before.

--- a/crates/control/src/plan.rs
+++ b/crates/control/src/plan.rs
@@ -300,13 +300,13 @@
             .copied()
             .collect();
         let view = self.input.view;
-        let may_return = |disk: DiskId| !self.replaced.contains(&disk) && !view.succeeded.contains(&disk);
+        let may_return = |disk: DiskId| {
+            let is_gone = self.replaced.contains(&disk) || self.input.state.is_retired(disk);
+            !is_gone && !view.succeeded.contains(&disk)
+        };
         let known = self.input.state.store_map.stores.iter();
         let long_lost = known.clone().filter(|store| {
-            view.replaceable.contains(&store.disk)
-                && !holders.contains(&store.disk)
-                && !self.input.state.is_retired(store.disk)
-                && may_return(store.disk)
+            view.replaceable.contains(&store.disk) && !holders.contains(&store.disk) && may_return(store.disk)
         });
         let long_lost_to_list =
             long_lost_stores_to_list(self.machines, self.input.required_replicas, long_lost);
--- a/crates/control/tests/overlapping_losses.rs
+++ b/crates/control/tests/overlapping_losses.rs
@@ -6,9 +6,10 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use common::{REQUIRED_REPLICAS, Tier, check_successor, store, store_on};
-use juniperwing_control::unrecoverable_partitions;
+use juniperwing_control::{ControlChange, unrecoverable_partitions};
 use juniperwing_protocol::DiskId;
 use juniperwing_protocol::subscription::Assignment;
+use juniperwing_replication::ReplicatedState;
 use proptest::prelude::*;
 
 /// Whether the primary of a partition can have a write confirmed on every disk that it needs.
@@ -85,6 +86,24 @@
     assert!(is_serving(&tier), "a tier of two machines tolerates the loss of one");
 }
 
+// A retired machine that was taken away must not be mistaken for the one that a new machine succeeds.
+#[test]
+fn a_retired_store_leaves_the_map_when_it_is_gone() {
+    let mut tier = Tier::with_first_map(1..=3);
+    tier.state.apply(&ControlChange::BeginRetirement(store(1)));
+    tier.plan_until_stable();
+    tier.state.apply(&ControlChange::CompleteRetirement(DiskId(1)));
+    tier.plan_until_stable();
+    assert!(tier.state.store_map.store(DiskId(1)).is_some());
+    tier.view.alive.remove(&DiskId(1));
+    tier.plan_until_stable();
+    assert!(tier.state.store_map.store(DiskId(1)).is_none());
+    // The tier of two that is left goes on with one.
+    tier.confirm_loss(2);
+    tier.plan_until_stable();
+    assert!(is_serving(&tier));
+}
+
 /// A tier whose disks hold numbered writes.
 struct WrittenTier {
     tier: Tier,
