A store rejects at once what needs a replica that does not reply

Cause: a partition that rests keeps its lost replicas in sync, so that writes wait for them for as long as they are lost. Relays try a turn again every 350 ms, each try left one more write, and every write was retried ten times a second: up to 4,096 of them, at the only live store.

Change: a store notes since when calls to a replica fail. After 0.5 s of failures throughout, requests that need it get Unavailable at once, and retries go out every 0.5 s. Failures older than 2 s don't count, so that the store tries again where nothing else would show that the replica is back. The reason 'replica unreachable' is counted in juniperwing_unavailable_answers_total.

--- a/crates/sessions/src/anti_entropy.rs
+++ b/crates/sessions/src/anti_entropy.rs
@@ -13,7 +13,7 @@
 use crate::call::CallPurpose;
 use crate::limits::{
     DIGEST_RANGE_COUNT, MAX_CONCURRENT_JOINING_SYNCS, MAX_DIGEST_COMPARISONS, SYNC_EXPIRY_SLACK_MS,
-    SYNC_RETRY_DELAY,
+    SYNC_RETRY_DELAY, UNREACHABLE_RETRY_DELAY,
 };
 use crate::store::Store;
 use crate::timers::Timer;
@@ -75,6 +75,11 @@
     pub(crate) fn partition(&self) -> PartitionId {
         self.partition
     }
+
+    /// The replica that is synchronized.
+    pub(crate) fn replica(&self) -> DiskId {
+        self.replica
+    }
 }
 
 impl LedPartition {
@@ -260,7 +265,9 @@
         if let Some(led) = self.led_partitions.get_mut(&step.partition) {
             led.replicas.insert(step.replica, ReplicaSyncState::Pending);
         }
-        let at = self.clock.now + SYNC_RETRY_DELAY;
+        let is_unreachable = self.replica_contact.is_unreachable(self.clock.now, step.replica);
+        let delay = if is_unreachable { UNREACHABLE_RETRY_DELAY } else { SYNC_RETRY_DELAY };
+        let at = self.clock.now + delay;
         self.timers.insert((at, Timer::SyncReplica(step.partition, step.replica)));
     }
 }
--- a/crates/sessions/src/call.rs
+++ b/crates/sessions/src/call.rs
@@ -20,6 +20,17 @@
     Sync(SyncStep),
 }
 
+impl CallPurpose {
+    /// The replica that is called; `None` for a confirmation, which does not record its replicas.
+    fn replica(self) -> Option<DiskId> {
+        match self {
+            CallPurpose::Write { replica, .. } => Some(replica),
+            CallPurpose::Sync(step) => Some(step.replica()),
+            CallPurpose::ConfirmEpochs { .. } => None,
+        }
+    }
+}
+
 impl Store {
     /// Calls a store. If the map does not name it, the call completes immediately without a reply.
     pub(crate) fn call_store(&mut self, replica: DiskId, request: TransferRequest, purpose: CallPurpose) {
@@ -41,6 +52,9 @@
     }
 
     fn complete_call(&mut self, purpose: CallPurpose, reply: Option<TransferReply>) {
+        if let Some(replica) = purpose.replica() {
+            self.replica_contact.record_call(self.clock.now, replica, reply.is_some());
+        }
         if let Some(TransferReply::Fenced { epoch }) = reply {
             self.handle_fenced(purpose, epoch);
         }
--- a/crates/sessions/src/lib.rs
+++ b/crates/sessions/src/lib.rs
@@ -26,6 +26,7 @@
 mod primary;
 mod program;
 mod recovery;
+mod replica_contact;
 mod segment_usage;
 mod statistics;
 mod store;
--- a/crates/sessions/src/limits.rs
+++ b/crates/sessions/src/limits.rs
@@ -33,6 +33,13 @@
 pub(crate) const EXPIRY_SWEEP_INTERVAL: Span = Span::from_millis(10_000);
 /// The delay before a write to a replica or to the disk is retried.
 pub(crate) const RETRY_DELAY: Span = Span::from_millis(100);
+/// The delay before a write to an unreachable replica, or its synchronization, is retried.
+pub(crate) const UNREACHABLE_RETRY_DELAY: Span = Span::from_millis(500);
+/// The time without a reply after which a replica is unreachable. Longer than it takes to remove a lost replica that the
+/// partition can do without.
+pub(crate) const UNREACHABLE_TIMEOUT: Span = Span::from_millis(500);
+/// The time after which failed calls no longer count. Longer than a call and the delay before the next one.
+pub(crate) const FAILURE_EXPIRY: Span = Span::from_millis(2_000);
 /// How long a relay's request may wait for replicas before the store replies that it is unavailable.
 pub(crate) const REQUEST_TIMEOUT: Span = Span::from_millis(1_500);
 /// How long a replica waits for the map of an epoch that it does not know.
--- a/crates/sessions/src/primary.rs
+++ b/crates/sessions/src/primary.rs
@@ -30,6 +30,9 @@
         if !self.has_required_replicas(partition) {
             return self.send_unavailable(caller, UnavailableReason::TooFewReplicas);
         }
+        if self.has_unreachable_replica(partition) {
+            return self.send_unavailable(caller, UnavailableReason::ReplicaUnreachable);
+        }
         if self.pending_writes.len() >= MAX_PENDING_WRITES {
             return self.send_unavailable(caller, UnavailableReason::TooManyPendingWrites);
         }
--- a/crates/sessions/src/statistics.rs
+++ b/crates/sessions/src/statistics.rs
@@ -14,6 +14,8 @@
 pub(crate) enum UnavailableReason {
     /// Fewer replicas are in sync than are required.
     TooFewReplicas,
+    /// A replica that must confirm the write does not reply.
+    ReplicaUnreachable,
     /// Too many writes are pending.
     TooManyPendingWrites,
     /// Too many requests are waiting.
@@ -35,8 +37,9 @@
 }
 
 impl UnavailableReason {
-    const ALL: [UnavailableReason; 10] = [
+    const ALL: [UnavailableReason; 11] = [
         UnavailableReason::TooFewReplicas,
+        UnavailableReason::ReplicaUnreachable,
         UnavailableReason::TooManyPendingWrites,
         UnavailableReason::TooManyWaitingRequests,
         UnavailableReason::CapacityExhausted,
@@ -52,6 +55,7 @@
     fn label(self) -> &'static str {
         match self {
             UnavailableReason::TooFewReplicas => "too few copies",
+            UnavailableReason::ReplicaUnreachable => "replica unreachable",
             UnavailableReason::TooManyPendingWrites => "too many writes",
             UnavailableReason::TooManyWaitingRequests => "too many waiting",
             UnavailableReason::CapacityExhausted => "full",
--- a/crates/sessions/src/store.rs
+++ b/crates/sessions/src/store.rs
@@ -14,6 +14,7 @@
 use crate::group_commit::GroupCommit;
 use crate::limits::Limits;
 use crate::map_version::DurableMapVersion;
+use crate::replica_contact::ReplicaContact;
 use crate::segment_usage::SegmentUsage;
 use crate::statistics::UnavailableCounts;
 use crate::table::Table;
@@ -36,6 +37,7 @@
     pub(crate) epoch_confirmations: BTreeMap<EpochConfirmationId, EpochConfirmation>,
     /// Calls in flight to other stores.
     pub(crate) calls: BTreeMap<TransferCallId, CallPurpose>,
+    pub(crate) replica_contact: ReplicaContact,
     /// Requests that wait for a synchronized partition or a map, by id.
     pub(crate) waiting_requests: BTreeMap<u64, WaitingRequest>,
     /// Joining replicas whose synchronization waits for the concurrency limit.
@@ -66,6 +68,7 @@
             pending_writes: BTreeMap::new(),
             epoch_confirmations: BTreeMap::new(),
             calls: BTreeMap::new(),
+            replica_contact: ReplicaContact::default(),
             waiting_requests: BTreeMap::new(),
             waiting_syncs: BTreeSet::new(),
             group_commit: GroupCommit::default(),
