--- a/crates/control/tests/overlapping_losses.rs
+++ b/crates/control/tests/overlapping_losses.rs
@@ -198,6 +198,21 @@
     }
 }
 
+// In KNOWN-RED.txt: a tier of two serves on one store after a tolerated loss, and what that store acknowledged alone is lost
+// with its disk.
+#[test]
+fn two_stores_keep_what_one_acknowledged_alone_when_it_loses_its_disk() {
+    let mut run = WrittenTier::new(2);
+    run.lose(1, false);
+    run.settle();
+    run.write();
+    run.lose(2, false);
+    run.bring_back(2, true);
+    run.bring_back(1, false);
+    run.settle();
+    run.check();
+}
+
 /// One event of a run; machines are counted from 0 and taken modulo the number of machines.
 #[derive(Clone, Debug)]
 enum LossEvent {
