--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -3,4 +3,4 @@
 here="$(cd "$(dirname "$0")" && pwd)"
 cd "$here/../.." || exit 2
 [ -x target/review-2/release/rig-2 ] || exit 2
-exec target/review-2/release/rig-2 uploads "$here"
+exec target/review-2/release/rig-2 long-turn "$here"
--- a/review/rig-2/src/main.rs
+++ b/review/rig-2/src/main.rs
@@ -8,7 +8,7 @@
 mod long_turn;
 mod record;
 mod tier;
-mod unknown_service;
+mod two_left;
 mod uploads;
 
 use std::path::Path;
@@ -37,7 +37,7 @@
         "chain" => chain::play(trouble, &record),
         "long-turn" => long_turn::play(trouble, &record),
         "uploads" => uploads::play(trouble, &record),
-        "unknown-service" => unknown_service::play(trouble, &record),
+        "two-left" => two_left::play(trouble, &record),
         _ => Verdict::CouldNotRun("no such case".to_owned()),
     };
     let (status, text) = match verdict {
--- a/review/rig-2/src/tier.rs
+++ b/review/rig-2/src/tier.rs
@@ -192,6 +192,51 @@
         line.split_whitespace().nth(1).and_then(|value| value.parse().ok()).unwrap_or(0)
     }
 
+    /// Takes a machine's disk away; its process must have ended. It starts again without `bootstrap`.
+    pub fn wipe(&self, index: usize) {
+        let machine = &self.machines[index];
+        let _ = fs::remove_dir_all(self.folder.join(format!("{}-data", machine.name)));
+        if let Ok(text) = fs::read_to_string(&machine.settings) {
+            let _ = fs::write(&machine.settings, text.replace("bootstrap = true", "bootstrap = false"));
+        }
+        self.record.line(&format!("{} has lost its disk", machine.name));
+    }
+
+    /// Has a store emptied; returns whether that was completed in time.
+    pub fn retire(&self, name: &str, limit: Duration) -> bool {
+        let until = Instant::now() + limit;
+        let path = format!("/retire/{name}");
+        let mut is_taken = false;
+        while Instant::now() < until {
+            for control in self.controls() {
+                let answer = match is_taken {
+                    false => call(
+                        control,
+                        "POST",
+                        &path,
+                        &[("Content-Type", "application/json")],
+                        b"{\"durationS\":10}",
+                        LOOK,
+                    ),
+                    true => call(control, "GET", &path, &[], b"", LOOK),
+                };
+                let text = String::from_utf8_lossy(&answer.body).into_owned();
+                if answer.status == 200 && (!is_taken || text.contains("completed")) {
+                    self.record.line(&format!(
+                        "operator: {} {path} -> 200 {text}",
+                        if is_taken { "GET" } else { "POST" }
+                    ));
+                    if is_taken {
+                        return true;
+                    }
+                    is_taken = true;
+                }
+            }
+            std::thread::sleep(Duration::from_millis(300));
+        }
+        false
+    }
+
     pub fn note(&self, text: &str) {
         self.record.line(text);
     }
@@ -248,17 +293,6 @@
         }
         0
     }
-
-    /// Reads the configuration in force.
-    pub fn get_config(&self) -> Option<String> {
-        for control in self.controls() {
-            let answer = call(control, "GET", "/config", &[], b"", Duration::from_secs(2));
-            if answer.status == 200 {
-                return Some(String::from_utf8_lossy(&answer.body).into_owned());
-            }
-        }
-        None
-    }
 }
 
 impl Drop for Tier {
