Log what is stored of a turn whose stream its client resumed

The log could not tell a turn that its relay stored incompletely from one that a store returned incompletely or that was put together incompletely. A request that resumes a stream now has its line "request finished", with the event after which it was resumed, the events and bytes passed to the stores, and the bytes of the history before the input.

--- a/crates/node/src/relay/request_log.rs
+++ b/crates/node/src/relay/request_log.rs
@@ -1,7 +1,8 @@
-//! Writes one log line for each request that failed, was aborted or was slow.
+//! Writes one log line for each request that failed, was aborted, was slow or resumed a stream.
 //!
 //! The line is found by the client's `X-Request-Id`. It contains the route, the configuration's generation, every
-//! attempt with its endpoint, times and outcome, the failure of the stores, and the reason for the outcome.
+//! attempt with its endpoint, times and outcome, the failure of the stores, the event after which the client resumed
+//! the stream, the sizes of the turn's history and stored output, and the reason for the outcome.
 
 use std::sync::Arc;
 
@@ -13,7 +14,7 @@
 
 /// The maximum number of lines per second for failed requests. Further ones are only counted.
 const MAX_FAILED_LINES_PER_SECOND: u32 = 100;
-/// The maximum number of lines per second for slow requests. Further ones are only counted.
+/// The maximum number of lines per second for slow requests and resumed streams. Further ones are only counted.
 const MAX_SLOW_LINES_PER_SECOND: u32 = 10;
 
 /// Writes log lines for requests.
@@ -37,7 +38,7 @@
     fn write(&self, trace: &RequestTrace) {
         let record = trace.lock();
         let has_failed = record.has_failed();
-        if !has_failed && !record.is_slow() {
+        if !has_failed && !record.is_slow() && record.resumed_after.is_none() {
             return;
         }
         let limit = if has_failed { &self.failed } else { &self.slow };
@@ -50,6 +51,10 @@
             "status" => outcome.and_then(Outcome::status).map_or(0, |status| status.as_u16()),
             "route" => record.route.as_ref().map_or("", |route| &route.name.0),
             "generation" => record.generation, "attempts" => describe_attempts(&record),
+            "resumed_after" => record.resumed_after.as_deref().unwrap_or_default(),
+            "history_bytes" => record.history_bytes,
+            "stored_events" => record.stored_turn.map(|turn| turn.events),
+            "stored_bytes" => record.stored_turn.map(|turn| turn.output_bytes),
             "stores" => record.store_failure.map(|failure| failure.to_string()).unwrap_or_default(),
             "response_ms" => record.responded_after.map(millis), "duration_ms" => millis(trace.elapsed()),
             "suppressed" => suppressed);
--- a/crates/node/src/relay/stream.rs
+++ b/crates/node/src/relay/stream.rs
@@ -222,6 +222,7 @@
         self.exchange.trace.end_attempt(AttemptEnd::Completed);
         self.source.return_connection(&self.state.pool, &endpoint);
         let Some(turn) = self.turn.take() else { return Ok(()) };
+        self.exchange.trace.record_stored_turn(turn.stored_size());
         let remaining = self.exchange.deadline.since(now());
         let stored = turn.store(&endpoint, remaining).await;
         stored
--- a/crates/node/src/relay/trace.rs
+++ b/crates/node/src/relay/trace.rs
@@ -60,6 +60,15 @@
     pub end: Option<(Span, AttemptEnd)>,
 }
 
+/// The sizes of a stored turn.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StoredTurnSize {
+    /// The events whose data is the turn's output.
+    pub events: u64,
+    /// The bytes of the turn's output.
+    pub output_bytes: usize,
+}
+
 /// The recorded history of a request.
 #[derive(Clone, Debug, Default)]
 pub struct TraceRecord {
@@ -75,6 +84,12 @@
     pub possibly_executed: bool,
     /// Why the stores failed.
     pub store_failure: Option<StoreFailure>,
+    /// The id of the event after which the client resumes the stream; `None` if it does not resume one.
+    pub resumed_after: Option<String>,
+    /// The bytes of the earlier turns in the body sent to endpoints.
+    pub history_bytes: usize,
+    /// The turn as it was passed to the stores; `None` if it was not.
+    pub stored_turn: Option<StoredTurnSize>,
     /// When the head of the response was ready.
     pub responded_after: Option<Span>,
     /// How the request ended; `None` if the client disconnected before that.
@@ -107,6 +122,21 @@
         self.lock().store_failure = Some(cause);
     }
 
+    /// Records that the client resumes a stream after the event with this id.
+    pub fn record_client_resumption(&self, last_event_id: &str) {
+        self.lock().resumed_after = Some(last_event_id.to_owned());
+    }
+
+    /// Records the bytes of the earlier turns in the body.
+    pub fn record_history(&self, bytes: usize) {
+        self.lock().history_bytes = bytes;
+    }
+
+    /// Records the size of the turn that is passed to the stores.
+    pub fn record_stored_turn(&self, size: StoredTurnSize) {
+        self.lock().stored_turn = Some(size);
+    }
+
     /// Records the start of an attempt.
     pub fn start_attempt(&self, endpoint: &InstanceId) {
         let started_after = self.elapsed();
--- a/crates/node/src/relay/turn.rs
+++ b/crates/node/src/relay/turn.rs
@@ -15,6 +15,7 @@
 use super::http_headers::{header_number, header_text};
 use super::rejection::Rejection;
 use super::sessions::{SessionStore, TurnError};
+use super::trace::StoredTurnSize;
 use crate::clock::duration;
 
 /// The maximum time for which the end of a response is delayed while its turn is stored.
@@ -60,6 +61,8 @@
     sent_tokens: u64,
     /// The text sent to the client, if the turn is to be stored.
     output: Vec<u8>,
+    /// The number of events in `output`.
+    stored_events: u64,
     /// Whether the stores may have a reservation that must be committed.
     has_reservation: bool,
 }
@@ -107,6 +110,7 @@
             retention: is_stored.then_some(exchange.route.retention),
             sent_tokens: 0,
             output: Vec::new(),
+            stored_events: 0,
             has_reservation: budget.is_some(),
         }
     }
@@ -142,6 +146,7 @@
         }
         self.output.extend_from_slice(data);
         self.output.push(b'\n');
+        self.stored_events += 1;
         data.len() + 1
     }
 
@@ -168,6 +173,11 @@
         Ok(())
     }
 
+    /// The size of the turn as it would be stored now.
+    pub fn stored_size(&self) -> StoredTurnSize {
+        StoredTurnSize { events: self.stored_events, output_bytes: self.output.len() }
+    }
+
     /// The message that replaces the reservation with the tokens sent.
     fn commit_message(&self) -> FinishTurn {
         let tokens = self.max_tokens.map_or(self.sent_tokens, |max| self.sent_tokens.min(max));
@@ -204,6 +214,7 @@
     exchange.previous_endpoint = last.and_then(|turn| turn.endpoint.clone()).map(InstanceId);
     let new_bytes = exchange.body.len();
     exchange.body = with_history(earlier_turns, &exchange.body);
+    exchange.trace.record_history(exchange.body.len() - new_bytes);
     // Approximates the fraction of tokens by that of bytes, assuming about the same tokens per byte everywhere.
     exchange.new_prompt_fraction = new_bytes as f64 / exchange.body.len().max(1) as f64;
 }
--- a/crates/node/tests/relay/request_log.rs
+++ b/crates/node/tests/relay/request_log.rs
@@ -7,9 +7,9 @@
 use juniperwing_protocol::registry::InstanceState;
 use serde_json::Value;
 
-use crate::endpoint::{FakeEndpoint, ReceivedRequest, Step, chunk, declined, ok, stream_head};
+use crate::endpoint::{FakeEndpoint, ReceivedRequest, Step, chunk, declined, last_chunk, ok, stream_head};
 use crate::support::{
-    RelayHarness, connect, instance, next_chunk, read, request, with_headers, with_timeout,
+    RelayHarness, connect, instance, next_chunk, read, request, stored_turn, with_headers, with_timeout,
 };
 
 /// An endpoint's behaviour, and the expected response and log line.
@@ -165,3 +165,24 @@
     assert_eq!((&line["outcome"], &line["reason"]), (&"client disconnected".into(), &"".into()));
     assert!(attempts(&line).ends_with("=in flight"), "{line}");
 }
+
+// Tells a turn that was stored incompletely from one that was read incompletely: the sizes stand in the line.
+#[tokio::test]
+async fn a_resumed_turn_is_logged_with_what_was_stored_and_what_came_before_it() {
+    let endpoint = FakeEndpoint::start("i-1", |request| {
+        vec![stream_head(request, "s"), chunk("id: 3\ndata: three\n\n"), last_chunk()]
+    })
+    .await;
+    let harness = RelayHarness::with_endpoints(&[&endpoint]).await;
+    *harness.stores.begin_result.lock().unwrap() = Some(Ok(vec![stored_turn("t1", None, "in", "one\n")]));
+    let headers = [("previous", "t1"), ("last-event-id", "2")];
+    let response =
+        read(harness.send(with_headers(request("POST", "/kr/x", "t2", "in"), &headers)).await).await;
+    assert_eq!(response.status, StatusCode::OK);
+    let line = harness.request_log_line("t2").await;
+    assert_eq!((&line["outcome"], &line["resumed_after"]), (&"forwarded".into(), &"2".into()));
+    assert_eq!(line["history_bytes"], "inone\n".len());
+    let stored = harness.stores.finished_turns.lock().unwrap()[0].stored_turn.clone().unwrap();
+    assert_eq!(line["stored_bytes"], stored.output.len());
+    assert_eq!(line["stored_events"], 1);
+}
--- a/crates/node/tests/relay/support.rs
+++ b/crates/node/tests/relay/support.rs
@@ -174,7 +174,8 @@
     {"name":"n","hostname":"h.example","pathPrefix":"/n/","routeType":"non_idempotent","timeoutMs":10000,"targetLatencyMs":4000,"priority":2,"backend":"s","maxRetries":2},
     {"name":"e","hostname":"h.example","pathPrefix":"/e/","routeType":"streaming","timeoutMs":10000,"targetLatencyMs":4000,"priority":0,"backend":"s","maxRetries":2,"resumable":false},
     {"name":"r","hostname":"h.example","pathPrefix":"/r/","routeType":"streaming","timeoutMs":10000,"targetLatencyMs":4000,"priority":0,"backend":"s","maxRetries":2,"resumable":true},
-    {"name":"k","hostname":"h.example","pathPrefix":"/k/","routeType":"streaming","timeoutMs":10000,"targetLatencyMs":4000,"priority":0,"backend":"s","maxRetries":2,"resumable":false,"kept":true,"retentionS":60}],
+    {"name":"k","hostname":"h.example","pathPrefix":"/k/","routeType":"streaming","timeoutMs":10000,"targetLatencyMs":4000,"priority":0,"backend":"s","maxRetries":2,"resumable":false,"kept":true,"retentionS":60},
+    {"name":"kr","hostname":"h.example","pathPrefix":"/kr/","routeType":"streaming","timeoutMs":10000,"targetLatencyMs":4000,"priority":0,"backend":"s","maxRetries":2,"resumable":true,"kept":true,"retentionS":60}],
     "backends":[{"name":"s","healthCheck":"/healthz","maxConnections":100,"protocol":"h1","tls":false,"engine":{"capacity":32,"stride":3,"models":[{"name":"m"}]}}],
     "limits":{"maxHeaderBytes":16384,"maxBodyBytes":65536,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}"#;
 
