A turn whose client resumed its stream is stored with all of its events

Cause: the relay stored what its own request had sent.

Change: for a turn that is stored, the endpoint is asked for all events. The relay tells what it has read from what the client has (StreamPosition): it stores the first, sends and counts the rest. The same for routes that are kept and not resumable, where endpoints heed the header all the same, and for an endpoint that breaks off before or after the client's last event. An id that is no number names no event. Where nothing is stored, streams are resumed at the endpoint as before.

--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -37,6 +37,7 @@
 mod state;
 mod stream;
 mod stream_error;
+mod stream_position;
 mod trace;
 mod turn;
 mod upstream;
--- a/crates/node/src/relay/exchange.rs
+++ b/crates/node/src/relay/exchange.rs
@@ -41,6 +41,8 @@
     pub headers: HeaderMap,
     /// The body; for stored turns preceded by the earlier turns.
     pub body: Bytes,
+    /// The id of the last event that the client has of the stream that it resumes, if the relay has to know it.
+    pub sent_event_id: Option<Bytes>,
     /// The value of the client's `X-Request-Id`.
     pub request_id_header: HeaderValue,
     /// The sections of the prompt.
@@ -82,12 +84,21 @@
         RequestId::from(value_text(&self.request_id_header))
     }
 
-    /// The id of the event after which the client wants the stream to resume, if the route allows that.
+    /// The id of the event after which an endpoint has to resume the stream, if there is one.
     pub fn last_event_id(&self) -> Option<Bytes> {
-        let id = self.headers.get(headers::LAST_EVENT_ID).filter(|_| self.is_retryable());
+        let id = self.headers.get(headers::LAST_EVENT_ID).filter(|_| self.sent_event_id.is_some());
         id.map(|id| Bytes::copy_from_slice(id.as_bytes()))
     }
 
+    /// Sets the id of the event after which an endpoint has to resume the stream; with `None` it sends all events.
+    pub fn set_last_event_id(&mut self, id: Option<u64>) {
+        let name = header_name(headers::LAST_EVENT_ID);
+        match id {
+            Some(id) => drop(self.headers.insert(name, HeaderValue::from(id))),
+            None => drop(self.headers.remove(name)),
+        }
+    }
+
     /// Creates the request to the balancer for an attempt with the given timeout.
     pub fn placement_request(&self, excluded: Vec<InstanceId>, attempt_timeout: Span) -> PlacementRequest {
         PlacementRequest {
--- a/crates/node/src/relay/request_handler.rs
+++ b/crates/node/src/relay/request_handler.rs
@@ -92,7 +92,7 @@
     let deadline = received_at + time_allowed(&route, &parts.headers);
     let (body, memory) = read_body(&state.memory, body, limits, deadline).await?;
     let mut exchange = exchange(route, parts, body, deadline, trace, memory)?;
-    if exchange.last_event_id().is_some() {
+    if exchange.sent_event_id.is_some() {
         trace.record_client_resumption(header_text(&exchange.headers, headers::LAST_EVENT_ID));
     }
     let turn = OpenTurn::begin(&state.sessions, &mut exchange, &active.table).await;
--- a/crates/node/src/relay/request_reader.rs
+++ b/crates/node/src/relay/request_reader.rs
@@ -131,7 +131,9 @@
         host: route.hostname.clone(),
         prefix: route.path_prefix.clone(),
     };
+    let sent_event_id = headers.get(headers::LAST_EVENT_ID).filter(|_| tracks_sent_events(&route));
     Ok(Exchange {
+        sent_event_id: sent_event_id.map(|id| Bytes::copy_from_slice(id.as_bytes())),
         destination,
         method: parts.method,
         uri: origin_form(&parts.uri).ok_or_else(bad_request)?,
@@ -149,6 +151,12 @@
     })
 }
 
+/// Whether the relay has to know which events the client has: to resume a stream within its response, or to store a
+/// turn with all events.
+fn tracks_sent_events(route: &Route) -> bool {
+    route.route_type.is_streaming() && (route.is_retryable() || route.stores_turns)
+}
+
 /// Converts a request target to origin form, that is, without its authority.
 fn origin_form(uri: &Uri) -> Option<Uri> {
     if uri.authority().is_none() {
--- a/crates/node/src/relay/stream.rs
+++ b/crates/node/src/relay/stream.rs
@@ -23,6 +23,7 @@
 use super::retries::RetryState;
 use super::state::RelayState;
 use super::stream_error::StreamError;
+use super::stream_position::{StreamPosition, event_number};
 use super::trace::{AttemptEnd, Outcome};
 use super::turn::OpenTurn;
 use crate::clock::{duration, now};
@@ -37,7 +38,7 @@
     // The length is unknown, because another endpoint may resume the stream.
     parts.headers.remove(CONTENT_LENGTH);
     let remaining = duration(exchange.deadline.since(now()));
-    let last_event_id = exchange.last_event_id();
+    let position = StreamPosition::new(exchange.last_event_id(), exchange.sent_event_id.clone());
     let stream = ForwardedStream {
         state: Arc::clone(state),
         exchange,
@@ -47,7 +48,7 @@
         slot: Some(slot),
         status: parts.status,
         first_events: Some(first_events),
-        last_event_id,
+        position,
         resumed_after: None,
         deadline: Instant::now() + remaining,
         has_ended: false,
@@ -72,9 +73,8 @@
     status: StatusCode,
     /// Events that arrived before the response was ready.
     first_events: Option<Vec<Event>>,
-    /// The id of the last event that the client has, either sent to it or given in its `Last-Event-Id`.
-    last_event_id: Option<Bytes>,
-    /// `last_event_id` as a number when the stream was last resumed.
+    position: StreamPosition,
+    /// The number of the event after which the stream was last resumed.
     resumed_after: Option<u64>,
     deadline: Instant,
     has_ended: bool,
@@ -127,34 +127,40 @@
         }
     }
 
-    /// Records those events that the client does not have yet, and returns their bytes.
+    /// Records the events that were not read before, and returns the bytes of those that the client does not have.
     fn handle_events(&mut self, events: Vec<Event>) -> Result<Option<Bytes>, StreamError> {
-        let mut new_events: Vec<Event> =
-            events.into_iter().filter(|event| !self.is_duplicate(event)).collect();
-        for event in &new_events {
-            self.check_id_increases(event);
-            let retained_bytes = self.turn.as_mut().map_or(0, |turn| turn.record_event(event));
-            if !self.exchange.memory.grow(retained_bytes) {
-                return Err(StreamError::NoMemory);
+        let mut unsent_events = Vec::new();
+        for event in events {
+            let novelty = self.position.advance(&event);
+            if novelty.is_unread {
+                self.record_event(&event)?;
             }
-            if event.id.is_some() {
-                self.last_event_id.clone_from(&event.id);
+            if novelty.is_unsent {
+                self.turn.iter_mut().for_each(|turn| turn.count_tokens(&event));
+                unsent_events.push(event);
             }
         }
-        Ok(match new_events.len() {
+        Ok(match unsent_events.len() {
             0 => None,
-            1 => new_events.pop().map(|event| event.raw),
+            1 => unsent_events.pop().map(|event| event.raw),
             _ => {
                 let mut joined = BytesMut::new();
-                new_events.iter().for_each(|event| joined.extend_from_slice(&event.raw));
+                unsent_events.iter().for_each(|event| joined.extend_from_slice(&event.raw));
                 Some(joined.freeze())
             }
         })
     }
 
-    /// Checks the invariant that a resumed stream continues after the last event that the client had at that time.
+    /// Records an event that was not read before, and reserves the memory for what is retained of it.
+    fn record_event(&mut self, event: &Event) -> Result<(), StreamError> {
+        self.check_id_increases(event);
+        let retained_bytes = self.turn.as_mut().map_or(0, |turn| turn.record_event(event));
+        if self.exchange.memory.grow(retained_bytes) { Ok(()) } else { Err(StreamError::NoMemory) }
+    }
+
+    /// Checks the invariant that a resumed stream continues after the last event that was read before.
     fn check_id_increases(&self, event: &Event) {
-        let increases = match (self.resumed_after, event_number(&event.id)) {
+        let increases = match (self.resumed_after, event_number(event.id.as_ref())) {
             (Some(resumed_after), Some(id)) => id > resumed_after,
             _ => true,
         };
@@ -163,15 +169,7 @@
         });
     }
 
-    /// Whether the client already has an event. Ids increase, so that a resumed stream may repeat earlier ones.
-    fn is_duplicate(&self, event: &Event) -> bool {
-        match (event_number(&self.last_event_id), event_number(&event.id)) {
-            (Some(last), Some(id)) => id <= last,
-            _ => false,
-        }
-    }
-
-    /// Resumes the stream at another endpoint, after the last event that the client has.
+    /// Resumes the stream at another endpoint, after the last event that was read.
     async fn resume(&mut self, mut failure: AttemptFailure) -> Result<(), StreamError> {
         loop {
             self.source.close();
@@ -200,14 +198,15 @@
         }
     }
 
-    /// Sets `Last-Event-Id` in the request to the last event that the client has, if the stream may be resumed.
+    /// Sets `Last-Event-Id` in the request to the last event that was read, if the stream may be resumed.
     fn prepare_resumption(&mut self) -> Result<(), StreamError> {
-        let last_event_id = self.last_event_id.as_ref().and_then(|id| HeaderValue::from_bytes(id).ok());
+        let last_event_id = self.position.resume_after().and_then(|id| HeaderValue::from_bytes(id).ok());
         let may_resume = self.exchange.is_retryable() && self.retries.attempts_left(&self.exchange) > 0;
         match last_event_id.filter(|_| may_resume) {
             None => Err(StreamError::EndpointFailed),
             Some(id) => {
-                self.resumed_after = event_number(&self.last_event_id);
+                self.resumed_after = self.position.resume_after_number();
+                self.position.change_source();
                 self.exchange.headers.insert(header_name(headers::LAST_EVENT_ID), id);
                 Ok(())
             }
@@ -231,11 +230,6 @@
     }
 }
 
-/// The id of an event as a number, if it is one.
-fn event_number(id: &Option<Bytes>) -> Option<u64> {
-    std::str::from_utf8(id.as_ref()?).ok()?.trim().parse().ok()
-}
-
 async fn reopen(
     state: &RelayState, exchange: &Exchange, slot: &Slot,
 ) -> Result<EndpointResponse, AttemptFailure> {
--- a/crates/node/src/relay/turn.rs
+++ b/crates/node/src/relay/turn.rs
@@ -15,6 +15,7 @@
 use super::http_headers::{header_number, header_text};
 use super::rejection::Rejection;
 use super::sessions::{SessionStore, TurnError};
+use super::stream_position::event_number;
 use super::trace::StoredTurnSize;
 use crate::clock::duration;
 
@@ -59,7 +60,7 @@
     retention: Option<Span>,
     /// The tokens sent to the client.
     sent_tokens: u64,
-    /// The text sent to the client, if the turn is to be stored.
+    /// The data of all events of the turn, if it is to be stored.
     output: Vec<u8>,
     /// The number of events in `output`.
     stored_events: u64,
@@ -86,6 +87,7 @@
         let earlier_turns = turn.reserve(exchange, budget).await?;
         if is_stored {
             prepend_turns(exchange, &earlier_turns);
+            request_all_events(exchange);
         }
         Ok(Some(turn))
     }
@@ -137,13 +139,16 @@
         })
     }
 
-    /// Records an event that is sent to the client. Returns how many bytes are retained for it.
-    pub fn record_event(&mut self, event: &Event) -> usize {
-        let Some(data) = &event.data else { return 0 };
-        self.sent_tokens = self.sent_tokens.saturating_add(self.tokens_per_event);
-        if self.retention.is_none() {
-            return 0;
+    /// Counts the tokens of an event that is sent to the client.
+    pub fn count_tokens(&mut self, event: &Event) {
+        if event.data.is_some() {
+            self.sent_tokens = self.sent_tokens.saturating_add(self.tokens_per_event);
         }
+    }
+
+    /// Records an event of the turn, if the turn is to be stored. Returns how many bytes are retained for it.
+    pub fn record_event(&mut self, event: &Event) -> usize {
+        let Some(data) = event.data.as_ref().filter(|_| self.retention.is_some()) else { return 0 };
         self.output.extend_from_slice(data);
         self.output.push(b'\n');
         self.stored_events += 1;
@@ -219,6 +224,13 @@
     exchange.new_prompt_fraction = new_bytes as f64 / exchange.body.len().max(1) as f64;
 }
 
+/// Has the endpoint send the events that the client already has too, since the turn is stored with all of its events.
+fn request_all_events(exchange: &mut Exchange) {
+    exchange.set_last_event_id(None);
+    // An id that is no number names no event, so the client gets all of them.
+    exchange.sent_event_id = exchange.sent_event_id.take().filter(|id| event_number(Some(id)).is_some());
+}
+
 /// Concatenates the input and output of each earlier turn and the new input.
 fn with_history(earlier_turns: &[Turn], input: &Bytes) -> Bytes {
     if earlier_turns.is_empty() {
--- a/crates/node/tests/relay/main.rs
+++ b/crates/node/tests/relay/main.rs
@@ -12,6 +12,7 @@
 mod planned_work;
 mod refusals;
 mod request_log;
+mod resumed_turns;
 mod resumption;
 mod retries;
 mod returned_requests;
--- /dev/null
+++ b/crates/node/tests/relay/resumed_turns.rs
@@ -0,0 +1,119 @@
+//! Turns whose stream the client resumes with a request of its own: they are stored with all of their events.
+
+use bytes::Bytes;
+use http::{Request, StatusCode};
+use http_body_util::Full;
+
+use crate::endpoint::{FakeEndpoint, ReceivedRequest, Step, chunk, last_chunk, start_pair, stream_head};
+use crate::support::{ClientResponse, RelayHarness, read, request, with_headers};
+
+/// The number of events of the stream.
+const EVENTS: usize = 5;
+const TOKENS_PER_EVENT: u64 = 3;
+
+fn events(range: std::ops::RangeInclusive<usize>) -> String {
+    range.map(|number| format!("id: {number}\ndata: text {number}\n\n")).collect()
+}
+
+/// The output of the turn as the next turn has to contain it.
+fn whole_output() -> String {
+    (1..=EVENTS).map(|number| format!("text {number}\n")).collect()
+}
+
+/// A sound endpoint: it sends the events after `Last-Event-Id`, up to `last`, and breaks off if that is not the last one.
+fn stream_up_to(last: usize, request: &ReceivedRequest) -> Vec<Step> {
+    let after: usize = request.header("last-event-id").map_or(0, |id| id.parse().unwrap());
+    let mut steps = vec![stream_head(request, "s")];
+    steps.extend((after + 1..=last).map(|number| chunk(&events(number..=number))));
+    steps.push(if last == EVENTS { last_chunk() } else { Step::Reset });
+    steps
+}
+
+fn turn(path: &str, last_event_id: &str) -> Request<Full<Bytes>> {
+    let headers = [
+        ("program", "p1"),
+        ("session", "q1"),
+        ("budget", "1080"),
+        ("x-token-count", "1840,135"),
+        ("last-event-id", last_event_id),
+    ];
+    with_headers(request("POST", path, "t1", "in"), &headers)
+}
+
+/// Checks what the client gets that has the events up to `sent`, and what is stored and counted.
+#[track_caller]
+fn check(harness: &RelayHarness, response: &ClientResponse, sent: usize) {
+    assert_eq!(response.status, StatusCode::OK);
+    assert_eq!(response.body.as_deref(), Some(events(sent + 1..=EVENTS).as_bytes()), "each event once");
+    let finished = harness.stores.finished_turns.lock().unwrap().pop().unwrap();
+    assert_eq!(finished.tokens, (EVENTS - sent) as u64 * TOKENS_PER_EVENT, "the tokens of this request");
+    let stored = finished.stored_turn.unwrap();
+    assert_eq!(String::from_utf8_lossy(&stored.output), whole_output());
+    assert_eq!(&*stored.input, b"in");
+}
+
+// Guards against a next turn that runs without the events before the cut: the answer of a turn whose client resumed
+// its stream was stored without them.
+#[tokio::test]
+async fn a_turn_resumed_by_its_client_is_stored_with_all_events() {
+    let endpoint = FakeEndpoint::start("i-1", |request| stream_up_to(EVENTS, request)).await;
+    let harness = RelayHarness::with_endpoints(&[&endpoint]).await;
+    for sent in 0..=EVENTS {
+        let response = read(harness.send(turn("/kr/x", &sent.to_string())).await).await;
+        check(&harness, &response, sent);
+    }
+}
+
+// Guards against the same loss on a route whose streams are not resumable: endpoints heed the header all the same.
+#[tokio::test]
+async fn a_turn_on_a_route_that_is_not_resumable_is_stored_with_all_events_too() {
+    let endpoint = FakeEndpoint::start("i-1", |request| stream_up_to(EVENTS, request)).await;
+    let harness = RelayHarness::with_endpoints(&[&endpoint]).await;
+    let response = read(harness.send(turn("/k/x", "2")).await).await;
+    check(&harness, &response, 2);
+}
+
+// Guards against the same loss where the endpoint breaks off as well, before or after the client's last event.
+#[tokio::test]
+async fn a_turn_resumed_by_its_client_and_then_by_the_relay_is_stored_with_all_events() {
+    for sent in 0..=EVENTS {
+        for broken_after in 1..EVENTS {
+            let [one, two] = start_pair(move |earlier, request| {
+                stream_up_to(if earlier == 0 { broken_after } else { EVENTS }, request)
+            })
+            .await;
+            let harness = RelayHarness::with_endpoints(&[&one, &two]).await;
+            let response = read(harness.send(turn("/kr/x", &sent.to_string())).await).await;
+            check(&harness, &response, sent);
+        }
+    }
+}
+
+#[tokio::test]
+async fn an_event_id_that_is_no_number_names_no_event_of_a_turn() {
+    let endpoint = FakeEndpoint::start("i-1", |request| stream_up_to(EVENTS, request)).await;
+    let harness = RelayHarness::with_endpoints(&[&endpoint]).await;
+    for id in ["", "first", "-1"] {
+        let response = read(harness.send(turn("/kr/x", id)).await).await;
+        check(&harness, &response, 0);
+    }
+}
+
+// The client has all events already, but did not see the end: the turn may not have been stored.
+#[tokio::test]
+async fn an_event_id_after_the_last_event_gets_the_end_only() {
+    let endpoint = FakeEndpoint::start("i-1", |request| stream_up_to(EVENTS, request)).await;
+    let harness = RelayHarness::with_endpoints(&[&endpoint]).await;
+    let response = read(harness.send(turn("/kr/x", "99")).await).await;
+    check(&harness, &response, EVENTS);
+}
+
+// What is not stored need not be generated again.
+#[tokio::test]
+async fn a_stream_that_is_not_stored_is_resumed_at_the_endpoint() {
+    let endpoint = FakeEndpoint::start("i-1", |request| stream_up_to(EVENTS, request)).await;
+    let harness = RelayHarness::with_endpoints(&[&endpoint]).await;
+    let response = read(harness.send(turn("/r/x", "2")).await).await;
+    assert_eq!(response.body.as_deref(), Some(events(3..=EVENTS).as_bytes()));
+    assert_eq!(endpoint.received()[0].header("last-event-id"), Some("2"));
+}
--- a/crates/node/tests/relay/resumption.rs
+++ b/crates/node/tests/relay/resumption.rs
@@ -27,7 +27,7 @@
     with_headers(request("POST", path, "9c41", "in"), &[("last-event-id", "2")])
 }
 
-// Covers the forwarding of the client's `Last-Event-Id`, from which `ForwardedStream::last_event_id` then advances.
+// Covers the forwarding of the client's `Last-Event-Id`, from which `StreamPosition` then advances.
 #[tokio::test]
 async fn client_and_relay_each_resume_after_their_last_event() {
     let first: Script = |request| {
@@ -49,7 +49,7 @@
     assert_eq!(last_event_ids, ["2", "3"]);
 }
 
-// Covers `ForwardedStream::last_event_id`, which starts as the client's `Last-Event-Id`.
+// Covers `StreamPosition`, which starts as the client's `Last-Event-Id`.
 #[tokio::test]
 async fn events_that_the_client_has_are_not_repeated() {
     let first: Script =
