Stores hold the events of resumable turns in flight, so that none is generated again

Change: on routes that are kept and resumable, the relay records the events at all in-sync replicas of the program's partition while it sends them (RecordOutput, FindOutput; new variants at the end of the messages, all other golden bytes unchanged). Nothing waits for it: one call a replica is in flight, and events that arrive meanwhile go with the next one. A client's next try of the same turn (program, session, previous turn, host and path, input) finds the latest stream that has the client's last event; the endpoint continues after it. What the replicas do not know is still generated again, and counted (regenerated).

--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -40,11 +40,12 @@
 mod stream_position;
 mod trace;
 mod turn;
+mod turn_output;
 mod upstream;
 
 pub use cluster_view::ClusterView;
 pub use events::{Event, EventSplitter, EventTooLarge, MAX_EVENT_BYTES};
 pub use server::{Relay, run};
-pub use sessions::{SessionCall, SessionStore, TurnError};
+pub use sessions::{OutputCall, SessionCall, SessionStore, TurnError};
 pub use state::RelayState;
 pub use upstream::{Connection, ConnectionPool};
--- a/crates/node/src/relay/metrics.rs
+++ b/crates/node/src/relay/metrics.rs
@@ -46,6 +46,8 @@
     pub connect_failures: Counter,
     /// Streams resumed at another endpoint.
     pub resumed_streams: Counter,
+    /// Turns of which an endpoint generates again what the client has, because the stores do not know it.
+    pub regenerated_turns: Counter,
     /// Streams that were aborted.
     pub aborted_streams: Counter,
     /// Requests refused because no route matched.
@@ -85,7 +87,7 @@
     }
 
     /// All counters, each with its name in metrics and logs and its help text.
-    fn entries(&self) -> [(&'static str, &'static str, &Counter); 20] {
+    fn entries(&self) -> [(&'static str, &'static str, &Counter); 21] {
         [
             ("requests", "Requests read", &self.requests),
             ("answered", "Answers of endpoints passed on", &self.forwarded),
@@ -97,6 +99,11 @@
             ("connections", "Connections to endpoints opened", &self.connects),
             ("connections_failed", "Connections that did not come up", &self.connect_failures),
             ("resumed", "Streams taken up at another endpoint", &self.resumed_streams),
+            (
+                "regenerated",
+                "Turns of which events that the client has are generated again",
+                &self.regenerated_turns,
+            ),
             ("broken_off", "Streams broken off", &self.aborted_streams),
             ("no_route", "Requests refused: no route", &self.no_route),
             ("turns_denied", "Turns refused: budget spent, or turn unknown", &self.refused_turns),
--- a/crates/node/src/relay/request_handler.rs
+++ b/crates/node/src/relay/request_handler.rs
@@ -101,6 +101,9 @@
             state.metrics.refused_turns.increment();
         }
     })?;
+    if exchange.route.stores_turns && exchange.last_event_id() != exchange.sent_event_id {
+        state.metrics.regenerated_turns.increment();
+    }
     // The body now includes the earlier turns.
     let body_bytes = exchange.body.len();
     if !exchange.memory.grow(body_bytes) {
--- a/crates/node/src/relay/request_log.rs
+++ b/crates/node/src/relay/request_log.rs
@@ -2,7 +2,7 @@
 //!
 //! The line is found by the client's `X-Request-Id`. It contains the route, the configuration's generation, every
 //! attempt with its endpoint, times and outcome, the failure of the stores, the event after which the client resumed
-//! the stream, the sizes of the turn's history and stored output, and the reason for the outcome.
+//! the stream, the last event that the stores knew of it, the sizes of the turn's history and stored output, and the reason for the outcome.
 
 use std::sync::Arc;
 
@@ -52,6 +52,7 @@
             "route" => record.route.as_ref().map_or("", |route| &route.name.0),
             "generation" => record.generation, "attempts" => describe_attempts(&record),
             "resumed_after" => record.resumed_after.as_deref().unwrap_or_default(),
+            "known_up_to" => record.known_output,
             "history_bytes" => record.history_bytes,
             "stored_events" => record.stored_turn.map(|turn| turn.events),
             "stored_bytes" => record.stored_turn.map(|turn| turn.output_bytes),
--- a/crates/node/src/relay/sessions.rs
+++ b/crates/node/src/relay/sessions.rs
@@ -4,10 +4,11 @@
 use std::pin::Pin;
 use std::time::Duration;
 
-use juniperwing_protocol::session::{BeginTurn, FinishTurn, Turn};
+use juniperwing_protocol::RequestId;
+use juniperwing_protocol::session::{BeginTurn, FindOutput, FinishTurn, OutputEvent, Turn, TurnKey};
 use snafu::Snafu;
 
-use crate::sessions_client::{CommitUncertain, SessionError, SessionsClient, StoreFailure};
+use crate::sessions_client::{CommitUncertain, OutputSender, SessionError, SessionsClient, StoreFailure};
 
 /// Why a turn cannot be begun or finished.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
@@ -29,6 +30,9 @@
 /// The result of a call to the stores.
 pub type SessionCall<T> = Pin<Box<dyn Future<Output = Result<T, TurnError>> + Send>>;
 
+/// The result of a search for output that was handed out.
+pub type OutputCall = Pin<Box<dyn Future<Output = Vec<OutputEvent>> + Send>>;
+
 /// The store operations that a relay uses.
 pub trait SessionStore: Send + Sync + 'static {
     /// Reserves the maximum number of tokens that a turn may generate, and fetches the previous turns, oldest first.
@@ -40,6 +44,13 @@
     /// Commits the tokens of a turn in the background, with retries for a limited time.
     fn finish_turn_in_background(&self, turn: FinishTurn);
 
+    /// Returns the output of a turn that was handed out up to the client's last event, from the first event on and
+    /// without gaps, as far as it is known.
+    fn find_output(&self, find: FindOutput, max_wait: Duration) -> OutputCall;
+
+    /// Records the events of a stream in the background, for a client that resumes it.
+    fn record_output(&self, turn: TurnKey, request: RequestId) -> OutputSender;
+
     /// Waits until no turn is being committed in the background.
     fn background_commits_done(&self) -> Pin<Box<dyn Future<Output = ()> + Send>> {
         Box::pin(std::future::ready(()))
@@ -81,6 +92,15 @@
         self.finish_in_background(turn);
     }
 
+    fn find_output(&self, find: FindOutput, max_wait: Duration) -> OutputCall {
+        let client = self.clone();
+        Box::pin(async move { client.find_output(find, max_wait).await })
+    }
+
+    fn record_output(&self, turn: TurnKey, request: RequestId) -> OutputSender {
+        self.record_output(turn, request)
+    }
+
     fn background_commits_done(&self) -> Pin<Box<dyn Future<Output = ()> + Send>> {
         let client = self.clone();
         Box::pin(async move { client.wait_for_background_commits().await })
--- a/crates/node/src/relay/trace.rs
+++ b/crates/node/src/relay/trace.rs
@@ -86,6 +86,8 @@
     pub store_failure: Option<StoreFailure>,
     /// The id of the event after which the client resumes the stream; `None` if it does not resume one.
     pub resumed_after: Option<String>,
+    /// The id of the last event whose output the stores knew when the client resumed the stream.
+    pub known_output: Option<u64>,
     /// The bytes of the earlier turns in the body sent to endpoints.
     pub history_bytes: usize,
     /// The turn as it was passed to the stores; `None` if it was not.
@@ -127,6 +129,11 @@
         self.lock().resumed_after = Some(last_event_id.to_owned());
     }
 
+    /// Records up to which event the stores know the output that was handed out.
+    pub fn record_known_output(&self, last_event_id: Option<u64>) {
+        self.lock().known_output = last_event_id;
+    }
+
     /// Records the bytes of the earlier turns in the body.
     pub fn record_history(&self, bytes: usize) {
         self.lock().history_bytes = bytes;
--- a/crates/node/src/relay/turn.rs
+++ b/crates/node/src/relay/turn.rs
@@ -8,7 +8,7 @@
 use juniperwing_configuration::RouteTable;
 use juniperwing_protocol::headers;
 use juniperwing_protocol::identity::{InstanceId, ProgramId, RequestId};
-use juniperwing_protocol::session::{BeginTurn, FinishTurn, Turn};
+use juniperwing_protocol::session::{BeginTurn, FindOutput, FinishTurn, OutputEvent, Turn, TurnKey};
 
 use super::events::Event;
 use super::exchange::Exchange;
@@ -17,6 +17,7 @@
 use super::sessions::{SessionStore, TurnError};
 use super::stream_position::event_number;
 use super::trace::StoredTurnSize;
+use super::turn_output::{TurnOutput, turn_key};
 use crate::clock::duration;
 
 /// The maximum time for which the end of a response is delayed while its turn is stored.
@@ -60,10 +61,8 @@
     retention: Option<Span>,
     /// The tokens sent to the client.
     sent_tokens: u64,
-    /// The data of all events of the turn, if it is to be stored.
-    output: Vec<u8>,
-    /// The number of events in `output`.
-    stored_events: u64,
+    /// The output of the turn, if it is to be stored.
+    output: TurnOutput,
     /// Whether the stores may have a reservation that must be committed.
     has_reservation: bool,
 }
@@ -86,8 +85,8 @@
         let mut turn = OpenTurn::new(sessions, exchange, table, budget);
         let earlier_turns = turn.reserve(exchange, budget).await?;
         if is_stored {
+            turn.resume(exchange).await;
             prepend_turns(exchange, &earlier_turns);
-            request_all_events(exchange);
         }
         Ok(Some(turn))
     }
@@ -111,8 +110,7 @@
             max_tokens: max_tokens(exchange),
             retention: is_stored.then_some(exchange.route.retention),
             sent_tokens: 0,
-            output: Vec::new(),
-            stored_events: 0,
+            output: TurnOutput::default(),
             has_reservation: budget.is_some(),
         }
     }
@@ -139,6 +137,49 @@
         })
     }
 
+    /// Prepares the output of a turn whose stream the client may resume, since a turn is stored with all of its events.
+    /// The endpoint continues after the last event that the stores know to be handed out; what the client has beyond it
+    /// is generated again.
+    async fn resume(&mut self, exchange: &mut Exchange) {
+        let sent = event_number(exchange.sent_event_id.as_ref());
+        if sent.is_none() {
+            // An id that is no number names no event, so the client gets all of them.
+            exchange.sent_event_id = None;
+        }
+        exchange.set_last_event_id(None);
+        let key = turn_key(exchange, self.previous.as_ref());
+        let Some(key) = key.filter(|_| exchange.route.is_retryable()) else { return };
+        let handed_out = match sent {
+            Some(sent) => self.find_output(exchange, key.clone(), sent).await,
+            None => Vec::new(),
+        };
+        let last_id = handed_out.last().map(|event| event.id);
+        exchange.set_last_event_id(last_id);
+        exchange.trace.record_known_output(last_id);
+        self.output = TurnOutput::handed_out(&handed_out);
+        // If this exceeds the memory budget, so does the body that is reserved next, and the request is rejected.
+        exchange.memory.grow(self.output.size().output_bytes);
+        self.record_output(key, handed_out);
+    }
+
+    /// Fetches the output that was handed out to the client, up to the event `sent`.
+    async fn find_output(&self, exchange: &Exchange, turn: TurnKey, sent: u64) -> Vec<OutputEvent> {
+        let max_wait = exchange.remaining_time().mul_f64(BEGIN_TIMEOUT_FRACTION);
+        let find = FindOutput { turn, last_event_id: sent };
+        self.sessions.find_output(find, duration(max_wait)).await
+    }
+
+    /// Records the output from now on, beginning with what was handed out before.
+    fn record_output(&mut self, turn: TurnKey, handed_out: Vec<OutputEvent>) {
+        let last_id = handed_out.last().map(|event| event.id);
+        let sender = self.sessions.record_output(turn, self.request.clone());
+        for event in handed_out {
+            // If nothing receives the event any more, the output is generated again.
+            let _ = sender.send(event);
+        }
+        self.output.record_through(sender, last_id);
+    }
+
     /// Counts the tokens of an event that is sent to the client.
     pub fn count_tokens(&mut self, event: &Event) {
         if event.data.is_some() {
@@ -148,11 +189,7 @@
 
     /// Records an event of the turn, if the turn is to be stored. Returns how many bytes are retained for it.
     pub fn record_event(&mut self, event: &Event) -> usize {
-        let Some(data) = event.data.as_ref().filter(|_| self.retention.is_some()) else { return 0 };
-        self.output.extend_from_slice(data);
-        self.output.push(b'\n');
-        self.stored_events += 1;
-        data.len() + 1
+        if self.retention.is_some() { self.output.push(event) } else { 0 }
     }
 
     /// Handles the end of an endpoint's stream, with `remaining` until the deadline: stores the turn, if its route says
@@ -167,7 +204,7 @@
             request: self.request.clone(),
             previous: self.previous.clone(),
             input: Arc::from(&*self.input),
-            output: Arc::from(std::mem::take(&mut self.output)),
+            output: Arc::from(self.output.take()),
             retention_ms: retention.as_nanos() / 1_000_000,
             endpoint: Some(endpoint.0.clone()),
         };
@@ -180,7 +217,7 @@
 
     /// The size of the turn as it would be stored now.
     pub fn stored_size(&self) -> StoredTurnSize {
-        StoredTurnSize { events: self.stored_events, output_bytes: self.output.len() }
+        self.output.size()
     }
 
     /// The message that replaces the reservation with the tokens sent.
@@ -224,13 +261,6 @@
     exchange.new_prompt_fraction = new_bytes as f64 / exchange.body.len().max(1) as f64;
 }
 
-/// Has the endpoint send the events that the client already has too, since the turn is stored with all of its events.
-fn request_all_events(exchange: &mut Exchange) {
-    exchange.set_last_event_id(None);
-    // An id that is no number names no event, so the client gets all of them.
-    exchange.sent_event_id = exchange.sent_event_id.take().filter(|id| event_number(Some(id)).is_some());
-}
-
 /// Concatenates the input and output of each earlier turn and the new input.
 fn with_history(earlier_turns: &[Turn], input: &Bytes) -> Bytes {
     if earlier_turns.is_empty() {
--- a/crates/node/src/sessions_client.rs
+++ b/crates/node/src/sessions_client.rs
@@ -3,6 +3,7 @@
 mod background;
 mod error;
 mod lookup;
+mod output;
 mod routing;
 
 use std::sync::Arc;
@@ -15,6 +16,7 @@
 
 use self::background::BackgroundCommits;
 pub use self::error::{CommitUncertain, SessionError, StoreFailure, StoreFailureReason};
+pub use self::output::OutputSender;
 use self::routing::{PartitionPrimary, primary_of, wait_until_replaced};
 use crate::link::LinkPool;
 use crate::sync::watch;
--- a/crates/node/src/sessions_client/routing.rs
+++ b/crates/node/src/sessions_client/routing.rs
@@ -33,6 +33,14 @@
     Some(PartitionPrimary { partition, epoch: assignment.epoch, address })
 }
 
+/// Returns the in-sync replicas of a program's partition, the primary among them.
+pub(super) fn replicas_of(map: &StoreMap, program: &ProgramId) -> Vec<PartitionPrimary> {
+    let Some(partition) = map.partition_of(&program.0) else { return Vec::new() };
+    let Some(assignment) = map.assignment(partition) else { return Vec::new() };
+    let addresses = assignment.in_sync.iter().filter_map(|disk| Some(map.store(*disk)?.address));
+    addresses.map(|address| PartitionPrimary { partition, epoch: assignment.epoch, address }).collect()
+}
+
 /// Waits until the map names a primary or epoch other than `current` for a program.
 pub(super) async fn wait_until_replaced(
     map: &mut watch::Receiver<Arc<StoreMap>>, program: &ProgramId, current: PartitionPrimary,
--- a/crates/node/src/store/metrics.rs
+++ b/crates/node/src/store/metrics.rs
@@ -49,10 +49,15 @@
     ]
 }
 
-fn record_metrics(statistics: &StoreStatistics) -> [Metric; 5] {
+fn record_metrics(statistics: &StoreStatistics) -> [Metric; 6] {
     [
         Metric::gauge("records", "Records held", statistics.records),
         Metric::gauge("record_bytes", "Bytes of the records held, roughly", statistics.record_bytes),
+        Metric::gauge(
+            "output_bytes",
+            "Bytes of output held for clients that resume a stream, roughly",
+            statistics.output_log_bytes,
+        ),
         Metric::gauge("disk_bytes", "Bytes of all batches on disk", statistics.disk_bytes),
         Metric::gauge(
             "reservations",
--- a/crates/node/tests/relay/resumed_turns.rs
+++ b/crates/node/tests/relay/resumed_turns.rs
@@ -3,6 +3,7 @@
 use bytes::Bytes;
 use http::{Request, StatusCode};
 use http_body_util::Full;
+use juniperwing_protocol::session::{OutputEvent, TurnKey};
 
 use crate::endpoint::{FakeEndpoint, ReceivedRequest, Step, chunk, last_chunk, start_pair, stream_head};
 use crate::support::{ClientResponse, RelayHarness, read, request, with_headers};
@@ -117,3 +118,78 @@
     assert_eq!(response.body.as_deref(), Some(events(3..=EVENTS).as_bytes()));
     assert_eq!(endpoint.received()[0].header("last-event-id"), Some("2"));
 }
+
+fn output_event(id: usize) -> OutputEvent {
+    OutputEvent { id: id as u64, output: format!("text {id}\n").into_bytes().into() }
+}
+
+/// The events recorded of the last stream; they have been sent once its response has been read.
+fn recorded_events(harness: &RelayHarness) -> (TurnKey, Vec<OutputEvent>) {
+    let mut recorded = harness.stores.recorded_outputs.lock().unwrap().pop().unwrap();
+    assert_eq!(&*recorded.request.0, "t1");
+    let events = std::iter::from_fn(|| recorded.events.try_recv().ok()).collect();
+    (recorded.turn, events)
+}
+
+// Guards against a client that waits while all that it has is generated again, and against a next turn that runs with
+// what another model generated in its place.
+#[tokio::test]
+async fn a_turn_is_resumed_after_the_last_event_that_the_stores_know() {
+    let endpoint = FakeEndpoint::start("i-1", |request| stream_up_to(EVENTS, request)).await;
+    let harness = RelayHarness::with_endpoints(&[&endpoint]).await;
+    for sent in 0..=EVENTS {
+        for known in 0..=sent {
+            let known_events: Vec<OutputEvent> = (1..=known).map(output_event).collect();
+            *harness.stores.known_output.lock().unwrap() = known_events;
+            let response = read(harness.send(turn("/kr/x", &sent.to_string())).await).await;
+            check(&harness, &response, sent);
+            let search = harness.stores.output_searches.lock().unwrap().pop().unwrap();
+            let last_event_id = endpoint.received().pop().unwrap().header("last-event-id").map(str::to_owned);
+            assert_eq!(last_event_id, (known > 0).then(|| known.to_string()));
+            let (recorded_turn, recorded) = recorded_events(&harness);
+            assert_eq!((&search.turn, search.last_event_id), (&recorded_turn, sent as u64));
+            let all: Vec<OutputEvent> = (1..=EVENTS).map(output_event).collect();
+            assert_eq!(recorded, all, "also what an earlier request recorded");
+        }
+    }
+    let regenerated = harness.state.metrics.regenerated_turns.get();
+    // Whenever fewer events are known than the client has; the id 0 may be that of an event too.
+    assert_eq!(regenerated, (1..=EVENTS).sum::<usize>() as u64 + 1);
+}
+
+// The tries of a turn have the same key; other turns of the program, and the same input elsewhere, have another one.
+#[tokio::test]
+async fn the_key_of_a_turn_is_that_of_its_other_tries_only() {
+    let endpoint = FakeEndpoint::start("i-1", |request| stream_up_to(EVENTS, request)).await;
+    let harness = RelayHarness::with_endpoints(&[&endpoint]).await;
+    let first = || turn("/kr/x", "0");
+    let requests = [
+        first(),
+        with_headers(first(), &[("last-event-id", "3"), ("x-deadline-ms", "7000")]),
+        with_headers(first(), &[("session", "q2")]),
+        with_headers(first(), &[("program", "p2")]),
+        with_headers(first(), &[("previous", "t0")]),
+        turn("/kr/y", "0"),
+        first().map(|_| Full::new(Bytes::from("other"))),
+    ];
+    let mut keys = Vec::new();
+    for request in requests {
+        assert_eq!(read(harness.send(request).await).await.status, StatusCode::OK);
+        keys.push(recorded_events(&harness).0);
+    }
+    assert_eq!(keys[0], keys[1]);
+    let distinct: std::collections::BTreeSet<_> = keys.iter().collect();
+    assert_eq!(distinct.len(), keys.len() - 1);
+}
+
+// Output is recorded only where a client may resume the stream, and only under a program's name.
+#[tokio::test]
+async fn output_that_no_client_can_resume_is_not_recorded() {
+    let endpoint = FakeEndpoint::start("i-1", |request| stream_up_to(EVENTS, request)).await;
+    let harness = RelayHarness::with_endpoints(&[&endpoint]).await;
+    for request in [turn("/k/x", "2"), turn("/r/x", "2"), request("POST", "/kr/x", "t1", "in")] {
+        assert_eq!(read(harness.send(request).await).await.status, StatusCode::OK);
+    }
+    assert!(harness.stores.recorded_outputs.lock().unwrap().is_empty());
+    assert!(harness.stores.output_searches.lock().unwrap().is_empty());
+}
--- a/crates/node/tests/relay/support.rs
+++ b/crates/node/tests/relay/support.rs
@@ -14,19 +14,22 @@
 use hyper_util::rt::TokioIo;
 use juniperwing_balancing::Destination;
 use juniperwing_clock::Span;
-use juniperwing_node::relay::{ClusterView, Relay, RelayState, SessionCall, SessionStore, TurnError};
-use juniperwing_node::sessions_client::StoreFailureReason;
+use juniperwing_node::relay::{
+    ClusterView, OutputCall, Relay, RelayState, SessionCall, SessionStore, TurnError,
+};
+use juniperwing_node::sessions_client::{OutputSender, StoreFailureReason};
 use juniperwing_node::settings::Settings;
 use juniperwing_node::subscriber::UpdateSink;
 use juniperwing_protocol::identity::{EpochNumber, InstanceId, RequestId, ServiceName};
 use juniperwing_protocol::registry::{Instance, InstanceState};
 use juniperwing_protocol::replication::Version;
-use juniperwing_protocol::session::{BeginTurn, FinishTurn, Turn};
+use juniperwing_protocol::session::{BeginTurn, FindOutput, FinishTurn, OutputEvent, Turn, TurnKey};
 use juniperwing_protocol::subscription::{Assignment, InstancesUpdate, StoreMap, Update};
 use serde_json::Value;
 use slog::{Drain, Logger, o};
 use slog_json::Json;
 use tokio::net::TcpStream;
+use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
 use tokio::sync::{Notify, oneshot};
 use tokio::task::JoinHandle;
 
@@ -50,6 +53,13 @@
     .await;
 }
 
+/// A stream of which output is recorded.
+pub struct RecordedOutput {
+    pub turn: TurnKey,
+    pub request: RequestId,
+    pub events: UnboundedReceiver<OutputEvent>,
+}
+
 /// A fake for the stores.
 #[derive(Default)]
 pub struct FakeStores {
@@ -68,6 +78,12 @@
     pub fail_finish: Mutex<bool>,
     /// Delays the end of all background commits until notified.
     pub background_commits_gate: Mutex<Option<Arc<Notify>>>,
+    /// The streams of which output is recorded.
+    pub recorded_outputs: Mutex<Vec<RecordedOutput>>,
+    /// The searches for output that was handed out.
+    pub output_searches: Mutex<Vec<FindOutput>>,
+    /// The result of `find_output`.
+    pub known_output: Mutex<Vec<OutputEvent>>,
     /// Notified when a turn is finished, in the background or not.
     pub finish_called: Notify,
 }
@@ -103,6 +119,17 @@
         })
     }
 
+    fn find_output(&self, find: FindOutput, _: Duration) -> OutputCall {
+        self.output_searches.lock().unwrap().push(find);
+        Box::pin(std::future::ready(self.known_output.lock().unwrap().clone()))
+    }
+
+    fn record_output(&self, turn: TurnKey, request: RequestId) -> OutputSender {
+        let (sender, events) = unbounded_channel();
+        self.recorded_outputs.lock().unwrap().push(RecordedOutput { turn, request, events });
+        sender
+    }
+
     fn background_commits_done(&self) -> Pin<Box<dyn Future<Output = ()> + Send>> {
         let gate = self.background_commits_gate.lock().unwrap().clone();
         Box::pin(async move {
--- a/crates/protocol/src/session.rs
+++ b/crates/protocol/src/session.rs
@@ -1,7 +1,9 @@
 //! Turns and budgets of agent programs: calls of relays to the primary of a program's partition.
 
+use std::hash::Hasher;
 use std::sync::Arc;
 
+use fnv::FnvHasher;
 use serde::{Deserialize, Serialize};
 
 use crate::identity::{EpochNumber, PartitionId, ProgramId, RequestId};
@@ -42,6 +44,68 @@
         /// names.
         partitions: Vec<PartitionEpoch>,
     },
+    /// While a stream is sent to the client: records the output handed out so far. Any replica of the partition takes
+    /// it, in any epoch.
+    RecordOutput(RecordOutput),
+    /// When the client resumes a stream: searches the output that was handed out of it. Any replica may be asked.
+    FindOutput(FindOutput),
+}
+
+/// Identifies a turn across the requests by which a client tries it, each of which has an id of its own.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct TurnKey {
+    /// The program.
+    pub program: ProgramId,
+    /// The chain of turns (`Session`).
+    pub session: Arc<str>,
+    /// The turn that it continues from.
+    pub previous: Option<RequestId>,
+    /// The host and the path of the request.
+    pub target: Arc<str>,
+    /// A digest of the client's input.
+    pub input_digest: u64,
+}
+
+impl TurnKey {
+    /// The digest of a client's input.
+    pub fn digest(input: &[u8]) -> u64 {
+        let mut hasher = FnvHasher::default();
+        hasher.write(input);
+        hasher.finish()
+    }
+}
+
+/// An event of a turn's stream that has an id.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OutputEvent {
+    /// The id.
+    pub id: u64,
+    /// What the event adds to the turn's output: its data, and that of events without an id before it, each followed by
+    /// a line feed.
+    #[serde(with = "crate::shared_bytes")]
+    pub output: Arc<[u8]>,
+}
+
+/// Consecutive events of a stream. The call is idempotent.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct RecordOutput {
+    /// The turn.
+    pub turn: TurnKey,
+    /// The request that runs it.
+    pub request: RequestId,
+    /// The number of events of the stream before these.
+    pub first: u32,
+    /// The events.
+    pub events: Vec<OutputEvent>,
+}
+
+/// The search for the output of a stream that a client resumes.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct FindOutput {
+    /// The turn.
+    pub turn: TurnKey,
+    /// The id of the last event that the client has.
+    pub last_event_id: u64,
 }
 
 /// A turn that is about to run. The call is idempotent: the same request reserves once.
@@ -120,4 +184,14 @@
     },
     /// Temporarily unavailable: replicas are missing, or the store is at its capacity.
     Unavailable,
+    /// The output was recorded as far as it follows what the store has.
+    OutputRecorded {
+        /// The number of events of the stream that the store has.
+        events: u32,
+    },
+    /// The output that was handed out, up to the client's last event; empty if none is known.
+    OutputFound {
+        /// The events from the first one on, without gaps.
+        events: Vec<OutputEvent>,
+    },
 }
--- a/crates/protocol/tests/golden.rs
+++ b/crates/protocol/tests/golden.rs
@@ -11,7 +11,8 @@
     Epoch, NumberedChange, ReplicationBody, ReplicationMessage, Version, Voter,
 };
 use juniperwing_protocol::session::{
-    BeginTurn, FinishTurn, PartitionEpoch, SessionCall, SessionReply, SessionRequest, Turn,
+    BeginTurn, FindOutput, FinishTurn, OutputEvent, PartitionEpoch, RecordOutput, SessionCall, SessionReply,
+    SessionRequest, Turn, TurnKey,
 };
 use juniperwing_protocol::subscription::{
     AppliedVersions, Assignment, CaughtUp, InstancesUpdate, StoreMap, StoreNode, Subscribe, SubscriberKind,
@@ -383,6 +384,20 @@
     let finish_without_turn = FinishTurn { stored_turn: None, ..finish.clone() };
     let at =
         |partition, epoch| PartitionEpoch { partition: PartitionId(partition), epoch: EpochNumber(epoch) };
+    let turn = TurnKey {
+        program: ProgramId::from("program-6"),
+        session: "session-1".into(),
+        previous: Some(RequestId::from("request-8")),
+        target: "h.example/kept/a".into(),
+        input_digest: TurnKey::digest(b"input"),
+    };
+    let record_output = RecordOutput {
+        turn: turn.clone(),
+        request: RequestId::from("request-9"),
+        first: 811,
+        events: output_events(),
+    };
+    let find_output = FindOutput { turn: TurnKey { previous: None, ..turn }, last_event_id: 812 };
     let find = SessionCall::Find {
         turn: RequestId::from("request-5"),
         partitions: vec![at(804, 805), at(806, 807)],
@@ -393,9 +408,16 @@
         ("session-finish", session_call(SessionCall::Finish(finish))),
         ("session-finish-unkept", session_call(SessionCall::Finish(finish_without_turn))),
         ("session-find", session_call(find)),
+        ("session-record-output", session_call(SessionCall::RecordOutput(record_output))),
+        ("session-find-output", session_call(SessionCall::FindOutput(find_output))),
     ]
 }
 
+fn output_events() -> Vec<OutputEvent> {
+    let event = |id, output: &[u8]| OutputEvent { id, output: output.into() };
+    vec![event(813, b"one\n"), event(814, b"")]
+}
+
 fn session_replies() -> Table {
     use SessionReply::*;
     vec![
@@ -406,6 +428,8 @@
         ("session-found", session_reply(TurnFound { chain: vec![first_turn()] })),
         ("session-not-primary", session_reply(NotPrimary { epoch: EpochNumber(810) })),
         ("session-unavailable", session_reply(Unavailable)),
+        ("session-output-recorded", session_reply(OutputRecorded { events: 815 })),
+        ("session-output-found", session_reply(OutputFound { events: output_events() })),
     ]
 }
 
--- a/crates/sessions/src/lib.rs
+++ b/crates/sessions/src/lib.rs
@@ -22,6 +22,7 @@
 mod lookup;
 mod map_version;
 mod merge;
+mod output_log;
 mod persistence;
 mod primary;
 mod program;
--- a/crates/sessions/src/limits.rs
+++ b/crates/sessions/src/limits.rs
@@ -13,6 +13,8 @@
     pub disk_bytes: u64,
 }
 
+/// The output of streams in flight takes up to this fraction of [`Limits::memory_bytes`] in addition to the records.
+pub(crate) const OUTPUT_LOG_MEMORY_DIVISOR: u64 = 10;
 /// How long a program is retained after a turn that was denied or committed without being stored, in milliseconds.
 pub(crate) const BUDGET_RETENTION_MS: u64 = 120_000;
 /// The minimum retention of a program after a turn was admitted, in milliseconds.
--- a/crates/sessions/src/primary.rs
+++ b/crates/sessions/src/primary.rs
@@ -19,6 +19,17 @@
     pub(crate) fn process_session_request(
         &mut self, caller: CallerId, request: SessionRequest, epoch_status: EpochStatus,
     ) {
+        let request = match request {
+            SessionRequest { body: SessionCall::RecordOutput(record), .. } => {
+                let reply = self.output_log.record(self.clock.now, record);
+                return self.send_session_reply(caller, reply);
+            }
+            SessionRequest { body: SessionCall::FindOutput(find), .. } => {
+                let reply = self.output_log.find_output(self.clock.now, &find);
+                return self.send_session_reply(caller, reply);
+            }
+            request => request,
+        };
         if let SessionCall::Find { turn, partitions } = &request.body {
             let (turn, partitions) = (turn.clone(), partitions.clone());
             return self.handle_find(caller, request, &turn, partitions, epoch_status);
@@ -49,7 +60,7 @@
                 let begin = begin.clone();
                 self.handle_begin(caller, request, &begin, epoch_status);
             }
-            SessionCall::Find { .. } => {}
+            SessionCall::Find { .. } | SessionCall::RecordOutput(_) | SessionCall::FindOutput(_) => {}
         }
     }
 
--- a/crates/sessions/src/statistics.rs
+++ b/crates/sessions/src/statistics.rs
@@ -84,6 +84,8 @@
     pub records: u64,
     /// The approximate size of the records in bytes.
     pub record_bytes: u64,
+    /// The approximate size in bytes of the output recorded for clients that resume a stream.
+    pub output_log_bytes: u64,
     /// Bytes of all batches on disk.
     pub disk_bytes: u64,
     /// The number of uncommitted reservations in led partitions.
@@ -109,6 +111,7 @@
                 as u64,
             records: self.tables.values().map(|table| table.records().count() as u64).sum(),
             record_bytes: self.tables.values().map(super::table::Table::bytes).sum(),
+            output_log_bytes: self.output_log.bytes(),
             disk_bytes: self.segment_usage.bytes(),
             reservations: led_records.filter(|record| record.state == RecordState::Reserved).count() as u64,
             pending_writes: self.pending_writes.len() as u64,
--- a/crates/sessions/src/store.rs
+++ b/crates/sessions/src/store.rs
@@ -12,8 +12,9 @@
 use crate::epoch_confirmation::{EpochConfirmation, EpochConfirmationId};
 use crate::event::{ClockReading, Command, Event, TransferCallId};
 use crate::group_commit::GroupCommit;
-use crate::limits::Limits;
+use crate::limits::{Limits, OUTPUT_LOG_MEMORY_DIVISOR};
 use crate::map_version::DurableMapVersion;
+use crate::output_log::OutputLog;
 use crate::replica_contact::ReplicaContact;
 use crate::segment_usage::SegmentUsage;
 use crate::statistics::UnavailableCounts;
@@ -53,6 +54,7 @@
     /// The commands produced so far by the event that is being handled.
     pub(crate) commands: Vec<Command>,
     pub(crate) unavailable_counts: UnavailableCounts,
+    pub(crate) output_log: OutputLog,
     last_id: u64,
 }
 
@@ -80,6 +82,7 @@
             clock: ClockReading::default(),
             commands: Vec::new(),
             unavailable_counts: UnavailableCounts::default(),
+            output_log: OutputLog::new(limits.memory_bytes / OUTPUT_LOG_MEMORY_DIVISOR),
             last_id: 0,
         }
     }
--- a/crates/sessions/tests/simulation/clients.rs
+++ b/crates/sessions/tests/simulation/clients.rs
@@ -138,7 +138,7 @@
                 self.handle_finished(finish, now);
                 None
             }
-            (SessionCall::Find { .. }, _) => None,
+            (SessionCall::Find { .. } | SessionCall::RecordOutput(_) | SessionCall::FindOutput(_), _) => None,
         }
     }
 
