--- a/crates/node/src/sessions_client/output.rs
+++ b/crates/node/src/sessions_client/output.rs
@@ -99,11 +99,16 @@
         let mut is_open = true;
         while is_open || !self.calls.is_empty() {
             tokio::select! {
+                biased;
+                Some(reply) = self.calls.join_next() => {
+                    if let Ok((replica, events)) = reply {
+                        self.handle_reply(replica, events);
+                    }
+                }
                 event = receiver.recv(), if is_open => match event {
                     Some(event) => self.add(event),
                     None => is_open = false,
                 },
-                Some(Ok((replica, events))) = self.calls.join_next() => self.handle_reply(replica, events),
             }
             while let Ok(event) = receiver.try_recv() {
                 self.add(event);
