The soak resumes turns that were cut, on a route that is kept and resumable

Tests of resumption and tests of stored turns had no route in common. Half of the soak's turns now run on such a route: whatever cuts the stream, the client resumes it after its last event, at any relay, and the next turn's body has to contain all of it. Endpoints generate the same events for the same body.

--- a/crates/soak/src/history.rs
+++ b/crates/soak/src/history.rs
@@ -20,6 +20,19 @@
     NonIdempotent,
     /// A stored turn, which may run at most once.
     Turn,
+    /// A stored turn whose stream may be resumed: it may run more than once.
+    ResumableTurn,
+}
+
+impl RequestKind {
+    /// Whether a request may run more than once.
+    pub fn may_run_again(self) -> bool {
+        matches!(self, RequestKind::Idempotent | RequestKind::ResumableTurn)
+    }
+
+    fn is_turn(self) -> bool {
+        matches!(self, RequestKind::Turn | RequestKind::ResumableTurn)
+    }
 }
 
 /// Outcome of an attempt, as the client observed it.
@@ -307,7 +320,7 @@
         attempt.outcome = Some((at, outcome));
         attempt.tokens = tokens;
         let served = matches!(outcome, Outcome::Status { status: 200, is_signed: true });
-        let is_turn = attempt.kind == RequestKind::Turn;
+        let is_turn = attempt.kind.is_turn();
         if served && is_turn {
             record.turns_served.push(at);
         } else if served {
--- a/crates/soak/src/load.rs
+++ b/crates/soak/src/load.rs
@@ -6,6 +6,7 @@
 mod probe;
 mod program;
 mod requests;
+mod resumable_turn;
 
 use std::sync::Arc;
 use std::sync::Mutex;
--- a/crates/soak/src/load/endpoint.rs
+++ b/crates/soak/src/load/endpoint.rs
@@ -11,8 +11,8 @@
 use tokio::task::{AbortHandle, JoinSet};
 use tokio::time::sleep;
 
-use super::Shared;
 use super::program::TOKENS_PER_EVENT;
+use super::{Shared, resumable_turn};
 use crate::faults::Misbehaviour;
 use crate::history::{LateRun, Millis};
 use crate::http::{Connection, Head, encode_request, exchange};
@@ -253,7 +253,7 @@
     }
     record_run(shared, instance, &id, body);
     instance.requests_in_flight.fetch_add(1, Ordering::Relaxed);
-    let keeps_connection = run_request(shared, instance, connection, head, misbehaviour, rng).await;
+    let keeps_connection = run_request(shared, instance, connection, head, body, misbehaviour, rng).await;
     instance.requests_in_flight.fetch_sub(1, Ordering::Relaxed);
     keeps_connection
 }
@@ -279,11 +279,11 @@
 
 /// Executes a request and responds, unless `misbehaviour` says otherwise. Returns whether the connection stays open.
 async fn run_request(
-    shared: &Arc<Shared>, instance: &EndpointInstance, connection: &mut Connection, head: &Head,
+    shared: &Arc<Shared>, instance: &EndpointInstance, connection: &mut Connection, head: &Head, body: &[u8],
     misbehaviour: Option<Misbehaviour>, rng: &mut Rng,
 ) -> bool {
     let id = head.header("x-request-id").to_owned();
-    let chunks = response_chunks(instance, &id, head, rng);
+    let chunks = response_chunks(instance, &id, head, body, rng);
     shared.history.record_response(&id, &chunks.concat());
     sleep(Duration::from_millis(3 + rng.below(30))).await;
     match misbehaviour {
@@ -305,7 +305,7 @@
     let reset_after = match misbehaviour {
         Some(Misbehaviour::BreakOff) => {
             shared.history.record_endpoint_fault(&id);
-            rng.below(chunks.len() as u64) as usize
+            rng.below((chunks.len() as u64).max(1)) as usize
         }
         _ => usize::MAX,
     };
@@ -320,8 +320,13 @@
 }
 
 /// The body of a response: the events of a turn, or a single chunk.
-fn response_chunks(instance: &EndpointInstance, id: &str, head: &Head, rng: &mut Rng) -> Vec<Vec<u8>> {
-    if instance.service == ENGINE {
+fn response_chunks(
+    instance: &EndpointInstance, id: &str, head: &Head, body: &[u8], rng: &mut Rng,
+) -> Vec<Vec<u8>> {
+    if head.path.starts_with(resumable_turn::PATH_PREFIX) {
+        let last_event_id = head.header("last-event-id").parse().unwrap_or(0);
+        resumable_turn::generated_events(body).into_iter().skip(last_event_id).collect()
+    } else if instance.service == ENGINE {
         turn_events(id, head, rng)
     } else {
         vec![format!("{id} ran at {} as {:08x}\n", instance.id, rng.below(1 << 32)).into_bytes()]
--- a/crates/soak/src/load/operator.rs
+++ b/crates/soak/src/load/operator.rs
@@ -7,6 +7,7 @@
 
 use super::Shared;
 use super::endpoint::{ENGINE, TOOL};
+use super::resumable_turn::PATH_PREFIX as RESUMABLE_PATH_PREFIX;
 use crate::faults::Machine;
 use crate::history::{ConfigurationRead, Order, OrderResponse};
 use crate::http::{Connection, encode_request, exchange};
@@ -198,16 +199,18 @@
 /// A configuration with the routes of all clients, and one route for each of `generations`.
 fn configuration(generation: u64, generations: &[u64]) -> Vec<u8> {
     let route = |name: &str, path: &str, kind: &str, service: &str, kept: bool| {
+        let resumable = path == RESUMABLE_PATH_PREFIX;
         serde_json::json!({
             "name": name, "hostname": HOST, "pathPrefix": path, "routeType": kind, "timeoutMs": 6_000,
             "targetLatencyMs": 400, "priority": 1, "backend": service, "maxRetries": 2, "kept": kept,
-            "retentionS": 120.0, "resumable": false,
+            "retentionS": 120.0, "resumable": resumable,
         })
     };
     let mut routes = vec![
         route("idempotent", "/i/", "idempotent", TOOL, false),
         route("once", "/n/", "non_idempotent", TOOL, false),
         route("turns", "/k/", "streaming", ENGINE, true),
+        route("resumable", RESUMABLE_PATH_PREFIX, "streaming", ENGINE, true),
     ];
     for generation in generations {
         routes.push(route(&format!("g{generation}"), &format!("/g{generation}/"), "idempotent", TOOL, false));
--- a/crates/soak/src/load/program.rs
+++ b/crates/soak/src/load/program.rs
@@ -5,20 +5,22 @@
 
 use tokio::time::{sleep, timeout};
 
-use super::Shared;
 use super::operator::HOST;
+use super::{Shared, resumable_turn};
 use crate::history::{Attempt, Budget, Millis, Outcome, RequestKind};
 use crate::http::{Connection, Head, HttpError, encode_request};
 use juniperwing_random::Rng;
 
 /// The deadline of a turn, in milliseconds.
-const DEADLINE_MS: Millis = 4_000;
+pub const DEADLINE_MS: Millis = 4_000;
 /// How long a client waits beyond the deadline, in milliseconds.
 const EXTRA_WAIT_MS: Millis = 3_000;
 /// The maximum number of tokens that one turn generates.
 pub const MAX_TURN_TOKENS: u64 = 30;
 /// Number of tokens in an event (`stride` in the configuration).
 pub const TOKENS_PER_EVENT: u64 = 3;
+/// Percentage of turns on the resumable route.
+const RESUMABLE_TURN_PERCENT: u64 = 50;
 /// Maximum number of attempts of one turn.
 const MAX_TURN_ATTEMPTS: usize = 3;
 
@@ -34,12 +36,14 @@
 }
 
 /// Outcome of an attempt of a turn, which decides how its program continues.
-enum TurnOutcome {
+pub enum TurnOutcome {
+    /// It was served completely.
     Completed(StoredTurn),
     /// The turn was not executed and may be retried.
     NotExecuted,
     /// The turn may have been executed; the program retries it with a new id.
     Indeterminate,
+    /// The budget is exhausted.
     BudgetExhausted,
     /// The tier does not know the previous turn.
     PreviousTurnUnknown,
@@ -80,9 +84,19 @@
     }
 }
 
-/// Runs one turn, with retries.
+/// Runs one turn of a program, on either route.
 async fn run_turn(
     shared: &Arc<Shared>, program: &str, budget: Budget, previous: Option<&StoredTurn>, rng: &mut Rng,
+) -> TurnOutcome {
+    if rng.percent(RESUMABLE_TURN_PERCENT) {
+        return resumable_turn::run(shared, program, budget, previous, rng).await;
+    }
+    run_turn_without_resumption(shared, program, budget, previous, rng).await
+}
+
+/// Runs one turn, with retries from its start.
+async fn run_turn_without_resumption(
+    shared: &Arc<Shared>, program: &str, budget: Budget, previous: Option<&StoredTurn>, rng: &mut Rng,
 ) -> TurnOutcome {
     let mut outcome = TurnOutcome::NotExecuted;
     for _ in 0..MAX_TURN_ATTEMPTS {
@@ -121,9 +135,11 @@
         return TurnOutcome::NotExecuted;
     };
     let id = shared.unique_name("t");
-    let input = format!("[{id}:{}]", "x".repeat(rng.below(400) as usize)).into_bytes();
+    let input = turn_input(&id, rng);
     let expected = [previous.map_or(&[][..], |stored| &stored.history), &input].concat();
-    let bytes = turn_request(&id, program, budget, previous, &input);
+    let path = format!("/k/{id}");
+    let request = TurnRequest { id: &id, path: &path, program, budget, previous, last_event_id: None };
+    let bytes = request.encode(&input);
     let sent_at = shared.history.now();
     let mut attempt = Attempt::new(RequestKind::Turn, relay, sent_at, DEADLINE_MS, expected.clone());
     attempt.program = Some(program.to_owned());
@@ -141,7 +157,7 @@
     match stream_end {
         StreamEnd::Complete(head) if head.status == 200 => {
             check_events(shared, &id, &head, &events);
-            let history = [expected, events.output()].concat();
+            let history = [expected, output_of(&events.complete)].concat();
             let stored = StoredTurn { id, history, program: program.to_owned() };
             shared.add_stored_turn(&stored);
             TurnOutcome::Completed(stored)
@@ -152,7 +168,7 @@
 }
 
 /// The outcome of an attempt that got a complete response with a status other than 200.
-fn outcome_of_failure(
+pub fn outcome_of_failure(
     shared: &Arc<Shared>, id: &str, previous: Option<&StoredTurn>, status: u16,
 ) -> TurnOutcome {
     match status {
@@ -167,34 +183,59 @@
     }
 }
 
-fn turn_request(
-    id: &str, program: &str, budget: Budget, previous: Option<&StoredTurn>, input: &[u8],
-) -> Vec<u8> {
-    let (deadline, tokens) = (DEADLINE_MS.to_string(), budget.tokens.to_string());
-    let count = format!("{},{}", input.len(), budget.max_turn_tokens);
-    let mut headers = vec![
-        ("Host", HOST),
-        ("X-Request-Id", id),
-        ("X-Deadline-Ms", deadline.as_str()),
-        ("Program", program),
-        ("Session", program),
-        ("Budget", tokens.as_str()),
-        ("X-Token-Count", count.as_str()),
-        ("X-Model", "m"),
-    ];
-    if let Some(previous) = previous {
-        headers.push(("Previous", &previous.id));
+/// A request for a turn.
+pub struct TurnRequest<'a> {
+    /// The id of the attempt.
+    pub id: &'a str,
+    /// The path.
+    pub path: &'a str,
+    /// The program.
+    pub program: &'a str,
+    /// The program's budget.
+    pub budget: Budget,
+    /// The turn that it continues.
+    pub previous: Option<&'a StoredTurn>,
+    /// The id of the last event received, if the client resumes the stream.
+    pub last_event_id: Option<usize>,
+}
+
+impl TurnRequest<'_> {
+    /// Encodes the request with this input.
+    pub fn encode(&self, input: &[u8]) -> Vec<u8> {
+        let (deadline, tokens) = (DEADLINE_MS.to_string(), self.budget.tokens.to_string());
+        let count = format!("{},{}", input.len(), self.budget.max_turn_tokens);
+        let last_event_id = self.last_event_id.map(|id| id.to_string());
+        let mut headers = vec![
+            ("Host", HOST),
+            ("X-Request-Id", self.id),
+            ("X-Deadline-Ms", deadline.as_str()),
+            ("Program", self.program),
+            ("Session", self.program),
+            ("Budget", tokens.as_str()),
+            ("X-Token-Count", count.as_str()),
+            ("X-Model", "m"),
+        ];
+        headers.extend(self.previous.map(|previous| ("Previous", previous.id.as_str())));
+        headers.extend(last_event_id.as_deref().map(|id| ("Last-Event-Id", id)));
+        encode_request("POST", self.path, &headers, input)
     }
-    encode_request("POST", &format!("/k/{id}"), &headers, input)
+}
+
+/// A new input; inputs of different turns differ.
+pub fn turn_input(name: &str, rng: &mut Rng) -> Vec<u8> {
+    format!("[{name}:{}]", "x".repeat(rng.below(400) as usize)).into_bytes()
 }
 
 /// How a stream of events ended.
-enum StreamEnd {
+pub enum StreamEnd {
+    /// The response is complete.
     Complete(Head),
+    /// The connection was lost, or the client gave up.
     Truncated,
 }
 
-async fn read_stream(
+/// Reads a stream until its end, or until more events than `disconnects_after` have arrived.
+pub async fn read_stream(
     connection: &mut Connection, events: &mut Events, disconnects_after: u64,
 ) -> (Outcome, StreamEnd) {
     let mut after_head = false;
@@ -221,9 +262,11 @@
 
 /// Events of a stream as they arrive.
 #[derive(Default)]
-struct Events {
+pub struct Events {
+    /// The bytes after the last complete event.
     partial: Vec<u8>,
-    complete: Vec<Vec<u8>>,
+    /// The complete events.
+    pub complete: Vec<Vec<u8>>,
 }
 
 impl Events {
@@ -234,20 +277,20 @@
             self.complete.push(std::mem::replace(&mut self.partial, rest));
         }
     }
+}
 
-    /// The data of all events, each followed by a newline.
-    fn output(&self) -> Vec<u8> {
-        let mut output = Vec::new();
-        for event in &self.complete {
-            for line in event.split(|byte| *byte == b'\n') {
-                if let Some(data) = line.strip_prefix(b"data: ") {
-                    output.extend_from_slice(data);
-                    output.push(b'\n');
-                }
+/// The data of all events, each followed by a newline.
+pub fn output_of(events: &[Vec<u8>]) -> Vec<u8> {
+    let mut output = Vec::new();
+    for event in events {
+        for line in event.split(|byte| *byte == b'\n') {
+            if let Some(data) = line.strip_prefix(b"data: ") {
+                output.extend_from_slice(data);
+                output.push(b'\n');
             }
         }
-        output
     }
+    output
 }
 
 /// Checks that the events are exactly those that an endpoint sent for this turn, complete and in order.
--- a/crates/soak/src/load/requests.rs
+++ b/crates/soak/src/load/requests.rs
@@ -55,7 +55,9 @@
     let kind = if rng.percent(50) { RequestKind::Idempotent } else { RequestKind::NonIdempotent };
     let (method, path) = match kind {
         RequestKind::Idempotent => ("GET", format!("/i/{id}")),
-        RequestKind::NonIdempotent | RequestKind::Turn => ("POST", format!("/n/{id}")),
+        RequestKind::NonIdempotent | RequestKind::Turn | RequestKind::ResumableTurn => {
+            ("POST", format!("/n/{id}"))
+        }
     };
     let length = if rng.percent(3) { LARGE_BODY_BYTES } else { rng.below(300) };
     let body: Vec<u8> = (0..length).map(|index| (index % 251) as u8).collect();
--- a/crates/soak/src/oracle.rs
+++ b/crates/soak/src/oracle.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use crate::history::{Attempt, FaultInterval, Finding, LateRun, Millis, Order, Outcome, Record, RequestKind};
+use crate::history::{Attempt, FaultInterval, Finding, LateRun, Millis, Order, Outcome, Record};
 use crate::load::generation_of;
 use crate::schedule::Schedule;
 
@@ -20,6 +20,9 @@
 /// Statuses that guarantee that a request was not executed and never will be.
 const NOT_EXECUTED_STATUSES: [u16; 5] = [402, 408, 421, 429, 503];
 
+/// The status of a turn that exceeds the budget.
+const BUDGET_EXHAUSTED_STATUS: u16 = 402;
+
 /// Returns all violations of guarantees: those recorded during the play, then those found in the record.
 pub fn check_record(record: &Record, schedule: &Schedule, load_ended_at: Millis) -> Vec<Finding> {
     let mut findings: Vec<Finding> = record.findings.iter().cloned().collect();
@@ -63,7 +66,7 @@
     fn check_requests(&mut self) {
         for (id, attempt) in &self.record.attempts {
             let runs = attempt.runs.len();
-            if attempt.kind != RequestKind::Idempotent && runs > 1 {
+            if !attempt.kind.may_run_again() && runs > 1 {
                 self.add_finding(
                     "a request that may run once runs once",
                     format!("{id} ran {:?}", attempt.runs),
@@ -73,7 +76,7 @@
             if let Outcome::Status { status, is_signed: false } = outcome
                 && NOT_EXECUTED_STATUSES.contains(&status)
                 && runs > 0
-                && attempt.kind != RequestKind::Idempotent
+                && (!attempt.kind.may_run_again() || status == BUDGET_EXHAUSTED_STATUS)
             {
                 let details = format!(
                     "{id} by relay {}: status {status}, but it ran {:?}",
