A resumed turn whose event ids are no numbers is stored whole too

An id that is no number was taken for no event: the client would have had the whole stream again, with events that it has. Such ids cannot be compared, so the client has the events up to the one that it names. If the stream ends without that event, the answer is aborted and not stored, as what the client has is unknown. The test an_event_id_that_is_no_number_names_no_event_of_a_turn held the earlier behaviour for "first" and "-1"; a_turn_whose_event_ids_are_no_numbers_is_stored_with_all_events and an_empty_event_id_names_no_event take its place and check the stored output, and the client's, too.

--- a/crates/node/src/relay/request_reader.rs
+++ b/crates/node/src/relay/request_reader.rs
@@ -132,6 +132,8 @@
         prefix: route.path_prefix.clone(),
     };
     let sent_event_id = headers.get(headers::LAST_EVENT_ID).filter(|_| tracks_sent_events(&route));
+    // An empty id says that the client has no event.
+    let sent_event_id = sent_event_id.filter(|id| !id.is_empty());
     Ok(Exchange {
         sent_event_id: sent_event_id.map(|id| Bytes::copy_from_slice(id.as_bytes())),
         destination,
--- a/crates/node/src/relay/stream.rs
+++ b/crates/node/src/relay/stream.rs
@@ -220,6 +220,9 @@
         slot.release(CallOutcome::Succeeded);
         self.exchange.trace.end_attempt(AttemptEnd::Completed);
         self.source.return_connection(&self.state.pool, &endpoint);
+        if self.position.awaits_sent() {
+            return Err(StreamError::UnknownEventId);
+        }
         let Some(turn) = self.turn.take() else { return Ok(()) };
         self.exchange.trace.record_stored_turn(turn.stored_size());
         let remaining = self.exchange.deadline.since(now());
--- a/crates/node/src/relay/stream_error.rs
+++ b/crates/node/src/relay/stream_error.rs
@@ -14,6 +14,9 @@
     /// The turn could not be stored.
     #[snafu(display("turn could not be stored"))]
     TurnNotStored,
+    /// The stream has ended without the event that the client named as its last one.
+    #[snafu(display("unknown last event id"))]
+    UnknownEventId,
     /// There is no memory left for what has to be retained of the response.
     #[snafu(display("no memory for the response"))]
     NoMemory,
@@ -26,6 +29,7 @@
             StreamError::EndpointFailed => "endpoint failed",
             StreamError::DeadlineExceeded => "deadline exceeded",
             StreamError::TurnNotStored => "turn not stored",
+            StreamError::UnknownEventId => "unknown last event id",
             StreamError::NoMemory => "no memory for the response",
         }
     }
--- a/crates/node/src/relay/stream_position.rs
+++ b/crates/node/src/relay/stream_position.rs
@@ -27,13 +27,23 @@
     /// The number of the last event of the current source, or of the event after which the source began. An event
     /// without an id follows it.
     source: Option<u64>,
+    /// Whether the event `sent` is still to come. It is awaited if its id is no number, so that no other event can be
+    /// compared with it: the events up to it are those that the client has.
+    awaits_sent: bool,
 }
 
 impl StreamPosition {
     /// The position of a stream that begins after the event `read`, for a client that has the events up to `sent`.
     pub fn new(read: Option<Bytes>, sent: Option<Bytes>) -> StreamPosition {
         let source = event_number(read.as_ref());
-        StreamPosition { read, sent, source }
+        let awaits_sent = sent.is_some() && event_number(sent.as_ref()).is_none() && read != sent;
+        StreamPosition { read, sent, source, awaits_sent }
+    }
+
+    /// Whether the event that the client named has not come. At the end of a stream, this means that it is not one of
+    /// its events.
+    pub fn awaits_sent(&self) -> bool {
+        self.awaits_sent
     }
 
     /// The id of the event after which another endpoint has to resume the stream.
@@ -55,8 +65,9 @@
     pub fn advance(&mut self, event: &Event) -> EventNovelty {
         let novelty = EventNovelty {
             is_unread: self.is_after(event, self.read.as_ref()),
-            is_unsent: self.is_after(event, self.sent.as_ref()),
+            is_unsent: !self.awaits_sent && self.is_after(event, self.sent.as_ref()),
         };
+        self.awaits_sent &= event.id != self.sent;
         if event.id.is_some() {
             self.source = event_number(event.id.as_ref()).or(self.source);
             if novelty.is_unread {
--- a/crates/node/src/relay/turn.rs
+++ b/crates/node/src/relay/turn.rs
@@ -142,10 +142,6 @@
     /// is generated again.
     async fn resume(&mut self, exchange: &mut Exchange) {
         let sent = event_number(exchange.sent_event_id.as_ref());
-        if sent.is_none() {
-            // An id that is no number names no event, so the client gets all of them.
-            exchange.sent_event_id = None;
-        }
         exchange.set_last_event_id(None);
         let key = turn_key(exchange, self.previous.as_ref());
         let Some(key) = key.filter(|_| exchange.route.is_retryable()) else { return };
