Output recorded for a resumption is sent in bounded calls and counted in the relay's memory

A store that has come back gets each stream from its start. With up to 1 MiB for each stream in one call, those of some 64 streams would exceed a link's queue (64 MiB), which closes the link, for the turns of other programs too, and again on the next try. A call now holds 64 KiB of output, or one event. What a request takes over from the stores counts twice in the relay's memory, as the recording holds it too. Test: store_output, a_long_output_is_recorded_in_several_calls.

--- a/crates/node/src/relay/turn.rs
+++ b/crates/node/src/relay/turn.rs
@@ -154,7 +154,7 @@
         exchange.trace.record_known_output(last_id);
         self.output = TurnOutput::handed_out(&handed_out);
         // If this exceeds the memory budget, so does the body that is reserved next, and the request is rejected.
-        exchange.memory.grow(self.output.size().output_bytes);
+        exchange.memory.grow(self.output.retained_bytes());
         self.record_output(key, handed_out);
     }
 
--- a/crates/node/src/relay/turn_output.rs
+++ b/crates/node/src/relay/turn_output.rs
@@ -65,6 +65,11 @@
         self.text.len() - start + recorded_bytes
     }
 
+    /// The bytes retained for the output before any event is appended, with those of the recording.
+    pub fn retained_bytes(&self) -> usize {
+        2 * self.text.len() + self.events as usize * RECORDED_EVENT_OVERHEAD_BYTES
+    }
+
     /// The size of the output.
     pub fn size(&self) -> StoredTurnSize {
         StoredTurnSize { events: self.events, output_bytes: self.text.len() }
--- a/crates/node/src/sessions_client/output.rs
+++ b/crates/node/src/sessions_client/output.rs
@@ -19,6 +19,9 @@
 /// How often a stream is recorded from its start at a replica that has lost it. Replicas drop streams if they hold too
 /// many, and recording all of it again would not end then.
 const MAX_RESTARTS: u32 = 2;
+/// The output in one call, in bytes, unless a single event is larger. Calls of many streams may wait on one link, whose
+/// queue is bounded.
+const MAX_CALL_BYTES: usize = 64 << 10;
 
 /// Passes the events of a stream on, to be recorded in the background.
 pub type OutputSender = mpsc::UnboundedSender<OutputEvent>;
@@ -149,13 +152,24 @@
                 turn: self.turn.clone(),
                 request: self.request.clone(),
                 first: first as u32,
-                events: self.events[first..].to_vec(),
+                events: events_of_call(&self.events[first..]),
             };
             self.calls.spawn(record_once(self.client.clone(), replica, record));
         }
     }
 }
 
+/// The first of these events that go into one call.
+fn events_of_call(events: &[OutputEvent]) -> Vec<OutputEvent> {
+    let mut bytes = 0;
+    let fits = |event: &&OutputEvent| {
+        let is_first = bytes == 0;
+        bytes += event.output.len();
+        is_first || bytes <= MAX_CALL_BYTES
+    };
+    events.iter().take_while(fits).cloned().collect()
+}
+
 async fn record_once(
     client: SessionsClient, replica: PartitionPrimary, record: RecordOutput,
 ) -> RecordedEvents {
--- a/crates/node/tests/store_output.rs
+++ b/crates/node/tests/store_output.rs
@@ -83,3 +83,22 @@
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
 }
+
+// One call holds a part of a long output only, so that the calls of many streams do not overflow a link's queue.
+#[tokio::test]
+async fn a_long_output_is_recorded_in_several_calls() {
+    let cluster = TestCluster::start("output-long").await;
+    let disks = cluster.keeper.wait_for_stores(STORE_COUNT).await;
+    cluster.assign(&disks, &[]);
+    let event = |id: u64| OutputEvent { id, output: vec![b'x'; 10_000 * id as usize].into() };
+    let sender = cluster.client.record_output(key(), RequestId::from("r"));
+    (1..=12).for_each(|id| sender.send(event(id)).unwrap());
+    let find = FindOutput { turn: key(), last_event_id: 12 };
+    let expected: Vec<OutputEvent> = (1..=12).map(event).collect();
+    let wait = async {
+        while cluster.another_client().find_output(find.clone(), TEST_TIMEOUT).await != expected {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    tokio::time::timeout(TEST_TIMEOUT, wait).await.expect("the output is found in time");
+}
