--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -40,6 +40,7 @@
 mod stream_position;
 mod trace;
 mod turn;
+mod turn_history;
 mod turn_output;
 mod upstream;
 
--- a/crates/node/src/relay/turn_output.rs
+++ b/crates/node/src/relay/turn_output.rs
@@ -1,5 +1,6 @@
 //! The output of a turn that is to be stored, and its recording for a client that resumes the stream after a cut.
 
+use juniperwing_protocol::headers;
 use juniperwing_protocol::identity::{ProgramId, RequestId};
 use juniperwing_protocol::session::{OutputEvent, TurnKey};
 
@@ -9,7 +10,6 @@
 use super::stream_position::event_number;
 use super::trace::StoredTurnSize;
 use crate::sessions_client::OutputSender;
-use juniperwing_protocol::headers;
 
 /// The output of a stream that is recorded for a resumption, in bytes. What exceeds it is generated again.
 const MAX_RECORDED_BYTES: usize = 1 << 20;
--- a/crates/soak/src/load/program.rs
+++ b/crates/soak/src/load/program.rs
@@ -49,6 +49,13 @@
     PreviousTurnUnknown,
 }
 
+impl TurnOutcome {
+    /// Whether the program tries the turn again.
+    pub fn may_retry(&self) -> bool {
+        matches!(self, TurnOutcome::NotExecuted | TurnOutcome::Indeterminate)
+    }
+}
+
 /// Runs programs in sequence until the load ends.
 pub async fn run(shared: Arc<Shared>, number: u64) {
     let mut rng = shared.rng(&format!("program {number}"));
@@ -101,14 +108,10 @@
     let mut outcome = TurnOutcome::NotExecuted;
     for _ in 0..MAX_TURN_ATTEMPTS {
         outcome = attempt_turn(shared, program, budget, previous, rng).await;
-        match outcome {
-            TurnOutcome::NotExecuted | TurnOutcome::Indeterminate => {
-                sleep(Duration::from_millis(100 + rng.below(300))).await;
-            }
-            TurnOutcome::Completed(_) | TurnOutcome::BudgetExhausted | TurnOutcome::PreviousTurnUnknown => {
-                return outcome;
-            }
+        if !outcome.may_retry() {
+            return outcome;
         }
+        sleep(Duration::from_millis(100 + rng.below(300))).await;
     }
     outcome
 }
--- a/crates/soak/src/load/resumable_turn.rs
+++ b/crates/soak/src/load/resumable_turn.rs
@@ -62,14 +62,10 @@
     let mut outcome = TurnOutcome::NotExecuted;
     for _ in 0..MAX_ATTEMPTS {
         outcome = turn.attempt(rng).await;
-        match outcome {
-            TurnOutcome::NotExecuted | TurnOutcome::Indeterminate => {
-                sleep(Duration::from_millis(20 + rng.below(300))).await;
-            }
-            TurnOutcome::Completed(_) | TurnOutcome::BudgetExhausted | TurnOutcome::PreviousTurnUnknown => {
-                return outcome;
-            }
+        if !outcome.may_retry() {
+            return outcome;
         }
+        sleep(Duration::from_millis(20 + rng.below(300))).await;
     }
     outcome
 }
