A store answers calls about output before its checks of partitions

Change: handle_session_request answers them, behaviour as before; a line of a doc comment is wrapped.

--- a/crates/node/src/relay/request_log.rs
+++ b/crates/node/src/relay/request_log.rs
@@ -2,7 +2,8 @@
 //!
 //! The line is found by the client's `X-Request-Id`. It contains the route, the configuration's generation, every
 //! attempt with its endpoint, times and outcome, the failure of the stores, the event after which the client resumed
-//! the stream, the last event that the stores knew of it, the sizes of the turn's history and stored output, and the reason for the outcome.
+//! the stream, the last event that the stores knew of it, the sizes of the turn's history and stored output, and the
+//! reason for the outcome.
 
 use std::sync::Arc;
 
--- a/crates/sessions/src/primary.rs
+++ b/crates/sessions/src/primary.rs
@@ -10,26 +10,20 @@
 use crate::store::Store;
 
 impl Store {
-    /// Handles a relay's request.
+    /// Handles a relay's request. The output of streams needs neither a primary nor a synchronized partition.
     pub(crate) fn handle_session_request(&mut self, caller: CallerId, request: SessionRequest) {
-        self.process_session_request(caller, request, EpochStatus::Unconfirmed);
+        let reply = match request.body {
+            SessionCall::RecordOutput(record) => self.output_log.record(self.clock.now, record),
+            SessionCall::FindOutput(find) => self.output_log.find_output(self.clock.now, &find),
+            _ => return self.process_session_request(caller, request, EpochStatus::Unconfirmed),
+        };
+        self.send_session_reply(caller, reply);
     }
 
     /// Processes a request, or defers it until its partition is synchronized.
     pub(crate) fn process_session_request(
         &mut self, caller: CallerId, request: SessionRequest, epoch_status: EpochStatus,
     ) {
-        let request = match request {
-            SessionRequest { body: SessionCall::RecordOutput(record), .. } => {
-                let reply = self.output_log.record(self.clock.now, record);
-                return self.send_session_reply(caller, reply);
-            }
-            SessionRequest { body: SessionCall::FindOutput(find), .. } => {
-                let reply = self.output_log.find_output(self.clock.now, &find);
-                return self.send_session_reply(caller, reply);
-            }
-            request => request,
-        };
         if let SessionCall::Find { turn, partitions } = &request.body {
             let (turn, partitions) = (turn.clone(), partitions.clone());
             return self.handle_find(caller, request, &turn, partitions, epoch_status);
