Stores count programs and reservations that expire, and turns stored without their previous one

Cause: when a program could not be continued, no figure told a reservation that had expired from records lost in a restart or a merge: programs were dropped silently, and a turn whose chain was gone was stored without a sign.

Change: counters programs_expired, reservations_expired and turns_without_previous; rows for operators.

A store dropped the program with an open reservation while the turn ran; the turn was then to be stored without its previous one at the primary, whose only unavailable answers are 'broken chain'.

--- a/crates/node/src/store/metrics.rs
+++ b/crates/node/src/store/metrics.rs
@@ -16,6 +16,7 @@
         )];
         metrics.extend(partition_metrics(&statistics));
         metrics.extend(record_metrics(&statistics));
+        metrics.extend(turn_metrics(&statistics));
         metrics.extend([
             Metric::gauge(
                 "questions_waiting",
@@ -49,6 +50,26 @@
     ]
 }
 
+fn turn_metrics(statistics: &StoreStatistics) -> [Metric; 3] {
+    [
+        Metric::counter(
+            "programs_expired",
+            "Programs dropped after their retention",
+            statistics.expired_programs,
+        ),
+        Metric::counter(
+            "reservations_expired",
+            "Turns reserved and never settled that were dropped with their programs",
+            statistics.expired_reservations,
+        ),
+        Metric::counter(
+            "turns_without_previous",
+            "Turns to be stored whose previous turn is no longer stored, of partitions led",
+            statistics.turns_without_previous,
+        ),
+    ]
+}
+
 fn record_metrics(statistics: &StoreStatistics) -> [Metric; 6] {
     [
         Metric::gauge("records", "Records held", statistics.records),
--- a/crates/sessions/src/commit.rs
+++ b/crates/sessions/src/commit.rs
@@ -16,6 +16,9 @@
             return self.send_unavailable(caller, UnavailableReason::StoredTurnMismatch);
         }
         self.check_commit(partition, &finish);
+        if !self.has_previous_turn(partition, &finish) {
+            self.turn_counters.turns_without_previous += 1;
+        }
         let retention_ms = match &finish.stored_turn {
             Some(turn) => turn.retention_ms.clamp(MIN_STORED_TURN_RETENTION_MS, MAX_RETENTION_MS),
             None => BUDGET_RETENTION_MS,
@@ -31,6 +34,15 @@
         self.start_write(partition, vec![record], caller, SessionReply::TurnFinished);
     }
 
+    /// Whether the turn that a turn to be stored continues is stored too, under the same program. With it is its chain,
+    /// since a program keeps copies of the chain of its turns and all of its records expire together.
+    fn has_previous_turn(&self, partition: PartitionId, finish: &FinishTurn) -> bool {
+        let previous = finish.stored_turn.as_ref().and_then(|turn| turn.previous.as_ref());
+        let table = self.tables.get(&partition);
+        let is_stored = |previous| table.is_some_and(|table| table.has_turn(&finish.program, previous));
+        previous.is_none_or(is_stored)
+    }
+
     /// Checks the invariants that a turn uses no more tokens than were reserved, and that its stored contents never
     /// change.
     fn check_commit(&self, partition: PartitionId, finish: &FinishTurn) {
--- a/crates/sessions/src/persistence.rs
+++ b/crates/sessions/src/persistence.rs
@@ -97,7 +97,10 @@
     /// Removes expired programs from memory, and segments without other live records from disk.
     pub(crate) fn remove_expired(&mut self) {
         for table in self.tables.values_mut() {
-            for position in table.remove_expired(self.clock) {
+            let expired = table.remove_expired(self.clock);
+            self.turn_counters.expired_programs += expired.programs;
+            self.turn_counters.expired_reservations += expired.reservations;
+            for position in expired.positions {
                 self.segment_usage.remove_record(position);
             }
         }
--- a/crates/sessions/src/statistics.rs
+++ b/crates/sessions/src/statistics.rs
@@ -73,6 +73,17 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct UnavailableCounts(BTreeMap<UnavailableReason, u64>);
 
+/// Counts what becomes of programs and their turns.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct TurnCounters {
+    /// Programs that expired.
+    pub(crate) expired_programs: u64,
+    /// Reservations that expired with their programs: the turns were never committed.
+    pub(crate) expired_reservations: u64,
+    /// Turns that were to be stored when the store had lost the turn that they continue.
+    pub(crate) turns_without_previous: u64,
+}
+
 /// A snapshot of the statistics of a store.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct StoreStatistics {
@@ -92,6 +103,12 @@
     pub reservations: u64,
     /// The number of writes that are not confirmed by all replicas.
     pub pending_writes: u64,
+    /// The number of programs that expired at this store.
+    pub expired_programs: u64,
+    /// The number of reservations that expired with their programs at this store.
+    pub expired_reservations: u64,
+    /// The number of turns that were to be stored without the turn that they continue.
+    pub turns_without_previous: u64,
     /// The number of relays' requests that could not be processed, by reason label.
     pub unavailable_replies: Vec<(&'static str, u64)>,
 }
@@ -115,6 +132,9 @@
             disk_bytes: self.segment_usage.bytes(),
             reservations: led_records.filter(|record| record.state == RecordState::Reserved).count() as u64,
             pending_writes: self.pending_writes.len() as u64,
+            expired_programs: self.turn_counters.expired_programs,
+            expired_reservations: self.turn_counters.expired_reservations,
+            turns_without_previous: self.turn_counters.turns_without_previous,
             unavailable_replies: unavailable_replies.to_vec(),
         }
     }
--- a/crates/sessions/src/store.rs
+++ b/crates/sessions/src/store.rs
@@ -17,7 +17,7 @@
 use crate::output_log::OutputLog;
 use crate::replica_contact::ReplicaContact;
 use crate::segment_usage::SegmentUsage;
-use crate::statistics::UnavailableCounts;
+use crate::statistics::{TurnCounters, UnavailableCounts};
 use crate::table::Table;
 use crate::timers::Timer;
 use crate::waiting_requests::WaitingRequest;
@@ -54,6 +54,7 @@
     /// The commands produced so far by the event that is being handled.
     pub(crate) commands: Vec<Command>,
     pub(crate) unavailable_counts: UnavailableCounts,
+    pub(crate) turn_counters: TurnCounters,
     pub(crate) output_log: OutputLog,
     last_id: u64,
 }
@@ -82,6 +83,7 @@
             clock: ClockReading::default(),
             commands: Vec::new(),
             unavailable_counts: UnavailableCounts::default(),
+            turn_counters: TurnCounters::default(),
             output_log: OutputLog::new(limits.memory_bytes / OUTPUT_LOG_MEMORY_DIVISOR),
             last_id: 0,
         }
--- a/crates/sessions/src/table.rs
+++ b/crates/sessions/src/table.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use juniperwing_clock::{Span, Time};
-use juniperwing_protocol::transfer::{Record, RecordKey};
+use juniperwing_protocol::transfer::{Record, RecordKey, RecordState};
 use juniperwing_protocol::{ProgramId, RequestId};
 
 use crate::digest::record_digest;
@@ -105,27 +105,40 @@
         keys
     }
 
-    /// Removes the programs that have expired; returns the positions of their records on disk.
-    pub(crate) fn remove_expired(&mut self, clock: ClockReading) -> Vec<SegmentPosition> {
+    /// Removes the programs that have expired; returns what was removed.
+    pub(crate) fn remove_expired(&mut self, clock: ClockReading) -> ExpiredPrograms {
         let expired: Vec<ProgramId> = self
             .programs
             .iter()
             .filter(|(_, records)| records.expires_at <= clock.now)
             .map(|(program, _)| program.clone())
             .collect();
-        let mut positions = Vec::new();
+        let mut removed = ExpiredPrograms::default();
         for program in expired {
             let Some(records) = self.programs.remove(&program) else { continue };
+            removed.programs += 1;
             for (request, entry) in records.records {
                 self.bytes -= record_bytes(&entry.record);
                 self.turns.remove(&(request, program.clone()));
-                positions.extend(entry.position);
+                removed.reservations += u64::from(entry.record.state == RecordState::Reserved);
+                removed.positions.extend(entry.position);
             }
         }
-        positions
+        removed
     }
 }
 
+/// The programs that expired at one time.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct ExpiredPrograms {
+    /// The number of programs.
+    pub(crate) programs: u64,
+    /// The number of their turns that were reserved and not committed.
+    pub(crate) reservations: u64,
+    /// The positions of their records on disk.
+    pub(crate) positions: Vec<SegmentPosition>,
+}
+
 /// Converts the expiry of a record to the monotonic clock. This is done once, when the record arrives, so that a later
 /// step of the wall clock does not expire it early.
 fn expiry_time(record: &Record, clock: ClockReading) -> Time {
