A turn under way holds a lease on its program, which the relay renews

Cause: a reservation expired 60 s and 10 s of slack after it was written, whatever the route allowed its turn, and nothing renewed it. It was the last record that held the program, so the chain went with it. The commit did not look whether the turn that is continued was still stored.

Change: the relay sends with each turn how long it may run and what its route retains; the reservation, and the copy of another program's chain, last for a lease of at most 60 s and retentionS after it. A turn that may run for longer renews its lease every 15 s until it ends. Without a budget the turn that is continued is kept for longer instead. A turn whose previous turn is gone is broken off and not acknowledged as stored.

--- a/crates/emulator/src/programs/turn.rs
+++ b/crates/emulator/src/programs/turn.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use juniperwing_protocol::session::{BeginTurn, FinishTurn, Turn};
+use juniperwing_protocol::session::{BeginTurn, FinishTurn, MAX_TURN_LEASE_MS, Turn, TurnLease};
 use juniperwing_protocol::{ProgramId, RequestId};
 
 /// Identifies a turn.
@@ -47,6 +47,7 @@
             budget: self.budget,
             max_tokens: self.max_tokens,
             imported: Vec::new(),
+            lease: TurnLease { duration_ms: MAX_TURN_LEASE_MS, retention_ms: RETENTION_MS },
         }
     }
 
@@ -57,6 +58,7 @@
             request: request_id(self.turn),
             tokens,
             stored_turn: None,
+            retention_ms: RETENTION_MS,
         }
     }
 
--- a/crates/node/src/relay/sessions.rs
+++ b/crates/node/src/relay/sessions.rs
@@ -5,10 +5,15 @@
 use std::time::Duration;
 
 use juniperwing_protocol::RequestId;
-use juniperwing_protocol::session::{BeginTurn, FindOutput, FinishTurn, OutputEvent, Turn, TurnKey};
+use juniperwing_protocol::session::{
+    BeginTurn, FindOutput, FinishTurn, OutputEvent, RenewTurn, Turn, TurnKey,
+};
 use snafu::Snafu;
+use tokio::time::Instant;
 
-use crate::sessions_client::{CommitUncertain, OutputSender, SessionError, SessionsClient, StoreFailure};
+use crate::sessions_client::{
+    CommitUncertain, LeaseRenewal, OutputSender, SessionError, SessionsClient, StoreFailure,
+};
 
 /// Why a turn cannot be begun or finished.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
@@ -38,6 +43,9 @@
     /// Reserves the maximum number of tokens that a turn may generate, and fetches the previous turns, oldest first.
     fn begin_turn(&self, turn: BeginTurn, max_wait: Duration) -> SessionCall<Vec<Turn>>;
 
+    /// Renews the lease of a turn in the background, up to the turn's deadline, until the result is dropped.
+    fn renew_turn(&self, renew: RenewTurn, deadline: Instant) -> LeaseRenewal;
+
     /// Commits the tokens of a turn, and stores the turn if requested.
     fn finish_turn(&self, turn: FinishTurn, max_wait: Duration) -> SessionCall<()>;
 
@@ -80,6 +88,10 @@
         })
     }
 
+    fn renew_turn(&self, renew: RenewTurn, deadline: Instant) -> LeaseRenewal {
+        self.renew_in_background(renew, deadline)
+    }
+
     fn finish_turn(&self, turn: FinishTurn, max_wait: Duration) -> SessionCall<()> {
         let client = self.clone();
         Box::pin(async move {
--- a/crates/node/src/relay/turn.rs
+++ b/crates/node/src/relay/turn.rs
@@ -1,6 +1,7 @@
 //! Turns of agent programs: reserves tokens before a turn runs, and stores turns if their route says so.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http::StatusCode;
@@ -8,7 +9,10 @@
 use juniperwing_configuration::RouteTable;
 use juniperwing_protocol::headers;
 use juniperwing_protocol::identity::{InstanceId, ProgramId, RequestId};
-use juniperwing_protocol::session::{BeginTurn, FindOutput, FinishTurn, OutputEvent, Turn, TurnKey};
+use juniperwing_protocol::session::{
+    BeginTurn, FindOutput, FinishTurn, MAX_TURN_LEASE_MS, OutputEvent, RenewTurn, Turn, TurnKey, TurnLease,
+};
+use tokio::time::Instant;
 
 use super::events::Event;
 use super::exchange::Exchange;
@@ -19,7 +23,8 @@
 use super::trace::StoredTurnSize;
 use super::turn_history::prepend_turns;
 use super::turn_output::{TurnOutput, turn_key};
-use crate::clock::duration;
+use crate::clock::{duration, now};
+use crate::sessions_client::LeaseRenewal;
 
 /// The maximum time for which the end of a response is delayed while its turn is stored.
 const STORE_TIMEOUT: Span = Span::from_millis(1_000);
@@ -58,14 +63,18 @@
     tokens_per_event: u64,
     /// The maximum number of tokens that the turn may generate; `None` if the client does not specify it.
     max_tokens: Option<u64>,
-    /// How long the turn is stored; `None` if it is not stored.
-    retention: Option<Span>,
+    /// Whether the turn is stored when it is complete.
+    is_stored: bool,
+    /// How long the program is retained after the turn.
+    retention_ms: u64,
     /// The tokens sent to the client.
     sent_tokens: u64,
     /// The output of the turn, if it is to be stored.
     output: TurnOutput,
     /// Whether the stores may have a reservation that must be committed.
     has_reservation: bool,
+    /// Renews the turn's lease, if the turn may run for longer.
+    _renewal: Option<LeaseRenewal>,
 }
 
 impl OpenTurn {
@@ -85,6 +94,7 @@
         }
         let mut turn = OpenTurn::new(sessions, exchange, table, budget);
         let earlier_turns = turn.reserve(exchange, budget).await?;
+        turn.renew_lease(exchange, budget);
         if is_stored {
             turn.resume(exchange).await;
             prepend_turns(exchange, &earlier_turns);
@@ -109,10 +119,12 @@
             input: exchange.body.clone(),
             tokens_per_event: u64::from(engine.map_or(1, |engine| engine.tokens_per_event)),
             max_tokens: max_tokens(exchange),
-            retention: is_stored.then_some(exchange.route.retention),
+            is_stored,
+            retention_ms: milliseconds(exchange.route.retention),
             sent_tokens: 0,
             output: TurnOutput::default(),
             has_reservation: budget.is_some(),
+            _renewal: None,
         }
     }
 
@@ -125,8 +137,9 @@
             request: self.request.clone(),
             previous: self.previous.clone(),
             budget,
-            max_tokens: self.max_tokens.or(budget).unwrap_or(0),
+            max_tokens: self.reserved_tokens(budget),
             imported: Vec::new(),
+            lease: self.lease(exchange),
         };
         let max_wait = exchange.remaining_time().mul_f64(BEGIN_TIMEOUT_FRACTION);
         let begun = self.sessions.begin_turn(begin, duration(max_wait)).await;
@@ -138,6 +151,35 @@
         })
     }
 
+    /// The number of tokens that the turn reserves.
+    fn reserved_tokens(&self, budget: Option<u64>) -> u64 {
+        self.max_tokens.or(budget).unwrap_or(0)
+    }
+
+    fn lease(&self, exchange: &Exchange) -> TurnLease {
+        let duration_ms = milliseconds(exchange.deadline.since(now()));
+        TurnLease { duration_ms, retention_ms: self.retention_ms }
+    }
+
+    /// Renews the lease until the turn has ended, if the turn may run for longer than one lease and the stores have
+    /// records on which it depends.
+    fn renew_lease(&mut self, exchange: &Exchange, budget: Option<u64>) {
+        let lease = self.lease(exchange);
+        let has_records = budget.is_some() || self.previous.is_some();
+        if !has_records || lease.duration_ms <= MAX_TURN_LEASE_MS {
+            return;
+        }
+        let renew = RenewTurn {
+            program: self.program.clone(),
+            request: self.request.clone(),
+            previous: self.previous.clone(),
+            reserved_tokens: budget.map(|_| self.reserved_tokens(budget)),
+            lease,
+        };
+        let deadline = Instant::now() + Duration::from_millis(lease.duration_ms);
+        self._renewal = Some(self.sessions.renew_turn(renew, deadline));
+    }
+
     /// Prepares the output of a turn whose stream the client may resume, since a turn is stored with all of its events.
     /// The endpoint continues after the last event that the stores know to be handed out; what the client has beyond it
     /// is generated again.
@@ -186,7 +228,7 @@
 
     /// Records an event of the turn, if the turn is to be stored. Returns how many bytes are retained for it.
     pub fn record_event(&mut self, event: &Event) -> usize {
-        if self.retention.is_some() { self.output.push(event) } else { 0 }
+        if self.is_stored { self.output.push(event) } else { 0 }
     }
 
     /// Handles the end of an endpoint's stream, with `remaining` until the deadline: stores the turn, if its route says
@@ -196,13 +238,15 @@
     ///
     /// If the turn could not be stored in time. The response must be aborted then, so that it does not look complete.
     pub async fn store(mut self, endpoint: &InstanceId, remaining: Span) -> Result<(), TurnError> {
-        let Some(retention) = self.retention else { return Ok(()) };
+        if !self.is_stored {
+            return Ok(());
+        }
         let turn = Turn {
             request: self.request.clone(),
             previous: self.previous.clone(),
             input: Arc::from(&*self.input),
             output: Arc::from(self.output.take()),
-            retention_ms: retention.as_nanos() / 1_000_000,
+            retention_ms: self.retention_ms,
             endpoint: Some(endpoint.0.clone()),
         };
         let finish = FinishTurn { stored_turn: Some(turn), ..self.commit_message() };
@@ -220,7 +264,13 @@
     /// The message that replaces the reservation with the tokens sent.
     fn commit_message(&self) -> FinishTurn {
         let tokens = self.max_tokens.map_or(self.sent_tokens, |max| self.sent_tokens.min(max));
-        FinishTurn { program: self.program.clone(), request: self.request.clone(), tokens, stored_turn: None }
+        FinishTurn {
+            program: self.program.clone(),
+            request: self.request.clone(),
+            tokens,
+            stored_turn: None,
+            retention_ms: self.retention_ms,
+        }
     }
 }
 
@@ -232,6 +282,10 @@
     }
 }
 
+fn milliseconds(span: Span) -> u64 {
+    span.as_nanos() / 1_000_000
+}
+
 /// The token budget of the program, if the client specifies one.
 fn budget(exchange: &Exchange) -> Result<Option<u64>, TurnRejection> {
     if !exchange.headers.contains_key(headers::BUDGET) {
--- a/crates/node/src/sessions_client.rs
+++ b/crates/node/src/sessions_client.rs
@@ -4,6 +4,7 @@
 mod error;
 mod lookup;
 mod output;
+mod renewal;
 mod routing;
 
 use std::sync::Arc;
@@ -17,6 +18,7 @@
 use self::background::BackgroundCommits;
 pub use self::error::{CommitUncertain, SessionError, StoreFailure, StoreFailureReason};
 pub use self::output::OutputSender;
+pub use self::renewal::LeaseRenewal;
 use self::routing::{PartitionPrimary, primary_of, wait_until_replaced};
 use crate::link::LinkPool;
 use crate::sync::watch;
--- /dev/null
+++ b/crates/node/src/sessions_client/renewal.rs
@@ -0,0 +1,64 @@
+//! Renewal of the leases of turns that run for long.
+
+use std::time::Duration;
+
+use juniperwing_protocol::session::{MAX_TURN_LEASE_MS, RenewTurn, SessionCall, SessionReply};
+use tokio::task::AbortHandle;
+use tokio::time::{Instant, sleep};
+
+use super::{CommitUncertain, SessionsClient, StoreFailureReason};
+
+/// How often a lease is renewed. Several renewals may fail before it ends.
+const RENEWAL_INTERVAL: Duration = Duration::from_millis(MAX_TURN_LEASE_MS / 4);
+
+/// Renews the lease of a turn in the background until it is dropped.
+#[derive(Debug)]
+#[must_use = "the renewal ends when this is dropped"]
+pub struct LeaseRenewal(AbortHandle);
+
+impl LeaseRenewal {
+    /// Takes over a task that renews a lease until it is aborted.
+    pub fn new(task: AbortHandle) -> Self {
+        LeaseRenewal(task)
+    }
+}
+
+impl Drop for LeaseRenewal {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+impl SessionsClient {
+    /// Renews the lease of a turn in the background, up to the turn's deadline. A renewal is retried until the next one is
+    /// due. If all of them fail, the store rejects the turn when it is finished, unless its program was retained anyway.
+    pub fn renew_in_background(&self, renew: RenewTurn, deadline: Instant) -> LeaseRenewal {
+        let client = self.clone();
+        let renewals = async move {
+            loop {
+                sleep(RENEWAL_INTERVAL).await;
+                let mut renew = renew.clone();
+                let remaining = deadline.saturating_duration_since(Instant::now());
+                renew.lease.duration_ms = u64::try_from(remaining.as_millis()).unwrap_or(u64::MAX);
+                // The next renewal makes up for one that fails.
+                let _ = client.renew(renew, RENEWAL_INTERVAL).await;
+            }
+        };
+        LeaseRenewal::new(tokio::spawn(renewals).abort_handle())
+    }
+
+    /// Renews the lease of a turn once.
+    ///
+    /// # Errors
+    ///
+    /// If the renewal is not confirmed by the required number of replicas within `max_wait`.
+    pub async fn renew(&self, renew: RenewTurn, max_wait: Duration) -> Result<(), CommitUncertain> {
+        let deadline = Instant::now() + max_wait;
+        let program = renew.program.clone();
+        match self.call_primary(&program, SessionCall::Renew(renew), deadline).await {
+            Ok(SessionReply::TurnRenewed) => Ok(()),
+            Ok(_) => Err(CommitUncertain { failure: StoreFailureReason::UnexpectedReply.into() }),
+            Err(failure) => Err(CommitUncertain { failure }),
+        }
+    }
+}
--- a/crates/node/tests/golden_state.rs
+++ b/crates/node/tests/golden_state.rs
@@ -125,7 +125,8 @@
     let client = cluster.client.clone();
     let finish = |request: &str, tokens, stored_turn| {
         let (program, request) = (ProgramId::from("program"), RequestId::from(request));
-        client.finish(FinishTurn { program, request, tokens, stored_turn }, TEST_TIMEOUT)
+        client
+            .finish(FinishTurn { program, request, tokens, stored_turn, retention_ms: 60_000 }, TEST_TIMEOUT)
     };
     for turn in stored_turns() {
         let request = turn.request.0.to_string();
--- a/crates/node/tests/relay/main.rs
+++ b/crates/node/tests/relay/main.rs
@@ -8,6 +8,7 @@
 mod framing;
 mod hostile;
 mod hostile_responses;
+mod leases;
 mod lifecycle;
 mod planned_work;
 mod refusals;
--- a/crates/node/tests/relay/support.rs
+++ b/crates/node/tests/relay/support.rs
@@ -17,13 +17,15 @@
 use juniperwing_node::relay::{
     ClusterView, OutputCall, Relay, RelayState, SessionCall, SessionStore, TurnError,
 };
-use juniperwing_node::sessions_client::{OutputSender, StoreFailureReason};
+use juniperwing_node::sessions_client::{LeaseRenewal, OutputSender, StoreFailureReason};
 use juniperwing_node::settings::Settings;
 use juniperwing_node::subscriber::UpdateSink;
 use juniperwing_protocol::identity::{EpochNumber, InstanceId, RequestId, ServiceName};
 use juniperwing_protocol::registry::{Instance, InstanceState};
 use juniperwing_protocol::replication::Version;
-use juniperwing_protocol::session::{BeginTurn, FindOutput, FinishTurn, OutputEvent, Turn, TurnKey};
+use juniperwing_protocol::session::{
+    BeginTurn, FindOutput, FinishTurn, OutputEvent, RenewTurn, Turn, TurnKey,
+};
 use juniperwing_protocol::subscription::{Assignment, InstancesUpdate, StoreMap, Update};
 use serde_json::Value;
 use slog::{Drain, Logger, o};
@@ -31,7 +33,8 @@
 use tokio::net::TcpStream;
 use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
 use tokio::sync::{Notify, oneshot};
-use tokio::task::JoinHandle;
+use tokio::task::{AbortHandle, JoinHandle};
+use tokio::time::Instant;
 
 use crate::endpoint::FakeEndpoint;
 
@@ -65,6 +68,8 @@
 pub struct FakeStores {
     pub begun_turns: Mutex<Vec<BeginTurn>>,
     pub finished_turns: Mutex<Vec<FinishTurn>>,
+    /// The turns whose leases are renewed, and the tasks that renew them.
+    pub renewed_turns: Mutex<Vec<(RenewTurn, AbortHandle)>>,
     /// Turns finished in the background.
     pub background_finishes: Mutex<Vec<FinishTurn>>,
     /// The result of `begin_turn`.
@@ -101,6 +106,12 @@
         })
     }
 
+    fn renew_turn(&self, renew: RenewTurn, _: Instant) -> LeaseRenewal {
+        let task = tokio::spawn(std::future::pending::<()>()).abort_handle();
+        self.renewed_turns.lock().unwrap().push((renew, task.clone()));
+        LeaseRenewal::new(task)
+    }
+
     fn finish_turn(&self, turn: FinishTurn, max_wait: Duration) -> SessionCall<()> {
         self.finish_timeouts.lock().unwrap().push(max_wait);
         self.finished_turns.lock().unwrap().push(turn);
@@ -202,7 +213,8 @@
     {"name":"e","hostname":"h.example","pathPrefix":"/e/","routeType":"streaming","timeoutMs":10000,"targetLatencyMs":4000,"priority":0,"backend":"s","maxRetries":2,"resumable":false},
     {"name":"r","hostname":"h.example","pathPrefix":"/r/","routeType":"streaming","timeoutMs":10000,"targetLatencyMs":4000,"priority":0,"backend":"s","maxRetries":2,"resumable":true},
     {"name":"k","hostname":"h.example","pathPrefix":"/k/","routeType":"streaming","timeoutMs":10000,"targetLatencyMs":4000,"priority":0,"backend":"s","maxRetries":2,"resumable":false,"kept":true,"retentionS":60},
-    {"name":"kr","hostname":"h.example","pathPrefix":"/kr/","routeType":"streaming","timeoutMs":10000,"targetLatencyMs":4000,"priority":0,"backend":"s","maxRetries":2,"resumable":true,"kept":true,"retentionS":60}],
+    {"name":"kr","hostname":"h.example","pathPrefix":"/kr/","routeType":"streaming","timeoutMs":10000,"targetLatencyMs":4000,"priority":0,"backend":"s","maxRetries":2,"resumable":true,"kept":true,"retentionS":60},
+    {"name":"kl","hostname":"h.example","pathPrefix":"/kl/","routeType":"streaming","timeoutMs":110000,"targetLatencyMs":4000,"priority":0,"backend":"s","maxRetries":2,"resumable":false,"kept":true,"retentionS":100}],
     "backends":[{"name":"s","healthCheck":"/healthz","maxConnections":100,"protocol":"h1","tls":false,"engine":{"capacity":32,"stride":3,"models":[{"name":"m"}]}}],
     "limits":{"maxHeaderBytes":16384,"maxBodyBytes":65536,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}"#;
 
--- a/crates/node/tests/store.rs
+++ b/crates/node/tests/store.rs
@@ -28,6 +28,7 @@
         request: RequestId::from(request),
         tokens: 10,
         stored_turn: Some(turn(request, previous)),
+        retention_ms: 60_000,
     }
 }
 
--- a/crates/node/tests/store_files.rs
+++ b/crates/node/tests/store_files.rs
@@ -8,7 +8,7 @@
 use std::fs;
 use std::path::Path;
 
-use juniperwing_protocol::session::BeginTurn;
+use juniperwing_protocol::session::{BeginTurn, TurnLease};
 use juniperwing_protocol::{ProgramId, RequestId};
 use juniperwing_storage::{SnapshotFiles, layout};
 use stores::{STORE_COUNT, TEST_TIMEOUT, TestCluster};
@@ -23,6 +23,7 @@
         budget: Some(1_000),
         max_tokens: 40,
         imported: Vec::new(),
+        lease: TurnLease::default(),
     };
     cluster.client.begin(turn, TEST_TIMEOUT).await.unwrap();
     for number in 0..STORE_COUNT {
--- a/crates/node/tests/stores/mod.rs
+++ b/crates/node/tests/stores/mod.rs
@@ -11,7 +11,7 @@
 use juniperwing_node::sessions_client::SessionsClient;
 use juniperwing_node::settings::Settings;
 use juniperwing_node::sync::watch;
-use juniperwing_protocol::session::{BeginTurn, Turn};
+use juniperwing_protocol::session::{BeginTurn, Turn, TurnLease};
 use juniperwing_protocol::subscription::{
     Assignment, CaughtUp, StoreMap, StoreNode, Subscribe, SubscriberKind, Update,
 };
@@ -284,6 +284,7 @@
         budget,
         max_tokens: 40,
         imported: Vec::new(),
+        lease: TurnLease::default(),
     }
 }
 
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod session;
 pub mod shared_bytes;
 pub mod subscription;
+pub mod trailing;
 pub mod transfer;
 
 pub use envelope::{CallId, Envelope, EnvelopeError, Message};
--- a/crates/protocol/src/session.rs
+++ b/crates/protocol/src/session.rs
@@ -49,6 +49,8 @@
     RecordOutput(RecordOutput),
     /// When the client resumes a stream: searches the output that was handed out of it. Any replica may be asked.
     FindOutput(FindOutput),
+    /// While a turn runs for longer than its lease: extends the lease.
+    Renew(RenewTurn),
 }
 
 /// Identifies a turn across the requests by which a client tries it, each of which has an id of its own.
@@ -124,6 +126,52 @@
     /// Turns of another program that this one continues from, found in another partition. They are stored in this
     /// partition as well.
     pub imported: Vec<Turn>,
+    /// How long the program is retained for this turn.
+    #[serde(deserialize_with = "crate::trailing::deserialize_or_default")]
+    pub lease: TurnLease,
+}
+
+/// The longest lease of a turn, in milliseconds.
+pub const MAX_TURN_LEASE_MS: u64 = 60_000;
+
+/// The lease of a turn under way on the records of its program: its reservation, and the turns that it continues from.
+/// A turn that runs for longer renews it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TurnLease {
+    /// The time until the turn's deadline in milliseconds; what exceeds [`MAX_TURN_LEASE_MS`] does not count.
+    pub duration_ms: u64,
+    /// How long the program is retained after the lease, in milliseconds (`retentionS` of the route).
+    pub retention_ms: u64,
+}
+
+impl TurnLease {
+    /// How long the program is retained from now on, in milliseconds.
+    pub fn total_ms(self) -> u64 {
+        self.duration_ms.min(MAX_TURN_LEASE_MS).saturating_add(self.retention_ms)
+    }
+}
+
+/// The lease of a relay of an earlier release, which does not say how long its turn may run.
+impl Default for TurnLease {
+    fn default() -> Self {
+        TurnLease { duration_ms: MAX_TURN_LEASE_MS, retention_ms: 0 }
+    }
+}
+
+/// A turn that is still running. The call is idempotent.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct RenewTurn {
+    /// The program.
+    pub program: ProgramId,
+    /// The request.
+    pub request: RequestId,
+    /// The turn that it continues from.
+    pub previous: Option<RequestId>,
+    /// The number of tokens that are reserved for the turn; `None` without a budget. The previous turn holds the program
+    /// then.
+    pub reserved_tokens: Option<u64>,
+    /// The lease from now on.
+    pub lease: TurnLease,
 }
 
 /// A turn that has ended.
@@ -137,6 +185,9 @@
     pub tokens: u64,
     /// The turn to store, if its response is complete and its route stores turns.
     pub stored_turn: Option<Turn>,
+    /// How long the program is retained if no turn is stored, in milliseconds (`retentionS` of the route).
+    #[serde(deserialize_with = "crate::trailing::deserialize_or_default")]
+    pub retention_ms: u64,
 }
 
 /// A stored turn. Only its expiry changes.
@@ -194,4 +245,6 @@
         /// The events from the first one on, without gaps.
         events: Vec<OutputEvent>,
     },
+    /// The lease of the turn is durable on all in-sync replicas.
+    TurnRenewed,
 }
--- a/crates/protocol/tests/golden.rs
+++ b/crates/protocol/tests/golden.rs
@@ -11,8 +11,8 @@
     Epoch, NumberedChange, ReplicationBody, ReplicationMessage, Version, Voter,
 };
 use juniperwing_protocol::session::{
-    BeginTurn, FindOutput, FinishTurn, OutputEvent, PartitionEpoch, RecordOutput, SessionCall, SessionReply,
-    SessionRequest, Turn, TurnKey,
+    BeginTurn, FindOutput, FinishTurn, OutputEvent, PartitionEpoch, RecordOutput, RenewTurn, SessionCall,
+    SessionReply, SessionRequest, Turn, TurnKey, TurnLease,
 };
 use juniperwing_protocol::subscription::{
     AppliedVersions, Assignment, CaughtUp, InstancesUpdate, StoreMap, StoreNode, Subscribe, SubscriberKind,
@@ -373,6 +373,7 @@
         budget: Some(9_001),
         max_tokens: 802,
         imported: vec![first_turn(), second_turn()],
+        lease: lease(),
     };
     let begin_first = BeginTurn { previous: None, budget: None, imported: Vec::new(), ..begin.clone() };
     let finish = FinishTurn {
@@ -380,6 +381,7 @@
         request: RequestId::from("request-4"),
         tokens: 803,
         stored_turn: Some(second_turn()),
+        retention_ms: 816,
     };
     let finish_without_turn = FinishTurn { stored_turn: None, ..finish.clone() };
     let at =
@@ -402,6 +404,15 @@
         turn: RequestId::from("request-5"),
         partitions: vec![at(804, 805), at(806, 807)],
     };
+    let renew = RenewTurn {
+        program: ProgramId::from("program-7"),
+        request: RequestId::from("request-10"),
+        previous: None,
+        reserved_tokens: Some(819),
+        lease: lease(),
+    };
+    let previous = Some(RequestId::from("request-11"));
+    let renew_without_budget = RenewTurn { previous, reserved_tokens: None, ..renew.clone() };
     vec![
         ("session-begin", session_call(SessionCall::Begin(begin))),
         ("session-begin-first", session_call(SessionCall::Begin(begin_first))),
@@ -410,9 +421,15 @@
         ("session-find", session_call(find)),
         ("session-record-output", session_call(SessionCall::RecordOutput(record_output))),
         ("session-find-output", session_call(SessionCall::FindOutput(find_output))),
+        ("session-renew", session_call(SessionCall::Renew(renew))),
+        ("session-renew-unlimited", session_call(SessionCall::Renew(renew_without_budget))),
     ]
 }
 
+fn lease() -> TurnLease {
+    TurnLease { duration_ms: 817, retention_ms: 818 }
+}
+
 fn output_events() -> Vec<OutputEvent> {
     let event = |id, output: &[u8]| OutputEvent { id, output: output.into() };
     vec![event(813, b"one\n"), event(814, b"")]
@@ -430,6 +447,7 @@
         ("session-unavailable", session_reply(Unavailable)),
         ("session-output-recorded", session_reply(OutputRecorded { events: 815 })),
         ("session-output-found", session_reply(OutputFound { events: output_events() })),
+        ("session-renewed", session_reply(TurnRenewed)),
     ]
 }
 
--- a/crates/sessions/src/admission.rs
+++ b/crates/sessions/src/admission.rs
@@ -9,7 +9,7 @@
 use crate::chain::Chain;
 use crate::epoch_confirmation::EpochStatus;
 use crate::event::CallerId;
-use crate::limits::{BUDGET_RETENTION_MS, RESERVATION_RETENTION_MS};
+use crate::limits::MIN_BUDGET_RETENTION_MS;
 use crate::statistics::UnavailableReason;
 use crate::store::Store;
 
@@ -53,6 +53,8 @@
                     return self.start_write(partition, denial, caller, SessionReply::BudgetExhausted);
                 }
             }
+        } else {
+            records.extend(self.retained_previous_turn(partition, begin));
         }
         let reply = SessionReply::TurnBegun { chain };
         if records.is_empty() {
@@ -80,7 +82,7 @@
     fn imported_records(&self, partition: PartitionId, begin: &BeginTurn, chain: &[Turn]) -> Vec<Record> {
         let table = self.tables.get(&partition);
         let is_own = |turn: &Turn| table.is_some_and(|t| t.has_turn(&begin.program, &turn.request));
-        let expires_at_ms = self.clock.unix_time_ms.saturating_add(RESERVATION_RETENTION_MS);
+        let expires_at_ms = self.lease_expiry_ms(begin.lease);
         let record = |turn: &Turn| Record {
             program: begin.program.clone(),
             request: turn.request.clone(),
@@ -108,25 +110,15 @@
         // An existing reservation does not prove that the turn was admitted: a previous primary may have left it
         // unacknowledged.
         if used.saturating_add(tokens) > budget {
-            let denied = self.record_without_tokens(begin, RecordState::Denied, BUDGET_RETENTION_MS);
+            let expires_at_ms = self.budget_expiry_ms(MIN_BUDGET_RETENTION_MS);
+            let denied = record_without_tokens(begin, RecordState::Denied, expires_at_ms);
             return Admission::Denied(Box::new(denied));
         }
-        let reserved = self.record_without_tokens(begin, RecordState::Reserved, RESERVATION_RETENTION_MS);
+        let expires_at_ms = self.lease_expiry_ms(begin.lease);
+        let reserved = record_without_tokens(begin, RecordState::Reserved, expires_at_ms);
         Admission::Admitted(Box::new(Record { tokens, ..reserved }))
     }
 
-    /// Creates a record with no tokens and no stored turn.
-    fn record_without_tokens(&self, begin: &BeginTurn, state: RecordState, retention_ms: u64) -> Record {
-        Record {
-            program: begin.program.clone(),
-            request: begin.request.clone(),
-            tokens: 0,
-            state,
-            turn: None,
-            expires_at_ms: self.clock.unix_time_ms.saturating_add(retention_ms),
-        }
-    }
-
     /// Checks the invariant that the used and reserved tokens of a program, including the turn just admitted, do not
     /// exceed its budget.
     fn check_budget(&self, partition: PartitionId, begin: &BeginTurn) {
@@ -146,6 +138,18 @@
     }
 }
 
+/// Creates a record with no tokens and no stored turn.
+fn record_without_tokens(begin: &BeginTurn, state: RecordState, expires_at_ms: u64) -> Record {
+    Record {
+        program: begin.program.clone(),
+        request: begin.request.clone(),
+        tokens: 0,
+        state,
+        turn: None,
+        expires_at_ms,
+    }
+}
+
 /// Whether `turns` is a complete chain that ends with `last`.
 fn is_complete_chain(turns: &[Turn], last: &RequestId) -> bool {
     let is_linked = turns.windows(2).all(|pair| pair[1].previous.as_ref() == Some(&pair[0].request));
--- a/crates/sessions/src/commit.rs
+++ b/crates/sessions/src/commit.rs
@@ -6,7 +6,7 @@
 use juniperwing_protocol::transfer::{Record, RecordState};
 
 use crate::event::CallerId;
-use crate::limits::{BUDGET_RETENTION_MS, MAX_RETENTION_MS, MIN_STORED_TURN_RETENTION_MS};
+use crate::limits::MIN_BUDGET_RETENTION_MS;
 use crate::statistics::UnavailableReason;
 use crate::store::Store;
 
@@ -17,11 +17,13 @@
         }
         self.check_commit(partition, &finish);
         if !self.has_previous_turn(partition, &finish) {
+            // The turn could not be continued, so its response must not end as if it were stored.
             self.turn_counters.turns_without_previous += 1;
+            return self.send_unavailable(caller, UnavailableReason::BrokenChain);
         }
-        let retention_ms = match &finish.stored_turn {
-            Some(turn) => turn.retention_ms.clamp(MIN_STORED_TURN_RETENTION_MS, MAX_RETENTION_MS),
-            None => BUDGET_RETENTION_MS,
+        let expires_at_ms = match &finish.stored_turn {
+            Some(turn) => self.stored_turn_expiry_ms(turn.retention_ms),
+            None => self.budget_expiry_ms(MIN_BUDGET_RETENTION_MS),
         };
         let record = Record {
             program: finish.program,
@@ -29,7 +31,7 @@
             tokens: finish.tokens,
             state: RecordState::Committed,
             turn: finish.stored_turn,
-            expires_at_ms: self.clock.unix_time_ms.saturating_add(retention_ms),
+            expires_at_ms,
         };
         self.start_write(partition, vec![record], caller, SessionReply::TurnFinished);
     }
--- a/crates/sessions/src/limits.rs
+++ b/crates/sessions/src/limits.rs
@@ -15,10 +15,10 @@
 
 /// The output of streams in flight takes up to this fraction of [`Limits::memory_bytes`] in addition to the records.
 pub(crate) const OUTPUT_LOG_MEMORY_DIVISOR: u64 = 10;
-/// How long a program is retained after a turn that was denied or committed without being stored, in milliseconds.
-pub(crate) const BUDGET_RETENTION_MS: u64 = 120_000;
+/// The minimum retention of a program after a turn that was denied or committed without being stored, in milliseconds.
+pub(crate) const MIN_BUDGET_RETENTION_MS: u64 = 120_000;
 /// The minimum retention of a program after a turn was admitted, in milliseconds.
-pub(crate) const RESERVATION_RETENTION_MS: u64 = 60_000;
+pub(crate) const MIN_RESERVATION_RETENTION_MS: u64 = 60_000;
 /// The minimum retention of a program after a turn was stored, in milliseconds.
 pub(crate) const MIN_STORED_TURN_RETENTION_MS: u64 = 60_000;
 /// The maximum retention, in milliseconds; longer ones are reduced to it.
--- a/crates/sessions/src/primary.rs
+++ b/crates/sessions/src/primary.rs
@@ -46,6 +46,10 @@
                 let finish = finish.clone();
                 self.handle_finish(caller, partition, finish);
             }
+            SessionCall::Renew(renew) => {
+                let renew = renew.clone();
+                self.handle_renew(caller, partition, renew);
+            }
             SessionCall::Begin(begin) if begin.budget.is_none() && begin.previous.is_none() => {
                 self.send_session_reply(caller, SessionReply::TurnBegun { chain: Vec::new() });
             }
--- a/crates/sessions/src/table.rs
+++ b/crates/sessions/src/table.rs
@@ -69,6 +69,11 @@
         entries.map(|entry| &entry.record)
     }
 
+    /// When a program expires, in milliseconds since the Unix epoch; 0 if it is unknown.
+    pub(crate) fn expires_at_ms(&self, program: &ProgramId) -> u64 {
+        self.programs.get(program).map_or(0, |records| records.expires_at_ms)
+    }
+
     /// The tokens of a program that count against its budget, excluding those of the request `except`.
     pub fn tokens_except(&self, program: &ProgramId, except: &RequestId) -> u64 {
         self.programs.get(program).map_or(0, |records| records.tokens_except(except))
--- a/crates/sessions/tests/harness/mod.rs
+++ b/crates/sessions/tests/harness/mod.rs
@@ -6,7 +6,9 @@
 use std::sync::Arc;
 
 use juniperwing_clock::{Span, Time};
-use juniperwing_protocol::session::{BeginTurn, FinishTurn, SessionCall, SessionReply, SessionRequest, Turn};
+use juniperwing_protocol::session::{
+    BeginTurn, FinishTurn, RenewTurn, SessionCall, SessionReply, SessionRequest, Turn, TurnLease,
+};
 use juniperwing_protocol::subscription::{Assignment, StoreMap, StoreNode};
 use juniperwing_protocol::transfer::{Record, RecordState, TransferReply, TransferRequest};
 use juniperwing_protocol::{DiskId, EpochNumber, NodeName, PartitionId, ProgramId, RequestId};
@@ -148,13 +150,29 @@
 }
 
 pub fn begin(request: &str, previous: Option<&str>, budget: Option<u64>) -> SessionCall {
-    SessionCall::Begin(BeginTurn {
+    SessionCall::Begin(begin_turn(request, previous, budget))
+}
+
+pub fn begin_turn(request: &str, previous: Option<&str>, budget: Option<u64>) -> BeginTurn {
+    BeginTurn {
         program: ProgramId::from("p"),
         request: RequestId::from(request),
         previous: previous.map(RequestId::from),
         budget,
         max_tokens: 40,
         imported: Vec::new(),
+        lease: TurnLease::default(),
+    }
+}
+
+/// Renews the lease of a turn, with the same duration.
+pub fn renew(request: &str, previous: &str, reserved_tokens: Option<u64>) -> SessionCall {
+    SessionCall::Renew(RenewTurn {
+        program: ProgramId::from("p"),
+        request: RequestId::from(request),
+        previous: Some(RequestId::from(previous)),
+        reserved_tokens,
+        lease: TurnLease::default(),
     })
 }
 
@@ -164,6 +182,7 @@
         request: RequestId::from(request),
         tokens,
         stored_turn: None,
+        retention_ms: 0,
     })
 }
 
@@ -184,6 +203,7 @@
         request: RequestId::from(request),
         tokens: 1,
         stored_turn: Some(turn(request, previous)),
+        retention_ms: 60_000,
     })
 }
 
--- a/crates/sessions/tests/retention.rs
+++ b/crates/sessions/tests/retention.rs
@@ -2,9 +2,9 @@
 
 mod harness;
 
-use harness::{TURN_BEGUN, TestStore, begin, finish_stored};
+use harness::{TURN_BEGUN, TestStore, begin, begin_turn, finish, finish_stored, renew, turn};
 use juniperwing_clock::Span;
-use juniperwing_protocol::session::SessionReply;
+use juniperwing_protocol::session::{BeginTurn, SessionCall, SessionReply, Turn};
 
 /// Longer than any retention in these tests, with the slack and the interval between sweeps.
 const PAST_ALL_RETENTION: Span = Span::from_millis(1_000_000);
@@ -20,3 +20,92 @@
     assert_eq!((statistics.expired_programs, statistics.expired_reservations), (1, 1));
     assert_eq!(store.call(3, begin("c", None, Some(100))), TURN_BEGUN, "a new program");
 }
+
+/// The interval between renewals in these tests.
+const RENEWAL_INTERVAL: Span = Span::from_millis(20_000);
+/// The number of renewals of a long turn: it outlasts leases, retention, slack and sweeps.
+const RENEWALS: u64 = 10;
+
+/// Lets a turn run for long, with renewals of its lease.
+fn run_long_turn(store: &mut TestStore, request: &str, previous: &str, reserved_tokens: Option<u64>) {
+    for number in 0..RENEWALS {
+        store.advance_time(RENEWAL_INTERVAL);
+        let reply = store.call(100 + number, renew(request, previous, reserved_tokens));
+        assert_eq!(reply, SessionReply::TurnRenewed);
+    }
+}
+
+fn chain_of(reply: SessionReply) -> Vec<Turn> {
+    match reply {
+        SessionReply::TurnBegun { chain } => chain,
+        other => panic!("{other:?}"),
+    }
+}
+
+// Guards against 503 for every turn that continues a turn which ran for longer than its reservation (review/6).
+#[test]
+fn a_turn_that_runs_for_longer_than_its_lease_is_stored_with_its_chain() {
+    let mut store = TestStore::leading();
+    assert_eq!(store.call(1, finish_stored("a", None)), SessionReply::TurnFinished);
+    assert_eq!(chain_of(store.call(2, begin("b", Some("a"), Some(100)))), [turn("a", None)]);
+    run_long_turn(&mut store, "b", "a", Some(40));
+    assert_eq!(store.call(3, finish_stored("b", Some("a"))), SessionReply::TurnFinished);
+    let chain = chain_of(store.call(4, begin("c", Some("b"), Some(100))));
+    assert_eq!(chain, [turn("a", None), turn("b", Some("a"))]);
+    assert_eq!(store.call(5, begin("d", None, Some(80))), SessionReply::BudgetExhausted, "all tokens count");
+}
+
+// Guards against the same without a budget, where nothing is reserved that would hold the chain.
+#[test]
+fn a_turn_without_a_budget_holds_its_chain_while_it_runs() {
+    let mut store = TestStore::leading();
+    assert_eq!(store.call(1, finish_stored("a", None)), SessionReply::TurnFinished);
+    // The chain is about to expire when the turn begins.
+    store.advance_time(Span::from_millis(59_000));
+    assert_eq!(chain_of(store.call(2, begin("b", Some("a"), None))), [turn("a", None)]);
+    run_long_turn(&mut store, "b", "a", None);
+    assert_eq!(store.call(3, finish_stored("b", Some("a"))), SessionReply::TurnFinished);
+    let chain = chain_of(store.call(4, begin("c", Some("b"), None)));
+    assert_eq!(chain, [turn("a", None), turn("b", Some("a"))]);
+}
+
+// Guards against a turn that is answered as stored although nothing can continue it.
+#[test]
+fn a_turn_whose_chain_has_expired_is_not_acknowledged_as_stored() {
+    let mut store = TestStore::leading();
+    assert_eq!(store.call(1, finish_stored("a", None)), SessionReply::TurnFinished);
+    assert_eq!(chain_of(store.call(2, begin("b", Some("a"), Some(100)))), [turn("a", None)]);
+    store.advance_time(PAST_ALL_RETENTION);
+    assert_eq!(store.call(3, finish_stored("b", Some("a"))), SessionReply::Unavailable);
+    assert_eq!(store.call(4, begin("c", Some("b"), Some(100))), SessionReply::UnknownTurn);
+    assert_eq!(store.state_machine.statistics().turns_without_previous, 1);
+}
+
+// Guards against a renewal on its way when the turn ends: it must not take tokens from the budget again.
+#[test]
+fn a_renewal_that_arrives_after_the_end_of_its_turn_reserves_nothing() {
+    let mut store = TestStore::leading();
+    assert_eq!(store.call(1, begin("a", None, Some(50))), TURN_BEGUN);
+    assert_eq!(store.call(2, finish("a", 5)), SessionReply::TurnFinished);
+    assert_eq!(store.call(3, renew("a", "none", Some(40))), SessionReply::TurnRenewed);
+    assert_eq!(store.call(4, begin("b", None, Some(50))), TURN_BEGUN);
+}
+
+// Guards against a renewal that creates a chain where there is none.
+#[test]
+fn a_lease_on_a_chain_that_is_gone_is_not_renewed() {
+    let mut store = TestStore::leading();
+    assert_eq!(store.call(1, renew("b", "a", None)), SessionReply::Unavailable);
+    assert_eq!(store.call(2, begin("c", Some("a"), None)), SessionReply::UnknownTurn);
+}
+
+// Guards against a copy of another program's chain that expires while the turn runs that continues it.
+#[test]
+fn a_copied_chain_is_held_by_the_turn_that_continues_it() {
+    let mut store = TestStore::leading();
+    let imported = vec![turn("x", None)];
+    let begin = SessionCall::Begin(BeginTurn { imported, ..begin_turn("b", Some("x"), Some(100)) });
+    assert_eq!(chain_of(store.call(1, begin)), [turn("x", None)]);
+    run_long_turn(&mut store, "b", "x", Some(40));
+    assert_eq!(store.call(2, finish_stored("b", Some("x"))), SessionReply::TurnFinished);
+}
--- a/crates/sessions/tests/simulation/clients.rs
+++ b/crates/sessions/tests/simulation/clients.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use juniperwing_clock::{Span, Time};
-use juniperwing_protocol::session::{BeginTurn, FinishTurn, SessionCall, SessionReply, Turn};
+use juniperwing_protocol::session::{BeginTurn, FinishTurn, SessionCall, SessionReply, Turn, TurnLease};
 use juniperwing_protocol::{ProgramId, RequestId};
 
 use super::TestRng;
@@ -72,6 +72,7 @@
             budget: rng.random_bool(90).then_some(BUDGET),
             max_tokens: MAX_TOKENS,
             imported: Vec::new(),
+            lease: TurnLease::default(),
         };
         // A program either has a budget in all its turns or in none.
         let begin = BeginTurn { budget: program.0.ends_with('b').then_some(BUDGET), ..begin };
@@ -138,7 +139,13 @@
                 self.handle_finished(finish, now);
                 None
             }
-            (SessionCall::Find { .. } | SessionCall::RecordOutput(_) | SessionCall::FindOutput(_), _) => None,
+            (
+                SessionCall::Find { .. }
+                | SessionCall::RecordOutput(_)
+                | SessionCall::FindOutput(_)
+                | SessionCall::Renew(_),
+                _,
+            ) => None,
         }
     }
 
@@ -164,6 +171,7 @@
             request: begin.request,
             tokens: 0,
             stored_turn: None,
+            retention_ms: 0,
         };
         Some(self.add(now, begin.program, SessionCall::Finish(finish)))
     }
@@ -223,6 +231,7 @@
             request: begin.request.clone(),
             tokens,
             stored_turn,
+            retention_ms: RETENTION.as_nanos() / 1_000_000,
         };
         Some(self.add(now, begin.program.clone(), SessionCall::Finish(finish)))
     }
