--- a/crates/sessions/src/admission.rs
+++ b/crates/sessions/src/admission.rs
@@ -9,7 +9,6 @@
 use crate::chain::Chain;
 use crate::epoch_confirmation::EpochStatus;
 use crate::event::CallerId;
-use crate::limits::MIN_BUDGET_RETENTION_MS;
 use crate::statistics::UnavailableReason;
 use crate::store::Store;
 
@@ -110,7 +109,7 @@
         // An existing reservation does not prove that the turn was admitted: a previous primary may have left it
         // unacknowledged.
         if used.saturating_add(tokens) > budget {
-            let expires_at_ms = self.budget_expiry_ms(MIN_BUDGET_RETENTION_MS);
+            let expires_at_ms = self.budget_expiry_ms(begin.lease.retention_ms);
             let denied = record_without_tokens(begin, RecordState::Denied, expires_at_ms);
             return Admission::Denied(Box::new(denied));
         }
--- a/crates/sessions/src/commit.rs
+++ b/crates/sessions/src/commit.rs
@@ -6,7 +6,6 @@
 use juniperwing_protocol::transfer::{Record, RecordState};
 
 use crate::event::CallerId;
-use crate::limits::MIN_BUDGET_RETENTION_MS;
 use crate::statistics::UnavailableReason;
 use crate::store::Store;
 
@@ -23,7 +22,7 @@
         }
         let expires_at_ms = match &finish.stored_turn {
             Some(turn) => self.stored_turn_expiry_ms(turn.retention_ms),
-            None => self.budget_expiry_ms(MIN_BUDGET_RETENTION_MS),
+            None => self.budget_expiry_ms(finish.retention_ms),
         };
         let record = Record {
             program: finish.program,
--- a/crates/sessions/src/limits.rs
+++ b/crates/sessions/src/limits.rs
@@ -21,8 +21,8 @@
 pub(crate) const MIN_RESERVATION_RETENTION_MS: u64 = 60_000;
 /// The minimum retention of a program after a turn was stored, in milliseconds.
 pub(crate) const MIN_STORED_TURN_RETENTION_MS: u64 = 60_000;
-/// The maximum retention, in milliseconds; longer ones are reduced to it.
-pub(crate) const MAX_RETENTION_MS: u64 = 24 * 3_600_000;
+/// The maximum retention, in milliseconds: the longest one that a configuration may have. Longer ones are reduced to it.
+pub(crate) const MAX_RETENTION_MS: u64 = 366 * 86_400_000;
 /// Added to every retention, since clocks differ between machines and may step.
 pub(crate) const EXPIRY_SLACK: Span = Span::from_millis(10_000);
 /// Programs that expired longer ago than this, in milliseconds, are excluded from synchronization. Clocks differ and
--- a/crates/sessions/tests/harness/mod.rs
+++ b/crates/sessions/tests/harness/mod.rs
@@ -176,13 +176,19 @@
     })
 }
 
+/// Finishes a turn that is not stored, on a route with the shortest retention.
 pub fn finish(request: &str, tokens: u64) -> SessionCall {
+    finish_retained(request, tokens, 0)
+}
+
+/// Finishes a turn that is not stored.
+pub fn finish_retained(request: &str, tokens: u64, retention_ms: u64) -> SessionCall {
     SessionCall::Finish(FinishTurn {
         program: ProgramId::from("p"),
         request: RequestId::from(request),
         tokens,
         stored_turn: None,
-        retention_ms: 0,
+        retention_ms,
     })
 }
 
@@ -198,12 +204,17 @@
 }
 
 pub fn finish_stored(request: &str, previous: Option<&str>) -> SessionCall {
+    finish_turn(turn(request, previous))
+}
+
+/// Finishes a turn that is stored.
+pub fn finish_turn(turn: Turn) -> SessionCall {
     SessionCall::Finish(FinishTurn {
         program: ProgramId::from("p"),
-        request: RequestId::from(request),
+        request: turn.request.clone(),
         tokens: 1,
-        stored_turn: Some(turn(request, previous)),
-        retention_ms: 60_000,
+        retention_ms: turn.retention_ms,
+        stored_turn: Some(turn),
     })
 }
 
--- a/crates/sessions/tests/retention.rs
+++ b/crates/sessions/tests/retention.rs
@@ -2,9 +2,12 @@
 
 mod harness;
 
-use harness::{TURN_BEGUN, TestStore, begin, begin_turn, finish, finish_stored, renew, turn};
+use harness::{
+    TURN_BEGUN, TestStore, begin, begin_turn, finish, finish_retained, finish_stored, finish_turn, renew,
+    turn,
+};
 use juniperwing_clock::Span;
-use juniperwing_protocol::session::{BeginTurn, SessionCall, SessionReply, Turn};
+use juniperwing_protocol::session::{BeginTurn, SessionCall, SessionReply, Turn, TurnLease};
 
 /// Longer than any retention in these tests, with the slack and the interval between sweeps.
 const PAST_ALL_RETENTION: Span = Span::from_millis(1_000_000);
@@ -109,3 +112,66 @@
     run_long_turn(&mut store, "b", "x", Some(40));
     assert_eq!(store.call(2, finish_stored("b", Some("x"))), SessionReply::TurnFinished);
 }
+
+/// A retention above all minimums.
+const LONG_RETENTION_MS: u64 = 300_000;
+/// The longest retention that a configuration may have.
+const LONGEST_RETENTION_MS: u64 = 366 * 86_400_000;
+/// How long before its end a retention is looked at.
+const BEFORE_THE_END_MS: u64 = 1_000;
+
+fn shortly_before(retention_ms: u64) -> Span {
+    Span::from_millis(retention_ms - BEFORE_THE_END_MS)
+}
+
+fn begin_on_long_route(request: &str, budget: u64) -> SessionCall {
+    let lease = TurnLease { duration_ms: 5_000, retention_ms: LONG_RETENTION_MS };
+    SessionCall::Begin(BeginTurn { lease, ..begin_turn(request, None, Some(budget)) })
+}
+
+// Guards against a budget that is spent twice since its relay was killed (review/5).
+#[test]
+fn the_reservation_of_an_abandoned_turn_counts_for_the_retention_of_its_route() {
+    let mut store = TestStore::leading();
+    assert_eq!(store.call(1, begin_on_long_route("a", 50)), TURN_BEGUN);
+    store.advance_time(shortly_before(LONG_RETENTION_MS));
+    assert_eq!(store.call(2, begin("b", None, Some(50))), SessionReply::BudgetExhausted);
+}
+
+// Guards against a budget that is spent twice on a route that stores no turns.
+#[test]
+fn the_tokens_of_a_turn_that_is_not_stored_count_for_the_retention_of_its_route() {
+    let mut store = TestStore::leading();
+    assert_eq!(store.call(1, begin("a", None, Some(50))), TURN_BEGUN);
+    assert_eq!(store.call(2, finish_retained("a", 40, LONG_RETENTION_MS)), SessionReply::TurnFinished);
+    store.advance_time(shortly_before(LONG_RETENTION_MS));
+    assert_eq!(store.call(3, begin("b", None, Some(50))), SessionReply::BudgetExhausted);
+}
+
+// Guards against a denied turn that is admitted when it is sent again, with a fresh budget.
+#[test]
+fn a_denial_holds_for_the_retention_of_its_route() {
+    let mut store = TestStore::leading();
+    assert_eq!(store.call(1, begin_on_long_route("a", 10)), SessionReply::BudgetExhausted);
+    store.advance_time(shortly_before(LONG_RETENTION_MS));
+    assert_eq!(store.call(2, begin_on_long_route("a", 100)), SessionReply::BudgetExhausted);
+}
+
+// Guards against a turn that gets 404 although the configuration has its route retain it.
+#[test]
+fn a_turn_is_stored_for_the_longest_retention_that_a_configuration_may_have() {
+    let mut store = TestStore::leading();
+    let stored_turn = Turn { retention_ms: LONGEST_RETENTION_MS, ..turn("a", None) };
+    assert_eq!(store.call(1, finish_turn(stored_turn.clone())), SessionReply::TurnFinished);
+    store.advance_time(shortly_before(LONGEST_RETENTION_MS));
+    assert_eq!(chain_of(store.call(2, begin("b", Some("a"), Some(100)))), [stored_turn]);
+}
+
+// Guards against minimums that give way to the retention of a route that is shorter.
+#[test]
+fn a_short_retention_does_not_shorten_the_minimum() {
+    let mut store = TestStore::leading();
+    assert_eq!(store.call(1, finish_retained("a", 40, 1_000)), SessionReply::TurnFinished);
+    store.advance_time(Span::from_millis(119_000));
+    assert_eq!(store.call(2, begin("b", None, Some(50))), SessionReply::BudgetExhausted);
+}
