Output of a stream is held for as long as its client may resume it

Callers would see: on a kept and resumable route, a stream that was silent for over a minute and was then cut lost what its client held, and another endpoint generated it again, while the client waited.

Change: relays send with the events how long the client may resume the stream; 60 s at least, as before. The memory is bounded as before, by dropping the streams that began first.

Measured: output_log::output_is_held_for_as_long_as_the_client_may_resume_the_stream fails with the constant in place of what the relay sends; relay leases::the_output_of_a_stream_is_recorded_for_as_long_as_... holds what is sent. Messages of earlier relays are understood (protocol earlier_releases).

--- a/crates/node/src/relay/sessions.rs
+++ b/crates/node/src/relay/sessions.rs
@@ -56,8 +56,8 @@
     /// without gaps, as far as it is known.
     fn find_output(&self, find: FindOutput, max_wait: Duration) -> OutputCall;
 
-    /// Records the events of a stream in the background, for a client that resumes it.
-    fn record_output(&self, turn: TurnKey, request: RequestId) -> OutputSender;
+    /// Records the events of a stream in the background, for a client that may resume it for `retention_ms` milliseconds.
+    fn record_output(&self, turn: TurnKey, request: RequestId, retention_ms: u64) -> OutputSender;
 
     /// Waits until no turn is being committed in the background.
     fn background_commits_done(&self) -> Pin<Box<dyn Future<Output = ()> + Send>> {
@@ -109,8 +109,8 @@
         Box::pin(async move { client.find_output(find, max_wait).await })
     }
 
-    fn record_output(&self, turn: TurnKey, request: RequestId) -> OutputSender {
-        self.record_output(turn, request)
+    fn record_output(&self, turn: TurnKey, request: RequestId, retention_ms: u64) -> OutputSender {
+        self.record_output(turn, request, retention_ms)
     }
 
     fn background_commits_done(&self) -> Pin<Box<dyn Future<Output = ()> + Send>> {
--- a/crates/node/src/relay/turn.rs
+++ b/crates/node/src/relay/turn.rs
@@ -198,7 +198,7 @@
         self.output = TurnOutput::handed_out(&handed_out);
         // If this exceeds the memory budget, so does the body that is reserved next, and the request is rejected.
         exchange.memory.grow(self.output.retained_bytes());
-        self.record_output(key, handed_out);
+        self.record_output(exchange, key, handed_out);
     }
 
     /// Fetches the output that was handed out to the client, up to the event `sent`.
@@ -209,9 +209,10 @@
     }
 
     /// Records the output from now on, beginning with what was handed out before.
-    fn record_output(&mut self, turn: TurnKey, handed_out: Vec<OutputEvent>) {
+    fn record_output(&mut self, exchange: &Exchange, turn: TurnKey, handed_out: Vec<OutputEvent>) {
         let last_id = handed_out.last().map(|event| event.id);
-        let sender = self.sessions.record_output(turn, self.request.clone());
+        let sender =
+            self.sessions.record_output(turn, self.request.clone(), self.resumption_time_ms(exchange));
         for event in handed_out {
             // If nothing receives the event any more, the output is generated again.
             let _ = sender.send(event);
@@ -219,6 +220,12 @@
         self.output.record_through(sender, last_id);
     }
 
+    /// How long the client may resume the stream, in milliseconds: up to its own deadline, if it states one.
+    fn resumption_time_ms(&self, exchange: &Exchange) -> u64 {
+        let client_deadline_ms = header_number(&exchange.headers, headers::DEADLINE_MS);
+        client_deadline_ms.unwrap_or_else(|| self.lease(exchange).duration_ms)
+    }
+
     /// Counts the tokens of an event that is sent to the client.
     pub fn count_tokens(&mut self, event: &Event) {
         if event.data.is_some() {
--- a/crates/node/src/sessions_client/output.rs
+++ b/crates/node/src/sessions_client/output.rs
@@ -50,13 +50,15 @@
     }
 
     /// Records the events of a stream at all replicas, in the background, until the sender is dropped and what was sent
-    /// has been tried once more. Nothing waits for it: what is not recorded has to be generated again.
-    pub fn record_output(&self, turn: TurnKey, request: RequestId) -> OutputSender {
+    /// has been tried once more. Nothing waits for it: what is not recorded has to be generated again. Replicas retain the
+    /// stream for `retention_ms` milliseconds after its last event, or longer.
+    pub fn record_output(&self, turn: TurnKey, request: RequestId, retention_ms: u64) -> OutputSender {
         let (sender, receiver) = mpsc::unbounded_channel();
         let recorder = OutputRecorder {
             client: self.clone(),
             turn,
             request,
+            retention_ms,
             events: Vec::new(),
             replicas: BTreeMap::new(),
             calls: JoinSet::new(),
@@ -90,6 +92,7 @@
     client: SessionsClient,
     turn: TurnKey,
     request: RequestId,
+    retention_ms: u64,
     /// All events of the stream so far.
     events: Vec<OutputEvent>,
     replicas: BTreeMap<SocketAddr, ReplicaProgress>,
@@ -153,6 +156,7 @@
                 request: self.request.clone(),
                 first: first as u32,
                 events: events_of_call(&self.events[first..]),
+                retention_ms: self.retention_ms,
             };
             self.calls.spawn(record_once(self.client.clone(), replica, record));
         }
--- a/crates/node/tests/relay/leases.rs
+++ b/crates/node/tests/relay/leases.rs
@@ -110,3 +110,14 @@
     assert!((6_000..=7_000).contains(&begun.lease.duration_ms), "{:?}", begun.lease);
     assert_eq!(begun.lease.retention_ms, 60_000, "the default");
 }
+
+// Guards against a client that is let down after a long silence of its stream, within its own deadline.
+#[tokio::test]
+async fn the_output_of_a_stream_is_recorded_for_as_long_as_its_client_may_resume_it() {
+    let endpoint = FakeEndpoint::start("i-1", one_event).await;
+    let harness = RelayHarness::with_endpoints(&[&endpoint]).await;
+    let headers = [("program", "p1"), ("session", "q1"), ("x-deadline-ms", "105000")];
+    read(harness.send(with_headers(request("POST", "/kr/x", "t1", "in"), &headers)).await).await;
+    let recorded = harness.stores.recorded_outputs.lock().unwrap();
+    assert_eq!(recorded[0].retention_ms, LONG_DEADLINE_MS);
+}
--- a/crates/node/tests/relay/support.rs
+++ b/crates/node/tests/relay/support.rs
@@ -60,6 +60,7 @@
 pub struct RecordedOutput {
     pub turn: TurnKey,
     pub request: RequestId,
+    pub retention_ms: u64,
     pub events: UnboundedReceiver<OutputEvent>,
 }
 
@@ -135,9 +136,9 @@
         Box::pin(std::future::ready(self.known_output.lock().unwrap().clone()))
     }
 
-    fn record_output(&self, turn: TurnKey, request: RequestId) -> OutputSender {
+    fn record_output(&self, turn: TurnKey, request: RequestId, retention_ms: u64) -> OutputSender {
         let (sender, events) = unbounded_channel();
-        self.recorded_outputs.lock().unwrap().push(RecordedOutput { turn, request, events });
+        self.recorded_outputs.lock().unwrap().push(RecordedOutput { turn, request, retention_ms, events });
         sender
     }
 
--- a/crates/node/tests/store_output.rs
+++ b/crates/node/tests/store_output.rs
@@ -12,6 +12,8 @@
 use juniperwing_protocol::{ProgramId, RequestId};
 use stores::{STORE_COUNT, TEST_TIMEOUT, TestCluster};
 
+const RETENTION_MS: u64 = 5_000;
+
 fn key() -> TurnKey {
     TurnKey {
         program: ProgramId::from("p"),
@@ -42,7 +44,7 @@
 #[tokio::test]
 async fn another_relay_finds_the_output_at_any_replica_that_is_left() {
     let mut cluster = TestCluster::start("output").await;
-    let sender = cluster.client.record_output(key(), RequestId::from("r"));
+    let sender = cluster.client.record_output(key(), RequestId::from("r"), RETENTION_MS);
     events(1..=6).into_iter().for_each(|event| sender.send(event).unwrap());
     // The stream is cut: its relay sends nothing more, and another one asks.
     drop(sender);
@@ -61,7 +63,7 @@
 async fn a_store_that_was_restarted_gets_the_whole_output_with_the_next_event() {
     let mut cluster = TestCluster::start("output-restart").await;
     let disks = cluster.keeper.wait_for_stores(STORE_COUNT).await;
-    let sender = cluster.client.record_output(key(), RequestId::from("r"));
+    let sender = cluster.client.record_output(key(), RequestId::from("r"), RETENTION_MS);
     events(1..=3).into_iter().for_each(|event| sender.send(event).unwrap());
     wait_until_found(&cluster.another_client(), 3).await;
     for store in 0..STORE_COUNT {
@@ -91,7 +93,7 @@
     let disks = cluster.keeper.wait_for_stores(STORE_COUNT).await;
     cluster.assign(&disks, &[]);
     let event = |id: u64| OutputEvent { id, output: vec![b'x'; 10_000 * id as usize].into() };
-    let sender = cluster.client.record_output(key(), RequestId::from("r"));
+    let sender = cluster.client.record_output(key(), RequestId::from("r"), RETENTION_MS);
     (1..=12).for_each(|id| sender.send(event(id)).unwrap());
     let find = FindOutput { turn: key(), last_event_id: 12 };
     let expected: Vec<OutputEvent> = (1..=12).map(event).collect();
--- a/crates/protocol/src/session.rs
+++ b/crates/protocol/src/session.rs
@@ -99,6 +99,9 @@
     pub first: u32,
     /// The events.
     pub events: Vec<OutputEvent>,
+    /// How long the client may come back for them, in milliseconds.
+    #[serde(deserialize_with = "crate::trailing::deserialize_or_default")]
+    pub retention_ms: u64,
 }
 
 /// The search for the output of a stream that a client resumes.
--- a/crates/protocol/tests/earlier_releases.rs
+++ b/crates/protocol/tests/earlier_releases.rs
@@ -3,7 +3,7 @@
 use std::fs;
 use std::path::Path;
 
-use juniperwing_protocol::session::{BeginTurn, FinishTurn, SessionCall, TurnLease};
+use juniperwing_protocol::session::{BeginTurn, FinishTurn, RecordOutput, SessionCall, TurnLease};
 use juniperwing_protocol::{Envelope, Message};
 
 /// Decodes a message that was recorded before relays sent leases.
@@ -36,3 +36,13 @@
         assert_eq!((tokens, retention_ms), (803, 0), "{name}");
     }
 }
+
+#[test]
+fn output_recorded_by_an_earlier_release_has_the_shortest_retention() {
+    let SessionCall::RecordOutput(RecordOutput { first, events, retention_ms, .. }) =
+        decode("session-record-output")
+    else {
+        panic!("another call")
+    };
+    assert_eq!((first, events.len(), retention_ms), (811, 2, 0));
+}
--- a/crates/protocol/tests/golden.rs
+++ b/crates/protocol/tests/golden.rs
@@ -398,6 +398,7 @@
         request: RequestId::from("request-9"),
         first: 811,
         events: output_events(),
+        retention_ms: 820,
     };
     let find_output = FindOutput { turn: TurnKey { previous: None, ..turn }, last_event_id: 812 };
     let find = SessionCall::Find {
--- a/crates/sessions/src/output_log.rs
+++ b/crates/sessions/src/output_log.rs
@@ -12,8 +12,8 @@
 
 use crate::limits::EXPIRY_SWEEP_INTERVAL;
 
-/// How long a stream is retained after its last recorded event. Longer than clients retry.
-const OUTPUT_RETENTION: Span = Span::from_millis(60_000);
+/// The minimum time for which a stream is retained after its last recorded event, in milliseconds.
+const MIN_OUTPUT_RETENTION_MS: u64 = 60_000;
 /// The approximate memory use of an event without its output, in bytes.
 const EVENT_OVERHEAD_BYTES: u64 = 40;
 /// The approximate memory use of a stream without its events and the texts of its key, in bytes.
@@ -66,6 +66,7 @@
     /// Appends the events that follow what is recorded of their stream; returns the reply.
     pub(crate) fn record(&mut self, now: Time, record: RecordOutput) -> SessionReply {
         self.remove_expired(now);
+        let retention = Span::from_millis(record.retention_ms.max(MIN_OUTPUT_RETENTION_MS));
         let known = self.find(&record.turn, &record.request);
         if known.is_none() && record.first > 0 {
             // The start of the stream is missing: the relay sends it after this reply.
@@ -81,7 +82,7 @@
             let new_events = record.events.into_iter().skip(known_of_these);
             stream.events.extend(new_events);
         }
-        stream.expires_at = now + OUTPUT_RETENTION;
+        stream.expires_at = now + retention;
         let added = &stream.events[known_events..];
         let added_bytes =
             added.iter().map(|event| EVENT_OVERHEAD_BYTES + event.output.len() as u64).sum::<u64>();
--- a/crates/sessions/tests/output_log.rs
+++ b/crates/sessions/tests/output_log.rs
@@ -26,7 +26,14 @@
 
 /// Records events of a request; returns the number of events that the store has of it.
 fn record(store: &mut TestStore, request: &str, first: u32, events: Vec<OutputEvent>) -> u32 {
-    let record = RecordOutput { turn: turn("s"), request: RequestId::from(request), first, events };
+    record_retained(store, request, first, events, 0)
+}
+
+fn record_retained(
+    store: &mut TestStore, request: &str, first: u32, events: Vec<OutputEvent>, retention_ms: u64,
+) -> u32 {
+    let record =
+        RecordOutput { turn: turn("s"), request: RequestId::from(request), first, events, retention_ms };
     match store.call(1, SessionCall::RecordOutput(record)) {
         SessionReply::OutputRecorded { events } => events,
         reply => panic!("{reply:?}"),
@@ -87,6 +94,17 @@
     assert_eq!(store.state_machine.statistics().output_log_bytes, 0);
 }
 
+// Guards against a stream that is silent for long and then cut: its client still holds its beginning.
+#[test]
+fn output_is_held_for_as_long_as_the_client_may_resume_the_stream() {
+    let mut store = TestStore::leading();
+    record_retained(&mut store, "a", 0, events(1..=2, "a"), 300_000);
+    store.advance_time(Span::from_millis(299_000));
+    assert_eq!(find(&mut store, "s", 2), events(1..=2, "a"));
+    store.advance_time(Span::from_millis(20_000));
+    assert_eq!(find(&mut store, "s", 2), Vec::new());
+}
+
 // Whatever relays record, the memory is bounded, and turns are admitted all the same.
 #[test]
 fn the_streams_that_began_first_are_dropped_at_the_limit() {
