--- a/crates/node/tests/store.rs
+++ b/crates/node/tests/store.rs
@@ -18,6 +18,8 @@
 
 /// The timeout of calls that are expected to fail.
 const SHORT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Longer than a relay commits turns without a break.
+const LONG_OUTAGE: Duration = Duration::from_secs(12);
 /// The maximum number of segments that may be open when the directory is renamed, with some slack. One is open, and a
 /// second one if a slow call was retried.
 const MAX_OPEN_SEGMENTS: usize = 4;
@@ -105,6 +107,30 @@
     );
 }
 
+// Guards against a budget that stays spent by a reservation, since the stores were gone when its turn was committed.
+#[tokio::test]
+async fn a_turn_that_ended_while_all_stores_were_gone_for_long_is_committed_when_they_are_back() {
+    let mut cluster = TestCluster::start("late-commit").await;
+    for request in ["a", "b"] {
+        cluster.client.begin(begin("p", request, None, Some(100)), TEST_TIMEOUT).await.unwrap();
+    }
+    for number in 0..STORE_COUNT {
+        cluster.running[number].take().unwrap().kill();
+    }
+    let committed = FinishTurn { stored_turn: None, ..finish_stored("p", "a", None) };
+    cluster.client.finish_in_background(committed);
+    tokio::time::sleep(LONG_OUTAGE).await;
+    (0..STORE_COUNT).for_each(|number| cluster.restart(number));
+    let all_committed = cluster.client.wait_for_background_commits();
+    tokio::time::timeout(TEST_TIMEOUT, all_committed).await.expect("the turn is committed");
+    assert_eq!(cluster.client.failed_commits(), 0);
+    cluster
+        .client
+        .begin(begin("p", "c", None, Some(100)), TEST_TIMEOUT)
+        .await
+        .expect("40 and 10 of 100 are used");
+}
+
 #[tokio::test]
 async fn stored_turns_survive_the_loss_of_a_store_and_are_copied_to_its_replacement() {
     let mut cluster = TestCluster::start("failover").await;
