The delay before a call to a replica is retried is chosen in one place

Cause: writes and synchronizations each chose between their own delay and that for an unreachable replica.

Change: ReplicaContact::retry_delay serves both; no change of behaviour.

Measured: the tests of the package pass.

--- a/crates/sessions/src/anti_entropy.rs
+++ b/crates/sessions/src/anti_entropy.rs
@@ -13,7 +13,7 @@
 use crate::call::CallPurpose;
 use crate::limits::{
     DIGEST_RANGE_COUNT, MAX_CONCURRENT_JOINING_SYNCS, MAX_DIGEST_COMPARISONS, SYNC_EXPIRY_SLACK_MS,
-    SYNC_RETRY_DELAY, UNREACHABLE_RETRY_DELAY,
+    SYNC_RETRY_DELAY,
 };
 use crate::store::Store;
 use crate::timers::Timer;
@@ -265,8 +265,7 @@
         if let Some(led) = self.led_partitions.get_mut(&step.partition) {
             led.replicas.insert(step.replica, ReplicaSyncState::Pending);
         }
-        let is_unreachable = self.replica_contact.is_unreachable(self.clock.now, step.replica);
-        let delay = if is_unreachable { UNREACHABLE_RETRY_DELAY } else { SYNC_RETRY_DELAY };
+        let delay = self.replica_contact.retry_delay(self.clock.now, step.replica, SYNC_RETRY_DELAY);
         let at = self.clock.now + delay;
         self.timers.insert((at, Timer::SyncReplica(step.partition, step.replica)));
     }
--- a/crates/sessions/src/replica_contact.rs
+++ b/crates/sessions/src/replica_contact.rs
@@ -5,10 +5,10 @@
 
 use std::collections::BTreeMap;
 
-use juniperwing_clock::Time;
+use juniperwing_clock::{Span, Time};
 use juniperwing_protocol::{DiskId, PartitionId};
 
-use crate::limits::{FAILURE_EXPIRY, UNREACHABLE_TIMEOUT};
+use crate::limits::{FAILURE_EXPIRY, UNREACHABLE_RETRY_DELAY, UNREACHABLE_TIMEOUT};
 use crate::store::Store;
 
 /// The failed calls to a replica since its last reply.
@@ -42,6 +42,11 @@
         let failures = self.failing.get(&replica).filter(|failures| !is_expired(failures, now));
         failures.is_some_and(|failures| failures.last_at.since(failures.first_at) >= UNREACHABLE_TIMEOUT)
     }
+
+    /// The delay before a call to a replica is retried: `usual_delay`, or a longer one while it is unreachable.
+    pub(crate) fn retry_delay(&self, now: Time, replica: DiskId, usual_delay: Span) -> Span {
+        if self.is_unreachable(now, replica) { UNREACHABLE_RETRY_DELAY } else { usual_delay }
+    }
 }
 
 fn is_expired(failures: &Failures, now: Time) -> bool {
--- a/crates/sessions/src/write.rs
+++ b/crates/sessions/src/write.rs
@@ -11,7 +11,7 @@
 use crate::call::CallPurpose;
 use crate::event::{CallerId, Command};
 use crate::group_commit::{DurabilityWaiter, StoredRecordKey};
-use crate::limits::{REQUEST_TIMEOUT, RETRY_DELAY, UNREACHABLE_RETRY_DELAY};
+use crate::limits::{REQUEST_TIMEOUT, RETRY_DELAY};
 use crate::statistics::UnavailableReason;
 use crate::store::Store;
 use crate::timers::Timer;
@@ -123,8 +123,7 @@
             write.confirmed_by.insert(replica);
             return self.acknowledge_if_replicated(id);
         }
-        let is_unreachable = self.replica_contact.is_unreachable(self.clock.now, replica);
-        let delay = if is_unreachable { UNREACHABLE_RETRY_DELAY } else { RETRY_DELAY };
+        let delay = self.replica_contact.retry_delay(self.clock.now, replica, RETRY_DELAY);
         let at = self.clock.now + delay;
         self.timers.insert((at, Timer::ResendWrite(id, replica)));
     }
