A new primary stores no turn as broken before it has synchronized

Callers would see: after the loss of a store, a turn that ends at once is broken off although its chain is stored, if the new primary has not learned of the chain from its replica yet.

Cause: the check that the turn which is continued is still stored looked at the primary's own table only, while a primary may lack records until it is synchronized. Turns that begin wait for that; turns that ended did not.

Change: a turn to be stored whose previous turn is unknown waits for the synchronization, as a turn that begins does. All other commits go on without it, as before.

Measured: session_requests::a_new_primary_rejects_no_turn_to_be_stored_before_the_replica_is_synchronized fails on the code before (18 passed, 1 failed) and passes now; all tests of the package pass.

--- a/crates/sessions/src/commit.rs
+++ b/crates/sessions/src/commit.rs
@@ -35,6 +35,11 @@
         self.start_write(partition, vec![record], caller, SessionReply::TurnFinished);
     }
 
+    /// Whether this store lacks the turn that a turn to be stored continues, but may learn of it from a replica.
+    pub(crate) fn may_learn_of_previous_turn(&self, partition: PartitionId, finish: &FinishTurn) -> bool {
+        !self.is_synchronized(partition) && !self.has_previous_turn(partition, finish)
+    }
+
     /// Whether the turn that a turn to be stored continues is stored too, under the same program. With it is its chain,
     /// since a program keeps copies of the chain of its turns and all of its records expire together.
     fn has_previous_turn(&self, partition: PartitionId, finish: &FinishTurn) -> bool {
--- a/crates/sessions/src/primary.rs
+++ b/crates/sessions/src/primary.rs
@@ -42,6 +42,9 @@
             return self.send_unavailable(caller, UnavailableReason::TooManyPendingWrites);
         }
         match &request.body {
+            SessionCall::Finish(finish) if self.may_learn_of_previous_turn(partition, finish) => {
+                self.wait_for_sync(caller, request);
+            }
             SessionCall::Finish(finish) => {
                 let finish = finish.clone();
                 self.handle_finish(caller, partition, finish);
--- a/crates/sessions/tests/session_requests.rs
+++ b/crates/sessions/tests/session_requests.rs
@@ -10,7 +10,7 @@
 use juniperwing_protocol::EpochNumber;
 use juniperwing_protocol::session::{PartitionEpoch, SessionReply};
 use juniperwing_protocol::transfer::{Record, RecordState, TransferReply, TransferRequest};
-use juniperwing_sessions::{CallerId, Event, Limits};
+use juniperwing_sessions::{CallerId, Command, Event, Limits, TransferCallId};
 
 #[test]
 fn a_turn_begins_when_both_disks_have_the_reservation() {
@@ -187,11 +187,9 @@
     assert_eq!(reply_of(&commands), Some(SessionReply::Unavailable));
 }
 
-#[test]
-fn a_new_primary_defers_requests_until_the_replica_is_synchronized() {
-    let (mut store, commands) = TestStore::new();
-    let (digests, _) = last_call_of(&commands);
-    assert_eq!(reply_of(&store.send_request(1, begin("a", Some("w"), Some(50)))), None);
+/// Completes the synchronization that begins with the call `digests`, with a replica that has the stored turn `w`, which
+/// the primary lacks; returns the commands that follow it.
+fn synchronize_with_replica_that_has_w(store: &mut TestStore, digests: TransferCallId) -> Vec<Command> {
     let (records, request) = last_call_of(&store.complete_call(digests, TransferReply::Digests(vec![7; 16])));
     assert!(matches!(request, TransferRequest::Records { .. }));
     let stored = Record { turn: Some(turn("w", None)), ..record("w") };
@@ -201,11 +199,32 @@
     let (digests, _) = last_call_of(&store.complete_call(push, TransferReply::Written));
     let table = store.state_machine.table(PARTITION).unwrap();
     let digests_here = table.digests(16, store.clock().unix_time_ms);
-    let commands = store.complete_call(digests, TransferReply::Digests(digests_here));
+    store.complete_call(digests, TransferReply::Digests(digests_here))
+}
+
+#[test]
+fn a_new_primary_defers_requests_until_the_replica_is_synchronized() {
+    let (mut store, commands) = TestStore::new();
+    let (digests, _) = last_call_of(&commands);
+    assert_eq!(reply_of(&store.send_request(1, begin("a", Some("w"), Some(50)))), None);
+    let commands = synchronize_with_replica_that_has_w(&mut store, digests);
     // The turn is now admitted: its reservation is written instead of a denial.
     assert!(matches!(last_call_of(&commands).1, TransferRequest::Write { .. }));
 }
 
+// Guards against a turn that is broken off after a failover, since the new primary has not learned of its chain yet.
+#[test]
+fn a_new_primary_rejects_no_turn_to_be_stored_before_the_replica_is_synchronized() {
+    let (mut store, commands) = TestStore::new();
+    let (digests, _) = last_call_of(&commands);
+    assert_eq!(reply_of(&store.send_request(1, finish_stored("a", Some("w")))), None);
+    let commands = synchronize_with_replica_that_has_w(&mut store, digests);
+    let (_, request) = last_call_of(&commands);
+    let TransferRequest::Write { records, .. } = request else { panic!("{request:?}") };
+    assert_eq!(records[0].turn, Some(turn("a", Some("w"))));
+    assert_eq!(store.state_machine.statistics().turns_without_previous, 0);
+}
+
 #[test]
 fn a_store_at_its_memory_limit_admits_nothing_and_still_commits() {
     let (mut store, commands) = TestStore::with_limits(Limits { memory_bytes: 100, ..LIMITS });
