Simulation: turns run for longer than any retention while stores are lost

Change: simulated clients can let turns run for minutes and renew their leases; sessions/long_turns plays that with kills, lost disks, partitions and losses of power, and checks that no turn is to be stored without its previous one, that every stored chain is whole at every store, and that budgets hold.

It does not find the missing hold of turns without a budget, which retention.rs does.

--- a/crates/sessions/tests/simulation/clients.rs
+++ b/crates/sessions/tests/simulation/clients.rs
@@ -4,10 +4,11 @@
 use std::sync::Arc;
 
 use juniperwing_clock::{Span, Time};
-use juniperwing_protocol::session::{BeginTurn, FinishTurn, SessionCall, SessionReply, Turn, TurnLease};
+use juniperwing_protocol::session::{BeginTurn, FinishTurn, SessionCall, SessionReply, Turn};
 use juniperwing_protocol::{ProgramId, RequestId};
 
 use super::TestRng;
+use super::long_turns::LongTurns;
 
 /// How long a stored turn is retained.
 pub const RETENTION: Span = Span::from_millis(60_000);
@@ -43,6 +44,7 @@
 pub struct Clients {
     pub operations: BTreeMap<u64, Operation>,
     pub stored_turns: BTreeMap<RequestId, StoredTurn>,
+    pub long_turns: LongTurns,
     /// The tokens that clients received, by program.
     tokens_received: BTreeMap<ProgramId, u64>,
     last_active_at: BTreeMap<ProgramId, Time>,
@@ -72,7 +74,7 @@
             budget: rng.random_bool(90).then_some(BUDGET),
             max_tokens: MAX_TOKENS,
             imported: Vec::new(),
-            lease: TurnLease::default(),
+            lease: self.long_turns.lease(),
         };
         // A program either has a budget in all its turns or in none.
         let begin = BeginTurn { budget: program.0.ends_with('b').then_some(BUDGET), ..begin };
@@ -139,16 +141,22 @@
                 self.handle_finished(finish, now);
                 None
             }
-            (
-                SessionCall::Find { .. }
-                | SessionCall::RecordOutput(_)
-                | SessionCall::FindOutput(_)
-                | SessionCall::Renew(_),
-                _,
-            ) => None,
+            (SessionCall::Renew(renew), Some(reply)) => {
+                assert_eq!(reply, SessionReply::TurnRenewed);
+                self.operations.remove(&number);
+                self.extend_activity(&renew.program, now);
+                None
+            }
+            (SessionCall::Find { .. } | SessionCall::RecordOutput(_) | SessionCall::FindOutput(_), _) => None,
         }
     }
 
+    /// Returns the operations of turns under way that are due.
+    pub fn take_due(&mut self, now: Time, rng: &mut TestRng) -> Vec<u64> {
+        let due = self.long_turns.take_due(now, rng);
+        due.into_iter().map(|(program, call)| self.add(now, program, call)).collect()
+    }
+
     /// Returns the operations whose reply has timed out, and restarts their timeout.
     pub fn take_timed_out(&mut self, now: Time) -> Vec<u64> {
         let mut timed_out = Vec::new();
@@ -213,8 +221,7 @@
         if let Some(budget) = begin.budget {
             assert!(*received <= budget, "{} received {received} tokens of {budget}", begin.program);
         }
-        self.last_active_at.insert(begin.program.clone(), now);
-        self.last_turn_at.insert(begin.program.clone(), now);
+        self.extend_activity(&begin.program, now);
         if rng.random_bool(10) {
             return None;
         }
@@ -233,12 +240,21 @@
             stored_turn,
             retention_ms: RETENTION.as_nanos() / 1_000_000,
         };
+        if self.long_turns.is_long(rng) {
+            self.long_turns.start(now, begin, finish, rng);
+            return None;
+        }
         Some(self.add(now, begin.program.clone(), SessionCall::Finish(finish)))
     }
 
+    /// Records that a turn of a program runs, or has run.
+    fn extend_activity(&mut self, program: &ProgramId, now: Time) {
+        self.last_active_at.insert(program.clone(), now);
+        self.last_turn_at.insert(program.clone(), now);
+    }
+
     fn handle_finished(&mut self, finish: &FinishTurn, now: Time) {
-        self.last_active_at.insert(finish.program.clone(), now);
-        self.last_turn_at.insert(finish.program.clone(), now);
+        self.extend_activity(&finish.program, now);
         if let Some(turn) = finish.stored_turn.clone() {
             let program = finish.program.clone();
             self.stored_turns
--- a/crates/sessions/tests/simulation/cluster.rs
+++ b/crates/sessions/tests/simulation/cluster.rs
@@ -8,7 +8,7 @@
 use juniperwing_protocol::session::{SessionReply, SessionRequest};
 use juniperwing_protocol::subscription::StoreMap;
 use juniperwing_protocol::transfer::{TransferReply, TransferRequest};
-use juniperwing_sessions::{CallerId, Command, Event, TransferCallId};
+use juniperwing_sessions::{CallerId, Chain, Command, Event, TransferCallId};
 
 use super::TestRng;
 use super::clients::Clients;
@@ -160,6 +160,20 @@
         }
     }
 
+    /// Checks that every store can continue the stored turns that it holds.
+    pub fn check_chains(&self) {
+        for stored in self.clients.turns_that_must_be_found(self.now) {
+            let partition = self.map.partition_of(&stored.program.0).expect("a map");
+            for node in &self.nodes {
+                let Some(table) = node.store.as_ref().and_then(|store| store.table(partition)) else {
+                    continue;
+                };
+                let chain = table.chain(&stored.program, &stored.turn.request);
+                assert_ne!(chain, Chain::Broken, "of {} at {}", stored.turn.request, node.number);
+            }
+        }
+    }
+
     /// Sends an operation to the primary, or to a random store as if an outdated map were used.
     pub fn send(&mut self, operation: u64) {
         let program = self.clients.operations[&operation].program.clone();
@@ -292,6 +306,9 @@
         for operation in self.clients.take_timed_out(self.now) {
             self.packets.push(Packet::SessionReply { operation, reply: None });
         }
+        for operation in self.clients.take_due(self.now, &mut self.rng) {
+            self.send(operation);
+        }
         for number in 0..self.nodes.len() {
             let wake_at =
                 self.nodes[number].store.as_ref().and_then(juniperwing_sessions::Store::next_wake_at);
--- a/crates/sessions/tests/simulation/mod.rs
+++ b/crates/sessions/tests/simulation/mod.rs
@@ -8,6 +8,7 @@
 pub mod cluster;
 pub mod faults;
 pub mod keepers;
+pub mod long_turns;
 pub mod losses;
 pub mod map_publication;
 pub mod node;
