A turn's lease and its resumption have modules of their own; Span::as_millis

Change: relay/turn/lease.rs and relay/turn/resumption.rs take these parts over; the reasons to reject a request are apart from its processing in sessions/primary.rs; Span::as_millis serves all places. No change of behaviour.

--- a/crates/clock/src/lib.rs
+++ b/crates/clock/src/lib.rs
@@ -51,6 +51,11 @@
         self.0
     }
 
+    /// The span in whole milliseconds, rounded down.
+    pub const fn as_millis(self) -> u64 {
+        self.0 / 1_000_000
+    }
+
     /// The span in seconds.
     pub fn as_secs_f64(self) -> f64 {
         self.0 as f64 / 1e9
--- a/crates/emulator/src/host.rs
+++ b/crates/emulator/src/host.rs
@@ -69,7 +69,7 @@
     }
 
     fn unix_time_ms(&self) -> u64 {
-        START_UNIX_TIME_MS + self.clock.now().since(Time::default()).as_nanos() / 1_000_000
+        START_UNIX_TIME_MS + self.clock.now().since(Time::default()).as_millis()
     }
 
     fn random(&self) -> u64 {
--- a/crates/emulator/src/stability.rs
+++ b/crates/emulator/src/stability.rs
@@ -81,7 +81,7 @@
 
 /// Converts a time to milliseconds from the start of the scenario.
 pub fn millis(time: Time) -> u64 {
-    time.since(Time::default()).as_nanos() / 1_000_000
+    time.since(Time::default()).as_millis()
 }
 
 /// A period in which a process that was asked to shut down was not running.
--- a/crates/node/src/relay/exchange.rs
+++ b/crates/node/src/relay/exchange.rs
@@ -125,7 +125,7 @@
     /// The headers to be sent to an endpoint.
     pub fn headers_for(&self, endpoint: &InstanceId) -> HeaderMap {
         let mut headers = self.headers.clone();
-        let remaining_ms = self.deadline.since(now()).as_nanos() / 1_000_000;
+        let remaining_ms = self.deadline.since(now()).as_millis();
         headers.insert(header_name(headers::DEADLINE_MS), HeaderValue::from(remaining_ms));
         let priority = self.route.priority.min(LOWEST_PRIORITY);
         headers.insert(header_name(headers::PRIORITY), HeaderValue::from(priority));
--- a/crates/node/src/relay/gauges.rs
+++ b/crates/node/src/relay/gauges.rs
@@ -47,7 +47,7 @@
             Metric::gauge(
                 "longest_median_ms",
                 "The longest fitted median latency of any destination, in milliseconds",
-                self.dispatcher.longest_median().as_nanos() / 1_000_000,
+                self.dispatcher.longest_median().as_millis(),
             ),
             Metric::gauge("body_bytes", "Bytes of bodies held", count(self.memory.reserved_bytes())),
             Metric::gauge(
--- a/crates/node/src/relay/request_log.rs
+++ b/crates/node/src/relay/request_log.rs
@@ -58,7 +58,7 @@
             "stored_events" => record.stored_turn.map(|turn| turn.events),
             "stored_bytes" => record.stored_turn.map(|turn| turn.output_bytes),
             "stores" => record.store_failure.map(|failure| failure.to_string()).unwrap_or_default(),
-            "response_ms" => record.responded_after.map(millis), "duration_ms" => millis(trace.elapsed()),
+            "response_ms" => record.responded_after.map(Span::as_millis), "duration_ms" => trace.elapsed().as_millis(),
             "suppressed" => suppressed);
     }
 }
@@ -90,16 +90,12 @@
 }
 
 fn describe_attempt(attempt: &AttemptRecord) -> String {
-    let (endpoint, start) = (&attempt.endpoint.0, millis(attempt.started_after));
+    let (endpoint, start) = (&attempt.endpoint.0, attempt.started_after.as_millis());
     match attempt.end {
         None => format!("{endpoint}@{start}=in flight"),
         Some((ended_after, end)) => {
-            let duration = millis(ended_after - attempt.started_after);
+            let duration = (ended_after - attempt.started_after).as_millis();
             format!("{endpoint}@{start}+{duration}={}", end.name())
         }
     }
 }
-
-fn millis(span: Span) -> u64 {
-    span.as_nanos() / 1_000_000
-}
--- a/crates/node/src/relay/turn.rs
+++ b/crates/node/src/relay/turn.rs
@@ -1,7 +1,9 @@
 //! Turns of agent programs: reserves tokens before a turn runs, and stores turns if their route says so.
 
+mod lease;
+mod resumption;
+
 use std::sync::Arc;
-use std::time::Duration;
 
 use bytes::Bytes;
 use http::StatusCode;
@@ -9,21 +11,17 @@
 use juniperwing_configuration::RouteTable;
 use juniperwing_protocol::headers;
 use juniperwing_protocol::identity::{InstanceId, ProgramId, RequestId};
-use juniperwing_protocol::session::{
-    BeginTurn, FindOutput, FinishTurn, MAX_TURN_LEASE_MS, OutputEvent, RenewTurn, Turn, TurnKey, TurnLease,
-};
-use tokio::time::Instant;
+use juniperwing_protocol::session::{BeginTurn, FinishTurn, Turn};
 
 use super::events::Event;
 use super::exchange::Exchange;
 use super::http_headers::{header_number, header_text};
 use super::rejection::Rejection;
 use super::sessions::{SessionStore, TurnError};
-use super::stream_position::event_number;
 use super::trace::StoredTurnSize;
 use super::turn_history::prepend_turns;
-use super::turn_output::{TurnOutput, turn_key};
-use crate::clock::{duration, now};
+use super::turn_output::TurnOutput;
+use crate::clock::duration;
 use crate::sessions_client::LeaseRenewal;
 
 /// The maximum time for which the end of a response is delayed while its turn is stored.
@@ -73,8 +71,8 @@
     output: TurnOutput,
     /// Whether the stores may have a reservation that must be committed.
     has_reservation: bool,
-    /// Renews the turn's lease, if the turn may run for longer.
-    _renewal: Option<LeaseRenewal>,
+    /// Renews the turn's lease until it is dropped, if the turn may run for longer.
+    renewal: Option<LeaseRenewal>,
 }
 
 impl OpenTurn {
@@ -120,11 +118,11 @@
             tokens_per_event: u64::from(engine.map_or(1, |engine| engine.tokens_per_event)),
             max_tokens: max_tokens(exchange),
             is_stored,
-            retention_ms: milliseconds(exchange.route.retention),
+            retention_ms: exchange.route.retention.as_millis(),
             sent_tokens: 0,
             output: TurnOutput::default(),
             has_reservation: budget.is_some(),
-            _renewal: None,
+            renewal: None,
         }
     }
 
@@ -156,76 +154,6 @@
         self.max_tokens.or(budget).unwrap_or(0)
     }
 
-    fn lease(&self, exchange: &Exchange) -> TurnLease {
-        let duration_ms = milliseconds(exchange.deadline.since(now()));
-        TurnLease { duration_ms, retention_ms: self.retention_ms }
-    }
-
-    /// Renews the lease until the turn has ended, if the turn may run for longer than one lease and the stores have
-    /// records on which it depends.
-    fn renew_lease(&mut self, exchange: &Exchange, budget: Option<u64>) {
-        let lease = self.lease(exchange);
-        let has_records = budget.is_some() || self.previous.is_some();
-        if !has_records || lease.duration_ms <= MAX_TURN_LEASE_MS {
-            return;
-        }
-        let renew = RenewTurn {
-            program: self.program.clone(),
-            request: self.request.clone(),
-            previous: self.previous.clone(),
-            reserved_tokens: budget.map(|_| self.reserved_tokens(budget)),
-            lease,
-        };
-        let deadline = Instant::now() + Duration::from_millis(lease.duration_ms);
-        self._renewal = Some(self.sessions.renew_turn(renew, deadline));
-    }
-
-    /// Prepares the output of a turn whose stream the client may resume, since a turn is stored with all of its events.
-    /// The endpoint continues after the last event that the stores know to be handed out; what the client has beyond it
-    /// is generated again.
-    async fn resume(&mut self, exchange: &mut Exchange) {
-        let sent = event_number(exchange.sent_event_id.as_ref());
-        exchange.set_last_event_id(None);
-        let key = turn_key(exchange, self.previous.as_ref());
-        let Some(key) = key.filter(|_| exchange.route.is_retryable()) else { return };
-        let handed_out = match sent {
-            Some(sent) => self.find_output(exchange, key.clone(), sent).await,
-            None => Vec::new(),
-        };
-        let last_id = handed_out.last().map(|event| event.id);
-        exchange.set_last_event_id(last_id);
-        exchange.trace.record_known_output(last_id);
-        self.output = TurnOutput::handed_out(&handed_out);
-        // If this exceeds the memory budget, so does the body that is reserved next, and the request is rejected.
-        exchange.memory.grow(self.output.retained_bytes());
-        self.record_output(exchange, key, handed_out);
-    }
-
-    /// Fetches the output that was handed out to the client, up to the event `sent`.
-    async fn find_output(&self, exchange: &Exchange, turn: TurnKey, sent: u64) -> Vec<OutputEvent> {
-        let max_wait = exchange.remaining_time().mul_f64(BEGIN_TIMEOUT_FRACTION);
-        let find = FindOutput { turn, last_event_id: sent };
-        self.sessions.find_output(find, duration(max_wait)).await
-    }
-
-    /// Records the output from now on, beginning with what was handed out before.
-    fn record_output(&mut self, exchange: &Exchange, turn: TurnKey, handed_out: Vec<OutputEvent>) {
-        let last_id = handed_out.last().map(|event| event.id);
-        let sender =
-            self.sessions.record_output(turn, self.request.clone(), self.resumption_time_ms(exchange));
-        for event in handed_out {
-            // If nothing receives the event any more, the output is generated again.
-            let _ = sender.send(event);
-        }
-        self.output.record_through(sender, last_id);
-    }
-
-    /// How long the client may resume the stream, in milliseconds: up to its own deadline, if it states one.
-    fn resumption_time_ms(&self, exchange: &Exchange) -> u64 {
-        let client_deadline_ms = header_number(&exchange.headers, headers::DEADLINE_MS);
-        client_deadline_ms.unwrap_or_else(|| self.lease(exchange).duration_ms)
-    }
-
     /// Counts the tokens of an event that is sent to the client.
     pub fn count_tokens(&mut self, event: &Event) {
         if event.data.is_some() {
@@ -289,10 +217,6 @@
     }
 }
 
-fn milliseconds(span: Span) -> u64 {
-    span.as_nanos() / 1_000_000
-}
-
 /// The token budget of the program, if the client specifies one.
 fn budget(exchange: &Exchange) -> Result<Option<u64>, TurnRejection> {
     if !exchange.headers.contains_key(headers::BUDGET) {
--- a/crates/relay/src/server/commands.rs
+++ b/crates/relay/src/server/commands.rs
@@ -54,7 +54,7 @@
                 self.upstream.cancel(&mut self.net, *notification, *push_index, now)
             }
             Command::Throttle { notification, retry_after } => {
-                let end = UndeliveredEnd::ReturnedToClient(retry_after.as_nanos() / 1_000_000);
+                let end = UndeliveredEnd::ReturnedToClient(retry_after.as_millis());
                 self.finish(*notification, SubmissionResponse::Throttled(*retry_after), end, now);
             }
             Command::Expire(notification) => {
--- a/crates/relay/src/server/outcomes.rs
+++ b/crates/relay/src/server/outcomes.rs
@@ -14,7 +14,7 @@
     pub(super) fn report_outcomes(&mut self, now: Time) {
         for RetryAfter { endpoint, delay } in self.upstream.take_retry_afters() {
             debug!(self.log, "retry-after received"; "endpoint" => &*endpoint.0,
-                "retry_after_ms" => delay.as_nanos() / 1_000_000);
+                "retry_after_ms" => delay.as_millis());
             self.core.enqueue(Event::RetryAfterReported { endpoint, retry_after: delay });
         }
         for outcome in self.upstream.take_outcomes() {
@@ -37,7 +37,7 @@
         let status = result.status;
         debug!(self.log, "push ended"; "notification" => notification.0, "push" => push_index,
             "endpoint" => &*endpoint.0, "status" => format!("{status:?}"),
-            "duration_ms" => elapsed.as_nanos() / 1_000_000,
+            "duration_ms" => elapsed.as_millis(),
             "limit_remaining" => limit.map(|limit| limit.remaining_fraction),
             "limit_rate" => limit.map(|limit| limit.rate_per_second));
         let may_run_since = status.may_be_executing().then_some(now);
--- a/crates/relay/src/upstream/call.rs
+++ b/crates/relay/src/upstream/call.rs
@@ -200,5 +200,5 @@
 
 /// Formats a span in milliseconds for a header: rounded down, at least 1.
 fn format_millis(span: Span) -> String {
-    (span.as_nanos() / 1_000_000).max(1).to_string()
+    span.as_millis().max(1).to_string()
 }
--- a/crates/relay/tests/endpoint_response.rs
+++ b/crates/relay/tests/endpoint_response.rs
@@ -30,7 +30,7 @@
     ] {
         let response = parse(&format!("HTTP/1.1 {head}Content-Length: 0\n\n"));
         let result = push_results(&response, &["1"], is_batch)[0];
-        let retry_after = retry_after(&response.headers).map(|delay| delay.as_nanos() / 1_000_000);
+        let retry_after = retry_after(&response.headers).map(|delay| delay.as_millis());
         trace += &format!(
             "{is_batch:<5} {:?} final {} retry_after_ms {retry_after:?}\n",
             result.status, result.is_final
--- a/crates/replication/tests/catch_up.rs
+++ b/crates/replication/tests/catch_up.rs
@@ -31,7 +31,7 @@
     let bytes_before = simulation.bytes_sent;
     simulation.start_after(absent, Span::from_millis(1));
     simulation.expect_fully_replicated(Span::from_millis(20_000), "the return of a keeper");
-    (simulation.now.since(started_at).as_nanos() / 1_000_000, simulation.bytes_sent - bytes_before)
+    (simulation.now.since(started_at).as_millis(), simulation.bytes_sent - bytes_before)
 }
 
 /// Fails without retained changes, because snapshots alone never reach the newest version, and if data in
--- a/crates/replication/tests/common/simulation.rs
+++ b/crates/replication/tests/common/simulation.rs
@@ -158,7 +158,7 @@
 
     /// Describes the state of every keeper, for failure messages.
     pub fn describe(&self) -> String {
-        let mut lines = vec![format!("at {} ms", self.now.since(Time::default()).as_nanos() / 1_000_000)];
+        let mut lines = vec![format!("at {} ms", self.now.since(Time::default()).as_millis())];
         let machines = self.machines.iter().enumerate();
         lines.extend(machines.map(|(index, machine)| self.describe_machine(index, machine)));
         lines.join("\n")
--- a/crates/replication/tests/consecutive_losses.rs
+++ b/crates/replication/tests/consecutive_losses.rs
@@ -98,8 +98,7 @@
                     let lost_at = simulation.now;
                     simulation.run_for(Span::from_millis(10));
                     simulation.expect_progress(MAX_FAILOVER_TIME, &fault);
-                    longest_pause_ms
-                        .fetch_max(simulation.now.since(lost_at).as_nanos() / 1_000_000, Ordering::Relaxed);
+                    longest_pause_ms.fetch_max(simulation.now.since(lost_at).as_millis(), Ordering::Relaxed);
                     simulation.heal();
                     simulation.expect_fully_replicated(MAX_FULL_REPLICATION_TIME, &fault);
                 }
--- a/crates/sessions/src/primary.rs
+++ b/crates/sessions/src/primary.rs
@@ -32,15 +32,27 @@
         if !self.is_primary_since(partition, request.epoch) {
             return self.send_not_primary(caller, partition);
         }
+        if let Some(reason) = self.reason_to_reject(partition) {
+            return self.send_unavailable(caller, reason);
+        }
+        self.process_call(caller, request, epoch_status);
+    }
+
+    /// Why this store can process no request for a partition at present; `None` if it can.
+    fn reason_to_reject(&self, partition: PartitionId) -> Option<UnavailableReason> {
         if !self.has_required_replicas(partition) {
-            return self.send_unavailable(caller, UnavailableReason::TooFewReplicas);
+            return Some(UnavailableReason::TooFewReplicas);
         }
         if self.has_unreachable_replica(partition) {
-            return self.send_unavailable(caller, UnavailableReason::ReplicaUnreachable);
-        }
-        if self.pending_writes.len() >= MAX_PENDING_WRITES {
-            return self.send_unavailable(caller, UnavailableReason::TooManyPendingWrites);
+            return Some(UnavailableReason::ReplicaUnreachable);
         }
+        let has_max_pending_writes = self.pending_writes.len() >= MAX_PENDING_WRITES;
+        has_max_pending_writes.then_some(UnavailableReason::TooManyPendingWrites)
+    }
+
+    /// Processes a call for a partition that this store leads, or defers it.
+    fn process_call(&mut self, caller: CallerId, request: SessionRequest, epoch_status: EpochStatus) {
+        let partition = request.partition;
         match &request.body {
             SessionCall::Finish(finish) if self.may_learn_of_previous_turn(partition, finish) => {
                 self.wait_for_sync(caller, request);
--- a/crates/sessions/src/renewal.rs
+++ b/crates/sessions/src/renewal.rs
@@ -44,7 +44,8 @@
         self.with_later_expiry(partition, &begin.program, previous, self.lease_expiry_ms(begin.lease))
     }
 
-    /// A record that extends the retention of a known one when it is merged. The turn itself is not written again.
+    /// A record that extends the retention of a known one when it is merged. The contents of its turn are not sent to the
+    /// replicas again.
     fn with_later_expiry(
         &self, partition: PartitionId, program: &ProgramId, request: &RequestId, expires_at_ms: u64,
     ) -> Option<Record> {
--- a/crates/sessions/tests/harness/mod.rs
+++ b/crates/sessions/tests/harness/mod.rs
@@ -72,10 +72,7 @@
     }
 
     pub fn clock(&self) -> ClockReading {
-        ClockReading {
-            now: self.now,
-            unix_time_ms: 1_000 + self.now.since(Time::default()).as_nanos() / 1_000_000,
-        }
+        ClockReading { now: self.now, unix_time_ms: 1_000 + self.now.since(Time::default()).as_millis() }
     }
 
     pub fn handle(&mut self, event: Event) -> Vec<Command> {
--- a/crates/sessions/tests/simulation/clients.rs
+++ b/crates/sessions/tests/simulation/clients.rs
@@ -230,7 +230,7 @@
             previous: begin.previous.clone(),
             input: Arc::from(format!("in {}", begin.request).into_bytes()),
             output: Arc::from(format!("out {}", begin.request).into_bytes()),
-            retention_ms: RETENTION.as_nanos() / 1_000_000,
+            retention_ms: RETENTION.as_millis(),
             endpoint: None,
         });
         let finish = FinishTurn {
@@ -238,7 +238,7 @@
             request: begin.request.clone(),
             tokens,
             stored_turn,
-            retention_ms: RETENTION.as_nanos() / 1_000_000,
+            retention_ms: RETENTION.as_millis(),
         };
         if self.long_turns.is_long(rng) {
             self.long_turns.start(now, begin, finish, rng);
--- a/crates/sessions/tests/simulation/long_turns.rs
+++ b/crates/sessions/tests/simulation/long_turns.rs
@@ -41,7 +41,7 @@
         if self.max_duration == Span::ZERO {
             return TurnLease::default();
         }
-        TurnLease { duration_ms: milliseconds(self.max_duration), retention_ms: milliseconds(RETENTION) }
+        TurnLease { duration_ms: self.max_duration.as_millis(), retention_ms: RETENTION.as_millis() }
     }
 
     /// Whether a turn that has begun runs for long.
@@ -51,7 +51,7 @@
 
     /// Lets a turn run for up to the longest duration, and then finish.
     pub fn start(&mut self, now: Time, begin: &BeginTurn, finish: FinishTurn, rng: &mut TestRng) {
-        let duration = Span::from_millis(rng.below(milliseconds(self.max_duration) as usize) as u64);
+        let duration = Span::from_millis(rng.below(self.max_duration.as_millis() as usize) as u64);
         let renew = RenewTurn {
             program: begin.program.clone(),
             request: begin.request.clone(),
@@ -91,7 +91,3 @@
         due
     }
 }
-
-fn milliseconds(span: Span) -> u64 {
-    span.as_nanos() / 1_000_000
-}
--- a/crates/sessions/tests/simulation/node.rs
+++ b/crates/sessions/tests/simulation/node.rs
@@ -72,7 +72,7 @@
     }
 
     pub fn clock(&self, now: Time) -> ClockReading {
-        let elapsed_ms = now.since(Time::default()).as_nanos() / 1_000_000;
+        let elapsed_ms = now.since(Time::default()).as_millis();
         ClockReading { now, unix_time_ms: self.clock_offset_ms + elapsed_ms }
     }
 
