Leases are renewed when half of them is over, every 30 s in place of 15

Cause: a lease lasts for 60 s and was renewed every 15 s, so most turns that end within half a minute had one or two replicated writes more on routes with a timeoutMs above 60 s.

Change: a lease is renewed every 30 s. A renewal is retried until the next one is due, which is when the lease ends, and retentionS comes after that.

--- a/crates/node/src/sessions_client/renewal.rs
+++ b/crates/node/src/sessions_client/renewal.rs
@@ -8,8 +8,8 @@
 
 use super::{CommitUncertain, SessionsClient, StoreFailureReason};
 
-/// How often a lease is renewed. Several renewals may fail before it ends.
-const RENEWAL_INTERVAL: Duration = Duration::from_millis(MAX_TURN_LEASE_MS / 4);
+/// How often a lease is renewed. As much time is left to retry a renewal before the lease ends.
+const RENEWAL_INTERVAL: Duration = Duration::from_millis(MAX_TURN_LEASE_MS / 2);
 
 /// Renews the lease of a turn in the background until it is dropped.
 #[derive(Debug)]
