A test holds that leases are renewed at real stores before they end

Change: store::a_lease_is_renewed_at_the_stores_before_it_ends renews the lease of a turn that the stores do not know, and looks for its reservation.

--- a/crates/node/tests/store.rs
+++ b/crates/node/tests/store.rs
@@ -10,11 +10,12 @@
 
 use juniperwing_node::sessions_client::{BegunTurn, CommitUncertain, SessionError};
 use juniperwing_node::store::run_until;
-use juniperwing_protocol::session::{FinishTurn, Turn};
+use juniperwing_protocol::session::{FinishTurn, MAX_TURN_LEASE_MS, RenewTurn, Turn, TurnLease};
 use juniperwing_protocol::{ProgramId, RequestId};
 use juniperwing_storage::SegmentLog;
 use slog::{Discard, Logger, o};
 use stores::{STORE_COUNT, TEST_TIMEOUT, TestCluster, begin, turn};
+use tokio::time::Instant;
 
 /// The timeout of calls that are expected to fail.
 const SHORT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -131,6 +132,40 @@
         .expect("40 and 10 of 100 are used");
 }
 
+/// Whether the stores count tokens against the budget of 100 of the program `p`, which has no turn but the one named here.
+async fn are_tokens_reserved(cluster: &TestCluster, request: &str) -> bool {
+    let begun = cluster.client.begin(begin("p", request, None, Some(100)), TEST_TIMEOUT).await;
+    if begun.is_ok() {
+        let finish = FinishTurn { tokens: 0, stored_turn: None, ..finish_stored("p", request, None) };
+        cluster.client.finish(finish, TEST_TIMEOUT).await.unwrap();
+    }
+    begun == Err(SessionError::BudgetExhausted)
+}
+
+// Guards against a relay that renews no leases: the stores would forget programs while their turns run (review/6).
+#[tokio::test]
+async fn a_lease_is_renewed_at_the_stores_before_it_ends() {
+    let cluster = TestCluster::start("renewal").await;
+    let lease = Duration::from_millis(MAX_TURN_LEASE_MS);
+    let ends_at = Instant::now() + lease;
+    // The stores do not know the turn before its first renewal.
+    let renew = RenewTurn {
+        program: ProgramId::from("p"),
+        request: RequestId::from("long"),
+        previous: None,
+        reserved_tokens: Some(90),
+        lease: TurnLease::default(),
+    };
+    let _renewal = cluster.client.renew_in_background(renew, ends_at + lease);
+    assert!(!are_tokens_reserved(&cluster, "first").await, "nothing is reserved before the first renewal");
+    let mut number = 0;
+    while !are_tokens_reserved(&cluster, &format!("next-{number}")).await {
+        number += 1;
+        tokio::time::sleep(SHORT_TIMEOUT).await;
+        assert!(Instant::now() < ends_at, "the lease has ended");
+    }
+}
+
 #[tokio::test]
 async fn stored_turns_survive_the_loss_of_a_store_and_are_copied_to_its_replacement() {
     let mut cluster = TestCluster::start("failover").await;
