Soak: both kinds of turns make their attempts through one module

Cause: program.rs and resumable_turn.rs each chose a relay, recorded the attempt, sent it and read its stream, in the same lines.

What is played and judged is the same, but for the order of random draws of the load.

--- a/crates/soak/src/load.rs
+++ b/crates/soak/src/load.rs
@@ -7,6 +7,7 @@
 mod program;
 mod requests;
 mod resumable_turn;
+mod turn_attempt;
 
 use std::sync::Arc;
 use std::sync::Mutex;
--- a/crates/soak/src/load/program.rs
+++ b/crates/soak/src/load/program.rs
@@ -3,18 +3,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use tokio::time::{sleep, timeout};
+use juniperwing_random::Rng;
+use tokio::time::sleep;
 
-use super::operator::HOST;
+use super::turn_attempt::{Events, ReceivedStream, StreamEnd, TurnAttempt, TurnRequest, output_of};
 use super::{Shared, resumable_turn};
-use crate::history::{Attempt, Budget, Millis, Outcome, RequestKind};
-use crate::http::{Connection, Head, HttpError, encode_request};
-use juniperwing_random::Rng;
+use crate::history::{Budget, RequestKind};
+use crate::http::Head;
 
-/// The deadline of a turn, in milliseconds.
-pub const DEADLINE_MS: Millis = 4_000;
-/// How long a client waits beyond the deadline, in milliseconds.
-const EXTRA_WAIT_MS: Millis = 3_000;
 /// The maximum number of tokens that one turn generates.
 pub const MAX_TURN_TOKENS: u64 = 30;
 /// Number of tokens in an event (`stride` in the configuration).
@@ -133,34 +129,21 @@
 async fn attempt_turn(
     shared: &Arc<Shared>, program: &str, budget: Budget, previous: Option<&StoredTurn>, rng: &mut Rng,
 ) -> TurnOutcome {
-    let relay = shared.load_balancer.choose(rng);
-    let Ok(mut connection) = Connection::open(shared.load_balancer.frontend(relay)).await else {
-        return TurnOutcome::NotExecuted;
-    };
     let id = shared.unique_name("t");
     let input = turn_input(&id, rng);
-    let expected = [previous.map_or(&[][..], |stored| &stored.history), &input].concat();
+    let expected_body = [previous.map_or(&[][..], |stored| &stored.history), &input].concat();
     let path = format!("/k/{id}");
     let request = TurnRequest { id: &id, path: &path, program, budget, previous, last_event_id: None };
-    let bytes = request.encode(&input);
-    let sent_at = shared.history.now();
-    let mut attempt = Attempt::new(RequestKind::Turn, relay, sent_at, DEADLINE_MS, expected.clone());
-    attempt.program = Some(program.to_owned());
-    shared.history.record().attempts.insert(id.clone(), attempt);
-    if connection.write(&bytes).await.is_err() {
-        shared.history.record_outcome(&id, Outcome::NotSent, 0);
-        return TurnOutcome::Indeterminate;
-    }
-    let disconnects_after =
-        if shared.has_early_disconnects() && rng.percent(30) { rng.below(6) } else { u64::MAX };
-    let mut events = Events::default();
-    let (outcome, stream_end) = read_stream(&mut connection, &mut events, disconnects_after).await;
-    let tokens = events.complete.len() as u64 * TOKENS_PER_EVENT;
-    shared.history.record_outcome(&id, outcome, tokens);
-    match stream_end {
+    let attempt =
+        TurnAttempt { kind: RequestKind::Turn, request, input: &input, expected_body: &expected_body };
+    let ReceivedStream { events, end } = match attempt.run(shared, rng).await {
+        Ok(received) => received,
+        Err(outcome) => return outcome,
+    };
+    match end {
         StreamEnd::Complete(head) if head.status == 200 => {
             check_events(shared, &id, &head, &events);
-            let history = [expected, output_of(&events.complete)].concat();
+            let history = [expected_body, output_of(&events.complete)].concat();
             let stored = StoredTurn { id, history, program: program.to_owned() };
             shared.add_stored_turn(&stored);
             TurnOutcome::Completed(stored)
@@ -186,116 +169,11 @@
     }
 }
 
-/// A request for a turn.
-pub struct TurnRequest<'a> {
-    /// The id of the attempt.
-    pub id: &'a str,
-    /// The path.
-    pub path: &'a str,
-    /// The program.
-    pub program: &'a str,
-    /// The program's budget.
-    pub budget: Budget,
-    /// The turn that it continues.
-    pub previous: Option<&'a StoredTurn>,
-    /// The id of the last event received, if the client resumes the stream.
-    pub last_event_id: Option<usize>,
-}
-
-impl TurnRequest<'_> {
-    /// Encodes the request with this input.
-    pub fn encode(&self, input: &[u8]) -> Vec<u8> {
-        let (deadline, tokens) = (DEADLINE_MS.to_string(), self.budget.tokens.to_string());
-        let count = format!("{},{}", input.len(), self.budget.max_turn_tokens);
-        let last_event_id = self.last_event_id.map(|id| id.to_string());
-        let mut headers = vec![
-            ("Host", HOST),
-            ("X-Request-Id", self.id),
-            ("X-Deadline-Ms", deadline.as_str()),
-            ("Program", self.program),
-            ("Session", self.program),
-            ("Budget", tokens.as_str()),
-            ("X-Token-Count", count.as_str()),
-            ("X-Model", "m"),
-        ];
-        headers.extend(self.previous.map(|previous| ("Previous", previous.id.as_str())));
-        headers.extend(last_event_id.as_deref().map(|id| ("Last-Event-Id", id)));
-        encode_request("POST", self.path, &headers, input)
-    }
-}
-
 /// A new input; inputs of different turns differ.
 pub fn turn_input(name: &str, rng: &mut Rng) -> Vec<u8> {
     format!("[{name}:{}]", "x".repeat(rng.below(400) as usize)).into_bytes()
 }
 
-/// How a stream of events ended.
-pub enum StreamEnd {
-    /// The response is complete.
-    Complete(Head),
-    /// The connection was lost, or the client gave up.
-    Truncated,
-}
-
-/// Reads a stream until its end, or until more events than `disconnects_after` have arrived.
-pub async fn read_stream(
-    connection: &mut Connection, events: &mut Events, disconnects_after: u64,
-) -> (Outcome, StreamEnd) {
-    let mut after_head = false;
-    let response = async {
-        let head = connection.read_response_head().await?;
-        after_head = true;
-        let read = connection.read_body(&head, |chunk| {
-            events.push(chunk);
-            events.complete.len() as u64 <= disconnects_after
-        });
-        read.await?;
-        Ok::<_, HttpError>(head)
-    };
-    match timeout(Duration::from_millis(DEADLINE_MS + EXTRA_WAIT_MS), response).await {
-        Err(_) => (Outcome::TimedOut, StreamEnd::Truncated),
-        Ok(Err(HttpError::ReaderStopped)) => (Outcome::ClientDisconnected, StreamEnd::Truncated),
-        Ok(Err(_)) => (Outcome::ConnectionLost { after_head }, StreamEnd::Truncated),
-        Ok(Ok(head)) => {
-            let is_signed = head.has("x-server-signature");
-            (Outcome::Status { status: head.status, is_signed }, StreamEnd::Complete(head))
-        }
-    }
-}
-
-/// Events of a stream as they arrive.
-#[derive(Default)]
-pub struct Events {
-    /// The bytes after the last complete event.
-    partial: Vec<u8>,
-    /// The complete events.
-    pub complete: Vec<Vec<u8>>,
-}
-
-impl Events {
-    fn push(&mut self, chunk: &[u8]) {
-        self.partial.extend_from_slice(chunk);
-        while let Some(end) = self.partial.windows(2).position(|pair| pair == b"\n\n") {
-            let rest = self.partial.split_off(end + 2);
-            self.complete.push(std::mem::replace(&mut self.partial, rest));
-        }
-    }
-}
-
-/// The data of all events, each followed by a newline.
-pub fn output_of(events: &[Vec<u8>]) -> Vec<u8> {
-    let mut output = Vec::new();
-    for event in events {
-        for line in event.split(|byte| *byte == b'\n') {
-            if let Some(data) = line.strip_prefix(b"data: ") {
-                output.extend_from_slice(data);
-                output.push(b'\n');
-            }
-        }
-    }
-    output
-}
-
 /// Checks that the events are exactly those that an endpoint sent for this turn, complete and in order.
 fn check_events(shared: &Arc<Shared>, id: &str, head: &Head, events: &Events) {
     let is_complete = shared.history.is_response_to(id, &events.complete.concat());
--- a/crates/soak/src/load/resumable_turn.rs
+++ b/crates/soak/src/load/resumable_turn.rs
@@ -10,11 +10,10 @@
 
 use super::Shared;
 use super::program::{
-    DEADLINE_MS, Events, MAX_TURN_TOKENS, StoredTurn, StreamEnd, TOKENS_PER_EVENT, TurnOutcome, TurnRequest,
-    outcome_of_failure, output_of, read_stream, turn_input,
+    MAX_TURN_TOKENS, StoredTurn, TOKENS_PER_EVENT, TurnOutcome, outcome_of_failure, turn_input,
 };
-use crate::history::{Attempt, Budget, Outcome, RequestKind};
-use crate::http::Connection;
+use super::turn_attempt::{ReceivedStream, StreamEnd, TurnAttempt, TurnRequest, output_of};
+use crate::history::{Budget, RequestKind};
 
 /// The path prefix of the route.
 pub const PATH_PREFIX: &str = "/kr/";
@@ -72,44 +71,31 @@
 
 impl ResumableTurn<'_> {
     async fn attempt(&mut self, rng: &mut Rng) -> TurnOutcome {
-        let shared = self.shared;
-        let relay = shared.load_balancer.choose(rng);
-        let Ok(mut connection) = Connection::open(shared.load_balancer.frontend(relay)).await else {
-            return TurnOutcome::NotExecuted;
-        };
-        let id = shared.unique_name("t");
-        let body = self.expected_body.clone();
-        let mut attempt =
-            Attempt::new(RequestKind::ResumableTurn, relay, shared.history.now(), DEADLINE_MS, body);
-        attempt.program = Some(self.program.to_owned());
-        shared.history.record().attempts.insert(id.clone(), attempt);
-        if connection.write(&self.request(&id)).await.is_err() {
-            shared.history.record_outcome(&id, Outcome::NotSent, 0);
-            return TurnOutcome::Indeterminate;
-        }
-        let disconnects_after =
-            if shared.has_early_disconnects() && rng.percent(30) { rng.below(6) } else { u64::MAX };
-        let mut events = Events::default();
-        let (outcome, end) = read_stream(&mut connection, &mut events, disconnects_after).await;
-        shared.history.record_outcome(&id, outcome, events.complete.len() as u64 * TOKENS_PER_EVENT);
-        self.received.append(&mut events.complete);
-        match end {
-            StreamEnd::Complete(head) if head.status == 200 => self.complete(id),
-            StreamEnd::Complete(head) => outcome_of_failure(shared, &id, self.previous, head.status),
-            StreamEnd::Truncated => TurnOutcome::Indeterminate,
-        }
-    }
-
-    fn request(&self, id: &str) -> Vec<u8> {
-        TurnRequest {
-            id,
+        let id = self.shared.unique_name("t");
+        let request = TurnRequest {
+            id: &id,
             path: &self.path,
             program: self.program,
             budget: self.budget,
             previous: self.previous,
             last_event_id: (!self.received.is_empty()).then_some(self.received.len()),
+        };
+        let attempt = TurnAttempt {
+            kind: RequestKind::ResumableTurn,
+            request,
+            input: &self.input,
+            expected_body: &self.expected_body,
+        };
+        let ReceivedStream { mut events, end } = match attempt.run(self.shared, rng).await {
+            Ok(received) => received,
+            Err(outcome) => return outcome,
+        };
+        self.received.append(&mut events.complete);
+        match end {
+            StreamEnd::Complete(head) if head.status == 200 => self.complete(id),
+            StreamEnd::Complete(head) => outcome_of_failure(self.shared, &id, self.previous, head.status),
+            StreamEnd::Truncated => TurnOutcome::Indeterminate,
         }
-        .encode(&self.input)
     }
 
     /// Checks that the client has each event of the stream once, and adds the turn to those that can be continued.
