A turn is retained by the retentionS in force at its end, if that is longer

Callers would see: retentionS is raised while a turn runs; the turn ends under the new configuration, and a turn that continues it later than the old retentionS gets 404.

Change: when a stream ends, the relay looks its route up in the configuration in force, and retains the program for the longer of both times.

--- a/crates/node/src/relay/stream.rs
+++ b/crates/node/src/relay/stream.rs
@@ -8,6 +8,7 @@
 use http::header::CONTENT_LENGTH;
 use http::{HeaderValue, Response, StatusCode};
 use juniperwing_balancing::CallOutcome;
+use juniperwing_clock::Span;
 use juniperwing_invariants::{Invariant, check};
 use juniperwing_protocol::headers;
 use tokio::time::{Instant, timeout_at};
@@ -223,14 +224,25 @@
         if self.position.awaits_sent() {
             return Err(StreamError::UnknownEventId);
         }
-        let Some(turn) = self.turn.take() else { return Ok(()) };
+        let Some(mut turn) = self.turn.take() else { return Ok(()) };
         self.exchange.trace.record_stored_turn(turn.stored_size());
+        if let Some(retention) = self.current_retention() {
+            turn.extend_retention(retention);
+        }
         let remaining = self.exchange.deadline.since(now());
         let stored = turn.store(&endpoint, remaining).await;
         stored
             .inspect_err(|error| self.exchange.record_turn_error(*error))
             .map_err(|_| StreamError::TurnNotStored)
     }
+
+    /// How long the configuration that is in force now retains the program; `None` if it has no route for the request.
+    fn current_retention(&self) -> Option<Span> {
+        let snapshot = self.state.cluster.snapshot();
+        let configuration = snapshot.configuration.as_ref()?;
+        let route = configuration.table.lookup(&self.exchange.route.hostname, self.exchange.uri.path())?;
+        Some(route.retention)
+    }
 }
 
 async fn reopen(
--- a/crates/node/src/relay/turn.rs
+++ b/crates/node/src/relay/turn.rs
@@ -166,6 +166,11 @@
         if self.is_stored { self.output.push(event) } else { 0 }
     }
 
+    /// Retains the program for `retention` after the turn, if that is longer than the route said when the turn began.
+    pub fn extend_retention(&mut self, retention: Span) {
+        self.retention_ms = self.retention_ms.max(retention.as_millis());
+    }
+
     /// Handles the end of an endpoint's stream, with `remaining` until the deadline: stores the turn, if its route says
     /// so, before the end is sent to the client.
     ///
--- a/crates/node/tests/relay/leases.rs
+++ b/crates/node/tests/relay/leases.rs
@@ -1,14 +1,16 @@
 //! Leases of turns: what a relay tells the stores of how long a turn may run, and when it renews that.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use juniperwing_protocol::identity::RequestId;
 use juniperwing_protocol::session::{RenewTurn, TurnLease};
+use tokio::sync::Notify;
 use tokio::task::AbortHandle;
 use tokio::time::sleep;
 
 use crate::endpoint::{FakeEndpoint, ReceivedRequest, Step, chunk, last_chunk, stream_head};
-use crate::support::{RelayHarness, next_chunk, read, request, with_headers, with_timeout};
+use crate::support::{CONFIGURATION, RelayHarness, next_chunk, read, request, with_headers, with_timeout};
 
 const EVENT: &str = "id: 1\ndata: one\n\n";
 /// The deadline that the clients of long turns state, below the timeout of the route.
@@ -111,6 +113,37 @@
     assert_eq!(begun.lease.retention_ms, 60_000, "the default");
 }
 
+/// Runs a turn on a route that retains turns for 100 s, and applies a configuration with another `retentionS` while it
+/// runs; returns for how long the turn is stored.
+async fn retention_after_change_to(retention_s: u64) -> u64 {
+    let resume = Arc::new(Notify::new());
+    let script = {
+        let resume = Arc::clone(&resume);
+        move |request: &ReceivedRequest| {
+            vec![stream_head(request, "s"), chunk(EVENT), Step::Wait(Arc::clone(&resume)), last_chunk()]
+        }
+    };
+    let endpoint = FakeEndpoint::start("i-1", script).await;
+    let harness = RelayHarness::with_endpoints(&[&endpoint]).await;
+    let headers = [("program", "p1"), ("session", "q1"), ("budget", "1080")];
+    let mut body =
+        harness.send(with_headers(request("POST", "/kl/x", "t1", "in"), &headers)).await.into_body();
+    next_chunk(&mut body).await.unwrap().unwrap();
+    let retention = format!("\"retentionS\":{retention_s}}}");
+    harness.configure(2, &CONFIGURATION.replace("\"retentionS\":100}", &retention));
+    resume.notify_one();
+    assert!(next_chunk(&mut body).await.is_none(), "the response is complete");
+    let finished = harness.stores.finished_turns.lock().unwrap();
+    finished[0].stored_turn.as_ref().unwrap().retention_ms
+}
+
+// Guards against a turn that gets 404 within the `retentionS` that is in force when it ends.
+#[tokio::test]
+async fn a_turn_is_retained_by_the_configuration_in_force_at_its_end() {
+    assert_eq!(retention_after_change_to(300).await, 300_000);
+    assert_eq!(retention_after_change_to(10).await, 100_000, "never shorter than when it began");
+}
+
 // Guards against a client that is let down after a long silence of its stream, within its own deadline.
 #[tokio::test]
 async fn the_output_of_a_stream_is_recorded_for_as_long_as_its_client_may_resume_it() {
