--- a/crates/node/src/command.rs
+++ b/crates/node/src/command.rs
@@ -5,8 +5,9 @@
 use std::time::Duration;
 
 use getopts::Options;
-use slog::{Level, error};
+use slog::{Level, error, info};
 
+use crate::build_info;
 use crate::log::{flush, install_fault_logging, logger};
 use crate::process::Process;
 use crate::role::Role;
@@ -103,6 +104,8 @@
     settings.metrics = metrics.or(settings.metrics);
     let log = logger(level, role.name(), &settings.node_name);
     install_fault_logging(&log);
+    info!(log, "process started"; "version" => build_info::CURRENT.version,
+        "source_digest" => build_info::CURRENT.source_digest);
     let result = match signals {
         Err(e) => Err(e),
         Ok(signals) => {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! Every process runs on a single-threaded `tokio` runtime; blocking disk operations run on other threads.
 
+pub mod build_info;
 pub mod check_configuration;
 pub mod clock;
 pub mod command;
--- a/crates/node/src/metrics/exposition.rs
+++ b/crates/node/src/metrics/exposition.rs
@@ -6,9 +6,11 @@
 use juniperwing_invariants::{Invariant, violations};
 use prometheus_client::collector::Collector;
 use prometheus_client::encoding::{DescriptorEncoder, text};
+use prometheus_client::metrics::info::Info;
 use prometheus_client::registry::Registry;
 
 use super::metric::{Metric, MetricSource};
+use crate::build_info;
 use crate::log::panic_count;
 
 /// Prefix of all metric names.
@@ -47,9 +49,16 @@
     ]
 }
 
+/// The metric that names the build of the program in its labels.
+fn build_metric() -> Info<[(&'static str, &'static str); 2]> {
+    let build = build_info::CURRENT;
+    Info::new([("version", build.version), ("source_digest", build.source_digest)])
+}
+
 /// Renders all metrics as text.
 pub fn render(source: &Arc<dyn MetricSource>) -> String {
     let mut registry = Registry::with_prefix(PREFIX);
+    registry.register("build", "The build of the program", build_metric());
     registry.register_collector(Box::new(SourceCollector(Arc::clone(source))));
     let mut text = String::new();
     // Fails only if a metric cannot be encoded; the text is then truncated.
--- a/crates/node/tests/metrics.rs
+++ b/crates/node/tests/metrics.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use juniperwing_invariants::Invariant;
+use juniperwing_node::build_info::{self, BuildInfo};
 use juniperwing_node::metrics::{Metric, MetricSource, MetricsEndpoint, render, serve};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -38,6 +39,9 @@
     ] {
         assert!(text.lines().any(|rendered| rendered == line), "{line} is missing in\n{text}");
     }
+    let BuildInfo { version, source_digest } = build_info::CURRENT;
+    let build = format!("build_info{{version=\"{version}\",source_digest=\"{source_digest}\"}} 1\n");
+    assert!(text.contains(&build), "{build} is missing in\n{text}");
     for invariant in Invariant::ALL {
         let name = invariant.name();
         assert!(text.contains(&format!("invariant_violations_total{{invariant=\"{name}\"}} 0")), "{name}");
--- a/crates/relay/src/command_line.rs
+++ b/crates/relay/src/command_line.rs
@@ -6,6 +6,7 @@
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
+use juniperwing_node::build_info;
 use juniperwing_node::role::Role;
 use lexopt::prelude::*;
 use slog::{Level, error, o};
@@ -76,7 +77,7 @@
         Err(error) => return usage_error(&format!("{error}\nTry 'juniperwing help'.")),
     };
     match arguments.command {
-        Command::Version => println!("juniperwing {}", env!("CARGO_PKG_VERSION")),
+        Command::Version => println!("{}", build_info::CURRENT),
         Command::Help => print!("{USAGE}"),
         Command::CheckConfig => return check_config(arguments.config),
         Command::Serve => return serve(arguments),
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -18,6 +18,7 @@
 
 use juniperwing::interface::NotificationId;
 use juniperwing::time::Time;
+use juniperwing_node::build_info;
 use juniperwing_settings::Settings;
 use slog::{Logger, info, o, warn};
 use snafu::{ResultExt, Snafu};
@@ -146,7 +147,8 @@
         let is_ended = |entry: &JournalEntry| entry.notification.history.end.is_some();
         let ended = self.journal.live().filter(|(_, entry)| is_ended(entry)).count();
         info!(self.log, "serving"; "listen" => listen, "outstanding" => outstanding,
-            "unpushed" => unpushed, "pushed" => outstanding - unpushed - ended);
+            "unpushed" => unpushed, "pushed" => outstanding - unpushed - ended,
+            "version" => build_info::CURRENT.version, "source_digest" => build_info::CURRENT.source_digest);
     }
 
     /// Returns when the next iteration is due if no socket event occurs earlier.
--- a/crates/relay/tests/names/command_line.rs
+++ b/crates/relay/tests/names/command_line.rs
@@ -1,5 +1,7 @@
 //! Commands, their options and exit codes.
 
+use juniperwing_node::build_info;
+
 use crate::golden::assert_golden;
 use crate::program::TestDirectory;
 
@@ -21,7 +23,8 @@
 
 #[test]
 fn version_is_printed_by_every_spelling() {
-    let version = format!("\njuniperwing {}\nexit code 0\n\n", env!("CARGO_PKG_VERSION"));
+    let (version, digest) = (env!("CARGO_PKG_VERSION"), build_info::CURRENT.source_digest);
+    let version = format!("\njuniperwing {version} (source digest {digest})\nexit code 0\n\n");
     for spelling in ["version", "--version", "-V"] {
         assert_eq!(transcripts(&[spelling]), format!("$ juniperwing {spelling}{version}"));
     }
--- a/crates/relay/tests/names/metrics.rs
+++ b/crates/relay/tests/names/metrics.rs
@@ -4,6 +4,8 @@
 use std::net::SocketAddr;
 use std::process::{Child, Stdio};
 
+use juniperwing_node::build_info::{self, BuildInfo};
+
 use crate::golden::assert_golden;
 use crate::http::{call, call_until};
 use crate::program::TestDirectory;
@@ -44,7 +46,8 @@
         } else if !line.starts_with('#') {
             let (series, _) = line.rsplit_once(' ').expect("a series and its value");
             let name = series.split('{').next().expect("a name");
-            let kind = types.get(name.strip_suffix("_total").unwrap_or(name)).expect("a type");
+            let family = ["_total", "_info"].into_iter().find_map(|suffix| name.strip_suffix(suffix));
+            let kind = types.get(family.unwrap_or(name)).expect("a type");
             lines.push(format!("{series} {kind}\n"));
         }
     }
@@ -53,6 +56,12 @@
     lines.concat()
 }
 
+/// The labels that name this build.
+fn build_labels() -> String {
+    let BuildInfo { version, source_digest } = build_info::CURRENT;
+    format!("{{version=\"{version}\",source_digest=\"{source_digest}\"}}")
+}
+
 #[test]
 fn metrics_of_each_role() {
     let directory = TestDirectory::new();
@@ -62,7 +71,10 @@
     for (role, port) in ROLES {
         let address_and_port: SocketAddr = format!("{address}:{port}").parse().expect("an address");
         let page = call_until(200, |_| call(address_and_port, "GET /metrics", "Host: metrics\r\n", ""));
-        assert_golden(&format!("metrics-{role}.txt"), &format_series(&page));
+        let series = format_series(&page);
+        assert!(series.contains(&build_labels()), "{series}");
+        let series = series.replace(&build_labels(), "{version=\"VERSION\",source_digest=\"DIGEST\"}");
+        assert_golden(&format!("metrics-{role}.txt"), &series);
     }
     drop(running);
 }
--- a/crates/relay/tests/serve/settings.rs
+++ b/crates/relay/tests/serve/settings.rs
@@ -78,7 +78,9 @@
         assert!(output.stderr.starts_with(b"juniperwing: "), "{args:?}");
     }
     let version = run_program(&["version"], &state);
-    assert_eq!(version.stdout, format!("juniperwing {}\n", env!("CARGO_PKG_VERSION")).as_bytes());
+    let digest = juniperwing_node::build_info::CURRENT.source_digest;
+    let expected = format!("juniperwing {} (source digest {digest})\n", env!("CARGO_PKG_VERSION"));
+    assert_eq!(version.stdout, expected.as_bytes());
 }
 
 /// Returns changed settings: fewer slots, other thresholds and costs, a pushed list, and the non-idempotent topic type
--- a/crates/relay/tests/tier/commands.rs
+++ b/crates/relay/tests/tier/commands.rs
@@ -2,6 +2,8 @@
 
 use std::path::PathBuf;
 
+use juniperwing_node::build_info::{self, BuildInfo};
+
 use crate::process::run_program;
 
 fn text(bytes: &[u8]) -> String {
@@ -62,6 +64,21 @@
     assert!(printed.contains("dataDirectory: missing"), "{printed}");
 }
 
+// Guards against a log that does not tell which code runs.
+#[test]
+fn a_role_logs_which_build_it_is() {
+    // The role ends at once, since settings are missing.
+    let output = run_program(&["keeper", "--settings", &deploy_path("three/relay-1.toml")]);
+    assert_eq!(output.status.code(), Some(1));
+    let log = text(&output.stderr);
+    let started = log.lines().find(|line| line.contains("\"msg\":\"process started\"")).expect(&log);
+    let BuildInfo { version, source_digest } = build_info::CURRENT;
+    assert_eq!(version, env!("CARGO_PKG_VERSION"));
+    for (key, value) in [("version", version), ("source_digest", source_digest)] {
+        assert!(started.contains(&format!("\"{key}\":\"{value}\"")), "{started}");
+    }
+}
+
 #[test]
 fn a_valid_configuration_is_described() {
     let output = run_program(&["check-configuration", &deploy_path("configuration.json")]);
