A renewal that failed is tried again at once, not at the next interval

Cause (the postmortem's open gap): a renewal was tried for 30 s, and after a failure the next one waited for the next interval, 90 s after the lease began; the lease ends at 60 s, and the program is retained for 70 s. The renewal is now called again after the delay between tries, until one succeeds.

--- a/crates/node/src/sessions_client.rs
+++ b/crates/node/src/sessions_client.rs
@@ -18,7 +18,7 @@
 use self::background::BackgroundCommits;
 pub use self::error::{CommitUncertain, SessionError, StoreFailure, StoreFailureReason};
 pub use self::output::OutputSender;
-pub use self::renewal::LeaseRenewal;
+pub use self::renewal::{LeaseRenewal, renew_at_intervals};
 use self::routing::{PartitionPrimary, primary_of, wait_until_replaced};
 use crate::link::LinkPool;
 use crate::sync::watch;
--- a/crates/node/src/sessions_client/renewal.rs
+++ b/crates/node/src/sessions_client/renewal.rs
@@ -6,7 +6,7 @@
 use tokio::task::AbortHandle;
 use tokio::time::{Instant, sleep};
 
-use super::{CommitUncertain, SessionsClient, StoreFailureReason};
+use super::{CommitUncertain, RETRY_DELAY, SessionsClient, StoreFailureReason};
 
 /// How often a lease is renewed. As much time is left to retry a renewal before the lease ends.
 const RENEWAL_INTERVAL: Duration = Duration::from_millis(MAX_TURN_LEASE_MS / 2);
@@ -29,22 +29,32 @@
     }
 }
 
+/// Renews a lease at intervals. After a failure the lease is renewed again without waiting for the interval, since it may
+/// end before. Returns only if it is dropped.
+pub async fn renew_at_intervals<Renewal, Failure>(mut renew: impl FnMut() -> Renewal)
+where
+    Renewal: Future<Output = Result<(), Failure>>,
+{
+    loop {
+        sleep(RENEWAL_INTERVAL).await;
+        while renew().await.is_err() {
+            sleep(RETRY_DELAY).await;
+        }
+    }
+}
+
 impl SessionsClient {
-    /// Renews the lease of a turn in the background, up to the turn's deadline. A renewal is retried until the next one is
-    /// due. If all of them fail, the store rejects the turn when it is finished, unless its program was retained anyway.
+    /// Renews the lease of a turn in the background, up to the turn's deadline. If no renewal succeeds before the lease
+    /// ends, the store rejects the turn when it is finished, unless its program was retained anyway.
     pub fn renew_in_background(&self, renew: RenewTurn, deadline: Instant) -> LeaseRenewal {
         let client = self.clone();
-        let renewals = async move {
-            loop {
-                sleep(RENEWAL_INTERVAL).await;
-                let mut renew = renew.clone();
-                let remaining = deadline.saturating_duration_since(Instant::now());
-                renew.lease.duration_ms = u64::try_from(remaining.as_millis()).unwrap_or(u64::MAX);
-                // The next renewal makes up for one that fails.
-                let _ = client.renew(renew, RENEWAL_INTERVAL).await;
-            }
+        let renew_once = move || {
+            let (client, mut renew) = (client.clone(), renew.clone());
+            let remaining = deadline.saturating_duration_since(Instant::now());
+            renew.lease.duration_ms = u64::try_from(remaining.as_millis()).unwrap_or(u64::MAX);
+            async move { client.renew(renew, RENEWAL_INTERVAL).await }
         };
-        LeaseRenewal::new(tokio::spawn(renewals).abort_handle())
+        LeaseRenewal::new(tokio::spawn(renew_at_intervals(renew_once)).abort_handle())
     }
 
     /// Renews the lease of a turn once.
