--- a/crates/node/src/sessions_client.rs
+++ b/crates/node/src/sessions_client.rs
@@ -82,10 +82,22 @@
     ///
     /// If the commit is not confirmed by the required number of replicas within `max_wait`.
     pub async fn finish(&self, finish: FinishTurn, max_wait: Duration) -> Result<(), CommitUncertain> {
-        let deadline = Instant::now() + max_wait;
         let program = finish.program.clone();
-        match self.call_primary(&program, SessionCall::Finish(finish), deadline).await {
-            Ok(SessionReply::TurnFinished) => Ok(()),
+        self.call_until_confirmed(
+            &program,
+            SessionCall::Finish(finish),
+            &SessionReply::TurnFinished,
+            max_wait,
+        )
+        .await
+    }
+
+    /// Makes a call that has one definite reply.
+    async fn call_until_confirmed(
+        &self, program: &ProgramId, call: SessionCall, confirmation: &SessionReply, max_wait: Duration,
+    ) -> Result<(), CommitUncertain> {
+        match self.call_primary(program, call, Instant::now() + max_wait).await {
+            Ok(reply) if reply == *confirmation => Ok(()),
             Ok(_) => Err(CommitUncertain { failure: StoreFailureReason::UnexpectedReply.into() }),
             Err(failure) => Err(CommitUncertain { failure }),
         }
