--- a/crates/node/src/relay/sessions.rs
+++ b/crates/node/src/relay/sessions.rs
@@ -12,7 +12,7 @@
 use tokio::time::Instant;
 
 use crate::sessions_client::{
-    CommitUncertain, LeaseRenewal, OutputSender, SessionError, SessionsClient, StoreFailure,
+    CallUnconfirmed, LeaseRenewal, OutputSender, SessionError, SessionsClient, StoreFailure,
 };
 
 /// Why a turn cannot be begun or finished.
@@ -96,7 +96,7 @@
         let client = self.clone();
         Box::pin(async move {
             let finished = client.finish(turn, max_wait).await;
-            finished.map_err(|CommitUncertain { failure }| TurnError::Unavailable { cause: failure })
+            finished.map_err(|CallUnconfirmed { failure }| TurnError::Unavailable { cause: failure })
         })
     }
 
--- a/crates/node/src/sessions_client.rs
+++ b/crates/node/src/sessions_client.rs
@@ -16,7 +16,7 @@
 use tokio::time::{Instant, sleep_until, timeout_at};
 
 use self::background::BackgroundCommits;
-pub use self::error::{CommitUncertain, SessionError, StoreFailure, StoreFailureReason};
+pub use self::error::{CallUnconfirmed, SessionError, StoreFailure, StoreFailureReason};
 pub use self::output::OutputSender;
 pub use self::renewal::{LeaseRenewal, renew_at_intervals};
 use self::routing::{PartitionPrimary, primary_of, wait_until_replaced};
@@ -81,7 +81,7 @@
     /// # Errors
     ///
     /// If the commit is not confirmed by the required number of replicas within `max_wait`.
-    pub async fn finish(&self, finish: FinishTurn, max_wait: Duration) -> Result<(), CommitUncertain> {
+    pub async fn finish(&self, finish: FinishTurn, max_wait: Duration) -> Result<(), CallUnconfirmed> {
         let program = finish.program.clone();
         self.call_until_confirmed(
             &program,
@@ -95,11 +95,11 @@
     /// Makes a call that has one definite reply.
     async fn call_until_confirmed(
         &self, program: &ProgramId, call: SessionCall, confirmation: &SessionReply, max_wait: Duration,
-    ) -> Result<(), CommitUncertain> {
+    ) -> Result<(), CallUnconfirmed> {
         match self.call_primary(program, call, Instant::now() + max_wait).await {
             Ok(reply) if reply == *confirmation => Ok(()),
-            Ok(_) => Err(CommitUncertain { failure: StoreFailureReason::UnexpectedReply.into() }),
-            Err(failure) => Err(CommitUncertain { failure }),
+            Ok(_) => Err(CallUnconfirmed { failure: StoreFailureReason::UnexpectedReply.into() }),
+            Err(failure) => Err(CallUnconfirmed { failure }),
         }
     }
 
--- a/crates/node/src/sessions_client/background.rs
+++ b/crates/node/src/sessions_client/background.rs
@@ -12,7 +12,7 @@
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::time::{Instant, sleep};
 
-use super::{ATTEMPT_TIMEOUT, CommitUncertain, SessionsClient};
+use super::{ATTEMPT_TIMEOUT, CallUnconfirmed, SessionsClient};
 
 /// How long a commit is retried without a break.
 const PROMPT_PHASE: Duration = Duration::from_secs(10);
@@ -59,7 +59,7 @@
 
     async fn finish_with_retries(
         &self, finish: FinishTurn, prompt_permit: OwnedSemaphorePermit,
-    ) -> Result<(), CommitUncertain> {
+    ) -> Result<(), CallUnconfirmed> {
         let gives_up_at = Instant::now() + reservation_lifetime(&finish);
         let mut result = self.finish(finish.clone(), PROMPT_PHASE).await;
         if result.is_ok() {
--- a/crates/node/src/sessions_client/error.rs
+++ b/crates/node/src/sessions_client/error.rs
@@ -108,10 +108,10 @@
     }
 }
 
-/// The commit of a turn was not confirmed in time; it may or may not have taken effect.
+/// The commit of a turn, or the renewal of its lease, was not confirmed in time; it may or may not have taken effect.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
-#[snafu(display("commit of the turn not confirmed: {failure}"))]
-pub struct CommitUncertain {
+#[snafu(display("call not confirmed by the stores: {failure}"))]
+pub struct CallUnconfirmed {
     /// The failure of the last attempt.
     pub failure: StoreFailure,
 }
--- a/crates/node/src/sessions_client/renewal.rs
+++ b/crates/node/src/sessions_client/renewal.rs
@@ -6,7 +6,7 @@
 use tokio::task::AbortHandle;
 use tokio::time::{Instant, sleep};
 
-use super::{CommitUncertain, RETRY_DELAY, SessionsClient};
+use super::{CallUnconfirmed, RETRY_DELAY, SessionsClient};
 
 /// How often a lease is renewed. As much time is left to retry a renewal before the lease ends.
 const RENEWAL_INTERVAL: Duration = Duration::from_millis(MAX_TURN_LEASE_MS / 2);
@@ -62,7 +62,7 @@
     /// # Errors
     ///
     /// If the renewal is not confirmed by the required number of replicas within `max_wait`.
-    pub async fn renew(&self, renew: RenewTurn, max_wait: Duration) -> Result<(), CommitUncertain> {
+    pub async fn renew(&self, renew: RenewTurn, max_wait: Duration) -> Result<(), CallUnconfirmed> {
         let program = renew.program.clone();
         self.call_until_confirmed(&program, SessionCall::Renew(renew), &SessionReply::TurnRenewed, max_wait)
             .await
--- a/crates/node/tests/store.rs
+++ b/crates/node/tests/store.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use juniperwing_node::sessions_client::{BegunTurn, CommitUncertain, SessionError};
+use juniperwing_node::sessions_client::{BegunTurn, CallUnconfirmed, SessionError};
 use juniperwing_node::store::run_until;
 use juniperwing_protocol::session::{FinishTurn, MAX_TURN_LEASE_MS, RenewTurn, Turn, TurnLease};
 use juniperwing_protocol::{ProgramId, RequestId};
@@ -216,7 +216,7 @@
     store_two_turns(&cluster).await;
     cluster.running[2].take().unwrap().stop();
     let finished = cluster.client.finish(finish_stored("p", "t3", Some("t2")), SHORT_TIMEOUT).await;
-    assert!(matches!(finished, Err(CommitUncertain { .. })), "{finished:?}");
+    assert!(matches!(finished, Err(CallUnconfirmed { .. })), "{finished:?}");
     let unknown = cluster.client.begin(begin("p", "t4", Some("unknown"), None), SHORT_TIMEOUT).await;
     assert!(is_unavailable(&unknown), "{unknown:?}");
     // Once the keepers have removed the replica from the in-sync set, replies are definite again.
@@ -237,7 +237,7 @@
     // An open segment stays writable after the rename. A turn that fills it makes the next batch open another.
     fill_segments_of_failing_disk(&cluster).await;
     let finished = cluster.client.finish(finish_stored("p", "t3", Some("t2")), SHORT_TIMEOUT).await;
-    assert!(matches!(finished, Err(CommitUncertain { .. })), "{finished:?}");
+    assert!(matches!(finished, Err(CallUnconfirmed { .. })), "{finished:?}");
     cluster.keeper.wait_for_stores(STORE_COUNT - 1).await;
     std::fs::rename(&renamed, &batches).unwrap();
     cluster.keeper.wait_for_stores(STORE_COUNT).await;
