--- a/crates/node/src/relay/gauges.rs
+++ b/crates/node/src/relay/gauges.rs
@@ -60,6 +60,11 @@
                 "Turns that could not be settled: they count at their most",
                 self.sessions.failed_commits(),
             ),
+            Metric::counter(
+                "renewals_failed",
+                "Renewals of leases of long turns that the stores did not confirm in time",
+                self.sessions.failed_renewals(),
+            ),
         ]
     }
 }
--- a/crates/node/src/relay/sessions.rs
+++ b/crates/node/src/relay/sessions.rs
@@ -73,6 +73,11 @@
     fn failed_commits(&self) -> u64 {
         0
     }
+
+    /// The number of renewals of leases that failed; each was tried for half of a lease.
+    fn failed_renewals(&self) -> u64 {
+        0
+    }
 }
 
 impl SessionStore for SessionsClient {
@@ -125,4 +130,8 @@
     fn failed_commits(&self) -> u64 {
         self.failed_commits()
     }
+
+    fn failed_renewals(&self) -> u64 {
+        self.failed_renewals()
+    }
 }
--- a/crates/node/src/sessions_client.rs
+++ b/crates/node/src/sessions_client.rs
@@ -8,6 +8,7 @@
 mod routing;
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
 use juniperwing_protocol::session::{BeginTurn, FinishTurn, SessionCall, SessionReply, SessionRequest, Turn};
@@ -41,12 +42,13 @@
     pool: Arc<LinkPool>,
     map: watch::Receiver<Arc<StoreMap>>,
     background: BackgroundCommits,
+    failed_renewals: Arc<AtomicU64>,
 }
 
 impl SessionsClient {
     /// Creates a client that routes requests by the newest value of `map`.
     pub fn new(pool: Arc<LinkPool>, map: watch::Receiver<Arc<StoreMap>>) -> Self {
-        SessionsClient { pool, map, background: BackgroundCommits::new() }
+        SessionsClient { pool, map, background: BackgroundCommits::new(), failed_renewals: Arc::default() }
     }
 
     /// Reserves the maximum number of tokens that a turn may generate and fetches the previous turns. The call is
--- a/crates/node/src/sessions_client/renewal.rs
+++ b/crates/node/src/sessions_client/renewal.rs
@@ -1,5 +1,6 @@
 //! Renewal of the leases of turns that run for long.
 
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use juniperwing_protocol::session::{MAX_TURN_LEASE_MS, RenewTurn, SessionCall, SessionReply};
@@ -52,11 +53,20 @@
             let (client, mut renew) = (client.clone(), renew.clone());
             let remaining = deadline.saturating_duration_since(Instant::now());
             renew.lease.duration_ms = u64::try_from(remaining.as_millis()).unwrap_or(u64::MAX);
-            async move { client.renew(renew, RENEWAL_INTERVAL).await }
+            async move {
+                let renewed = client.renew(renew, RENEWAL_INTERVAL).await;
+                client.failed_renewals.fetch_add(u64::from(renewed.is_err()), Ordering::Relaxed);
+                renewed
+            }
         };
         LeaseRenewal::new(tokio::spawn(renew_at_intervals(renew_once)).abort_handle())
     }
 
+    /// The number of renewals of leases that failed.
+    pub fn failed_renewals(&self) -> u64 {
+        self.failed_renewals.load(Ordering::Relaxed)
+    }
+
     /// Renews the lease of a turn once.
     ///
     /// # Errors
