Logs and metrics take the names of the build from one place

The keys version and source_digest stood in two log lines and in the metric, and a test of renewals wrote anew a message and a message handler that tests of stores have. BuildInfo now gives its names and values once, and the test stands with those of stores; its assertions are the same. The documentation of renew_at_intervals said that it may return.

--- a/crates/node/src/build_info.rs
+++ b/crates/node/src/build_info.rs
@@ -2,6 +2,8 @@
 
 use std::fmt;
 
+use slog::{KV, Record, Serializer};
+
 /// The version of the workspace.
 const VERSION: &str = env!("CARGO_PKG_VERSION");
 /// The value of [`BuildInfo::source_digest`] in a build that `deploy/build` did not make.
@@ -25,6 +27,19 @@
     pub source_digest: &'static str,
 }
 
+impl BuildInfo {
+    /// The names and values by which logs and metrics tell the build.
+    pub fn labels(&self) -> [(&'static str, &'static str); 2] {
+        [("version", self.version), ("source_digest", self.source_digest)]
+    }
+}
+
+impl KV for BuildInfo {
+    fn serialize(&self, _: &Record, serializer: &mut dyn Serializer) -> slog::Result {
+        self.labels().into_iter().try_for_each(|(name, value)| serializer.emit_str(name, value))
+    }
+}
+
 impl fmt::Display for BuildInfo {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(formatter, "juniperwing {} (source digest {})", self.version, self.source_digest)
--- a/crates/node/src/command.rs
+++ b/crates/node/src/command.rs
@@ -104,8 +104,7 @@
     settings.metrics = metrics.or(settings.metrics);
     let log = logger(level, role.name(), &settings.node_name);
     install_fault_logging(&log);
-    info!(log, "process started"; "version" => build_info::CURRENT.version,
-        "source_digest" => build_info::CURRENT.source_digest);
+    info!(log, "process started"; build_info::CURRENT);
     let result = match signals {
         Err(e) => Err(e),
         Ok(signals) => {
--- a/crates/node/src/metrics/exposition.rs
+++ b/crates/node/src/metrics/exposition.rs
@@ -49,16 +49,10 @@
     ]
 }
 
-/// The metric that names the build of the program in its labels.
-fn build_metric() -> Info<[(&'static str, &'static str); 2]> {
-    let build = build_info::CURRENT;
-    Info::new([("version", build.version), ("source_digest", build.source_digest)])
-}
-
 /// Renders all metrics as text.
 pub fn render(source: &Arc<dyn MetricSource>) -> String {
     let mut registry = Registry::with_prefix(PREFIX);
-    registry.register("build", "The build of the program", build_metric());
+    registry.register("build", "The build of the program", Info::new(build_info::CURRENT.labels()));
     registry.register_collector(Box::new(SourceCollector(Arc::clone(source))));
     let mut text = String::new();
     // Fails only if a metric cannot be encoded; the text is then truncated.
--- a/crates/node/src/sessions_client/renewal.rs
+++ b/crates/node/src/sessions_client/renewal.rs
@@ -30,8 +30,8 @@
     }
 }
 
-/// Renews a lease at intervals. After a failure the lease is renewed again without waiting for the interval, since it may
-/// end before. Returns only if it is dropped.
+/// Renews a lease at intervals of half a lease; never returns. After a failure the lease is renewed again without waiting
+/// for the interval, since it may end before.
 pub async fn renew_at_intervals<Renewal, Failure>(mut renew: impl FnMut() -> Renewal)
 where
     Renewal: Future<Output = Result<(), Failure>>,
--- a/crates/node/tests/lease_renewal.rs
+++ b/crates/node/tests/lease_renewal.rs
@@ -3,12 +3,8 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use juniperwing_node::link::{Link, LinkPool, MessageHandler, ReplySender};
-use juniperwing_node::sessions_client::{SessionsClient, renew_at_intervals};
-use juniperwing_node::sync::watch;
-use juniperwing_protocol::session::{RenewTurn, TurnLease};
-use juniperwing_protocol::{Message, ProgramId, RequestId};
-use tokio::time::{Instant, sleep, sleep_until, timeout};
+use juniperwing_node::sessions_client::renew_at_intervals;
+use tokio::time::{Instant, sleep_until, timeout};
 
 const RENEWAL_INTERVAL: Duration = Duration::from_secs(30);
 /// How long a call to stores that do not reply is retried before it fails.
@@ -17,13 +13,6 @@
 const SHORTEST_RETENTION: Duration = Duration::from_secs(70);
 const RUN_TIME: Duration = Duration::from_secs(125);
 
-/// Receives no messages.
-struct NoMessages;
-
-impl MessageHandler for NoMessages {
-    fn handle_message(&self, _: &Link, _: Message, _: ReplySender) {}
-}
-
 /// Renews a lease whose stores are away for a time, and returns when it was renewed, counted from its beginning.
 async fn renewals_with_outage(outage: std::ops::Range<Duration>) -> Vec<Duration> {
     let begun_at = Instant::now();
@@ -82,24 +71,3 @@
     assert!(timeout(RENEWAL_INTERVAL + Duration::from_secs(1), rejected).await.is_err());
     assert!((1..=25).contains(&calls), "{calls} calls in a second");
 }
-
-// Guards against an outage of the stores that leaves no trace while turns run.
-#[tokio::test(start_paused = true)]
-async fn renewals_that_the_stores_do_not_confirm_are_counted() {
-    let pool = Arc::new(LinkPool::new(Arc::new(NoMessages)));
-    // The map names no store.
-    let (_map, maps) = watch::channel(Arc::default());
-    let client = SessionsClient::new(pool, maps);
-    let renew = RenewTurn {
-        program: ProgramId::from("p"),
-        request: RequestId::from("long"),
-        previous: None,
-        reserved_tokens: Some(90),
-        lease: TurnLease::default(),
-    };
-    let _renewal = client.renew_in_background(renew, Instant::now() + RUN_TIME);
-    sleep(RENEWAL_INTERVAL).await;
-    assert_eq!(client.failed_renewals(), 0);
-    sleep(2 * CALL_TIMEOUT).await;
-    assert!((1..=2).contains(&client.failed_renewals()), "{}", client.failed_renewals());
-}
--- a/crates/node/tests/store.rs
+++ b/crates/node/tests/store.rs
@@ -8,13 +8,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use juniperwing_node::sessions_client::{BegunTurn, CallUnconfirmed, SessionError};
+use juniperwing_node::link::LinkPool;
+use juniperwing_node::sessions_client::{BegunTurn, CallUnconfirmed, SessionError, SessionsClient};
 use juniperwing_node::store::run_until;
+use juniperwing_node::sync::watch;
 use juniperwing_protocol::session::{FinishTurn, MAX_TURN_LEASE_MS, RenewTurn, Turn, TurnLease};
 use juniperwing_protocol::{ProgramId, RequestId};
 use juniperwing_storage::SegmentLog;
 use slog::{Discard, Logger, o};
-use stores::{STORE_COUNT, TEST_TIMEOUT, TestCluster, begin, turn};
+use stores::{STORE_COUNT, TEST_TIMEOUT, TestCluster, TestKeeper, begin, turn};
 use tokio::time::Instant;
 
 /// The timeout of calls that are expected to fail.
@@ -142,6 +144,16 @@
     begun == Err(SessionError::BudgetExhausted)
 }
 
+fn renewal_of_long_turn() -> RenewTurn {
+    RenewTurn {
+        program: ProgramId::from("p"),
+        request: RequestId::from("long"),
+        previous: None,
+        reserved_tokens: Some(90),
+        lease: TurnLease::default(),
+    }
+}
+
 // Guards against a relay that renews no leases: the stores would forget programs while their turns run (review/6).
 #[tokio::test]
 async fn a_lease_is_renewed_at_the_stores_before_it_ends() {
@@ -149,14 +161,7 @@
     let lease = Duration::from_millis(MAX_TURN_LEASE_MS);
     let ends_at = Instant::now() + lease;
     // The stores do not know the turn before its first renewal.
-    let renew = RenewTurn {
-        program: ProgramId::from("p"),
-        request: RequestId::from("long"),
-        previous: None,
-        reserved_tokens: Some(90),
-        lease: TurnLease::default(),
-    };
-    let _renewal = cluster.client.renew_in_background(renew, ends_at + lease);
+    let _renewal = cluster.client.renew_in_background(renewal_of_long_turn(), ends_at + lease);
     assert!(!are_tokens_reserved(&cluster, "first").await, "nothing is reserved before the first renewal");
     let mut number = 0;
     while !are_tokens_reserved(&cluster, &format!("next-{number}")).await {
@@ -166,6 +171,21 @@
     }
 }
 
+// Guards against an outage of the stores that leaves no trace while turns run. In virtual time, since no store is called.
+#[tokio::test(start_paused = true)]
+async fn renewals_that_the_stores_do_not_confirm_are_counted() {
+    let pool = Arc::new(LinkPool::new(Arc::new(TestKeeper::default())));
+    // The map names no store.
+    let (_map, maps) = watch::channel(Arc::default());
+    let client = SessionsClient::new(pool, maps);
+    let interval = Duration::from_millis(MAX_TURN_LEASE_MS / 2);
+    let _renewal = client.renew_in_background(renewal_of_long_turn(), Instant::now() + 5 * interval);
+    tokio::time::sleep(interval).await;
+    assert_eq!(client.failed_renewals(), 0);
+    tokio::time::sleep(2 * interval).await;
+    assert!((1..=2).contains(&client.failed_renewals()), "{}", client.failed_renewals());
+}
+
 #[tokio::test]
 async fn stored_turns_survive_the_loss_of_a_store_and_are_copied_to_its_replacement() {
     let mut cluster = TestCluster::start("failover").await;
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -148,7 +148,7 @@
         let ended = self.journal.live().filter(|(_, entry)| is_ended(entry)).count();
         info!(self.log, "serving"; "listen" => listen, "outstanding" => outstanding,
             "unpushed" => unpushed, "pushed" => outstanding - unpushed - ended,
-            "version" => build_info::CURRENT.version, "source_digest" => build_info::CURRENT.source_digest);
+            build_info::CURRENT);
     }
 
     /// Returns when the next iteration is due if no socket event occurs earlier.
